--- /dev/null
+++ b/goldcrestward/src/cmd/client.rs
@@ -0,0 +1,54 @@
+//! Asks a daemon for operators.
+
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use http_body_util::BodyExt;
+use serde_json::Value;
+use snafu::ResultExt;
+use tokio::time::timeout;
+use volo_http::body::Body;
+
+use crate::{
+    args::AdminArgs,
+    connection::{Call, HttpClient},
+    error::{AskSnafu, Error, Result, RuntimeSnafu},
+};
+
+/// Time for a daemon to answer.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Sends a request to the operators' listener and gives status and answer.
+pub(crate) fn ask(admin: &AdminArgs, method: Method, path: &str, body: Option<&Value>) -> Result<(StatusCode, Value)> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
+    runtime.block_on(async {
+        let exchange = exchange(admin, method, path, body);
+        let fail = |_| AskSnafu { address: admin.admin, reason: "no answer in time" }.build();
+        timeout(TIMEOUT, exchange).await.map_err(fail)?
+    })
+}
+
+/// Reads from the operators' listener.
+pub(crate) fn get(admin: &AdminArgs, path: &str) -> Result<Value> {
+    let (status, value) = ask(admin, Method::GET, path, None)?;
+    if status == StatusCode::OK {
+        return Ok(value);
+    }
+    let reason = value["error"].as_str().unwrap_or("unexpected answer").to_owned();
+    AskSnafu { address: admin.admin, reason }.fail()
+}
+
+async fn exchange(admin: &AdminArgs, method: Method, path: &str, body: Option<&Value>) -> Result<(StatusCode, Value)> {
+    let fail = |reason: String| Error::Ask { address: admin.admin, reason };
+    let client = HttpClient::new().map_err(|e| fail(e.to_string()))?;
+    let mut headers = HeaderMap::new();
+    let token = HeaderValue::from_str(&format!("Bearer {}", admin.token));
+    headers.insert(header::AUTHORIZATION, token.map_err(|_| fail("the token is not printable".into()))?);
+    let body = body.map_or_else(Body::empty, |body| Body::from(body.to_string()));
+    let call = Call { address: admin.admin, method, path: path.to_owned(), headers, body };
+    let response = client.send(call).await.map_err(|_| fail("the connection failed".into()))?;
+    let status = response.status();
+    let bytes = response.into_body().collect().await.map_err(|e| fail(e.to_string()))?.to_bytes();
+    let value = serde_json::from_slice(&bytes).map_err(|e| fail(e.to_string()))?;
+    Ok((status, value))
+}
--- /dev/null
+++ b/goldcrestward/src/cmd/rollout.rs
@@ -0,0 +1,48 @@
+//! `goldcrestward rollout`.
+
+use std::time::Duration;
+
+use serde_json::Value;
+
+use super::{
+    Run,
+    client::get,
+    table::{print_json, print_table, rows},
+};
+use crate::{
+    args::{AdminArgs, RolloutAction},
+    error::Result,
+};
+
+/// Time from one look at the moves to the next.
+const LOOK: Duration = Duration::from_secs(1);
+
+impl Run for RolloutAction {
+    fn run(self) -> Result<()> {
+        match self {
+            Self::Status(admin) => show(&admin, &get(&admin, "/admin/rollout")?),
+            Self::Watch(admin) => watch(&admin),
+        }
+    }
+}
+
+fn show(admin: &AdminArgs, value: &Value) -> Result<()> {
+    if admin.json {
+        return print_json(value);
+    }
+    let fields = ["version", "pool", "step", "share", "outcome", "reason", "holder"];
+    let headings = ["VERSION", "POOL", "STEP", "SHARE", "OUTCOME", "REASON", "HOLDER"];
+    print_table(&headings, &rows(&value["versions"], &fields))
+}
+
+fn watch(admin: &AdminArgs) -> Result<()> {
+    let mut last = Value::Null;
+    loop {
+        let value = get(admin, "/admin/rollout")?;
+        if value != last {
+            show(admin, &value)?;
+        }
+        last = value;
+        std::thread::sleep(LOOK);
+    }
+}
--- /dev/null
+++ b/goldcrestward/src/config/document.rs
@@ -0,0 +1,80 @@
+//! One configuration file, parsed.
+
+use std::{collections::BTreeMap, fs, path::Path, sync::Arc};
+
+use snafu::ResultExt;
+
+use super::{
+    error::{ReadSnafu, Result},
+    merge::Problem,
+    spec::Spec,
+};
+
+/// A file's text with its parsed content, or with what is wrong with it.
+#[derive(Clone, Debug)]
+pub struct Document {
+    text: Arc<str>,
+    spec: Spec,
+    problem: Option<Problem>,
+}
+
+impl Document {
+    /// Parses a file.
+    pub fn parse(name: &Arc<str>, text: Arc<str>) -> Self {
+        match serde_saphyr::from_str::<Spec>(&text) {
+            Ok(spec) => Self { text, spec, problem: None },
+            Err(error) if text.trim().is_empty() => {
+                let _ = error;
+                Self { text, spec: Spec::default(), problem: None }
+            }
+            Err(error) => {
+                let problem = yaml_problem(name, &error);
+                Self { text, spec: Spec::default(), problem: Some(problem) }
+            }
+        }
+    }
+
+    /// Reads and parses the `.yaml` files of a folder.
+    ///
+    /// # Errors
+    /// Fails when the folder or a file cannot be read.
+    pub fn read_folder(folder: &Path) -> Result<BTreeMap<Arc<str>, Arc<Self>>> {
+        let path = folder.display().to_string();
+        let mut documents = BTreeMap::new();
+        for entry in fs::read_dir(folder).context(ReadSnafu { path: &path })? {
+            let entry = entry.context(ReadSnafu { path: &path })?;
+            let file = entry.path();
+            let is_yaml = file.extension().is_some_and(|e| e == "yaml" || e == "yml");
+            if !is_yaml || !file.is_file() {
+                continue;
+            }
+            let text = fs::read_to_string(&file).context(ReadSnafu { path: file.display().to_string() })?;
+            let name: Arc<str> = entry.file_name().to_string_lossy().into();
+            documents.insert(name.clone(), Arc::new(Self::parse(&name, text.into())));
+        }
+        Ok(documents)
+    }
+
+    /// The file's text.
+    pub fn text(&self) -> &Arc<str> {
+        &self.text
+    }
+
+    pub(crate) fn spec(&self) -> &Spec {
+        &self.spec
+    }
+
+    pub(crate) fn problem(&self) -> Option<&Problem> {
+        self.problem.as_ref()
+    }
+}
+
+/// Turns a parser's error into a problem that names line and field.
+pub(crate) fn yaml_problem(name: &Arc<str>, error: &serde_saphyr::Error) -> Problem {
+    let error = error.without_snippet();
+    let line = error.location().map_or(0, |l| l.line());
+    let full = error.to_string();
+    let message = full.lines().next().unwrap_or_default().to_owned();
+    let field = message.split('`').nth(1).unwrap_or("document").to_owned();
+    Problem { file: name.clone(), line, field, message }
+}
--- /dev/null
+++ b/goldcrestward/src/config/site.rs
@@ -0,0 +1,156 @@
+//! The configuration in the form that the daemon works with.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use super::spec::PoolKind;
+use crate::util::value;
+
+value! {
+    /// A way from callers to a pool.
+    pub struct Route {
+        /// The route's name.
+        pub name: Arc<str>,
+        /// The pool that serves it.
+        pub pool: Arc<str>,
+        /// The model name that callers ask for.
+        pub model: Option<Arc<str>>,
+        /// The path prefix that callers use.
+        pub prefix: Option<Arc<str>>,
+        /// Whether a call may be sent again.
+        pub repeatable: bool,
+        /// Whether calls are idempotent lookups that may be hedged.
+        pub lookup: bool,
+        /// Longest time for a whole request.
+        pub timeout: Duration,
+        /// Retries allowed as a share of requests.
+        pub retry_share: f64,
+        /// Priority handed to engines.
+        pub priority: i32,
+    }
+}
+
+value! {
+    /// The limits of an account, for the whole site.
+    pub struct Limits {
+        /// Requests a second.
+        pub requests: f64,
+        /// Tokens a second.
+        pub tokens: f64,
+        /// Requests in flight.
+        pub flights: f64,
+    }
+}
+
+value! {
+    /// A client account.
+    pub struct Account {
+        /// The account's name.
+        pub name: Arc<str>,
+        /// SHA-256 of its key, in lowercase hexadecimal digits.
+        pub key_hash: Arc<str>,
+        /// Routes that it may use; all when empty.
+        pub routes: Vec<Arc<str>>,
+        /// Weight when accounts share what is scarce.
+        pub weight: f64,
+        /// Its limits.
+        pub limits: Limits,
+    }
+}
+
+value! {
+    /// A group of like backend servers.
+    pub struct Pool {
+        /// The pool's name.
+        pub name: Arc<str>,
+        /// What its servers speak.
+        pub kind: PoolKind,
+        /// Whether its servers refuse orders with an old fencing number.
+        pub checks_fences: bool,
+        /// Servers wanted.
+        pub replicas: u32,
+        /// Requests in flight that one server is meant to hold.
+        pub concurrency: u32,
+    }
+}
+
+value! {
+    /// A version of a pool's servers and when traffic moves to it.
+    pub struct VersionPlan {
+        /// The version's name.
+        pub name: Arc<str>,
+        /// The pool.
+        pub pool: Arc<str>,
+        /// Unix time in ms at which the move starts; `None` for the version in use from the outset.
+        pub start_ms: Option<u64>,
+        /// Unix time in ms by which the move must have ended.
+        pub date_ms: Option<u64>,
+        /// Shares of traffic on the way, each between 0 and 1.
+        pub steps: Vec<f64>,
+        /// Added share of failed or slow requests that counts as harm.
+        pub harm: f64,
+    }
+}
+
+value! {
+    /// An availability zone.
+    pub struct Zone {
+        /// The zone's name.
+        pub name: Arc<str>,
+        /// Its region.
+        pub region: Arc<str>,
+    }
+}
+
+value! {
+    /// What instances of a class cost in a zone.
+    pub struct Price {
+        /// The zone.
+        pub zone: Arc<str>,
+        /// The machine class.
+        pub class: Arc<str>,
+        /// Price of a reclaimable instance for an hour.
+        pub reclaimable: f64,
+        /// Price of an on-demand instance for an hour.
+        pub on_demand: f64,
+    }
+}
+
+/// A whole configuration, checked.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Site {
+    /// Routes by name.
+    pub routes: BTreeMap<Arc<str>, Arc<Route>>,
+    /// Accounts by name.
+    pub accounts: BTreeMap<Arc<str>, Arc<Account>>,
+    /// Pools by name.
+    pub pools: BTreeMap<Arc<str>, Pool>,
+    /// Versions by name.
+    pub versions: BTreeMap<Arc<str>, VersionPlan>,
+    /// Zones by name.
+    pub zones: BTreeMap<Arc<str>, Zone>,
+    /// Prices by name.
+    pub prices: BTreeMap<Arc<str>, Price>,
+}
+
+impl Site {
+    /// The route of a model name.
+    pub fn model_route(&self, model: &str) -> Option<&Arc<Route>> {
+        self.routes.values().find(|r| r.model.as_deref() == Some(model))
+    }
+
+    /// The route with the longest prefix of `path`.
+    pub fn path_route(&self, path: &str) -> Option<&Arc<Route>> {
+        let matches = |r: &&Arc<Route>| r.prefix.as_deref().is_some_and(|p| path.starts_with(p));
+        let length = |r: &&Arc<Route>| r.prefix.as_ref().map_or(0, |p| p.len());
+        self.routes.values().filter(matches).max_by_key(length)
+    }
+
+    /// The account with this key.
+    pub fn account(&self, key: &str) -> Option<&Arc<Account>> {
+        use subtle::ConstantTimeEq;
+
+        let hash = crate::util::sha256_hex(key.as_bytes());
+        let same = |a: &&Arc<Account>| bool::from(a.key_hash.as_bytes().ct_eq(hash.as_bytes()));
+        self.accounts.values().filter(same).last()
+    }
+}
--- /dev/null
+++ b/goldcrestward/src/connection/listener.rs
@@ -0,0 +1,141 @@
+//! The accept loop for HTTP, with a drain that cuts nothing.
+//!
+//! The library's own server limits a stop to 30 seconds, so the loop is ours.
+
+use std::{cell::RefCell, convert::Infallible, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+
+use futures_util::future::BoxFuture;
+use hyper::{body::Incoming, server::conn::http1};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use metainfo::{METAINFO, MetaInfo};
+use motore::service::Service;
+use snafu::ResultExt;
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    sync::{Semaphore, watch},
+};
+use tokio_util::task::TaskTracker;
+use volo::net::Address;
+use volo_http::{
+    context::ServerContext,
+    request::Request,
+    response::Response,
+    server::{IntoResponse, Router},
+};
+
+use super::error::{ListenSnafu, Result};
+
+/// Connections that may wait to be accepted.
+const LISTEN_BACKLOG: u32 = 4096;
+/// Connections open at once on one listener.
+const CONNECTIONS: usize = 20_000;
+/// Time for a caller to send the head of a request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
+/// Bytes of a request's head.
+const HEADER_BYTES: usize = 64 * 1024;
+/// Pause after a failed accept, such as when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Opens a listening socket with a long backlog.
+pub(crate) fn bind(address: SocketAddr) -> Result<TcpListener> {
+    open(address).context(ListenSnafu { address })
+}
+
+fn open(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
+/// Tells listeners to stop, and waits for their connections.
+#[derive(Clone)]
+pub(crate) struct Drain {
+    stop: Arc<watch::Sender<bool>>,
+    connections: TaskTracker,
+}
+
+impl Drain {
+    /// A drain that has not begun.
+    pub fn new() -> Self {
+        Self { stop: Arc::new(watch::channel(false).0), connections: TaskTracker::new() }
+    }
+
+    /// Stops accepting, lets each connection end its request, and waits for all.
+    pub async fn finish(&self) {
+        self.stop.send_replace(true);
+        self.connections.close();
+        self.connections.wait().await;
+    }
+}
+
+/// Serves a router on a socket.
+pub(crate) struct Listener {
+    /// The socket.
+    pub socket: TcpListener,
+    /// What answers.
+    pub router: Router,
+    /// How it is stopped.
+    pub drain: Drain,
+}
+
+impl Listener {
+    /// Accepts connections until the drain begins.
+    pub async fn run(self) {
+        let router = Arc::new(self.router);
+        let permits = Arc::new(Semaphore::new(CONNECTIONS));
+        let mut stopped = self.drain.stop.subscribe();
+        loop {
+            let Ok(permit) = permits.clone().acquire_owned().await else { return };
+            let accepted = tokio::select! {
+                accepted = self.socket.accept() => accepted,
+                _ = stopped.wait_for(|stop| *stop) => return,
+            };
+            let Ok((stream, peer)) = accepted else {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let service = Bridge { router: router.clone(), peer };
+            let stop = self.drain.stop.subscribe();
+            self.drain.connections.spawn(async move {
+                serve(stream, service, stop).await;
+                drop(permit);
+            });
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, service: Bridge, mut stop: watch::Receiver<bool>) {
+    stream.set_nodelay(true).ok();
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT).max_buf_size(HEADER_BYTES);
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = stop.wait_for(|stop| *stop) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    connection.await.ok();
+}
+
+/// Hands a connection's requests to the router.
+struct Bridge {
+    router: Arc<Router>,
+    peer: SocketAddr,
+}
+
+impl hyper::service::Service<http::Request<Incoming>> for Bridge {
+    type Response = Response;
+    type Error = Infallible;
+    type Future = BoxFuture<'static, Result<Response, Infallible>>;
+
+    fn call(&self, request: http::Request<Incoming>) -> Self::Future {
+        let router = self.router.clone();
+        let peer = Address::from(self.peer);
+        Box::pin(METAINFO.scope(RefCell::new(MetaInfo::default()), async move {
+            let mut context = ServerContext::new(peer);
+            let request: Request = request.map(volo_http::body::Body::from_incoming);
+            Ok(router.call(&mut context, request).await.into_response())
+        }))
+    }
+}
--- /dev/null
+++ b/goldcrestward/src/connection/mod.rs
@@ -0,0 +1,13 @@
+//! What lives as long as a connection.
+
+mod client;
+mod error;
+mod listener;
+mod peer;
+mod seal;
+
+pub(crate) use client::{Call, HttpClient, Sent};
+pub(crate) use error::Error;
+pub(crate) use listener::{Drain, Listener, bind};
+pub(crate) use peer::{PeerHandler, PeerLinks, serve_peers};
+pub(crate) use seal::{Seal, Secrets};
--- /dev/null
+++ b/goldcrestward/src/ledger/mod.rs
@@ -0,0 +1,13 @@
+//! At-most-once execution: a ledger of keys in the platform's service, split into slots.
+//!
+//! A slot belongs to the daemon that last raised its fencing number. The owner commits
+//! a claim to the service before anyone may send the request to a back end.
+
+mod entry;
+mod error;
+mod owner;
+mod slot;
+
+pub(crate) use entry::{Key, SLOTS, key_of};
+pub(crate) use owner::{Claim, Ledger, OwnerOf};
+pub(crate) use slot::Settlement;
--- /dev/null
+++ b/goldcrestward/src/ledger/slot.rs
@@ -0,0 +1,560 @@
+//! One slot of the ledger as a plain state machine.
+//!
+//! The slot's head key names its owner and a fencing number; its segment keys hold the
+//! entries, of which only the last is still written. Every write is a transaction that
+//! compares the head and the segment written, so that a write of an earlier owner, or one
+//! that arrives late, takes no effect. A write whose answer was lost is settled by reading back.
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    sync::Arc,
+};
+
+use prost::Message;
+
+use super::entry::{Entry, EntryState, Key};
+use crate::{
+    pb::{self, Grant},
+    platform::{Compare, Error, Put, Row, Txn},
+};
+
+/// Bytes after which a segment is not written any more.
+const SEGMENT_BYTES: usize = 32 * 1024;
+/// Segments of a slot; beyond it new keys are refused.
+const SEGMENTS: usize = 256;
+/// Time for which a key is kept, in seconds.
+const RETENTION_S: u64 = 24 * 3600;
+/// Time after which an open claim counts as one that may have run, in seconds.
+const CLAIM_S: u64 = 300;
+/// Claims waiting for a commit at most.
+const WAITING: usize = 4096;
+/// Commits that a slot may make at once after a quiet time.
+const COMMIT_BURST: f64 = 4.0;
+/// Commits a second of one slot.
+const COMMIT_RATE: f64 = 2.0;
+/// Time that an outcome waits for a claim to share its commit, in ms.
+const SETTLE_DELAY_MS: u64 = 1_000;
+/// Pause after a failed call before the next one, in ms.
+const RETRY_MS: u64 = 300;
+/// Failed calls in a row after which waiting claims are refused.
+const PATIENCE: u32 = 3;
+
+/// Names a claim until it is answered.
+pub(crate) type Ticket = u64;
+
+/// Answer of the key-value service to an effect.
+#[derive(Clone, Debug)]
+pub(crate) enum StoreResult {
+    /// Rows of the slot, or why there are none.
+    Loaded(Result<Vec<Row>, Error>),
+    /// Outcome of a transaction, or why it is not known.
+    Committed(Result<Txn, Error>),
+}
+
+/// What the state machine wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Effect {
+    /// Read all keys of the slot.
+    Load,
+    /// Run a transaction.
+    Commit(Vec<Compare>, Vec<Put>, Vec<String>),
+    /// Answer a claim.
+    Reply(Ticket, Grant, Option<pb::Outcome>),
+}
+
+/// How a claim ended.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Settlement {
+    /// The key.
+    pub key: Key,
+    /// The request that held the claim.
+    pub request: Arc<str>,
+    /// Whether the request may have run.
+    pub ran: bool,
+    /// The outcome, where it is known.
+    pub outcome: Option<pb::Outcome>,
+}
+
+#[derive(Debug)]
+struct Claim {
+    ticket: Ticket,
+    key: Key,
+    fingerprint: u64,
+    request: Arc<str>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Another daemon's, or nobody's.
+    Idle,
+    /// Reading the slot, or waiting to.
+    Loading,
+    /// Raising the fencing number.
+    Taking,
+    /// This daemon's.
+    Owned,
+    /// This daemon's, with a commit on its way.
+    Committing,
+    /// A commit's answer was lost; reading back.
+    Settling,
+}
+
+#[derive(Debug, Default)]
+struct Segment {
+    revision: u64,
+    newest: u64,
+}
+
+#[derive(Debug, Default)]
+struct Batch {
+    tickets: Vec<(Ticket, Key, Arc<str>)>,
+    removes: Vec<u32>,
+}
+
+/// One slot at one daemon.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    prefix: String,
+    me: String,
+    address: String,
+    phase: Phase,
+    wanted: bool,
+    busy: bool,
+    head_revision: u64,
+    fence: u64,
+    commit: u64,
+    entries: HashMap<Key, Entry>,
+    segments: BTreeMap<u32, Segment>,
+    open: u32,
+    open_entries: Vec<Key>,
+    open_bytes: usize,
+    waiting: VecDeque<Claim>,
+    dirty: Vec<Key>,
+    dirty_since: Option<u64>,
+    batch: Batch,
+    tokens: f64,
+    refilled: u64,
+    not_before: u64,
+    failures: u32,
+    unsafe_dispatch: bool,
+}
+
+impl Slot {
+    /// The slot `number` of a site; `me` names this process and no other, ever.
+    pub fn new(site: &str, number: u32, me: String, address: String) -> Self {
+        Self {
+            prefix: format!("/goldcrestward/{site}/ledger/{number}/"),
+            me,
+            address,
+            phase: Phase::Idle,
+            wanted: false,
+            busy: false,
+            head_revision: 0,
+            fence: 0,
+            commit: 0,
+            entries: HashMap::new(),
+            segments: BTreeMap::new(),
+            open: 0,
+            open_entries: Vec::new(),
+            open_bytes: 0,
+            waiting: VecDeque::new(),
+            dirty: Vec::new(),
+            dirty_since: None,
+            batch: Batch::default(),
+            tokens: COMMIT_BURST,
+            refilled: 0,
+            not_before: 0,
+            failures: 0,
+            unsafe_dispatch: false,
+        }
+    }
+
+    /// Plants a fault for a test of the tests: rights to run are given before the commit.
+    #[cfg(test)]
+    pub fn plant_early_dispatch(&mut self) {
+        self.unsafe_dispatch = true;
+    }
+
+    /// Prefix of the slot's keys in the service.
+    pub fn prefix(&self) -> &str {
+        &self.prefix
+    }
+
+    /// Whether this daemon holds the slot, as far as it knows.
+    pub fn is_owned(&self) -> bool {
+        matches!(self.phase, Phase::Owned | Phase::Committing | Phase::Settling)
+    }
+
+    /// Keys kept.
+    pub fn keys(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing waits to be written or answered.
+    pub fn is_settled(&self) -> bool {
+        !self.busy && self.waiting.is_empty() && self.dirty.is_empty() && self.phase != Phase::Settling
+    }
+
+    /// Says whether the membership wants this daemon to own the slot.
+    pub fn want(&mut self, wanted: bool, now: u64, unix: u64) -> Vec<Effect> {
+        self.wanted = wanted;
+        if wanted {
+            return self.advance(now, unix);
+        }
+        if self.is_owned() || self.busy {
+            return Vec::new();
+        }
+        self.phase = Phase::Idle;
+        self.refuse_waiting(Grant::NotOwner)
+    }
+
+    /// Asks for the right to run a request. `unix` is the time in seconds.
+    pub fn claim(
+        &mut self,
+        ticket: Ticket,
+        key: Key,
+        fingerprint: u64,
+        request: Arc<str>,
+        now: u64,
+        unix: u64,
+    ) -> Vec<Effect> {
+        let claim = Claim { ticket, key, fingerprint, request };
+        if !self.is_owned() && !self.wanted {
+            return vec![Effect::Reply(ticket, Grant::NotOwner, None)];
+        }
+        if self.is_owned()
+            && let Some((grant, outcome)) = self.known(&claim, unix)
+        {
+            return vec![Effect::Reply(ticket, grant, outcome)];
+        }
+        if self.waiting.len() >= WAITING {
+            return vec![Effect::Reply(ticket, Grant::Unavailable, None)];
+        }
+        self.waiting.push_back(claim);
+        self.advance(now, unix)
+    }
+
+    /// Ends a claim; false if this daemon does not hold it.
+    pub fn settle(&mut self, settlement: Settlement, now: u64, unix: u64) -> (bool, Vec<Effect>) {
+        if !self.is_owned() {
+            return (false, Vec::new());
+        }
+        let Some(entry) = self.entries.get_mut(&settlement.key) else { return (false, Vec::new()) };
+        if entry.request != settlement.request || entry.state == EntryState::Done {
+            return (entry.state == EntryState::Done, Vec::new());
+        }
+        entry.state = match (settlement.ran, &settlement.outcome) {
+            (_, Some(_)) => EntryState::Done,
+            (true, None) => EntryState::Unknown,
+            (false, None) => EntryState::Free,
+        };
+        entry.outcome = settlement.outcome;
+        entry.at = unix;
+        self.dirty.push(settlement.key);
+        self.dirty_since.get_or_insert(now);
+        (true, self.advance(now, unix))
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: u64, unix: u64) -> Vec<Effect> {
+        self.advance(now, unix)
+    }
+
+    /// Takes the service's answer to the last `Load` or `Commit`.
+    pub fn answered(&mut self, result: StoreResult, now: u64, unix: u64) -> Vec<Effect> {
+        self.busy = false;
+        let mut effects = match result {
+            StoreResult::Loaded(Ok(rows)) => self.loaded(&rows, unix),
+            StoreResult::Committed(Ok(txn)) => self.committed(txn),
+            StoreResult::Loaded(Err(_)) => self.failed(now),
+            StoreResult::Committed(Err(error)) => self.uncertain(&error, now),
+        };
+        effects.extend(self.advance(now, unix));
+        effects
+    }
+
+    fn known(&self, claim: &Claim, unix: u64) -> Option<(Grant, Option<pb::Outcome>)> {
+        let entry = self.entries.get(&claim.key)?;
+        if entry.state == EntryState::Free || entry.at + RETENTION_S <= unix {
+            return None;
+        }
+        if entry.fingerprint != claim.fingerprint {
+            return Some((Grant::Mismatch, None));
+        }
+        let in_batch = self.batch.tickets.iter().any(|(_, key, _)| *key == claim.key);
+        Some(match entry.state {
+            EntryState::Done => (Grant::Done, entry.outcome.clone()),
+            // The same request asks again because the answer to it was lost.
+            EntryState::Open if entry.request == claim.request && !in_batch => (Grant::Run, None),
+            EntryState::Open if entry.at + CLAIM_S > unix => (Grant::InProgress, None),
+            _ => (Grant::MayHaveRun, None),
+        })
+    }
+
+    fn advance(&mut self, now: u64, unix: u64) -> Vec<Effect> {
+        self.refill(now);
+        if self.busy || now < self.not_before {
+            return Vec::new();
+        }
+        match self.phase {
+            Phase::Idle if self.wanted && !self.waiting.is_empty() => self.load(Phase::Loading),
+            Phase::Loading => self.load(Phase::Loading),
+            Phase::Settling => self.load(Phase::Settling),
+            Phase::Owned => self.flush(now, unix),
+            Phase::Idle | Phase::Taking | Phase::Committing => Vec::new(),
+        }
+    }
+
+    fn refill(&mut self, now: u64) {
+        let passed = now.saturating_sub(self.refilled) as f64 / 1000.0;
+        self.refilled = now;
+        self.tokens = (self.tokens + passed * COMMIT_RATE).min(COMMIT_BURST);
+    }
+
+    fn load(&mut self, phase: Phase) -> Vec<Effect> {
+        self.phase = phase;
+        self.busy = true;
+        vec![Effect::Load]
+    }
+
+    fn loaded(&mut self, rows: &[Row], unix: u64) -> Vec<Effect> {
+        self.failures = 0;
+        if self.phase == Phase::Settling {
+            return self.settle_commit(rows);
+        }
+        self.read(rows, unix);
+        let head = find_head(rows, &self.prefix);
+        if let Some((head, revision)) = &head
+            && head.owner == self.me
+        {
+            // An earlier write of the head took effect although its answer was lost.
+            self.head_revision = *revision;
+            self.fence = head.fence;
+            self.phase = Phase::Owned;
+            return Vec::new();
+        }
+        let (fence, revision) = head.map_or((0, 0), |(head, revision)| (head.fence, revision));
+        self.fence = fence + 1;
+        self.phase = Phase::Taking;
+        self.busy = true;
+        let head = pb::LedgerHead { fence: self.fence, owner: self.me.clone(), address: self.address.clone() };
+        let key = format!("{}head", self.prefix);
+        let compare = Compare { key: key.clone(), revision };
+        vec![Effect::Commit(vec![compare], vec![Put { key, value: head.encode_to_vec() }], Vec::new())]
+    }
+
+    /// Reads all segments; what an earlier owner left open may have run.
+    fn read(&mut self, rows: &[Row], unix: u64) {
+        self.entries.clear();
+        self.segments.clear();
+        self.dirty.clear();
+        self.dirty_since = None;
+        for row in rows {
+            let Some((number, segment)) = parse_segment(row, &self.prefix) else { continue };
+            let mut newest = 0;
+            for mut entry in segment.entries.into_iter().filter_map(Entry::from_wire) {
+                newest = newest.max(entry.at);
+                if entry.state == EntryState::Open {
+                    entry.state = EntryState::Unknown;
+                }
+                if entry.at + RETENTION_S > unix {
+                    self.entries.insert(entry.key, entry);
+                }
+            }
+            self.segments.insert(number, Segment { revision: row.revision, newest });
+        }
+        self.open = self.segments.keys().next_back().map_or(0, |last| last + 1);
+        self.open_entries.clear();
+        self.open_bytes = 0;
+    }
+
+    fn flush(&mut self, now: u64, unix: u64) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let overdue = self.dirty_since.is_some_and(|since| now.saturating_sub(since) >= SETTLE_DELAY_MS);
+        let due = !self.waiting.is_empty() || overdue;
+        if !due || self.tokens < 1.0 {
+            return effects;
+        }
+        self.roll();
+        self.batch = Batch::default();
+        while let Some(claim) = self.waiting.pop_front() {
+            self.admit(claim, unix, &mut effects);
+        }
+        for key in std::mem::take(&mut self.dirty) {
+            self.append(key);
+        }
+        self.dirty_since = None;
+        if self.open_entries.is_empty() {
+            return effects;
+        }
+        self.tokens -= 1.0;
+        self.batch.removes = self.expired(unix);
+        effects.push(self.commit());
+        if self.unsafe_dispatch {
+            let granted = self.batch.tickets.drain(..).map(|(ticket, ..)| Effect::Reply(ticket, Grant::Run, None));
+            effects.extend(granted);
+        }
+        effects
+    }
+
+    fn admit(&mut self, claim: Claim, unix: u64, effects: &mut Vec<Effect>) {
+        if let Some((grant, outcome)) = self.known(&claim, unix) {
+            effects.push(Effect::Reply(claim.ticket, grant, outcome));
+            return;
+        }
+        if self.segments.len() >= SEGMENTS {
+            effects.push(Effect::Reply(claim.ticket, Grant::Full, None));
+            return;
+        }
+        let entry = Entry {
+            key: claim.key,
+            fingerprint: claim.fingerprint,
+            state: EntryState::Open,
+            at: unix,
+            request: claim.request.clone(),
+            outcome: None,
+        };
+        self.entries.insert(claim.key, entry);
+        self.append(claim.key);
+        self.batch.tickets.push((claim.ticket, claim.key, claim.request));
+    }
+
+    fn append(&mut self, key: Key) {
+        let Some(entry) = self.entries.get(&key) else { return };
+        self.open_bytes += entry.size();
+        if !self.open_entries.contains(&key) {
+            self.open_entries.push(key);
+        }
+    }
+
+    /// Begins a new segment when the open one is large.
+    fn roll(&mut self) {
+        if self.open_bytes >= SEGMENT_BYTES {
+            self.open += 1;
+            self.open_entries.clear();
+            self.open_bytes = 0;
+        }
+    }
+
+    fn expired(&self, unix: u64) -> Vec<u32> {
+        let old = |s: &Segment| s.newest + RETENTION_S <= unix;
+        self.segments.iter().filter(|(n, s)| **n != self.open && old(s)).map(|(n, _)| *n).collect()
+    }
+
+    fn commit(&mut self) -> Effect {
+        self.phase = Phase::Committing;
+        self.busy = true;
+        self.commit += 1;
+        let entries = self.open_entries.iter().filter_map(|key| self.entries.get(key));
+        let segment =
+            pb::LedgerSegment { fence: self.fence, commit: self.commit, entries: entries.map(Into::into).collect() };
+        let key = self.segment_key(self.open);
+        let revision = self.segments.get(&self.open).map_or(0, |s| s.revision);
+        let head = Compare { key: format!("{}head", self.prefix), revision: self.head_revision };
+        let compares = vec![head, Compare { key: key.clone(), revision }];
+        let removes = self.batch.removes.iter().map(|n| self.segment_key(*n)).collect();
+        Effect::Commit(compares, vec![Put { key, value: segment.encode_to_vec() }], removes)
+    }
+
+    fn segment_key(&self, number: u32) -> String {
+        format!("{}segment/{number:08}", self.prefix)
+    }
+
+    fn committed(&mut self, txn: Txn) -> Vec<Effect> {
+        self.failures = 0;
+        match self.phase {
+            Phase::Taking if txn.succeeded => {
+                self.head_revision = txn.revision;
+                self.phase = Phase::Owned;
+                Vec::new()
+            }
+            Phase::Taking => {
+                self.phase = Phase::Loading;
+                Vec::new()
+            }
+            Phase::Committing if txn.succeeded => self.succeeded(txn.revision),
+            // A condition failed: another daemon took the slot, or an earlier try of this commit arrived late.
+            _ => {
+                self.phase = Phase::Settling;
+                Vec::new()
+            }
+        }
+    }
+
+    fn succeeded(&mut self, revision: u64) -> Vec<Effect> {
+        self.phase = Phase::Owned;
+        let newest = self.open_entries.iter().filter_map(|k| self.entries.get(k)).map(|e| e.at).max();
+        self.segments.insert(self.open, Segment { revision, newest: newest.unwrap_or(0) });
+        let batch = std::mem::take(&mut self.batch);
+        for number in batch.removes {
+            self.segments.remove(&number);
+        }
+        batch.tickets.into_iter().map(|(ticket, ..)| Effect::Reply(ticket, Grant::Run, None)).collect()
+    }
+
+    fn settle_commit(&mut self, rows: &[Row]) -> Vec<Effect> {
+        let head = find_head(rows, &self.prefix);
+        if head.is_none_or(|(head, _)| head.owner != self.me || head.fence != self.fence) {
+            return self.lose();
+        }
+        let key = self.segment_key(self.open);
+        let stored = rows.iter().find(|row| row.key == key);
+        let segment = stored.and_then(|row| pb::LedgerSegment::decode(&row.value[..]).ok());
+        let done = segment.is_some_and(|s| s.fence == self.fence && s.commit == self.commit);
+        if let Some(row) = stored.filter(|_| done) {
+            return self.succeeded(row.revision);
+        }
+        // It took no effect and may still arrive; the same comparison admits only one of the two.
+        self.commit -= 1;
+        vec![self.commit()]
+    }
+
+    /// Another daemon owns the slot: nothing that was not committed may run here.
+    fn lose(&mut self) -> Vec<Effect> {
+        self.phase = Phase::Idle;
+        self.entries.clear();
+        self.segments.clear();
+        self.dirty.clear();
+        self.dirty_since = None;
+        let batch = std::mem::take(&mut self.batch);
+        let refused = batch.tickets.into_iter().map(|(ticket, ..)| Effect::Reply(ticket, Grant::NotOwner, None));
+        let mut effects: Vec<_> = refused.collect();
+        effects.extend(self.refuse_waiting(Grant::NotOwner));
+        effects
+    }
+
+    fn refuse_waiting(&mut self, grant: Grant) -> Vec<Effect> {
+        self.waiting.drain(..).map(|claim| Effect::Reply(claim.ticket, grant, None)).collect()
+    }
+
+    fn failed(&mut self, now: u64) -> Vec<Effect> {
+        self.failures += 1;
+        self.not_before = now + RETRY_MS;
+        if self.failures < PATIENCE {
+            return Vec::new();
+        }
+        if self.phase == Phase::Loading {
+            self.phase = Phase::Idle;
+        }
+        self.refuse_waiting(Grant::Unavailable)
+    }
+
+    fn uncertain(&mut self, error: &Error, now: u64) -> Vec<Effect> {
+        let effects = self.failed(now);
+        self.phase = match (self.phase, error) {
+            (Phase::Taking, _) => Phase::Loading,
+            _ => Phase::Settling,
+        };
+        effects
+    }
+}
+
+fn find_head(rows: &[Row], prefix: &str) -> Option<(pb::LedgerHead, u64)> {
+    let row = rows.iter().find(|row| row.key.strip_prefix(prefix) == Some("head"))?;
+    Some((pb::LedgerHead::decode(&row.value[..]).ok()?, row.revision))
+}
+
+fn parse_segment(row: &Row, prefix: &str) -> Option<(u32, pb::LedgerSegment)> {
+    let number = row.key.strip_prefix(prefix)?.strip_prefix("segment/")?.parse().ok()?;
+    Some((number, pb::LedgerSegment::decode(&row.value[..]).ok()?))
+}
--- /dev/null
+++ b/goldcrestward/src/lib.rs
@@ -0,0 +1,20 @@
+//! goldcrestward serves model traffic on reclaimable instances.
+//!
+//! Callers reach any of several equal daemons, which pass requests on to model engines and
+//! plain services, answer each accepted request once and whole, and move traffic to new
+//! versions by a date or take it back.
+
+pub mod args;
+pub mod cmd;
+pub mod config;
+mod connection;
+pub mod error;
+mod ledger;
+pub mod pb;
+mod platform;
+mod process;
+mod request;
+mod util;
+mod version;
+
+pub use process::{Daemon, Error, Overrides, Result, Settings, SettingsError};
--- /dev/null
+++ b/goldcrestward/src/main.rs
@@ -0,0 +1,19 @@
+//! The command line of goldcrestward.
+
+use std::process::ExitCode;
+
+use goldcrestward::cmd::Run;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("goldcrestward=info")).init();
+    match goldcrestward::args::command().run().run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            let code = error.code();
+            if code != 0 {
+                eprintln!("goldcrestward: {error}");
+            }
+            ExitCode::from(code)
+        }
+    }
+}
--- /dev/null
+++ b/goldcrestward/src/pb/mod.rs
@@ -0,0 +1,5 @@
+//! Types of the protocol between daemons, generated from `proto/peer.proto`.
+
+mod peer;
+
+pub use peer::*;
--- /dev/null
+++ b/goldcrestward/src/process/admin.rs
@@ -0,0 +1,357 @@
+//! The operators' listener: status, configuration, and what is happening, in JSON.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use futures_util::future::join_all;
+use http::{HeaderValue, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use volo_http::{
+    body::Body,
+    request::Request,
+    response::Response,
+    server::{
+        Router,
+        route::{get, post},
+    },
+};
+
+use super::{
+    configure::{Accepted, Change, Configurer},
+    membership::{FactKind, State},
+    rollout::{prefix_of, read_records},
+    shared::Shared,
+};
+use crate::{
+    pb::{self, answer, request},
+    request::Suspects,
+    util::sha256_hex,
+    version::Mover,
+};
+
+/// Bytes of a proposed change.
+const BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Time for a daemon to report its status.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(1500);
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Proposal {
+    changes: Vec<Change>,
+    #[serde(default)]
+    base: Option<u64>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Pardon {
+    fingerprint: String,
+}
+
+/// The status of one daemon.
+#[derive(Debug, Serialize)]
+struct DaemonStatus {
+    name: Arc<str>,
+    zone: Arc<str>,
+    state: &'static str,
+    revision: Option<u64>,
+    in_flight: Option<u64>,
+    in_force: bool,
+    note: &'static str,
+}
+
+/// Answers operators.
+#[derive(Clone)]
+pub(crate) struct Admin {
+    shared: Arc<Shared>,
+    configurer: Configurer,
+}
+
+impl Admin {
+    /// Answers from these tables.
+    pub fn new(shared: Arc<Shared>, configurer: Configurer) -> Self {
+        Self { shared, configurer }
+    }
+
+    /// The routes of the operators' listener. Only the health check needs no token.
+    pub fn router(self) -> Router {
+        let metrics = self.clone();
+        let route = |admin: &Self, kind: Kind| {
+            let admin = admin.clone();
+            get(move |request: Request| admin.clone().answer(kind, request))
+        };
+        Router::new()
+            .route("/healthz", get(|| async { "ok" }))
+            .route("/metrics", get(move |request: Request| metrics.clone().metrics(request)))
+            .route("/admin/config", route(&self, Kind::Config))
+            .route("/admin/status", route(&self, Kind::Status))
+            .route("/admin/peers", route(&self, Kind::Peers))
+            .route("/admin/requests", route(&self, Kind::Requests))
+            .route("/admin/refusals", route(&self, Kind::Refusals))
+            .route("/admin/rollout", route(&self, Kind::Rollout))
+            .route("/admin/config/propose", {
+                let admin = self.clone();
+                post(move |request: Request| admin.clone().propose(request))
+            })
+            .route("/admin/pardon", post(move |request: Request| self.clone().pardon(request)))
+    }
+
+    fn is_authorised(&self, request: &Request) -> bool {
+        use subtle::ConstantTimeEq;
+
+        let value = request.headers().get(header::AUTHORIZATION).and_then(|v| v.to_str().ok());
+        let token = value.and_then(|v| v.strip_prefix("Bearer ")).unwrap_or_default();
+        let hash = sha256_hex(token.as_bytes());
+        hash.as_bytes().ct_eq(self.shared.settings.token_hash.as_bytes()).into()
+    }
+
+    async fn metrics(self, request: Request) -> Response {
+        if !self.is_authorised(&request) {
+            return unauthorised();
+        }
+        Response::new(Body::from(self.shared.metrics.render()))
+    }
+
+    async fn answer(self, kind: Kind, request: Request) -> Response {
+        if !self.is_authorised(&request) {
+            return unauthorised();
+        }
+        match kind {
+            Kind::Config => self.config(),
+            Kind::Status => self.status().await,
+            Kind::Peers => self.peers(),
+            Kind::Requests => self.requests(),
+            Kind::Refusals => self.refusals(),
+            Kind::Rollout => self.rollout().await,
+        }
+    }
+
+    async fn propose(self, request: Request) -> Response {
+        if !self.is_authorised(&request) {
+            return unauthorised();
+        }
+        let proposal: Proposal = match read(request).await {
+            Ok(proposal) => proposal,
+            Err(response) => return response,
+        };
+        let accepted = self.configurer.propose(proposal.changes, proposal.base).await;
+        let status = match &accepted {
+            Accepted::Accepted { .. } | Accepted::Unchanged { .. } => StatusCode::OK,
+            Accepted::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+            Accepted::Conflict { .. } => StatusCode::CONFLICT,
+            Accepted::Unavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Accepted::Unknown { .. } => StatusCode::GATEWAY_TIMEOUT,
+        };
+        reply(status, &accepted)
+    }
+
+    async fn pardon(self, request: Request) -> Response {
+        if !self.is_authorised(&request) {
+            return unauthorised();
+        }
+        let pardon: Pardon = match read(request).await {
+            Ok(pardon) => pardon,
+            Err(response) => return response,
+        };
+        let Ok(fingerprint) = u64::from_str_radix(&pardon.fingerprint, 16) else {
+            return fail(StatusCode::BAD_REQUEST, "fingerprint: must be hexadecimal digits");
+        };
+        self.shared.state(Suspects::pardon(fingerprint, "operator"));
+        reply(StatusCode::OK, &json!({ "pardoned": pardon.fingerprint }))
+    }
+
+    fn config(&self) -> Response {
+        let delta = self.shared.config.lock().delta(0);
+        let files = delta.files.into_iter().filter_map(|file| {
+            let text = file.text?;
+            Some(json!({ "name": file.name, "revision": file.revision, "text": text }))
+        });
+        reply(StatusCode::OK, &json!({ "revision": delta.revision, "files": files.collect::<Vec<_>>() }))
+    }
+
+    /// Asks every daemon what it has in force.
+    async fn status(&self) -> Response {
+        let newest = self.shared.config.lock().revision();
+        let members: Vec<_> = {
+            let view = self.shared.view.lock();
+            let others = view.others().filter(|m| m.state != State::Left);
+            others.map(|m| (m.name.clone(), m.zone.clone(), m.state, m.address)).collect()
+        };
+        let asks = members.into_iter().map(|(name, zone, state, address)| self.ask(name, zone, state, address, newest));
+        let mut daemons = join_all(asks).await;
+        let mine = self.shared.in_force.load().revision;
+        daemons.push(DaemonStatus {
+            name: self.shared.settings.name.clone(),
+            zone: self.shared.settings.zone.clone(),
+            state: self.shared.stage.get().label(),
+            revision: Some(mine),
+            in_flight: Some(self.shared.metrics.flights.get().unsigned_abs()),
+            in_force: mine >= newest,
+            note: "",
+        });
+        daemons.sort_by(|a, b| a.name.cmp(&b.name));
+        let lagging = daemons.iter().filter(|d| !d.in_force).count();
+        let everywhere = lagging == 0;
+        let status = json!({ "revision": newest, "everywhere": everywhere, "lagging": lagging, "daemons": daemons });
+        reply(StatusCode::OK, &status)
+    }
+
+    async fn ask(
+        &self,
+        name: Arc<str>,
+        zone: Arc<str>,
+        state: State,
+        address: SocketAddr,
+        newest: u64,
+    ) -> DaemonStatus {
+        let body = request::Body::AskStatus(pb::AskStatus {});
+        let answer = self.shared.links.ask(address, body, STATUS_TIMEOUT).await;
+        let label = state.label();
+        match answer {
+            Ok(answer::Body::StatusReport(report)) if report.name == *name => {
+                let revision = report.config_revision;
+                let in_force = revision >= newest;
+                let note = if in_force { "" } else { "lags" };
+                let (revision, in_flight) = (Some(revision), Some(report.in_flight));
+                DaemonStatus { name, zone, state: label, revision, in_flight, in_force, note }
+            }
+            Ok(_) => {
+                let note = "replaced by another daemon at its address";
+                DaemonStatus { name, zone, state: label, revision: None, in_flight: None, in_force: true, note }
+            }
+            Err(_) => {
+                // A daemon that may still run without being heard may still serve an older revision.
+                let note = "cannot be heard; if it runs, it may serve an older revision";
+                DaemonStatus { name, zone, state: label, revision: None, in_flight: None, in_force: false, note }
+            }
+        }
+    }
+
+    fn peers(&self) -> Response {
+        let view = self.shared.view.lock();
+        let row = |m: &super::membership::Member| {
+            json!({
+                "name": m.name, "address": m.address, "region": m.region, "zone": m.zone,
+                "state": m.state.label(), "incarnation": m.incarnation,
+            })
+        };
+        let mut rows = vec![row(view.me())];
+        rows.extend(view.others().map(row));
+        reply(StatusCode::OK, &json!({ "peers": rows }))
+    }
+
+    fn requests(&self) -> Response {
+        let replicas = self.shared.replicas.all();
+        let mut rows: Vec<_> = replicas
+            .iter()
+            .map(|r| {
+                json!({
+                    "replica": r.id, "version": r.version, "zone": r.zone,
+                    "in_flight": r.flights(), "leaving": r.is_leaving(),
+                })
+            })
+            .collect();
+        rows.sort_by_key(|row| row["replica"].to_string());
+        let body = json!({
+            "in_flight": self.shared.metrics.flights.get(),
+            "ended": counters(&self.shared.metrics.requests),
+            "replicas": rows,
+        });
+        reply(StatusCode::OK, &body)
+    }
+
+    fn refusals(&self) -> Response {
+        let suspects: Vec<_> = {
+            let view = self.shared.view.lock();
+            view.facts().of(FactKind::Crash).map(|f| f.key.clone()).collect()
+        };
+        let body = json!({
+            "refusals": counters(&self.shared.metrics.refusals),
+            "retries": counters(&self.shared.metrics.retries),
+            "crashes": suspects,
+        });
+        reply(StatusCode::OK, &body)
+    }
+
+    async fn rollout(&self) -> Response {
+        let records = read_records(&self.shared, &prefix_of(&self.shared.settings.site)).await;
+        let answered = records.is_some();
+        let records: BTreeMap<_, _> =
+            records.unwrap_or_default().into_iter().map(|(record, _)| (record.version.clone(), record)).collect();
+        let in_force = self.shared.in_force.load();
+        let rows: Vec<_> = in_force
+            .site
+            .versions
+            .values()
+            .map(|plan| {
+                let record = records.get(&plan.name);
+                let (step, taken_back) = {
+                    let view = self.shared.view.lock();
+                    let step = view.facts().get(FactKind::Step, &plan.name).map_or(0, |f| f.value as usize);
+                    (step, view.facts().get(FactKind::TakenBack, &plan.name).is_some())
+                };
+                let share = if taken_back { 0.0 } else { Mover::share(plan, step) };
+                json!({
+                    "version": plan.name, "pool": plan.pool, "start_ms": plan.start_ms, "date_ms": plan.date_ms,
+                    "step": step, "share": if plan.start_ms.is_none() { 1.0 } else { share },
+                    "taken_back": taken_back,
+                    "outcome": record.and_then(|r| r.outcome.clone()),
+                    "reason": record.map(|r| r.reason.clone()),
+                    "holder": record.map(|r| r.holder.clone()),
+                })
+            })
+            .collect();
+        reply(StatusCode::OK, &json!({ "service_answered": answered, "versions": rows }))
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Kind {
+    Config,
+    Status,
+    Peers,
+    Requests,
+    Refusals,
+    Rollout,
+}
+
+#[derive(Serialize)]
+struct Counter {
+    labels: Vec<String>,
+    count: u64,
+}
+
+fn counters(vector: &prometheus::IntCounterVec) -> Vec<Counter> {
+    use prometheus::core::Collector;
+
+    let families = vector.collect();
+    let metrics = families.iter().flat_map(|family| family.get_metric());
+    metrics
+        .map(|metric| Counter {
+            labels: metric.get_label().iter().map(|label| label.value().to_owned()).collect(),
+            count: metric.get_counter().get_value() as u64,
+        })
+        .collect()
+}
+
+async fn read<T: serde::de::DeserializeOwned>(request: Request) -> Result<T, Response> {
+    let body = Limited::new(request.into_body(), BODY_BYTES).collect().await;
+    let bytes = body.map_err(|_| fail(StatusCode::BAD_REQUEST, "could not read the body"))?.to_bytes();
+    serde_json::from_slice(&bytes).map_err(|error| fail(StatusCode::BAD_REQUEST, &error.to_string()))
+}
+
+fn reply<T: Serialize>(status: StatusCode, body: &T) -> Response {
+    let mut response = Response::new(Body::from(serde_json::to_vec(body).unwrap_or_default()));
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+fn fail(status: StatusCode, message: &str) -> Response {
+    reply(status, &json!({ "error": message }))
+}
+
+fn unauthorised() -> Response {
+    fail(StatusCode::UNAUTHORIZED, "the operators' token is needed")
+}
--- /dev/null
+++ b/goldcrestward/src/process/answers.rs
@@ -0,0 +1,144 @@
+//! Answers to other daemons.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use super::{gossip::Gossip, rollout::report, shared::Shared};
+use crate::{
+    connection::PeerHandler,
+    ledger::{Claim, Settlement},
+    pb::{self, Grant, answer, request},
+};
+
+/// Answers peers from the daemon's tables.
+#[derive(Clone)]
+pub(crate) struct Answers {
+    shared: Arc<Shared>,
+    gossip: Gossip,
+}
+
+impl Answers {
+    /// Answers from these tables.
+    pub fn new(shared: Arc<Shared>, gossip: Gossip) -> Self {
+        Self { shared, gossip }
+    }
+
+    async fn claim(&self, claim: pb::Claim) -> pb::ClaimAnswer {
+        let Ok(key) = claim.key.try_into() else {
+            return pb::ClaimAnswer { grant: Grant::Unavailable.into(), outcome: None };
+        };
+        let (slot, fingerprint) = (claim.slot, claim.fingerprint);
+        let claim = Claim { key, fingerprint, request: claim.request.into() };
+        let claimed = self.shared.ledger.claim_here(slot, claim).await;
+        pb::ClaimAnswer { grant: claimed.grant.into(), outcome: claimed.outcome }
+    }
+
+    async fn settle(&self, settle: pb::Settle) -> pb::Settled {
+        let Ok(key) = settle.key.try_into() else { return pb::Settled { recorded: false } };
+        let request = settle.request.into();
+        let settlement = Settlement { key, request, ran: settle.ran, outcome: settle.outcome };
+        pb::Settled { recorded: self.shared.ledger.settle_here(settle.slot, settlement).await }
+    }
+
+    fn shares(&self, report: &pb::ReportUsage) -> pb::Shares {
+        let in_force = self.shared.in_force.load();
+        let now = self.shared.now();
+        let share = |usage: &pb::Usage| {
+            let account = in_force.site.accounts.get(usage.account.as_str())?;
+            let limits = &self.shared.limits;
+            Some(limits.share(&account.name, &account.limits, &report.from, usage, now))
+        };
+        pb::Shares { shares: report.usage.iter().filter_map(share).collect() }
+    }
+
+    fn status(&self) -> pb::StatusReport {
+        pb::StatusReport {
+            name: self.shared.settings.name.to_string(),
+            config_revision: self.shared.in_force.load().revision,
+            in_flight: self.shared.metrics.flights.get().unsigned_abs(),
+            life: self.shared.stage.get().label().into(),
+        }
+    }
+
+    fn count(&self, kind: &str, body: &impl prost::Message, direction: &str) {
+        let bytes = body.encoded_len() as u64;
+        self.shared.metrics.peer_messages.with_label_values(&[kind, direction]).inc();
+        self.shared.metrics.peer_bytes.with_label_values(&[kind, direction]).inc_by(bytes);
+    }
+}
+
+impl PeerHandler for Answers {
+    async fn answer(&self, body: request::Body) -> Option<answer::Body> {
+        let kind = kind_of(&body);
+        let request = pb::Request { id: 0, body: Some(body) };
+        self.count(kind, &request, "received");
+        let answer = match request.body? {
+            request::Body::PullConfig(pull) => answer::Body::ConfigDelta(self.shared.config.lock().delta(pull.from)),
+            request::Body::SyncView(view) => {
+                let mine = self.shared.view.lock().export();
+                self.gossip.learn(view);
+                answer::Body::SyncView(mine)
+            }
+            request::Body::AskStatus(_) => answer::Body::StatusReport(self.status()),
+            request::Body::Claim(claim) => answer::Body::ClaimAnswer(self.claim(claim).await),
+            request::Body::Settle(settle) => answer::Body::Settled(self.settle(settle).await),
+            request::Body::ReportUsage(report) => answer::Body::Shares(self.shares(&report)),
+            request::Body::AskEvidence(ask) => {
+                let versions: Vec<Arc<str>> = ask.versions.into_iter().map(Into::into).collect();
+                answer::Body::EvidenceReport(report(&self.shared, &versions))
+            }
+        };
+        self.count(kind, &pb::Answer { id: 0, body: Some(answer.clone()) }, "sent");
+        Some(answer)
+    }
+}
+
+/// The kind of a request as a label of a counter.
+fn kind_of(body: &request::Body) -> &'static str {
+    match body {
+        request::Body::PullConfig(_) => "config",
+        request::Body::SyncView(_) => "sync",
+        request::Body::AskStatus(_) => "status",
+        request::Body::Claim(_) | request::Body::Settle(_) => "ledger",
+        request::Body::ReportUsage(_) => "limits",
+        request::Body::AskEvidence(_) => "evidence",
+    }
+}
+
+/// Reports the use of accounts' limits to the daemons that share them out, until the task is dropped.
+pub(crate) async fn report_usage(answers: Answers) {
+    /// Time from one report to the next.
+    const INTERVAL: std::time::Duration = std::time::Duration::from_secs(1);
+
+    let shared = answers.shared.clone();
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        let mut by_owner: Vec<(Option<SocketAddr>, Vec<pb::Usage>)> = Vec::new();
+        for usage in shared.limits.demands() {
+            let owner = {
+                let view = shared.view.lock();
+                let owner = view.owner(&format!("account/{}", usage.account));
+                (owner.name != view.me().name).then_some(owner.address)
+            };
+            match by_owner.iter_mut().find(|(known, _)| *known == owner) {
+                Some((_, rows)) => rows.push(usage),
+                None => by_owner.push((owner, vec![usage])),
+            }
+        }
+        for (owner, usage) in by_owner {
+            let report = pb::ReportUsage { from: shared.settings.name.to_string(), usage };
+            let shares = match owner {
+                None => Some(answers.shares(&report)),
+                Some(address) => {
+                    let body = request::Body::ReportUsage(report);
+                    match shared.links.ask(address, body, INTERVAL).await {
+                        Ok(answer::Body::Shares(shares)) => Some(shares),
+                        _ => None,
+                    }
+                }
+            };
+            if let Some(shares) = shares {
+                shared.limits.receive(shares.shares, shared.now());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/goldcrestward/src/process/daemon.rs
@@ -0,0 +1,219 @@
+//! One daemon: its parts put together, its start and its stop.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, atomic::AtomicUsize},
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwap;
+use log::info;
+use parking_lot::Mutex;
+use snafu::ResultExt;
+use tokio::{
+    net::UdpSocket,
+    sync::{Notify, Semaphore},
+    task::JoinSet,
+    time::timeout,
+};
+use tokio_util::task::TaskTracker;
+use volo_http::{
+    request::Request,
+    server::{
+        Router,
+        route::{any, get},
+    },
+};
+
+use super::{
+    admin::Admin,
+    answers::{Answers, report_usage},
+    collect::watch_instances,
+    configure::Configurer,
+    error::{ConnectionSnafu, DatagramsSnafu, MetricsSnafu, Result},
+    gossip::Gossip,
+    life::{Serving, Starting},
+    membership::{Member, State, Timing, View},
+    metrics::Metrics,
+    replicas::Replicas,
+    rollout::Rollouts,
+    seeds::Seeder,
+    settings::Settings,
+    shared::{InForce, Shared},
+};
+use crate::{
+    connection::{Drain, HttpClient, Listener, PeerLinks, Seal, Secrets, bind, serve_peers},
+    ledger::{Ledger, OwnerOf, SLOTS},
+    platform::Kv,
+    request::{Budgets, Gate},
+    util::{stable_hash, unix_ms},
+};
+
+/// Time from telling the balancer to closing the callers' listener.
+const BALANCER_NOTICE: Duration = Duration::from_millis(500);
+/// Time for the ledger to write what it has to write.
+const LEDGER_FLUSH: Duration = Duration::from_secs(5);
+
+/// A running daemon. Dropping it ends it at once; [`Daemon::stop`] ends it gracefully.
+pub struct Daemon {
+    shared: Arc<Shared>,
+    gossip: Gossip,
+    tasks: JoinSet<()>,
+    serving: Serving,
+    callers: Drain,
+    operators: Drain,
+}
+
+impl Daemon {
+    /// Opens the sockets, joins the site, and serves once there is a configuration.
+    ///
+    /// # Errors
+    /// Fails when a socket cannot be opened.
+    pub async fn start(settings: Settings) -> Result<Self> {
+        let callers_socket = bind(settings.callers).context(ConnectionSnafu)?;
+        let admin_socket = bind(settings.admin).context(ConnectionSnafu)?;
+        let peers_socket = bind(settings.peers).context(ConnectionSnafu)?;
+        let address = settings.peers;
+        let datagrams = UdpSocket::bind(address).await.context(DatagramsSnafu { address })?;
+        let (starting, shared, secrets) = build(settings)?;
+        let seal = Seal::new(shared.settings.name.clone(), shared.epoch, secrets.clone());
+        let gossip = Gossip::new(shared.clone(), Arc::new(datagrams), seal);
+        let configurer = Configurer::new(shared.clone());
+        let answers = Answers::new(shared.clone(), gossip.clone());
+        let strangers = shared.metrics.peer_rejections.with_label_values(&["handshake"]);
+
+        let mut tasks = JoinSet::new();
+        tasks.spawn(gossip.clone().receive());
+        tasks.spawn(gossip.clone().tick());
+        tasks.spawn(gossip.clone().announce());
+        tasks.spawn(serve_peers(peers_socket, secrets, answers.clone(), strangers));
+        tasks.spawn(Seeder::new(shared.clone(), gossip.clone()).run());
+        tasks.spawn(configurer.clone().watch());
+        tasks.spawn(configurer.clone().compile());
+        tasks.spawn(watch_instances(shared.clone()));
+        tasks.spawn(report_usage(answers));
+        tasks.spawn(Rollouts::new(shared.clone()).run());
+
+        let operators = Drain::new();
+        let router = Admin::new(shared.clone(), configurer).router();
+        tasks.spawn(Listener { socket: admin_socket, router, drain: operators.clone() }.run());
+        let callers = Drain::new();
+        let router = callers_router(Gate::new(shared.clone()));
+        tasks.spawn(Listener { socket: callers_socket, router, drain: callers.clone() }.run());
+
+        info!("event=started daemon={} zone={}", shared.settings.name, shared.settings.zone);
+        let serving = serve_when_configured(starting, &shared).await;
+        Ok(Self { shared, gossip, tasks, serving, callers, operators })
+    }
+
+    /// The daemon's settings.
+    pub fn settings(&self) -> &Settings {
+        &self.shared.settings
+    }
+
+    /// Stops gracefully: no new requests, all in flight end whole, what is owed is written.
+    pub async fn stop(mut self) {
+        info!("event=stopping daemon={}", self.shared.settings.name);
+        let _draining = self.serving.drain();
+        tokio::time::sleep(BALANCER_NOTICE).await;
+        let limit = match self.shared.settings.drain_seconds {
+            0 => Duration::MAX,
+            seconds => Duration::from_secs(seconds),
+        };
+        let ending = async {
+            self.callers.finish().await;
+            self.shared.tasks.close();
+            self.shared.tasks.wait().await;
+        };
+        let whole = timeout(limit, ending).await.is_ok();
+        self.shared.ledger.flush(LEDGER_FLUSH).await;
+        self.gossip.leave();
+        timeout(LEDGER_FLUSH, self.operators.finish()).await.ok();
+        self.tasks.shutdown().await;
+        info!("event=stopped daemon={} whole={whole}", self.shared.settings.name);
+    }
+}
+
+fn build(settings: Settings) -> Result<(Starting, Arc<Shared>, Secrets)> {
+    let metrics = Metrics::new().context(MetricsSnafu)?;
+    let client = HttpClient::new().context(ConnectionSnafu)?;
+    let secrets = Secrets::new(&settings.secrets);
+    let links = PeerLinks::new(secrets.clone());
+    let kv = Kv::new(settings.platform, client.clone(), metrics.kv_calls.clone());
+    let epoch = unix_ms();
+    let me = Member {
+        name: settings.name.clone(),
+        address: settings.advertise,
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+        incarnation: epoch,
+        state: State::Alive,
+    };
+    let seed = stable_hash(&[settings.name.as_bytes(), &epoch.to_le_bytes()]);
+    let view = Arc::new(Mutex::new(View::new(me, Timing::default(), seed, 0)));
+    let process = format!("{}/{epoch}", settings.name);
+    let owner_of = slot_owner(view.clone());
+    let ledger = Ledger::start(&settings.site, &process, &kv, links.clone(), owner_of, &metrics.ledger_commits);
+    let (starting, stage) = Starting::new();
+    let shared = Arc::new(Shared {
+        settings,
+        metrics,
+        in_force: ArcSwap::from_pointee(InForce::default()),
+        config: Mutex::default(),
+        view,
+        replicas: Replicas::default(),
+        client,
+        links,
+        kv,
+        ledger,
+        budgets: Budgets::default(),
+        limits: super::limits::AccountLimits::default(),
+        evidence: crate::version::EvidenceTable::default(),
+        choices: ArcSwap::from_pointee(HashMap::new()),
+        daemons: AtomicUsize::new(1),
+        pulls: Arc::new(Semaphore::new(1)),
+        config_changed: Notify::new(),
+        announce: Notify::new(),
+        stage,
+        tasks: TaskTracker::new(),
+        start: Instant::now(),
+        epoch,
+    });
+    Ok((starting, shared, secrets))
+}
+
+/// The daemon that shall own a ledger slot, by hashing among the present ones.
+fn slot_owner(view: Arc<Mutex<View>>) -> OwnerOf {
+    let keys: Vec<_> = (0..SLOTS).map(|slot| format!("ledger/{slot}")).collect();
+    Arc::new(move |slot| {
+        let view = view.lock();
+        let owner = view.owner(&keys[slot as usize]);
+        (owner.name != view.me().name).then_some(owner.address)
+    })
+}
+
+fn callers_router(gate: Gate) -> Router {
+    let (ready, models) = (gate.clone(), gate.clone());
+    Router::new()
+        .route("/healthz", get(|| async { "ok" }))
+        .route(
+            "/readyz",
+            get(move || {
+                let ready = ready.clone();
+                async move { ready.ready() }
+            }),
+        )
+        .route("/v1/models", get(move |request: Request| models.clone().models(request)))
+        .fallback_service(any(move |request: Request| gate.clone().answer(request)))
+}
+
+async fn serve_when_configured(starting: Starting, shared: &Arc<Shared>) -> Serving {
+    /// Time from one look for a configuration to the next.
+    const LOOK: Duration = Duration::from_millis(20);
+
+    while shared.in_force.load().revision == 0 {
+        tokio::time::sleep(LOOK).await;
+    }
+    info!("event=serving daemon={}", shared.settings.name);
+    starting.serve()
+}
--- /dev/null
+++ b/goldcrestward/src/process/gossip.rs
@@ -0,0 +1,194 @@
+//! Drives the membership: datagrams in and out, full exchanges, and what follows from changes.
+
+use std::{net::SocketAddr, sync::Arc, sync::atomic::Ordering, time::Duration};
+
+use log::info;
+use prost::Message;
+use tokio::{net::UdpSocket, time::MissedTickBehavior};
+
+use super::{
+    collect::pull_config,
+    membership::{Effect, Fact, FactKind, State},
+    shared::Shared,
+};
+use crate::{
+    connection::Seal,
+    pb::{self, answer, datagram, request},
+    util::unix_ms,
+};
+
+/// Time from one look at the membership to the next.
+const TICK: Duration = Duration::from_millis(100);
+/// Largest datagram taken.
+const DATAGRAM_BYTES: usize = 4096;
+/// Time for a full exchange.
+const SYNC_TIMEOUT: Duration = Duration::from_secs(3);
+/// Least time between announcements of newer configurations.
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(150);
+
+/// The datagram side of a daemon.
+#[derive(Clone)]
+pub(crate) struct Gossip {
+    shared: Arc<Shared>,
+    socket: Arc<UdpSocket>,
+    seal: Arc<Seal>,
+}
+
+impl Gossip {
+    /// Gossip over `socket`.
+    pub fn new(shared: Arc<Shared>, socket: Arc<UdpSocket>, seal: Seal) -> Self {
+        Self { shared, socket, seal: Arc::new(seal) }
+    }
+
+    /// Takes datagrams in until the task is dropped.
+    pub async fn receive(self) {
+        let mut buffer = vec![0; DATAGRAM_BYTES + 1];
+        let to = self.shared.settings.advertise.to_string();
+        loop {
+            let Ok((length, _)) = self.socket.recv_from(&mut buffer).await else {
+                tokio::time::sleep(TICK).await;
+                continue;
+            };
+            if length > DATAGRAM_BYTES {
+                self.reject("oversized");
+                continue;
+            }
+            self.count("datagram", "received", length);
+            match self.seal.open(&to, &buffer[..length]) {
+                Ok(payload) => self.take(&payload),
+                Err(rejection) => self.reject(rejection.label()),
+            }
+        }
+    }
+
+    /// Lets the membership's time pass until the task is dropped.
+    pub async fn tick(self) {
+        let mut interval = tokio::time::interval(TICK);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut rounds = 0_u64;
+        loop {
+            interval.tick().await;
+            let effects = self.shared.view.lock().tick(self.shared.now(), unix_ms());
+            self.perform(effects);
+            rounds += 1;
+            if rounds.is_multiple_of(10) {
+                self.refresh();
+            }
+        }
+    }
+
+    /// Announces newer configurations until the task is dropped.
+    pub async fn announce(self) {
+        loop {
+            self.shared.announce.notified().await;
+            let effects = self.shared.view.lock().announce();
+            self.perform(effects);
+            tokio::time::sleep(ANNOUNCE_PAUSE).await;
+        }
+    }
+
+    /// Tells others that this daemon leaves.
+    pub fn leave(&self) {
+        let effects = self.shared.view.lock().leave(self.shared.now());
+        self.perform(effects);
+    }
+
+    /// Exchanges the whole view with the daemon at `address`; false if it does not answer.
+    pub async fn sync(&self, address: SocketAddr) -> bool {
+        let view = self.shared.view.lock().export();
+        let answer = self.shared.links.ask(address, request::Body::SyncView(view), SYNC_TIMEOUT).await;
+        let Ok(answer::Body::SyncView(view)) = answer else { return false };
+        self.learn(view);
+        true
+    }
+
+    /// Takes in a whole view.
+    pub fn learn(&self, view: pb::SyncView) {
+        let mut effects = Vec::new();
+        let now = self.shared.now();
+        self.shared.view.lock().learn(view.members, view.facts, now, unix_ms(), &mut effects);
+        self.perform(effects);
+    }
+
+    fn take(&self, payload: &[u8]) {
+        let Ok(datagram) = pb::Datagram::decode(payload) else { return self.reject("malformed") };
+        let Ok(address) = datagram.address.parse::<SocketAddr>() else { return self.reject("malformed") };
+        let newer = datagram.config_revision > self.shared.config.lock().revision();
+        let now = self.shared.now();
+        let effects = self.shared.view.lock().receive(datagram, address, now, unix_ms());
+        if newer {
+            pull_config(&self.shared, address);
+        }
+        self.perform(effects);
+    }
+
+    fn perform(&self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send(address, body) => self.send(address, body),
+                Effect::Sync(address) => {
+                    let gossip = self.clone();
+                    tokio::spawn(async move { gossip.sync(address).await });
+                }
+                Effect::Changed(name, state) => self.changed(&name, state),
+                Effect::Learnt(fact) => self.learnt(&fact),
+            }
+        }
+    }
+
+    fn send(&self, to: SocketAddr, body: datagram::Body) {
+        let config_revision = self.shared.config.lock().revision();
+        let payload = {
+            let mut view = self.shared.view.lock();
+            let (members, facts) = view.piggyback(to);
+            pb::Datagram {
+                from: self.shared.settings.name.to_string(),
+                address: self.shared.settings.advertise.to_string(),
+                config_revision,
+                view: view.hash(),
+                members,
+                facts,
+                body: Some(body),
+            }
+        };
+        let bytes = self.seal.seal(&to.to_string(), payload.encode_to_vec());
+        self.count("datagram", "sent", bytes.len());
+        self.socket.try_send_to(&bytes, to).ok();
+    }
+
+    fn count(&self, kind: &str, direction: &str, bytes: usize) {
+        self.shared.metrics.peer_messages.with_label_values(&[kind, direction]).inc();
+        self.shared.metrics.peer_bytes.with_label_values(&[kind, direction]).inc_by(bytes as u64);
+    }
+
+    fn reject(&self, reason: &str) {
+        self.shared.metrics.peer_rejections.with_label_values(&[reason]).inc();
+    }
+
+    fn changed(&self, name: &str, state: State) {
+        info!("event=member-changed member={name} state={}", state.label());
+        self.refresh();
+    }
+
+    fn learnt(&self, fact: &Fact) {
+        match fact.kind {
+            FactKind::Leaving => self.shared.replicas.mark_leaving(&fact.key),
+            FactKind::TakenBack => {
+                info!("event=version-taken-back version={} reason={:?}", fact.key, fact.note);
+                self.shared.refresh_choices();
+            }
+            FactKind::Step => self.shared.refresh_choices(),
+            FactKind::Crash | FactKind::Pardon => {}
+        }
+    }
+
+    fn refresh(&self) {
+        let view = self.shared.view.lock();
+        self.shared.daemons.store(view.present().count(), Ordering::Relaxed);
+        let states = [State::Alive, State::Suspect, State::Dead, State::Left];
+        for state in states {
+            let count = view.others().filter(|m| m.state == state).count();
+            self.shared.metrics.members.with_label_values(&[state.label()]).set(count as i64);
+        }
+    }
+}
--- /dev/null
+++ b/goldcrestward/src/process/replicas.rs
@@ -0,0 +1,227 @@
+//! The backend servers that this daemon knows, and the choice of one for a request.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    },
+};
+
+use arc_swap::ArcSwap;
+use parking_lot::Mutex;
+
+use crate::{
+    platform::{Instance, InstanceState},
+    util::stable_hash,
+};
+
+/// Load that a replica may have above the mean before the next one is taken.
+const BOUND: f64 = 1.25;
+/// Failures in a row after which a replica is left out for a while.
+const EJECT_FAILURES: u32 = 3;
+/// Time that a failing replica is left out, in ms.
+const EJECT_MS: u64 = 10_000;
+/// Share of a pool that may be left out at once.
+const EJECT_SHARE: f64 = 0.7;
+
+/// One backend server.
+#[derive(Debug)]
+pub(crate) struct Replica {
+    /// The platform's name for it.
+    pub id: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The version that it runs.
+    pub version: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Its region.
+    pub region: Arc<str>,
+    hash: u64,
+    health: Arc<Health>,
+}
+
+#[derive(Debug, Default)]
+struct Health {
+    flights: AtomicU32,
+    failures: AtomicU32,
+    ejected_until: AtomicU64,
+    leaving: AtomicBool,
+}
+
+impl Replica {
+    /// Whether it has a reclaim notice or is being stopped, so that it gets no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.health.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Requests in flight from this daemon.
+    pub fn flights(&self) -> u32 {
+        self.health.flights.load(Ordering::Relaxed)
+    }
+
+    /// Notes how an attempt went; a run of failures leaves the replica out for a while.
+    pub fn note(&self, good: bool, now: u64) {
+        if good {
+            self.health.failures.store(0, Ordering::Relaxed);
+            self.health.ejected_until.store(0, Ordering::Relaxed);
+            return;
+        }
+        if self.health.failures.fetch_add(1, Ordering::Relaxed) + 1 >= EJECT_FAILURES {
+            self.health.ejected_until.store(now + EJECT_MS, Ordering::Relaxed);
+        }
+    }
+
+    /// Leaves the replica out at once, as after a refused connection.
+    pub fn eject(&self, now: u64) {
+        self.health.ejected_until.store(now + EJECT_MS, Ordering::Relaxed);
+    }
+
+    fn is_ejected(&self, now: u64) -> bool {
+        self.health.ejected_until.load(Ordering::Relaxed) > now
+    }
+}
+
+/// A replica chosen for an attempt; dropping it ends the attempt.
+#[derive(Debug)]
+pub(crate) struct Flight {
+    replica: Arc<Replica>,
+}
+
+impl Flight {
+    fn new(replica: Arc<Replica>) -> Self {
+        replica.health.flights.fetch_add(1, Ordering::Relaxed);
+        Self { replica }
+    }
+
+    /// The replica.
+    pub fn replica(&self) -> &Arc<Replica> {
+        &self.replica
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.replica.health.flights.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+type Pools = BTreeMap<Arc<str>, Vec<Arc<Replica>>>;
+
+/// What a request needs of a replica.
+pub(crate) struct Wish<'a> {
+    /// The pool.
+    pub pool: &'a str,
+    /// Requests with the same key go to the same replica while its load allows it.
+    pub key: u64,
+    /// The version that must serve it, if any.
+    pub version: Option<&'a str>,
+    /// The daemon's own region, which is preferred.
+    pub region: &'a str,
+    /// Requests in flight that one replica is meant to hold.
+    pub concurrency: u32,
+    /// Replicas already tried.
+    pub tried: &'a [Arc<str>],
+    /// This daemon's time in ms.
+    pub now: u64,
+}
+
+/// The backend servers of all pools.
+#[derive(Default)]
+pub(crate) struct Replicas {
+    pools: ArcSwap<Pools>,
+    known: Mutex<HashMap<Arc<str>, Arc<Replica>>>,
+}
+
+impl Replicas {
+    /// Takes in changes of the platform's list.
+    pub fn update(&self, changes: Vec<Instance>) {
+        if changes.is_empty() {
+            return;
+        }
+        let mut known = self.known.lock();
+        let mut pools = Pools::clone(&self.pools.load());
+        for instance in changes {
+            let pool = pools.entry(instance.pool.clone()).or_default();
+            pool.retain(|r| r.id != instance.id);
+            let old = known.remove(&instance.id);
+            if instance.state == InstanceState::Gone {
+                continue;
+            }
+            let health = old.filter(|r| r.address == instance.address).map(|r| r.health.clone());
+            let health = health.unwrap_or_default();
+            if instance.state == InstanceState::Leaving {
+                health.leaving.store(true, Ordering::Relaxed);
+            }
+            let replica = Arc::new(Replica {
+                hash: stable_hash(&[instance.id.as_bytes()]),
+                id: instance.id.clone(),
+                address: instance.address,
+                version: instance.version,
+                zone: instance.zone,
+                region: instance.region,
+                health,
+            });
+            known.insert(instance.id, replica.clone());
+            pool.push(replica);
+        }
+        self.pools.store(Arc::new(pools));
+    }
+
+    /// Notes a reclaim notice that came faster than the platform's list.
+    pub fn mark_leaving(&self, id: &str) {
+        if let Some(replica) = self.known.lock().get(id) {
+            replica.health.leaving.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Whether a version has a server that takes requests.
+    pub fn serves(&self, pool: &str, version: &str) -> bool {
+        let pools = self.pools.load();
+        pools.get(pool).is_some_and(|pool| pool.iter().any(|r| *r.version == *version && !r.is_leaving()))
+    }
+
+    /// All replicas of a pool.
+    pub fn pool(&self, pool: &str) -> Vec<Arc<Replica>> {
+        self.pools.load().get(pool).cloned().unwrap_or_default()
+    }
+
+    /// All replicas.
+    pub fn all(&self) -> Vec<Arc<Replica>> {
+        self.pools.load().values().flatten().cloned().collect()
+    }
+
+    /// Chooses a replica: the one with the highest hash for the key whose load is within the bound.
+    pub fn choose(&self, wish: &Wish<'_>) -> Option<Flight> {
+        let pools = self.pools.load();
+        let pool = pools.get(wish.pool)?;
+        let fits = |r: &&Arc<Replica>| {
+            !r.is_leaving() && wish.version.is_none_or(|v| *r.version == *v) && !wish.tried.contains(&r.id)
+        };
+        let fitting: Vec<&Arc<Replica>> = pool.iter().filter(fits).collect();
+        let healthy: Vec<_> = fitting.iter().copied().filter(|r| !r.is_ejected(wish.now)).collect();
+        // The floor keeps a wave of failures from leaving out the whole pool.
+        let floor = fitting.len() as f64 * (1.0 - EJECT_SHARE);
+        let usable = if (healthy.len() as f64) < floor { &fitting } else { &healthy };
+        let local: Vec<_> = usable.iter().copied().filter(|r| *r.region == *wish.region).collect();
+        let free = local.iter().any(|r| r.flights() < wish.concurrency);
+        let chosen = if free { bounded(&local, wish.key) } else { bounded(usable, wish.key) };
+        chosen.map(|replica| Flight::new(replica.clone()))
+    }
+}
+
+/// Rendezvous hashing among the replicas whose load is at most a factor above the mean.
+fn bounded<'a>(replicas: &[&'a Arc<Replica>], key: u64) -> Option<&'a Arc<Replica>> {
+    let total: u32 = replicas.iter().map(|r| r.flights()).sum();
+    let bound = (BOUND * f64::from(total + 1) / replicas.len().max(1) as f64).ceil() as u32;
+    let score = |r: &&&Arc<Replica>| mix(r.hash ^ key);
+    replicas.iter().filter(|r| r.flights() < bound).max_by_key(score).copied()
+}
+
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 32)).wrapping_mul(0xD6E8_FEB8_6659_FD93);
+    let value = (value ^ (value >> 32)).wrapping_mul(0xD6E8_FEB8_6659_FD93);
+    value ^ (value >> 32)
+}
--- /dev/null
+++ b/goldcrestward/src/process/rollout.rs
@@ -0,0 +1,326 @@
+//! Drives the moves to new versions: one daemon holds each move, makes decisions durable, and spreads them.
+//!
+//! The holder is found by hashing among the present daemons. Its writes are compared with
+//! the record that it last read, so a second holder, or one that wakes from a pause, writes nothing.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use futures_util::future::join_all;
+use log::info;
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use super::{
+    membership::{Fact, FactKind},
+    shared::Shared,
+};
+use crate::{
+    config::VersionPlan,
+    pb::{self, answer, request},
+    platform::{Compare, Purpose, Put, prefix_end},
+    util::{stable_hash, unix_ms},
+    version::{Decision, Mover, Outcome, Pair, Readiness, Reading, Tally, choose},
+};
+
+/// Time from one decision to the next.
+const TICK: Duration = Duration::from_secs(1);
+/// Daemons that are asked for evidence; their share of the traffic stands for all.
+const WITNESSES: usize = 50;
+/// Time for a daemon to give its evidence.
+const ASK_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for which steps and take-backs are spread, in ms.
+const FACT_MEMORY_MS: u64 = 90 * 24 * 3_600_000;
+
+/// The record of a move in the platform's service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Record {
+    /// The version.
+    pub version: Arc<str>,
+    /// The step reached.
+    pub step: usize,
+    /// How the move ended, once it has.
+    pub outcome: Option<String>,
+    /// Why.
+    pub reason: String,
+    /// Unix time in ms of the last change.
+    pub at_ms: u64,
+    /// The daemon that wrote it.
+    pub holder: Arc<str>,
+}
+
+struct Held {
+    mover: Mover,
+    record: Record,
+    revision: u64,
+    seen: HashMap<Arc<str>, Witness>,
+    pending: Option<Decision>,
+}
+
+/// What one daemon has said, with what earlier processes of that name had said.
+#[derive(Default)]
+struct Witness {
+    epoch: u64,
+    past: BTreeMap<(Arc<str>, Arc<str>), Tally>,
+    now: BTreeMap<(Arc<str>, Arc<str>), Tally>,
+}
+
+/// The moves at one daemon.
+pub(crate) struct Rollouts {
+    shared: Arc<Shared>,
+    prefix: String,
+    held: HashMap<Arc<str>, Held>,
+}
+
+impl Rollouts {
+    /// No moves held yet.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        let prefix = prefix_of(&shared.settings.site);
+        Self { shared, prefix, held: HashMap::new() }
+    }
+
+    /// Holds moves until the task is dropped.
+    pub async fn run(mut self) {
+        while !self.learn().await {
+            sleep(TICK).await;
+        }
+        loop {
+            sleep(TICK).await;
+            self.refresh();
+            let plans: Vec<_> = self.shared.in_force.load().site.versions.values().cloned().collect();
+            self.held.retain(|name, _| plans.iter().any(|plan| plan.name == *name));
+            for plan in plans {
+                if plan.start_ms.is_some_and(|start| unix_ms() >= start) {
+                    self.advance(plan).await;
+                }
+            }
+        }
+    }
+
+    /// Learns from the service what earlier holders have recorded, as after a restart of all daemons.
+    async fn learn(&self) -> bool {
+        match read_records(&self.shared, &self.prefix).await {
+            Some(records) => {
+                records.iter().for_each(|(record, _)| self.spread(record));
+                true
+            }
+            None => self.shared.present() > 1,
+        }
+    }
+
+    /// Lets the versions in use follow facts that came and went.
+    fn refresh(&self) {
+        self.shared.refresh_choices();
+    }
+
+    fn is_mine(&self, version: &str) -> bool {
+        let view = self.shared.view.lock();
+        view.owner(&format!("move/{version}")).name == view.me().name
+    }
+
+    async fn advance(&mut self, plan: VersionPlan) {
+        if !self.is_mine(&plan.name) {
+            self.held.remove(&plan.name);
+            return;
+        }
+        if !self.held.contains_key(&plan.name) && !self.take(&plan).await {
+            return;
+        }
+        let name = plan.name.clone();
+        let Some(held) = self.held.get_mut(&name) else { return };
+        if held.record.outcome.is_some() {
+            return;
+        }
+        held.mover.replan(plan.clone());
+        let reading = gather(&self.shared, &plan, &mut held.seen).await;
+        let raised = self.shared.view.lock().facts().get(FactKind::TakenBack, &name).cloned();
+        let Some(held) = self.held.get_mut(&name) else { return };
+        let decision = match (raised, held.pending.take()) {
+            (Some(fact), _) => Some(Decision::End(Outcome::TakenBack, fact.note.to_string())),
+            (None, Some(pending)) => Some(pending),
+            (None, None) => held.mover.decide(&reading),
+        };
+        if let Some(decision) = decision {
+            self.decide(&name, decision).await;
+        }
+    }
+
+    /// Reads the record of a move that this daemon begins to hold.
+    async fn take(&mut self, plan: &VersionPlan) -> bool {
+        let Some(records) = read_records(&self.shared, &self.prefix).await else { return false };
+        let found = records.into_iter().find(|(record, _)| record.version == plan.name);
+        let fresh = Record { version: plan.name.clone(), ..Record::default() };
+        let (record, revision) = found.unwrap_or((fresh, 0));
+        self.spread(&record);
+        let mover = Mover::new(plan.clone(), record.step, unix_ms());
+        info!("event=move-held version={} step={}", plan.name, record.step);
+        let held = Held { mover, record, revision, seen: HashMap::new(), pending: None };
+        self.held.insert(plan.name.clone(), held);
+        true
+    }
+
+    async fn decide(&mut self, name: &Arc<str>, decision: Decision) {
+        let Some(held) = self.held.get(name) else { return };
+        let revision = held.revision;
+        let mut record = Record { at_ms: unix_ms(), holder: self.shared.settings.name.clone(), ..held.record.clone() };
+        match &decision {
+            Decision::Advance(step) => record.step = *step,
+            Decision::End(outcome, reason) => {
+                record.outcome = Some(outcome.label().into());
+                record.reason.clone_from(reason);
+            }
+        }
+        if let Decision::End(Outcome::TakenBack, _) = &decision {
+            // Taking back is safe without the service, so it does not wait for it.
+            self.spread(&record);
+        }
+        let key = format!("{}{name}", self.prefix);
+        let compare = Compare { key: key.clone(), revision };
+        let put = Put { key, value: serde_json::to_vec(&record).unwrap_or_default() };
+        let result = self.shared.kv.txn(Purpose::Rollout, vec![compare], vec![put], Vec::new()).await;
+        let Some(held) = self.held.get_mut(name) else { return };
+        match result {
+            Ok(txn) if txn.succeeded => {
+                held.revision = txn.revision;
+                held.record = record.clone();
+                held.mover.done(&decision, unix_ms());
+                self.recorded(&record);
+            }
+            // Another holder, or an earlier try of this one, has written: read the record anew.
+            Ok(_) => {
+                self.held.remove(name);
+            }
+            Err(_) => held.pending = Some(decision),
+        }
+    }
+
+    fn recorded(&self, record: &Record) {
+        self.spread(record);
+        let (version, step) = (&record.version, record.step);
+        match &record.outcome {
+            None => info!("event=move-step version={version} step={step}"),
+            Some(outcome) => {
+                self.shared.metrics.moves.with_label_values(&[outcome]).inc();
+                info!("event=move-ended version={version} outcome={outcome} reason={:?}", record.reason);
+            }
+        }
+    }
+
+    /// States what a record says as facts.
+    fn spread(&self, record: &Record) {
+        let until_ms = unix_ms() + FACT_MEMORY_MS;
+        let note: Arc<str> = record.reason.as_str().into();
+        let key = record.version.clone();
+        if record.outcome.as_deref() == Some(Outcome::TakenBack.label()) {
+            let kind = FactKind::TakenBack;
+            self.shared.state(Fact { kind, key, value: 1, until_ms, note });
+        } else if record.step > 0 {
+            let (kind, value) = (FactKind::Step, record.step as u64);
+            self.shared.state(Fact { kind, key, value, until_ms, note });
+        }
+        self.shared.refresh_choices();
+    }
+}
+
+/// Prefix of the records of a site's moves.
+pub(crate) fn prefix_of(site: &str) -> String {
+    format!("/goldcrestward/{site}/moves/")
+}
+
+/// The records of all moves with their revisions; `None` if the service does not answer.
+pub(crate) async fn read_records(shared: &Shared, prefix: &str) -> Option<Vec<(Record, u64)>> {
+    let (rows, _) = shared.kv.range(Purpose::Rollout, prefix, &prefix_end(prefix), 0).await.ok()?;
+    let parse = |row: crate::platform::Row| Some((serde_json::from_slice(&row.value).ok()?, row.revision));
+    Some(rows.into_iter().filter_map(parse).collect())
+}
+
+async fn gather(shared: &Arc<Shared>, plan: &VersionPlan, seen: &mut HashMap<Arc<str>, Witness>) -> Reading {
+    let old = {
+        let in_force = shared.in_force.load();
+        let view = shared.view.lock();
+        let choice = choose(&in_force.site, view.facts(), &plan.pool);
+        choice.map(|c| c.base).filter(|base| *base != plan.name)
+    };
+    let old = old.unwrap_or_else(|| previous(shared, plan));
+    let versions = vec![plan.name.clone(), old.clone()];
+    let asked = witnesses(shared, &plan.name);
+    let asks = asked.into_iter().map(|(name, address)| ask(shared.clone(), name, address, versions.clone()));
+    for (name, report) in join_all(asks).await.into_iter().flatten() {
+        seen.entry(name).or_default().take(report);
+    }
+    let mut routes: BTreeMap<Arc<str>, Pair> = BTreeMap::new();
+    for ((version, route), tally) in seen.values().flat_map(Witness::rows) {
+        let pair = routes.entry(route.clone()).or_default();
+        if *version == plan.name {
+            pair.new.add(tally)
+        } else if *version == old {
+            pair.old.add(tally)
+        }
+    }
+    let pool = shared.replicas.pool(&plan.pool);
+    let ready = |version: &Arc<str>| pool.iter().filter(|r| r.version == *version && !r.is_leaving()).count();
+    let ready = Readiness { new: ready(&plan.name), old: ready(&old) };
+    Reading { now_ms: unix_ms(), routes, ready }
+}
+
+/// The version that was in use before the one that now has all traffic.
+fn previous(shared: &Shared, plan: &VersionPlan) -> Arc<str> {
+    let in_force = shared.in_force.load();
+    let earlier = in_force.site.versions.values().filter(|v| v.pool == plan.pool && v.start_ms < plan.start_ms);
+    earlier.max_by_key(|v| v.start_ms).map_or_else(|| Arc::from(""), |v| v.name.clone())
+}
+
+/// The daemons asked for evidence: the same ones for a whole move.
+fn witnesses(shared: &Shared, version: &str) -> Vec<(Arc<str>, Option<SocketAddr>)> {
+    let view = shared.view.lock();
+    let me = view.me().name.clone();
+    let mut present: Vec<_> = view.present().map(|m| (m.name.clone(), m.address)).collect();
+    present.sort_by_key(|(name, _)| stable_hash(&[version.as_bytes(), name.as_bytes()]));
+    present.truncate(WITNESSES);
+    present.into_iter().map(|(name, address)| (name.clone(), (name != me).then_some(address))).collect()
+}
+
+async fn ask(
+    shared: Arc<Shared>,
+    name: Arc<str>,
+    address: Option<SocketAddr>,
+    versions: Vec<Arc<str>>,
+) -> Option<(Arc<str>, pb::EvidenceReport)> {
+    let Some(address) = address else { return Some((name, report(&shared, &versions))) };
+    let versions = versions.iter().map(ToString::to_string).collect();
+    let body = request::Body::AskEvidence(pb::AskEvidence { versions });
+    match shared.links.ask(address, body, ASK_TIMEOUT).await.ok()? {
+        answer::Body::EvidenceReport(report) => Some((name, report)),
+        _ => None,
+    }
+}
+
+/// What this daemon has counted on some versions.
+pub(crate) fn report(shared: &Shared, versions: &[Arc<str>]) -> pb::EvidenceReport {
+    pb::EvidenceReport { epoch: shared.epoch, evidence: shared.evidence.export(versions) }
+}
+
+impl Witness {
+    fn take(&mut self, report: pb::EvidenceReport) {
+        if report.epoch != self.epoch {
+            let ended = std::mem::take(&mut self.now);
+            for (key, tally) in ended {
+                self.past.entry(key).or_default().add(tally);
+            }
+            self.epoch = report.epoch;
+        }
+        self.now.clear();
+        for row in report.evidence {
+            let tally = Tally { count: row.good + row.failed, failed: row.failed, slow: row.slow };
+            self.now.entry((row.version.into(), row.route.into())).or_default().add(tally);
+        }
+    }
+
+    fn rows(&self) -> impl Iterator<Item = (&(Arc<str>, Arc<str>), Tally)> {
+        self.past.iter().chain(&self.now).map(|(key, tally)| (key, *tally))
+    }
+}
--- /dev/null
+++ b/goldcrestward/src/process/settings.rs
@@ -0,0 +1,203 @@
+//! The settings of one daemon: a YAML file, variables and flags, each overriding the one before.
+
+use std::{fs, net::SocketAddr, path::Path, sync::Arc};
+
+use serde::Deserialize;
+use snafu::{ResultExt, Snafu};
+
+/// Result of reading settings.
+pub type Result<T, E = SettingsError> = std::result::Result<T, E>;
+
+/// Least length of a peer secret, in bytes.
+const SECRET_BYTES: usize = 16;
+
+/// Why settings could not be taken.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file could not be read.
+    #[snafu(display("could not read settings from {path}: {source}"))]
+    Read {
+        /// The file.
+        path: String,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// The file's content is wrong.
+    #[snafu(display("{path}:{line}: {message}"))]
+    Invalid {
+        /// The file.
+        path: String,
+        /// Line in the file, from 1.
+        line: u64,
+        /// What is wrong.
+        message: String,
+    },
+    /// A value is missing or wrong.
+    #[snafu(display("{field}: {message}"))]
+    Value {
+        /// The field.
+        field: &'static str,
+        /// What is wrong.
+        message: String,
+    },
+}
+
+/// Settings as they may stand in a file, in variables or in flags.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Overrides {
+    /// The site that the daemon belongs to.
+    pub site: Option<String>,
+    /// The daemon's name, unique in the site.
+    pub name: Option<String>,
+    /// Its region.
+    pub region: Option<String>,
+    /// Its availability zone.
+    pub zone: Option<String>,
+    /// Where callers connect.
+    pub callers: Option<SocketAddr>,
+    /// Where operators connect.
+    pub admin: Option<SocketAddr>,
+    /// Where other daemons connect.
+    pub peers: Option<SocketAddr>,
+    /// The address that other daemons use, where it differs from `peers`.
+    pub advertise: Option<SocketAddr>,
+    /// The platform's key-value service and instance list.
+    pub platform: Option<SocketAddr>,
+    /// Daemons to join when the platform's service cannot name any.
+    pub join: Option<Vec<SocketAddr>>,
+    /// Secrets that daemons prove to each other: the first signs, all verify.
+    pub peer_secrets: Option<Vec<String>>,
+    /// SHA-256 of the operators' token, in lowercase hexadecimal digits.
+    pub admin_token_sha256: Option<String>,
+    /// Worker threads.
+    pub workers: Option<usize>,
+    /// Seconds that a graceful shutdown may take; 0 for no limit.
+    pub drain_seconds: Option<u64>,
+}
+
+impl Overrides {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    /// Names file, line and field of what is wrong.
+    pub fn read(path: &Path) -> Result<Self> {
+        let name = path.display().to_string();
+        let text = fs::read_to_string(path).context(ReadSnafu { path: &name })?;
+        serde_saphyr::from_str(&text).map_err(|error| {
+            let problem = crate::config::yaml_problem(&name.as_str().into(), &error);
+            SettingsError::Invalid { path: name, line: problem.line, message: problem.message }
+        })
+    }
+
+    /// These settings, with those of `over` in their place where it has any.
+    #[must_use]
+    pub fn overridden_by(self, over: Self) -> Self {
+        Self {
+            site: over.site.or(self.site),
+            name: over.name.or(self.name),
+            region: over.region.or(self.region),
+            zone: over.zone.or(self.zone),
+            callers: over.callers.or(self.callers),
+            admin: over.admin.or(self.admin),
+            peers: over.peers.or(self.peers),
+            advertise: over.advertise.or(self.advertise),
+            platform: over.platform.or(self.platform),
+            join: over.join.or(self.join),
+            peer_secrets: over.peer_secrets.or(self.peer_secrets),
+            admin_token_sha256: over.admin_token_sha256.or(self.admin_token_sha256),
+            workers: over.workers.or(self.workers),
+            drain_seconds: over.drain_seconds.or(self.drain_seconds),
+        }
+    }
+}
+
+/// The checked settings of one daemon.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The site that the daemon belongs to.
+    pub site: Arc<str>,
+    /// The daemon's name, unique in the site.
+    pub name: Arc<str>,
+    /// Its region.
+    pub region: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators connect.
+    pub admin: SocketAddr,
+    /// Where other daemons connect.
+    pub peers: SocketAddr,
+    /// The address that other daemons use.
+    pub advertise: SocketAddr,
+    /// The platform's key-value service and instance list.
+    pub platform: SocketAddr,
+    /// Daemons to join when the platform's service cannot name any.
+    pub join: Vec<SocketAddr>,
+    /// Secrets that daemons prove to each other.
+    pub secrets: Vec<String>,
+    /// SHA-256 of the operators' token.
+    pub token_hash: Arc<str>,
+    /// Worker threads.
+    pub workers: usize,
+    /// Seconds that a graceful shutdown may take; 0 for no limit.
+    pub drain_seconds: u64,
+}
+
+impl TryFrom<Overrides> for Settings {
+    type Error = SettingsError;
+
+    fn try_from(given: Overrides) -> Result<Self> {
+        let peers = required("peers", given.peers)?;
+        let secrets = required("peer-secrets", given.peer_secrets)?;
+        if secrets.is_empty() || secrets.iter().any(|s| s.len() < SECRET_BYTES) {
+            return invalid("peer-secrets", format!("needs at least one secret of {SECRET_BYTES} bytes or more"));
+        }
+        let token_hash = required("admin-token-sha256", given.admin_token_sha256)?;
+        let digits = token_hash.chars().all(|c| matches!(c, '0'..='9' | 'a'..='f'));
+        if token_hash.len() != 64 || !digits {
+            return invalid("admin-token-sha256", "must be 64 lowercase hexadecimal digits".into());
+        }
+        let workers = given.workers.unwrap_or(2);
+        if workers == 0 {
+            return invalid("workers", "must be above 0".into());
+        }
+        Ok(Self {
+            site: named("site", given.site)?,
+            name: match given.name {
+                Some(name) => named("name", Some(name))?,
+                None => format!("daemon-{peers}").into(),
+            },
+            region: named("region", given.region)?,
+            zone: named("zone", given.zone)?,
+            callers: required("callers", given.callers)?,
+            admin: required("admin", given.admin)?,
+            advertise: given.advertise.unwrap_or(peers),
+            peers,
+            platform: required("platform", given.platform)?,
+            join: given.join.unwrap_or_default(),
+            secrets,
+            token_hash: token_hash.into(),
+            workers,
+            drain_seconds: given.drain_seconds.unwrap_or(0),
+        })
+    }
+}
+
+fn required<T>(field: &'static str, value: Option<T>) -> Result<T> {
+    value.ok_or(SettingsError::Value { field, message: "is missing".into() })
+}
+
+fn named(field: &'static str, value: Option<String>) -> Result<Arc<str>> {
+    let value = required(field, value)?;
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.' | ':');
+    if value.is_empty() || value.len() > 64 || !value.chars().all(plain) {
+        return invalid(field, format!("must be 1 to 64 letters, digits, '-', '_', '.' or ':', not {value:?}"));
+    }
+    Ok(value.into())
+}
+
+fn invalid<T>(field: &'static str, message: String) -> Result<T> {
+    Err(SettingsError::Value { field, message })
+}
--- /dev/null
+++ b/goldcrestward/src/request/attempt.rs
@@ -0,0 +1,234 @@
+//! Attempts at back ends: which have been made, and what is known of their effect.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use tokio::{net::TcpStream, time::timeout};
+
+use super::{
+    refusal::{Reason, Refusal, RunState},
+    suspect::Suspects,
+};
+use crate::{
+    config::Route,
+    process::{Flight, Replica, Shared, Wish},
+};
+
+/// Time for a replica's address to accept a connection when it is asked whether it lives.
+const ALIVE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Resumptions of one stream at most.
+const RESUMES: u32 = 8;
+/// Pause before replicas that have been tried are tried again.
+const ROUND_PAUSE: Duration = Duration::from_millis(60);
+/// Rounds over all replicas.
+const ROUNDS: u32 = 3;
+
+/// Why an attempt ended without a whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// No connection could be opened.
+    Unreached,
+    /// The connection broke.
+    Cut,
+    /// The back end answered with an error.
+    Status,
+    /// The answer was another request's or could not be read.
+    Crossed,
+    /// Nothing came in time.
+    Silent,
+    /// The replica is leaving and its stream is moved.
+    Leaving,
+}
+
+impl Failure {
+    /// The failure as a label of a counter.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Unreached => "unreached",
+            Self::Cut => "cut",
+            Self::Status => "status",
+            Self::Crossed => "crossed",
+            Self::Silent => "silent",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
+/// The attempts of one request.
+pub(crate) struct Attempts {
+    shared: Arc<Shared>,
+    route: Arc<Route>,
+    fingerprint: u64,
+    key: u64,
+    version: Option<Arc<str>>,
+    deadline: Instant,
+    tried: Vec<Arc<str>>,
+    rounds: u32,
+    number: u32,
+    resumes: u32,
+    run: RunState,
+    crashes: u32,
+    last: Option<Failure>,
+}
+
+impl Attempts {
+    /// No attempts yet. Requests with the same `key` prefer the same replica.
+    pub fn new(shared: Arc<Shared>, route: Arc<Route>, fingerprint: u64, key: u64, version: Option<Arc<str>>) -> Self {
+        let deadline = Instant::now() + route.timeout;
+        shared.budgets.earn(&route.name, route.retry_share);
+        Self {
+            shared,
+            route,
+            fingerprint,
+            key,
+            version,
+            deadline,
+            tried: Vec::new(),
+            rounds: 0,
+            number: 0,
+            resumes: 0,
+            run: RunState::NotRun,
+            crashes: 0,
+            last: None,
+        }
+    }
+
+    /// Number of the present attempt, from 1.
+    pub fn number(&self) -> u32 {
+        self.number
+    }
+
+    /// Whether any attempt can have reached a back end.
+    pub fn run(&self) -> RunState {
+        self.run
+    }
+
+    /// Time that is left for the request.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Notes that bytes of the present attempt may be at the back end.
+    pub fn sent(&mut self) {
+        self.run = RunState::MayHaveRun;
+    }
+
+    /// A refusal that tells the truth about the attempts so far.
+    pub fn refuse(&self, reason: Reason, message: impl Into<String>) -> Refusal {
+        Refusal { run: self.run, ..Refusal::not_run(reason, message) }
+    }
+
+    /// Chooses a replica for the next attempt. `resuming` tells that tokens have been passed on.
+    ///
+    /// # Errors
+    /// Gives the refusal when no attempt may be made.
+    pub async fn next(&mut self, resuming: bool) -> Result<Flight, Refusal> {
+        self.permit(resuming)?;
+        let flight = self.choose().await?;
+        if self.number > 0 {
+            let label = self.last.map_or("first", Failure::label);
+            self.shared.metrics.retries.with_label_values(&[label]).inc();
+        }
+        self.number += 1;
+        Ok(flight)
+    }
+
+    /// Chooses a replica beside `first` for the same attempt.
+    pub fn other(&self, first: &Replica) -> Option<Flight> {
+        let mut tried = self.tried.clone();
+        tried.push(first.id.clone());
+        self.choose_once(&tried)
+    }
+
+    /// Notes how the present attempt failed.
+    pub async fn failed(&mut self, replica: &Arc<Replica>, failure: Failure) {
+        self.last = Some(failure);
+        self.tried.push(replica.id.clone());
+        let now = self.shared.now();
+        match failure {
+            Failure::Leaving => {}
+            Failure::Unreached => replica.eject(now),
+            Failure::Crossed | Failure::Status | Failure::Silent => replica.note(false, now),
+            Failure::Cut => {
+                replica.note(false, now);
+                self.suspect(replica).await;
+            }
+        }
+    }
+
+    /// Notes that the request was answered, which clears it of suspicion.
+    pub fn succeeded(&self, replica: &Replica) {
+        replica.note(true, self.shared.now());
+        if self.crashes > 0 {
+            self.shared.state(Suspects::pardon(self.fingerprint, "answered"));
+        }
+    }
+
+    /// A connection that broke at a replica that no longer listens was a crash.
+    async fn suspect(&mut self, replica: &Arc<Replica>) {
+        if replica.is_leaving() || is_alive(replica.address).await || replica.is_leaving() {
+            return;
+        }
+        replica.eject(self.shared.now());
+        self.crashes += 1;
+        self.shared.state(Suspects::crash(self.fingerprint, &replica.id));
+    }
+
+    fn permit(&mut self, resuming: bool) -> Result<(), Refusal> {
+        if self.left().is_zero() {
+            return Err(self.refuse(Reason::Deadline, "the request's time is over"));
+        }
+        if Suspects::is_condemned(self.shared.view.lock().facts(), self.fingerprint) {
+            let message = "requests with this content have crashed back ends";
+            return Err(self.refuse(Reason::CrashesBackends, message));
+        }
+        if self.number == 0 || self.last == Some(Failure::Unreached) {
+            return Ok(());
+        }
+        if resuming {
+            self.resumes += 1;
+            if self.resumes <= RESUMES {
+                return Ok(());
+            }
+        } else if self.shared.budgets.spend(&self.route.name) {
+            return Ok(());
+        }
+        Err(self.refuse(Reason::BackendFailed, "back ends failed and no retry is left"))
+    }
+
+    async fn choose(&mut self) -> Result<Flight, Refusal> {
+        loop {
+            if let Some(flight) = self.choose_once(&self.tried) {
+                return Ok(flight);
+            }
+            self.rounds += 1;
+            if self.rounds > ROUNDS || self.tried.is_empty() {
+                let message = format!("no replica of pool {} can take the request", self.route.pool);
+                return Err(self.refuse(Reason::NoReplica, message).after(Duration::from_secs(1)));
+            }
+            self.tried.clear();
+            tokio::time::sleep(ROUND_PAUSE * self.rounds).await;
+        }
+    }
+
+    fn choose_once(&self, tried: &[Arc<str>]) -> Option<Flight> {
+        let in_force = self.shared.in_force.load();
+        let pool = in_force.site.pools.get(&self.route.pool)?;
+        self.shared.replicas.choose(&Wish {
+            pool: &self.route.pool,
+            key: self.key,
+            version: self.version.as_deref(),
+            region: &self.shared.settings.region,
+            concurrency: pool.concurrency,
+            tried,
+            now: self.shared.now(),
+        })
+    }
+}
+
+async fn is_alive(address: SocketAddr) -> bool {
+    matches!(timeout(ALIVE_TIMEOUT, TcpStream::connect(address)).await, Ok(Ok(_)))
+}
--- /dev/null
+++ b/goldcrestward/src/request/gate.rs
@@ -0,0 +1,137 @@
+//! The way in for callers: who asks, for what, and whether now.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, StatusCode, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use serde_json::json;
+use tokio::time::timeout;
+use volo_http::{body::Body, request::Request, response::Response};
+
+use super::{
+    headers::bearer,
+    model::ModelCall,
+    plain::{PlainCall, Received},
+    refusal::{Reason, Refusal},
+};
+use crate::{
+    config::{Account, Site},
+    process::{Shared, Stage},
+};
+
+/// Bytes of a caller's body.
+const BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Time for a caller to send the body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Answers callers.
+#[derive(Clone)]
+pub(crate) struct Gate {
+    shared: Arc<Shared>,
+}
+
+impl Gate {
+    /// A way in to the daemon's tables.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    /// Answers one request.
+    pub async fn answer(self, request: Request) -> Response {
+        match self.serve(request).await {
+            Ok(response) => response,
+            Err(refusal) => {
+                self.shared.refused(&refusal);
+                refusal.response()
+            }
+        }
+    }
+
+    /// Whether the balancer may send requests.
+    pub fn ready(&self) -> Response {
+        let stage = self.shared.stage.get();
+        let status = if stage == Stage::Serving { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        let mut response = Response::new(Body::from(stage.label()));
+        *response.status_mut() = status;
+        response
+    }
+
+    /// The models that the account may use.
+    pub async fn models(self, request: Request) -> Response {
+        let in_force = self.shared.in_force.load_full();
+        let account = match authenticate(&in_force.site, request.headers()) {
+            Ok(account) => account,
+            Err(refusal) => {
+                self.shared.refused(&refusal);
+                return refusal.response();
+            }
+        };
+        let allowed = |name: &Arc<str>| account.routes.is_empty() || account.routes.contains(name);
+        let routes = in_force.site.routes.values().filter(|r| allowed(&r.name));
+        let models: Vec<_> = routes
+            .filter_map(|r| r.model.as_ref())
+            .map(|model| json!({ "id": model, "object": "model", "created": 0, "owned_by": "goldcrestward" }))
+            .collect();
+        let mut response = Response::new(Body::from(json!({ "object": "list", "data": models }).to_string()));
+        response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        response
+    }
+
+    async fn serve(&self, request: Request) -> Result<Response, Refusal> {
+        self.check_stage()?;
+        let in_force = self.shared.in_force.load_full();
+        let account = authenticate(&in_force.site, request.headers())?;
+        let (parts, body) = request.into_parts();
+        let path = parts.uri.path().to_owned();
+        let id: Arc<str> = format!("req-{:032x}", rand::random::<u128>()).into();
+        if path == "/v1/chat/completions" || path == "/v1/completions" {
+            self.shared.limits.admit(&account, &self.shared)?;
+            let body = read_body(body).await?;
+            return ModelCall::new(self.shared.clone(), &account, id, path, body)?.run().await;
+        }
+        let Some(route) = in_force.site.path_route(&path) else {
+            return Err(Refusal::not_run(Reason::UnknownRoute, format!("there is no route for {path}")));
+        };
+        if !account.routes.is_empty() && !account.routes.contains(&route.name) {
+            let message = format!("the account may not use route {}", route.name);
+            return Err(Refusal::not_run(Reason::Forbidden, message));
+        }
+        self.shared.limits.admit(&account, &self.shared)?;
+        let body = read_body(body).await?;
+        let path = parts.uri.path_and_query().map_or(path, ToString::to_string);
+        let received = Received { id, method: parts.method, path, headers: parts.headers, body };
+        PlainCall::new(self.shared.clone(), &account, route.clone(), received).run().await
+    }
+
+    fn check_stage(&self) -> Result<(), Refusal> {
+        match self.shared.stage.get() {
+            Stage::Serving => Ok(()),
+            Stage::Starting => {
+                let message = "this daemon has no configuration yet";
+                Err(Refusal::not_run(Reason::NoConfiguration, message).after(Duration::from_secs(1)))
+            }
+            Stage::Draining => {
+                let refusal = Refusal::not_run(Reason::Stopping, "this daemon is stopping");
+                Err(refusal.after(Duration::from_secs(1)))
+            }
+        }
+    }
+}
+
+fn authenticate(site: &Site, headers: &HeaderMap) -> Result<Arc<Account>, Refusal> {
+    let refuse = |message: &str| Refusal::not_run(Reason::Unauthenticated, message);
+    let key = bearer(headers).ok_or_else(|| refuse("the request needs an account's key as bearer token"))?;
+    site.account(key).cloned().ok_or_else(|| refuse("no account has this key"))
+}
+
+async fn read_body(body: Body) -> Result<Bytes, Refusal> {
+    match timeout(BODY_TIMEOUT, Limited::new(body, BODY_BYTES).collect()).await {
+        Err(_) => Err(Refusal::not_run(Reason::BodyTimeout, "the body did not arrive in time")),
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(Refusal::not_run(Reason::BodyTooLarge, format!("the body has more than {BODY_BYTES} bytes")))
+        }
+        Ok(Err(_)) => Err(Refusal::not_run(Reason::BadRequest, "the body could not be read")),
+    }
+}
--- /dev/null
+++ b/goldcrestward/src/request/model.rs
@@ -0,0 +1,455 @@
+//! Requests to model engines: streamed answers that are resumed elsewhere when a replica fails.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use http_body::Frame;
+use http_body_util::BodyExt;
+use serde::Deserialize;
+use serde_json::{Map, Value, json};
+use tokio::{sync::mpsc, time::timeout};
+use tokio_stream::wrappers::ReceiverStream;
+use volo_http::{body::Body, error::BoxError, response::Response};
+
+use super::{
+    attempt::{Attempts, Failure},
+    event::{Broken, EventReader},
+    refusal::{Reason, Refusal},
+    suspect::fingerprint,
+};
+use crate::{
+    config::{Account, Route},
+    connection::{Call, Sent},
+    process::{Flight, InFlight, Shared},
+    util::stable_hash,
+    version::Sample,
+};
+
+/// Bytes of the prompt by which requests with a common prefix are brought together.
+const PREFIX_BYTES: usize = 512;
+/// Time for a replica to send the next piece.
+const SILENCE: Duration = Duration::from_secs(30);
+/// Pieces of an answer that wait for a slow caller.
+const PIECES: usize = 16;
+/// Bytes of an answer that is not streamed.
+const ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Bytes of text that one token stands for, about.
+const TOKEN_BYTES: usize = 5;
+
+/// What the daemon reads of a request's body.
+#[derive(Deserialize)]
+struct Ask {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    prompt: Option<Value>,
+    #[serde(default)]
+    messages: Vec<Message>,
+    #[serde(default)]
+    user: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    #[serde(default)]
+    content: Value,
+}
+
+impl Ask {
+    fn prefix(&self) -> String {
+        let mut prefix = String::new();
+        let contents = self.messages.iter().map(|m| &m.content);
+        for content in contents.chain(&self.prompt) {
+            match content {
+                Value::String(text) => prefix.push_str(text),
+                other => prefix.push_str(&other.to_string()),
+            }
+            if prefix.len() >= PREFIX_BYTES {
+                break;
+            }
+        }
+        let end = prefix.floor_char_boundary(PREFIX_BYTES);
+        prefix.truncate(end);
+        prefix
+    }
+}
+
+/// A request to a model engine.
+pub(crate) struct ModelCall {
+    shared: Arc<Shared>,
+    route: Arc<Route>,
+    id: Arc<str>,
+    path: String,
+    body: Bytes,
+    stream: bool,
+    attempts: Attempts,
+    received: Instant,
+    kv_from: Option<SocketAddr>,
+    _in_flight: InFlight,
+}
+
+/// An attempt whose answer has begun.
+struct Open {
+    flight: Flight,
+    reader: EventReader,
+    body: Body,
+    first: Bytes,
+}
+
+/// How an attempt to open a stream ended.
+enum Opening {
+    Begun(Box<Open>),
+    Passed(Response),
+}
+
+impl ModelCall {
+    /// Reads the request's body.
+    ///
+    /// # Errors
+    /// Gives the refusal when the body is wrong or the account may not use the model.
+    pub fn new(
+        shared: Arc<Shared>,
+        account: &Account,
+        id: Arc<str>,
+        path: String,
+        body: Bytes,
+    ) -> Result<Self, Refusal> {
+        let received = Instant::now();
+        let ask: Ask = serde_json::from_slice(&body)
+            .map_err(|error| Refusal::not_run(Reason::BadRequest, format!("could not read the body: {error}")))?;
+        let in_force = shared.in_force.load_full();
+        let Some(route) = in_force.site.model_route(&ask.model) else {
+            return Err(Refusal::not_run(Reason::UnknownModel, format!("there is no model {}", ask.model)));
+        };
+        if !account.routes.is_empty() && !account.routes.contains(&route.name) {
+            let message = format!("the account may not use model {}", ask.model);
+            return Err(Refusal::not_run(Reason::Forbidden, message));
+        }
+        let print = fingerprint(&account.name, &path, &body);
+        let key = stable_hash(&[ask.prefix().as_bytes()]);
+        let conversation = ask.user.as_ref().map_or(key, |user| stable_hash(&[user.as_bytes()]));
+        let version = shared.choose_version(&route.pool, conversation);
+        let attempts = Attempts::new(shared.clone(), route.clone(), print, key, version);
+        let _in_flight = InFlight::new(&shared);
+        let (route, stream) = (route.clone(), ask.stream);
+        Ok(Self { shared, route, id, path, body, stream, attempts, received, kv_from: None, _in_flight })
+    }
+
+    /// Runs the request.
+    ///
+    /// # Errors
+    /// Gives the refusal when no answer could be begun.
+    pub async fn run(mut self) -> Result<Response, Refusal> {
+        if !self.stream {
+            return self.run_whole().await;
+        }
+        match self.open(0).await? {
+            Opening::Passed(response) => Ok(response),
+            Opening::Begun(open) => Ok(self.begin(*open)),
+        }
+    }
+
+    fn begin(self, open: Open) -> Response {
+        let (sender, pieces) = mpsc::channel(PIECES);
+        let id = self.id.clone();
+        let shared = self.shared.clone();
+        shared.tasks.spawn(self.pump(open, sender));
+        let mut response = Response::new(Body::from_stream(ReceiverStream::new(pieces)));
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+        if let Ok(id) = HeaderValue::from_str(&id) {
+            headers.insert("x-request-id", id);
+        }
+        response
+    }
+
+    /// Passes the answer on until it is whole, moving to other replicas as need be.
+    async fn pump(mut self, mut open: Open, sender: mpsc::Sender<Result<Frame<Bytes>, BoxError>>) {
+        let first = std::mem::take(&mut open.first);
+        if !self.pass(&open, first, 0, &sender).await {
+            return;
+        }
+        loop {
+            let failure = match self.relay(&mut open, &sender).await {
+                Ok(()) => return,
+                Err(failure) => failure,
+            };
+            let next = open.reader.next_token();
+            self.abandon(&open, failure).await;
+            match self.open(next).await {
+                Ok(Opening::Begun(again)) => open = *again,
+                Ok(Opening::Passed(_)) => return self.cut(&sender, "a back end refused to resume").await,
+                Err(refusal) => {
+                    self.shared.refused(&refusal);
+                    return self.cut(&sender, &refusal.message).await;
+                }
+            }
+            let first = std::mem::take(&mut open.first);
+            if !self.pass(&open, first, next, &sender).await {
+                return;
+            }
+        }
+    }
+
+    /// Relays one attempt's stream; `Ok` when the answer is whole or the caller is gone.
+    async fn relay(
+        &mut self,
+        open: &mut Open,
+        sender: &mpsc::Sender<Result<Frame<Bytes>, BoxError>>,
+    ) -> Result<(), Failure> {
+        let mut last = Instant::now();
+        while !open.reader.is_whole() {
+            let silence = SILENCE.min(self.attempts.left());
+            let frame = tokio::select! {
+                frame = timeout(silence, open.body.frame()) => frame,
+                () = sender.closed() => return Ok(()),
+            };
+            let data = read_frame(frame)?;
+            let before = open.reader.next_token();
+            let (out, broken) = open.reader.read(&data);
+            let tokens = open.reader.next_token() - before;
+            if tokens > 0 {
+                let now = Instant::now();
+                self.shared.metrics.between_tokens.observe((now - last).as_secs_f64());
+                last = now;
+            }
+            if !self.pass(open, out, before, sender).await {
+                return Ok(());
+            }
+            if let Some(broken) = broken {
+                self.count_broken(broken);
+                return Err(Failure::Crossed);
+            }
+            if open.flight.replica().is_leaving() && !open.reader.is_whole() {
+                return Err(Failure::Leaving);
+            }
+        }
+        self.attempts.succeeded(open.flight.replica());
+        self.finished(open);
+        Ok(())
+    }
+
+    /// Passes bytes on to the caller; false when the answer is whole or the caller is gone.
+    async fn pass(
+        &self,
+        open: &Open,
+        bytes: Bytes,
+        before: u64,
+        sender: &mpsc::Sender<Result<Frame<Bytes>, BoxError>>,
+    ) -> bool {
+        self.shared.metrics.tokens.inc_by(open.reader.next_token() - before);
+        if bytes.is_empty() {
+            return true;
+        }
+        if sender.send(Ok(Frame::data(bytes))).await.is_err() {
+            self.shared.metrics.requests.with_label_values(&[&*self.route.name, "hung-up"]).inc();
+            return false;
+        }
+        true
+    }
+
+    fn finished(&self, open: &Open) {
+        let repeated = open.reader.repeated();
+        if repeated > 0 {
+            self.shared.metrics.dropped.with_label_values(&["repeated"]).inc_by(repeated);
+        }
+        self.shared.metrics.requests.with_label_values(&[&*self.route.name, "whole"]).inc();
+        self.shared.observe(open.flight.replica(), &self.route.name, Sample::Good);
+    }
+
+    async fn cut(&self, sender: &mpsc::Sender<Result<Frame<Bytes>, BoxError>>, message: &str) {
+        self.shared.metrics.cut.inc();
+        self.shared.metrics.requests.with_label_values(&[&*self.route.name, "cut"]).inc();
+        sender.send(Err(message.to_owned().into())).await.ok();
+    }
+
+    async fn abandon(&mut self, open: &Open, failure: Failure) {
+        let replica = open.flight.replica().clone();
+        self.kv_from = (failure == Failure::Leaving).then_some(replica.address);
+        if failure != Failure::Leaving {
+            self.shared.observe(&replica, &self.route.name, Sample::Failed);
+        }
+        let way = if self.kv_from.is_some() { "import" } else { "recompute" };
+        self.shared.metrics.resumed.with_label_values(&[way]).inc();
+        if self.kv_from.is_none() {
+            let prompt = (self.body.len() / TOKEN_BYTES) as u64;
+            self.shared.metrics.recomputed.inc_by(prompt + open.reader.next_token());
+        }
+        self.attempts.failed(&replica, failure).await;
+    }
+
+    /// Opens a stream from token `next` on, with as many attempts as are allowed.
+    async fn open(&mut self, next: u64) -> Result<Opening, Refusal> {
+        loop {
+            let flight = self.attempts.next(next > 0).await?;
+            let replica = flight.replica().clone();
+            match self.try_open(flight, next).await {
+                Ok(opening) => return Ok(opening),
+                Err(failure) => {
+                    if !replica.is_leaving() {
+                        self.shared.observe(&replica, &self.route.name, Sample::Failed);
+                    }
+                    self.attempts.failed(&replica, failure).await;
+                }
+            }
+        }
+    }
+
+    async fn try_open(&mut self, flight: Flight, next: u64) -> Result<Opening, Failure> {
+        let call = self.call(&flight, self.attempt_body(next));
+        let response = self.send(call).await?;
+        if response.status() != StatusCode::OK {
+            return pass_error(response).map(Opening::Passed);
+        }
+        let mut reader = EventReader::new(&self.id, self.attempts.number(), next);
+        let mut body = response.into_body();
+        loop {
+            let silence = SILENCE.min(self.attempts.left());
+            let data = read_frame(timeout(silence, body.frame()).await)?;
+            let (first, broken) = reader.read(&data);
+            if let Some(broken) = broken.filter(|_| first.is_empty()) {
+                self.count_broken(broken);
+                return Err(Failure::Crossed);
+            }
+            if !first.is_empty() {
+                if next == 0 {
+                    let seconds = self.received.elapsed().as_secs_f64();
+                    self.shared.metrics.first_token.with_label_values(&[&*self.route.name]).observe(seconds);
+                    self.shared.observe_first(flight.replica(), &self.route.name, seconds);
+                }
+                return Ok(Opening::Begun(Box::new(Open { flight, reader, body, first })));
+            }
+        }
+    }
+
+    async fn send(&mut self, call: Call) -> Result<Response, Failure> {
+        let limit = SILENCE.min(self.attempts.left());
+        let result = timeout(limit, self.shared.client.send(call)).await;
+        match result {
+            Err(_) => {
+                self.attempts.sent();
+                Err(Failure::Silent)
+            }
+            Ok(Err(Sent::No)) => Err(Failure::Unreached),
+            Ok(Err(Sent::Maybe)) => {
+                self.attempts.sent();
+                Err(Failure::Cut)
+            }
+            Ok(Ok(response)) => {
+                self.attempts.sent();
+                self.check_bearer(response)
+            }
+        }
+    }
+
+    /// An answer that bears another request's id or another attempt's number is not ours.
+    fn check_bearer(&self, response: Response) -> Result<Response, Failure> {
+        let bears = |name: &str, wanted: &str| {
+            response.headers().get(name).is_none_or(|value| value.as_bytes() == wanted.as_bytes())
+        };
+        if bears("x-request-id", &self.id) && bears("x-attempt", &self.attempts.number().to_string()) {
+            return Ok(response);
+        }
+        self.shared.metrics.dropped.with_label_values(&["crossed"]).inc();
+        Err(Failure::Crossed)
+    }
+
+    fn count_broken(&self, broken: Broken) {
+        let label = match broken {
+            Broken::Crossed => "crossed",
+            Broken::Gap => "gap",
+            Broken::Malformed => "malformed",
+        };
+        self.shared.metrics.dropped.with_label_values(&[label]).inc();
+    }
+
+    async fn run_whole(mut self) -> Result<Response, Refusal> {
+        loop {
+            let flight = self.attempts.next(false).await?;
+            let replica = flight.replica().clone();
+            let failure = match self.try_whole(&flight).await {
+                Ok(response) => {
+                    self.attempts.succeeded(&replica);
+                    self.shared.metrics.requests.with_label_values(&[&*self.route.name, "whole"]).inc();
+                    self.shared.observe(&replica, &self.route.name, Sample::Good);
+                    return Ok(response);
+                }
+                Err(failure) => failure,
+            };
+            self.shared.observe(&replica, &self.route.name, Sample::Failed);
+            self.shared.metrics.recomputed.inc_by((self.body.len() / TOKEN_BYTES) as u64);
+            self.attempts.failed(&replica, failure).await;
+        }
+    }
+
+    async fn try_whole(&mut self, flight: &Flight) -> Result<Response, Failure> {
+        let call = self.call(flight, self.body.clone());
+        let response = self.send(call).await?;
+        let response = if response.status() == StatusCode::OK { response } else { pass_error(response)? };
+        let (mut parts, body) = response.into_parts();
+        let limited = http_body_util::Limited::new(body, ANSWER_BYTES);
+        let whole = timeout(self.attempts.left(), limited.collect()).await;
+        let bytes = match whole {
+            Err(_) => return Err(Failure::Silent),
+            Ok(Err(_)) => return Err(Failure::Cut),
+            Ok(Ok(collected)) => collected.to_bytes(),
+        };
+        if parts.status == StatusCode::OK && serde_json::from_slice::<serde::de::IgnoredAny>(&bytes).is_err() {
+            return Err(Failure::Cut);
+        }
+        super::headers::drop_hop_by_hop(&mut parts.headers);
+        parts.headers.remove("x-attempt");
+        Ok(Response::from_parts(parts, Body::from(bytes)))
+    }
+
+    fn call(&self, flight: &Flight, body: Bytes) -> Call {
+        let mut headers = HeaderMap::new();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Ok(id) = HeaderValue::from_str(&self.id) {
+            headers.insert("x-request-id", id);
+        }
+        headers.insert("x-attempt", HeaderValue::from(self.attempts.number()));
+        let address = flight.replica().address;
+        Call { address, method: Method::POST, path: self.path.clone(), headers, body: Body::from(body) }
+    }
+
+    /// The body of an attempt, which tells the engine where to go on.
+    fn attempt_body(&self, next: u64) -> Bytes {
+        if next == 0 && self.route.priority == 0 {
+            return self.body.clone();
+        }
+        let Ok(mut body) = serde_json::from_slice::<Map<String, Value>>(&self.body) else {
+            return self.body.clone();
+        };
+        if next > 0 {
+            body.insert("resume".into(), json!({ "tokens": next, "kv_from": self.kv_from }));
+        }
+        body.entry("priority").or_insert(self.route.priority.into());
+        Bytes::from(Value::Object(body).to_string())
+    }
+}
+
+/// An engine's own refusal is a whole answer; its failures are not.
+fn pass_error(response: Response) -> Result<Response, Failure> {
+    if response.status().is_client_error() {
+        return Ok(response);
+    }
+    Err(Failure::Status)
+}
+
+fn read_frame(
+    frame: Result<Option<Result<Frame<Bytes>, BoxError>>, tokio::time::error::Elapsed>,
+) -> Result<Bytes, Failure> {
+    match frame {
+        Err(_) => Err(Failure::Silent),
+        Ok(None | Some(Err(_))) => Err(Failure::Cut),
+        Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
+    }
+}
--- /dev/null
+++ b/goldcrestward/src/request/plain.rs
@@ -0,0 +1,320 @@
+//! Requests to plain services: passed through, repeated where allowed, at most once where not.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, header};
+use http_body_util::BodyExt;
+use tokio::time::timeout;
+use volo_http::{body::Body, response::Response};
+
+use super::{
+    attempt::{Attempts, Failure},
+    headers::drop_hop_by_hop,
+    refusal::{Reason, Refusal},
+    suspect::fingerprint,
+};
+use crate::{
+    config::{Account, Route},
+    connection::{Call, Sent},
+    ledger::{Claim, Key, Settlement, key_of},
+    pb::{self, Grant},
+    process::{Flight, InFlight, Shared},
+    util::stable_hash,
+    version::Sample,
+};
+
+/// Bytes of an outcome's body that the ledger keeps; of a longer one only the status is kept.
+const OUTCOME_BYTES: usize = 4 * 1024;
+/// Bytes of an answer to a call that may not be repeated.
+const ANSWER_BYTES: usize = 1024 * 1024;
+/// Bytes of an idempotency key.
+const KEY_BYTES: usize = 255;
+/// Time after which an idempotent lookup is sent to a second replica.
+const HEDGE_AFTER: Duration = Duration::from_millis(250);
+
+/// A request to a plain service, with its whole body.
+pub(crate) struct PlainCall {
+    shared: Arc<Shared>,
+    account: Arc<str>,
+    route: Arc<Route>,
+    id: Arc<str>,
+    method: Method,
+    path: String,
+    headers: HeaderMap,
+    body: Bytes,
+    fingerprint: u64,
+    attempts: Attempts,
+    received: Instant,
+    _in_flight: InFlight,
+}
+
+/// What a caller sent.
+pub(crate) struct Received {
+    /// The request's id.
+    pub id: Arc<str>,
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl PlainCall {
+    /// A call of `account` on `route`.
+    pub fn new(shared: Arc<Shared>, account: &Account, route: Arc<Route>, received: Received) -> Self {
+        let Received { id, method, path, mut headers, body } = received;
+        drop_hop_by_hop(&mut headers);
+        headers.remove(header::AUTHORIZATION);
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(header::EXPECT);
+        if let Ok(value) = HeaderValue::from_str(&account.name) {
+            headers.insert("x-account", value);
+        }
+        if let Ok(value) = HeaderValue::from_str(&id) {
+            headers.insert("x-request-id", value);
+        }
+        let fingerprint = fingerprint(&account.name, &path, &body);
+        let version = shared.choose_version(&route.pool, stable_hash(&[id.as_bytes()]));
+        let key = stable_hash(&[id.as_bytes()]);
+        let attempts = Attempts::new(shared.clone(), route.clone(), fingerprint, key, version);
+        let _in_flight = InFlight::new(&shared);
+        let account = account.name.clone();
+        let received = Instant::now();
+        Self { shared, account, route, id, method, path, headers, body, fingerprint, attempts, received, _in_flight }
+    }
+
+    /// Runs the call.
+    ///
+    /// # Errors
+    /// Gives the refusal when there is no answer.
+    pub async fn run(self) -> Result<Response, Refusal> {
+        let (shared, route, received) = (self.shared.clone(), self.route.clone(), self.received);
+        let result = if self.route.repeatable { self.run_repeatable().await } else { self.run_once().await };
+        let end = if result.is_ok() { "whole" } else { "refused" };
+        shared.metrics.requests.with_label_values(&[&*route.name, end]).inc();
+        let seconds = received.elapsed().as_secs_f64();
+        shared.metrics.plain_seconds.with_label_values(&[&*route.name]).observe(seconds);
+        result
+    }
+
+    async fn run_repeatable(mut self) -> Result<Response, Refusal> {
+        let hedged = self.route.lookup && (self.method == Method::GET || self.method == Method::HEAD);
+        loop {
+            let flight = self.attempts.next(false).await?;
+            let result = if hedged { self.hedge(&flight).await } else { self.send(&flight).await };
+            match result {
+                Ok(response) => {
+                    self.attempts.succeeded(flight.replica());
+                    self.shared.observe(flight.replica(), &self.route.name, Sample::Good);
+                    return Ok(self.pass(response, flight));
+                }
+                Err(failure) => {
+                    self.shared.observe(flight.replica(), &self.route.name, Sample::Failed);
+                    self.attempts.failed(flight.replica(), failure).await;
+                }
+            }
+        }
+    }
+
+    /// Passes the answer's body on unread; the attempt lasts until its end.
+    fn pass(self, response: Response, flight: Flight) -> Response {
+        let (mut parts, body) = response.into_parts();
+        drop_hop_by_hop(&mut parts.headers);
+        let held = (flight, self._in_flight);
+        let body = body.map_frame(move |frame| {
+            let _held = &held;
+            frame
+        });
+        Response::from_parts(parts, Body::from_body(body))
+    }
+
+    async fn send(&mut self, flight: &Flight) -> Result<Response, Failure> {
+        self.attempts.sent();
+        attempt(self.shared.clone(), self.call(flight), self.attempts.left()).await
+    }
+
+    /// Sends an idempotent lookup to a second replica when the first is slow, inside the retry budget.
+    async fn hedge(&mut self, flight: &Flight) -> Result<Response, Failure> {
+        self.attempts.sent();
+        let left = self.attempts.left();
+        let first = attempt(self.shared.clone(), self.call(flight), left);
+        tokio::pin!(first);
+        if let Ok(result) = timeout(HEDGE_AFTER, &mut first).await {
+            return result;
+        }
+        if !self.shared.budgets.spend(&self.route.name) {
+            return first.await;
+        }
+        let Some(other) = self.attempts.other(flight.replica()) else { return first.await };
+        self.shared.metrics.retries.with_label_values(&["hedged"]).inc();
+        let second = attempt(self.shared.clone(), self.call(&other), left);
+        tokio::pin!(second);
+        tokio::select! {
+            result = &mut first => match result {
+                Ok(response) => Ok(response),
+                Err(_) => second.await,
+            },
+            result = &mut second => match result {
+                Ok(response) => Ok(response),
+                Err(_) => first.await,
+            },
+        }
+    }
+
+    fn call(&self, flight: &Flight) -> Call {
+        Call {
+            address: flight.replica().address,
+            method: self.method.clone(),
+            path: self.path.clone(),
+            headers: self.headers.clone(),
+            body: Body::from(self.body.clone()),
+        }
+    }
+
+    /// Runs a call that may not be repeated, in a task that its caller's hang-up does not end.
+    async fn run_once(self) -> Result<Response, Refusal> {
+        let key = self.idempotency_key()?;
+        let key = key_of(&self.account, &self.route.name, &key);
+        let tasks = self.shared.tasks.clone();
+        let run = tasks.spawn(self.claim_and_run(key));
+        run.await.unwrap_or_else(|_| {
+            let message = "the request's task ended early";
+            Err(Refusal::may_have_run(Reason::BackendFailed, message))
+        })
+    }
+
+    fn idempotency_key(&self) -> Result<String, Refusal> {
+        let refuse = |message: &str| Refusal::not_run(Reason::KeyRequired, message);
+        let value = self.headers.get("idempotency-key");
+        let value = value.ok_or_else(|| refuse("this route needs an Idempotency-Key"))?;
+        let key = value.to_str().map_err(|_| refuse("the Idempotency-Key must be printable"))?;
+        if key.is_empty() || key.len() > KEY_BYTES {
+            return Err(refuse("the Idempotency-Key must have 1 to 255 characters"));
+        }
+        Ok(key.to_owned())
+    }
+
+    async fn claim_and_run(mut self, key: Key) -> Result<Response, Refusal> {
+        let claim = Claim { key, fingerprint: self.fingerprint, request: self.id.clone() };
+        let claimed = match self.shared.ledger.claim(claim).await {
+            Ok(claimed) => claimed,
+            Err(error) => {
+                self.settle(key, false, None);
+                let refusal = Refusal::not_run(Reason::LedgerUnavailable, error.to_string());
+                return Err(refusal.after(Duration::from_secs(2)));
+            }
+        };
+        let grant = claimed.grant;
+        self.shared.metrics.ledger_grants.with_label_values(&[grant.as_str_name()]).inc();
+        if grant == Grant::Run {
+            return self.run_claimed(key).await;
+        }
+        if let (Grant::Done, Some(outcome)) = (grant, &claimed.outcome) {
+            return Ok(replay(outcome));
+        }
+        Err(self.refuse_grant(grant, key))
+    }
+
+    fn refuse_grant(&self, grant: Grant, key: Key) -> Refusal {
+        match grant {
+            Grant::InProgress => Refusal::may_have_run(Reason::InProgress, "a request with this key is running")
+                .after(Duration::from_secs(1)),
+            Grant::MayHaveRun | Grant::Done => {
+                let message = "a request with this key may have run; its outcome is not known";
+                Refusal::may_have_run(Reason::EarlierMayHaveRun, message)
+            }
+            Grant::Mismatch => {
+                let message = "the Idempotency-Key was used with other content";
+                Refusal::not_run(Reason::KeyMismatch, message)
+            }
+            Grant::Full => Refusal::not_run(Reason::LedgerFull, "the ledger has no room for new keys")
+                .after(Duration::from_secs(60)),
+            _ => {
+                self.settle(key, false, None);
+                let message = "the platform's service cannot record the request now";
+                Refusal::not_run(Reason::LedgerUnavailable, message).after(Duration::from_secs(2))
+            }
+        }
+    }
+
+    /// Sends the call: a replica that cannot be connected to is certain not to have it, any other may.
+    async fn run_claimed(&mut self, key: Key) -> Result<Response, Refusal> {
+        loop {
+            let flight = match self.attempts.next(false).await {
+                Ok(flight) => flight,
+                Err(refusal) => {
+                    self.settle(key, false, None);
+                    return Err(refusal);
+                }
+            };
+            let sending = self.shared.client.send_fresh(self.call(&flight));
+            match timeout(self.attempts.left(), sending).await {
+                Ok(Err(Sent::No)) => self.attempts.failed(flight.replica(), Failure::Unreached).await,
+                Ok(Ok(response)) => return self.finish(key, response, &flight).await,
+                Ok(Err(Sent::Maybe)) => return Err(self.unknown(key, &flight, Failure::Cut).await),
+                Err(_) => return Err(self.unknown(key, &flight, Failure::Silent).await),
+            }
+        }
+    }
+
+    async fn finish(&mut self, key: Key, response: Response, flight: &Flight) -> Result<Response, Refusal> {
+        let (mut parts, body) = response.into_parts();
+        let limited = http_body_util::Limited::new(body, ANSWER_BYTES);
+        let Ok(Ok(whole)) = timeout(self.attempts.left(), limited.collect()).await else {
+            return Err(self.unknown(key, flight, Failure::Cut).await);
+        };
+        let bytes = whole.to_bytes();
+        let kind = parts.headers.get(header::CONTENT_TYPE).and_then(|v| v.to_str().ok()).unwrap_or_default();
+        let kept = if bytes.len() <= OUTCOME_BYTES { bytes.to_vec() } else { Vec::new() };
+        let status = u32::from(parts.status.as_u16());
+        let outcome = pb::Outcome { status, content_type: kind.to_owned(), body: kept };
+        self.settle(key, true, Some(outcome));
+        self.attempts.succeeded(flight.replica());
+        let sample = if parts.status.is_server_error() { Sample::Failed } else { Sample::Good };
+        self.shared.observe(flight.replica(), &self.route.name, sample);
+        drop_hop_by_hop(&mut parts.headers);
+        Ok(Response::from_parts(parts, Body::from(bytes)))
+    }
+
+    async fn unknown(&mut self, key: Key, flight: &Flight, failure: Failure) -> Refusal {
+        self.settle(key, true, None);
+        self.shared.observe(flight.replica(), &self.route.name, Sample::Failed);
+        self.attempts.failed(flight.replica(), failure).await;
+        Refusal::may_have_run(Reason::BackendFailed, "the back end gave no whole answer; the call may have run")
+    }
+
+    fn settle(&self, key: Key, ran: bool, outcome: Option<pb::Outcome>) {
+        self.shared.ledger.settle(Settlement { key, request: self.id.clone(), ran, outcome });
+    }
+}
+
+async fn attempt(shared: Arc<Shared>, call: Call, limit: Duration) -> Result<Response, Failure> {
+    match timeout(limit, shared.client.send(call)).await {
+        Err(_) => Err(Failure::Silent),
+        Ok(Err(Sent::No)) => Err(Failure::Unreached),
+        Ok(Err(Sent::Maybe)) => Err(Failure::Cut),
+        Ok(Ok(response)) if response.status().is_server_error() => Err(Failure::Status),
+        Ok(Ok(response)) => Ok(response),
+    }
+}
+
+/// The recorded outcome as an answer.
+fn replay(outcome: &pb::Outcome) -> Response {
+    let mut response = Response::new(Body::from(outcome.body.clone()));
+    if let Ok(status) = u16::try_from(outcome.status).map_err(drop).and_then(|s| s.try_into().map_err(drop)) {
+        *response.status_mut() = status;
+    }
+    let headers = response.headers_mut();
+    if let Ok(kind) = HeaderValue::from_str(&outcome.content_type) {
+        headers.insert(header::CONTENT_TYPE, kind);
+    }
+    headers.insert("x-replayed", HeaderValue::from_static("true"));
+    response
+}
--- /dev/null
+++ b/goldcrestward/src/util.rs
@@ -0,0 +1,43 @@
+//! Small helpers without a home of their own.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use sha2::{Digest, Sha256};
+
+/// Gives a type the common set of derives.
+macro_rules! value {
+    ($(#[$meta:meta])* $vis:vis struct $name:ident $body:tt) => {
+        $(#[$meta])*
+        #[derive(Clone, Debug, PartialEq)]
+        $vis struct $name $body
+    };
+    ($(#[$meta:meta])* $vis:vis enum $name:ident $body:tt) => {
+        $(#[$meta])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        $vis enum $name $body
+    };
+}
+
+pub(crate) use value;
+
+/// Milliseconds of Unix time.
+pub(crate) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// A hash that is the same in every process, for placement and fingerprints.
+pub(crate) fn stable_hash(parts: &[&[u8]]) -> u64 {
+    use rapidhash::v3::{RapidSecrets, rapidhash_v3_seeded};
+
+    static SECRETS: RapidSecrets = RapidSecrets::seed(0x6763_7264);
+    parts.iter().fold(0, |hash: u64, part| {
+        let next = rapidhash_v3_seeded(part, &SECRETS);
+        (hash.rotate_left(23) ^ next).wrapping_mul(0x9E37_79B9_7F4A_7C15)
+    })
+}
+
+/// SHA-256 in lowercase hexadecimal digits.
+pub(crate) fn sha256_hex(bytes: &[u8]) -> String {
+    Sha256::digest(bytes).iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- /dev/null
+++ b/standin/src/load/mod.rs
@@ -0,0 +1,11 @@
+//! A bounded load: open-loop traffic whose answers are checked, with latencies free of coordinated omission.
+
+mod client;
+mod plan;
+mod report;
+mod run;
+
+pub use client::{Client, Ended, StreamCheck};
+pub use plan::{Kind, LoadPlan, Workload};
+pub use report::{LoadReport, Quantiles};
+pub use run::run;
--- /dev/null
+++ b/standin/src/load/run.rs
@@ -0,0 +1,100 @@
+//! Runs a load.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tokio::task::JoinSet;
+
+use super::{
+    client::{Client, Ended},
+    plan::{Kind, LoadPlan},
+    report::{Gatherer, LoadReport},
+};
+
+/// Pause of a caller before it sends a refused request again.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+struct Caller {
+    plan: LoadPlan,
+    client: Client,
+    gatherer: Mutex<Gatherer>,
+}
+
+/// Sends the load at planned times, whatever becomes of earlier requests; `progress` counts ends.
+pub async fn run(plan: LoadPlan, progress: Arc<AtomicU64>) -> LoadReport {
+    let mut random = SmallRng::seed_from_u64(plan.seed);
+    let total = plan.streams_per_second + plan.keyed_per_second;
+    let caller = Arc::new(Caller { client: Client::default(), gatherer: Mutex::new(Gatherer::new()), plan });
+    let mut tasks = JoinSet::new();
+    let start = Instant::now();
+    let mut at = Duration::ZERO;
+    let mut number = 0;
+    while at < caller.plan.duration && total > 0.0 {
+        tokio::time::sleep_until((start + at).into()).await;
+        let keyed = random.random_bool(caller.plan.keyed_per_second / total);
+        let kind = if keyed { Kind::Keyed } else { Kind::Stream };
+        let prompt = caller.plan.workload.prompt(&mut random, number);
+        let (caller, progress) = (caller.clone(), progress.clone());
+        let planned = start + at;
+        tasks.spawn(async move {
+            match kind {
+                Kind::Stream => caller.stream(number, &prompt, planned).await,
+                Kind::Keyed => caller.keyed(number, planned).await,
+            }
+            progress.fetch_add(1, Ordering::Relaxed);
+        });
+        while tasks.try_join_next().is_some() {}
+        number += 1;
+        at += Duration::from_secs_f64(1.0 / total);
+    }
+    while tasks.join_next().await.is_some() {}
+    let caller = Arc::into_inner(caller);
+    caller.map(|c| c.gatherer.into_inner().finish()).unwrap_or_default()
+}
+
+impl Caller {
+    fn target(&self, number: u64) -> std::net::SocketAddr {
+        self.plan.targets[number as usize % self.plan.targets.len()]
+    }
+
+    async fn stream(&self, number: u64, prompt: &str, planned: Instant) {
+        let workload = &self.plan.workload;
+        for retry in 0..=u64::from(self.plan.tries) {
+            let target = self.target(number + retry);
+            let (key, model) = (&self.plan.key, &workload.model);
+            let check = self.client.stream(target, key, model, prompt, workload.tokens, planned).await;
+            let again = matches!(check.ended, Ended::Refused(..) | Ended::Unanswered);
+            if again && retry < u64::from(self.plan.tries) {
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+            self.gatherer.lock().stream(&check, retry);
+            return;
+        }
+    }
+
+    async fn keyed(&self, number: u64, planned: Instant) {
+        let id = format!("key-{}-{number}", self.plan.seed);
+        let mut every_not_run = true;
+        for retry in 0..=u64::from(self.plan.tries) {
+            let target = self.target(number + retry);
+            let ended = self.client.keyed(target, &self.plan.key, &self.plan.workload.keyed_path, &id).await;
+            every_not_run &= matches!(&ended, Ended::Refused(_, run) if run == "not-run");
+            let settled = matches!(&ended, Ended::Refused(reason, _) if reason == "earlier-may-have-run");
+            let again = !settled && matches!(ended, Ended::Refused(..) | Ended::Unanswered | Ended::Cut);
+            if again && retry < u64::from(self.plan.tries) {
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+            self.gatherer.lock().keyed(id, &ended, every_not_run, retry, planned.elapsed());
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/platform/mod.rs
@@ -0,0 +1,10 @@
+//! The platform's services: a key-value store behind the etcd v3 JSON gateway,
+//! and a lagging list of instances.
+
+mod gateway;
+mod instances;
+mod store;
+
+pub use gateway::{Counters, Platform, PlatformFaults};
+pub use instances::{Instance, InstancePage, InstanceState, Instances};
+pub use store::Store;
