Add the demonstration, the examples and the ledger's exhaustive search

Cause: a newcomer needs one command that shows the whole product; at-most-once needs proof. The search walks two daemons, one slot, one key, lost and late answers and a restart over the real slot. Conversations are told apart by their opening up to the first user message: by the prompt's prefix alone a 5% share was 0 of 24 prefixes and a good version starved of evidence. A daemon serves only after it has read the instance list: before, 63 refusals no-replica.

--- a/goldcrestward/src/cmd/client.rs
+++ b/goldcrestward/src/cmd/client.rs
@@ -38,7 +38,13 @@
     AskSnafu { address: admin.admin, reason }.fail()
 }
 
-async fn exchange(admin: &AdminArgs, method: Method, path: &str, body: Option<&Value>) -> Result<(StatusCode, Value)> {
+/// Sends a request to the operators' listener.
+pub(crate) async fn exchange(
+    admin: &AdminArgs,
+    method: Method,
+    path: &str,
+    body: Option<&Value>,
+) -> Result<(StatusCode, Value)> {
     let fail = |reason: String| Error::Ask { address: admin.admin, reason };
     let client = HttpClient::new().map_err(|e| fail(e.to_string()))?;
     let mut headers = HeaderMap::new();
--- a/goldcrestward/src/cmd/demo.rs
+++ b/goldcrestward/src/cmd/demo.rs
@@ -1,8 +1,58 @@
 //! `goldcrestward demo`.
-use super::Run;
-use crate::{args::DemoArgs, error::Result};
+
+use snafu::ResultExt;
+
+use super::{
+    Run,
+    table::{print_json, print_table},
+};
+use crate::{
+    args::DemoArgs,
+    demo::{Scene, Summary},
+    error::{DemoSnafu, Result, RuntimeSnafu},
+};
+
+/// Worker threads of the whole site.
+const WORKERS: usize = 4;
+
 impl Run for DemoArgs {
     fn run(self) -> Result<()> {
-        Ok(())
+        let mut builder = tokio::runtime::Builder::new_multi_thread();
+        let runtime = builder.worker_threads(WORKERS).enable_all().build().context(RuntimeSnafu)?;
+        runtime.block_on(demonstrate(&self))
     }
 }
+
+async fn demonstrate(args: &DemoArgs) -> Result<()> {
+    let fail = |error: crate::demo::Error| DemoSnafu { reason: error.to_string() }.build();
+    let mut scene = Scene::start(args.seed).await.map_err(fail)?;
+    let summary = scene.play(args.json).await.map_err(fail)?;
+    print(&summary, args.json)?;
+    if !summary.is_good() {
+        return DemoSnafu { reason: "not every accepted request was answered once and whole" }.fail();
+    }
+    if args.once {
+        return Ok(());
+    }
+    invite(&scene);
+    tokio::signal::ctrl_c().await.context(RuntimeSnafu)
+}
+
+fn print(summary: &Summary, json: bool) -> Result<()> {
+    if json {
+        return print_json(&serde_json::to_value(summary).unwrap_or_default());
+    }
+    print_table(&["WHAT", "FIGURE"], &summary.rows())
+}
+
+fn invite(scene: &Scene) {
+    let Some((callers, admin)) = scene.entry() else { return };
+    eprintln!("\nThe site goes on until Ctrl-C. Try:\n");
+    eprintln!(
+        "  curl -N {callers}/v1/chat/completions -H 'Authorization: Bearer demo-kitchens' -d '{{\"model\":\"meal-planner\",\"stream\":true,\"messages\":[{{\"role\":\"user\",\"content\":\"a low-salt supper\"}}]}}'"
+    );
+    eprintln!(
+        "  curl {callers}/orders/confirm -H 'Authorization: Bearer demo-kitchens' -H 'Idempotency-Key: order-1' -d '{{}}'"
+    );
+    eprintln!("  goldcrestward rollout status --admin {admin} --token demo-operator");
+}
--- a/goldcrestward/src/cmd/mod.rs
+++ b/goldcrestward/src/cmd/mod.rs
@@ -8,6 +8,8 @@
 mod serve;
 mod table;
 
+pub(crate) use client::exchange;
+
 use crate::{args::Command, error::Result};
 
 /// A command that can be carried out.
--- /dev/null
+++ b/goldcrestward/src/demo/summary.rs
@@ -0,0 +1,95 @@
+//! What became of the demonstration's traffic.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+use standin::load::{LoadReport, Quantiles};
+
+/// The demonstration's table.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct Summary {
+    /// Requests accepted.
+    pub accepted: u64,
+    /// Requests answered once and whole.
+    pub whole: u64,
+    /// Answers cut, wrong or missing.
+    pub broken: u64,
+    /// Refusals that callers were left with, by reason.
+    pub refused: BTreeMap<String, u64>,
+    /// Requests sent again by callers, by what they had been told.
+    pub sent_again: BTreeMap<String, u64>,
+    /// Streams resumed on another replica.
+    pub resumed: u64,
+    /// Tokens that had to be computed again.
+    pub recomputed: u64,
+    /// Calls executed more than once.
+    pub doubles: usize,
+    /// Calls said to have not run that ran.
+    pub false_not_run: usize,
+    /// Outcome of the move to the new version.
+    pub outcome: String,
+    /// Why the move ended so.
+    pub reason: String,
+    /// Time to the first token, by user.
+    pub first_token_ms: [Quantiles; 2],
+    /// Time between tokens, by user.
+    pub between_tokens_ms: [Quantiles; 2],
+}
+
+impl Summary {
+    /// Sums the reports of both users up.
+    pub fn of(reports: &[LoadReport; 2]) -> Self {
+        let mut summary = Self {
+            first_token_ms: [reports[0].first_token_ms, reports[1].first_token_ms],
+            between_tokens_ms: [reports[0].between_tokens_ms, reports[1].between_tokens_ms],
+            ..Self::default()
+        };
+        for report in reports {
+            let broken = report.cut + report.wrong + report.unanswered;
+            summary.whole += report.whole;
+            summary.broken += broken;
+            summary.accepted += report.whole + broken;
+            for (told, count) in &report.retried {
+                *summary.sent_again.entry(told.clone()).or_default() += count;
+            }
+            for (reason, count) in &report.refused {
+                *summary.refused.entry(reason.clone()).or_default() += count;
+            }
+        }
+        summary
+    }
+
+    /// Whether every accepted request was answered once and whole.
+    pub fn is_good(&self) -> bool {
+        self.broken == 0 && self.doubles == 0 && self.false_not_run == 0 && self.accepted > 0
+    }
+
+    /// The table's rows.
+    pub fn rows(&self) -> Vec<Vec<String>> {
+        let row = |name: &str, value: String| vec![name.to_owned(), value];
+        let mut rows = vec![
+            row("accepted", self.accepted.to_string()),
+            row("answered once and whole", self.whole.to_string()),
+            row("cut, wrong or missing", self.broken.to_string()),
+            row("resumed", self.resumed.to_string()),
+            row("tokens recomputed", self.recomputed.to_string()),
+            row("double executions", self.doubles.to_string()),
+            row("false not-run", self.false_not_run.to_string()),
+            row("move to planner-2", format!("{}: {}", self.outcome, self.reason)),
+        ];
+        rows.extend(self.sent_again.iter().map(|(told, count)| row(&format!("sent again: {told}"), count.to_string())));
+        rows.extend(self.refused.iter().map(|(reason, count)| row(&format!("refused: {reason}"), count.to_string())));
+        for (user, first, between) in [
+            ("swanvale", self.first_token_ms[0], self.between_tokens_ms[0]),
+            ("klaasvikat", self.first_token_ms[1], self.between_tokens_ms[1]),
+        ] {
+            rows.push(row(&format!("{user}: first token p50/p95/p99 ms"), quantiles(first)));
+            rows.push(row(&format!("{user}: between tokens p50/p95/p99 ms"), quantiles(between)));
+        }
+        rows
+    }
+}
+
+fn quantiles(q: Quantiles) -> String {
+    format!("{:.1} / {:.1} / {:.1}", q.p50, q.p95, q.p99)
+}
--- a/goldcrestward/src/ledger/mod.rs
+++ b/goldcrestward/src/ledger/mod.rs
@@ -11,3 +11,8 @@
 pub(crate) use entry::{Key, SLOTS, key_of};
 pub(crate) use owner::{Claim, Ledger, OwnerOf};
 pub(crate) use slot::Settlement;
+
+#[cfg(test)]
+mod search_test;
+#[cfg(test)]
+mod slot_test;
--- /dev/null
+++ b/goldcrestward/src/ledger/search_test.rs
@@ -0,0 +1,265 @@
+//! An exhaustive search of a small model over the real slot: two daemons that both think
+//! they own it, one key, lost and late answers, and restarts.
+
+use std::{
+    collections::{BTreeMap, HashSet},
+    sync::Arc,
+};
+
+use super::slot::{Effect, Slot, StoreResult};
+use crate::{
+    pb::Grant,
+    platform::{Error, Row, Txn},
+    util::stable_hash,
+};
+
+const KEY: [u8; 16] = [7; 16];
+const STEP_MS: u64 = 1_000;
+
+#[derive(Clone, Debug)]
+struct Store {
+    revision: u64,
+    rows: BTreeMap<String, (Vec<u8>, u64)>,
+}
+
+impl Store {
+    fn apply(&mut self, effect: &Effect) -> StoreResult {
+        let Effect::Commit(compares, puts, removes) = effect else {
+            let rows = self.rows.iter().map(|(key, (value, revision))| Row {
+                key: key.clone(),
+                value: value.clone().into(),
+                revision: *revision,
+            });
+            return StoreResult::Loaded(Ok(rows.collect()));
+        };
+        let at = |key: &String| self.rows.get(key).map_or(0, |(_, revision)| *revision);
+        let succeeded = compares.iter().all(|c| at(&c.key) == c.revision);
+        if succeeded {
+            self.revision += 1;
+            for put in puts {
+                self.rows.insert(put.key.clone(), (put.value.clone(), self.revision));
+            }
+            for key in removes {
+                self.rows.remove(key);
+            }
+        }
+        StoreResult::Committed(Ok(Txn { succeeded, revision: self.revision }))
+    }
+}
+
+fn lost(effect: &Effect) -> StoreResult {
+    let error = Error::Unanswered { service: "model" };
+    match effect {
+        Effect::Load => StoreResult::Loaded(Err(error)),
+        _ => StoreResult::Committed(Err(error)),
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Daemon {
+    slot: Slot,
+    call: Option<Effect>,
+    late: Vec<Effect>,
+    starts: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Budget {
+    claims: u32,
+    losses: u32,
+    restarts: u32,
+    ticks: u32,
+}
+
+#[derive(Clone, Debug)]
+struct World {
+    daemons: [Daemon; 2],
+    store: Store,
+    now: u64,
+    budget: Budget,
+    dispatched: Vec<u64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Action {
+    /// A caller sends the key through this daemon.
+    Claim(usize),
+    /// The service acts and its answer arrives.
+    Serve(usize),
+    /// The service acts and its answer is lost.
+    LoseAnswer(usize),
+    /// The daemon gives up; the call may still arrive later.
+    Delay(usize),
+    /// A call that the daemon gave up arrives.
+    Arrive(usize),
+    /// The daemon is killed and starts anew.
+    Restart(usize),
+    /// Time passes.
+    Tick,
+}
+
+fn daemon(number: usize, starts: u32, planted: bool) -> Daemon {
+    let mut slot = Slot::new("model", 0, format!("{number}/{starts}"), String::new());
+    if planted {
+        slot.plant_early_dispatch();
+    }
+    slot.want(true, 0, 0);
+    Daemon { slot, call: None, late: Vec::new(), starts }
+}
+
+impl World {
+    fn new(planted: bool, budget: Budget) -> Self {
+        let store = Store { revision: 0, rows: BTreeMap::new() };
+        let daemons = [daemon(0, 0, planted), daemon(1, 0, planted)];
+        Self { daemons, store, now: 0, budget, dispatched: Vec::new() }
+    }
+
+    fn actions(&self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for (n, daemon) in self.daemons.iter().enumerate() {
+            if self.budget.claims > 0 {
+                actions.push(Action::Claim(n));
+            }
+            if let Some(call) = &daemon.call {
+                actions.push(Action::Serve(n));
+                if self.budget.losses > 0 {
+                    actions.push(Action::LoseAnswer(n));
+                    if *call != Effect::Load {
+                        actions.push(Action::Delay(n));
+                    }
+                }
+            }
+            if !daemon.late.is_empty() {
+                actions.push(Action::Arrive(n));
+            }
+            if self.budget.restarts > 0 {
+                actions.push(Action::Restart(n));
+            }
+        }
+        if self.budget.ticks > 0 {
+            actions.push(Action::Tick);
+        }
+        actions
+    }
+
+    fn perform(&mut self, action: Action, planted: bool) {
+        let unix = 1_000 + self.now / 1_000;
+        match action {
+            Action::Claim(n) => {
+                self.budget.claims -= 1;
+                let request: Arc<str> = format!("request-{}", self.budget.claims).into();
+                let ticket = u64::from(self.budget.claims);
+                let effects = self.daemons[n].slot.claim(ticket, KEY, 1, request, self.now, unix);
+                self.take(n, effects);
+            }
+            Action::Serve(n) => {
+                let Some(call) = self.daemons[n].call.take() else { return };
+                let result = self.store.apply(&call);
+                self.answer(n, result, unix);
+            }
+            Action::LoseAnswer(n) => {
+                self.budget.losses -= 1;
+                let Some(call) = self.daemons[n].call.take() else { return };
+                self.store.apply(&call);
+                self.answer(n, lost(&call), unix);
+            }
+            Action::Delay(n) => {
+                self.budget.losses -= 1;
+                let Some(call) = self.daemons[n].call.take() else { return };
+                let result = lost(&call);
+                self.daemons[n].late.push(call);
+                self.answer(n, result, unix);
+            }
+            Action::Arrive(n) => {
+                let call = self.daemons[n].late.remove(0);
+                self.store.apply(&call);
+            }
+            Action::Restart(n) => {
+                self.budget.restarts -= 1;
+                let old = &mut self.daemons[n];
+                let mut late = std::mem::take(&mut old.late);
+                late.extend(old.call.take().filter(|call| *call != Effect::Load));
+                *old = Daemon { late, ..daemon(n, old.starts + 1, planted) };
+            }
+            Action::Tick => {
+                self.budget.ticks -= 1;
+                self.now += STEP_MS;
+                for n in 0..2 {
+                    let effects = self.daemons[n].slot.tick(self.now, unix);
+                    self.take(n, effects);
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, n: usize, result: StoreResult, unix: u64) {
+        let effects = self.daemons[n].slot.answered(result, self.now, unix);
+        self.take(n, effects);
+    }
+
+    fn take(&mut self, n: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Reply(ticket, Grant::Run, _) => self.dispatched.push(ticket),
+                Effect::Reply(..) => {}
+                call => {
+                    assert!(self.daemons[n].call.is_none(), "two calls at once");
+                    self.daemons[n].call = Some(call);
+                }
+            }
+        }
+    }
+
+    fn hash(&self) -> u64 {
+        stable_hash(&[format!("{self:?}").as_bytes()])
+    }
+}
+
+struct Search {
+    seen: HashSet<u64>,
+    planted: bool,
+    violation: Option<Vec<Action>>,
+    granted: u64,
+}
+
+impl Search {
+    fn run(planted: bool, budget: Budget) -> Self {
+        let mut search = Self { seen: HashSet::new(), planted, violation: None, granted: 0 };
+        search.visit(&World::new(planted, budget), &mut Vec::new());
+        search
+    }
+
+    fn visit(&mut self, world: &World, path: &mut Vec<Action>) {
+        if self.violation.is_some() || !self.seen.insert(world.hash()) {
+            return;
+        }
+        if world.dispatched.len() > 1 {
+            self.violation = Some(path.clone());
+            return;
+        }
+        self.granted += u64::from(!world.dispatched.is_empty());
+        for action in world.actions() {
+            let mut next = world.clone();
+            next.perform(action, self.planted);
+            path.push(action);
+            self.visit(&next, path);
+            path.pop();
+        }
+    }
+}
+
+#[test]
+fn slot_never_dispatches_twice() {
+    let budget = Budget { claims: 3, losses: 2, restarts: 1, ticks: 2 };
+    let search = Search::run(false, budget);
+    println!("visited {} states, {} with a dispatch", search.seen.len(), search.granted);
+    assert_eq!(search.violation.map(|path| format!("{path:?}")), None);
+    assert!(search.granted > 0, "no state dispatched, so the search shows nothing");
+}
+
+#[test]
+fn slot_planted_early_dispatch_is_caught() {
+    let budget = Budget { claims: 2, losses: 1, restarts: 1, ticks: 1 };
+    let search = Search::run(true, budget);
+    assert!(search.violation.is_some(), "the search missed a dispatch before the commit");
+}
--- a/goldcrestward/src/ledger/slot.rs
+++ b/goldcrestward/src/ledger/slot.rs
@@ -75,7 +75,7 @@
     pub outcome: Option<pb::Outcome>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Claim {
     ticket: Ticket,
     key: Key,
@@ -99,20 +99,20 @@
     Settling,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Segment {
     revision: u64,
     newest: u64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Batch {
     tickets: Vec<(Ticket, Key, Arc<str>)>,
     removes: Vec<u32>,
 }
 
 /// One slot at one daemon.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Slot {
     prefix: String,
     me: String,
@@ -185,11 +185,6 @@
         matches!(self.phase, Phase::Owned | Phase::Committing | Phase::Settling)
     }
 
-    /// Keys kept.
-    pub fn keys(&self) -> usize {
-        self.entries.len()
-    }
-
     /// Whether nothing waits to be written or answered.
     pub fn is_settled(&self) -> bool {
         !self.busy && self.waiting.is_empty() && self.dirty.is_empty() && self.phase != Phase::Settling
--- /dev/null
+++ b/goldcrestward/src/ledger/slot_test.rs
@@ -0,0 +1,223 @@
+//! Focused tests of a slot.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use super::{
+    entry::Key,
+    slot::{Effect, Settlement, Slot, StoreResult},
+};
+use crate::{
+    pb::{self, Grant},
+    platform::{Error, Row, Txn},
+};
+
+/// A service that answers at once, with answers lost on demand.
+#[derive(Default)]
+struct Service {
+    revision: u64,
+    rows: BTreeMap<String, (Vec<u8>, u64)>,
+    lose: u32,
+    writes: u64,
+}
+
+impl Service {
+    fn serve(&mut self, effect: &Effect) -> StoreResult {
+        let Effect::Commit(compares, puts, removes) = effect else {
+            let rows = self.rows.iter().map(|(key, (value, revision))| Row {
+                key: key.clone(),
+                value: value.clone().into(),
+                revision: *revision,
+            });
+            return StoreResult::Loaded(Ok(rows.collect()));
+        };
+        self.writes += 1;
+        let at = |key: &String| self.rows.get(key).map_or(0, |(_, revision)| *revision);
+        let succeeded = compares.iter().all(|c| at(&c.key) == c.revision);
+        if succeeded {
+            self.revision += 1;
+            for put in puts {
+                self.rows.insert(put.key.clone(), (put.value.clone(), self.revision));
+            }
+            for key in removes {
+                self.rows.remove(key);
+            }
+        }
+        if self.lose > 0 {
+            self.lose -= 1;
+            return StoreResult::Committed(Err(Error::Unanswered { service: "test" }));
+        }
+        StoreResult::Committed(Ok(Txn { succeeded, revision: self.revision }))
+    }
+
+    /// Serves all calls of a slot and gives its replies.
+    fn drive(&mut self, slot: &mut Slot, effects: Vec<Effect>, now: &mut u64) -> Vec<(u64, Grant)> {
+        let mut replies = Vec::new();
+        let mut effects = effects;
+        for _ in 0..400 {
+            let mut next = Vec::new();
+            for effect in effects {
+                match effect {
+                    Effect::Reply(ticket, grant, _) => replies.push((ticket, grant)),
+                    call => next.extend(slot.answered(self.serve(&call), *now, unix(*now))),
+                }
+            }
+            if next.is_empty() {
+                *now += 50;
+                next = slot.tick(*now, unix(*now));
+            }
+            effects = next;
+        }
+        replies
+    }
+}
+
+fn unix(now: u64) -> u64 {
+    1_700_000_000 + now / 1_000
+}
+
+fn key(number: u64) -> Key {
+    let mut key = Key::default();
+    key[..8].copy_from_slice(&number.to_le_bytes());
+    key
+}
+
+fn slot(name: &str) -> Slot {
+    let mut slot = Slot::new("test", 0, name.into(), String::new());
+    slot.want(true, 0, unix(0));
+    slot
+}
+
+fn claim(slot: &mut Slot, ticket: u64, number: u64, now: u64) -> Vec<Effect> {
+    let request: Arc<str> = format!("request-{ticket}").into();
+    slot.claim(ticket, key(number), number, request, now, unix(now))
+}
+
+#[test]
+fn claim_new_key_runs_once() {
+    let (mut service, mut owner, mut now) = (Service::default(), slot("a"), 0);
+    let effects = claim(&mut owner, 1, 5, now);
+    assert_eq!(service.drive(&mut owner, effects, &mut now), [(1, Grant::Run)]);
+    let effects = claim(&mut owner, 2, 5, now);
+    assert_eq!(service.drive(&mut owner, effects, &mut now), [(2, Grant::InProgress)]);
+}
+
+#[test]
+fn claim_after_takeover_may_have_run() {
+    let (mut service, mut first, mut now) = (Service::default(), slot("a"), 0);
+    let effects = claim(&mut first, 1, 5, now);
+    service.drive(&mut first, effects, &mut now);
+    let mut second = slot("b");
+    let effects = claim(&mut second, 2, 5, now);
+    assert_eq!(service.drive(&mut second, effects, &mut now), [(2, Grant::MayHaveRun)]);
+    let effects = claim(&mut first, 3, 6, now);
+    assert_eq!(service.drive(&mut first, effects, &mut now), [(3, Grant::NotOwner)], "the first owner is fenced off");
+}
+
+#[test]
+fn settle_outcome_is_replayed_by_next_owner() {
+    let (mut service, mut first, mut now) = (Service::default(), slot("a"), 0);
+    let effects = claim(&mut first, 1, 5, now);
+    service.drive(&mut first, effects, &mut now);
+    let outcome = pb::Outcome { status: 200, content_type: "text/plain".into(), body: b"done".to_vec() };
+    let settlement = Settlement { key: key(5), request: "request-1".into(), ran: true, outcome: Some(outcome) };
+    let (recorded, effects) = first.settle(settlement, now, unix(now));
+    assert!(recorded);
+    service.drive(&mut first, effects, &mut now);
+    let mut second = slot("b");
+    let effects = claim(&mut second, 2, 5, now);
+    assert_eq!(service.drive(&mut second, effects, &mut now), [(2, Grant::Done)]);
+}
+
+#[test]
+fn settle_not_run_frees_key() {
+    let (mut service, mut owner, mut now) = (Service::default(), slot("a"), 0);
+    let effects = claim(&mut owner, 1, 5, now);
+    service.drive(&mut owner, effects, &mut now);
+    let settlement = Settlement { key: key(5), request: "request-1".into(), ran: false, outcome: None };
+    let (recorded, effects) = owner.settle(settlement, now, unix(now));
+    assert!(recorded);
+    service.drive(&mut owner, effects, &mut now);
+    let effects = claim(&mut owner, 2, 5, now);
+    assert_eq!(service.drive(&mut owner, effects, &mut now), [(2, Grant::Run)]);
+}
+
+#[test]
+fn claim_other_content_is_mismatch() {
+    let (mut service, mut owner, mut now) = (Service::default(), slot("a"), 0);
+    let effects = claim(&mut owner, 1, 5, now);
+    service.drive(&mut owner, effects, &mut now);
+    let effects = owner.claim(2, key(5), 99, "request-2".into(), now, unix(now));
+    assert_eq!(service.drive(&mut owner, effects, &mut now), [(2, Grant::Mismatch)]);
+}
+
+#[test]
+fn commit_lost_answer_is_settled_by_reading_back() {
+    for lost in 1..6 {
+        let (mut service, mut owner, mut now) = (Service::default(), slot("a"), 0);
+        service.lose = lost;
+        let effects = claim(&mut owner, 1, 5, now);
+        let replies = service.drive(&mut owner, effects, &mut now);
+        let refused = replies == [(1, Grant::Unavailable)];
+        assert!(replies == [(1, Grant::Run)] || refused, "{lost} lost answers gave {replies:?}");
+    }
+}
+
+#[test]
+fn claims_under_load_share_commits() {
+    let (mut service, mut owner, mut now) = (Service::default(), slot("a"), 0);
+    let effects = claim(&mut owner, 0, 0, now);
+    let mut granted = service.drive(&mut owner, effects, &mut now).len();
+    let before = service.writes;
+    // 25 claims a second for 20 s, as one of eight slots sees at 200 a second.
+    let mut effects = Vec::new();
+    for number in 1..=500 {
+        effects.extend(claim(&mut owner, number, number, now));
+        now += 40;
+        let calls = std::mem::take(&mut effects);
+        for effect in calls {
+            match effect {
+                Effect::Reply(_, grant, _) => granted += usize::from(grant == Grant::Run),
+                call => effects.extend(owner.answered(service.serve(&call), now, unix(now))),
+            }
+        }
+        effects.extend(owner.tick(now, unix(now)));
+    }
+    granted += service.drive(&mut owner, effects, &mut now).len();
+    let writes = service.writes - before;
+    assert_eq!(granted, 501);
+    assert!(writes * 10 <= 500, "{writes} writes for 500 claims, of which a tenth is allowed");
+}
+
+#[test]
+fn values_stay_under_a_megabyte() {
+    let (mut service, mut owner, mut now) = (Service::default(), slot("a"), 0);
+    for number in 0..600 {
+        let effects = claim(&mut owner, number, number, now);
+        for effect in effects {
+            if !matches!(effect, Effect::Reply(..)) {
+                let more = owner.answered(service.serve(&effect), now, unix(now));
+                service.drive_once(&mut owner, more, now);
+            }
+        }
+        let outcome = pb::Outcome { status: 200, content_type: String::new(), body: vec![b'x'; 4096] };
+        let request = format!("request-{number}").into();
+        let settlement = Settlement { key: key(number), request, ran: true, outcome: Some(outcome) };
+        let (_, effects) = owner.settle(settlement, now, unix(now));
+        service.drive_once(&mut owner, effects, now);
+        now += 700;
+    }
+    let largest = service.rows.values().map(|(value, _)| value.len()).max().unwrap_or(0);
+    assert!(largest < 1_000_000, "a value of {largest} bytes");
+    assert!(service.rows.len() > 10, "the slot did not go on to further segments");
+}
+
+impl Service {
+    fn drive_once(&mut self, slot: &mut Slot, effects: Vec<Effect>, now: u64) {
+        let mut effects = effects;
+        while let Some(effect) = effects.pop() {
+            if !matches!(effect, Effect::Reply(..)) {
+                effects.extend(slot.answered(self.serve(&effect), now, unix(now)));
+            }
+        }
+    }
+}
--- a/goldcrestward/src/lib.rs
+++ b/goldcrestward/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cmd;
 pub mod config;
 mod connection;
+mod demo;
 pub mod error;
 mod ledger;
 pub mod pb;
@@ -17,4 +18,4 @@
 mod util;
 mod version;
 
-pub use process::{Daemon, Error, Overrides, Result, Settings, SettingsError};
+pub use process::{Daemon, DaemonCounts, Error, Overrides, Result, Settings, SettingsError};
--- a/goldcrestward/src/process/collect.rs
+++ b/goldcrestward/src/process/collect.rs
@@ -1,6 +1,10 @@
 //! Takes newer configurations from peers and instances from the platform's list.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use log::{info, warn};
 
@@ -52,6 +56,7 @@
                     state_leaving(&shared, &instance.id);
                 }
                 shared.replicas.update(changes);
+                shared.listed.store(true, Ordering::Relaxed);
                 count(&shared);
             }
             Err(error) => {
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, atomic::AtomicUsize},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -64,6 +67,15 @@
     operators: Drain,
 }
 
+/// Some of a daemon's counters.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DaemonCounts {
+    /// Streams moved to another replica.
+    pub resumed: u64,
+    /// Tokens computed again.
+    pub recomputed: u64,
+}
+
 impl Daemon {
     /// Opens the sockets, joins the site, and serves once there is a configuration.
     ///
@@ -111,6 +123,13 @@
         &self.shared.settings
     }
 
+    /// Some of the daemon's counters.
+    pub fn metrics(&self) -> DaemonCounts {
+        let metrics = &self.shared.metrics;
+        let resumed = ["import", "recompute"].map(|way| metrics.resumed.with_label_values(&[way]).get());
+        DaemonCounts { resumed: resumed.iter().sum(), recomputed: metrics.recomputed.get() }
+    }
+
     /// Stops gracefully: no new requests, all in flight end whole, what is owed is written.
     pub async fn stop(mut self) {
         info!("event=stopping daemon={}", self.shared.settings.name);
@@ -171,6 +190,7 @@
         evidence: crate::version::EvidenceTable::default(),
         choices: ArcSwap::from_pointee(HashMap::new()),
         daemons: AtomicUsize::new(1),
+        listed: AtomicBool::new(false),
         pulls: Arc::new(Semaphore::new(1)),
         config_changed: Notify::new(),
         announce: Notify::new(),
@@ -210,10 +230,16 @@
 async fn serve_when_configured(starting: Starting, shared: &Arc<Shared>) -> Serving {
     /// Time from one look for a configuration to the next.
     const LOOK: Duration = Duration::from_millis(20);
+    /// Time to wait for the list of instances; plain answers such as refusals need none.
+    const LIST_PATIENCE: Duration = Duration::from_secs(5);
 
     while shared.in_force.load().revision == 0 {
         tokio::time::sleep(LOOK).await;
     }
+    let patience = Instant::now() + LIST_PATIENCE;
+    while !shared.listed.load(Ordering::Relaxed) && Instant::now() < patience {
+        tokio::time::sleep(LOOK).await;
+    }
     info!("event=serving daemon={}", shared.settings.name);
     starting.serve()
 }
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -17,7 +17,7 @@
 mod settings;
 mod shared;
 
-pub use daemon::Daemon;
+pub use daemon::{Daemon, DaemonCounts};
 pub use error::{Error, Result};
 pub(crate) use life::Stage;
 pub(crate) use replicas::{Flight, Replica, Wish};
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -7,7 +7,7 @@
     collections::HashMap,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Instant,
 };
@@ -81,6 +81,8 @@
     pub choices: ArcSwap<HashMap<Arc<str>, Choice>>,
     /// Daemons that take part, this one included.
     pub daemons: AtomicUsize,
+    /// Whether the platform's list of instances has been read.
+    pub listed: AtomicBool,
     /// Lets one configuration be pulled from a peer at a time.
     pub pulls: Arc<Semaphore>,
     /// Told when the files of the configuration have changed.
--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -57,11 +57,24 @@
 
 #[derive(Deserialize)]
 struct Message {
+    #[serde(default)]
+    role: String,
     #[serde(default)]
     content: Value,
 }
 
 impl Ask {
+    /// A hash that all requests of a conversation have in common.
+    fn conversation(&self, account: &str) -> u64 {
+        if let Some(user) = &self.user {
+            return stable_hash(&[account.as_bytes(), user.as_bytes()]);
+        }
+        let opening = self.messages.iter().position(|m| m.role == "user").map_or(0, |at| at + 1);
+        let contents = self.messages[..opening].iter().map(|m| &m.content);
+        let texts: Vec<_> = contents.chain(&self.prompt).map(ToString::to_string).collect();
+        stable_hash(&[account.as_bytes(), texts.concat().as_bytes()])
+    }
+
     fn prefix(&self) -> String {
         let mut prefix = String::new();
         let contents = self.messages.iter().map(|m| &m.content);
@@ -133,8 +146,7 @@
         }
         let print = fingerprint(&account.name, &path, &body);
         let key = stable_hash(&[ask.prefix().as_bytes()]);
-        let conversation = ask.user.as_ref().map_or(key, |user| stable_hash(&[user.as_bytes()]));
-        let version = shared.choose_version(&route.pool, conversation);
+        let version = shared.choose_version(&route.pool, ask.conversation(&account.name));
         let attempts = Attempts::new(shared.clone(), route.clone(), print, key, version);
         let _in_flight = InFlight::new(&shared);
         let (route, stream) = (route.clone(), ask.stream);
--- a/standin/src/cmd.rs
+++ b/standin/src/cmd.rs
@@ -17,7 +17,7 @@
     error::{FileSnafu, Result},
     faults::{Link, LinkFaults},
     http::listen,
-    load::{self, LoadPlan, Workload},
+    load::{self, LoadPlan, Targets, Workload},
     platform::{Instance, InstanceState, Platform},
     service::{Executions, Service},
 };
@@ -84,7 +84,7 @@
     };
     workload.tokens = args.tokens.unwrap_or(workload.tokens);
     let plan = LoadPlan {
-        targets: args.target,
+        targets: Targets::new(args.target),
         key: args.key,
         workload,
         streams_per_second: args.streams,
--- a/standin/src/load/mod.rs
+++ b/standin/src/load/mod.rs
@@ -6,6 +6,6 @@
 mod run;
 
 pub use client::{Client, Ended, StreamCheck};
-pub use plan::{Kind, LoadPlan, Workload};
+pub use plan::{Kind, LoadPlan, Targets, Workload};
 pub use report::{LoadReport, Quantiles};
 pub use run::run;
--- a/standin/src/load/plan.rs
+++ b/standin/src/load/plan.rs
@@ -1,7 +1,8 @@
 //! What a load consists of.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use parking_lot::Mutex;
 use rand::{Rng, rngs::SmallRng};
 
 /// Words from which prompts are made.
@@ -74,11 +75,41 @@
     }
 }
 
+/// The daemons that a balancer sends requests to; they may change during a load.
+#[derive(Clone, Debug, Default)]
+pub struct Targets {
+    addresses: Arc<Mutex<Vec<SocketAddr>>>,
+}
+
+impl Targets {
+    /// These daemons.
+    pub fn new(addresses: Vec<SocketAddr>) -> Self {
+        Self { addresses: Arc::new(Mutex::new(addresses)) }
+    }
+
+    /// Takes a daemon out.
+    pub fn remove(&self, address: SocketAddr) {
+        self.addresses.lock().retain(|a| *a != address);
+    }
+
+    /// Adds a daemon.
+    pub fn add(&self, address: SocketAddr) {
+        self.addresses.lock().push(address);
+    }
+
+    /// The daemon for the request `number`.
+    pub fn pick(&self, number: u64) -> Option<SocketAddr> {
+        let addresses = self.addresses.lock();
+        let count = addresses.len().max(1) as u64;
+        addresses.get((number % count) as usize).copied()
+    }
+}
+
 /// A bounded load.
 #[derive(Clone, Debug)]
 pub struct LoadPlan {
     /// Daemons, taken in turn.
-    pub targets: Vec<SocketAddr>,
+    pub targets: Targets,
     /// The account's key.
     pub key: String,
     /// The requests.
--- a/standin/src/load/report.rs
+++ b/standin/src/load/report.rs
@@ -42,8 +42,8 @@
     pub unanswered: u64,
     /// Refusals, by reason and run state.
     pub refused: BTreeMap<String, u64>,
-    /// Times that callers sent a request again.
-    pub retried: u64,
+    /// Times that callers sent a request again, by what they had been told.
+    pub retried: BTreeMap<String, u64>,
     /// Tokens received.
     pub tokens: u64,
     /// Time to the first token.
@@ -76,9 +76,8 @@
     }
 
     /// Adds the end of a streamed request.
-    pub fn stream(&mut self, check: &StreamCheck, retried: u64) {
+    pub fn stream(&mut self, check: &StreamCheck) {
         self.report.streams += 1;
-        self.report.retried += retried;
         self.report.tokens += check.tokens as u64;
         if let Some(first) = check.first {
             self.first.record(micros(first)).ok();
@@ -90,9 +89,8 @@
     }
 
     /// Adds the end of a keyed call.
-    pub fn keyed(&mut self, key: String, ended: &Ended, every_not_run: bool, retried: u64, time: Duration) {
+    pub fn keyed(&mut self, key: String, ended: &Ended, every_not_run: bool, time: Duration) {
         self.report.keyed += 1;
-        self.report.retried += retried;
         self.keyed.record(micros(time)).ok();
         self.end(ended);
         if every_not_run {
@@ -102,6 +100,16 @@
         }
     }
 
+    /// Adds that a caller sends a request again.
+    pub fn retry(&mut self, ended: &Ended) {
+        let told = match ended {
+            Ended::Refused(reason, run) => format!("{reason}/{run}"),
+            Ended::Cut => "cut".into(),
+            _ => "unanswered".into(),
+        };
+        *self.report.retried.entry(told).or_default() += 1;
+    }
+
     /// The report.
     pub fn finish(mut self) -> LoadReport {
         self.report.first_token_ms = Quantiles::of(&self.first);
--- a/standin/src/load/run.rs
+++ b/standin/src/load/run.rs
@@ -60,22 +60,19 @@
 }
 
 impl Caller {
-    fn target(&self, number: u64) -> std::net::SocketAddr {
-        self.plan.targets[number as usize % self.plan.targets.len()]
-    }
-
     async fn stream(&self, number: u64, prompt: &str, planned: Instant) {
         let workload = &self.plan.workload;
         for retry in 0..=u64::from(self.plan.tries) {
-            let target = self.target(number + retry);
+            let Some(target) = self.plan.targets.pick(number + retry) else { return };
             let (key, model) = (&self.plan.key, &workload.model);
             let check = self.client.stream(target, key, model, prompt, workload.tokens, planned).await;
             let again = matches!(check.ended, Ended::Refused(..) | Ended::Unanswered);
             if again && retry < u64::from(self.plan.tries) {
+                self.gatherer.lock().retry(&check.ended);
                 tokio::time::sleep(RETRY_PAUSE).await;
                 continue;
             }
-            self.gatherer.lock().stream(&check, retry);
+            self.gatherer.lock().stream(&check);
             return;
         }
     }
@@ -84,16 +81,17 @@
         let id = format!("key-{}-{number}", self.plan.seed);
         let mut every_not_run = true;
         for retry in 0..=u64::from(self.plan.tries) {
-            let target = self.target(number + retry);
+            let Some(target) = self.plan.targets.pick(number + retry) else { return };
             let ended = self.client.keyed(target, &self.plan.key, &self.plan.workload.keyed_path, &id).await;
             every_not_run &= matches!(&ended, Ended::Refused(_, run) if run == "not-run");
             let settled = matches!(&ended, Ended::Refused(reason, _) if reason == "earlier-may-have-run");
             let again = !settled && matches!(ended, Ended::Refused(..) | Ended::Unanswered | Ended::Cut);
             if again && retry < u64::from(self.plan.tries) {
+                self.gatherer.lock().retry(&ended);
                 tokio::time::sleep(RETRY_PAUSE).await;
                 continue;
             }
-            self.gatherer.lock().keyed(id, &ended, every_not_run, retry, planned.elapsed());
+            self.gatherer.lock().keyed(id, &ended, every_not_run, planned.elapsed());
             return;
         }
     }
