--- a/goldcrestward/src/config/document.rs
+++ b/goldcrestward/src/config/document.rs
@@ -28,7 +28,7 @@
                 Self { text, spec: Spec::default(), problem: None }
             }
             Err(error) => {
-                let problem = yaml_problem(name, &error);
+                let problem = yaml_problem(name, &text, &error);
                 Self { text, spec: Spec::default(), problem: Some(problem) }
             }
         }
@@ -70,11 +70,26 @@
 }
 
 /// Turns a parser's error into a problem that names line and field.
-pub(crate) fn yaml_problem(name: &Arc<str>, error: &serde_saphyr::Error) -> Problem {
+pub(crate) fn yaml_problem(name: &Arc<str>, text: &str, error: &serde_saphyr::Error) -> Problem {
     let error = error.without_snippet();
     let line = error.location().map_or(0, |l| l.line());
     let full = error.to_string();
     let message = full.lines().next().unwrap_or_default().to_owned();
-    let field = message.split('`').nth(1).unwrap_or("document").to_owned();
-    Problem { file: name.clone(), line, field, message }
+    Problem { file: name.clone(), line, field: field_at(text, line), message }
+}
+
+/// Path of the field on a line, by the keys above it that are indented less.
+fn field_at(text: &str, line: u64) -> String {
+    let lines: Vec<&str> = text.lines().take(usize::try_from(line).unwrap_or(0)).collect();
+    let mut keys = Vec::new();
+    let mut limit = usize::MAX;
+    for line in lines.into_iter().rev() {
+        let indent = line.len() - line.trim_start().len();
+        let key = line.trim_start().split_once(':').map(|(key, _)| key.trim_matches(['"', '\'', ' ']));
+        let Some(key) = key.filter(|key| !key.is_empty() && !key.starts_with('#') && indent < limit) else { continue };
+        keys.push(key);
+        limit = indent;
+    }
+    keys.reverse();
+    if keys.is_empty() { "document".into() } else { keys.join(".") }
 }
--- a/goldcrestward/src/connection/client.rs
+++ b/goldcrestward/src/connection/client.rs
@@ -1,6 +1,6 @@
 //! The HTTP client towards back ends and the platform.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{error::Error, io, net::SocketAddr, time::Duration};
 
 use http::{HeaderMap, Method, header};
 use motore::layer::Identity;
@@ -8,7 +8,7 @@
 use volo_http::{
     body::Body,
     client::{Client, ClientBuilder},
-    error::client::ErrorKind,
+    error::client::{ClientError, ErrorKind},
     response::Response,
 };
 
@@ -96,10 +96,20 @@
         }
         let mut request = client.request(self.method, uri.as_str());
         *request.headers_mut() = self.headers;
-        request.body(self.body).send().await.map_err(|error| match error.kind() {
-            ErrorKind::Builder | ErrorKind::Context | ErrorKind::Connect | ErrorKind::LoadBalance => Sent::No,
-            _ => Sent::Maybe,
-        })
+        request.body(self.body).send().await.map_err(|error| sent(&error))
+    }
+}
+
+/// Tells whether a failed request can have been sent.
+///
+/// The library reports a connection that could not be opened as a failed request, with the
+/// system's error as its direct source; what fails on an open connection has hyper's error there.
+fn sent(error: &ClientError) -> Sent {
+    let unopened = error.source().is_some_and(|source| source.is::<io::Error>());
+    match error.kind() {
+        ErrorKind::Builder | ErrorKind::Context | ErrorKind::Connect | ErrorKind::LoadBalance => Sent::No,
+        _ if unopened => Sent::No,
+        _ => Sent::Maybe,
     }
 }
 
--- a/goldcrestward/src/process/membership/view.rs
+++ b/goldcrestward/src/process/membership/view.rs
@@ -32,7 +32,7 @@
 /// Relayed probes remembered, in ms.
 const RELAY_MEMORY_MS: u64 = 5_000;
 /// Highest factor on time-outs of a daemon that finds itself slow.
-const HEALTH_MAX: u64 = 8;
+const HEALTH_MAX: u64 = 3;
 
 /// The protocol's times in ms.
 #[derive(Clone, Copy, Debug)]
@@ -189,7 +189,9 @@
         self.relay_probe(now, &mut effects);
         if now >= self.next_probe {
             self.end_probe(now, &mut effects);
-            self.begin_probe(now, &mut effects);
+            if self.probe.is_none() {
+                self.begin_probe(now, &mut effects);
+            }
             self.next_probe = now + self.timing.period;
         }
         self.bury(now, &mut effects);
@@ -476,7 +478,7 @@
 
     fn bury(&mut self, now: u64, effects: &mut Vec<Effect>) {
         let digits = u64::from((self.peers.len() + 10).ilog10());
-        let patience = self.timing.suspicion * self.timing.period * digits * (1 + self.health);
+        let patience = self.timing.suspicion * self.timing.period * digits;
         let lapsed: Vec<_> = self
             .peers
             .values()
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -20,6 +20,6 @@
 pub use daemon::{Daemon, DaemonCounts};
 pub use error::{Error, Result};
 pub(crate) use life::Stage;
-pub(crate) use replicas::{Flight, Replica, Wish};
+pub(crate) use replicas::{Blame, Flight, Replica, Wish};
 pub use settings::{Overrides, Settings, SettingsError};
 pub(crate) use shared::{InFlight, Shared};
--- a/goldcrestward/src/process/replicas.rs
+++ b/goldcrestward/src/process/replicas.rs
@@ -23,6 +23,8 @@
 const EJECT_FAILURES: u32 = 3;
 /// Time that a failing replica is left out, in ms.
 const EJECT_MS: u64 = 10_000;
+/// Time within which requests that a crash broke off count as broken off together, in ms.
+const CRASH_MS: u64 = 3_000;
 /// Share of a pool that may be left out at once.
 const EJECT_SHARE: f64 = 0.7;
 
@@ -49,6 +51,34 @@
     failures: AtomicU32,
     ejected_until: AtomicU64,
     leaving: AtomicBool,
+    passengers: Mutex<Vec<Passenger>>,
+}
+
+/// A request that a replica runs, or ran until a moment ago.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Passenger {
+    number: u64,
+    points: u64,
+    advanced: bool,
+    left: Option<u64>,
+}
+
+impl Passenger {
+    /// Higher for a request that more likely crashes the replica.
+    fn rank(&self) -> u64 {
+        2 * self.points + u64::from(!self.advanced)
+    }
+}
+
+/// How suspicious a request is among those that a crashed replica was running.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Blame {
+    /// Another one is more suspicious.
+    None,
+    /// Others are as suspicious.
+    Shared,
+    /// No other is as suspicious.
+    Sole,
 }
 
 impl Replica {
@@ -79,6 +109,19 @@
         self.health.ejected_until.store(now + EJECT_MS, Ordering::Relaxed);
     }
 
+    /// Compares a request with the others that the replica was running as it crashed.
+    pub fn blame(&self, flight: &Flight, now: u64) -> Blame {
+        let passengers = self.health.passengers.lock();
+        let recent = |p: &&Passenger| p.left.is_none_or(|left| now.saturating_sub(left) < CRASH_MS);
+        let Some(mine) = passengers.iter().find(|p| p.number == flight.number) else { return Blame::None };
+        let others = passengers.iter().filter(|p| p.number != flight.number).filter(recent);
+        match others.map(Passenger::rank).max() {
+            Some(rank) if rank > mine.rank() => Blame::None,
+            Some(rank) if rank == mine.rank() => Blame::Shared,
+            _ => Blame::Sole,
+        }
+    }
+
     fn is_ejected(&self, now: u64) -> bool {
         self.health.ejected_until.load(Ordering::Relaxed) > now
     }
@@ -88,23 +131,48 @@
 #[derive(Debug)]
 pub(crate) struct Flight {
     replica: Arc<Replica>,
+    number: u64,
 }
 
 impl Flight {
-    fn new(replica: Arc<Replica>) -> Self {
+    fn new(replica: Arc<Replica>, points: u64) -> Self {
+        static NUMBERS: AtomicU64 = AtomicU64::new(0);
+
         replica.health.flights.fetch_add(1, Ordering::Relaxed);
-        Self { replica }
+        let number = NUMBERS.fetch_add(1, Ordering::Relaxed);
+        let passenger = Passenger { number, points, advanced: false, left: None };
+        replica.health.passengers.lock().push(passenger);
+        Self { replica, number }
     }
 
     /// The replica.
     pub fn replica(&self) -> &Arc<Replica> {
         &self.replica
     }
+
+    /// Notes that the replica has given tokens.
+    pub fn advance(&self) {
+        let mut passengers = self.replica.health.passengers.lock();
+        if let Some(mine) = passengers.iter_mut().find(|p| p.number == self.number) {
+            mine.advanced = true;
+        }
+    }
+
+    /// Notes that the replica has broken the connection; the request counts as its passenger for a while.
+    pub fn broken(&self, now: u64) {
+        let mut passengers = self.replica.health.passengers.lock();
+        passengers.retain(|p| p.left.is_none_or(|left| now.saturating_sub(left) < CRASH_MS));
+        if let Some(mine) = passengers.iter_mut().find(|p| p.number == self.number) {
+            mine.left = Some(now);
+        }
+    }
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
         self.replica.health.flights.fetch_sub(1, Ordering::Relaxed);
+        let mut passengers = self.replica.health.passengers.lock();
+        passengers.retain(|p| p.number != self.number || p.left.is_some());
     }
 }
 
@@ -122,6 +190,8 @@
     pub region: &'a str,
     /// Requests in flight that one replica is meant to hold.
     pub concurrency: u32,
+    /// Points that the request has as a suspect of crashes.
+    pub points: u64,
     /// Replicas already tried.
     pub tried: &'a [Arc<str>],
     /// This daemon's time in ms.
@@ -208,7 +278,7 @@
         let local: Vec<_> = usable.iter().copied().filter(|r| *r.region == *wish.region).collect();
         let free = local.iter().any(|r| r.flights() < wish.concurrency);
         let chosen = if free { bounded(&local, wish.key) } else { bounded(usable, wish.key) };
-        chosen.map(|replica| Flight::new(replica.clone()))
+        chosen.map(|replica| Flight::new(replica.clone(), wish.points))
     }
 }
 
--- a/goldcrestward/src/process/settings.rs
+++ b/goldcrestward/src/process/settings.rs
@@ -23,12 +23,14 @@
         source: std::io::Error,
     },
     /// The file's content is wrong.
-    #[snafu(display("{path}:{line}: {message}"))]
+    #[snafu(display("{path}:{line}: {field}: {message}"))]
     Invalid {
         /// The file.
         path: String,
         /// Line in the file, from 1.
         line: u64,
+        /// The field, as a path from the top.
+        field: String,
         /// What is wrong.
         message: String,
     },
@@ -85,8 +87,9 @@
         let name = path.display().to_string();
         let text = fs::read_to_string(path).context(ReadSnafu { path: &name })?;
         serde_saphyr::from_str(&text).map_err(|error| {
-            let problem = crate::config::yaml_problem(&name.as_str().into(), &error);
-            SettingsError::Invalid { path: name, line: problem.line, message: problem.message }
+            let problem = crate::config::yaml_problem(&name.as_str().into(), &text, &error);
+            let (line, field, message) = (problem.line, problem.field, problem.message);
+            SettingsError::Invalid { path: name, line, field, message }
         })
     }
 
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -148,6 +148,11 @@
         Some(picked.clone())
     }
 
+    /// The version in use, if the pool has versions.
+    pub fn base_version(&self, pool: &Arc<str>) -> Option<Arc<str>> {
+        self.choices.load().get(pool).map(|choice| choice.base.clone())
+    }
+
     /// Counts how a request went at a replica.
     pub fn observe(&self, replica: &Replica, route: &Arc<str>, sample: Sample) {
         let (version, zone) = (replica.version.clone(), replica.zone.clone());
--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -122,11 +122,15 @@
     }
 
     /// Chooses a replica for the next attempt. `resuming` tells that tokens have been passed on.
+    /// A request that failed before that goes to the version in use, whichever failed.
     ///
     /// # Errors
     /// Gives the refusal when no attempt may be made.
     pub async fn next(&mut self, resuming: bool) -> Result<Flight, Refusal> {
         self.permit(resuming)?;
+        if !resuming && self.number > 0 && self.last != Some(Failure::Unreached) {
+            self.version = self.shared.base_version(&self.route.pool);
+        }
         let flight = self.choose().await?;
         if self.number > 0 {
             let label = self.last.map_or("first", Failure::label);
@@ -144,7 +148,8 @@
     }
 
     /// Notes how the present attempt failed.
-    pub async fn failed(&mut self, replica: &Arc<Replica>, failure: Failure) {
+    pub async fn failed(&mut self, flight: &Flight, failure: Failure) {
+        let replica = flight.replica();
         self.last = Some(failure);
         self.tried.push(replica.id.clone());
         let now = self.shared.now();
@@ -154,7 +159,7 @@
             Failure::Crossed | Failure::Status | Failure::Silent => replica.note(false, now),
             Failure::Cut => {
                 replica.note(false, now);
-                self.suspect(replica).await;
+                self.suspect(flight).await;
             }
         }
     }
@@ -168,13 +173,20 @@
     }
 
     /// A connection that broke at a replica that no longer listens was a crash.
-    async fn suspect(&mut self, replica: &Arc<Replica>) {
+    async fn suspect(&mut self, flight: &Flight) {
+        let replica = flight.replica();
+        flight.broken(self.shared.now());
         if replica.is_leaving() || is_alive(replica.address).await || replica.is_leaving() {
             return;
         }
-        replica.eject(self.shared.now());
+        let now = self.shared.now();
+        replica.eject(now);
         self.crashes += 1;
-        self.shared.state(Suspects::crash(self.fingerprint, &replica.id));
+        if let Some(fact) = Suspects::crash(self.fingerprint, &replica.id, replica.blame(flight, now)) {
+            self.shared.state(fact);
+            // Suspects are tried apart from each other, so that one of them does not take the others with it.
+            self.key = self.fingerprint.rotate_left(self.crashes);
+        }
     }
 
     fn permit(&mut self, resuming: bool) -> Result<(), Refusal> {
@@ -214,6 +226,13 @@
         }
     }
 
+    fn points(&self) -> u64 {
+        if self.crashes == 0 {
+            return 0;
+        }
+        Suspects::points(self.shared.view.lock().facts(), self.fingerprint)
+    }
+
     fn choose_once(&self, tried: &[Arc<str>]) -> Option<Flight> {
         let in_force = self.shared.in_force.load();
         let pool = in_force.site.pools.get(&self.route.pool)?;
@@ -223,6 +242,7 @@
             version: self.version.as_deref(),
             region: &self.shared.settings.region,
             concurrency: pool.concurrency,
+            points: self.points(),
             tried,
             now: self.shared.now(),
         })
--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -125,6 +125,12 @@
     Passed(Response),
 }
 
+/// What one attempt to open a stream gave.
+enum Tried {
+    Begun(EventReader, Body, Bytes),
+    Passed(Response),
+}
+
 impl ModelCall {
     /// Reads the request's body.
     ///
@@ -196,7 +202,7 @@
             let prompt = (self.body.len() / TOKEN_BYTES) as u64;
             self.shared.metrics.recomputed.inc_by(prompt + next);
         }
-        self.attempts.failed(&replica, failure).await;
+        self.attempts.failed(failed, failure).await;
         self.open(next).await
     }
 
@@ -220,24 +226,27 @@
     async fn open(&mut self, next: u64) -> Result<Opening, Refusal> {
         loop {
             let flight = self.attempts.next(next > 0).await?;
-            let replica = flight.replica().clone();
-            match self.try_open(flight, next).await {
-                Ok(opening) => return Ok(opening),
+            match self.try_open(&flight, next).await {
+                Ok(Tried::Passed(response)) => return Ok(Opening::Passed(response)),
+                Ok(Tried::Begun(reader, body, first)) => {
+                    flight.advance();
+                    return Ok(Opening::Begun(Box::new(Open { flight, reader, body, first })));
+                }
                 Err(failure) => {
-                    if !replica.is_leaving() {
-                        self.shared.observe(&replica, &self.route.name, Sample::Failed);
+                    if !flight.replica().is_leaving() {
+                        self.shared.observe(flight.replica(), &self.route.name, Sample::Failed);
                     }
-                    self.attempts.failed(&replica, failure).await;
+                    self.attempts.failed(&flight, failure).await;
                 }
             }
         }
     }
 
-    async fn try_open(&mut self, flight: Flight, next: u64) -> Result<Opening, Failure> {
-        let call = self.call(&flight, self.attempt_body(next));
+    async fn try_open(&mut self, flight: &Flight, next: u64) -> Result<Tried, Failure> {
+        let call = self.call(flight, self.attempt_body(next));
         let response = self.send(call).await?;
         if response.status() != StatusCode::OK {
-            return pass_error(response).map(Opening::Passed);
+            return pass_error(response).map(Tried::Passed);
         }
         let mut reader = EventReader::new(&self.id, self.attempts.number(), next);
         let mut body = response.into_body();
@@ -256,7 +265,7 @@
                     self.shared.metrics.first_token.with_label_values(&[&*self.route.name]).observe(seconds);
                     self.shared.observe_first(flight.replica(), &self.route.name, seconds);
                 }
-                return Ok(Opening::Begun(Box::new(Open { flight, reader, body, first })));
+                return Ok(Tried::Begun(reader, body, first));
             }
         }
     }
@@ -318,7 +327,7 @@
             };
             self.shared.observe(&replica, &self.route.name, Sample::Failed);
             self.shared.metrics.recomputed.inc_by((self.body.len() / TOKEN_BYTES) as u64);
-            self.attempts.failed(&replica, failure).await;
+            self.attempts.failed(&flight, failure).await;
         }
     }
 
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -117,7 +117,7 @@
                 }
                 Err(failure) => {
                     self.shared.observe(flight.replica(), &self.route.name, Sample::Failed);
-                    self.attempts.failed(flight.replica(), failure).await;
+                    self.attempts.failed(&flight, failure).await;
                 }
             }
         }
@@ -256,7 +256,7 @@
             };
             let sending = self.shared.client.send_fresh(self.call(&flight));
             match timeout(self.attempts.left(), sending).await {
-                Ok(Err(Sent::No)) => self.attempts.failed(flight.replica(), Failure::Unreached).await,
+                Ok(Err(Sent::No)) => self.attempts.failed(&flight, Failure::Unreached).await,
                 Ok(Ok(response)) => return self.finish(key, response, &flight).await,
                 Ok(Err(Sent::Maybe)) => return Err(self.unknown(key, &flight, Failure::Cut).await),
                 Err(_) => return Err(self.unknown(key, &flight, Failure::Silent).await),
@@ -286,7 +286,7 @@
     async fn unknown(&mut self, key: Key, flight: &Flight, failure: Failure) -> Refusal {
         self.settle(key, true, None);
         self.shared.observe(flight.replica(), &self.route.name, Sample::Failed);
-        self.attempts.failed(flight.replica(), failure).await;
+        self.attempts.failed(flight, failure).await;
         Refusal::may_have_run(Reason::BackendFailed, "the back end gave no whole answer; the call may have run")
     }
 
--- a/goldcrestward/src/request/suspect.rs
+++ b/goldcrestward/src/request/suspect.rs
@@ -1,18 +1,26 @@
 //! Requests that crash back ends.
 //!
-//! A crash of a replica puts every request that it was running under suspicion. A request
-//! that has been on two replicas as they crashed is refused everywhere. One that was there
-//! by chance is cleared when it is answered.
+//! A crash of a replica puts the most suspicious of the requests that it was running under
+//! suspicion: those that were suspects before, then those that had got no token from it. One
+//! that alone was most suspicious at two crashes is refused everywhere. Suspects are tried
+//! apart from each other, and a request is cleared when it is answered.
 
 use std::sync::Arc;
 
 use crate::{
-    process::membership::{Fact, FactKind, Facts},
+    process::{
+        Blame,
+        membership::{Fact, FactKind, Facts},
+    },
     util::{stable_hash, unix_ms},
 };
 
-/// Crashes after which a request is refused.
-const CRASHES: usize = 2;
+/// Points at which a request is refused.
+const CONDEMNED: u64 = 3;
+/// Points of the request that alone was most suspicious.
+const SOLE: u64 = 2;
+/// Points where others were as suspicious.
+const SHARED: u64 = 1;
 /// Time that a crash is remembered, in ms.
 const MEMORY_MS: u64 = 15 * 60 * 1000;
 
@@ -25,16 +33,21 @@
 pub(crate) struct Suspects;
 
 impl Suspects {
-    /// The fact that `replica` crashed under a request.
-    pub fn crash(fingerprint: u64, replica: &str) -> Fact {
+    /// The fact that `replica` crashed under a request; `None` if another request is to blame.
+    pub fn crash(fingerprint: u64, replica: &str, blame: Blame) -> Option<Fact> {
         let now = unix_ms();
-        Fact {
+        let points = match blame {
+            Blame::None => return None,
+            Blame::Shared => SHARED,
+            Blame::Sole => SOLE,
+        };
+        Some(Fact {
             kind: FactKind::Crash,
-            key: format!("{fingerprint:016x}/{replica}").into(),
+            key: format!("{fingerprint:016x}/{replica}/{points}").into(),
             value: now,
             until_ms: now + MEMORY_MS,
             note: Arc::from(""),
-        }
+        })
     }
 
     /// The fact that a fingerprint is cleared of what is known so far.
@@ -49,15 +62,16 @@
         }
     }
 
-    /// Replicas that crashed under the request since it was last cleared.
-    pub fn crashes(facts: &Facts, fingerprint: u64) -> usize {
+    /// Points of the request since it was last cleared.
+    pub fn points(facts: &Facts, fingerprint: u64) -> u64 {
         let prefix = format!("{fingerprint:016x}");
         let cleared = facts.get(FactKind::Pardon, &prefix).map_or(0, |f| f.value);
-        facts.with_prefix(FactKind::Crash, &prefix).filter(|f| f.value > cleared).count()
+        let crashes = facts.with_prefix(FactKind::Crash, &prefix).filter(|f| f.value > cleared);
+        crashes.filter_map(|f| f.key.rsplit('/').next()?.parse::<u64>().ok()).sum()
     }
 
     /// Whether the request must be refused.
     pub fn is_condemned(facts: &Facts, fingerprint: u64) -> bool {
-        Self::crashes(facts, fingerprint) >= CRASHES
+        Self::points(facts, fingerprint) >= CONDEMNED
     }
 }
--- /dev/null
+++ b/goldcrestward/tests/it/callers.rs
@@ -0,0 +1,111 @@
+//! What callers see: the OpenAI-compatible interface, plain services, refusals and limits.
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+
+use crate::support::{KEY, TestSite};
+
+async fn send(site: &TestSite, request: http::request::Builder, body: impl Into<Bytes>) -> Response<Incoming> {
+    let target = site.daemons[0].callers;
+    let request = request.header("host", target.to_string()).body(Full::new(body.into())).expect("well formed");
+    standin::http::call(target, request).await.expect("the daemon answers")
+}
+
+async fn json_of(response: Response<Incoming>) -> Value {
+    let bytes = response.into_body().collect().await.expect("the body is whole").to_bytes();
+    serde_json::from_slice(&bytes).expect("the body is JSON")
+}
+
+fn bearer(request: http::request::Builder) -> http::request::Builder {
+    request.header("authorization", format!("Bearer {KEY}"))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn refusals_name_reason_and_run_state() {
+    let site = TestSite::start(1, 1).await;
+    let chat = || Request::post("/v1/chat/completions");
+    let large = vec![b'x'; 9 * 1024 * 1024];
+    let cases: Vec<(&str, http::request::Builder, Bytes, StatusCode, &str)> = vec![
+        ("no key", chat(), "{}".into(), StatusCode::UNAUTHORIZED, "unauthenticated"),
+        (
+            "wrong key",
+            chat().header("authorization", "Bearer nobody"),
+            "{}".into(),
+            StatusCode::UNAUTHORIZED,
+            "unauthenticated",
+        ),
+        ("no JSON", bearer(chat()), "{".into(), StatusCode::BAD_REQUEST, "bad-request"),
+        ("unknown model", bearer(chat()), r#"{"model":"none"}"#.into(), StatusCode::NOT_FOUND, "unknown-model"),
+        ("unknown path", bearer(Request::get("/nowhere")), "".into(), StatusCode::NOT_FOUND, "unknown-route"),
+        (
+            "no idempotency key",
+            bearer(Request::post("/orders/confirm")),
+            "{}".into(),
+            StatusCode::BAD_REQUEST,
+            "idempotency-key-required",
+        ),
+        ("large body", bearer(chat()), large.into(), StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
+    ];
+    for (name, request, body, status, reason) in cases {
+        let response = send(&site, request, body).await;
+        assert_eq!(response.status(), status, "{name}");
+        assert_eq!(response.headers()["x-refusal"], reason, "{name}");
+        assert_eq!(response.headers()["x-run-state"], "not-run", "{name}");
+        let value = json_of(response).await;
+        assert_eq!(value["error"]["code"], reason, "{name}");
+        assert!(value["error"]["message"].is_string() && value["error"]["type"].is_string(), "{name}: {value}");
+        assert!(site.counter("refusals_total", reason).await >= 1.0, "{name} is not counted");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn chat_whole_and_models_are_compatible() {
+    let site = TestSite::start(1, 1).await;
+    let response = send(&site, bearer(Request::get("/v1/models")), "").await;
+    assert_eq!(json_of(response).await["data"][0]["id"], "meal-planner");
+    let body = json!({ "model": "meal-planner", "max_tokens": 3, "messages": [{ "role": "user", "content": "soup" }] });
+    let response = send(&site, bearer(Request::post("/v1/chat/completions")), body.to_string()).await;
+    assert_eq!(response.status(), StatusCode::OK);
+    let value = json_of(response).await;
+    assert_eq!(value["choices"][0]["message"]["content"], standin::engine::answer("soup", 3));
+    assert_eq!(value["usage"]["completion_tokens"], 3);
+    let body = json!({ "model": "meal-planner", "max_tokens": 3, "prompt": "soup" });
+    let response = send(&site, bearer(Request::post("/v1/completions")), body.to_string()).await;
+    assert_eq!(json_of(response).await["choices"][0]["text"], standin::engine::answer("soup", 3));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn plain_service_gets_method_body_and_clean_headers() {
+    let site = TestSite::start(1, 0).await;
+    let request = bearer(Request::put("/orders/notes?tray=4"))
+        .header("connection", "x-private")
+        .header("x-private", "one hop")
+        .header("x-note", "no salt");
+    let response = send(&site, request, "no salt on tray four").await;
+    assert_eq!(response.status(), StatusCode::OK);
+    let value = json_of(response).await;
+    assert_eq!((value["path"].as_str(), value["bytes"].as_u64()), (Some("/orders/notes"), Some(20)));
+    let headers = value["headers"].as_array().expect("the service tells the headers");
+    let has = |name: &str| headers.iter().any(|h| h == name);
+    assert!(has("x-note") && has("x-account"), "{headers:?}");
+    assert!(!has("x-private") && !has("connection") && !has("authorization"), "{headers:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn limited_account_is_refused_with_a_time_to_come_back() {
+    let site = TestSite::start(1, 0).await;
+    let mut refused = 0;
+    for _ in 0..30 {
+        let request = Request::get("/orders/lookup").header("authorization", "Bearer limited-key");
+        let response = send(&site, request, "").await;
+        if response.status() == StatusCode::TOO_MANY_REQUESTS {
+            assert!(response.headers().contains_key("retry-after"));
+            assert_eq!(response.headers()["x-refusal"], "request-limit");
+            refused += 1;
+        }
+    }
+    assert!(refused > 0, "30 calls at once passed a limit of 5 a second");
+}
--- /dev/null
+++ b/goldcrestward/tests/it/configuration.rs
@@ -0,0 +1,157 @@
+//! Configuration: accepted once, in force everywhere, never reverting.
+
+use std::collections::BTreeSet;
+
+use serde_json::Value;
+use standin::{faults::LinkFaults, platform::PlatformFaults};
+
+use crate::support::{TestSite, eventually, propose};
+
+async fn wait_for(site: &TestSite, revision: u64) {
+    for daemon in &site.daemons {
+        let in_force = || async { (daemon.revision().await? >= revision).then_some(()) };
+        eventually("the configuration is in force", in_force).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn change_is_in_force_on_every_daemon() {
+    let site = TestSite::start(5, 0).await;
+    let answer = site.propose(3, &[("20-zone.yaml", Some("zones: { east-a: { region: east } }"))]).await;
+    let revision = answer["revision"].as_u64().expect("the change is accepted");
+    wait_for(&site, revision).await;
+    let status = site.daemons[1].get("/admin/status").await.expect("the daemon answers");
+    assert_eq!((&status["everywhere"], status["daemons"].as_array().map(Vec::len)), (&Value::Bool(true), Some(5)));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn bad_file_is_refused_with_file_line_and_field() {
+    let site = TestSite::start(1, 0).await;
+    let before = site.daemons[0].revision().await;
+    let cases = [
+        ("zones:\n  a:\n    regoin: north\n", 3, "regoin"),
+        ("pools:\n  p: { kind: modle }\n", 2, "modle"),
+        ("routes:\n  r:\n    pool: nowhere\n    prefix: /r\n", 3, "routes.r.pool"),
+        ("accounts:\n  a:\n    key-sha256: short\n", 3, "accounts.a.key-sha256"),
+        ("routes:\n  r:\n    pool: orders\n    prefix: /r\n    timeout-seconds: -1\n", 5, "routes.r.timeout-seconds"),
+        (
+            "versions:\n  v:\n    pool: models\n    start: today\n    date: 2027-01-01T00:00:00Z\n",
+            4,
+            "versions.v.start",
+        ),
+        (
+            "versions:\n  v:\n    pool: models\n    start: 2027-01-02T00:00:00Z\n    date: 2027-01-01T00:00:00Z\n",
+            5,
+            "versions.v.date",
+        ),
+        ("zones: [\n", 1, "zones"),
+    ];
+    for (text, line, field) in cases {
+        let answer = site.propose(0, &[("50-bad.yaml", Some(text))]).await;
+        assert_eq!(answer["result"], "invalid", "{text}: {answer}");
+        let problem = &answer["problems"][0];
+        assert_eq!(problem["file"], "50-bad.yaml", "{answer}");
+        assert_eq!(problem["line"], line, "{text}: {answer}");
+        let told = format!("{} {}", problem["field"], problem["message"]);
+        assert!(told.contains(field), "{text}: {answer}");
+    }
+    assert_eq!(site.daemons[0].revision().await, before, "a bad file displaced the configuration");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn racing_operators_get_truthful_answers() {
+    let site = TestSite::start(3, 0).await;
+    site.platform.set_faults(PlatformFaults { lost_answers: 0.3, ..PlatformFaults::default() });
+    let base = site.daemons[0].revision().await;
+    for daemon in &site.daemons {
+        let same = || async { (daemon.revision().await == base).then_some(()) };
+        eventually("all daemons have the same revision", same).await;
+    }
+    let texts: Vec<_> = (0..9).map(|n| format!("zones: {{ race-{n}: {{ region: north }} }}")).collect();
+    let names: Vec<_> = (0..9).map(|n| format!("60-race-{n}.yaml")).collect();
+    let tasks: Vec<_> = (0..9)
+        .map(|n| {
+            let (admin, name, text) = (site.daemons[n % 3].admin, names[n].clone(), texts[n].clone());
+            tokio::spawn(async move { propose(admin, &[(&name, Some(&text))], base).await })
+        })
+        .collect();
+    let mut accepted = Vec::new();
+    let mut unknown = 0;
+    for (name, task) in names.iter().zip(tasks) {
+        let answer = task.await.expect("the operator's task runs");
+        match answer["result"].as_str() {
+            Some("accepted") => accepted.push((name.clone(), answer["revision"].as_u64().unwrap_or(0))),
+            Some("unknown") => unknown += 1,
+            Some("conflict" | "unavailable") => {}
+            _ => panic!("{answer}"),
+        }
+    }
+    site.platform.set_faults(PlatformFaults::default());
+    assert!(accepted.len() <= 1, "two changes were accepted on top of one revision: {accepted:?}");
+    assert!(accepted.len() + unknown >= 1);
+    if let Some((name, revision)) = accepted.first() {
+        wait_for(&site, *revision).await;
+        let files = site.daemons[2].get("/admin/config").await.expect("the daemon answers");
+        let races: BTreeSet<_> = files["files"]
+            .as_array()
+            .expect("files")
+            .iter()
+            .filter_map(|f| f["name"].as_str())
+            .filter(|n| n.starts_with("60-race"))
+            .collect();
+        assert_eq!(races, BTreeSet::from([name.as_str()]));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn daemon_started_in_outage_learns_from_peers() {
+    let mut site = TestSite::start(2, 1).await;
+    let revision = site.daemons[0].revision().await;
+    site.platform.set_faults(PlatformFaults { outage: true, ..PlatformFaults::default() });
+    site.add_daemon(2, "north").await;
+    let newcomer = &site.daemons[2];
+    let serves = || async { (newcomer.is_ready().await && newcomer.revision().await == revision).then_some(()) };
+    eventually("the newcomer serves with what its peers have", serves).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn daemon_cut_off_catches_up_and_is_named_meanwhile() {
+    let site = TestSite::start(4, 0).await;
+    let cut = LinkFaults { cut: true, ..LinkFaults::default() };
+    let (far, near) = (&site.daemons[3], &site.daemons[0]);
+    far.platform_faults(cut);
+    far.peer_faults(cut);
+    // One-way loss: the far daemon's own datagrams still arrive, nothing reaches it.
+    let answer = site.propose(0, &[("20-zone.yaml", Some("zones: { east-a: { region: east } }"))]).await;
+    let revision = answer["revision"].as_u64().expect("the change is accepted");
+    let named = || async {
+        let status = near.get("/admin/status").await?;
+        let rows = status["daemons"].as_array()?.clone();
+        let row = rows.into_iter().find(|r| r["name"] == "daemon-3")?;
+        (status["everywhere"] == false && row["in_force"] == false && row["note"] != "").then_some(())
+    };
+    eventually("the status names the daemon that cannot be heard", named).await;
+    far.platform_faults(LinkFaults::default());
+    far.peer_faults(LinkFaults::default());
+    wait_for(&site, revision).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn configuration_never_reverts_through_restarts() {
+    let mut site = TestSite::start(3, 0).await;
+    let mut highest = 0;
+    for round in 0..4 {
+        let text = format!("zones: {{ round-{round}: {{ region: north }} }}");
+        let answer = site.propose(0, &[("20-round.yaml", Some(&text))]).await;
+        highest = answer["revision"].as_u64().unwrap_or(highest);
+        site.daemons[2].kill();
+        site.daemons.truncate(2);
+        site.add_daemon(2, "north").await;
+        let newcomer = &site.daemons[2];
+        let serves = || async { newcomer.is_ready().await.then_some(()) };
+        eventually("the new daemon serves", serves).await;
+        let seen = newcomer.revision().await.unwrap_or(0);
+        assert!(seen > 0);
+        wait_for(&site, highest).await;
+    }
+}
--- /dev/null
+++ b/goldcrestward/tests/it/ledger.rs
@@ -0,0 +1,120 @@
+//! Calls that may not be repeated, under failures of back ends, daemons and the platform's service.
+
+use rustix::process::Signal;
+use standin::{load::Ended, platform::PlatformFaults, service::ServiceFaults};
+use tokio::{
+    io::AsyncReadExt,
+    net::TcpListener,
+    time::{Duration, sleep},
+};
+
+use crate::support::{TestSite, eventually, run};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn keyed_calls_with_cut_answers_run_once() {
+    let site = TestSite::start(3, 0).await;
+    site.all_services(&ServiceFaults { cut_after: 0.3, ..ServiceFaults::default() });
+    let report = run(site.load(0.0, 40.0, 4)).await;
+    site.check_keyed(&report);
+    let unknown: u64 =
+        report.refused.iter().filter(|(reason, _)| reason.ends_with("may-have-run")).map(|(_, n)| n).sum();
+    assert!(unknown > 0, "no answer was cut, so nothing was shown: {report:?}");
+    assert_eq!(report.whole + unknown, report.keyed, "{report:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn keyed_call_again_gets_recorded_outcome_anywhere() {
+    let site = TestSite::start(3, 0).await;
+    assert_eq!(site.confirm(0, "order-1").await, Ended::Whole);
+    for daemon in [1, 2, 0] {
+        assert_eq!(site.confirm(daemon, "order-1").await, Ended::Whole);
+    }
+    assert_eq!(site.executions.lock().get("order-1"), Some(&1));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn keyed_calls_with_daemons_killed_run_once() {
+    let mut site = TestSite::start(4, 0).await;
+    site.platform.set_faults(PlatformFaults { lost_answers: 0.1, ..PlatformFaults::default() });
+    site.all_services(&ServiceFaults { delay_ms: 30, cut_after: 0.05, ..ServiceFaults::default() });
+    let plan = site.load(0.0, 40.0, 10);
+    let targets = plan.targets.clone();
+    let load = tokio::spawn(run(plan));
+    for number in [0, 1] {
+        sleep(Duration::from_secs(3)).await;
+        let daemon = &mut site.daemons[number];
+        daemon.kill();
+        targets.remove(daemon.callers);
+    }
+    let report = load.await.expect("the load runs");
+    site.check_keyed(&report);
+    assert!(report.whole * 2 > report.keyed, "{report:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn keyed_calls_with_owner_paused_run_once() {
+    let site = TestSite::start(3, 0).await;
+    site.all_services(&ServiceFaults { delay_ms: 20, ..ServiceFaults::default() });
+    let load = tokio::spawn(run(site.load(0.0, 40.0, 14)));
+    for daemon in &site.daemons[..2] {
+        sleep(Duration::from_secs(1)).await;
+        daemon.signal(Signal::STOP);
+        // Long enough for the others to bury it and take its slots.
+        sleep(Duration::from_secs(5)).await;
+        daemon.signal(Signal::CONT);
+    }
+    let report = load.await.expect("the load runs");
+    site.check_keyed(&report);
+    assert!(report.whole * 2 > report.keyed, "{report:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn keyed_calls_in_outage_are_refused_not_run() {
+    let site = TestSite::start(2, 1).await;
+    assert_eq!(site.confirm(0, "before").await, Ended::Whole);
+    site.platform.set_faults(PlatformFaults { outage: true, ..PlatformFaults::default() });
+    let ended = site.confirm(1, "during").await;
+    let refusal = Ended::Refused("ledger-unavailable".into(), "not-run".into());
+    assert_eq!(ended, refusal);
+    assert_eq!(site.stream(0, "a stream needs no ledger", 10).await.ended, Ended::Whole);
+    assert_eq!(site.executions.lock().get("during"), None);
+    site.platform.set_faults(PlatformFaults::default());
+    let runs = || async { (site.confirm(1, "after").await == Ended::Whole).then_some(()) };
+    eventually("keyed calls run again", runs).await;
+    assert_eq!(site.executions.lock().get("after"), Some(&1));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn keyed_call_on_closing_connection_is_sent_once() {
+    let mut site = TestSite::start(1, 0).await;
+    site.services.iter().for_each(standin::service::Service::kill);
+    // A back end that reads each request and closes the connection without an answer.
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = socket.local_addr().expect("the socket has an address");
+    site.list_service(address, "closing");
+    let (sender, mut requests) = tokio::sync::mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = socket.accept().await {
+            let mut buffer = [0; 4096];
+            if stream.read(&mut buffer).await.is_ok_and(|length| length > 0) {
+                sender.send(()).ok();
+            }
+        }
+    });
+    let known = || async {
+        let value = site.daemons[0].get("/admin/requests").await?;
+        value.to_string().contains("closing").then_some(())
+    };
+    eventually("the daemon knows the back end", known).await;
+    site.services.clear();
+    let ended = site.confirm(0, "closing-1").await;
+    assert_eq!(ended, Ended::Refused("back-end-failed".into(), "may-have-run".into()));
+    let again = site.confirm(0, "closing-1").await;
+    assert_eq!(again, Ended::Refused("earlier-may-have-run".into(), "may-have-run".into()));
+    requests.close();
+    let mut count = 0;
+    while requests.recv().await.is_some() {
+        count += 1;
+    }
+    assert_eq!(count, 1, "the call was sent more than once");
+}
--- /dev/null
+++ b/goldcrestward/tests/it/membership.rs
@@ -0,0 +1,87 @@
+//! Daemons that know of each other, and strangers that change nothing.
+
+use rustix::process::Signal;
+use standin::faults::LinkFaults;
+use tokio::net::UdpSocket;
+
+use crate::support::{TestDaemon, TestSite, eventually};
+
+async fn sees(daemon: &TestDaemon, name: &str, state: &str) -> Option<()> {
+    let peers = daemon.get("/admin/peers").await?;
+    let rows = peers["peers"].as_array()?.clone();
+    let row = rows.into_iter().find(|r| r["name"] == name)?;
+    (row["state"] == state).then_some(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn killed_daemon_is_found_dead_and_left_daemon_left() {
+    let mut site = TestSite::start(4, 0).await;
+    site.daemons[3].kill();
+    site.daemons[2].signal(Signal::TERM);
+    for number in 0..2 {
+        let daemon = &site.daemons[number];
+        eventually("the killed daemon is dead", || sees(daemon, "daemon-3", "dead")).await;
+        eventually("the stopped daemon has left", || sees(daemon, "daemon-2", "left")).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn paused_daemon_comes_back() {
+    let site = TestSite::start(3, 0).await;
+    site.daemons[2].signal(Signal::STOP);
+    eventually("the paused daemon is dead", || sees(&site.daemons[0], "daemon-2", "dead")).await;
+    site.daemons[2].signal(Signal::CONT);
+    eventually("it is alive again", || sees(&site.daemons[0], "daemon-2", "alive")).await;
+    eventually("it sees the others", || sees(&site.daemons[2], "daemon-0", "alive")).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn parted_halves_find_each_other_again() {
+    let site = TestSite::start(4, 0).await;
+    let cut = LinkFaults { cut: true, ..LinkFaults::default() };
+    // Nobody hears anybody: the hardest parting.
+    site.daemons.iter().for_each(|d| d.peer_faults(cut));
+    for daemon in &site.daemons[1..] {
+        eventually("the others are dead", || sees(daemon, "daemon-0", "dead")).await;
+    }
+    site.daemons.iter().for_each(|d| d.peer_faults(LinkFaults::default()));
+    for daemon in &site.daemons[1..] {
+        eventually("the others are alive", || sees(daemon, "daemon-0", "alive")).await;
+        eventually("it is alive to the others", || sees(&site.daemons[0], &daemon.name, "alive")).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn loss_of_datagrams_buries_nobody() {
+    let site = TestSite::start(5, 0).await;
+    site.daemons.iter().for_each(|d| d.peer_faults(LinkFaults { loss: 0.05, ..LinkFaults::default() }));
+    tokio::time::sleep(std::time::Duration::from_secs(8)).await;
+    for daemon in &site.daemons {
+        assert_eq!(daemon.counter("members", "dead").await, 0.0, "{} buried a daemon that runs", daemon.name);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn strangers_datagrams_change_nothing_and_are_counted() {
+    let site = TestSite::start(2, 0).await;
+    let daemon = &site.daemons[0];
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port is free");
+    let cases: [(&[u8], &str); 3] =
+        [(b"no message at all \xff\xff", "malformed"), (&[0x0a, 0x01, 0x78], "stranger"), (&[7; 5000], "oversized")];
+    for (bytes, reason) in cases {
+        let counted = || async {
+            socket.send_to(bytes, daemon.advertise).await.ok()?;
+            (daemon.counter("peer_rejections_total", reason).await > 0.0).then_some(())
+        };
+        eventually(reason, counted).await;
+    }
+    let stranger = || async {
+        use tokio::io::AsyncWriteExt;
+        let mut stream = tokio::net::TcpStream::connect(daemon.advertise).await.ok()?;
+        stream.write_all(&[0, 0, 0, 4, 1, 2, 3, 4]).await.ok()?;
+        drop(stream);
+        (daemon.counter("peer_rejections_total", "handshake").await > 0.0).then_some(())
+    };
+    eventually("a stranger's stream is counted", stranger).await;
+    assert_eq!(daemon.counter("members", "alive").await, 1.0);
+}
--- /dev/null
+++ b/goldcrestward/tests/it/support/site.rs
@@ -0,0 +1,240 @@
+//! The stand-ins of a test site and its daemons.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use serde_json::{Value, json};
+use standin::{
+    engine::{Engine, EngineFaults, EngineOptions},
+    load::{Client, Ended, LoadPlan, LoadReport, StreamCheck, Targets, Workload},
+    platform::{Instance, InstanceState, Platform},
+    service::{Executions, Service, ServiceFaults},
+};
+use tokio::net::TcpListener;
+
+use super::{
+    daemon::{Place, TestDaemon},
+    eventually,
+};
+
+/// The account's key.
+pub(crate) const KEY: &str = "test-key";
+/// The operators' token.
+pub(crate) const TOKEN: &str = "test-token";
+/// SHA-256 of the operators' token.
+pub(crate) const TOKEN_HASH: &str = "4c5dc9b7708905f77f5e5d16316b5dfb425e68cb326dcd55a860e90a7707031e";
+/// The peers' secret.
+pub(crate) const SECRET: &str = "a secret for tests only";
+
+const CONFIG: &str = "
+zones:
+  north-a: { region: north }
+  south-a: { region: south }
+pools:
+  models: { kind: model, checks-fences: true }
+  orders: { kind: plain }
+routes:
+  meal-planner: { pool: models, model: meal-planner, timeout-seconds: 60, retry-percent: 100 }
+  confirm: { pool: orders, prefix: /orders/confirm, repeatable: false, timeout-seconds: 20 }
+  lookup: { pool: orders, prefix: /orders/lookup, lookup: true }
+  orders: { pool: orders, prefix: /orders/ }
+accounts:
+  kitchen:
+    key-sha256: 62af8704764faf8ea82fc61ce9c4c3908b6cb97d463a634e9e587d7c885db0ef
+  limited:
+    key-sha256: f33b2500796d61f96eeef0f5331ddc40c17e434aff139f4d9e00bfe75170d87a
+    requests-per-second: 5
+versions:
+  models-1: { pool: models }
+  orders-1: { pool: orders }
+";
+
+pub(crate) struct TestSite {
+    pub platform: Platform,
+    pub engines: Vec<Engine>,
+    pub services: Vec<Service>,
+    pub executions: Executions,
+    pub daemons: Vec<TestDaemon>,
+}
+
+impl TestSite {
+    /// A site of daemons, engines and two replicas of a plain service, with its configuration in force.
+    pub async fn start(daemons: usize, engines: usize) -> Self {
+        let mut site = Self::bare().await;
+        for _ in 0..engines {
+            site.add_engine("models-1", "north").await;
+        }
+        for number in 0..2 {
+            site.add_service(number).await;
+        }
+        for number in 0..daemons {
+            site.add_daemon(number, "north").await;
+        }
+        let answer = site.propose(0, &[("10-site.yaml", Some(CONFIG))]).await;
+        assert_eq!(answer["result"], "accepted", "{answer}");
+        site.wait_until_serving().await;
+        site
+    }
+
+    /// The platform alone.
+    pub async fn bare() -> Self {
+        let platform = Platform::start(listener().await.0, 1).expect("the platform starts");
+        let executions = Executions::default();
+        Self { platform, engines: Vec::new(), services: Vec::new(), executions, daemons: Vec::new() }
+    }
+
+    pub async fn add_engine(&mut self, version: &str, region: &str) -> usize {
+        let (socket, address) = listener().await;
+        let number = self.engines.len();
+        let options = EngineOptions { factor: 0.3, seed: number as u64 + 1, ..EngineOptions::default() };
+        self.engines.push(Engine::start(socket, address, options));
+        self.list_engine(number, version, region, InstanceState::Live);
+        number
+    }
+
+    /// Lists an engine in a state.
+    pub fn list_engine(&self, number: usize, version: &str, region: &str, state: InstanceState) {
+        let address = self.engines[number].address();
+        self.platform.put_instance(instance("models", version, region, address, state));
+    }
+
+    pub async fn add_service(&mut self, number: u64) {
+        let (socket, address) = listener().await;
+        self.services.push(Service::start(socket, address, self.executions.clone(), number + 1));
+        self.platform.put_instance(instance("orders", "orders-1", "north", address, InstanceState::Live));
+    }
+
+    /// Lists a back end of the test's own in the pool of plain services.
+    pub fn list_service(&self, address: SocketAddr, id: &str) {
+        let row = instance("orders", "orders-1", "north", address, InstanceState::Live);
+        self.platform.put_instance(Instance { id: id.into(), ..row });
+    }
+
+    pub async fn add_daemon(&mut self, number: usize, region: &str) {
+        let join = self.daemons.first().map(|d| d.advertise).into_iter().collect();
+        let place =
+            Place { name: format!("daemon-{number}"), region: region.into(), platform: self.platform.address(), join };
+        self.daemons.push(TestDaemon::start(place).await);
+    }
+
+    pub async fn wait_until_serving(&self) {
+        for daemon in &self.daemons {
+            eventually("a daemon serves", || async { daemon.is_ready().await.then_some(()) }).await;
+        }
+        let count = self.daemons.len() as f64;
+        for daemon in &self.daemons {
+            let all = || async { (daemon.counter("members", "alive").await >= count - 1.0).then_some(()) };
+            eventually("the daemons know each other", all).await;
+        }
+        let wanted = (self.engines.len() + self.services.len()) as u64;
+        for daemon in &self.daemons {
+            let listed = || async {
+                let value = daemon.get("/admin/requests").await?;
+                (value["replicas"].as_array()?.len() as u64 >= wanted).then_some(())
+            };
+            eventually("the daemons know the replicas", listed).await;
+        }
+    }
+
+    /// Proposes files to a daemon and gives its answer.
+    pub async fn propose(&self, daemon: usize, files: &[(&str, Option<&str>)]) -> Value {
+        propose(self.daemons[daemon].admin, files, None).await
+    }
+
+    pub fn targets(&self) -> Targets {
+        Targets::new(self.daemons.iter().map(|d| d.callers).collect())
+    }
+
+    /// A load of this site; callers send what is refused again.
+    pub fn load(&self, streams: f64, keyed: f64, seconds: u64) -> LoadPlan {
+        LoadPlan {
+            targets: self.targets(),
+            key: KEY.into(),
+            workload: Workload { prefix_words: 40, own_words: 10, tokens: 40, ..Workload::swanvale() },
+            streams_per_second: streams,
+            keyed_per_second: keyed,
+            duration: Duration::from_secs(seconds),
+            tries: 40,
+            seed: 11,
+        }
+    }
+
+    pub async fn stream(&self, daemon: usize, prompt: &str, tokens: usize) -> StreamCheck {
+        let target = self.daemons[daemon].callers;
+        Client::default().stream(target, KEY, "meal-planner", prompt, tokens, std::time::Instant::now()).await
+    }
+
+    pub async fn confirm(&self, daemon: usize, key: &str) -> Ended {
+        Client::default().keyed(self.daemons[daemon].callers, KEY, "/orders/confirm", key).await
+    }
+
+    pub fn all_engines(&self, faults: &EngineFaults) {
+        self.engines.iter().for_each(|e| e.set_faults(faults.clone()));
+    }
+
+    pub fn all_services(&self, faults: &ServiceFaults) {
+        self.services.iter().for_each(|s| s.set_faults(faults.clone()));
+    }
+
+    /// Checks a load's report against what the services executed.
+    pub fn check_keyed(&self, report: &LoadReport) {
+        let executions = self.executions.lock();
+        let doubles: Vec<_> = executions.iter().filter(|(_, count)| **count > 1).collect();
+        assert!(doubles.is_empty(), "executed twice: {doubles:?}");
+        let false_not_run: Vec<_> = report.said_not_run.iter().filter(|key| executions.contains_key(*key)).collect();
+        assert!(false_not_run.is_empty(), "said to have not run: {false_not_run:?}");
+        let lost: Vec<_> = report.said_run.iter().filter(|key| !executions.contains_key(*key)).collect();
+        assert!(lost.is_empty(), "answered without execution: {lost:?}");
+    }
+
+    pub async fn counter(&self, name: &str, labels: &str) -> f64 {
+        let mut sum = 0.0;
+        for daemon in &self.daemons {
+            sum += daemon.counter(name, labels).await;
+        }
+        sum
+    }
+}
+
+pub(crate) async fn propose(admin: SocketAddr, files: &[(&str, Option<&str>)], base: Option<u64>) -> Value {
+    let changes: Vec<_> = files.iter().map(|(name, text)| json!({ "name": name, "text": text })).collect();
+    let body = json!({ "changes": changes, "base": base });
+    let call = || async { post(admin, "/admin/config/propose", &body).await };
+    eventually("a daemon answers the proposal", call).await
+}
+
+/// Posts to the operators' listener; `None` if it does not listen yet.
+pub(crate) async fn post(admin: SocketAddr, path: &str, body: &Value) -> Option<Value> {
+    use http_body_util::{BodyExt, Full};
+
+    let request = http::Request::post(path)
+        .header(http::header::HOST, admin.to_string())
+        .header(http::header::AUTHORIZATION, format!("Bearer {TOKEN}"))
+        .body(Full::new(bytes::Bytes::from(body.to_string())))
+        .expect("the request is well formed");
+    let response = standin::http::call(admin, request).await.ok()?;
+    let bytes = response.into_body().collect().await.ok()?.to_bytes();
+    serde_json::from_slice(&bytes).ok()
+}
+
+fn instance(pool: &str, version: &str, region: &str, address: SocketAddr, state: InstanceState) -> Instance {
+    Instance {
+        id: format!("{pool}-{}", address.port()),
+        address,
+        pool: pool.into(),
+        version: version.into(),
+        zone: format!("{region}-a"),
+        region: region.into(),
+        state,
+    }
+}
+
+async fn listener() -> (TcpListener, SocketAddr) {
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = socket.local_addr().expect("the socket has an address");
+    (socket, address)
+}
+
+/// Runs a load beside something else and gives its report.
+pub(crate) async fn run(plan: LoadPlan) -> LoadReport {
+    standin::load::run(plan, Arc::default()).await
+}
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -93,6 +93,7 @@
         }
         let key = request.headers().get("idempotency-key").and_then(|v| v.to_str().ok()).map(str::to_owned);
         let path = request.uri().path().to_owned();
+        let headers: Vec<_> = request.headers().keys().map(ToString::to_string).collect();
         let Ok(body) = request.into_body().collect().await else {
             return web::text(StatusCode::BAD_REQUEST, "could not read the body");
         };
@@ -110,6 +111,9 @@
             let pieces = futures_util::stream::iter([Ok(Frame::data("{".into())), Err(web::Cut)]);
             return Response::new(web::stream(pieces));
         }
-        web::json(StatusCode::OK, &json!({ "path": path, "key": key, "executions": count, "bytes": length }))
+        web::json(
+            StatusCode::OK,
+            &json!({ "path": path, "key": key, "executions": count, "bytes": length, "headers": headers }),
+        )
     }
 }
