Measure what each role costs, by one command

Change: 'standin capacity' runs daemons as processes at growing sizes and writes CSV, plots and the tables of docs/CAPACITY.md; a gauge tells when a configuration came into force.

--- a/goldcrestward/src/process/configure.rs
+++ b/goldcrestward/src/process/configure.rs
@@ -11,6 +11,7 @@
     config::{Document, Override, Problem, merge},
     pb,
     platform::{Compare, Error, Purpose, Put, Row, prefix_end},
+    util::unix_ms,
 };
 
 /// Daemons that watch the service; more than one, as duplicates do no harm.
@@ -129,6 +130,7 @@
             if merged.problems.is_empty() {
                 self.shared.in_force.store(Arc::new(InForce { revision, site: merged.site }));
                 self.shared.metrics.config_revision.set(revision as i64);
+                self.shared.metrics.config_since.set(unix_ms() as i64);
                 self.shared.refresh_choices();
                 info!("event=config-in-force revision={revision}");
             } else {
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -53,6 +53,8 @@
     pub members: IntGaugeVec,
     /// Revision of the configuration in force here.
     pub config_revision: IntGauge,
+    /// Unix time in ms at which it came into force.
+    pub config_since: IntGauge,
     /// Configurations taken into force, by the way they came.
     pub config_changes: IntCounterVec,
     /// Replicas known, by pool.
@@ -94,6 +96,7 @@
             peer_rejections: maker.counters("peer_rejections_total", "messages of peers dropped", &["reason"])?,
             members: maker.gauges("members", "daemons known by state", &["state"])?,
             config_revision: maker.gauge("config_revision", "revision of the configuration in force")?,
+            config_since: maker.gauge("config_since_ms", "unix time at which the configuration came into force")?,
             config_changes: maker.counters("config_changes_total", "configurations taken into force", &["way"])?,
             replicas: maker.gauges("replicas", "replicas known by pool", &["pool"])?,
             moves: maker.counters("moves_total", "moves to new versions by outcome", &["outcome"])?,
--- a/goldcrestward/tests/it/support/daemon.rs
+++ b/goldcrestward/tests/it/support/daemon.rs
@@ -37,12 +37,9 @@
     pub async fn start(place: Place) -> Self {
         loop {
             let mut daemon = Self::spawn(&place).await;
-            let listens = || async {
-                let answer = standin::http::get(daemon.admin, "/healthz", None).await;
-                answer.is_ok_and(|text| text == "ok").then_some(())
-            };
             for _ in 0..100 {
-                if listens().await.is_some() {
+                let answer = standin::http::get(daemon.admin, "/healthz", None).await;
+                if answer.is_ok_and(|text| text == "ok") {
                     return daemon;
                 }
                 if daemon.ended().is_some() {
--- a/standin/src/args.rs
+++ b/standin/src/args.rs
@@ -1,6 +1,6 @@
 //! The arguments of the stand-ins' command line.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, path::PathBuf};
 
 use bpaf::Bpaf;
 
@@ -65,6 +65,9 @@
         #[bpaf(long, argument("SHARE"), fallback(0.0))]
         cut_answers: f64,
     },
+    /// Measures what each role costs and writes the tables of docs/CAPACITY.md
+    #[bpaf(command)]
+    Capacity(#[bpaf(external(capacity_args))] CapacityArgs),
     /// Sends a bounded load and checks the answers
     #[bpaf(command)]
     Load(#[bpaf(external(load_args))] LoadArgs),
@@ -93,6 +96,24 @@
     pub region: String,
 }
 
+/// What is measured.
+#[derive(Clone, Debug, Bpaf)]
+pub struct CapacityArgs {
+    /// Folder of the documentation
+    #[bpaf(long, argument("FOLDER"), fallback("docs".into()))]
+    pub docs: PathBuf,
+    /// Writes the tables from the measurements that are there, without measuring
+    pub tables: bool,
+    /// One of control, replicas, streams, ledger; all without it
+    #[bpaf(long, argument("NAME"))]
+    pub only: Option<String>,
+    /// Numbers of daemons of the control plane
+    #[bpaf(long, argument("COUNT"), many, map(|given| if given.is_empty() { vec![7, 14, 28, 56, 112, 200] } else { given }))]
+    pub daemons: Vec<usize>,
+    #[bpaf(external(seed))]
+    pub seed: u64,
+}
+
 /// A load.
 #[derive(Clone, Debug, Bpaf)]
 pub struct LoadArgs {
--- /dev/null
+++ b/standin/src/capacity/replicas.rs
@@ -0,0 +1,56 @@
+//! One daemon that knows a growing number of replicas.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use tokio::{net::TcpListener, time::sleep};
+
+use super::{fleet::Fleet, rows::ReplicaRow};
+use crate::{
+    error::{Error, Result},
+    platform::{Instance, InstanceState, Platform},
+};
+
+/// Numbers of replicas.
+const SIZES: [u64; 6] = [0, 375, 1_500, 3_000, 6_000, 12_000];
+/// Time over which costs are measured.
+const WINDOW: Duration = Duration::from_secs(8);
+
+const CONFIG: &str = "pools:\n  models: { kind: model }\nroutes:\n  chat: { pool: models, model: chat }\n";
+
+/// Measures each number of replicas.
+pub(crate) async fn measure(seed: u64) -> Result<Vec<ReplicaRow>> {
+    let mut rows = Vec::new();
+    for replicas in SIZES {
+        let listener = TcpListener::bind("127.0.0.1:0").await;
+        let listener = listener.map_err(|source| Error::File { path: "a port".into(), source })?;
+        let platform = Platform::start(listener, seed)?;
+        for number in 0..replicas {
+            platform.put_instance(instance(number));
+        }
+        let fleet = Fleet::start(1, platform.address(), 1, CONFIG).await?;
+        sleep(Duration::from_secs(4)).await;
+        let (start, cpu) = (Instant::now(), fleet.cpu());
+        sleep(WINDOW).await;
+        let cpu_percent = 100.0 * (fleet.cpu() - cpu) / start.elapsed().as_secs_f64();
+        let row = ReplicaRow { replicas, rss_mb: fleet.rss(), cpu_percent };
+        eprintln!("{row:?}");
+        rows.push(row);
+    }
+    Ok(rows)
+}
+
+fn instance(number: u64) -> Instance {
+    let region = number % 11;
+    Instance {
+        id: format!("instance-{number:08}"),
+        address: SocketAddr::from(([127, 0, (number >> 8) as u8, number as u8], 9_000)),
+        pool: "models".into(),
+        version: "models-1".into(),
+        zone: format!("region-{region}-{}", number % 3),
+        region: format!("region-{region}"),
+        state: InstanceState::Live,
+    }
+}
--- a/standin/src/cmd.rs
+++ b/standin/src/cmd.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     args::{Command, LoadArgs, Registration},
+    capacity,
     engine::{Engine, EngineOptions},
     error::{FileSnafu, Result},
     faults::{Link, LinkFaults},
@@ -58,6 +59,7 @@
             link.carry_tcp(listen(address)?).await;
             Ok(())
         }
+        Command::Capacity(args) => capacity::run(&args).await,
         Command::Load(args) => send(args).await,
     }
 }
--- a/standin/src/http.rs
+++ b/standin/src/http.rs
@@ -132,6 +132,19 @@
     exchange(address, Request::post(path), value).await
 }
 
+/// Posts JSON to `path` with a bearer token and reads the JSON answer.
+///
+/// # Errors
+/// Fails when the exchange fails or the answer is no JSON of that type.
+pub async fn post_with_token<T, R>(address: SocketAddr, path: &str, token: &str, value: &T) -> Result<R>
+where
+    T: Serialize,
+    R: DeserializeOwned,
+{
+    let request = Request::post(path).header(http::header::AUTHORIZATION, format!("Bearer {token}"));
+    exchange(address, request, value).await
+}
+
 /// Puts JSON to `path` and reads the JSON answer.
 ///
 /// # Errors
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! so that the daemon meets it through its ordinary adapters.
 
 pub mod args;
+pub mod capacity;
 pub mod cmd;
 pub mod engine;
 pub mod error;
