--- a/goldcrestward/src/cmd/demo.rs
+++ b/goldcrestward/src/cmd/demo.rs
@@ -8,7 +8,7 @@
 };
 use crate::{
     args::DemoArgs,
-    demo::{Scene, Summary},
+    demo::{Scenario, Summary},
     error::{DemoSnafu, Result, RuntimeSnafu},
 };
 
@@ -25,8 +25,8 @@
 
 async fn demonstrate(args: &DemoArgs) -> Result<()> {
     let fail = |error: crate::demo::Error| DemoSnafu { reason: error.to_string() }.build();
-    let mut scene = Scene::start(args.seed).await.map_err(fail)?;
-    let summary = scene.play(args.json).await.map_err(fail)?;
+    let mut scenario = Scenario::start(args.seed).await.map_err(fail)?;
+    let summary = scenario.play(args.json).await.map_err(fail)?;
     print(&summary, args.json)?;
     if !summary.is_good() {
         return DemoSnafu { reason: "not every accepted request was answered once and whole" }.fail();
@@ -34,7 +34,7 @@
     if args.once {
         return Ok(());
     }
-    invite(&scene);
+    invite(&scenario);
     tokio::signal::ctrl_c().await.context(RuntimeSnafu)
 }
 
@@ -45,8 +45,8 @@
     print_table(&["WHAT", "FIGURE"], &summary.rows())
 }
 
-fn invite(scene: &Scene) {
-    let Some((callers, admin)) = scene.entry() else { return };
+fn invite(scenario: &Scenario) {
+    let Some((callers, admin)) = scenario.entry() else { return };
     eprintln!("\nThe site goes on until Ctrl-C. Try:\n");
     eprintln!(
         "  curl -N {callers}/v1/chat/completions -H 'Authorization: Bearer demo-kitchens' -d '{{\"model\":\"meal-planner\",\"stream\":true,\"messages\":[{{\"role\":\"user\",\"content\":\"a low-salt supper\"}}]}}'"
--- a/goldcrestward/src/cmd/rollout.rs
+++ b/goldcrestward/src/cmd/rollout.rs
@@ -30,9 +30,14 @@
     if admin.json {
         return print_json(value);
     }
-    let fields = ["version", "pool", "step", "share", "outcome", "reason", "holder"];
-    let headings = ["VERSION", "POOL", "STEP", "SHARE", "OUTCOME", "REASON", "HOLDER"];
-    print_table(&headings, &rows(&value["versions"], &fields))
+    let fields = ["version", "pool", "step", "share", "seconds_left", "obstacle", "outcome", "reason", "holder"];
+    let headings = ["VERSION", "POOL", "STEP", "SHARE", "SECONDS LEFT", "OBSTACLE", "OUTCOME", "REASON", "HOLDER"];
+    print_table(&headings, &rows(&value["versions"], &fields))?;
+    let moving: Vec<_> = rows(&value["versions"], &["version", "evidence"]);
+    moving
+        .iter()
+        .filter(|row| row[1] != "-")
+        .try_for_each(|row| print_table(&[&format!("{}: {}", row[0], row[1])], &[]))
 }
 
 fn watch(admin: &AdminArgs) -> Result<()> {
--- a/goldcrestward/src/cmd/serve.rs
+++ b/goldcrestward/src/cmd/serve.rs
@@ -1,5 +1,6 @@
 //! `goldcrestward serve`: one daemon.
 
+use log::error;
 use snafu::ResultExt;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -12,18 +13,25 @@
 
 impl Run for ServeArgs {
     fn run(self) -> Result<()> {
-        let file = self.settings.as_deref().map(Overrides::read).transpose().context(SettingsSnafu)?;
-        let given = file.unwrap_or_default().overridden_by(self.overrides.into());
-        let settings = Settings::try_from(given).context(SettingsSnafu)?;
+        let settings = self.read()?;
         let mut builder = tokio::runtime::Builder::new_multi_thread();
         let runtime = builder.worker_threads(settings.workers).enable_all().build().context(RuntimeSnafu)?;
-        runtime.block_on(serve(settings))
+        runtime.block_on(serve(&self, settings))
+    }
+}
+
+impl ServeArgs {
+    fn read(&self) -> Result<Settings> {
+        let file = self.settings.as_deref().map(Overrides::read).transpose().context(SettingsSnafu)?;
+        let given = file.unwrap_or_default().overridden_by(self.overrides.clone().into());
+        Settings::try_from(given).context(SettingsSnafu)
     }
 }
 
-async fn serve(settings: Settings) -> Result<()> {
+async fn serve(args: &ServeArgs, settings: Settings) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
     let mut interrupt = signal(SignalKind::interrupt()).context(RuntimeSnafu)?;
+    let mut reread = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
     let stopped = async {
         tokio::select! {
             _ = terminate.recv() => {}
@@ -35,7 +43,16 @@
         daemon = Daemon::start(settings) => daemon.context(DaemonSnafu)?,
         () = &mut stopped => return Ok(()),
     };
-    stopped.await;
+    loop {
+        tokio::select! {
+            () = &mut stopped => break,
+            _ = reread.recv() => match args.read() {
+                Ok(settings) => daemon.rotate(&settings.secrets),
+                // A wrong file changes nothing, so the daemon goes on with what it has.
+                Err(error) => error!("event=settings-refused error={:?}", error.to_string()),
+            },
+        }
+    }
     daemon.stop().await;
     Ok(())
 }
--- a/goldcrestward/src/config/merge.rs
+++ b/goldcrestward/src/config/merge.rs
@@ -252,7 +252,7 @@
             let limits = Limits {
                 requests: self.positive(file, &spec.requests_per_second, field("requests-per-second"), none),
                 tokens: self.positive(file, &spec.tokens_per_second, field("tokens-per-second"), none),
-                flights: self.positive(file, &spec.concurrency, field("concurrency"), none),
+                concurrency: self.positive(file, &spec.concurrency, field("concurrency"), none),
             };
             let account = Account {
                 name: name.clone(),
--- a/goldcrestward/src/config/site.rs
+++ b/goldcrestward/src/config/site.rs
@@ -37,7 +37,14 @@
         /// Tokens a second.
         pub tokens: f64,
         /// Requests in flight.
-        pub flights: f64,
+        pub concurrency: f64,
+    }
+}
+
+impl Limits {
+    /// An equal part of the limits.
+    pub fn divided(&self, parts: f64) -> Self {
+        Self { requests: self.requests / parts, tokens: self.tokens / parts, concurrency: self.concurrency / parts }
     }
 }
 
--- a/goldcrestward/src/connection/peer.rs
+++ b/goldcrestward/src/connection/peer.rs
@@ -36,12 +36,12 @@
 
 /// What answers a peer's requests.
 pub(crate) trait PeerHandler: Clone + Send + Sync + 'static {
-    /// Answers one request.
+    /// PeerService one request.
     fn answer(&self, body: request::Body) -> impl Future<Output = Option<answer::Body>> + Send;
 }
 
 /// A stream whose other side has proved that it knows the site's secret.
-struct Proven {
+struct AuthStream {
     stream: Stream,
     secrets: Secrets,
     session: Vec<u8>,
@@ -49,7 +49,7 @@
     received: u64,
 }
 
-impl Proven {
+impl AuthStream {
     /// Exchanges proofs; `first` speaks first.
     async fn new(socket: TcpStream, secrets: Secrets, first: bool) -> Option<Self> {
         socket.set_nodelay(true).ok();
@@ -98,7 +98,7 @@
     Bytes::from(hello.encode_to_vec())
 }
 
-/// Answers peers on a listening socket.
+/// PeerService peers on a listening socket.
 pub(crate) async fn serve_peers<H: PeerHandler>(
     listener: TcpListener,
     secrets: Secrets,
@@ -112,7 +112,7 @@
         };
         let (secrets, handler, strangers) = (secrets.clone(), handler.clone(), strangers.clone());
         tokio::spawn(async move {
-            let handshake = timeout(HANDSHAKE_TIMEOUT, Proven::new(socket, secrets, false)).await;
+            let handshake = timeout(HANDSHAKE_TIMEOUT, AuthStream::new(socket, secrets, false)).await;
             match handshake.ok().flatten() {
                 Some(stream) => answer_stream(stream, handler).await,
                 None => strangers.inc(),
@@ -121,7 +121,7 @@
     }
 }
 
-async fn answer_stream<H: PeerHandler>(mut stream: Proven, handler: H) {
+async fn answer_stream<H: PeerHandler>(mut stream: AuthStream, handler: H) {
     let (sender, mut answers) = mpsc::channel::<pb::Answer>(QUEUE);
     loop {
         tokio::select! {
@@ -195,7 +195,7 @@
 async fn run_link(address: SocketAddr, secrets: Secrets, mut asks: mpsc::Receiver<Ask>) {
     let open = async {
         let socket = TcpStream::connect(address).await.ok()?;
-        Proven::new(socket, secrets, true).await
+        AuthStream::new(socket, secrets, true).await
     };
     let Ok(Some(mut stream)) = timeout(HANDSHAKE_TIMEOUT, open).await else { return };
     let mut waiting = Waiting::new();
--- a/goldcrestward/src/demo/scene.rs
+++ b/goldcrestward/src/demo/scenario.rs
@@ -49,14 +49,14 @@
 const VERSION: &str = "planner-2";
 
 /// The demonstration.
-pub(crate) struct Scene {
+pub(crate) struct Scenario {
     site: DemoSite,
     daemons: Vec<Daemon>,
     targets: Targets,
     seed: u64,
 }
 
-impl Scene {
+impl Scenario {
     /// Starts the site with its configuration in force.
     pub async fn start(seed: u64) -> Result<Self> {
         let site = DemoSite::start(seed).await?;
@@ -89,7 +89,7 @@
         self.daemons.first().map(|d| (d.settings().callers, d.settings().admin))
     }
 
-    /// Plays the whole scene and sums it up.
+    /// Plays the whole scenario and sums it up.
     pub async fn play(&mut self, quiet: bool) -> Result<Summary> {
         let ended = Arc::new(AtomicU64::new(0));
         let swanvale = self.load(Workload::swanvale(), "demo-kitchens", &ended, 0);
--- a/goldcrestward/src/ledger/search_test.rs
+++ b/goldcrestward/src/ledger/search_test.rs
@@ -101,7 +101,7 @@
 fn daemon(number: usize, starts: u32, planted: bool) -> Daemon {
     let mut slot = Slot::new("model", 0, format!("{number}/{starts}"), String::new());
     if planted {
-        slot.plant_early_dispatch();
+        slot.inject_early_dispatch();
     }
     slot.want(true, 0, 0);
     Daemon { slot, call: None, late: Vec::new(), starts }
--- a/goldcrestward/src/ledger/slot.rs
+++ b/goldcrestward/src/ledger/slot.rs
@@ -171,7 +171,7 @@
 
     /// Plants a fault for a test of the tests: rights to run are given before the commit.
     #[cfg(test)]
-    pub fn plant_early_dispatch(&mut self) {
+    pub fn inject_early_dispatch(&mut self) {
         self.unsafe_dispatch = true;
     }
 
--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -228,7 +228,7 @@
     pub tokens: f64,
     /// Requests in flight wanted.
     #[prost(double, tag = "4")]
-    pub flights: f64,
+    pub concurrency: f64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ReportUsage {
--- a/goldcrestward/src/process/admin.rs
+++ b/goldcrestward/src/process/admin.rs
@@ -25,9 +25,9 @@
 };
 use crate::{
     pb::{self, answer, request},
-    request::Suspects,
-    util::sha256_hex,
-    version::Mover,
+    request::CrashRecords,
+    util::{sha256_hex, unix_ms},
+    version::Rollout,
 };
 
 /// Bytes of a proposed change.
@@ -61,7 +61,7 @@
     note: &'static str,
 }
 
-/// Answers operators.
+/// PeerService operators.
 #[derive(Clone)]
 pub(crate) struct Admin {
     shared: Arc<Shared>,
@@ -69,7 +69,7 @@
 }
 
 impl Admin {
-    /// Answers from these tables.
+    /// PeerService from these tables.
     pub fn new(shared: Arc<Shared>, configurer: Configurer) -> Self {
         Self { shared, configurer }
     }
@@ -157,7 +157,7 @@
         let Ok(fingerprint) = u64::from_str_radix(&pardon.fingerprint, 16) else {
             return fail(StatusCode::BAD_REQUEST, "fingerprint: must be hexadecimal digits");
         };
-        self.shared.state(Suspects::pardon(fingerprint, "operator"));
+        self.shared.state(CrashRecords::pardon(fingerprint, "operator"));
         reply(StatusCode::OK, &json!({ "pardoned": pardon.fingerprint }))
     }
 
@@ -186,7 +186,7 @@
             zone: self.shared.settings.zone.clone(),
             state: self.shared.stage.get().label(),
             revision: Some(mine),
-            in_flight: Some(self.shared.metrics.flights.get().unsigned_abs()),
+            in_flight: Some(self.shared.metrics.in_flight.get().unsigned_abs()),
             in_force: mine >= newest,
             note: "",
         });
@@ -248,13 +248,13 @@
             .map(|r| {
                 json!({
                     "replica": r.id, "version": r.version, "zone": r.zone,
-                    "in_flight": r.flights(), "leaving": r.is_leaving(),
+                    "in_flight": r.in_flight(), "leaving": r.is_leaving(),
                 })
             })
             .collect();
         rows.sort_by_key(|row| row["replica"].to_string());
         let body = json!({
-            "in_flight": self.shared.metrics.flights.get(),
+            "in_flight": self.shared.metrics.in_flight.get(),
             "ended": counters(&self.shared.metrics.requests),
             "replicas": rows,
         });
@@ -291,7 +291,7 @@
                     let step = view.facts().get(FactKind::Step, &plan.name).map_or(0, |f| f.value as usize);
                     (step, view.facts().get(FactKind::TakenBack, &plan.name).is_some())
                 };
-                let share = if taken_back { 0.0 } else { Mover::share(plan, step) };
+                let share = if taken_back { 0.0 } else { Rollout::share(plan, step) };
                 json!({
                     "version": plan.name, "pool": plan.pool, "start_ms": plan.start_ms, "date_ms": plan.date_ms,
                     "step": step, "share": if plan.start_ms.is_none() { 1.0 } else { share },
@@ -299,6 +299,9 @@
                     "outcome": record.and_then(|r| r.outcome.clone()),
                     "reason": record.map(|r| r.reason.clone()),
                     "holder": record.map(|r| r.holder.clone()),
+                    "evidence": record.map(|r| r.evidence),
+                    "obstacle": record.map(|r| r.obstacle.clone()),
+                    "seconds_left": plan.date_ms.map(|date| date.saturating_sub(unix_ms()) / 1000),
                 })
             })
             .collect();
--- a/goldcrestward/src/process/configure.rs
+++ b/goldcrestward/src/process/configure.rs
@@ -17,7 +17,7 @@
 /// Daemons that watch the service; more than one, as duplicates do no harm.
 const WATCHERS: usize = 3;
 /// Time after which a daemon asks itself anew whether it shall watch.
-const DUTY_INTERVAL: Duration = Duration::from_secs(2);
+const ROLE_INTERVAL: Duration = Duration::from_secs(2);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Least time between two compilations.
@@ -110,11 +110,11 @@
             sleep(RETRY_PAUSE).await;
         }
         loop {
-            if self.is_on_duty() && !self.shared.kv.is_paused() {
+            if self.is_watcher() && !self.shared.kv.is_paused() {
                 self.follow().await;
                 sleep(RETRY_PAUSE).await;
             } else {
-                sleep(DUTY_INTERVAL).await;
+                sleep(ROLE_INTERVAL).await;
             }
         }
     }
@@ -165,7 +165,7 @@
         self.commit(&changes, revision, merged.overrides).await
     }
 
-    fn is_on_duty(&self) -> bool {
+    fn is_watcher(&self) -> bool {
         self.shared.view.lock().rank("config-watch") < WATCHERS
     }
 
@@ -197,8 +197,8 @@
         let Ok(now) = self.read().await else { return };
         let Ok(mut watch) = self.shared.kv.watch(Purpose::Config, &self.prefix, now + 1).await else { return };
         loop {
-            match timeout(DUTY_INTERVAL, watch.next()).await {
-                Err(_) if self.is_on_duty() => {}
+            match timeout(ROLE_INTERVAL, watch.next()).await {
+                Err(_) if self.is_watcher() => {}
                 Err(_) => return,
                 Ok(Some(rows)) if rows.is_empty() => {}
                 Ok(Some(rows)) => self.take(rows),
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -30,7 +30,6 @@
 
 use super::{
     admin::Admin,
-    answers::{Answers, report_usage},
     collect::watch_instances,
     configure::Configurer,
     error::{ConnectionSnafu, DatagramsSnafu, MetricsSnafu, Result},
@@ -38,6 +37,7 @@
     life::{Serving, Starting},
     membership::{Member, State, Timing, View},
     metrics::Metrics,
+    peer_service::{PeerService, report_usage},
     replicas::Replicas,
     rollout::Rollouts,
     seeds::Seeder,
@@ -48,7 +48,7 @@
     connection::{Drain, HttpClient, Listener, PeerLinks, Seal, Secrets, bind, serve_peers},
     ledger::{Ledger, OwnerOf, SLOTS},
     platform::Kv,
-    request::{Budgets, Gate},
+    request::{Budgets, Ingress},
     util::{stable_hash, unix_ms},
 };
 
@@ -61,6 +61,7 @@
 pub struct Daemon {
     shared: Arc<Shared>,
     gossip: Gossip,
+    secrets: Secrets,
     tasks: JoinSet<()>,
     serving: Serving,
     callers: Drain,
@@ -91,14 +92,14 @@
         let seal = Seal::new(shared.settings.name.clone(), shared.epoch, secrets.clone());
         let gossip = Gossip::new(shared.clone(), Arc::new(datagrams), seal);
         let configurer = Configurer::new(shared.clone());
-        let answers = Answers::new(shared.clone(), gossip.clone());
+        let answers = PeerService::new(shared.clone(), gossip.clone());
         let strangers = shared.metrics.peer_rejections.with_label_values(&["handshake"]);
 
         let mut tasks = JoinSet::new();
         tasks.spawn(gossip.clone().receive());
         tasks.spawn(gossip.clone().tick());
         tasks.spawn(gossip.clone().announce());
-        tasks.spawn(serve_peers(peers_socket, secrets, answers.clone(), strangers));
+        tasks.spawn(serve_peers(peers_socket, secrets.clone(), answers.clone(), strangers));
         tasks.spawn(Seeder::new(shared.clone(), gossip.clone()).run());
         tasks.spawn(configurer.clone().watch());
         tasks.spawn(configurer.clone().compile());
@@ -110,12 +111,12 @@
         let router = Admin::new(shared.clone(), configurer).router();
         tasks.spawn(Listener { socket: admin_socket, router, drain: operators.clone() }.run());
         let callers = Drain::new();
-        let router = callers_router(Gate::new(shared.clone()));
+        let router = callers_router(Ingress::new(shared.clone()));
         tasks.spawn(Listener { socket: callers_socket, router, drain: callers.clone() }.run());
 
         info!("event=started daemon={} zone={}", shared.settings.name, shared.settings.zone);
         let serving = serve_when_configured(starting, &shared).await;
-        Ok(Self { shared, gossip, tasks, serving, callers, operators })
+        Ok(Self { shared, gossip, secrets, tasks, serving, callers, operators })
     }
 
     /// The daemon's settings.
@@ -123,6 +124,12 @@
         &self.shared.settings
     }
 
+    /// Replaces the secrets that daemons prove to each other.
+    pub fn rotate(&self, secrets: &[String]) {
+        self.secrets.rotate(secrets);
+        info!("event=peer-secrets-replaced count={}", secrets.len());
+    }
+
     /// Some of the daemon's counters.
     pub fn metrics(&self) -> DaemonCounts {
         let metrics = &self.shared.metrics;
@@ -186,7 +193,7 @@
         kv,
         ledger,
         budgets: Budgets::default(),
-        limits: super::limits::AccountLimits::default(),
+        limits: Arc::default(),
         evidence: crate::version::EvidenceTable::default(),
         choices: ArcSwap::from_pointee(HashMap::new()),
         daemons: AtomicUsize::new(1),
@@ -212,8 +219,8 @@
     })
 }
 
-fn callers_router(gate: Gate) -> Router {
-    let (ready, models) = (gate.clone(), gate.clone());
+fn callers_router(ingress: Ingress) -> Router {
+    let (ready, models) = (ingress.clone(), ingress.clone());
     Router::new()
         .route("/healthz", get(|| async { "ok" }))
         .route(
@@ -224,7 +231,7 @@
             }),
         )
         .route("/v1/models", get(move |request: Request| models.clone().models(request)))
-        .fallback_service(any(move |request: Request| gate.clone().answer(request)))
+        .fallback_service(any(move |request: Request| ingress.clone().answer(request)))
 }
 
 async fn serve_when_configured(starting: Starting, shared: &Arc<Shared>) -> Serving {
--- a/goldcrestward/src/process/gossip.rs
+++ b/goldcrestward/src/process/gossip.rs
@@ -98,11 +98,12 @@
         let view = self.shared.view.lock().export();
         let answer = self.shared.links.ask(address, request::Body::SyncView(view), SYNC_TIMEOUT).await;
         let Ok(answer::Body::SyncView(view)) = answer else { return false };
-        self.learn(view);
+        let effects = self.shared.view.lock().adopt(view, self.shared.now(), unix_ms());
+        self.perform(effects);
         true
     }
 
-    /// Takes in a whole view.
+    /// Takes in the whole view of a daemon that asks for this one's.
     pub fn learn(&self, view: pb::SyncView) {
         let mut effects = Vec::new();
         let now = self.shared.now();
--- a/goldcrestward/src/process/life.rs
+++ b/goldcrestward/src/process/life.rs
@@ -69,12 +69,6 @@
         self.0.0.store(1, Ordering::Release);
         Serving(self.0)
     }
-
-    /// The daemon is stopped before it served.
-    pub fn drain(self) -> Draining {
-        self.0.0.store(2, Ordering::Release);
-        Draining
-    }
 }
 
 impl Serving {
--- a/goldcrestward/src/process/membership/view.rs
+++ b/goldcrestward/src/process/membership/view.rs
@@ -46,12 +46,12 @@
     /// Time that a dead or departed daemon is remembered.
     pub memory: u64,
     /// Time from one probe of a dead daemon to the next.
-    pub revive: u64,
+    pub dead_probe: u64,
 }
 
 impl Default for Timing {
     fn default() -> Self {
-        Self { period: 1_000, ack: 400, suspicion: 4, memory: 2 * 3_600_000, revive: 5_000 }
+        Self { period: 1_000, ack: 400, suspicion: 4, memory: 2 * 3_600_000, dead_probe: 5_000 }
     }
 }
 
@@ -99,7 +99,7 @@
     relayed: HashMap<u64, RelayedProbe>,
     next_number: u64,
     next_probe: u64,
-    next_revive: u64,
+    next_dead_probe: u64,
     last_tick: u64,
     last_sync: u64,
     last_change: u64,
@@ -125,7 +125,7 @@
             relayed: HashMap::new(),
             next_number: 1,
             next_probe,
-            next_revive: now,
+            next_dead_probe: now,
             last_tick: now,
             last_sync: 0,
             last_change: now,
@@ -184,7 +184,7 @@
         self.last_tick = now;
         if gap > self.timing.period {
             // This daemon was not running itself, so silence of others proves nothing.
-            self.forgive(gap, now);
+            self.skip_gap(gap, now);
         }
         self.relay_probe(now, &mut effects);
         if now >= self.next_probe {
@@ -194,8 +194,8 @@
             }
             self.next_probe = now + self.timing.period;
         }
-        self.bury(now, &mut effects);
-        self.revive(now, &mut effects);
+        self.expire_suspects(now, &mut effects);
+        self.probe_dead(now, &mut effects);
         self.relayed.retain(|_, r| now - r.at < RELAY_MEMORY_MS);
         if self.facts.expire(unix_ms) {
             self.rehash();
@@ -235,7 +235,7 @@
         effects: &mut Vec<Effect>,
     ) {
         for member in members.into_iter().filter_map(|m| Member::try_from(m).ok()) {
-            self.hear(member, now, effects);
+            self.update(member, now, effects);
         }
         for fact in facts.into_iter().filter_map(Fact::from_wire) {
             if self.state(fact.clone(), now, unix_ms) {
@@ -244,6 +244,25 @@
         }
     }
 
+    /// Takes in the whole view of a daemon that was asked for it.
+    ///
+    /// What it knows is no news to the site, so it is not spread again from here.
+    pub fn adopt(&mut self, view: pb::SyncView, now: u64, unix_ms: u64) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let limit = self.send_limit();
+        let fresh: Vec<Arc<str>> = view.members.iter().map(|m| m.name.as_str().into()).collect();
+        let known = |name: &&Arc<str>| self.peers.get(*name).is_some_and(|p| p.sends < limit);
+        let spreading: Vec<Arc<str>> = fresh.iter().filter(known).cloned().collect();
+        self.learn(view.members, view.facts, now, unix_ms, &mut effects);
+        let limit = self.send_limit();
+        for name in fresh.iter().filter(|name| !spreading.contains(name)) {
+            if let Some(peer) = self.peers.get_mut(name).filter(|p| p.member.state == State::Alive) {
+                peer.sends = limit;
+            }
+        }
+        effects
+    }
+
     /// States a fact of this daemon's own or another's; false if it is known.
     pub fn state(&mut self, fact: Fact, now: u64, unix_ms: u64) -> bool {
         if !self.facts.learn(&fact, unix_ms) {
@@ -345,7 +364,7 @@
         self.hash = members ^ self.facts.hash();
     }
 
-    fn forgive(&mut self, gap: u64, now: u64) {
+    fn skip_gap(&mut self, gap: u64, now: u64) {
         self.probe = None;
         self.health = (self.health + 1).min(HEALTH_MAX);
         self.next_probe = now + self.timing.ack;
@@ -354,7 +373,7 @@
         }
     }
 
-    fn hear(&mut self, said: Member, now: u64, effects: &mut Vec<Effect>) {
+    fn update(&mut self, said: Member, now: u64, effects: &mut Vec<Effect>) {
         if said.name == self.me.name {
             self.refute(&said, now);
             return;
@@ -375,12 +394,12 @@
             effects.push(Effect::Changed(said.name.clone(), said.state));
             self.peers.insert(said.name.clone(), Peer { member: said.clone(), since: now, sends: 0 });
         }
-        self.displace(&said, now, effects);
+        self.replace_address(&said, now, effects);
         self.changed(now);
     }
 
     /// An address that a newer daemon uses no longer belongs to an older one.
-    fn displace(&mut self, newer: &Member, now: u64, effects: &mut Vec<Effect>) {
+    fn replace_address(&mut self, newer: &Member, now: u64, effects: &mut Vec<Effect>) {
         if !newer.state.is_present() {
             return;
         }
@@ -455,7 +474,7 @@
             return;
         }
         let suspect = Member { state: State::Suspect, ..peer.member.clone() };
-        self.hear(suspect, now, effects);
+        self.update(suspect, now, effects);
     }
 
     fn acknowledge(&mut self, number: u64, effects: &mut Vec<Effect>) {
@@ -476,7 +495,7 @@
         effects.push(Effect::Send(peer.member.address, Body::Ping(pb::Ping { probe: number })));
     }
 
-    fn bury(&mut self, now: u64, effects: &mut Vec<Effect>) {
+    fn expire_suspects(&mut self, now: u64, effects: &mut Vec<Effect>) {
         let digits = u64::from((self.peers.len() + 10).ilog10());
         let patience = self.timing.suspicion * self.timing.period * digits;
         let lapsed: Vec<_> = self
@@ -486,7 +505,7 @@
             .map(|p| Member { state: State::Dead, ..p.member.clone() })
             .collect();
         for dead in lapsed {
-            self.hear(dead, now, effects);
+            self.update(dead, now, effects);
         }
         let memory = self.timing.memory;
         let before = self.peers.len();
@@ -497,11 +516,11 @@
     }
 
     /// Probes a dead daemon now and then, so that the halves of a parted site find each other again.
-    fn revive(&mut self, now: u64, effects: &mut Vec<Effect>) {
-        if now < self.next_revive {
+    fn probe_dead(&mut self, now: u64, effects: &mut Vec<Effect>) {
+        if now < self.next_dead_probe {
             return;
         }
-        self.next_revive = now + self.timing.revive;
+        self.next_dead_probe = now + self.timing.dead_probe;
         let dead = self.peers.values().filter(|p| p.member.state == State::Dead);
         let Some(peer) = dead.choose(&mut self.random) else { return };
         let number = self.next_number;
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -27,7 +27,7 @@
     pub recomputed: IntCounter,
     /// Streams moved to another replica.
     pub resumed: IntCounterVec,
-    /// Answers that could not be ended whole.
+    /// PeerService that could not be ended whole.
     pub cut: IntCounter,
     /// Time to the first token.
     pub first_token: HistogramVec,
@@ -36,7 +36,7 @@
     /// Time of whole plain requests.
     pub plain_seconds: HistogramVec,
     /// Requests in flight.
-    pub flights: IntGauge,
+    pub in_flight: IntGauge,
     /// Calls to the key-value service by kind, purpose and result.
     pub kv_calls: IntCounterVec,
     /// Commits of the ledger by result.
@@ -83,7 +83,7 @@
             first_token: maker.histograms("first_token_seconds", "time to the first token", &["route"])?,
             between_tokens: maker.between_tokens()?,
             plain_seconds: maker.histograms("plain_seconds", "time of plain requests", &["route"])?,
-            flights: maker.gauge("in_flight", "requests in flight")?,
+            in_flight: maker.gauge("in_flight", "requests in flight")?,
             kv_calls: maker.counters(
                 "kv_calls_total",
                 "calls to the key-value service",
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -1,7 +1,6 @@
 //! What lives as long as the process.
 
 mod admin;
-mod answers;
 mod collect;
 mod configure;
 mod daemon;
@@ -11,6 +10,7 @@
 mod limits;
 pub(crate) mod membership;
 mod metrics;
+mod peer_service;
 mod replicas;
 mod rollout;
 mod seeds;
@@ -20,6 +20,7 @@
 pub use daemon::{Daemon, DaemonCounts};
 pub use error::{Error, Result};
 pub(crate) use life::Stage;
-pub(crate) use replicas::{Blame, Flight, Replica, Wish};
+pub(crate) use limits::Admitted;
+pub(crate) use replicas::{Blame, NoReplica, Replica, ReplicaGuard, ReplicaQuery};
 pub use settings::{Overrides, Settings, SettingsError};
 pub(crate) use shared::{InFlight, Shared};
--- a/goldcrestward/src/process/answers.rs
+++ b/goldcrestward/src/process/peer_service.rs
@@ -1,4 +1,4 @@
-//! Answers to other daemons.
+//! PeerService to other daemons.
 
 use std::{net::SocketAddr, sync::Arc};
 
@@ -9,15 +9,15 @@
     pb::{self, Grant, answer, request},
 };
 
-/// Answers peers from the daemon's tables.
+/// PeerService peers from the daemon's tables.
 #[derive(Clone)]
-pub(crate) struct Answers {
+pub(crate) struct PeerService {
     shared: Arc<Shared>,
     gossip: Gossip,
 }
 
-impl Answers {
-    /// Answers from these tables.
+impl PeerService {
+    /// PeerService from these tables.
     pub fn new(shared: Arc<Shared>, gossip: Gossip) -> Self {
         Self { shared, gossip }
     }
@@ -54,7 +54,7 @@
         pb::StatusReport {
             name: self.shared.settings.name.to_string(),
             config_revision: self.shared.in_force.load().revision,
-            in_flight: self.shared.metrics.flights.get().unsigned_abs(),
+            in_flight: self.shared.metrics.in_flight.get().unsigned_abs(),
             life: self.shared.stage.get().label().into(),
         }
     }
@@ -66,7 +66,7 @@
     }
 }
 
-impl PeerHandler for Answers {
+impl PeerHandler for PeerService {
     async fn answer(&self, body: request::Body) -> Option<answer::Body> {
         let kind = kind_of(&body);
         let request = pb::Request { id: 0, body: Some(body) };
@@ -105,7 +105,7 @@
 }
 
 /// Reports the use of accounts' limits to the daemons that share them out, until the task is dropped.
-pub(crate) async fn report_usage(answers: Answers) {
+pub(crate) async fn report_usage(answers: PeerService) {
     /// Time from one report to the next.
     const INTERVAL: std::time::Duration = std::time::Duration::from_secs(1);
 
--- a/goldcrestward/src/process/replicas.rs
+++ b/goldcrestward/src/process/replicas.rs
@@ -19,6 +19,8 @@
 
 /// Load that a replica may have above the mean before the next one is taken.
 const BOUND: f64 = 1.25;
+/// Requests in flight on one replica at most, as a multiple of what it is meant to hold.
+const QUEUE_FACTOR: u32 = 2;
 /// Failures in a row after which a replica is left out for a while.
 const EJECT_FAILURES: u32 = 3;
 /// Time that a failing replica is left out, in ms.
@@ -47,23 +49,23 @@
 
 #[derive(Debug, Default)]
 struct Health {
-    flights: AtomicU32,
+    in_flight: AtomicU32,
     failures: AtomicU32,
     ejected_until: AtomicU64,
     leaving: AtomicBool,
-    passengers: Mutex<Vec<Passenger>>,
+    running: Mutex<Vec<Occupant>>,
 }
 
 /// A request that a replica runs, or ran until a moment ago.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Passenger {
+struct Occupant {
     number: u64,
     points: u64,
     advanced: bool,
     left: Option<u64>,
 }
 
-impl Passenger {
+impl Occupant {
     /// Higher for a request that more likely crashes the replica.
     fn rank(&self) -> u64 {
         2 * self.points + u64::from(!self.advanced)
@@ -88,8 +90,8 @@
     }
 
     /// Requests in flight from this daemon.
-    pub fn flights(&self) -> u32 {
-        self.health.flights.load(Ordering::Relaxed)
+    pub fn in_flight(&self) -> u32 {
+        self.health.in_flight.load(Ordering::Relaxed)
     }
 
     /// Notes how an attempt went; a run of failures leaves the replica out for a while.
@@ -110,12 +112,12 @@
     }
 
     /// Compares a request with the others that the replica was running as it crashed.
-    pub fn blame(&self, flight: &Flight, now: u64) -> Blame {
-        let passengers = self.health.passengers.lock();
-        let recent = |p: &&Passenger| p.left.is_none_or(|left| now.saturating_sub(left) < CRASH_MS);
-        let Some(mine) = passengers.iter().find(|p| p.number == flight.number) else { return Blame::None };
-        let others = passengers.iter().filter(|p| p.number != flight.number).filter(recent);
-        match others.map(Passenger::rank).max() {
+    pub fn blame(&self, guard: &ReplicaGuard, now: u64) -> Blame {
+        let running = self.health.running.lock();
+        let recent = |p: &&Occupant| p.left.is_none_or(|left| now.saturating_sub(left) < CRASH_MS);
+        let Some(mine) = running.iter().find(|p| p.number == guard.number) else { return Blame::None };
+        let others = running.iter().filter(|p| p.number != guard.number).filter(recent);
+        match others.map(Occupant::rank).max() {
             Some(rank) if rank > mine.rank() => Blame::None,
             Some(rank) if rank == mine.rank() => Blame::Shared,
             _ => Blame::Sole,
@@ -129,19 +131,19 @@
 
 /// A replica chosen for an attempt; dropping it ends the attempt.
 #[derive(Debug)]
-pub(crate) struct Flight {
+pub(crate) struct ReplicaGuard {
     replica: Arc<Replica>,
     number: u64,
 }
 
-impl Flight {
+impl ReplicaGuard {
     fn new(replica: Arc<Replica>, points: u64) -> Self {
         static NUMBERS: AtomicU64 = AtomicU64::new(0);
 
-        replica.health.flights.fetch_add(1, Ordering::Relaxed);
+        replica.health.in_flight.fetch_add(1, Ordering::Relaxed);
         let number = NUMBERS.fetch_add(1, Ordering::Relaxed);
-        let passenger = Passenger { number, points, advanced: false, left: None };
-        replica.health.passengers.lock().push(passenger);
+        let occupant = Occupant { number, points, advanced: false, left: None };
+        replica.health.running.lock().push(occupant);
         Self { replica, number }
     }
 
@@ -152,34 +154,34 @@
 
     /// Notes that the replica has given tokens.
     pub fn advance(&self) {
-        let mut passengers = self.replica.health.passengers.lock();
-        if let Some(mine) = passengers.iter_mut().find(|p| p.number == self.number) {
+        let mut running = self.replica.health.running.lock();
+        if let Some(mine) = running.iter_mut().find(|p| p.number == self.number) {
             mine.advanced = true;
         }
     }
 
-    /// Notes that the replica has broken the connection; the request counts as its passenger for a while.
+    /// Notes that the replica has broken the connection; the request counts as its running request for a while.
     pub fn broken(&self, now: u64) {
-        let mut passengers = self.replica.health.passengers.lock();
-        passengers.retain(|p| p.left.is_none_or(|left| now.saturating_sub(left) < CRASH_MS));
-        if let Some(mine) = passengers.iter_mut().find(|p| p.number == self.number) {
+        let mut running = self.replica.health.running.lock();
+        running.retain(|p| p.left.is_none_or(|left| now.saturating_sub(left) < CRASH_MS));
+        if let Some(mine) = running.iter_mut().find(|p| p.number == self.number) {
             mine.left = Some(now);
         }
     }
 }
 
-impl Drop for Flight {
+impl Drop for ReplicaGuard {
     fn drop(&mut self) {
-        self.replica.health.flights.fetch_sub(1, Ordering::Relaxed);
-        let mut passengers = self.replica.health.passengers.lock();
-        passengers.retain(|p| p.number != self.number || p.left.is_some());
+        self.replica.health.in_flight.fetch_sub(1, Ordering::Relaxed);
+        let mut running = self.replica.health.running.lock();
+        running.retain(|p| p.number != self.number || p.left.is_some());
     }
 }
 
 type Pools = BTreeMap<Arc<str>, Vec<Arc<Replica>>>;
 
 /// What a request needs of a replica.
-pub(crate) struct Wish<'a> {
+pub(crate) struct ReplicaQuery<'a> {
     /// The pool.
     pub pool: &'a str,
     /// Requests with the same key go to the same replica while its load allows it.
@@ -198,6 +200,15 @@
     pub now: u64,
 }
 
+/// Why no replica could be chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoReplica {
+    /// None fits.
+    None,
+    /// Those that fit have as much as they are meant to hold, and as much again in front of them.
+    Overloaded,
+}
+
 /// The backend servers of all pools.
 #[derive(Default)]
 pub(crate) struct Replicas {
@@ -264,30 +275,33 @@
     }
 
     /// Chooses a replica: the one with the highest hash for the key whose load is within the bound.
-    pub fn choose(&self, wish: &Wish<'_>) -> Option<Flight> {
+    pub fn choose(&self, query: &ReplicaQuery<'_>) -> Result<ReplicaGuard, NoReplica> {
         let pools = self.pools.load();
-        let pool = pools.get(wish.pool)?;
+        let pool = pools.get(query.pool).ok_or(NoReplica::None)?;
         let fits = |r: &&Arc<Replica>| {
-            !r.is_leaving() && wish.version.is_none_or(|v| *r.version == *v) && !wish.tried.contains(&r.id)
+            !r.is_leaving() && query.version.is_none_or(|v| *r.version == *v) && !query.tried.contains(&r.id)
         };
         let fitting: Vec<&Arc<Replica>> = pool.iter().filter(fits).collect();
-        let healthy: Vec<_> = fitting.iter().copied().filter(|r| !r.is_ejected(wish.now)).collect();
+        let healthy: Vec<_> = fitting.iter().copied().filter(|r| !r.is_ejected(query.now)).collect();
         // The floor keeps a wave of failures from leaving out the whole pool.
         let floor = fitting.len() as f64 * (1.0 - EJECT_SHARE);
         let usable = if (healthy.len() as f64) < floor { &fitting } else { &healthy };
-        let local: Vec<_> = usable.iter().copied().filter(|r| *r.region == *wish.region).collect();
-        let free = local.iter().any(|r| r.flights() < wish.concurrency);
-        let chosen = if free { bounded(&local, wish.key) } else { bounded(usable, wish.key) };
-        chosen.map(|replica| Flight::new(replica.clone(), wish.points))
+        let local: Vec<_> = usable.iter().copied().filter(|r| *r.region == *query.region).collect();
+        if !usable.is_empty() && usable.iter().all(|r| r.in_flight() >= query.concurrency * QUEUE_FACTOR) {
+            return Err(NoReplica::Overloaded);
+        }
+        let free = local.iter().any(|r| r.in_flight() < query.concurrency);
+        let chosen = if free { bounded(&local, query.key) } else { bounded(usable, query.key) };
+        chosen.map(|replica| ReplicaGuard::new(replica.clone(), query.points)).ok_or(NoReplica::None)
     }
 }
 
 /// Rendezvous hashing among the replicas whose load is at most a factor above the mean.
 fn bounded<'a>(replicas: &[&'a Arc<Replica>], key: u64) -> Option<&'a Arc<Replica>> {
-    let total: u32 = replicas.iter().map(|r| r.flights()).sum();
+    let total: u32 = replicas.iter().map(|r| r.in_flight()).sum();
     let bound = (BOUND * f64::from(total + 1) / replicas.len().max(1) as f64).ceil() as u32;
     let score = |r: &&&Arc<Replica>| mix(r.hash ^ key);
-    replicas.iter().filter(|r| r.flights() < bound).max_by_key(score).copied()
+    replicas.iter().filter(|r| r.in_flight() < bound).max_by_key(score).copied()
 }
 
 fn mix(value: u64) -> u64 {
--- a/goldcrestward/src/process/rollout.rs
+++ b/goldcrestward/src/process/rollout.rs
@@ -3,12 +3,7 @@
 //! The holder is found by hashing among the present daemons. Its writes are compared with
 //! the record that it last read, so a second holder, or one that wakes from a pause, writes nothing.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures_util::future::join_all;
 use log::info;
@@ -22,15 +17,17 @@
 use crate::{
     config::VersionPlan,
     pb::{self, answer, request},
-    platform::{Compare, Purpose, Put, prefix_end},
+    platform::{Compare, Purpose, Put, Txn, prefix_end},
     util::{stable_hash, unix_ms},
-    version::{Decision, Mover, Outcome, Pair, Readiness, Reading, Tally, choose},
+    version::{Decision, Outcome, Readiness, Reading, Rollout, Standard, Strata, Tally, TallyKey, choose},
 };
 
 /// Time from one decision to the next.
 const TICK: Duration = Duration::from_secs(1);
+/// Time after which the evidence is written down anew, in ms.
+const REPORT_MS: u64 = 15_000;
 /// Daemons that are asked for evidence; their share of the traffic stands for all.
-const WITNESSES: usize = 50;
+const SOURCES: usize = 50;
 /// Time for a daemon to give its evidence.
 const ASK_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for which steps and take-backs are spread, in ms.
@@ -51,22 +48,58 @@
     pub at_ms: u64,
     /// The daemon that wrote it.
     pub holder: Arc<str>,
+    /// The evidence as it was then.
+    #[serde(default)]
+    pub evidence: Evidence,
+    /// Why the move does not go on, if it does not.
+    #[serde(default)]
+    pub obstacle: String,
+}
+
+/// Evidence on a move in numbers: the old version's are weighted to the periods of the new.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Evidence {
+    /// Requests of the new version.
+    pub new: u64,
+    /// Those that failed.
+    pub new_failed: u64,
+    /// Those that were late.
+    pub new_late: u64,
+    /// Requests of the old version that its weighted record is worth.
+    pub old: u64,
+    /// Those that failed.
+    pub old_failed: u64,
+    /// Those that were late.
+    pub old_late: u64,
+}
+
+impl From<Standard> for Evidence {
+    fn from(standard: Standard) -> Self {
+        Self {
+            new: standard.new.count,
+            new_failed: standard.new.failed,
+            new_late: standard.new.slow,
+            old: standard.worth(),
+            old_failed: standard.old_failed(),
+            old_late: standard.old_slow(),
+        }
+    }
 }
 
 struct Held {
-    mover: Mover,
+    rollout: Rollout,
     record: Record,
     revision: u64,
-    seen: HashMap<Arc<str>, Witness>,
+    seen: HashMap<Arc<str>, Source>,
     pending: Option<Decision>,
 }
 
 /// What one daemon has said, with what earlier processes of that name had said.
 #[derive(Default)]
-struct Witness {
+struct Source {
     epoch: u64,
-    past: BTreeMap<(Arc<str>, Arc<str>), Tally>,
-    now: BTreeMap<(Arc<str>, Arc<str>), Tally>,
+    past: HashMap<TallyKey, Tally>,
+    now: HashMap<TallyKey, Tally>,
 }
 
 /// The moves at one daemon.
@@ -135,20 +168,53 @@
         if held.record.outcome.is_some() {
             return;
         }
-        held.mover.replan(plan.clone());
+        held.rollout.replan(plan.clone());
         let reading = gather(&self.shared, &plan, &mut held.seen).await;
         let raised = self.shared.view.lock().facts().get(FactKind::TakenBack, &name).cloned();
         let Some(held) = self.held.get_mut(&name) else { return };
         let decision = match (raised, held.pending.take()) {
             (Some(fact), _) => Some(Decision::End(Outcome::TakenBack, fact.note.to_string())),
             (None, Some(pending)) => Some(pending),
-            (None, None) => held.mover.decide(&reading),
+            (None, None) => held.rollout.decide(&reading),
         };
-        if let Some(decision) = decision {
-            self.decide(&name, decision).await;
+        let evidence = Evidence::from(held.rollout.evidence());
+        let obstacle = held.rollout.obstacle(&reading).unwrap_or_default();
+        held.record.evidence = evidence;
+        held.record.obstacle = obstacle.to_owned();
+        match decision {
+            Some(decision) => self.decide(&name, decision).await,
+            None => self.report(&name).await,
+        }
+    }
+
+    /// Writes the evidence down now and then, so that operators see it through any daemon.
+    async fn report(&mut self, name: &Arc<str>) {
+        let Some(held) = self.held.get(name) else { return };
+        if unix_ms().saturating_sub(held.record.at_ms) < REPORT_MS {
+            return;
+        }
+        let record = Record { at_ms: unix_ms(), ..held.record.clone() };
+        let result = self.write(&record, held.revision).await;
+        let Some(held) = self.held.get_mut(name) else { return };
+        match result {
+            Ok(txn) if txn.succeeded => {
+                held.revision = txn.revision;
+                held.record = record;
+            }
+            Ok(_) => {
+                self.held.remove(name);
+            }
+            Err(_) => held.record.at_ms = unix_ms(),
         }
     }
 
+    async fn write(&self, record: &Record, revision: u64) -> Result<Txn, crate::platform::Error> {
+        let key = format!("{}{}", self.prefix, record.version);
+        let compare = Compare { key: key.clone(), revision };
+        let put = Put { key, value: serde_json::to_vec(record).unwrap_or_default() };
+        self.shared.kv.txn(Purpose::Rollout, vec![compare], vec![put], Vec::new()).await
+    }
+
     /// Reads the record of a move that this daemon begins to hold.
     async fn take(&mut self, plan: &VersionPlan) -> bool {
         let Some(records) = read_records(&self.shared, &self.prefix).await else { return false };
@@ -156,9 +222,9 @@
         let fresh = Record { version: plan.name.clone(), ..Record::default() };
         let (record, revision) = found.unwrap_or((fresh, 0));
         self.spread(&record);
-        let mover = Mover::new(plan.clone(), record.step, unix_ms());
+        let rollout = Rollout::new(plan.clone(), record.step, unix_ms());
         info!("event=move-held version={} step={}", plan.name, record.step);
-        let held = Held { mover, record, revision, seen: HashMap::new(), pending: None };
+        let held = Held { rollout, record, revision, seen: HashMap::new(), pending: None };
         self.held.insert(plan.name.clone(), held);
         true
     }
@@ -170,6 +236,9 @@
         match &decision {
             Decision::Advance(step) => record.step = *step,
             Decision::End(outcome, reason) => {
+                if *outcome == Outcome::Full {
+                    record.step = held.rollout.steps() + 1;
+                }
                 record.outcome = Some(outcome.label().into());
                 record.reason.clone_from(reason);
             }
@@ -178,16 +247,13 @@
             // Taking back is safe without the service, so it does not wait for it.
             self.spread(&record);
         }
-        let key = format!("{}{name}", self.prefix);
-        let compare = Compare { key: key.clone(), revision };
-        let put = Put { key, value: serde_json::to_vec(&record).unwrap_or_default() };
-        let result = self.shared.kv.txn(Purpose::Rollout, vec![compare], vec![put], Vec::new()).await;
+        let result = self.write(&record, revision).await;
         let Some(held) = self.held.get_mut(name) else { return };
         match result {
             Ok(txn) if txn.succeeded => {
                 held.revision = txn.revision;
                 held.record = record.clone();
-                held.mover.done(&decision, unix_ms());
+                held.rollout.done(&decision, unix_ms());
                 self.recorded(&record);
             }
             // Another holder, or an earlier try of this one, has written: read the record anew.
@@ -238,7 +304,7 @@
     Some(rows.into_iter().filter_map(parse).collect())
 }
 
-async fn gather(shared: &Arc<Shared>, plan: &VersionPlan, seen: &mut HashMap<Arc<str>, Witness>) -> Reading {
+async fn gather(shared: &Arc<Shared>, plan: &VersionPlan, seen: &mut HashMap<Arc<str>, Source>) -> Reading {
     let old = {
         let in_force = shared.in_force.load();
         let view = shared.view.lock();
@@ -247,14 +313,14 @@
     };
     let old = old.unwrap_or_else(|| previous(shared, plan));
     let versions = vec![plan.name.clone(), old.clone()];
-    let asked = witnesses(shared, &plan.name);
+    let asked = sources(shared, &plan.name);
     let asks = asked.into_iter().map(|(name, address)| ask(shared.clone(), name, address, versions.clone()));
     for (name, report) in join_all(asks).await.into_iter().flatten() {
         seen.entry(name).or_default().take(report);
     }
-    let mut routes: BTreeMap<Arc<str>, Pair> = BTreeMap::new();
-    for ((version, route), tally) in seen.values().flat_map(Witness::rows) {
-        let pair = routes.entry(route.clone()).or_default();
+    let mut strata = Strata::new();
+    for (TallyKey { version, route, zone }, tally) in seen.values().flat_map(Source::rows) {
+        let pair = strata.entry((route.clone(), zone.clone())).or_default();
         if *version == plan.name {
             pair.new.add(tally)
         } else if *version == old {
@@ -264,7 +330,7 @@
     let pool = shared.replicas.pool(&plan.pool);
     let ready = |version: &Arc<str>| pool.iter().filter(|r| r.version == *version && !r.is_leaving()).count();
     let ready = Readiness { new: ready(&plan.name), old: ready(&old) };
-    Reading { now_ms: unix_ms(), routes, ready }
+    Reading { now_ms: unix_ms(), strata, ready }
 }
 
 /// The version that was in use before the one that now has all traffic.
@@ -275,12 +341,12 @@
 }
 
 /// The daemons asked for evidence: the same ones for a whole move.
-fn witnesses(shared: &Shared, version: &str) -> Vec<(Arc<str>, Option<SocketAddr>)> {
+fn sources(shared: &Shared, version: &str) -> Vec<(Arc<str>, Option<SocketAddr>)> {
     let view = shared.view.lock();
     let me = view.me().name.clone();
     let mut present: Vec<_> = view.present().map(|m| (m.name.clone(), m.address)).collect();
     present.sort_by_key(|(name, _)| stable_hash(&[version.as_bytes(), name.as_bytes()]));
-    present.truncate(WITNESSES);
+    present.truncate(SOURCES);
     present.into_iter().map(|(name, address)| (name.clone(), (name != me).then_some(address))).collect()
 }
 
@@ -304,7 +370,7 @@
     pb::EvidenceReport { epoch: shared.epoch, evidence: shared.evidence.export(versions) }
 }
 
-impl Witness {
+impl Source {
     fn take(&mut self, report: pb::EvidenceReport) {
         if report.epoch != self.epoch {
             let ended = std::mem::take(&mut self.now);
@@ -316,11 +382,12 @@
         self.now.clear();
         for row in report.evidence {
             let tally = Tally { count: row.good + row.failed, failed: row.failed, slow: row.slow };
-            self.now.entry((row.version.into(), row.route.into())).or_default().add(tally);
+            let key = TallyKey { version: row.version.into(), route: row.route.into(), zone: row.zone.into() };
+            self.now.entry(key).or_default().add(tally);
         }
     }
 
-    fn rows(&self) -> impl Iterator<Item = (&(Arc<str>, Arc<str>), Tally)> {
+    fn rows(&self) -> impl Iterator<Item = (&TallyKey, Tally)> {
         self.past.iter().chain(&self.now).map(|(key, tally)| (key, *tally))
     }
 }
--- a/goldcrestward/src/process/seeds.rs
+++ b/goldcrestward/src/process/seeds.rs
@@ -47,14 +47,14 @@
             tokio::time::sleep(wait).await;
             let Some((seeds, revision)) = self.read().await else { continue };
             if daemons == 1 {
-                self.meet(&seeds.addresses).await;
+                self.sync_any(&seeds.addresses).await;
             }
             self.repair(seeds, revision).await;
         }
     }
 
     /// Exchanges views with the first daemon that answers; false if none does.
-    async fn meet(&self, addresses: &[SocketAddr]) -> bool {
+    async fn sync_any(&self, addresses: &[SocketAddr]) -> bool {
         for address in addresses.iter().filter(|a| **a != self.shared.settings.advertise) {
             if self.gossip.sync(*address).await {
                 return true;
@@ -68,7 +68,7 @@
             let listed = self.read().await;
             let mut addresses = self.shared.settings.join.clone();
             addresses.extend(listed.iter().flat_map(|(seeds, _)| seeds.addresses.iter().copied()));
-            let joined = self.meet(&addresses).await;
+            let joined = self.sync_any(&addresses).await;
             if let Some((seeds, revision)) = listed {
                 self.repair(seeds, revision).await;
                 info!("event=joined alone={}", !joined);
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -74,7 +74,7 @@
     /// Retry budgets.
     pub budgets: Budgets,
     /// Limits of accounts.
-    pub limits: AccountLimits,
+    pub limits: Arc<AccountLimits>,
     /// Evidence on versions.
     pub evidence: EvidenceTable,
     /// The versions in use, by pool.
@@ -179,8 +179,8 @@
 impl InFlight {
     /// One more request in flight.
     pub fn new(shared: &Shared) -> Self {
-        shared.metrics.flights.inc();
-        Self(shared.metrics.flights.clone())
+        shared.metrics.in_flight.inc();
+        Self(shared.metrics.in_flight.clone())
     }
 }
 
--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -9,12 +9,12 @@
 use tokio::{net::TcpStream, time::timeout};
 
 use super::{
+    crash::CrashRecords,
     refusal::{Reason, Refusal, RunState},
-    suspect::Suspects,
 };
 use crate::{
     config::Route,
-    process::{Flight, Replica, Shared, Wish},
+    process::{NoReplica, Replica, ReplicaGuard, ReplicaQuery, Shared},
 };
 
 /// Time for a replica's address to accept a connection when it is asked whether it lives.
@@ -101,11 +101,6 @@
         self.number
     }
 
-    /// Whether any attempt can have reached a back end.
-    pub fn run(&self) -> RunState {
-        self.run
-    }
-
     /// Time that is left for the request.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -126,30 +121,30 @@
     ///
     /// # Errors
     /// Gives the refusal when no attempt may be made.
-    pub async fn next(&mut self, resuming: bool) -> Result<Flight, Refusal> {
+    pub async fn next(&mut self, resuming: bool) -> Result<ReplicaGuard, Refusal> {
         self.permit(resuming)?;
         if !resuming && self.number > 0 && self.last != Some(Failure::Unreached) {
             self.version = self.shared.base_version(&self.route.pool);
         }
-        let flight = self.choose().await?;
+        let guard = self.choose().await?;
         if self.number > 0 {
             let label = self.last.map_or("first", Failure::label);
             self.shared.metrics.retries.with_label_values(&[label]).inc();
         }
         self.number += 1;
-        Ok(flight)
+        Ok(guard)
     }
 
     /// Chooses a replica beside `first` for the same attempt.
-    pub fn other(&self, first: &Replica) -> Option<Flight> {
+    pub fn other(&self, first: &Replica) -> Option<ReplicaGuard> {
         let mut tried = self.tried.clone();
         tried.push(first.id.clone());
-        self.choose_once(&tried)
+        self.choose_once(&tried).ok()
     }
 
     /// Notes how the present attempt failed.
-    pub async fn failed(&mut self, flight: &Flight, failure: Failure) {
-        let replica = flight.replica();
+    pub async fn failed(&mut self, guard: &ReplicaGuard, failure: Failure) {
+        let replica = guard.replica();
         self.last = Some(failure);
         self.tried.push(replica.id.clone());
         let now = self.shared.now();
@@ -159,7 +154,7 @@
             Failure::Crossed | Failure::Status | Failure::Silent => replica.note(false, now),
             Failure::Cut => {
                 replica.note(false, now);
-                self.suspect(flight).await;
+                self.suspect(guard).await;
             }
         }
     }
@@ -168,23 +163,23 @@
     pub fn succeeded(&self, replica: &Replica) {
         replica.note(true, self.shared.now());
         if self.crashes > 0 {
-            self.shared.state(Suspects::pardon(self.fingerprint, "answered"));
+            self.shared.state(CrashRecords::pardon(self.fingerprint, "answered"));
         }
     }
 
     /// A connection that broke at a replica that no longer listens was a crash.
-    async fn suspect(&mut self, flight: &Flight) {
-        let replica = flight.replica();
-        flight.broken(self.shared.now());
+    async fn suspect(&mut self, guard: &ReplicaGuard) {
+        let replica = guard.replica();
+        guard.broken(self.shared.now());
         if replica.is_leaving() || is_alive(replica.address).await || replica.is_leaving() {
             return;
         }
         let now = self.shared.now();
         replica.eject(now);
         self.crashes += 1;
-        if let Some(fact) = Suspects::crash(self.fingerprint, &replica.id, replica.blame(flight, now)) {
+        if let Some(fact) = CrashRecords::crash(self.fingerprint, &replica.id, replica.blame(guard, now)) {
             self.shared.state(fact);
-            // Suspects are tried apart from each other, so that one of them does not take the others with it.
+            // CrashRecords are tried apart from each other, so that one of them does not take the others with it.
             self.key = self.fingerprint.rotate_left(self.crashes);
         }
     }
@@ -193,7 +188,7 @@
         if self.left().is_zero() {
             return Err(self.refuse(Reason::Deadline, "the request's time is over"));
         }
-        if Suspects::is_condemned(self.shared.view.lock().facts(), self.fingerprint) {
+        if CrashRecords::is_condemned(self.shared.view.lock().facts(), self.fingerprint) {
             let message = "requests with this content have crashed back ends";
             return Err(self.refuse(Reason::CrashesBackends, message));
         }
@@ -211,10 +206,15 @@
         Err(self.refuse(Reason::BackendFailed, "back ends failed and no retry is left"))
     }
 
-    async fn choose(&mut self) -> Result<Flight, Refusal> {
+    async fn choose(&mut self) -> Result<ReplicaGuard, Refusal> {
         loop {
-            if let Some(flight) = self.choose_once(&self.tried) {
-                return Ok(flight);
+            match self.choose_once(&self.tried) {
+                Ok(guard) => return Ok(guard),
+                Err(NoReplica::Overloaded) => {
+                    let message = format!("all replicas of pool {} are busy", self.route.pool);
+                    return Err(self.refuse(Reason::Overloaded, message).after(Duration::from_secs(1)));
+                }
+                Err(NoReplica::None) => {}
             }
             self.rounds += 1;
             if self.rounds > ROUNDS || self.tried.is_empty() {
@@ -230,13 +230,13 @@
         if self.crashes == 0 {
             return 0;
         }
-        Suspects::points(self.shared.view.lock().facts(), self.fingerprint)
+        CrashRecords::points(self.shared.view.lock().facts(), self.fingerprint)
     }
 
-    fn choose_once(&self, tried: &[Arc<str>]) -> Option<Flight> {
+    fn choose_once(&self, tried: &[Arc<str>]) -> Result<ReplicaGuard, NoReplica> {
         let in_force = self.shared.in_force.load();
-        let pool = in_force.site.pools.get(&self.route.pool)?;
-        self.shared.replicas.choose(&Wish {
+        let pool = in_force.site.pools.get(&self.route.pool).ok_or(NoReplica::None)?;
+        self.shared.replicas.choose(&ReplicaQuery {
             pool: &self.route.pool,
             key: self.key,
             version: self.version.as_deref(),
--- a/goldcrestward/src/request/suspect.rs
+++ b/goldcrestward/src/request/crash.rs
@@ -2,7 +2,7 @@
 //!
 //! A crash of a replica puts the most suspicious of the requests that it was running under
 //! suspicion: those that were suspects before, then those that had got no token from it. One
-//! that alone was most suspicious at two crashes is refused everywhere. Suspects are tried
+//! that alone was most suspicious at two crashes is refused everywhere. CrashRecords are tried
 //! apart from each other, and a request is cleared when it is answered.
 
 use std::sync::Arc;
@@ -30,9 +30,9 @@
 }
 
 /// Judges fingerprints by the facts that the site knows.
-pub(crate) struct Suspects;
+pub(crate) struct CrashRecords;
 
-impl Suspects {
+impl CrashRecords {
     /// The fact that `replica` crashed under a request; `None` if another request is to blame.
     pub fn crash(fingerprint: u64, replica: &str, blame: Blame) -> Option<Fact> {
         let now = unix_ms();
--- a/goldcrestward/src/request/gate.rs
+++ b/goldcrestward/src/request/ingress.rs
@@ -17,7 +17,7 @@
 };
 use crate::{
     config::{Account, Site},
-    process::{Shared, Stage},
+    process::{Admitted, Shared, Stage},
 };
 
 /// Bytes of a caller's body.
@@ -25,19 +25,19 @@
 /// Time for a caller to send the body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Answers callers.
+/// PeerService callers.
 #[derive(Clone)]
-pub(crate) struct Gate {
+pub(crate) struct Ingress {
     shared: Arc<Shared>,
 }
 
-impl Gate {
+impl Ingress {
     /// A way in to the daemon's tables.
     pub fn new(shared: Arc<Shared>) -> Self {
         Self { shared }
     }
 
-    /// Answers one request.
+    /// PeerService one request.
     pub async fn answer(self, request: Request) -> Response {
         match self.serve(request).await {
             Ok(response) => response,
@@ -86,9 +86,9 @@
         let path = parts.uri.path().to_owned();
         let id: Arc<str> = format!("req-{:032x}", rand::random::<u128>()).into();
         if path == "/v1/chat/completions" || path == "/v1/completions" {
-            self.shared.limits.admit(&account, &self.shared)?;
+            let admitted = self.admit(&account)?;
             let body = read_body(body).await?;
-            return ModelCall::new(self.shared.clone(), &account, id, path, body)?.run().await;
+            return ModelCall::new(self.shared.clone(), &account, admitted, id, path, body)?.run().await;
         }
         let Some(route) = in_force.site.path_route(&path) else {
             return Err(Refusal::not_run(Reason::UnknownRoute, format!("there is no route for {path}")));
@@ -97,11 +97,15 @@
             let message = format!("the account may not use route {}", route.name);
             return Err(Refusal::not_run(Reason::Forbidden, message));
         }
-        self.shared.limits.admit(&account, &self.shared)?;
+        let admitted = self.admit(&account)?;
         let body = read_body(body).await?;
         let path = parts.uri.path_and_query().map_or(path, ToString::to_string);
         let received = Received { id, method: parts.method, path, headers: parts.headers, body };
-        PlainCall::new(self.shared.clone(), &account, route.clone(), received).run().await
+        PlainCall::new(self.shared.clone(), &account, admitted, route.clone(), received).run().await
+    }
+
+    fn admit(&self, account: &Account) -> Result<Admitted, Refusal> {
+        self.shared.limits.admit(account, self.shared.present(), self.shared.now())
     }
 
     fn check_stage(&self) -> Result<(), Refusal> {
--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -2,16 +2,16 @@
 
 mod attempt;
 mod budget;
+mod crash;
 mod event;
-mod gate;
 mod headers;
+mod ingress;
 mod model;
 mod plain;
 mod refusal;
 mod relay;
-mod suspect;
 
 pub(crate) use budget::Budgets;
-pub(crate) use gate::Gate;
+pub(crate) use crash::CrashRecords;
+pub(crate) use ingress::Ingress;
 pub(crate) use refusal::{Reason, Refusal};
-pub(crate) use suspect::Suspects;
--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -17,15 +17,15 @@
 
 use super::{
     attempt::{Attempts, Failure},
+    crash::fingerprint,
     event::{Broken, EventReader},
     refusal::{Reason, Refusal},
     relay::Relay,
-    suspect::fingerprint,
 };
 use crate::{
     config::{Account, Route},
     connection::{Call, Sent},
-    process::{Flight, InFlight, Shared},
+    process::{Admitted, InFlight, ReplicaGuard, Shared},
     util::stable_hash,
     version::Sample,
 };
@@ -102,13 +102,14 @@
     attempts: Attempts,
     received: Instant,
     kv_from: Option<SocketAddr>,
+    admitted: Admitted,
     _in_flight: InFlight,
 }
 
 /// An attempt whose answer has begun.
 pub(crate) struct Open {
     /// The replica that answers.
-    pub flight: Flight,
+    pub guard: ReplicaGuard,
     /// Checks the answer.
     pub reader: EventReader,
     /// What is still to come.
@@ -139,6 +140,7 @@
     pub fn new(
         shared: Arc<Shared>,
         account: &Account,
+        admitted: Admitted,
         id: Arc<str>,
         path: String,
         body: Bytes,
@@ -160,7 +162,7 @@
         let attempts = Attempts::new(shared.clone(), route.clone(), print, key, version);
         let _in_flight = InFlight::new(&shared);
         let (route, stream) = (route.clone(), ask.stream);
-        Ok(Self { shared, route, id, path, body, stream, attempts, received, kv_from: None, _in_flight })
+        Ok(Self { shared, route, id, path, body, stream, attempts, received, kv_from: None, admitted, _in_flight })
     }
 
     /// Runs the request.
@@ -190,7 +192,7 @@
     }
 
     /// Opens a stream elsewhere after one has failed at token `next`.
-    pub async fn reopen(&mut self, failed: &Flight, failure: Failure, next: u64) -> Result<Opening, Refusal> {
+    pub async fn reopen(&mut self, failed: &ReplicaGuard, failure: Failure, next: u64) -> Result<Opening, Refusal> {
         let replica = failed.replica().clone();
         self.kv_from = (failure == Failure::Leaving).then_some(replica.address);
         if failure != Failure::Leaving {
@@ -212,9 +214,15 @@
     }
 
     /// Counts that the replica answered whole.
-    pub fn succeeded(&self, flight: &Flight) {
-        self.attempts.succeeded(flight.replica());
-        self.shared.observe(flight.replica(), &self.route.name, Sample::Good);
+    pub fn succeeded(&self, guard: &ReplicaGuard) {
+        self.attempts.succeeded(guard.replica());
+        self.shared.observe(guard.replica(), &self.route.name, Sample::Good);
+    }
+
+    /// Counts tokens passed on, and charges the account for them.
+    pub fn passed(&self, tokens: u64) {
+        self.shared.metrics.tokens.inc_by(tokens);
+        self.admitted.charge(tokens);
     }
 
     /// The daemon's tables.
@@ -225,25 +233,25 @@
     /// Opens a stream from token `next` on, with as many attempts as are allowed.
     async fn open(&mut self, next: u64) -> Result<Opening, Refusal> {
         loop {
-            let flight = self.attempts.next(next > 0).await?;
-            match self.try_open(&flight, next).await {
+            let guard = self.attempts.next(next > 0).await?;
+            match self.try_open(&guard, next).await {
                 Ok(Tried::Passed(response)) => return Ok(Opening::Passed(response)),
                 Ok(Tried::Begun(reader, body, first)) => {
-                    flight.advance();
-                    return Ok(Opening::Begun(Box::new(Open { flight, reader, body, first })));
+                    guard.advance();
+                    return Ok(Opening::Begun(Box::new(Open { guard, reader, body, first })));
                 }
                 Err(failure) => {
-                    if !flight.replica().is_leaving() {
-                        self.shared.observe(flight.replica(), &self.route.name, Sample::Failed);
+                    if !guard.replica().is_leaving() {
+                        self.shared.observe(guard.replica(), &self.route.name, Sample::Failed);
                     }
-                    self.attempts.failed(&flight, failure).await;
+                    self.attempts.failed(&guard, failure).await;
                 }
             }
         }
     }
 
-    async fn try_open(&mut self, flight: &Flight, next: u64) -> Result<Tried, Failure> {
-        let call = self.call(flight, self.attempt_body(next));
+    async fn try_open(&mut self, guard: &ReplicaGuard, next: u64) -> Result<Tried, Failure> {
+        let call = self.call(guard, self.attempt_body(next));
         let response = self.send(call).await?;
         if response.status() != StatusCode::OK {
             return pass_error(response).map(Tried::Passed);
@@ -259,11 +267,11 @@
                 return Err(Failure::Crossed);
             }
             if !first.is_empty() {
-                self.shared.metrics.tokens.inc_by(reader.next_token() - next);
+                self.passed(reader.next_token() - next);
                 if next == 0 {
                     let seconds = self.received.elapsed().as_secs_f64();
                     self.shared.metrics.first_token.with_label_values(&[&*self.route.name]).observe(seconds);
-                    self.shared.observe_first(flight.replica(), &self.route.name, seconds);
+                    self.shared.observe_first(guard.replica(), &self.route.name, seconds);
                 }
                 return Ok(Tried::Begun(reader, body, first));
             }
@@ -314,9 +322,9 @@
 
     async fn run_whole(mut self) -> Result<Response, Refusal> {
         loop {
-            let flight = self.attempts.next(false).await?;
-            let replica = flight.replica().clone();
-            let failure = match self.try_whole(&flight).await {
+            let guard = self.attempts.next(false).await?;
+            let replica = guard.replica().clone();
+            let failure = match self.try_whole(&guard).await {
                 Ok(response) => {
                     self.attempts.succeeded(&replica);
                     self.end("whole");
@@ -327,12 +335,12 @@
             };
             self.shared.observe(&replica, &self.route.name, Sample::Failed);
             self.shared.metrics.recomputed.inc_by((self.body.len() / TOKEN_BYTES) as u64);
-            self.attempts.failed(&flight, failure).await;
+            self.attempts.failed(&guard, failure).await;
         }
     }
 
-    async fn try_whole(&mut self, flight: &Flight) -> Result<Response, Failure> {
-        let call = self.call(flight, self.body.clone());
+    async fn try_whole(&mut self, guard: &ReplicaGuard) -> Result<Response, Failure> {
+        let call = self.call(guard, self.body.clone());
         let response = self.send(call).await?;
         let response = if response.status() == StatusCode::OK { response } else { pass_error(response)? };
         let (mut parts, body) = response.into_parts();
@@ -351,14 +359,14 @@
         Ok(Response::from_parts(parts, Body::from(bytes)))
     }
 
-    fn call(&self, flight: &Flight, body: Bytes) -> Call {
+    fn call(&self, guard: &ReplicaGuard, body: Bytes) -> Call {
         let mut headers = HeaderMap::new();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
         if let Ok(id) = HeaderValue::from_str(&self.id) {
             headers.insert("x-request-id", id);
         }
         headers.insert("x-attempt", HeaderValue::from(self.attempts.number()));
-        let address = flight.replica().address;
+        let address = guard.replica().address;
         Call { address, method: Method::POST, path: self.path.clone(), headers, body: Body::from(body) }
     }
 
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -13,16 +13,16 @@
 
 use super::{
     attempt::{Attempts, Failure},
+    crash::fingerprint,
     headers::drop_hop_by_hop,
     refusal::{Reason, Refusal},
-    suspect::fingerprint,
 };
 use crate::{
     config::{Account, Route},
     connection::{Call, Sent},
     ledger::{Claim, Key, Settlement, key_of},
     pb::{self, Grant},
-    process::{Flight, InFlight, Shared},
+    process::{Admitted, InFlight, ReplicaGuard, Shared},
     util::stable_hash,
     version::Sample,
 };
@@ -49,6 +49,7 @@
     fingerprint: u64,
     attempts: Attempts,
     received: Instant,
+    _admitted: Admitted,
     _in_flight: InFlight,
 }
 
@@ -68,7 +69,13 @@
 
 impl PlainCall {
     /// A call of `account` on `route`.
-    pub fn new(shared: Arc<Shared>, account: &Account, route: Arc<Route>, received: Received) -> Self {
+    pub fn new(
+        shared: Arc<Shared>,
+        account: &Account,
+        _admitted: Admitted,
+        route: Arc<Route>,
+        received: Received,
+    ) -> Self {
         let Received { id, method, path, mut headers, body } = received;
         drop_hop_by_hop(&mut headers);
         headers.remove(header::AUTHORIZATION);
@@ -87,7 +94,21 @@
         let _in_flight = InFlight::new(&shared);
         let account = account.name.clone();
         let received = Instant::now();
-        Self { shared, account, route, id, method, path, headers, body, fingerprint, attempts, received, _in_flight }
+        Self {
+            shared,
+            account,
+            route,
+            id,
+            method,
+            path,
+            headers,
+            body,
+            fingerprint,
+            attempts,
+            received,
+            _admitted,
+            _in_flight,
+        }
     }
 
     /// Runs the call.
@@ -107,27 +128,27 @@
     async fn run_repeatable(mut self) -> Result<Response, Refusal> {
         let hedged = self.route.lookup && (self.method == Method::GET || self.method == Method::HEAD);
         loop {
-            let flight = self.attempts.next(false).await?;
-            let result = if hedged { self.hedge(&flight).await } else { self.send(&flight).await };
+            let guard = self.attempts.next(false).await?;
+            let result = if hedged { self.hedge(&guard).await } else { self.send(&guard).await };
             match result {
                 Ok(response) => {
-                    self.attempts.succeeded(flight.replica());
-                    self.shared.observe(flight.replica(), &self.route.name, Sample::Good);
-                    return Ok(self.pass(response, flight));
+                    self.attempts.succeeded(guard.replica());
+                    self.shared.observe(guard.replica(), &self.route.name, Sample::Good);
+                    return Ok(self.pass(response, guard));
                 }
                 Err(failure) => {
-                    self.shared.observe(flight.replica(), &self.route.name, Sample::Failed);
-                    self.attempts.failed(&flight, failure).await;
+                    self.shared.observe(guard.replica(), &self.route.name, Sample::Failed);
+                    self.attempts.failed(&guard, failure).await;
                 }
             }
         }
     }
 
     /// Passes the answer's body on unread; the attempt lasts until its end.
-    fn pass(self, response: Response, flight: Flight) -> Response {
+    fn pass(self, response: Response, guard: ReplicaGuard) -> Response {
         let (mut parts, body) = response.into_parts();
         drop_hop_by_hop(&mut parts.headers);
-        let held = (flight, self._in_flight);
+        let held = (guard, self._admitted, self._in_flight);
         let body = body.map_frame(move |frame| {
             let _held = &held;
             frame
@@ -135,16 +156,16 @@
         Response::from_parts(parts, Body::from_body(body))
     }
 
-    async fn send(&mut self, flight: &Flight) -> Result<Response, Failure> {
+    async fn send(&mut self, guard: &ReplicaGuard) -> Result<Response, Failure> {
         self.attempts.sent();
-        attempt(self.shared.clone(), self.call(flight), self.attempts.left()).await
+        attempt(self.shared.clone(), self.call(guard), self.attempts.left()).await
     }
 
     /// Sends an idempotent lookup to a second replica when the first is slow, inside the retry budget.
-    async fn hedge(&mut self, flight: &Flight) -> Result<Response, Failure> {
+    async fn hedge(&mut self, guard: &ReplicaGuard) -> Result<Response, Failure> {
         self.attempts.sent();
         let left = self.attempts.left();
-        let first = attempt(self.shared.clone(), self.call(flight), left);
+        let first = attempt(self.shared.clone(), self.call(guard), left);
         tokio::pin!(first);
         if let Ok(result) = timeout(HEDGE_AFTER, &mut first).await {
             return result;
@@ -152,7 +173,7 @@
         if !self.shared.budgets.spend(&self.route.name) {
             return first.await;
         }
-        let Some(other) = self.attempts.other(flight.replica()) else { return first.await };
+        let Some(other) = self.attempts.other(guard.replica()) else { return first.await };
         self.shared.metrics.retries.with_label_values(&["hedged"]).inc();
         let second = attempt(self.shared.clone(), self.call(&other), left);
         tokio::pin!(second);
@@ -168,9 +189,9 @@
         }
     }
 
-    fn call(&self, flight: &Flight) -> Call {
+    fn call(&self, guard: &ReplicaGuard) -> Call {
         Call {
-            address: flight.replica().address,
+            address: guard.replica().address,
             method: self.method.clone(),
             path: self.path.clone(),
             headers: self.headers.clone(),
@@ -247,28 +268,28 @@
     /// Sends the call: a replica that cannot be connected to is certain not to have it, any other may.
     async fn run_claimed(&mut self, key: Key) -> Result<Response, Refusal> {
         loop {
-            let flight = match self.attempts.next(false).await {
-                Ok(flight) => flight,
+            let guard = match self.attempts.next(false).await {
+                Ok(guard) => guard,
                 Err(refusal) => {
                     self.settle(key, false, None);
                     return Err(refusal);
                 }
             };
-            let sending = self.shared.client.send_fresh(self.call(&flight));
+            let sending = self.shared.client.send_fresh(self.call(&guard));
             match timeout(self.attempts.left(), sending).await {
-                Ok(Err(Sent::No)) => self.attempts.failed(&flight, Failure::Unreached).await,
-                Ok(Ok(response)) => return self.finish(key, response, &flight).await,
-                Ok(Err(Sent::Maybe)) => return Err(self.unknown(key, &flight, Failure::Cut).await),
-                Err(_) => return Err(self.unknown(key, &flight, Failure::Silent).await),
+                Ok(Err(Sent::No)) => self.attempts.failed(&guard, Failure::Unreached).await,
+                Ok(Ok(response)) => return self.finish(key, response, &guard).await,
+                Ok(Err(Sent::Maybe)) => return Err(self.unknown(key, &guard, Failure::Cut).await),
+                Err(_) => return Err(self.unknown(key, &guard, Failure::Silent).await),
             }
         }
     }
 
-    async fn finish(&mut self, key: Key, response: Response, flight: &Flight) -> Result<Response, Refusal> {
+    async fn finish(&mut self, key: Key, response: Response, guard: &ReplicaGuard) -> Result<Response, Refusal> {
         let (mut parts, body) = response.into_parts();
         let limited = http_body_util::Limited::new(body, ANSWER_BYTES);
         let Ok(Ok(whole)) = timeout(self.attempts.left(), limited.collect()).await else {
-            return Err(self.unknown(key, flight, Failure::Cut).await);
+            return Err(self.unknown(key, guard, Failure::Cut).await);
         };
         let bytes = whole.to_bytes();
         let kind = parts.headers.get(header::CONTENT_TYPE).and_then(|v| v.to_str().ok()).unwrap_or_default();
@@ -276,17 +297,17 @@
         let status = u32::from(parts.status.as_u16());
         let outcome = pb::Outcome { status, content_type: kind.to_owned(), body: kept };
         self.settle(key, true, Some(outcome));
-        self.attempts.succeeded(flight.replica());
+        self.attempts.succeeded(guard.replica());
         let sample = if parts.status.is_server_error() { Sample::Failed } else { Sample::Good };
-        self.shared.observe(flight.replica(), &self.route.name, sample);
+        self.shared.observe(guard.replica(), &self.route.name, sample);
         drop_hop_by_hop(&mut parts.headers);
         Ok(Response::from_parts(parts, Body::from(bytes)))
     }
 
-    async fn unknown(&mut self, key: Key, flight: &Flight, failure: Failure) -> Refusal {
+    async fn unknown(&mut self, key: Key, guard: &ReplicaGuard, failure: Failure) -> Refusal {
         self.settle(key, true, None);
-        self.shared.observe(flight.replica(), &self.route.name, Sample::Failed);
-        self.attempts.failed(flight, failure).await;
+        self.shared.observe(guard.replica(), &self.route.name, Sample::Failed);
+        self.attempts.failed(guard, failure).await;
         Refusal::may_have_run(Reason::BackendFailed, "the back end gave no whole answer; the call may have run")
     }
 
--- a/goldcrestward/src/request/relay.rs
+++ b/goldcrestward/src/request/relay.rs
@@ -52,10 +52,10 @@
     /// Asks another engine to go on.
     fn reopen(&mut self, failure: Failure) {
         let State::Passing(parts) = mem::replace(&mut self.state, State::Ended) else { return };
-        let (mut call, Open { flight, reader, .. }) = *parts;
+        let (mut call, Open { guard, reader, .. }) = *parts;
         let next = reader.next_token();
         let reopening = async move {
-            let result = call.reopen(&flight, failure, next).await;
+            let result = call.reopen(&guard, failure, next).await;
             (call, result)
         };
         self.state = State::Reopening(Mutex::new(Box::pin(reopening)));
@@ -90,13 +90,13 @@
         if tokens > 0 {
             let now = Instant::now();
             call.shared().metrics.between_tokens.observe((now - self.last).as_secs_f64());
-            call.shared().metrics.tokens.inc_by(tokens);
+            call.passed(tokens);
             self.last = now;
         }
         if let Some(broken) = broken {
             call.count_broken(broken);
             self.reopen(Failure::Crossed);
-        } else if open.flight.replica().is_leaving() && !open.reader.is_whole() {
+        } else if open.guard.replica().is_leaving() && !open.reader.is_whole() {
             self.reopen(Failure::Leaving);
         }
         out
@@ -109,7 +109,7 @@
         if repeated > 0 {
             call.shared().metrics.dropped.with_label_values(&["repeated"]).inc_by(repeated);
         }
-        call.succeeded(&open.flight);
+        call.succeeded(&open.guard);
         call.end("whole");
     }
 
--- a/goldcrestward/src/version/bound.rs
+++ b/goldcrestward/src/version/bound.rs
@@ -6,7 +6,7 @@
 //! stated probability, however often one looks.
 
 /// Steps of the bisection.
-const STEPS: u32 = 40;
+const STEPS: u32 = 30;
 /// Both parameters of the mixing Beta distribution.
 const PRIOR: f64 = 0.5;
 
@@ -15,8 +15,8 @@
     if hits == 0 {
         return 0.0;
     }
-    let mean = hits as f64 / count as f64;
-    bisect(0.0, mean, |p| excess(p, hits, count) > -alpha.ln())
+    let mixture = Mixture::new(hits, count, alpha);
+    bisect(0.0, hits as f64 / count as f64, |p| mixture.excludes(p))
 }
 
 /// Highest probability that `hits` of `count` do not exclude at error `alpha`.
@@ -24,8 +24,8 @@
     if hits >= count {
         return 1.0;
     }
-    let mean = hits as f64 / count as f64;
-    1.0 - bisect(0.0, 1.0 - mean, |q| excess(1.0 - q, hits, count) > -alpha.ln())
+    let mixture = Mixture::new(hits, count, alpha);
+    1.0 - bisect(0.0, 1.0 - hits as f64 / count as f64, |q| mixture.excludes(1.0 - q))
 }
 
 /// The point between `low`, which is excluded, and `high`, which is not, where that changes.
@@ -41,13 +41,24 @@
     low
 }
 
-/// Logarithm of the mixture's likelihood over that of probability `p`.
-fn excess(p: f64, hits: u64, count: u64) -> f64 {
-    if p <= 0.0 || p >= 1.0 {
-        return f64::INFINITY;
+/// The mixture's likelihood of what was seen, with the threshold for excluding a probability.
+struct Mixture {
+    hits: f64,
+    misses: f64,
+    threshold: f64,
+}
+
+impl Mixture {
+    fn new(hits: u64, count: u64, alpha: f64) -> Self {
+        let (hits, misses) = (hits as f64, (count - hits) as f64);
+        let likelihood = ln_beta(PRIOR + hits, PRIOR + misses) - ln_beta(PRIOR, PRIOR);
+        Self { hits, misses, threshold: likelihood + alpha.ln() }
+    }
+
+    /// Whether the mixture is more likely than `p` by more than the error allows.
+    fn excludes(&self, p: f64) -> bool {
+        p <= 0.0 || p >= 1.0 || self.hits * p.ln() + self.misses * (-p).ln_1p() < self.threshold
     }
-    let (hits, misses) = (hits as f64, (count - hits) as f64);
-    ln_beta(PRIOR + hits, PRIOR + misses) - ln_beta(PRIOR, PRIOR) - hits * p.ln() - misses * (-p).ln_1p()
 }
 
 fn ln_beta(a: f64, b: f64) -> f64 {
--- a/goldcrestward/src/version/mod.rs
+++ b/goldcrestward/src/version/mod.rs
@@ -1,12 +1,19 @@
 //! What lives as long as a version of backend servers: evidence on it, and the move of traffic to it.
 
+mod analysis;
 mod bound;
-mod judge;
-mod mover;
+mod rollout;
 mod share;
+mod standard;
 mod tally;
 
-pub(crate) use judge::Pair;
-pub(crate) use mover::{Decision, Mover, Outcome, Readiness, Reading};
+pub(crate) use analysis::Strata;
+pub(crate) use rollout::{Decision, Outcome, Readiness, Reading, Rollout};
 pub(crate) use share::{Choice, choose};
+pub(crate) use standard::Standard;
 pub(crate) use tally::{EvidenceTable, Sample, Tally, TallyKey};
+
+#[cfg(test)]
+mod bound_test;
+#[cfg(test)]
+mod scenario_test;
--- a/goldcrestward/src/version/mover.rs
+++ b/goldcrestward/src/version/rollout.rs
@@ -1,12 +1,18 @@
 //! The move of traffic to a new version as a plain state machine: evidence and time in, decisions out.
 
-use std::{collections::BTreeMap, sync::Arc};
-
-use super::judge::{Judge, Pair, Verdict};
+use super::{
+    analysis::{Analysis, Strata, Verdict},
+    standard::Standard,
+};
 use crate::{config::VersionPlan, util::value};
 
 /// Share of traffic that a version may have before evidence says that it is harmless.
 const UNPROVEN_SHARE: f64 = 0.05;
+/// Share of traffic that stays with the old version until the date, so that both can be compared.
+const HELD_BACK: f64 = 0.05;
+/// Part of the move's time by which it ends before the date, and that time in ms at most.
+const LEAD_PART: f64 = 0.01;
+const LEAD_MOST_MS: f64 = 5_000.0;
 /// Part of the time until the date that the steps may take; the rest is for the full share's watch.
 const STEPS_PART: f64 = 0.75;
 /// Least time on a step, in ms.
@@ -32,7 +38,7 @@
     }
 }
 
-/// What the mover decides.
+/// What the rollout decides.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Decision {
     /// Raise the share to that of this step, counted from 1.
@@ -50,33 +56,33 @@
     pub old: usize,
 }
 
-/// What the mover is told.
+/// What the rollout is told.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Reading {
     /// Unix time in ms.
     pub now_ms: u64,
-    /// Tallies by route.
-    pub routes: BTreeMap<Arc<str>, Pair>,
+    /// Tallies by route and zone.
+    pub strata: Strata,
     /// Servers that can take requests.
     pub ready: Readiness,
 }
 
 /// One move.
 #[derive(Clone, Debug)]
-pub(crate) struct Mover {
+pub(crate) struct Rollout {
     plan: VersionPlan,
-    judge: Judge,
+    analysis: Analysis,
     step: usize,
     step_since: u64,
     verdict: Verdict,
     ended: bool,
 }
 
-impl Mover {
+impl Rollout {
     /// A move that has reached `step`, 0 for none.
     pub fn new(plan: VersionPlan, step: usize, now_ms: u64) -> Self {
-        let judge = Judge::new(plan.harm);
-        Self { plan, judge, step, step_since: now_ms, verdict: Verdict::Open, ended: false }
+        let analysis = Analysis::new(plan.harm);
+        Self { plan, analysis, step, step_since: now_ms, verdict: Verdict::Open, ended: false }
     }
 
     /// Takes over a changed plan.
@@ -84,37 +90,39 @@
         self.plan = plan;
     }
 
-    /// The step reached.
-    pub fn step(&self) -> usize {
-        self.step
+    /// Steps of the plan.
+    pub fn steps(&self) -> usize {
+        self.plan.steps.len()
     }
 
-    /// What the evidence says.
-    pub fn verdict(&self) -> Verdict {
-        self.verdict
+    /// The evidence in numbers.
+    pub fn evidence(&self) -> Standard {
+        self.analysis.evidence()
     }
 
-    /// Share of traffic at a step.
+    /// Share of traffic at a step; the step after the last is that of a move that has ended in full.
     pub fn share(plan: &VersionPlan, step: usize) -> f64 {
         match step {
             0 => 0.0,
-            step => plan.steps.get(step - 1).copied().unwrap_or(1.0),
+            step if step > plan.steps.len() => 1.0,
+            step => plan.steps[step - 1].min(1.0 - HELD_BACK),
         }
     }
 
-    /// Decides. The caller makes a decision durable and then calls [`Mover::done`].
+    /// Decides. The caller makes a decision durable and then calls [`Rollout::done`].
     pub fn decide(&mut self, reading: &Reading) -> Option<Decision> {
         let (Some(start), Some(date)) = (self.plan.start_ms, self.plan.date_ms) else { return None };
         if self.ended || reading.now_ms < start {
             return None;
         }
-        self.verdict = self.judge.judge(&reading.routes);
+        self.verdict = self.analysis.analysis(&reading.strata);
         if self.verdict == Verdict::Harmful {
-            let reason = self.judge.reason().unwrap_or("harmful").to_owned();
+            let reason = self.analysis.reason().unwrap_or("harmful").to_owned();
             return Some(Decision::End(Outcome::TakenBack, reason));
         }
         let last = self.plan.steps.len();
-        if reading.now_ms >= date {
+        let lead = (LEAD_PART * (date - start) as f64).min(LEAD_MOST_MS) as u64;
+        if reading.now_ms + lead >= date {
             return Some(self.end_at_date(last, reading));
         }
         let due = start + (STEPS_PART * (date - start) as f64 * self.step as f64 / last as f64) as u64;
--- a/goldcrestward/src/version/share.rs
+++ b/goldcrestward/src/version/share.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::mover::Mover;
+use super::rollout::Rollout;
 use crate::{
     config::{Site, VersionPlan},
     process::membership::{FactKind, Facts},
@@ -42,7 +42,7 @@
             continue;
         }
         let step = facts.get(FactKind::Step, &name).map_or(0, |f| f.value as usize);
-        let share = Mover::share(plan, step);
+        let share = Rollout::share(plan, step);
         match &mut choice {
             _ if share <= 0.0 => {}
             Some(choice) if share < 1.0 => choice.next = Some((name, share)),
--- a/goldcrestward/tests/it/support/mod.rs
+++ b/goldcrestward/tests/it/support/mod.rs
@@ -4,7 +4,7 @@
 mod site;
 
 pub(crate) use daemon::{TestDaemon, free_port};
-pub(crate) use site::{KEY, TOKEN, TestSite, post, propose, run};
+pub(crate) use site::{KEY, TOKEN, TestSite, propose, run};
 
 use std::{future::Future, time::Duration};
 
