--- a/goldcrestward/src/args.rs
+++ b/goldcrestward/src/args.rs
@@ -18,7 +18,7 @@
 pub enum Command {
     /// Runs one daemon
     #[bpaf(command)]
-    Serve(#[bpaf(external(serve_args))] ServeArgs),
+    Serve(#[bpaf(external(serve_args), map(Box::new))] Box<ServeArgs>),
     /// Runs a whole site in this process on stand-ins and shows what becomes of its traffic
     #[bpaf(command)]
     Demo(#[bpaf(external(demo_args))] DemoArgs),
--- a/goldcrestward/src/config/site.rs
+++ b/goldcrestward/src/config/site.rs
@@ -158,6 +158,7 @@
 
         let hash = crate::util::sha256_hex(key.as_bytes());
         let same = |a: &&Arc<Account>| bool::from(a.key_hash.as_bytes().ct_eq(hash.as_bytes()));
-        self.accounts.values().filter(same).last()
+        // All keys are compared, so that the time does not tell which account matched.
+        self.accounts.values().filter(same).fold(None, |_, account| Some(account))
     }
 }
--- a/goldcrestward/src/connection/mod.rs
+++ b/goldcrestward/src/connection/mod.rs
@@ -11,3 +11,6 @@
 pub(crate) use listener::{Drain, Listener, bind};
 pub(crate) use peer::{PeerHandler, PeerLinks, serve_peers};
 pub(crate) use seal::{Seal, Secrets};
+
+#[cfg(test)]
+mod seal_test;
--- a/goldcrestward/src/process/admin.rs
+++ b/goldcrestward/src/process/admin.rs
@@ -18,7 +18,7 @@
 };
 
 use super::{
-    configure::{Accepted, Change, Configurer},
+    configure::{Change, Configurer, Proposed},
     membership::{FactKind, State},
     rollout::{prefix_of, read_records},
     shared::Shared,
@@ -137,11 +137,11 @@
         };
         let accepted = self.configurer.propose(proposal.changes, proposal.base).await;
         let status = match &accepted {
-            Accepted::Accepted { .. } | Accepted::Unchanged { .. } => StatusCode::OK,
-            Accepted::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
-            Accepted::Conflict { .. } => StatusCode::CONFLICT,
-            Accepted::Unavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
-            Accepted::Unknown { .. } => StatusCode::GATEWAY_TIMEOUT,
+            Proposed::Accepted { .. } | Proposed::Unchanged { .. } => StatusCode::OK,
+            Proposed::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+            Proposed::Conflict { .. } => StatusCode::CONFLICT,
+            Proposed::Unavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Proposed::Unknown { .. } => StatusCode::GATEWAY_TIMEOUT,
         };
         reply(status, &accepted)
     }
--- a/goldcrestward/src/process/configure.rs
+++ b/goldcrestward/src/process/configure.rs
@@ -53,7 +53,7 @@
 /// What became of a proposed change.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(tag = "result", rename_all = "kebab-case")]
-pub(crate) enum Accepted {
+pub(crate) enum Proposed {
     /// It is in the service at this revision.
     Accepted {
         /// The revision.
@@ -143,24 +143,24 @@
     }
 
     /// Proposes changes. With `base`, they are accepted only on top of that revision.
-    pub async fn propose(&self, changes: Vec<Change>, base: Option<u64>) -> Accepted {
+    pub async fn propose(&self, changes: Vec<Change>, base: Option<u64>) -> Proposed {
         if let Err(error) = self.read().await {
-            return Accepted::Unavailable { message: error.to_string() };
+            return Proposed::Unavailable { message: error.to_string() };
         }
         let revision = self.shared.config.lock().revision();
         if let Some(base) = base.filter(|base| *base != revision) {
             let changed = self.shared.config.lock().delta(base).files;
             let changed = changed.into_iter().map(|file| file.name.into()).collect();
-            return Accepted::Conflict { revision, changed };
+            return Proposed::Conflict { revision, changed };
         }
         let documents = self.shared.config.lock().documents();
         let changes: Vec<_> = changes.into_iter().filter(|change| differs(&documents, change)).collect();
         if changes.is_empty() {
-            return Accepted::Unchanged { revision };
+            return Proposed::Unchanged { revision };
         }
         let merged = merge(&with_changes(documents, &changes));
         if !merged.problems.is_empty() {
-            return Accepted::Invalid { problems: merged.problems };
+            return Proposed::Invalid { problems: merged.problems };
         }
         self.commit(&changes, revision, merged.overrides).await
     }
@@ -210,11 +210,11 @@
         }
     }
 
-    async fn commit(&self, changes: &[Change], revision: u64, overrides: Vec<Override>) -> Accepted {
+    async fn commit(&self, changes: &[Change], revision: u64, overrides: Vec<Override>) -> Proposed {
         let before = match self.read_head().await {
             Ok((head, at)) if at == revision => head.token,
-            Ok((_, at)) => return Accepted::Conflict { revision: at, changed: Vec::new() },
-            Err(error) => return Accepted::Unavailable { message: error.to_string() },
+            Ok((_, at)) => return Proposed::Conflict { revision: at, changed: Vec::new() },
+            Err(error) => return Proposed::Unavailable { message: error.to_string() },
         };
         let token = format!("{:032x}", rand::random::<u128>());
         let mut uncertain = false;
@@ -225,14 +225,14 @@
                 Ok(_) => return self.lost_race(&token, uncertain, overrides).await,
                 Err(Error::Unreached { .. } | Error::Budget { .. }) if !uncertain => {
                     let message = "the platform's service cannot be reached; nothing was changed".into();
-                    return Accepted::Unavailable { message };
+                    return Proposed::Unavailable { message };
                 }
                 // The same comparison admits the change once, so it can be sent again.
                 Err(_) => uncertain = true,
             }
             sleep(RETRY_PAUSE).await;
         }
-        Accepted::Unknown {
+        Proposed::Unknown {
             message: format!("no answer from the service; look for change {token} in the status later"),
         }
     }
@@ -254,23 +254,23 @@
         Ok((serde_json::from_slice(&row.value).unwrap_or_default(), row.revision))
     }
 
-    async fn accepted(&self, revision: u64, overrides: Vec<Override>) -> Accepted {
+    async fn accepted(&self, revision: u64, overrides: Vec<Override>) -> Proposed {
         self.read().await.ok();
         info!("event=config-accepted revision={revision}");
-        Accepted::Accepted { revision, overrides }
+        Proposed::Accepted { revision, overrides }
     }
 
     /// The comparison failed: either another change came first, or an earlier try took effect.
-    async fn lost_race(&self, token: &str, uncertain: bool, overrides: Vec<Override>) -> Accepted {
+    async fn lost_race(&self, token: &str, uncertain: bool, overrides: Vec<Override>) -> Proposed {
         let head = self.read_head().await;
         self.read().await.ok();
         match head {
             Ok((head, at)) if head.token == token => self.accepted(at, overrides).await,
             Ok((head, at)) if head.after == token => self.accepted(at - 1, overrides).await,
-            Ok((_, at)) if !uncertain => Accepted::Conflict { revision: at, changed: Vec::new() },
+            Ok((_, at)) if !uncertain => Proposed::Conflict { revision: at, changed: Vec::new() },
             _ => {
                 let message = "other changes came meanwhile; look at the files in force";
-                Accepted::Unknown { message: message.into() }
+                Proposed::Unknown { message: message.into() }
             }
         }
     }
--- a/goldcrestward/src/process/membership/mod.rs
+++ b/goldcrestward/src/process/membership/mod.rs
@@ -10,3 +10,6 @@
 pub(crate) use fact::{Fact, FactKind, Facts};
 pub(crate) use member::{Member, State};
 pub(crate) use view::{Effect, Timing, View};
+
+#[cfg(test)]
+mod view_test;
--- a/goldcrestward/src/process/rollout.rs
+++ b/goldcrestward/src/process/rollout.rs
@@ -19,7 +19,7 @@
     pb::{self, answer, request},
     platform::{Compare, Purpose, Put, Txn, prefix_end},
     util::{stable_hash, unix_ms},
-    version::{Decision, Outcome, Readiness, Reading, Rollout, Standard, Strata, Tally, TallyKey, choose},
+    version::{Decision, Outcome, Readiness, Reading, Rollout, Standard, Strata, Tally, TallyKey},
 };
 
 /// Time from one decision to the next.
@@ -28,6 +28,8 @@
 const REPORT_MS: u64 = 15_000;
 /// Daemons that are asked for evidence; their share of the traffic stands for all.
 const SOURCES: usize = 50;
+/// Daemons asked a second, on average, so that a move's holder stays within its bytes a second.
+const ASKS_PER_SECOND: u64 = 10;
 /// Time for a daemon to give its evidence.
 const ASK_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for which steps and take-backs are spread, in ms.
@@ -91,6 +93,7 @@
     record: Record,
     revision: u64,
     seen: HashMap<Arc<str>, Source>,
+    next_ask: u64,
     pending: Option<Decision>,
 }
 
@@ -169,7 +172,12 @@
             return;
         }
         held.rollout.replan(plan.clone());
-        let reading = gather(&self.shared, &plan, &mut held.seen).await;
+        let now = self.shared.now();
+        if now >= held.next_ask {
+            let asked = ask_sources(&self.shared, &plan, &mut held.seen).await;
+            held.next_ask = now + asked * 1_000 / ASKS_PER_SECOND;
+        }
+        let reading = read(&self.shared, &plan, &held.seen);
         let raised = self.shared.view.lock().facts().get(FactKind::TakenBack, &name).cloned();
         let Some(held) = self.held.get_mut(&name) else { return };
         let decision = match (raised, held.pending.take()) {
@@ -224,7 +232,7 @@
         self.spread(&record);
         let rollout = Rollout::new(plan.clone(), record.step, unix_ms());
         info!("event=move-held version={} step={}", plan.name, record.step);
-        let held = Held { rollout, record, revision, seen: HashMap::new(), pending: None };
+        let held = Held { rollout, record, revision, seen: HashMap::new(), next_ask: 0, pending: None };
         self.held.insert(plan.name.clone(), held);
         true
     }
@@ -304,27 +312,28 @@
     Some(rows.into_iter().filter_map(parse).collect())
 }
 
-async fn gather(shared: &Arc<Shared>, plan: &VersionPlan, seen: &mut HashMap<Arc<str>, Source>) -> Reading {
-    let old = {
-        let in_force = shared.in_force.load();
-        let view = shared.view.lock();
-        let choice = choose(&in_force.site, view.facts(), &plan.pool);
-        choice.map(|c| c.base).filter(|base| *base != plan.name)
-    };
-    let old = old.unwrap_or_else(|| previous(shared, plan));
-    let versions = vec![plan.name.clone(), old.clone()];
+/// Asks daemons for what they have counted; gives how many were asked.
+async fn ask_sources(shared: &Arc<Shared>, plan: &VersionPlan, seen: &mut HashMap<Arc<str>, Source>) -> u64 {
+    let versions = vec![plan.name.clone(), old_version(shared, plan)];
     let asked = sources(shared, &plan.name);
+    let count = asked.len() as u64;
     let asks = asked.into_iter().map(|(name, address)| ask(shared.clone(), name, address, versions.clone()));
     for (name, report) in join_all(asks).await.into_iter().flatten() {
         seen.entry(name).or_default().take(report);
     }
+    count
+}
+
+/// What is known of a move now.
+fn read(shared: &Shared, plan: &VersionPlan, seen: &HashMap<Arc<str>, Source>) -> Reading {
+    let old = old_version(shared, plan);
     let mut strata = Strata::new();
     for (TallyKey { version, route, zone }, tally) in seen.values().flat_map(Source::rows) {
         let pair = strata.entry((route.clone(), zone.clone())).or_default();
         if *version == plan.name {
-            pair.new.add(tally)
+            pair.new.add(tally);
         } else if *version == old {
-            pair.old.add(tally)
+            pair.old.add(tally);
         }
     }
     let pool = shared.replicas.pool(&plan.pool);
@@ -333,6 +342,12 @@
     Reading { now_ms: unix_ms(), strata, ready }
 }
 
+/// The version that a move leads away from.
+fn old_version(shared: &Shared, plan: &VersionPlan) -> Arc<str> {
+    let base = shared.base_version(&plan.pool).filter(|base| *base != plan.name);
+    base.unwrap_or_else(|| previous(shared, plan))
+}
+
 /// The version that was in use before the one that now has all traffic.
 fn previous(shared: &Shared, plan: &VersionPlan) -> Arc<str> {
     let in_force = shared.in_force.load();
--- /dev/null
+++ b/goldcrestward/src/request/event_test.rs
@@ -0,0 +1,78 @@
+//! Tests of the reader of engines' streams.
+
+use bytes::Bytes;
+use quickcheck::quickcheck;
+
+use super::event::{Broken, EventReader};
+
+fn event(id: &str, attempt: u32, index: usize) -> String {
+    format!("data: {{\"id\":\"{id}\",\"attempt\":{attempt},\"token_index\":{index},\"choices\":[]}}\n\n")
+}
+
+fn stream(tokens: usize) -> String {
+    let events: String = (0..tokens).map(|index| event("r", 1, index)).collect();
+    events + "data: [DONE]\n\n"
+}
+
+quickcheck! {
+    fn read_any_split_gives_same_stream(tokens: u8, cuts: Vec<u16>) -> bool {
+        let whole = stream(usize::from(tokens));
+        let mut places: Vec<usize> = cuts.iter().map(|cut| usize::from(*cut) % (whole.len() + 1)).collect();
+        places.push(whole.len());
+        places.sort_unstable();
+        let mut reader = EventReader::new("r", 1, 0);
+        let (mut out, mut from) = (Vec::new(), 0);
+        for place in places {
+            let (piece, broken) = reader.read(&Bytes::copy_from_slice(&whole.as_bytes()[from..place]));
+            out.extend_from_slice(&piece);
+            from = place;
+            if broken.is_some() {
+                return false;
+            }
+        }
+        out == whole.as_bytes() && reader.is_whole() && reader.next_token() == u64::from(tokens)
+    }
+
+    fn read_repeated_tokens_are_dropped(tokens: u8, repeats: Vec<u8>) -> bool {
+        let mut reader = EventReader::new("r", 1, 0);
+        let mut out = String::new();
+        for index in 0..usize::from(tokens) {
+            let mut text = event("r", 1, index);
+            for repeat in repeats.iter().filter(|r| usize::from(**r) <= index) {
+                text.push_str(&event("r", 1, usize::from(*repeat)));
+            }
+            let (piece, broken) = reader.read(&Bytes::from(text));
+            out.push_str(&String::from_utf8_lossy(&piece));
+            if broken.is_some() {
+                return false;
+            }
+        }
+        let wanted: String = (0..usize::from(tokens)).map(|index| event("r", 1, index)).collect();
+        out == wanted
+    }
+}
+
+#[test]
+fn read_faulty_streams_are_broken() {
+    let cases = [
+        ("another request", event("other", 1, 0), Broken::Crossed),
+        ("another attempt", event("r", 2, 0), Broken::Crossed),
+        ("a missing token", event("r", 1, 1), Broken::Gap),
+        ("no JSON", "data: {\n\n".to_owned(), Broken::Malformed),
+    ];
+    for (name, text, wanted) in cases {
+        let mut reader = EventReader::new("r", 1, 0);
+        let (out, broken) = reader.read(&Bytes::from(text));
+        assert_eq!((out.len(), broken), (0, Some(wanted)), "{name}");
+    }
+}
+
+#[test]
+fn read_resumed_stream_goes_on_from_its_token() {
+    let mut reader = EventReader::new("r", 2, 7);
+    let text: String = (5..9).map(|index| event("r", 2, index)).collect();
+    let (out, broken) = reader.read(&Bytes::from(text));
+    assert_eq!(broken, None);
+    assert_eq!(out, event("r", 2, 7) + &event("r", 2, 8));
+    assert_eq!(reader.repeated(), 2);
+}
--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -15,3 +15,6 @@
 pub(crate) use crash::CrashRecords;
 pub(crate) use ingress::Ingress;
 pub(crate) use refusal::{Reason, Refusal};
+
+#[cfg(test)]
+mod event_test;
--- a/goldcrestward/tests/it/answers.rs
+++ b/goldcrestward/tests/it/answers.rs
@@ -1,8 +1,16 @@
 //! Answers of engines that are cut, crossed, doubled, late or lost with their replica.
 
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use standin::{engine::EngineFaults, load::Ended, platform::InstanceState};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
 
-use crate::support::{TestSite, eventually, run};
+use crate::support::{KEY, TestSite, eventually, run};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn stream_cut_is_resumed_whole() {
@@ -34,9 +42,7 @@
         .map(|prompt| {
             let client = standin::load::Client::default();
             let planned = std::time::Instant::now();
-            tokio::spawn(async move {
-                client.stream(target, crate::support::KEY, "meal-planner", &prompt, 300, planned).await
-            })
+            tokio::spawn(async move { client.stream(target, KEY, "meal-planner", &prompt, 300, planned).await })
         })
         .collect();
     let busy = || async { (site.engines.iter().filter(|e| e.counts().running > 0).count() >= 2).then_some(()) };
@@ -97,7 +103,7 @@
             let planned = std::time::Instant::now();
             tokio::spawn(async move {
                 let prompt = format!("innocent {n}");
-                client.stream(target, crate::support::KEY, "meal-planner", &prompt, 400, planned).await
+                client.stream(target, KEY, "meal-planner", &prompt, 400, planned).await
             })
         })
         .collect();
@@ -119,7 +125,7 @@
     let caller = tokio::spawn(async move {
         let client = standin::load::Client::default();
         let planned = std::time::Instant::now();
-        client.stream(target, crate::support::KEY, "meal-planner", "a long answer", 100_000, planned).await
+        client.stream(target, KEY, "meal-planner", "a long answer", 100_000, planned).await
     });
     let busy = || async { (site.engines[0].counts().tokens > 5).then_some(()) };
     eventually("the engine answers", busy).await;
@@ -127,3 +133,65 @@
     let idle = || async { (site.engines[0].counts().running == 0).then_some(()) };
     eventually("the engine has been told", idle).await;
 }
+
+/// A back end that may drop a connection, before or after reading, fail, or answer; it notes what it has read.
+async fn unreliable(seed: u64) -> (std::net::SocketAddr, Arc<Mutex<String>>) {
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = socket.local_addr().expect("the socket has an address");
+    let read = Arc::new(Mutex::new(String::new()));
+    let seen = read.clone();
+    tokio::spawn(async move {
+        let mut random = SmallRng::seed_from_u64(seed);
+        while let Ok((mut stream, _)) = socket.accept().await {
+            let draw = random.random_range(0..5);
+            if draw == 0 {
+                continue;
+            }
+            let mut buffer = [0; 8192];
+            let length = stream.read(&mut buffer).await.unwrap_or(0);
+            seen.lock().push_str(&String::from_utf8_lossy(&buffer[..length]));
+            let answer = match draw {
+                1 | 2 => continue,
+                3 => "HTTP/1.1 500 Failed\r\ncontent-length: 0\r\nconnection: close\r\n\r\n",
+                _ => "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok",
+            };
+            stream.write_all(answer.as_bytes()).await.ok();
+        }
+    });
+    (address, read)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn refusal_not_run_is_never_said_of_what_was_read() {
+    let mut site = TestSite::start(1, 0).await;
+    site.services.iter().for_each(standin::service::Service::kill);
+    site.services.clear();
+    let mut read = Vec::new();
+    for seed in 1..=3 {
+        let (address, seen) = unreliable(seed).await;
+        site.list_service(address, &format!("unreliable-{seed}"));
+        read.push(seen);
+    }
+    let known = || async {
+        let value = site.daemons[0].get("/admin/requests").await?;
+        value.to_string().contains("unreliable-3").then_some(())
+    };
+    eventually("the daemon knows the back ends", known).await;
+    let (mut not_run, mut may_have_run, mut whole) = (0, 0, 0);
+    for number in 0..240 {
+        // Every other call may not be repeated.
+        let path = if number % 2 == 0 { "/orders/confirm" } else { "/orders/other" };
+        let mark = format!("mark-{number}-end");
+        let ended = standin::load::Client::default().keyed(site.daemons[0].callers, KEY, path, &mark).await;
+        let was_read = read.iter().any(|seen| seen.lock().contains(&mark));
+        match ended {
+            Ended::Refused(reason, run) if run == "not-run" => {
+                assert!(!was_read, "{mark} was said to have not run ({reason}), but was read");
+                not_run += 1;
+            }
+            Ended::Refused(..) => may_have_run += 1,
+            _ => whole += 1,
+        }
+    }
+    assert!(may_have_run > 0 && whole > 0, "{not_run} not run, {may_have_run} may have run, {whole} answered");
+}
--- a/standin/src/args.rs
+++ b/standin/src/args.rs
@@ -120,6 +120,9 @@
     /// A daemon or engine; may be repeated
     #[bpaf(long, argument("IP:PORT"), some("a target is needed"))]
     pub target: Vec<SocketAddr>,
+    /// An engine to be called beside the targets, in the same run; may be repeated
+    #[bpaf(long, argument("IP:PORT"), many)]
+    pub beside: Vec<SocketAddr>,
     /// The account's key
     #[bpaf(long, argument("TEXT"), fallback("none".into()))]
     pub key: String,
--- a/standin/src/cmd.rs
+++ b/standin/src/cmd.rs
@@ -95,6 +95,12 @@
         tries: args.tries,
         seed: args.seed,
     };
-    let report = load::run(plan, Arc::default()).await;
-    writeln!(io::stdout().lock(), "{:#}", json!(report)).context(FileSnafu { path: "standard output" })
+    let report = if args.beside.is_empty() {
+        json!(load::run(plan, Arc::default()).await)
+    } else {
+        let other = LoadPlan { targets: Targets::new(args.beside), ..plan.clone() };
+        let (through, beside) = tokio::join!(load::run(plan, Arc::default()), load::run(other, Arc::default()));
+        json!({ "targets": through, "beside": beside })
+    };
+    writeln!(io::stdout().lock(), "{report:#}").context(FileSnafu { path: "standard output" })
 }
