--- a/goldcrestward/src/args.rs
+++ b/goldcrestward/src/args.rs
@@ -34,14 +34,14 @@
     /// Shows requests in flight and how requests ended
     #[bpaf(command)]
     Requests(#[bpaf(external(admin_args))] AdminArgs),
-    /// Shows refusals and retries by reason, or pardons a request that crashed back ends
+    /// Shows refusals and retries by reason, or clears a request that crashed back ends
     #[bpaf(command)]
     Refusals {
         #[bpaf(external(admin_args))]
         admin: AdminArgs,
         /// Fingerprint of a request to be let through again
         #[bpaf(long, argument("FINGERPRINT"))]
-        pardon: Option<String>,
+        clear: Option<String>,
     },
 }
 
--- a/goldcrestward/src/cmd/mod.rs
+++ b/goldcrestward/src/cmd/mod.rs
@@ -30,7 +30,7 @@
             Self::Rollout(rollout) => rollout.run(),
             Self::Peers(admin) => overview::peers(&admin),
             Self::Requests(admin) => overview::requests(&admin),
-            Self::Refusals { admin, pardon } => overview::refusals(&admin, pardon),
+            Self::Refusals { admin, clear } => overview::refusals(&admin, clear),
         }
     }
 }
--- a/goldcrestward/src/cmd/overview.rs
+++ b/goldcrestward/src/cmd/overview.rs
@@ -33,25 +33,25 @@
     print_table(&["REPLICA", "VERSION", "ZONE", "IN FLIGHT", "LEAVING"], &rows(&value["replicas"], &fields))
 }
 
-/// Shows refusals and retries, or pardons a fingerprint.
-pub(crate) fn refusals(admin: &AdminArgs, pardon: Option<String>) -> Result<()> {
-    let value = match pardon {
-        Some(fingerprint) => pardon_one(admin, &fingerprint)?,
+/// Shows refusals and retries, or clears a fingerprint.
+pub(crate) fn refusals(admin: &AdminArgs, clear: Option<String>) -> Result<()> {
+    let value = match clear {
+        Some(fingerprint) => clear_one(admin, &fingerprint)?,
         None => get(admin, "/admin/refusals")?,
     };
-    if admin.json || value["pardoned"].is_string() {
+    if admin.json || value["cleared"].is_string() {
         return print_json(&value);
     }
     print_table(&["REFUSAL", "COUNT"], &rows(&value["refusals"], &["labels", "count"]))?;
     print_table(&["RETRY", "COUNT"], &rows(&value["retries"], &["labels", "count"]))
 }
 
-fn pardon_one(admin: &AdminArgs, fingerprint: &str) -> Result<Value> {
+fn clear_one(admin: &AdminArgs, fingerprint: &str) -> Result<Value> {
     let body = json!({ "fingerprint": fingerprint });
-    let (status, value) = ask(admin, Method::POST, "/admin/pardon", Some(&body))?;
+    let (status, value) = ask(admin, Method::POST, "/admin/clear", Some(&body))?;
     if status == StatusCode::OK {
         return Ok(value);
     }
-    let message = value["error"].as_str().unwrap_or("could not pardon the fingerprint");
+    let message = value["error"].as_str().unwrap_or("could not clear the fingerprint");
     RefusedSnafu { message, code: 1_u8 }.fail()
 }
--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -408,8 +408,8 @@
     Crash = 2,
     /// The key names a replica that is leaving.
     Leaving = 3,
-    /// The key is a fingerprint that an operator has pardoned.
-    Pardon = 4,
+    /// The key is a fingerprint that an operator has cleared.
+    Clear = 4,
     /// The key names a version; the value is the step that its move has reached.
     Step = 5,
 }
@@ -424,7 +424,7 @@
             Self::TakenBack => "FACT_KIND_TAKEN_BACK",
             Self::Crash => "FACT_KIND_CRASH",
             Self::Leaving => "FACT_KIND_LEAVING",
-            Self::Pardon => "FACT_KIND_PARDON",
+            Self::Clear => "FACT_KIND_CLEAR",
             Self::Step => "FACT_KIND_STEP",
         }
     }
@@ -435,7 +435,7 @@
             "FACT_KIND_TAKEN_BACK" => Some(Self::TakenBack),
             "FACT_KIND_CRASH" => Some(Self::Crash),
             "FACT_KIND_LEAVING" => Some(Self::Leaving),
-            "FACT_KIND_PARDON" => Some(Self::Pardon),
+            "FACT_KIND_CLEAR" => Some(Self::Clear),
             "FACT_KIND_STEP" => Some(Self::Step),
             _ => None,
         }
--- a/goldcrestward/src/process/admin.rs
+++ b/goldcrestward/src/process/admin.rs
@@ -45,7 +45,7 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Pardon {
+struct Clear {
     fingerprint: String,
 }
 
@@ -94,7 +94,7 @@
                 let admin = self.clone();
                 post(move |request: Request| admin.clone().propose(request))
             })
-            .route("/admin/pardon", post(move |request: Request| self.clone().pardon(request)))
+            .route("/admin/clear", post(move |request: Request| self.clone().clear(request)))
     }
 
     fn is_authorised(&self, request: &Request) -> bool {
@@ -146,19 +146,19 @@
         reply(status, &accepted)
     }
 
-    async fn pardon(self, request: Request) -> Response {
+    async fn clear(self, request: Request) -> Response {
         if !self.is_authorised(&request) {
             return unauthorised();
         }
-        let pardon: Pardon = match read(request).await {
-            Ok(pardon) => pardon,
+        let clear: Clear = match read(request).await {
+            Ok(clear) => clear,
             Err(response) => return response,
         };
-        let Ok(fingerprint) = u64::from_str_radix(&pardon.fingerprint, 16) else {
+        let Ok(fingerprint) = u64::from_str_radix(&clear.fingerprint, 16) else {
             return fail(StatusCode::BAD_REQUEST, "fingerprint: must be hexadecimal digits");
         };
-        self.shared.state(CrashRecords::pardon(fingerprint, "operator"));
-        reply(StatusCode::OK, &json!({ "pardoned": pardon.fingerprint }))
+        self.shared.state(CrashRecords::clear(fingerprint, "operator"));
+        reply(StatusCode::OK, &json!({ "cleared": clear.fingerprint }))
     }
 
     fn config(&self) -> Response {
--- a/goldcrestward/src/process/gossip.rs
+++ b/goldcrestward/src/process/gossip.rs
@@ -179,7 +179,7 @@
                 self.shared.refresh_choices();
             }
             FactKind::Step => self.shared.refresh_choices(),
-            FactKind::Crash | FactKind::Pardon => {}
+            FactKind::Crash | FactKind::Clear => {}
         }
     }
 
--- a/goldcrestward/src/process/membership/fact.rs
+++ b/goldcrestward/src/process/membership/fact.rs
@@ -19,8 +19,8 @@
         Crash,
         /// A replica is leaving; the key is its name.
         Leaving,
-        /// An operator has pardoned a fingerprint, which is the key.
-        Pardon,
+        /// An operator has cleared a fingerprint, which is the key.
+        Clear,
         /// Step that the move to a version has reached; the key is its name.
         Step,
     }
@@ -48,7 +48,7 @@
             FactKind::TakenBack => pb::FactKind::TakenBack,
             FactKind::Crash => pb::FactKind::Crash,
             FactKind::Leaving => pb::FactKind::Leaving,
-            FactKind::Pardon => pb::FactKind::Pardon,
+            FactKind::Clear => pb::FactKind::Clear,
             FactKind::Step => pb::FactKind::Step,
         };
         Self {
@@ -69,7 +69,7 @@
             pb::FactKind::TakenBack => FactKind::TakenBack,
             pb::FactKind::Crash => FactKind::Crash,
             pb::FactKind::Leaving => FactKind::Leaving,
-            pb::FactKind::Pardon => FactKind::Pardon,
+            pb::FactKind::Clear => FactKind::Clear,
             pb::FactKind::Step => FactKind::Step,
         };
         let (value, until_ms) = (fact.value, fact.until_ms);
--- a/goldcrestward/src/process/membership/view.rs
+++ b/goldcrestward/src/process/membership/view.rs
@@ -28,6 +28,9 @@
 const ANNOUNCE_FANOUT: usize = 4;
 /// Least time between two full exchanges, in ms.
 const SYNC_INTERVAL_MS: u64 = 10_000;
+/// Least time between two full exchanges for each daemon known, in ms. An exchange grows with the
+/// site, so its bytes a second do not.
+const SYNC_INTERVAL_EACH_MS: u64 = 150;
 /// Time without a change after which a differing view leads to a full exchange, in ms.
 const SYNC_SETTLE_MS: u64 = 4_000;
 /// Relayed probes remembered, in ms.
@@ -185,7 +188,7 @@
             Some(Body::Announce(_)) | None => {}
         }
         let settled = now.saturating_sub(self.last_change) >= SYNC_SETTLE_MS;
-        if view != self.hash && settled && now.saturating_sub(self.last_sync) >= SYNC_INTERVAL_MS {
+        if view != self.hash && settled && now.saturating_sub(self.last_sync) >= self.sync_interval() {
             self.last_sync = now;
             effects.push(Effect::Sync(address));
         }
@@ -302,6 +305,10 @@
         (members, facts)
     }
 
+    fn sync_interval(&self) -> u64 {
+        SYNC_INTERVAL_MS.max(SYNC_INTERVAL_EACH_MS * self.peers.len() as u64)
+    }
+
     fn send_limit(&self) -> u32 {
         let count = self.peers.len() + 2;
         3 * (usize::BITS - count.leading_zeros())
--- a/goldcrestward/src/process/rollout.rs
+++ b/goldcrestward/src/process/rollout.rs
@@ -268,7 +268,9 @@
             Ok(_) => {
                 self.held.remove(name);
             }
-            Err(_) => held.pending = Some(decision),
+            // A version taken back stays so; every other decision is taken anew on what is known then.
+            Err(_) if matches!(decision, Decision::End(Outcome::TakenBack, _)) => held.pending = Some(decision),
+            Err(_) => {}
         }
     }
 
--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -163,7 +163,7 @@
     pub fn succeeded(&self, replica: &Replica) {
         replica.note(true, self.shared.now());
         if self.crashes > 0 {
-            self.shared.state(CrashRecords::pardon(self.fingerprint, "answered"));
+            self.shared.state(CrashRecords::clear(self.fingerprint, "answered"));
         }
     }
 
--- a/goldcrestward/src/request/crash.rs
+++ b/goldcrestward/src/request/crash.rs
@@ -51,10 +51,10 @@
     }
 
     /// The fact that a fingerprint is cleared of what is known so far.
-    pub fn pardon(fingerprint: u64, note: &str) -> Fact {
+    pub fn clear(fingerprint: u64, note: &str) -> Fact {
         let now = unix_ms();
         Fact {
-            kind: FactKind::Pardon,
+            kind: FactKind::Clear,
             key: format!("{fingerprint:016x}").into(),
             value: now,
             until_ms: now + MEMORY_MS,
@@ -65,7 +65,7 @@
     /// Points of the request since it was last cleared.
     pub fn points(facts: &Facts, fingerprint: u64) -> u64 {
         let prefix = format!("{fingerprint:016x}");
-        let cleared = facts.get(FactKind::Pardon, &prefix).map_or(0, |f| f.value);
+        let cleared = facts.get(FactKind::Clear, &prefix).map_or(0, |f| f.value);
         let crashes = facts.with_prefix(FactKind::Crash, &prefix).filter(|f| f.value > cleared);
         crashes.filter_map(|f| f.key.rsplit('/').next()?.parse::<u64>().ok()).sum()
     }
--- a/goldcrestward/src/version/scenario_test.rs
+++ b/goldcrestward/src/version/scenario_test.rs
@@ -5,6 +5,7 @@
 use super::{
     analysis::Strata,
     rollout::{Decision, Outcome, Readiness, Reading, Rollout},
+    standard::Pair,
     tally::Tally,
 };
 use crate::config::VersionPlan;
@@ -178,6 +179,67 @@
     ended
 }
 
+/// Plain ways to move, for comparison.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Baseline {
+    /// Fixed steps; back when the step's rate of failed or late requests is above the old one's by the harm.
+    Threshold,
+    /// Fixed steps; back when a two-proportion z-test at the end of a step is significant at 1%.
+    FixedHorizon,
+}
+
+fn run_baseline(baseline: Baseline, traffic: Traffic, fault: Fault, trouble: Trouble, seed: u64) -> Ended {
+    let mut run = Run { random: SmallRng::seed_from_u64(seed), traffic, trouble, fault, strata: Strata::new() };
+    let steps = plan().steps;
+    let length = MOVE_S * 3 / 4 / steps.len() as u64;
+    let (mut step, mut back) = (1, false);
+    let mut before = Pair::default();
+    let mut ended = Ended::default();
+    for second in (0..=MOVE_S + 600).step_by(TICK_S as usize) {
+        let share = if back { 0.0 } else { Rollout::share(&plan(), step) };
+        let (met, all) = run.requests(second, share);
+        ended.met += met;
+        ended.total += all;
+        if back || second == 0 || second % length != 0 || second > MOVE_S {
+            continue;
+        }
+        let mut sum = Pair::default();
+        for pair in run.strata.values() {
+            sum.old.add(pair.old);
+            sum.new.add(pair.new);
+        }
+        let since = Pair { old: sum.old - before.old, new: sum.new - before.new };
+        before = sum;
+        if baseline.condemns(&since) {
+            back = true;
+            ended.seconds = Some(second.saturating_sub((fault.from * MOVE_S as f64) as u64));
+        } else {
+            step = (step + 1).min(steps.len());
+        }
+    }
+    ended.outcomes = 1;
+    ended.full = !back;
+    ended
+}
+
+impl Baseline {
+    fn condemns(self, pair: &Pair) -> bool {
+        let (new, old) = (pair.new, pair.old);
+        [(new.failed, old.failed), (new.slow, old.slow)].into_iter().any(|(new_hits, old_hits)| {
+            let (n, m) = (new.count.max(1) as f64, old.count.max(1) as f64);
+            let (p, q) = (new_hits as f64 / n, old_hits as f64 / m);
+            match self {
+                Self::Threshold => p > q + plan().harm,
+                Self::FixedHorizon => {
+                    let pooled = (new_hits + old_hits) as f64 / (n + m);
+                    let error = (pooled * (1.0 - pooled) * (1.0 / n + 1.0 / m)).sqrt();
+                    error > 0.0 && (p - q) / error > 2.326
+                }
+            }
+        })
+    }
+}
+
 struct Cell {
     name: &'static str,
     fault: Fault,
@@ -209,6 +271,25 @@
     Cell { name: "fails 1 in 10, outage", fault: Fault { failed: 0.1, from: 0.42, ..GOOD }, trouble: Trouble::Outage },
 ];
 
+#[test]
+fn baselines_for_comparison() {
+    println!("baseline,traffic,version,full,taken back,met");
+    let mut lines = 0;
+    for baseline in [Baseline::Threshold, Baseline::FixedHorizon] {
+        for (traffic_name, traffic) in [("swanvale", SWANVALE), ("klaasvikat", KLAASVIKAT)] {
+            for cell in &CELLS {
+                let ends: Vec<Ended> =
+                    (0..RUNS).map(|seed| run_baseline(baseline, traffic, cell.fault, cell.trouble, seed)).collect();
+                let full = ends.iter().filter(|e| e.full).count() as u64;
+                let met = ends.iter().map(|e| e.met).sum::<u64>() / RUNS;
+                println!("{baseline:?},{traffic_name},{},{full},{},{met}", cell.name.replace(',', ";"), RUNS - full);
+                lines += 1;
+            }
+        }
+    }
+    assert_eq!(lines, 2 * 2 * CELLS.len(), "a kind of move was left out");
+}
+
 #[test]
 fn moves_end_as_their_versions_deserve() {
     let mut lines =
--- a/goldcrestward/tests/it/ledger.rs
+++ b/goldcrestward/tests/it/ledger.rs
@@ -59,7 +59,7 @@
     for daemon in &site.daemons[..2] {
         sleep(Duration::from_secs(1)).await;
         daemon.signal(Signal::STOP);
-        // Long enough for the others to bury it and take its slots.
+        // Long enough for the others to declare it dead and take its slots.
         sleep(Duration::from_secs(5)).await;
         daemon.signal(Signal::CONT);
     }
