--- a/goldcrestward/src/ledger/slot.rs
+++ b/goldcrestward/src/ledger/slot.rs
@@ -16,7 +16,7 @@
     entry::{Entry, EntryState, Key},
     message::{Effect, Settlement, StoreResult, Ticket},
     pace::Pace,
-    stored::{find_head, parse_segment},
+    stored::{find_head, head_put, parse_segment},
 };
 use crate::{
     pb::{self, Grant},
@@ -289,10 +289,9 @@
         self.fence = fence + 1;
         self.phase = Phase::Taking;
         self.busy = true;
-        let head = pb::LedgerHead { fence: self.fence, owner: self.me.clone(), address: self.address.clone() };
-        let key = format!("{}head", self.prefix);
-        let compare = Compare { key: key.clone(), revision };
-        vec![Effect::Commit(vec![compare], vec![Put { key, value: head.encode_to_vec() }], Vec::new())]
+        let put = head_put(&self.prefix, self.fence, &self.me, &self.address);
+        let compare = Compare { key: put.key.clone(), revision };
+        vec![Effect::Commit(vec![compare], vec![put], Vec::new())]
     }
 
     /// Reads all segments; what an earlier owner left open may have run.
--- a/goldcrestward/src/ledger/stored.rs
+++ b/goldcrestward/src/ledger/stored.rs
@@ -2,7 +2,10 @@
 
 use prost::Message;
 
-use crate::{pb, platform::Row};
+use crate::{
+    pb,
+    platform::{Put, Row},
+};
 
 /// The slot's head with its revision.
 pub(super) fn find_head(rows: &[Row], prefix: &str) -> Option<(pb::LedgerHead, u64)> {
@@ -10,6 +13,12 @@
     Some((pb::LedgerHead::decode(&row.value[..]).ok()?, row.revision))
 }
 
+/// The head that makes `owner` the owner under a fencing number.
+pub(super) fn head_put(prefix: &str, fence: u64, owner: &str, address: &str) -> Put {
+    let head = pb::LedgerHead { fence, owner: owner.into(), address: address.into() };
+    Put { key: format!("{prefix}head"), value: head.encode_to_vec() }
+}
+
 /// A segment with its number; `None` for another row.
 pub(super) fn parse_segment(row: &Row, prefix: &str) -> Option<(u32, pb::LedgerSegment)> {
     let number = row.key.strip_prefix(prefix)?.strip_prefix("segment/")?.parse().ok()?;
--- a/goldcrestward/src/process/membership/member.rs
+++ b/goldcrestward/src/process/membership/member.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use crate::{pb, util::value};
+use crate::{
+    pb,
+    util::{stable_hash, value},
+};
 
 value! {
     /// Whether a daemon is thought to run. At one incarnation a later state overrides an earlier one.
@@ -54,6 +57,16 @@
 }
 
 impl Member {
+    /// The member's part in the hash of a view.
+    ///
+    /// Suspicions pass and the dead are forgotten at different times, so neither makes views differ.
+    pub fn hash(&self) -> u64 {
+        if !self.state.is_present() {
+            return 0;
+        }
+        stable_hash(&[self.name.as_bytes(), &self.incarnation.to_le_bytes()])
+    }
+
     /// Whether this statement overrides `other` on the same daemon.
     pub fn overrides(&self, other: &Self) -> bool {
         (self.incarnation, self.state) > (other.incarnation, other.state)
--- a/goldcrestward/src/process/membership/view.rs
+++ b/goldcrestward/src/process/membership/view.rs
@@ -327,14 +327,7 @@
     }
 
     fn rehash(&mut self) {
-        // Suspicions pass and the dead are forgotten at different times, so neither makes views differ.
-        let row = |m: &Member| {
-            if !m.state.is_present() {
-                return 0;
-            }
-            stable_hash(&[m.name.as_bytes(), &m.incarnation.to_le_bytes()])
-        };
-        let members = self.peers.values().fold(row(&self.me), |sum, p| sum ^ row(&p.member));
+        let members = self.peers.values().fold(self.me.hash(), |sum, p| sum ^ p.member.hash());
         self.hash = members ^ self.facts.hash();
     }
 
