--- a/goldcrestward/tests/it/answers.rs
+++ b/goldcrestward/tests/it/answers.rs
@@ -45,8 +45,12 @@
             tokio::spawn(async move { client.stream(target, KEY, "meal-planner", &prompt, 300, planned).await })
         })
         .collect();
-    let busy = || async { (site.engines.iter().filter(|e| e.counts().running > 0).count() >= 2).then_some(()) };
-    eventually("two engines are busy", busy).await;
+    let begun = || async {
+        let counts: Vec<_> = site.engines.iter().map(standin::engine::Engine::counts).collect();
+        let running: u64 = counts.iter().map(|c| c.running).sum();
+        (running >= 12 && counts.iter().all(|c| c.running == 0 || c.tokens >= 20 * c.running)).then_some(())
+    };
+    eventually("all streams have begun", begun).await;
     let busiest = site.engines.iter().max_by_key(|e| e.counts().running).expect("there are engines");
     busiest.kill();
     for task in tasks {
