--- a/goldcrestward/src/ledger/slot.rs
+++ b/goldcrestward/src/ledger/slot.rs
@@ -294,12 +294,17 @@
         vec![Effect::Commit(vec![compare], vec![put], Vec::new())]
     }
 
-    /// Reads all segments; what an earlier owner left open may have run.
-    fn read(&mut self, rows: &[Row], unix: u64) {
+    /// Drops what is known of the slot's keys.
+    fn forget(&mut self) {
         self.entries.clear();
         self.segments.clear();
         self.dirty.clear();
         self.dirty_since = None;
+    }
+
+    /// Reads all segments; what an earlier owner left open may have run.
+    fn read(&mut self, rows: &[Row], unix: u64) {
+        self.forget();
         for row in rows {
             let Some((number, segment)) = parse_segment(row, &self.prefix) else { continue };
             let mut newest = 0;
@@ -463,10 +468,7 @@
     /// Another daemon owns the slot: nothing that was not committed may run here.
     fn lose(&mut self) -> Vec<Effect> {
         self.phase = Phase::Idle;
-        self.entries.clear();
-        self.segments.clear();
-        self.dirty.clear();
-        self.dirty_since = None;
+        self.forget();
         let batch = std::mem::take(&mut self.batch);
         let refused = batch.tickets.into_iter().map(|(ticket, ..)| Effect::Reply(ticket, Grant::NotOwner, None));
         let mut effects: Vec<_> = refused.collect();
--- a/goldcrestward/src/process/rollout.rs
+++ b/goldcrestward/src/process/rollout.rs
@@ -128,7 +128,8 @@
         }
         loop {
             sleep(TICK).await;
-            self.refresh();
+            // Facts come and go, so the versions in use are worked out anew.
+            self.shared.refresh_choices();
             let plans: Vec<_> = self.shared.in_force.load().site.versions.values().cloned().collect();
             self.held.retain(|name, _| plans.iter().any(|plan| plan.name == *name));
             for plan in plans {
@@ -150,11 +151,6 @@
         }
     }
 
-    /// Lets the versions in use follow facts that came and went.
-    fn refresh(&self) {
-        self.shared.refresh_choices();
-    }
-
     fn is_mine(&self, version: &str) -> bool {
         let view = self.shared.view.lock();
         view.owner(&format!("move/{version}")).name == view.me().name
