--- a/goldcrestward/src/ledger/mod.rs
+++ b/goldcrestward/src/ledger/mod.rs
@@ -9,6 +9,7 @@
 mod owner;
 mod pace;
 mod slot;
+mod state;
 mod stored;
 
 pub(crate) use entry::{Key, SLOTS, key_of};
--- a/goldcrestward/src/ledger/slot.rs
+++ b/goldcrestward/src/ledger/slot.rs
@@ -16,6 +16,7 @@
     entry::{Entry, EntryState, Key},
     message::{Effect, Settlement, StoreResult, Ticket},
     pace::Pace,
+    state::{Batch, Claim, Phase, Segment},
     stored::{find_head, head_put, parse_segment},
 };
 use crate::{
@@ -40,42 +41,6 @@
 /// Failed calls in a row after which waiting claims are refused.
 const PATIENCE: u32 = 3;
 
-#[derive(Clone, Debug)]
-struct Claim {
-    ticket: Ticket,
-    key: Key,
-    fingerprint: u64,
-    request: Arc<str>,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    /// Another daemon's, or nobody's.
-    Idle,
-    /// Reading the slot, or waiting to.
-    Loading,
-    /// Raising the fencing number.
-    Taking,
-    /// This daemon's.
-    Owned,
-    /// This daemon's, with a commit on its way.
-    Committing,
-    /// A commit's answer was lost; reading back.
-    Settling,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Segment {
-    revision: u64,
-    newest: u64,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Batch {
-    tickets: Vec<(Ticket, Key, Arc<str>)>,
-    removes: Vec<u32>,
-}
-
 /// One slot at one daemon.
 #[derive(Clone, Debug)]
 pub(crate) struct Slot {
