--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -54,7 +54,7 @@
 /// Announces that the sender has a newer configuration.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Announce {}
-/// Load that a daemon has placed on one replica.
+/// Load that daemons have placed on one replica.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ReplicaLoad {
     /// Hash of the replica's name.
@@ -66,7 +66,7 @@
     #[prost(uint32, tag = "3")]
     pub reading_ms: u32,
 }
-/// Usage of an account's quota by one daemon since its start, in the quota's units.
+/// Usage of an account's quota since the sender's start, in the quota's units.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct QuotaUse {
     #[prost(string, tag = "1")]
@@ -75,6 +75,9 @@
     pub used: f64,
     #[prost(double, tag = "3")]
     pub asked: f64,
+    /// `used` at the sender's report before.
+    #[prost(double, tag = "4")]
+    pub used_before: f64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct AccountCount {
@@ -91,9 +94,13 @@
     #[prost(message, repeated, tag = "2")]
     pub counts: ::prost::alloc::vec::Vec<AccountCount>,
 }
-/// Requests all request counts that a daemon knows, including those of daemons that are gone.
+/// Requests the request counts that a daemon knows, including those of daemons that are gone.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct AskUsage {}
+pub struct AskUsage {
+    /// First window that the sender needs.
+    #[prost(uint64, tag = "1")]
+    pub from_window: u64,
+}
 /// Request counts of one process of a daemon; `life` is its start time in ms.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct LifeCounts {
@@ -109,17 +116,21 @@
     #[prost(message, repeated, tag = "1")]
     pub lives: ::prost::alloc::vec::Vec<LifeCounts>,
 }
-/// Total work that a daemon has sent to a pool since its start.
+/// Total work that daemons have sent to a pool since the sender's start.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PoolWork {
     #[prost(string, tag = "1")]
     pub pool: ::prost::alloc::string::String,
     #[prost(double, tag = "2")]
     pub total_ms: f64,
+    /// Availability zone of the daemons; empty in a daemon's own report.
+    #[prost(string, tag = "3")]
+    pub zone: ::prost::alloc::string::String,
 }
-/// Load and usage that a daemon sends to its peers several times a second.
+/// Load and usage of one daemon since its start, sent to the relays of its availability zone. Rows that have not changed
+/// are left out, and sent again from time to time.
 #[derive(Clone, PartialEq, ::prost::Message)]
-pub struct Digest {
+pub struct Report {
     /// Start time of the daemon in ms, which reveals that its counters were reset.
     #[prost(uint64, tag = "1")]
     pub life: u64,
@@ -134,8 +145,66 @@
     pub windows: ::prost::alloc::vec::Vec<WindowCounts>,
     #[prost(message, repeated, tag = "6")]
     pub works: ::prost::alloc::vec::Vec<PoolWork>,
-    #[prost(string, tag = "7")]
+    /// The sender holds the duties, and needs the work of all availability zones.
+    #[prost(bool, tag = "7")]
+    pub holds_duties: bool,
+}
+/// Sums over the daemons of one availability zone, sent by its relay to the relays of the others.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ZoneSum {
+    /// Start time of the relay in ms.
+    #[prost(uint64, tag = "1")]
+    pub life: u64,
+    #[prost(string, tag = "2")]
     pub zone: ::prost::alloc::string::String,
+    /// Daemons whose reports are included.
+    #[prost(uint32, tag = "3")]
+    pub daemons: u32,
+    /// The relay's clock, as Unix time in ms.
+    #[prost(uint64, tag = "4")]
+    pub unix_ms: u64,
+    /// Differences of the daemons' clocks from the relay's, in ms; a sample if there are many.
+    #[prost(sint64, repeated, tag = "8")]
+    pub clock_differences: ::prost::alloc::vec::Vec<i64>,
+    #[prost(message, repeated, tag = "5")]
+    pub loads: ::prost::alloc::vec::Vec<ReplicaLoad>,
+    #[prost(message, repeated, tag = "6")]
+    pub quotas: ::prost::alloc::vec::Vec<QuotaUse>,
+    #[prost(message, repeated, tag = "7")]
+    pub works: ::prost::alloc::vec::Vec<PoolWork>,
+}
+/// What is left of an account's quota.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct QuotaLevel {
+    #[prost(string, tag = "1")]
+    pub account: ::prost::alloc::string::String,
+    /// Units left at the time of sending; negative while the account is in debt.
+    #[prost(double, tag = "2")]
+    pub level: f64,
+    /// Usage total of the recipient that is included in `level`.
+    #[prost(double, tag = "3")]
+    pub counted: f64,
+    /// Share of the quota that daemons within reach may use, from 0 to 1.
+    #[prost(double, tag = "4")]
+    pub reachable: f64,
+}
+/// What the relay of an availability zone tells one daemon of the zone about all others.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Summary {
+    /// Start time of the relay in ms.
+    #[prost(uint64, tag = "1")]
+    pub life: u64,
+    /// Time agreed among the daemons, as Unix time in ms.
+    #[prost(uint64, tag = "2")]
+    pub agreed_ms: u64,
+    /// Load of all daemons but the recipient.
+    #[prost(message, repeated, tag = "3")]
+    pub loads: ::prost::alloc::vec::Vec<ReplicaLoad>,
+    #[prost(message, repeated, tag = "4")]
+    pub quotas: ::prost::alloc::vec::Vec<QuotaLevel>,
+    /// Work of each availability zone; only sent to the holder of the duties.
+    #[prost(message, repeated, tag = "5")]
+    pub works: ::prost::alloc::vec::Vec<PoolWork>,
 }
 /// Content of one datagram.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -154,7 +223,7 @@
     pub members: ::prost::alloc::vec::Vec<Member>,
     #[prost(message, repeated, tag = "6")]
     pub facts: ::prost::alloc::vec::Vec<Fact>,
-    #[prost(oneof = "datagram::Body", tags = "7, 8, 9, 10, 11")]
+    #[prost(oneof = "datagram::Body", tags = "7, 8, 9, 10, 12, 13, 14")]
     pub body: ::core::option::Option<datagram::Body>,
 }
 /// Nested message and enum types in `Datagram`.
@@ -169,8 +238,12 @@
         Relay(super::Relay),
         #[prost(message, tag = "10")]
         Announce(super::Announce),
-        #[prost(message, tag = "11")]
-        Digest(super::Digest),
+        #[prost(message, tag = "12")]
+        Report(super::Report),
+        #[prost(message, tag = "13")]
+        ZoneSum(super::ZoneSum),
+        #[prost(message, tag = "14")]
+        Summary(super::Summary),
     }
 }
 /// A signed envelope around a datagram.
@@ -361,11 +434,27 @@
     #[prost(message, repeated, tag = "2")]
     pub evidence: ::prost::alloc::vec::Vec<Evidence>,
 }
+/// Asks the relay of an availability zone to charge a request to an account's quota.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct AskQuota {
+    #[prost(string, tag = "1")]
+    pub account: ::prost::alloc::string::String,
+    #[prost(double, tag = "2")]
+    pub units: f64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct QuotaGrant {
+    #[prost(enumeration = "QuotaDecision", tag = "1")]
+    pub decision: i32,
+    /// Time in ms after which to retry, if refused.
+    #[prost(uint64, tag = "2")]
+    pub retry_ms: u64,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Request {
     #[prost(uint64, tag = "1")]
     pub id: u64,
-    #[prost(oneof = "request::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "request::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub body: ::core::option::Option<request::Body>,
 }
 /// Nested message and enum types in `Request`.
@@ -388,13 +477,15 @@
         AskEvidence(super::AskEvidence),
         #[prost(message, tag = "9")]
         AskUsage(super::AskUsage),
+        #[prost(message, tag = "10")]
+        AskQuota(super::AskQuota),
     }
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Answer {
     #[prost(uint64, tag = "1")]
     pub id: u64,
-    #[prost(oneof = "answer::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "answer::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub body: ::core::option::Option<answer::Body>,
 }
 /// Nested message and enum types in `Answer`.
@@ -417,6 +508,8 @@
         EvidenceReport(super::EvidenceReport),
         #[prost(message, tag = "9")]
         UsageTable(super::UsageTable),
+        #[prost(message, tag = "10")]
+        QuotaGrant(super::QuotaGrant),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -589,6 +682,39 @@
         }
     }
 }
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum QuotaDecision {
+    Unspecified = 0,
+    Granted = 1,
+    Refused = 2,
+    /// The queried daemon is not the relay of its availability zone.
+    NotRelay = 3,
+}
+impl QuotaDecision {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "QUOTA_DECISION_UNSPECIFIED",
+            Self::Granted => "QUOTA_DECISION_GRANTED",
+            Self::Refused => "QUOTA_DECISION_REFUSED",
+            Self::NotRelay => "QUOTA_DECISION_NOT_RELAY",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "QUOTA_DECISION_UNSPECIFIED" => Some(Self::Unspecified),
+            "QUOTA_DECISION_GRANTED" => Some(Self::Granted),
+            "QUOTA_DECISION_REFUSED" => Some(Self::Refused),
+            "QUOTA_DECISION_NOT_RELAY" => Some(Self::NotRelay),
+            _ => None,
+        }
+    }
+}
 /// Run state of a key in the ledger.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/goldcrestward/src/process/clock.rs
+++ b/goldcrestward/src/process/clock.rs
@@ -16,24 +16,60 @@
 /// The daemons' wall clocks, as offsets from this daemon's boot-time clock.
 #[derive(Debug, Default)]
 pub(crate) struct AgreedClock {
-    /// Offset of each peer and the time of its reading, both in ms.
-    peers: HashMap<Arc<str>, (i64, u64)>,
+    /// Offsets by reporter, which is a daemon or the relay of an availability zone, and the time of their reading.
+    readings: HashMap<Arc<str>, (Vec<i64>, u64)>,
+    /// Offset that the relay of this daemon's zone has told, and when.
+    told: Option<(i64, u64)>,
 }
 
 impl AgreedClock {
-    /// Records a peer's wall clock, received at `boot_ms`.
+    /// Records the wall clock of a daemon of the zone, received at `boot_ms`.
     pub fn record_peer(&mut self, from: &Arc<str>, unix_ms: u64, boot_ms: u64) {
-        self.peers.insert(from.clone(), (unix_ms as i64 - boot_ms as i64, boot_ms));
+        self.record_clocks(from, unix_ms, &[0], boot_ms);
     }
 
-    /// Returns the Unix time in ms: the median of all daemons' clocks, with `unix_ms` as this daemon's own reading.
+    /// Records the wall clocks of the daemons of a zone, as differences from that of its relay.
+    pub fn record_clocks(&mut self, from: &Arc<str>, unix_ms: u64, differences: &[i64], boot_ms: u64) {
+        let relay_offset = unix_ms as i64 - boot_ms as i64;
+        let offsets = differences.iter().map(|difference| relay_offset.saturating_add(*difference)).collect();
+        self.readings.insert(from.clone(), (offsets, boot_ms));
+    }
+
+    /// Adopts the time that the relay of the zone has told.
+    pub fn adopt(&mut self, agreed_ms: u64, boot_ms: u64) {
+        self.told = Some((agreed_ms as i64 - boot_ms as i64, boot_ms));
+    }
+
+    /// Goes by the readings again, as this daemon now tells others the time.
+    pub fn lead(&mut self) {
+        self.told = None;
+    }
+
+    /// Differences of at most `limit` clocks of the daemons `of` this zone from this daemon's.
+    pub fn differences(&self, unix_ms: u64, boot_ms: u64, of: impl Fn(&str) -> bool, limit: usize) -> Vec<i64> {
+        let own = unix_ms as i64 - boot_ms as i64;
+        let members = self.fresh(boot_ms).filter(|(name, _)| of(name)).flat_map(|(_, offsets)| offsets);
+        let differences: Vec<i64> = std::iter::once(0).chain(members.map(|offset| offset - own)).collect();
+        let stride = differences.len().div_ceil(limit.max(1));
+        differences.into_iter().step_by(stride).collect()
+    }
+
+    /// Returns the Unix time in ms: the time that the relay has told, or the median of the known clocks, with `unix_ms`
+    /// as this daemon's own reading.
     pub fn now(&self, unix_ms: u64, boot_ms: u64) -> u64 {
-        let fresh = self.peers.values().filter(|(_, at)| boot_ms.saturating_sub(*at) < READING_EXPIRY_MS);
-        let mut offsets: Vec<i64> = fresh.map(|(offset, _)| *offset).collect();
+        if let Some((offset, _)) = self.told.filter(|(_, at)| boot_ms.saturating_sub(*at) < READING_EXPIRY_MS) {
+            return (boot_ms as i64 + offset) as u64;
+        }
+        let mut offsets: Vec<i64> = self.fresh(boot_ms).flat_map(|(_, offsets)| offsets).copied().collect();
         offsets.push(unix_ms as i64 - boot_ms as i64);
         offsets.sort_unstable();
         (boot_ms as i64 + offsets[offsets.len() / 2]) as u64
     }
+
+    fn fresh(&self, boot_ms: u64) -> impl Iterator<Item = (&Arc<str>, &Vec<i64>)> {
+        let fresh = self.readings.iter().filter(move |(_, (_, at))| boot_ms.saturating_sub(*at) < READING_EXPIRY_MS);
+        fresh.map(|(name, (offsets, _))| (name, offsets))
+    }
 }
 
 #[cfg(test)]
--- a/goldcrestward/src/process/clock_test.rs
+++ b/goldcrestward/src/process/clock_test.rs
@@ -27,3 +27,27 @@
 fn without_peers_the_own_clock_counts() {
     assert_eq!(AgreedClock::default().now(START + 5, 5), START + 5);
 }
+
+#[test]
+fn told_time_counts_until_it_is_old() {
+    let mut clock = AgreedClock::default();
+    clock.adopt(START + 700, 0);
+    assert_eq!(clock.now(START + 9_000, 5_000), START + 5_700, "the own clock has jumped");
+    assert_eq!(clock.now(START + 11_000, 11_000), START + 11_000);
+    clock.adopt(START + 700, 12_000);
+    clock.lead();
+    assert_eq!(clock.now(START + 12_100, 12_100), START + 12_100);
+}
+
+#[test]
+fn clocks_of_zones_count_one_by_one() {
+    // Of seven clocks in three zones, the two that jump are the majority of no zone and a minority of the site.
+    let mut clock = AgreedClock::default();
+    clock.record_peer(&"peer-1".into(), START, 0);
+    clock.record_peer(&"peer-2".into(), START, 0);
+    clock.record_clocks(&"zone-b".into(), START + 2_400, &[0, -2_400], 0);
+    clock.record_clocks(&"zone-c".into(), START, &[0, 2_400], 0);
+    assert_eq!(clock.now(START, 0), START);
+    assert_eq!(clock.differences(START + 100, 0, |name| name.starts_with("peer"), 16), [0, -100, -100]);
+    assert_eq!(clock.differences(START + 100, 0, |name| name.starts_with("peer"), 2).len(), 2);
+}
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -33,9 +33,9 @@
 use super::{
     admin::Admin,
     configure::Configurer,
-    digest_exchange::DigestExchange,
     duty::Duty,
     error::{ConnectionSnafu, DatagramsSnafu, MetricsSnafu, Result},
+    exchange::Exchange,
     gateway::Gateway,
     gossip::Gossip,
     lifecycle::{Serving, Starting},
@@ -238,12 +238,13 @@
         daemons: AtomicUsize::new(1),
         instances_listed: AtomicBool::new(false),
         last_store_error_ms: AtomicU64::new(0),
-        last_digest_ms: AtomicU64::new(0),
+        last_relay_ms: AtomicU64::new(0),
+        holds_duties: AtomicBool::new(false),
         pull_permit: Arc::new(Semaphore::new(1)),
         config_changed: Notify::new(),
         announce: Notify::new(),
-        digest_exchange: OnceLock::new(),
-        send_digest: Notify::new(),
+        exchange: OnceLock::new(),
+        report_due: Notify::new(),
         stage,
         tasks: TaskTracker::new(),
         start: Instant::now(),
@@ -281,12 +282,13 @@
 fn start_gateway(shared: &Arc<Shared>, gossip: &Gossip, ports: Ports, tasks: &mut JoinSet<()>) -> Router {
     let Ports { catalog, header_codec, engines, duties, .. } = ports;
     let gateway = Arc::new(Gateway::new(shared.clone(), header_codec, engines));
-    shared.digest_exchange.set(DigestExchange::new(&gateway)).ok();
+    let exchange = Exchange::new(&gateway);
+    shared.exchange.set(exchange.clone()).ok();
     tasks.spawn(RolloutController::new(shared.clone(), Some(catalog.clone())).run());
     let state = SiteState::new(shared.clone(), catalog);
     tasks.spawn(state.clone().watch());
     tasks.spawn(state.apply());
-    tasks.spawn(DigestExchange::run(gateway.clone(), gossip.clone()));
+    tasks.spawn(exchange.run(gossip.clone()));
     tasks.spawn(Duty::new(gateway.clone(), duties).run());
     tasks.spawn(evict_idle_connections(gateway.clone()));
     let ingress = ProxyIngress::new(gateway);
--- a/goldcrestward/src/process/duty.rs
+++ b/goldcrestward/src/process/duty.rs
@@ -3,14 +3,18 @@
 //! `term.rs` decides what the holder may do. Times are of the boot-time clock, which keeps running while the instance
 //! is suspended.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use log::{info, warn};
 use tokio::time::sleep;
 
 use super::{
     clock::boot_ms,
-    digest_exchange::fetch_usage,
+    exchange::fetch_usage,
     gateway::Gateway,
     lifecycle::Stage,
     scaler::{Scaler, ZonePool},
@@ -58,6 +62,8 @@
     not_before: u64,
     scaler: Scaler,
     last_scaled_ms: u64,
+    /// First window whose counts have not been fetched since it ended.
+    unfetched_window: u64,
 }
 
 impl Duty {
@@ -71,6 +77,7 @@
             not_before: 0,
             scaler: Scaler::default(),
             last_scaled_ms: 0,
+            unfetched_window: 0,
         }
     }
 
@@ -98,6 +105,7 @@
 
     async fn release(&mut self) {
         let Some(held) = self.held.take() else { return };
+        self.gateway.shared.holds_duties.store(false, Ordering::Relaxed);
         let result = self.gateway.shared.kv.revoke(Purpose::Duty, held.term.lease).await;
         info!("event=duty-released fence={} error={:?}", held.holder.fencing_token, result.err());
     }
@@ -118,15 +126,8 @@
         }
         self.vacant_since = None;
         self.held = self.acquire(now).await;
-        if self.held.is_some() && self.may_lack_counts() {
-            fetch_usage(&self.gateway).await;
-        }
-    }
-
-    /// Whether this daemon started so recently that it may lack counts that others still keep.
-    fn may_lack_counts(&self) -> bool {
-        let retention = self.gateway.usage.lock().retention(self.gateway.shared.settings.usage_window);
-        u128::from(self.gateway.shared.now()) < retention.as_millis()
+        self.unfetched_window = 0;
+        self.gateway.shared.holds_duties.store(self.held.is_some(), Ordering::Relaxed);
     }
 
     async fn acquire(&mut self, requested_ms: u64) -> Option<HeldDuties> {
@@ -219,6 +220,7 @@
 
     fn give_up(&mut self, held: &HeldDuties, reason: &str) {
         // This daemon must not succeed the next holder while its own calls from this term may still be in transit.
+        self.gateway.shared.holds_duties.store(false, Ordering::Relaxed);
         self.not_before = boot_ms() + self.lease_time().as_millis() as u64;
         warn!("event=duty-lost fence={} reason={reason:?}", held.holder.fencing_token);
     }
@@ -229,6 +231,9 @@
 
     /// Reports windows that have ended. Returns false if the platform knows a later holder.
     async fn report_usage(&mut self, held: &mut HeldDuties) -> bool {
+        if !self.learn_usage().await {
+            return true;
+        }
         for _ in 0..MAX_USAGE_STEPS {
             let step = held.term.usage_step(
                 self.gateway.shared.agreed_ms(),
@@ -254,6 +259,24 @@
         true
     }
 
+    /// Fetches the counts of windows that have ended from the relays. Returns false while it is worth waiting for those
+    /// that have not answered.
+    async fn learn_usage(&mut self) -> bool {
+        let UsageSchedule { window_ms, report_within_ms, settle_ms } = self.usage_schedule();
+        let agreed_ms = self.gateway.shared.agreed_ms();
+        let first_open = agreed_ms.saturating_sub(settle_ms) / window_ms;
+        if first_open <= self.unfetched_window {
+            return true;
+        }
+        let oldest_on_time = first_open.saturating_sub(report_within_ms / window_ms + 1);
+        let is_whole = fetch_usage(&self.gateway, self.unfetched_window.max(oldest_on_time)).await;
+        let is_late = agreed_ms > first_open * window_ms + report_within_ms / 2;
+        if is_whole || is_late {
+            self.unfetched_window = first_open;
+        }
+        is_whole || is_late
+    }
+
     fn usage_schedule(&self) -> UsageSchedule {
         let settings = &self.gateway.shared.settings;
         let ms = |time: Duration| time.as_millis() as u64;
--- /dev/null
+++ b/goldcrestward/src/process/exchange/fleet_table.rs
@@ -0,0 +1,240 @@
+//! Sums of what daemons report: those of the own availability zone one by one, other zones as one sum each.
+//!
+//! Reports carry totals since the sender's start, so that lost, late and repeated messages do no harm.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use super::{
+    changed_rows::RowValue,
+    heard_relay::{HeardRelay, Hearing},
+    timing::{REPORT_TIMEOUT_MS, SILENCE_MS},
+};
+use crate::process::loads::PeerLoad;
+
+/// Time for which a daemon that went silent without leaving still counts as part of the site: it may be serving
+/// callers on the other side of a partition.
+const SILENT_RETENTION_MS: u64 = 30_000;
+
+/// Loads by the hash of the replica.
+pub(crate) type Loads = BTreeMap<u64, PeerLoad>;
+/// Work sent to pools in ms, by pool.
+pub(crate) type Works = BTreeMap<Arc<str>, f64>;
+
+impl RowValue for PeerLoad {
+    fn distance(&self, known: &Self) -> f64 {
+        /// Prefill time that matters as much as one running request.
+        const PREFILL_PER_REQUEST_MS: f64 = 5.0;
+        /// Prefill time that is too short to be worth a message.
+        const IGNORED_PREFILL_MS: f64 = 1.0;
+
+        let prefill = (self.prefill_ms - known.prefill_ms).abs();
+        let prefill = if prefill < IGNORED_PREFILL_MS && self.prefill_ms > 0.0 { 0.0 } else { prefill };
+        f64::from(self.running.abs_diff(known.running)) + prefill / PREFILL_PER_REQUEST_MS
+    }
+}
+
+#[derive(Debug, Default)]
+struct Reported {
+    life: u64,
+    reported_at: u64,
+    loads: Loads,
+    works: Works,
+    holds_duties: bool,
+}
+
+impl Reported {
+    fn is_fresh(&self, now: u64) -> bool {
+        now.saturating_sub(self.reported_at) < REPORT_TIMEOUT_MS
+    }
+
+    fn is_heard(&self, now: u64) -> bool {
+        now.saturating_sub(self.reported_at) < SILENCE_MS
+    }
+
+    fn apply(&mut self, loads: Loads, works: Works, now: u64) {
+        self.reported_at = now;
+        self.loads.extend(loads);
+        self.loads.retain(|_, load| load.running > 0 || load.prefill_ms > 0.0);
+        self.works.extend(works);
+    }
+}
+
+#[derive(Debug, Default)]
+struct Zone {
+    relay: HeardRelay,
+    daemons: u32,
+    sum: Reported,
+}
+
+/// Daemons that an exchange of reports covers, for dividing what belongs to the whole site.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Reach {
+    /// Daemons of the own availability zone that report here, this one included.
+    pub own: u32,
+    /// Daemons of the site, including those that went silent a short time ago.
+    pub total: u32,
+    /// The other availability zones, with their daemons and whether their relay is heard.
+    pub zones: Vec<(Arc<str>, u32, bool)>,
+}
+
+/// What the daemons of the site report, as one daemon knows it.
+#[derive(Debug, Default)]
+pub(crate) struct FleetTable {
+    members: HashMap<Arc<str>, Reported>,
+    zones: BTreeMap<Arc<str>, Zone>,
+    /// Work of daemons that have stopped, so that sums only grow.
+    retired: Works,
+}
+
+impl FleetTable {
+    /// Applies a report of a daemon of the own availability zone. Returns whether its totals continue from those known.
+    pub fn apply_report(
+        &mut self,
+        from: &Arc<str>,
+        life: u64,
+        loads: Loads,
+        works: Works,
+        holds_duties: bool,
+        now: u64,
+    ) -> bool {
+        let known = self.members.contains_key(from);
+        let member = self.members.entry(from.clone()).or_default();
+        let continues = known && member.life == life;
+        if !continues {
+            retire(&mut self.retired, std::mem::take(&mut member.works));
+            *member = Reported { life, ..Reported::default() };
+        }
+        member.holds_duties = holds_duties;
+        member.apply(loads, works, now);
+        continues
+    }
+
+    /// Applies the sum of another availability zone, from its relay. `None` if another relay speaks for the zone,
+    /// else whether the sum continues from the one known.
+    pub fn apply_zone_sum(
+        &mut self,
+        zone: &Arc<str>,
+        relay: &str,
+        life: u64,
+        daemons: u32,
+        (loads, works): (Loads, Works),
+        now: u64,
+    ) -> Option<bool> {
+        let entry = self.zones.entry(zone.clone()).or_default();
+        let hearing = entry.relay.hear(relay, life, now);
+        if hearing == Hearing::Ignore {
+            return None;
+        }
+        if hearing == Hearing::Changed {
+            entry.sum = Reported::default();
+        }
+        entry.daemons = daemons;
+        entry.sum.apply(loads, works, now);
+        Some(hearing == Hearing::Same)
+    }
+
+    /// Removes a daemon that has announced that it is leaving.
+    pub fn remove_member(&mut self, daemon: &str) {
+        if let Some(member) = self.members.remove(daemon) {
+            retire(&mut self.retired, member.works);
+        }
+    }
+
+    /// Removes what has been silent for long.
+    pub fn expire(&mut self, now: u64) {
+        let is_old = |reported_at: u64| now.saturating_sub(reported_at) >= SILENT_RETENTION_MS;
+        let retired = &mut self.retired;
+        self.members.retain(|_, member| {
+            let old = is_old(member.reported_at);
+            if old {
+                retire(retired, std::mem::take(&mut member.works));
+            }
+            !old
+        });
+        self.zones.retain(|_, zone| !is_old(zone.sum.reported_at));
+    }
+
+    /// Number of daemons of the own zone that are heard, this one included once it has reported to itself.
+    pub fn heard_members(&self, now: u64) -> u32 {
+        self.members.values().filter(|member| member.is_heard(now)).count() as u32
+    }
+
+    /// Whether a daemon of the own availability zone reports here.
+    pub fn is_member(&self, daemon: &str) -> bool {
+        self.members.contains_key(daemon)
+    }
+
+    /// Whether a daemon of the own availability zone has reported that it holds the duties.
+    pub fn holds_duties(&self, daemon: &str) -> bool {
+        self.members.get(daemon).is_some_and(|member| member.holds_duties)
+    }
+
+    /// The exchange's reach at a site with `daemons` daemons.
+    pub fn reach(&self, daemons: usize, now: u64) -> Reach {
+        let own = self.heard_members(now).max(1);
+        let zones: Vec<_> =
+            self.zones.iter().map(|(name, zone)| (name.clone(), zone.daemons, zone.sum.is_heard(now))).collect();
+        let known = self.members.len().max(1) as u32 + zones.iter().map(|(_, daemons, _)| daemons).sum::<u32>();
+        Reach { own, total: known.max(daemons as u32), zones }
+    }
+
+    /// Sum of the loads of the own availability zone.
+    pub fn zone_loads(&self, now: u64) -> Loads {
+        sum_loads(self.members.values().filter(|member| member.is_fresh(now)))
+    }
+
+    /// Sum of the loads of all daemons.
+    pub fn all_loads(&self, now: u64) -> Loads {
+        let zones = self.zones.values().map(|zone| &zone.sum);
+        sum_loads(self.members.values().chain(zones).filter(|reported| reported.is_fresh(now)))
+    }
+
+    /// Takes one daemon's own loads out of a sum of the loads of all.
+    pub fn without_member(&self, all: &Loads, daemon: &str, now: u64) -> Loads {
+        let mut others = all.clone();
+        if let Some(member) = self.members.get(daemon).filter(|member| member.is_fresh(now)) {
+            for (replica, load) in &member.loads {
+                let Some(rest) = others.get_mut(replica) else { continue };
+                rest.running = rest.running.saturating_sub(load.running);
+                rest.prefill_ms = (rest.prefill_ms - load.prefill_ms).max(0.0);
+            }
+        }
+        others.retain(|_, load| load.running > 0 || load.prefill_ms > 0.0);
+        others
+    }
+
+    /// Total work of the own availability zone, including that of daemons that have stopped.
+    pub fn zone_works(&self) -> Works {
+        let mut sum = self.retired.clone();
+        self.members.values().for_each(|member| retire(&mut sum, member.works.clone()));
+        sum
+    }
+
+    /// Total work of each other availability zone whose relay is heard.
+    pub fn other_works(&self, now: u64) -> impl Iterator<Item = (&Arc<str>, &Works)> {
+        self.zones.iter().filter(move |(_, zone)| zone.sum.is_fresh(now)).map(|(name, zone)| (name, &zone.sum.works))
+    }
+}
+
+fn retire(sum: &mut Works, works: Works) {
+    for (pool, ms) in works {
+        *sum.entry(pool).or_default() += ms;
+    }
+}
+
+fn sum_loads<'a>(reports: impl Iterator<Item = &'a Reported>) -> Loads {
+    let mut sum = Loads::new();
+    for (replica, load) in reports.flat_map(|report| &report.loads) {
+        let entry = sum.entry(*replica).or_default();
+        entry.running += load.running;
+        entry.prefill_ms += load.prefill_ms;
+    }
+    sum
+}
+
+#[cfg(test)]
+#[path = "fleet_table_test.rs"]
+mod fleet_table_test;
--- /dev/null
+++ b/goldcrestward/src/process/exchange/fleet_table_test.rs
@@ -0,0 +1,100 @@
+//! Tests of the sums over the daemons of a site.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
+
+use super::{FleetTable, Loads, Works};
+use crate::process::loads::PeerLoad;
+
+fn loads(rows: &[(u64, u32)]) -> Loads {
+    rows.iter().map(|(replica, running)| (*replica, PeerLoad { running: *running, prefill_ms: 0.0 })).collect()
+}
+
+fn works(ms: f64) -> Works {
+    BTreeMap::from([(Arc::from("pool"), ms)])
+}
+
+fn name(n: usize) -> Arc<str> {
+    format!("daemon-{n}").into()
+}
+
+#[test]
+fn sums_do_not_depend_on_order_or_repetition() {
+    let mut random = SmallRng::seed_from_u64(11);
+    let reports: Vec<(usize, u32)> = (0..300).map(|n| (n, random.random_range(1..5))).collect();
+    let expected: u32 = reports.iter().map(|(_, running)| running).sum();
+    for _ in 0..5 {
+        let mut repeated: Vec<_> = reports.iter().chain(&reports).copied().collect();
+        repeated.shuffle(&mut random);
+        let mut table = FleetTable::default();
+        for (n, running) in repeated {
+            table.apply_report(&name(n), 1, loads(&[(7, running)]), works(f64::from(running)), false, 100);
+        }
+        assert_eq!(table.zone_loads(200), loads(&[(7, expected)]));
+        assert_eq!(table.zone_works(), works(f64::from(expected)));
+        assert_eq!(table.heard_members(200), 300);
+    }
+}
+
+#[test]
+fn work_of_stopped_and_restarted_daemons_stays_in_the_sum() {
+    let mut table = FleetTable::default();
+    table.apply_report(&name(1), 1, loads(&[(7, 2)]), works(100.0), false, 0);
+    table.apply_report(&name(2), 1, loads(&[(7, 1)]), works(50.0), false, 0);
+    assert!(!table.apply_report(&name(1), 2, loads(&[]), works(10.0), false, 500), "a restart");
+    assert_eq!(table.zone_works(), works(160.0));
+    assert_eq!(table.zone_loads(600), loads(&[(7, 1)]), "the restarted daemon runs nothing");
+    table.remove_member(&name(2));
+    assert_eq!(table.zone_works(), works(160.0));
+    table.expire(60_000);
+    assert_eq!(table.zone_works(), works(160.0));
+    assert_eq!(table.heard_members(60_000), 0);
+}
+
+#[test]
+fn loads_of_all_but_the_recipient() {
+    let mut table = FleetTable::default();
+    table.apply_report(&name(1), 1, loads(&[(7, 2), (8, 1)]), works(0.0), false, 0);
+    table.apply_report(&name(2), 1, loads(&[(7, 3)]), works(0.0), false, 0);
+    table.apply_zone_sum(&"other".into(), "far-1", 1, 4, (loads(&[(7, 4), (9, 5)]), works(0.0)), 0);
+    let all = table.all_loads(100);
+    assert_eq!(table.without_member(&all, "daemon-1", 100), loads(&[(7, 7), (9, 5)]));
+    assert_eq!(table.without_member(&all, "daemon-2", 100), loads(&[(7, 6), (8, 1), (9, 5)]));
+    assert_eq!(table.all_loads(10_000), loads(&[]), "old reports do not count");
+}
+
+#[test]
+fn sum_of_another_relay_replaces_the_zone() {
+    let zone: Arc<str> = "other".into();
+    let mut table = FleetTable::default();
+    let figures = |running, ms| (loads(&[(7, running)]), works(ms));
+    assert_eq!(table.apply_zone_sum(&zone, "far-1", 1, 4, figures(4, 100.0), 0), Some(false));
+    assert_eq!(table.apply_zone_sum(&zone, "far-1", 1, 4, figures(5, 110.0), 200), Some(true));
+    // The relay has stopped and another one, which knows other totals, speaks for the zone.
+    assert_eq!(table.apply_zone_sum(&zone, "far-2", 1, 3, figures(2, 40.0), 1_200), Some(false));
+    assert_eq!(table.all_loads(1_300), loads(&[(7, 2)]), "both relays' sums must not add up");
+    assert_eq!(table.apply_zone_sum(&zone, "far-2", 1, 3, figures(3, 45.0), 1_400), Some(true));
+}
+
+#[test]
+fn reach_counts_silent_daemons_until_they_leave() {
+    let zone: Arc<str> = "other".into();
+    let mut table = FleetTable::default();
+    for n in 0..3 {
+        table.apply_report(&name(n), 1, loads(&[]), works(0.0), false, 0);
+    }
+    table.apply_zone_sum(&zone, "far-1", 1, 4, Default::default(), 0);
+    let reach = table.reach(7, 100);
+    assert_eq!((reach.own, reach.total, reach.zones), (3, 7, vec![(zone.clone(), 4, true)]));
+    // One daemon and the other zone go silent; the membership counts them out before they are forgotten.
+    table.apply_report(&name(0), 1, loads(&[]), works(0.0), false, 9_000);
+    table.apply_report(&name(1), 1, loads(&[]), works(0.0), false, 9_000);
+    table.expire(9_000);
+    let reach = table.reach(2, 9_100);
+    assert_eq!((reach.own, reach.total, reach.zones), (2, 7, vec![(zone, 4, false)]));
+    table.remove_member("daemon-2");
+    assert_eq!(table.reach(2, 9_100).total, 6);
+    table.expire(40_000);
+    assert_eq!(table.reach(2, 40_000).total, 2);
+}
--- /dev/null
+++ b/goldcrestward/src/process/exchange/mod.rs
@@ -0,0 +1,20 @@
+//! The exchange of load, quota use and request counts between daemons.
+//!
+//! Each daemon reports to the relays of its availability zone. The relay sums the reports, swaps sums with the relays of
+//! the other zones, and tells each daemon of its zone about all others. What a daemon sends and receives depends on the
+//! size of its zone at most, and not on the size of the site.
+
+mod changed_rows;
+mod fleet_table;
+mod heard_relay;
+mod relay_role;
+mod relays;
+mod run;
+mod timing;
+
+pub(crate) use changed_rows::RowValue;
+#[cfg(test)]
+pub(crate) use fleet_table::FleetTable;
+pub(crate) use fleet_table::Reach;
+pub(crate) use run::{Exchange, fetch_usage};
+pub(crate) use timing::{REPORT_TIMEOUT_MS, SILENCE_MS};
--- /dev/null
+++ b/goldcrestward/src/process/exchange/run.rs
@@ -0,0 +1,642 @@
+//! Drives the exchange: sends and receives its messages, and applies them to the daemon's state.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::{Arc, Weak, atomic::Ordering},
+    time::Duration,
+};
+
+use futures_util::future::join_all;
+use log::info;
+use parking_lot::Mutex;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::{
+    changed_rows::{ChangedRows, RowValue},
+    fleet_table::{FleetTable, Loads, Reach, Works},
+    heard_relay::{HeardRelay, Hearing, relay_score},
+    relay_role::{RELAYS, RelayRole},
+    relays::{Recipient, Relays},
+    timing::{exchange_interval, other_region_stride},
+};
+use crate::{
+    pb::{self, answer, datagram::Body, request},
+    process::{
+        clock::boot_ms,
+        duty::SETTLE_DIVISOR,
+        gateway::Gateway,
+        gossip::Gossip,
+        loads::PeerLoad,
+        quota::{QuotaLedger, QuotaLevel, QuotaTotal},
+        usage::{AccountCounts, windows_in},
+    },
+    util::unix_ms,
+};
+
+/// Time within which a relay must answer a question for request counts.
+const USAGE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Daemons of each availability zone that are asked for request counts: the relays, and the one that was a relay
+/// before another joined.
+const USAGE_SOURCES: usize = RELAYS + 1;
+/// Minimum interval between two reports.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(30);
+/// Time within which the relay must answer whether a request may be charged.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(25);
+/// Largest numbers of rows of each kind in one message, which has to fit into a datagram.
+const MAX_LOADS: usize = 44;
+const MAX_QUOTAS: usize = 24;
+const MAX_COUNTS: usize = 20;
+const MAX_WORKS: usize = 12;
+/// Largest number of clocks in the sum of a zone.
+const MAX_CLOCKS: usize = 16;
+/// Fraction of a quota's burst by which a level must differ from what a daemon expects to be sent.
+const LEVEL_TOLERANCE: f64 = 0.03;
+
+impl RowValue for f64 {
+    fn distance(&self, known: &Self) -> f64 {
+        (self - known).abs()
+    }
+}
+
+impl RowValue for u64 {
+    fn distance(&self, known: &Self) -> f64 {
+        self.abs_diff(*known) as f64
+    }
+}
+
+/// A level that a daemon has been sent, as it extrapolates it.
+#[derive(Clone, Debug)]
+struct SentLevel {
+    level: QuotaLevel,
+    sent_at: u64,
+}
+
+/// Totals of usage by account.
+type Totals = BTreeMap<Arc<str>, QuotaTotal>;
+
+/// What one recipient of messages has been sent.
+#[derive(Debug, Default)]
+struct Sent {
+    loads: ChangedRows<u64, PeerLoad>,
+    quotas: ChangedRows<Arc<str>, QuotaTotal>,
+    works: ChangedRows<(Arc<str>, Arc<str>), f64>,
+    windows: ChangedRows<(u64, Arc<str>), u64>,
+    levels: HashMap<Arc<str>, SentLevel>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    table: FleetTable,
+    role: RelayRole,
+    heard: HeardRelay,
+    /// Address of the relay that is heard.
+    relay: Option<SocketAddr>,
+    relays: Relays,
+    /// What the daemons that this one reports to have been sent, and their names.
+    reported: (Vec<Arc<str>>, Sent),
+    /// What daemons of the zone and relays of other zones have been sent.
+    sent: HashMap<Arc<str>, Sent>,
+    rounds: u32,
+}
+
+/// Applies the messages of other daemons to this one's state.
+#[derive(Clone)]
+pub(crate) struct Exchange {
+    gateway: Weak<Gateway>,
+    state: Arc<Mutex<State>>,
+}
+
+impl Exchange {
+    pub fn new(gateway: &Arc<Gateway>) -> Self {
+        Self { gateway: Arc::downgrade(gateway), state: Arc::default() }
+    }
+
+    /// Sends reports, and sums while this daemon is a relay, until the task is dropped.
+    pub async fn run(self, gossip: Gossip) {
+        loop {
+            let members = self.state.lock().relays.members.len();
+            let next = Instant::now() + exchange_interval(members);
+            sleep(MIN_REPORT_INTERVAL).await;
+            let Some(gateway) = self.gateway.upgrade() else { return };
+            let urgent = tokio::select! {
+                () = sleep_until(next) => false,
+                () = gateway.shared.report_due.notified() => true,
+            };
+            let messages = self.step(&gateway, urgent);
+            gossip.send_round(messages);
+        }
+    }
+
+    /// Address of the relay that decides on scarce quotas; `None` if this daemon is it.
+    ///
+    /// # Errors
+    /// Fails if no relay has been heard lately.
+    pub fn quota_relay(&self, now: u64) -> Result<Option<SocketAddr>, NoRelay> {
+        let state = self.state.lock();
+        if state.role.is_speaking() {
+            return Ok(None);
+        }
+        match (state.heard.name(now), state.relay) {
+            (Some(_), Some(address)) => Ok(Some(address)),
+            _ => Err(NoRelay),
+        }
+    }
+
+    /// Charges a request to an account's quota as the relay of the zone; `None` if this daemon is not the relay.
+    pub fn charge_as_relay(&self, name: &str, units: f64) -> Option<Result<(), Duration>> {
+        let gateway = self.gateway.upgrade()?;
+        let now = gateway.shared.now();
+        let reach = {
+            let state = self.state.lock();
+            state.role.is_speaking().then(|| state.table.reach(gateway.shared.daemon_count(), now))?
+        };
+        let in_force = gateway.shared.in_force.load();
+        let account = in_force.site.accounts.get(name)?;
+        let Some(quota) = &account.quota else { return Some(Ok(())) };
+        Some(gateway.quota_ledger.lock().charge(&account.name, quota, units, &reach, now))
+    }
+
+    /// Asks the relay at `address` to charge a request; `None` if it does not answer in time or is no relay.
+    pub async fn ask_relay(
+        &self,
+        gateway: &Gateway,
+        address: SocketAddr,
+        account: &Arc<str>,
+        units: f64,
+    ) -> Option<Result<(), Duration>> {
+        let body = request::Body::AskQuota(pb::AskQuota { account: account.to_string(), units });
+        let answer = gateway.shared.peer_client.request(address, body, GRANT_TIMEOUT).await;
+        let Ok(answer::Body::QuotaGrant(grant)) = answer else { return None };
+        match grant.decision() {
+            pb::QuotaDecision::Granted => Some(Ok(())),
+            pb::QuotaDecision::Refused => Some(Err(Duration::from_millis(grant.retry_ms))),
+            pb::QuotaDecision::NotRelay | pb::QuotaDecision::Unspecified => None,
+        }
+    }
+
+    /// Answers a daemon that asks this one as the relay of their zone.
+    pub fn answer_quota(&self, ask: &pb::AskQuota) -> pb::QuotaGrant {
+        let units = if ask.units.is_finite() { ask.units.max(0.0) } else { 0.0 };
+        match self.charge_as_relay(&ask.account, units) {
+            None => pb::QuotaGrant { decision: pb::QuotaDecision::NotRelay.into(), retry_ms: 0 },
+            Some(Ok(())) => pb::QuotaGrant { decision: pb::QuotaDecision::Granted.into(), retry_ms: 0 },
+            Some(Err(wait)) => {
+                let retry_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+                pb::QuotaGrant { decision: pb::QuotaDecision::Refused.into(), retry_ms }
+            }
+        }
+    }
+
+    /// Removes a daemon that has announced its departure.
+    pub fn remove_peer(&self, daemon: &str) {
+        self.state.lock().table.remove_member(daemon);
+        if let Some(gateway) = self.gateway.upgrade() {
+            gateway.quota_ledger.lock().remove_member(daemon);
+        }
+    }
+
+    /// Applies a message of the daemon `from`.
+    pub fn receive(&self, from: &str, address: SocketAddr, body: &Body) {
+        let Some(gateway) = self.gateway.upgrade() else { return };
+        match body {
+            Body::Report(report) => self.apply_report(&gateway, &from.into(), report),
+            Body::ZoneSum(sum) => self.apply_zone_sum(&gateway, from, sum),
+            Body::Summary(summary) => self.apply_summary(&gateway, from, address, summary),
+            _ => {}
+        }
+    }
+
+    fn apply_report(&self, gateway: &Gateway, from: &Arc<str>, report: &pb::Report) {
+        let now = gateway.shared.now();
+        let is_own = **from == *gateway.shared.settings.name;
+        if !is_own {
+            gateway.shared.clock.lock().record_peer(from, report.unix_ms, boot_ms());
+        }
+        let (continues, reach) = {
+            let mut state = self.state.lock();
+            let loads = loads_from(&report.loads);
+            let works = report.works.iter().map(|work| (work.pool.as_str().into(), work.total_ms)).collect();
+            let continues = state.table.apply_report(from, report.life, loads, works, report.holds_duties, now);
+            (continues, state.table.reach(gateway.shared.daemon_count(), now))
+        };
+        let in_force = gateway.shared.in_force.load();
+        let mut ledger = gateway.quota_ledger.lock();
+        if !continues {
+            ledger.remove_member(from);
+        }
+        for row in &report.quotas {
+            let Some(account) = in_force.site.accounts.get(row.account.as_str()) else { continue };
+            let Some(quota) = &account.quota else { continue };
+            ledger.apply_member_report(from, (&account.name, quota), &quota_total(row), &reach, now);
+        }
+        drop(ledger);
+        if !is_own {
+            merge_usage(gateway, from, report.life, &report.windows);
+        }
+    }
+
+    fn apply_zone_sum(&self, gateway: &Gateway, from: &str, sum: &pb::ZoneSum) {
+        if *sum.zone == *gateway.shared.settings.zone {
+            return;
+        }
+        let now = gateway.shared.now();
+        let zone: Arc<str> = sum.zone.as_str().into();
+        let works: Works = sum.works.iter().map(|work| (work.pool.as_str().into(), work.total_ms)).collect();
+        let (continues, reach, is_speaking) = {
+            let mut state = self.state.lock();
+            let figures = (loads_from(&sum.loads), works);
+            let hearing = state.table.apply_zone_sum(&zone, from, sum.life, sum.daemons, figures, now);
+            let Some(continues) = hearing else { return };
+            (continues, state.table.reach(gateway.shared.daemon_count(), now), state.role.is_speaking())
+        };
+        gateway.shared.clock.lock().record_clocks(&zone, sum.unix_ms, &sum.clock_differences, boot_ms());
+        // Any other daemon learns the work of the zone from its relay, whose figures are older than these.
+        if is_speaking {
+            let mut demand = gateway.demand.lock();
+            for work in &sum.works {
+                demand.record(&zone, (from, sum.life), &work.pool.as_str().into(), work.total_ms, now);
+            }
+        }
+        let in_force = gateway.shared.in_force.load();
+        let mut ledger = gateway.quota_ledger.lock();
+        if !continues {
+            ledger.restart_zone(&zone);
+        }
+        for row in &sum.quotas {
+            let Some(account) = in_force.site.accounts.get(row.account.as_str()) else { continue };
+            let Some(quota) = &account.quota else { continue };
+            ledger.apply_zone_report(&zone, (&account.name, quota), &quota_total(row), &reach, now);
+        }
+    }
+
+    fn apply_summary(&self, gateway: &Gateway, from: &str, address: SocketAddr, summary: &pb::Summary) {
+        let now = gateway.shared.now();
+        {
+            let mut state = self.state.lock();
+            let is_superior = relay_score(from) > relay_score(&gateway.shared.settings.name);
+            if state.role.is_speaking() && !is_superior {
+                return;
+            }
+            let hearing = state.heard.hear(from, summary.life, now);
+            if hearing == Hearing::Ignore {
+                return;
+            }
+            if hearing == Hearing::Changed {
+                info!("event=relay-changed relay={from}");
+            }
+            let rank = state.relays.rank_of(from).unwrap_or(usize::MAX);
+            state.role.record_relay(rank, is_superior, now);
+            state.relay = Some(address);
+        }
+        gateway.shared.last_relay_ms.store(now, Ordering::Relaxed);
+        gateway.shared.clock.lock().adopt(summary.agreed_ms, boot_ms());
+        let loads = loads_from(&summary.loads);
+        apply_loads(gateway, &loads, now);
+        let mut balances = gateway.quota_balances.lock();
+        for row in &summary.quotas {
+            let level = QuotaLevel { level: row.level, counted: row.counted, reachable: row.reachable };
+            balances.apply_level(&row.account.as_str().into(), level, now);
+        }
+        drop(balances);
+        let mut demand = gateway.demand.lock();
+        for work in &summary.works {
+            let zone = work.zone.as_str().into();
+            demand.record(&zone, (from, summary.life), &work.pool.as_str().into(), work.total_ms, now);
+        }
+    }
+
+    /// Returns the messages that are due. An urgent step only reports.
+    fn step(&self, gateway: &Arc<Gateway>, urgent: bool) -> Vec<(SocketAddr, Body)> {
+        let shared = &gateway.shared;
+        let now = shared.now();
+        let own: Arc<str> = shared.settings.name.clone();
+        let relays = Relays::of(&shared.view.lock(), RELAYS);
+        let usage = gateway.quota_balances.lock().usage_report();
+        let mut state = self.state.lock();
+        state.relays = relays;
+        let mut messages = Vec::new();
+        let ranked = state.relays.members.iter().enumerate();
+        let targets = ranked.filter(|(rank, member)| state.role.is_target(*rank) && member.name != own);
+        let targets: Vec<_> = targets.map(|(_, member)| member.clone()).collect();
+        let names: Vec<_> = targets.iter().map(|target| target.name.clone()).collect();
+        if state.reported.0 != names {
+            state.reported = (names, Sent::default());
+        }
+        if !targets.is_empty() {
+            let report = report(gateway, &mut state.reported.1, &usage, false, now);
+            messages.extend(targets.iter().map(|target| (target.address, Body::Report(report.clone()))));
+        }
+        drop(state);
+        // The relay counts its own figures like those of any other daemon.
+        let whole = report(gateway, &mut Sent::default(), &usage, true, now);
+        self.apply_report(gateway, &own, &whole);
+        if urgent {
+            return messages;
+        }
+        let mut state = self.state.lock();
+        state.rounds = state.rounds.wrapping_add(1);
+        state.table.expire(now);
+        let (rank, members) = (state.relays.rank, state.relays.members.len());
+        let begins = state.role.step(rank, members, now);
+        if !state.role.is_speaking() {
+            state.sent.clear();
+            return messages;
+        }
+        let reach = state.table.reach(shared.daemon_count(), now);
+        if begins {
+            info!("event=relay-begun zone={} members={} daemons={}", shared.settings.zone, reach.own, reach.total);
+            adopt_levels(gateway, &reach, now);
+        }
+        self.speak(gateway, &mut state, &reach, now, &mut messages);
+        messages
+    }
+
+    /// Adds the messages of a relay, and applies to this daemon what it tells others.
+    fn speak(
+        &self,
+        gateway: &Gateway,
+        state: &mut State,
+        reach: &Reach,
+        now: u64,
+        messages: &mut Vec<(SocketAddr, Body)>,
+    ) {
+        let shared = &gateway.shared;
+        let own = &shared.settings.name;
+        if reach.own > 1 || reach.zones.iter().any(|(_, _, is_heard)| *is_heard) {
+            shared.last_relay_ms.store(now, Ordering::Relaxed);
+        }
+        let in_force = shared.in_force.load();
+        let quota_of = |name: &str| in_force.site.accounts.get(name).and_then(|account| account.quota.as_ref());
+        let agreed_ms = {
+            let mut clock = shared.clock.lock();
+            clock.lead();
+            clock.now(unix_ms(), boot_ms())
+        };
+        let all = state.table.all_loads(now);
+        let others = state.table.without_member(&all, own, now);
+        for replica in shared.replicas.all() {
+            replica.set_others_load(others.get(&replica.hash()).cloned().unwrap_or_default(), now);
+        }
+        let zone_works = state.table.zone_works();
+        let mut demand = gateway.demand.lock();
+        for (pool, total_ms) in &zone_works {
+            demand.record(&shared.settings.zone, (own, shared.epoch), pool, *total_ms, now);
+        }
+        drop(demand);
+
+        let mut ledger = gateway.quota_ledger.lock();
+        let levels = ledger.levels(quota_of, reach, now);
+        let own_levels: Vec<_> =
+            levels.iter().map(|(name, level)| (name, counted(&ledger, name, level, own))).collect();
+        let recipient_levels = |to: &str| -> Vec<_> {
+            levels.iter().map(|(name, level)| (name.clone(), counted(&ledger, name, level, to))).collect()
+        };
+        let member_levels: HashMap<Arc<str>, Vec<_>> =
+            state.relays.members.iter().map(|member| (member.name.clone(), recipient_levels(&member.name))).collect();
+        let zone_quotas = ledger.zone_report(now);
+        drop(ledger);
+        let mut balances = gateway.quota_balances.lock();
+        own_levels.into_iter().for_each(|(name, level)| balances.apply_level(name, level, now));
+        drop(balances);
+        let mut works: BTreeMap<(Arc<str>, Arc<str>), f64> = BTreeMap::new();
+        let zones = state.table.other_works(now).chain([(&shared.settings.zone, &zone_works)]);
+        for (zone, totals) in zones {
+            works.extend(totals.iter().map(|(pool, ms)| ((zone.clone(), pool.clone()), *ms)));
+        }
+        let State { table, relays, sent, rounds, .. } = state;
+        for member in relays.members.iter().filter(|member| member.name != *own) {
+            let sent = sent.entry(member.name.clone()).or_default();
+            let others = table.without_member(&all, &member.name, now);
+            let levels = member_levels.get(&member.name).into_iter().flatten();
+            let due = levels.filter(|(name, level)| {
+                quota_of(name).is_some_and(|quota| is_level_due(sent.levels.get(name), level, quota, now))
+            });
+            let due: Vec<_> = due.take(MAX_QUOTAS).cloned().collect();
+            let quotas = due.into_iter().map(|(name, level)| {
+                sent.levels.insert(name.clone(), SentLevel { level: level.clone(), sent_at: now });
+                let QuotaLevel { level, counted, reachable } = level;
+                pb::QuotaLevel { account: name.to_string(), level, counted, reachable }
+            });
+            let quotas = quotas.collect();
+            let works =
+                if table.holds_duties(&member.name) { sent.works.take(&works, MAX_WORKS, now) } else { Vec::new() };
+            let summary = pb::Summary {
+                life: shared.epoch,
+                agreed_ms,
+                loads: load_rows(sent.loads.take(&others, MAX_LOADS, now)),
+                quotas,
+                works: works.into_iter().map(work_row).collect(),
+            };
+            messages.push((member.address, Body::Summary(summary)));
+        }
+        let zone_loads = table.zone_loads(now);
+        let zone_works: BTreeMap<_, _> = zone_works.into_iter().map(|(pool, ms)| ((Arc::from(""), pool), ms)).collect();
+        let stride = other_region_stride(relays.others.len() + 1);
+        for (is_near, recipients) in relays.others.values() {
+            if !is_near && !rounds.is_multiple_of(stride) {
+                continue;
+            }
+            for recipient in recipients {
+                let sent = sent.entry(recipient.name.clone()).or_default();
+                let is_member = |name: &str| table.is_member(name);
+                let clock_differences = shared.clock.lock().differences(unix_ms(), boot_ms(), is_member, MAX_CLOCKS);
+                let sum = pb::ZoneSum {
+                    life: shared.epoch,
+                    zone: shared.settings.zone.to_string(),
+                    daemons: reach.own,
+                    unix_ms: unix_ms(),
+                    clock_differences,
+                    loads: load_rows(sent.loads.take(&zone_loads, MAX_LOADS, now)),
+                    quotas: quota_rows(sent.quotas.take(&zone_quotas, MAX_QUOTAS, now)),
+                    works: sent.works.take(&zone_works, MAX_WORKS, now).into_iter().map(work_row).collect(),
+                };
+                messages.push((recipient.address, Body::ZoneSum(sum)));
+            }
+        }
+        let recipients: Vec<&Recipient> =
+            relays.members.iter().chain(relays.others.values().flat_map(|(_, list)| list)).collect();
+        sent.retain(|name, _| recipients.iter().any(|recipient| recipient.name == *name));
+    }
+
+    /// Returns the request counts since a window that this daemon knows, its own and those of other daemons.
+    pub fn usage_table(&self, from_window: u64) -> pb::UsageTable {
+        let Some(gateway) = self.gateway.upgrade() else { return pb::UsageTable::default() };
+        let usage = gateway.usage.lock();
+        let rows = |windows: &BTreeMap<u64, AccountCounts>| windows.range(from_window..).map(window_counts).collect();
+        let own = pb::LifeCounts {
+            daemon: gateway.shared.settings.name.to_string(),
+            life: gateway.shared.epoch,
+            windows: rows(usage.own()),
+        };
+        let others = usage.others().map(|((daemon, epoch), windows)| pb::LifeCounts {
+            daemon: daemon.to_string(),
+            life: *epoch,
+            windows: rows(windows),
+        });
+        let lives = std::iter::once(own).chain(others).filter(|life| !life.windows.is_empty());
+        pb::UsageTable { lives: lives.collect() }
+    }
+}
+
+/// No relay of the availability zone has been heard lately.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct NoRelay;
+
+/// Fetches the request counts since a window from the relays of all availability zones. Returns whether a relay of each
+/// zone has answered.
+pub(crate) async fn fetch_usage(gateway: &Gateway, from_window: u64) -> bool {
+    let own_name = gateway.shared.settings.name.clone();
+    let sources: Vec<(Arc<str>, SocketAddr)> = {
+        let relays = Relays::of(&gateway.shared.view.lock(), USAGE_SOURCES);
+        let members = relays.members.into_iter().take(USAGE_SOURCES).filter(|member| member.name != own_name);
+        let members = members.map(|member| (gateway.shared.settings.zone.clone(), member.address));
+        let others = relays.others.into_iter();
+        let others = others.flat_map(|(zone, (_, list))| list.into_iter().map(move |r| (zone.clone(), r.address)));
+        members.chain(others).collect()
+    };
+    let query = async |(zone, address): (Arc<str>, SocketAddr)| {
+        let body = request::Body::AskUsage(pb::AskUsage { from_window });
+        (zone, gateway.shared.peer_client.request(address, body, USAGE_TIMEOUT).await)
+    };
+    let count = sources.len();
+    let zones: BTreeSet<Arc<str>> = sources.iter().map(|(zone, _)| zone.clone()).collect();
+    let mut answered = BTreeSet::new();
+    for (zone, answer) in join_all(sources.into_iter().map(query)).await {
+        let Ok(answer::Body::UsageTable(table)) = answer else { continue };
+        answered.insert(zone);
+        for process in table.lives {
+            let daemon: Arc<str> = process.daemon.into();
+            if (&daemon, process.life) != (&own_name, gateway.shared.epoch) {
+                merge_usage(gateway, &daemon, process.life, &process.windows);
+            }
+        }
+    }
+    let missing: Vec<_> = zones.difference(&answered).collect();
+    info!("event=usage-learnt from_window={from_window} asked={count} zones={} missing={missing:?}", zones.len());
+    missing.is_empty()
+}
+
+fn merge_usage(gateway: &Gateway, from: &Arc<str>, epoch: u64, windows: &[pb::WindowCounts]) {
+    let mut usage = gateway.usage.lock();
+    for window in windows {
+        let counts = window.counts.iter().map(|c| (c.account.as_str().into(), c.count)).collect();
+        usage.merge(from, epoch, window.window, counts);
+    }
+}
+
+fn window_counts((window, counts): (&u64, &AccountCounts)) -> pb::WindowCounts {
+    let counts = counts.iter().map(|(name, count)| pb::AccountCount { account: name.to_string(), count: *count });
+    pb::WindowCounts { window: *window, counts: counts.collect() }
+}
+
+fn loads_from(rows: &[pb::ReplicaLoad]) -> Loads {
+    let load = |row: &pb::ReplicaLoad| PeerLoad { running: row.running, prefill_ms: f64::from(row.reading_ms) };
+    rows.iter().map(|row| (row.replica, load(row))).collect()
+}
+
+fn load_rows(rows: Vec<(u64, PeerLoad)>) -> Vec<pb::ReplicaLoad> {
+    let row = |(replica, load): (u64, PeerLoad)| {
+        let PeerLoad { running, prefill_ms } = load;
+        pb::ReplicaLoad { replica, running, reading_ms: prefill_ms.round() as u32 }
+    };
+    rows.into_iter().map(row).collect()
+}
+
+fn quota_rows(rows: Vec<(Arc<str>, QuotaTotal)>) -> Vec<pb::QuotaUse> {
+    let row = |(name, total): (Arc<str>, QuotaTotal)| {
+        let QuotaTotal { used, asked, used_before } = total;
+        pb::QuotaUse { account: name.to_string(), used, asked, used_before }
+    };
+    rows.into_iter().map(row).collect()
+}
+
+fn quota_total(row: &pb::QuotaUse) -> QuotaTotal {
+    QuotaTotal { used: row.used, asked: row.asked, used_before: row.used_before }
+}
+
+fn work_row(((zone, pool), total_ms): ((Arc<str>, Arc<str>), f64)) -> pb::PoolWork {
+    pb::PoolWork { pool: pool.to_string(), total_ms, zone: zone.to_string() }
+}
+
+fn apply_loads(gateway: &Gateway, loads: &Loads, now: u64) {
+    for replica in gateway.shared.replicas.all() {
+        if let Some(load) = loads.get(&replica.hash()) {
+            replica.set_others_load(load.clone(), now);
+        }
+    }
+}
+
+fn counted(ledger: &QuotaLedger, name: &str, level: &QuotaLevel, daemon: &str) -> QuotaLevel {
+    QuotaLevel { counted: ledger.counted(name, daemon), ..level.clone() }
+}
+
+fn is_level_due(sent: Option<&SentLevel>, level: &QuotaLevel, quota: &crate::config::Quota, now: u64) -> bool {
+    /// Interval at which an unchanged level is sent again.
+    const REFRESH_MS: u64 = 700;
+
+    let Some(sent) = sent else { return true };
+    let age = now.saturating_sub(sent.sent_at);
+    let expected = sent.level.estimate(quota, level.counted, age);
+    age >= REFRESH_MS || (expected - level.level).abs() > LEVEL_TOLERANCE * quota.burst
+}
+
+/// Continues from the levels that the previous relay has told this daemon.
+fn adopt_levels(gateway: &Gateway, reach: &Reach, now: u64) {
+    let in_force = gateway.shared.in_force.load();
+    let quota_of = |name: &str| in_force.site.accounts.get(name).and_then(|account| account.quota.as_ref());
+    let levels = gateway.quota_balances.lock().levels(quota_of, now);
+    let mut ledger = gateway.quota_ledger.lock();
+    for (name, level) in levels {
+        if let Some(quota) = quota_of(&name) {
+            ledger.adopt_level(&name, quota, level, reach, now);
+        }
+    }
+}
+
+/// Builds a report of the rows that `sent` lacks, of as many as fit into a datagram unless it must be whole.
+fn report(gateway: &Gateway, sent: &mut Sent, usage: &Totals, is_whole: bool, now: u64) -> pb::Report {
+    let limit = |rows| if is_whole { usize::MAX } else { rows };
+    let shared = &gateway.shared;
+    let settings = &shared.settings;
+    let loads: Loads = shared
+        .replicas
+        .all()
+        .into_iter()
+        .map(|replica| (replica.hash(), replica.own_load()))
+        .filter(|(_, load)| load.running > 0)
+        .collect();
+    let works: BTreeMap<_, _> =
+        gateway.work.lock().iter().map(|(pool, ms)| ((Arc::from(""), pool.clone()), *ms)).collect();
+    // The current window, and those that the duty holder normally has not reported yet.
+    let recent = windows_in(settings.usage_window, settings.usage_delay / SETTLE_DIVISOR) + 2;
+    let counts = gateway.usage.lock();
+    let windows: BTreeMap<(u64, Arc<str>), u64> = counts
+        .own()
+        .iter()
+        .rev()
+        .take(recent)
+        .flat_map(|(window, accounts)| accounts.iter().map(|(name, count)| ((*window, name.clone()), *count)))
+        .collect();
+    drop(counts);
+    let mut by_window: BTreeMap<u64, Vec<pb::AccountCount>> = BTreeMap::new();
+    for ((window, account), count) in sent.windows.take(&windows, limit(MAX_COUNTS), now) {
+        if !windows.contains_key(&(window, account.clone())) {
+            continue;
+        }
+        by_window.entry(window).or_default().push(pb::AccountCount { account: account.to_string(), count });
+    }
+    pb::Report {
+        life: shared.epoch,
+        unix_ms: unix_ms(),
+        loads: load_rows(sent.loads.take(&loads, limit(MAX_LOADS), now)),
+        quotas: quota_rows(sent.quotas.take(usage, limit(MAX_QUOTAS), now)),
+        windows: by_window.into_iter().map(|(window, counts)| pb::WindowCounts { window, counts }).collect(),
+        works: sent.works.take(&works, limit(MAX_WORKS), now).into_iter().map(work_row).collect(),
+        holds_duties: shared.holds_duties.load(Ordering::Relaxed),
+    }
+}
+
+#[cfg(test)]
+#[path = "run_test.rs"]
+mod run_test;
--- a/goldcrestward/src/process/gateway.rs
+++ b/goldcrestward/src/process/gateway.rs
@@ -1,10 +1,16 @@
 //! State that all requests to a platform's back ends share.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use parking_lot::Mutex;
 
-use super::{demand::DemandMeters, quota::Quotas, retries::RetryBudget, shared::Shared, usage::UsageCounts};
+use super::{
+    demand::DemandMeters,
+    quota::{IsolatedQuotas, QuotaBalances, QuotaLedger, Verdict},
+    retries::RetryBudget,
+    shared::Shared,
+    usage::UsageCounts,
+};
 use crate::{
     config::{Account, QuotaUnit},
     connection::BackendConnections,
@@ -21,8 +27,12 @@
     pub engines: Arc<dyn Engines>,
     /// Connection pool for backend servers.
     pub backend_connections: BackendConnections,
-    /// Account quotas, which apply across all daemons.
-    pub quotas: Mutex<Quotas>,
+    /// What this daemon knows of the account quotas, which apply across all daemons.
+    pub quota_balances: Mutex<QuotaBalances>,
+    /// Account quotas as the relay of the availability zone knows them.
+    pub quota_ledger: Mutex<QuotaLedger>,
+    /// Account quotas while no relay can be reached: this daemon's part.
+    isolated_quotas: Mutex<IsolatedQuotas>,
     /// Limits the retries of each pool over all daemons.
     pub retry_budget: Mutex<RetryBudget>,
     /// Requests that started running, counted by account.
@@ -42,7 +52,9 @@
             header_codec,
             engines,
             backend_connections: BackendConnections::default(),
-            quotas: Mutex::default(),
+            quota_balances: Mutex::default(),
+            quota_ledger: Mutex::default(),
+            isolated_quotas: Mutex::default(),
             retry_budget: Mutex::new(retry_budget),
             usage: Mutex::new(usage),
             work: Mutex::default(),
@@ -65,7 +77,7 @@
     ///
     /// # Errors
     /// Returns a refusal when the quota is used up.
-    pub fn admit(&self, account: &Account, metadata: &RequestMetadata) -> Result<f64, Refusal> {
+    pub async fn admit(&self, account: &Account, metadata: &RequestMetadata) -> Result<f64, Refusal> {
         let Some(quota) = &account.quota else { return Ok(0.0) };
         let units = match quota.unit {
             QuotaUnit::Requests => 1.0,
@@ -74,15 +86,42 @@
             }
         };
         let (daemons, now) = (self.shared.daemon_count(), self.shared.now());
-        let mut quotas = self.quotas.lock();
-        let charged = quotas.charge(&account.name, quota, units, daemons, now);
-        if quotas.is_report_due(&account.name, quota, daemons) {
-            self.shared.send_digest.notify_one();
-        }
-        drop(quotas);
-        charged.map(|()| units).map_err(|wait| {
-            let message = format!("the quota of account {} is used up", account.name);
+        let verdict = {
+            let mut balances = self.quota_balances.lock();
+            let verdict = balances.charge(&account.name, quota, units, now);
+            if balances.is_report_due(&account.name, quota, daemons) {
+                self.shared.report_due.notify_one();
+            }
+            verdict
+        };
+        let basis = match verdict {
+            Verdict::Admitted => return Ok(units),
+            Verdict::AskRelay(left, age) => format!("about {left:.0} of {:.0} were left {age} ms ago", quota.burst),
+            Verdict::NoRelay => "no relay of the availability zone is heard".to_owned(),
+        };
+        let decided = match self.charge_at_relay(account, units, now).await {
+            Some(decided) => decided,
+            None => {
+                let last_level = self.quota_balances.lock().last_level(&account.name);
+                let charged = self.isolated_quotas.lock().charge(&account.name, quota, units, daemons, last_level, now);
+                if charged.is_ok() {
+                    self.quota_balances.lock().record(&account.name, units);
+                }
+                charged
+            }
+        };
+        decided.map(|()| units).map_err(|wait| {
+            let message = format!("the quota of account {} cannot bear {units:.0} units: {basis}", account.name);
             Refusal::not_run(Reason::TokenLimit, message).with_retry_after(wait)
         })
     }
+
+    /// Charges a request at the relay of the zone; `None` if no relay decides in time.
+    async fn charge_at_relay(&self, account: &Account, units: f64, now: u64) -> Option<Result<(), Duration>> {
+        let exchange = self.shared.exchange.get()?;
+        match exchange.quota_relay(now).ok()? {
+            None => exchange.charge_as_relay(&account.name, units),
+            Some(address) => exchange.ask_relay(self, address, &account.name, units).await,
+        }
+    }
 }
--- a/goldcrestward/src/process/gossip.rs
+++ b/goldcrestward/src/process/gossip.rs
@@ -2,12 +2,12 @@
 
 use std::{net::SocketAddr, sync::Arc, sync::atomic::Ordering, time::Duration};
 
-use log::info;
+use log::{info, warn};
 use prost::Message;
 use tokio::{net::UdpSocket, time::MissedTickBehavior};
 
 use super::{
-    membership::{Effect, Fact, FactKind, Member, State},
+    membership::{Effect, Fact, FactKind, State},
     pull::pull_config,
     shared::Shared,
 };
@@ -86,16 +86,14 @@
         }
     }
 
-    /// Sends a message to all other present daemons; to those of other regions only if `all_regions`.
-    pub fn broadcast(&self, body: &datagram::Body, all_regions: bool) {
-        let addresses: Vec<_> = {
-            let view = self.shared.view.lock();
-            let region = &view.local().region;
-            let wanted = |m: &&Member| m.state.is_present() && (all_regions || m.region == *region);
-            view.others().filter(wanted).map(|m| m.address).collect()
-        };
-        for address in addresses {
-            self.send(address, body.clone());
+    /// Sends the messages of one round of the exchange, all with the same members and facts.
+    pub fn send_round(&self, messages: Vec<(SocketAddr, datagram::Body)>) {
+        if messages.is_empty() {
+            return;
+        }
+        let (members, facts) = self.shared.view.lock().round_piggyback();
+        for (to, body) in messages {
+            self.seal_and_send(to, body, members.clone(), facts.clone());
         }
     }
 
@@ -128,10 +126,8 @@
         let Ok(address) = datagram.address.parse::<SocketAddr>() else { return self.reject("malformed") };
         let newer = datagram.config_revision > self.shared.config.lock().revision();
         let now = self.shared.now();
-        if let (Some(datagram::Body::Digest(digest)), Some(exchange)) =
-            (&datagram.body, self.shared.digest_exchange.get())
-        {
-            exchange.receive(&datagram.from, digest);
+        if let (Some(body), Some(exchange)) = (&datagram.body, self.shared.exchange.get()) {
+            exchange.receive(&datagram.from, address, body);
         }
         let effects = self.shared.view.lock().receive(datagram, address, now, unix_ms());
         if newer {
@@ -155,22 +151,26 @@
     }
 
     fn send(&self, to: SocketAddr, body: datagram::Body) {
-        let config_revision = self.shared.config.lock().revision();
-        let payload = {
-            let mut view = self.shared.view.lock();
-            let (members, facts) = view.piggyback(to);
-            pb::Datagram {
-                from: self.shared.settings.name.to_string(),
-                address: self.shared.settings.advertise.to_string(),
-                config_revision,
-                view: view.hash(),
-                members,
-                facts,
-                body: Some(body),
-            }
+        let (members, facts) = self.shared.view.lock().piggyback(to);
+        self.seal_and_send(to, body, members, facts);
+    }
+
+    fn seal_and_send(&self, to: SocketAddr, body: datagram::Body, members: Vec<pb::Member>, facts: Vec<pb::Fact>) {
+        let kind = kind_label(&body);
+        let payload = pb::Datagram {
+            from: self.shared.settings.name.to_string(),
+            address: self.shared.settings.advertise.to_string(),
+            config_revision: self.shared.config.lock().revision(),
+            view: self.shared.view.lock().hash(),
+            members,
+            facts,
+            body: Some(body),
         };
         let bytes = self.sealer.seal(&to.to_string(), payload.encode_to_vec());
-        self.count("datagram", "sent", bytes.len());
+        if bytes.len() > MAX_DATAGRAM_BYTES {
+            warn!("event=datagram-too-large kind={kind} bytes={} max={MAX_DATAGRAM_BYTES}", bytes.len());
+        }
+        self.count(kind, "sent", bytes.len());
         self.socket.try_send_to(&bytes, to).ok();
     }
 
@@ -185,7 +185,7 @@
 
     fn member_changed(&self, name: &str, state: State) {
         info!("event=member-changed member={name} state={}", state.label());
-        if let (State::Left, Some(exchange)) = (state, self.shared.digest_exchange.get()) {
+        if let (State::Left, Some(exchange)) = (state, self.shared.exchange.get()) {
             exchange.remove_peer(name);
         }
         self.refresh_member_counts();
@@ -213,3 +213,13 @@
         }
     }
 }
+
+/// Returns the `kind` label under which a datagram is counted.
+fn kind_label(body: &datagram::Body) -> &'static str {
+    match body {
+        datagram::Body::Report(_) => "report",
+        datagram::Body::ZoneSum(_) => "zone-sum",
+        datagram::Body::Summary(_) => "summary",
+        _ => "datagram",
+    }
+}
--- a/goldcrestward/src/process/membership/view.rs
+++ b/goldcrestward/src/process/membership/view.rs
@@ -24,6 +24,8 @@
 const PIGGYBACK_BYTES: usize = 1000;
 /// Encoded size of a member or fact without its strings, as an estimate.
 const RECORD_BYTES: usize = 24;
+/// Rounds of the exchange in which a change is sent.
+const ROUND_TRANSMITS: u32 = 4;
 /// Daemons notified at once of a newer configuration.
 const ANNOUNCE_FANOUT: usize = 4;
 /// Minimum interval between two full exchanges, at a small site.
@@ -192,7 +194,7 @@
             }
             Some(Body::Ack(ack)) => self.handle_ack(ack.probe, &mut effects),
             Some(Body::Relay(relay)) => self.handle_relay(relay, address, now, &mut effects),
-            Some(Body::Announce(_) | Body::Digest(_)) | None => {}
+            Some(Body::Announce(_) | Body::Report(_) | Body::ZoneSum(_) | Body::Summary(_)) | None => {}
         }
         let settled = now.saturating_sub(self.last_change) >= SYNC_SETTLE_MS;
         if view != self.hash && settled && now.saturating_sub(self.last_sync) >= self.sync_interval() {
@@ -274,17 +276,30 @@
 
     /// Members and facts to piggyback on the next datagram to `to`. Members sent least often come first.
     pub fn piggyback(&mut self, to: SocketAddr) -> (Vec<pb::Member>, Vec<pb::Fact>) {
+        let recipient = self.peers.values().find(|p| p.member.address == to && p.member.state != State::Alive);
+        // A recipient that is considered suspect or gone can refute this only if it learns of it.
+        let recipient = recipient.map(|p| pb::Member::from(&p.member));
+        let (mut members, facts) = self.pending_updates(1);
+        members.extend(recipient);
+        (members, facts)
+    }
+
+    /// Members and facts to piggyback on all datagrams of one round of the exchange. As a round reaches all its
+    /// recipients, few rounds are enough.
+    pub fn round_piggyback(&mut self) -> (Vec<pb::Member>, Vec<pb::Fact>) {
+        self.pending_updates(self.transmit_limit().div_ceil(ROUND_TRANSMITS))
+    }
+
+    /// Members and facts that have not been sent often enough; sending them now counts `weight` times.
+    fn pending_updates(&mut self, weight: u32) -> (Vec<pb::Member>, Vec<pb::Fact>) {
         let limit = self.transmit_limit();
         let mut members = Vec::new();
         let mut space = PIGGYBACK_BYTES;
         if self.local_transmits < limit {
-            self.local_transmits += 1;
+            self.local_transmits += weight;
             members.push((&self.local).into());
             space -= RECORD_BYTES + self.local.name.len();
         }
-        // A recipient that is considered suspect or gone can refute this only if it learns of it.
-        let recipient = self.peers.values().find(|p| p.member.address == to && p.member.state != State::Alive);
-        members.extend(recipient.map(|p| pb::Member::from(&p.member)));
         let mut pending: Vec<_> = self.peers.values_mut().filter(|p| p.transmits < limit).collect();
         pending.sort_by_key(|p| p.transmits);
         for peer in pending {
@@ -294,7 +309,7 @@
                 break;
             }
             space -= size;
-            peer.transmits += 1;
+            peer.transmits += weight;
             members.push((&peer.member).into());
         }
         let mut facts = Vec::new();
@@ -305,7 +320,7 @@
                 continue;
             }
             space -= size;
-            *transmits += 1;
+            *transmits += weight;
             facts.push(fact.into());
         }
         self.fact_transmits.retain(|_, transmits| *transmits < limit);
--- a/goldcrestward/src/process/peer_service.rs
+++ b/goldcrestward/src/process/peer_service.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use super::{digest_exchange::DigestExchange, gossip::Gossip, rollout::evidence_report, shared::Shared};
+use super::{gossip::Gossip, rollout::evidence_report, shared::Shared};
 use crate::{
     connection::PeerHandler,
     ledger::{Claim, Settlement},
@@ -87,10 +87,13 @@
                 let versions: Vec<Arc<str>> = ask.versions.into_iter().map(Into::into).collect();
                 answer::Body::EvidenceReport(evidence_report(&self.shared, &versions))
             }
-            request::Body::AskUsage(_) => {
-                let table = self.shared.digest_exchange.get().map(DigestExchange::usage_table);
+            request::Body::AskUsage(ask) => {
+                let table = self.shared.exchange.get().map(|exchange| exchange.usage_table(ask.from_window));
                 answer::Body::UsageTable(table.unwrap_or_default())
             }
+            request::Body::AskQuota(ask) => {
+                answer::Body::QuotaGrant(self.shared.exchange.get().map(|exchange| exchange.answer_quota(&ask))?)
+            }
         };
         self.count(kind, &pb::Answer { id: 0, body: Some(answer.clone()) }, "sent");
         Some(answer)
@@ -107,6 +110,7 @@
         request::Body::ReportUsage(_) => "limits",
         request::Body::AskEvidence(_) => "evidence",
         request::Body::AskUsage(_) => "usage",
+        request::Body::AskQuota(_) => "quota",
     }
 }
 
--- a/goldcrestward/src/process/replicas.rs
+++ b/goldcrestward/src/process/replicas.rs
@@ -186,9 +186,9 @@
         PeerLoad { running: self.in_flight(), prefill_ms }
     }
 
-    /// Stores the load that another daemon puts on the server; `None` if it puts none.
-    pub fn set_peer_load(&self, daemon: &Arc<str>, load: Option<PeerLoad>, now: u64) {
-        self.health.loads.lock().apply_peer_report(daemon, load, now);
+    /// Stores the load that all other daemons put on the server.
+    pub fn set_others_load(&self, load: PeerLoad, now: u64) {
+        self.health.loads.lock().set_others(load, now);
     }
 
     /// Stores the load that the server reported.
@@ -197,8 +197,8 @@
     }
 
     fn candidate(&self, query: &PlacementQuery<'_>) -> Candidate {
-        let PlacementQuery { zone, region, daemons, now, .. } = *query;
-        let load = self.health.loads.lock().total(&self.own_load(), daemons, now);
+        let PlacementQuery { zone, region, now, .. } = *query;
+        let load = self.health.loads.lock().total(&self.own_load(), now);
         let locality = if *self.zone == *zone {
             Locality::SameZone
         } else if *self.region == *region {
@@ -315,8 +315,6 @@
     pub zone: &'a str,
     /// The daemon's region.
     pub region: &'a str,
-    /// Number of daemons that take part.
-    pub daemons: usize,
     /// Score that the request has from earlier crashes of replicas.
     pub crash_score: u64,
     /// Differs between requests, to spread them over equally good servers.
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -20,7 +20,7 @@
 
 use super::{
     clock::{AgreedClock, boot_ms},
-    digest_exchange::DigestExchange,
+    exchange::Exchange,
     lifecycle::StageView,
     limits::AccountLimits,
     membership::{Fact, View},
@@ -84,18 +84,20 @@
     /// Time of the last error while reading the site's state from the platform's store, in ms since the daemon's
     /// start; 0 if there was none.
     pub last_store_error_ms: AtomicU64,
-    /// Time of the last digest received from another daemon, in ms since this daemon's start.
-    pub last_digest_ms: AtomicU64,
+    /// When this daemon last exchanged figures with others as a relay, or heard its zone's relay, in ms since its start.
+    pub last_relay_ms: AtomicU64,
+    /// Whether this daemon holds the duties.
+    pub holds_duties: AtomicBool,
     /// Limits pulls of the configuration from peers to one at a time.
     pub pull_permit: Arc<Semaphore>,
     /// Notified when configuration files have changed.
     pub config_changed: Notify,
     /// Notified when the configuration revision is to be announced to other daemons.
     pub announce: Notify,
-    /// Handles the digests of other daemons; set only if the daemon serves a platform's back ends.
-    pub digest_exchange: OnceLock<DigestExchange>,
-    /// Notified when a digest is to be sent without waiting for the next interval.
-    pub send_digest: Notify,
+    /// Exchanges load and usage with other daemons; set only if the daemon serves a platform's back ends.
+    pub exchange: OnceLock<Exchange>,
+    /// Notified when a report is to be sent without waiting for the next interval.
+    pub report_due: Notify,
     /// Lifecycle stage of the daemon.
     pub stage: StageView,
     /// Tasks that finish requests whose callers have disconnected.
--- a/goldcrestward/src/process/site_state.rs
+++ b/goldcrestward/src/process/site_state.rs
@@ -15,7 +15,6 @@
 use tokio::time::sleep;
 
 use super::{
-    digest_timing::peer_timeout_ms,
     duty::OWN_PREFIX,
     shared::{InForce, Shared},
 };
@@ -32,6 +31,8 @@
 const WATCHERS: usize = 3;
 /// Interval at which a daemon re-evaluates whether it reads the store.
 const ROLE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time without a message of a relay after which a daemon reads the store itself.
+const RELAY_SILENCE_MS: u64 = 1_500;
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Time after a failed call to the store in which a removed entry may come back: three heartbeats.
@@ -96,11 +97,10 @@
         self.catalog.is_relevant(key) || key.starts_with(OWN_PREFIX)
     }
 
-    /// Whether this daemon reads the store itself. The others rely on their peers, as long as they receive digests.
+    /// Whether this daemon reads the store itself. The others rely on their peers, as long as they hear the relay of their zone.
     fn is_watcher(&self) -> bool {
-        let since_digest = self.shared.now().saturating_sub(self.shared.last_digest_ms.load(Ordering::Relaxed));
-        since_digest > peer_timeout_ms(self.shared.daemon_count())
-            || self.shared.view.lock().zone_rank("site-watch") < WATCHERS
+        let since_relay = self.shared.now().saturating_sub(self.shared.last_relay_ms.load(Ordering::Relaxed));
+        since_relay > RELAY_SILENCE_MS || self.shared.view.lock().zone_rank("site-watch") < WATCHERS
     }
 
     fn record_store_error(&self, error: &Error) {
--- a/goldcrestward/src/process/usage.rs
+++ b/goldcrestward/src/process/usage.rs
@@ -43,14 +43,15 @@
         self.others.iter()
     }
 
-    /// Merges a daemon's counts of a window. Counts only grow, so smaller ones are outdated and ignored.
+    /// Merges a daemon's counts of a window. Counts only grow, so smaller ones are outdated and ignored, and accounts
+    /// that are missing keep theirs.
     pub fn merge(&mut self, from: &Arc<str>, epoch: u64, window: u64, counts: AccountCounts) {
         let windows = self.others.entry((from.clone(), epoch)).or_default();
-        let total = |counts: &AccountCounts| counts.values().sum::<u64>();
-        if windows.get(&window).is_some_and(|known| total(known) >= total(&counts)) {
-            return;
+        let known = windows.entry(window).or_default();
+        for (account, count) in counts {
+            let entry = known.entry(account).or_default();
+            *entry = count.max(*entry);
         }
-        windows.insert(window, counts);
         while windows.len() > self.retained_windows {
             windows.pop_first();
         }
@@ -78,11 +79,6 @@
         (next < first_open).then_some(next)
     }
 
-    /// Time for which counts are kept.
-    pub fn retention(&self, window: Duration) -> Duration {
-        window * self.retained_windows as u32
-    }
-
     /// Removes daemons without counts in `window` or later.
     pub fn forget_before(&mut self, window: u64) {
         self.others.retain(|_, windows| windows.keys().next_back().is_some_and(|last| *last >= window));
--- a/goldcrestward/src/request/placement_request.rs
+++ b/goldcrestward/src/request/placement_request.rs
@@ -119,7 +119,6 @@
             tried,
             zone: &settings.zone,
             region: &settings.region,
-            daemons: gateway.shared.daemon_count(),
             crash_score: score,
             salt: self.salt,
             now: gateway.shared.now(),
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -214,7 +214,7 @@
 
     fn refund_quota(&mut self) {
         if let (true, Some(account)) = (self.quota_units > 0.0, &self.account) {
-            self.gateway.quotas.lock().refund(&account.name, self.quota_units);
+            self.gateway.quota_balances.lock().refund(&account.name, self.quota_units);
             self.quota_units = 0.0;
         }
     }
--- a/goldcrestward/src/request/proxy_ingress.rs
+++ b/goldcrestward/src/request/proxy_ingress.rs
@@ -82,7 +82,8 @@
         let deadline = arrived + caller.metadata.timeout.unwrap_or(caller.route.timeout).min(caller.route.timeout);
         let body = self.read_body(body, &in_force.site.caller_limits, deadline).await;
         let body = body.map_err(|refusal| refuse(&id, refusal))?;
-        let call = self.prepare_call(caller, parts, body, arrived, deadline).map_err(|refusal| refuse(&id, refusal))?;
+        let call = self.prepare_call(caller, parts, body, arrived, deadline).await;
+        let call = call.map_err(|refusal| refuse(&id, refusal))?;
         let route = call.route.name.clone();
         let result = call.run().await;
         let end = if result.is_ok() { "passed" } else { "refused" };
@@ -95,7 +96,7 @@
         result.map_err(|refusal| refuse(&id, refusal))
     }
 
-    fn prepare_call(
+    async fn prepare_call(
         &self,
         caller: AdmittedCaller,
         parts: Parts,
@@ -105,13 +106,16 @@
     ) -> Result<ProxyCall, Refusal> {
         let gateway = &self.gateway;
         // The configuration may have changed while the body was read, so that the key may no longer be valid.
-        let in_force = gateway.shared.in_force.load();
+        let in_force = gateway.shared.in_force.load_full();
         let caller = admit_caller(&in_force.site, &parts, caller.metadata)?;
         let AdmittedCaller { route, account, metadata } = &caller;
         let salt = stable_hash(&[metadata.id.as_bytes()]);
         let pool = choose_pool(route, &in_force.site, salt)
             .ok_or_else(|| Refusal::not_run(Reason::NoReplica, format!("route {} leads to no pool", route.name)))?;
-        let quota_units = account.as_ref().map_or(Ok(0.0), |account| gateway.admit(account, metadata))?;
+        let quota_units = match account {
+            Some(account) => gateway.admit(account, metadata).await?,
+            None => 0.0,
+        };
         let priority = account.as_ref().and_then(|account| account.priority).unwrap_or(route.priority);
         let placement = PlacementRequest::new(gateway, route, priority, pool, metadata, arrived, deadline);
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
