--- a/goldcrestward/src/process/exchange/heard_relay.rs
+++ b/goldcrestward/src/process/exchange/heard_relay.rs
@@ -47,6 +47,11 @@
         Hearing::Changed
     }
 
+    /// Forgets the relay `name`, which has left the site. Returns whether it was the one that is listened to.
+    pub fn forget(&mut self, name: &str) -> bool {
+        self.current.take_if(|(current, _)| **current == *name).is_some()
+    }
+
     /// Name of the relay, unless it has been silent.
     pub fn name(&self, now: u64) -> Option<&Arc<str>> {
         self.current.as_ref().filter(|_| !self.is_silent(now)).map(|(name, _)| name)
--- a/goldcrestward/src/process/exchange/heard_relay_test.rs
+++ b/goldcrestward/src/process/exchange/heard_relay_test.rs
@@ -22,3 +22,14 @@
     assert_eq!(heard.name(2_400).map(|name| &**name), Some(high));
     assert_eq!(heard.name(4_000), None);
 }
+
+#[test]
+fn forget_lets_a_lower_rank_speak_at_once() {
+    let (high, low) = ranked();
+    let mut heard = HeardRelay::default();
+    assert_eq!(heard.hear(high, 1, 0), Hearing::Changed);
+    assert!(!heard.forget(low));
+    assert_eq!(heard.hear(low, 1, 100), Hearing::Ignore);
+    assert!(heard.forget(high));
+    assert_eq!(heard.hear(low, 1, 150), Hearing::Changed);
+}
--- a/goldcrestward/src/process/exchange/relay_role.rs
+++ b/goldcrestward/src/process/exchange/relay_role.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Forgets the relay that was heard, as it has left the site.
+    pub fn forget_relay(&mut self) {
+        self.superior_at = None;
+    }
+
     /// Advances to `now` for a daemon of this rank among `members` daemons. Returns true if the daemon has just begun
     /// to speak.
     pub fn step(&mut self, rank: usize, members: usize, now: u64) -> bool {
--- a/goldcrestward/src/process/exchange/relay_role_test.rs
+++ b/goldcrestward/src/process/exchange/relay_role_test.rs
@@ -71,6 +71,15 @@
     }
 }
 
+#[test]
+fn substitute_speaks_at_once_after_a_planned_stop() {
+    let mut zone = Zone::new(3);
+    (0..10).for_each(|_| zone.step(|_| true, |_, _| true));
+    zone.roles[1].forget_relay();
+    zone.step(|rank| rank > 0, |_, _| true);
+    assert!(zone.roles[1].is_speaking());
+}
+
 #[test]
 fn suspended_relay_is_silent_until_its_figures_are_fresh() {
     let mut zone = Zone::new(3);
--- a/goldcrestward/src/process/exchange/run.rs
+++ b/goldcrestward/src/process/exchange/run.rs
@@ -190,7 +190,14 @@
 
     /// Removes a daemon that has announced its departure.
     pub fn remove_peer(&self, daemon: &str) {
-        self.state.lock().table.remove_member(daemon);
+        {
+            let mut state = self.state.lock();
+            state.table.remove_member(daemon);
+            if state.heard.forget(daemon) {
+                state.role.forget_relay();
+                state.relay = None;
+            }
+        }
         if let Some(gateway) = self.gateway.upgrade() {
             gateway.quota_ledger.lock().remove_member(daemon);
         }
@@ -347,6 +354,7 @@
         if begins {
             info!("event=relay-begun zone={} members={} daemons={}", shared.settings.zone, reach.own, reach.total);
             adopt_levels(gateway, &reach, now);
+            gateway.quota_ledger.lock().begin_reports(now);
         }
         self.speak(gateway, &mut state, &reach, now, &mut messages);
         messages
--- a/goldcrestward/src/process/membership/view.rs
+++ b/goldcrestward/src/process/membership/view.rs
@@ -1,7 +1,7 @@
 //! The membership protocol as a state machine without I/O: datagrams and time in, effects out.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     sync::Arc,
 };
@@ -149,11 +149,14 @@
         self.present().filter(|m| score(m) > mine).count()
     }
 
-    /// This daemon's rank, from 0, among the present daemons of its availability zone by their hash for `key`.
-    pub fn zone_rank(&self, key: &str) -> usize {
+    /// This daemon's rank, from 0, among the present daemons of its region by their hash for `key`, and the number of
+    /// regions.
+    pub fn region_rank(&self, key: &str) -> (usize, usize) {
         let score = |m: &Member| stable_hash(&[key.as_bytes(), m.name.as_bytes()]);
         let mine = score(&self.local);
-        self.present().filter(|m| m.zone == self.local.zone && score(m) > mine).count()
+        let rank = self.present().filter(|m| m.region == self.local.region && score(m) > mine).count();
+        let regions: BTreeSet<_> = self.present().map(|m| &m.region).collect();
+        (rank, regions.len())
     }
 
     /// Advances the protocol to `now`; `unix_ms` decides which facts have expired.
--- a/goldcrestward/src/process/quota/ledger.rs
+++ b/goldcrestward/src/process/quota/ledger.rs
@@ -320,6 +320,11 @@
         self.accounts.get(name).and_then(|account| account.members.get(daemon)).map_or(0.0, |total| total.used)
     }
 
+    /// Prepares for reports to other zones: what was used while another relay spoke for the zone has been reported by it.
+    pub fn begin_reports(&mut self, now: u64) {
+        self.zone_report(now);
+    }
+
     /// Totals of the own zone, for the relays of the others.
     pub fn zone_report(&mut self, now: u64) -> BTreeMap<Arc<str>, QuotaTotal> {
         let total = |(name, account): (&Arc<str>, &mut AccountQuota)| {
--- a/goldcrestward/src/process/quota/ledger_test.rs
+++ b/goldcrestward/src/process/quota/ledger_test.rs
@@ -302,3 +302,30 @@
         }
     }
 }
+
+#[test]
+fn substitute_reports_only_what_is_used_after_it_begins() {
+    let (quota, account, zone): (_, Arc<str>, Arc<str>) = (tokens(100_000.0), ACCOUNT.into(), "zone-0".into());
+    let reach = Reach { own: 2, total: 4, zones: vec![("zone-1".into(), 2, true)] };
+    let far_reach = Reach { own: 2, total: 4, zones: vec![(zone.clone(), 2, true)] };
+    let (mut substitute, mut far) = (QuotaLedger::default(), QuotaLedger::default());
+    let total = |used| QuotaTotal { used, asked: used, used_before: used - 5_000.0 };
+    // For 20 s, the substitute gets the reports that the relay gets as well.
+    for second in 1..=20_u32 {
+        let used = f64::from(second) * 5_000.0;
+        let now = u64::from(second) * 1_000;
+        substitute.apply_member_report(&"daemon-1".into(), (&account, &quota), &total(used), &reach, now);
+    }
+    let level = |far: &mut QuotaLedger| far.levels(|_| Some(&quota), &far_reach, 20_000)[ACCOUNT].level;
+    far.charge(&account, &quota, 1.0, &far_reach, 20_000).expect("plenty is left");
+    let before = level(&mut far);
+    far.restart_zone(&zone);
+    substitute.begin_reports(20_000);
+    let first = substitute.zone_report(20_000).remove(ACCOUNT).expect("the account was used");
+    far.apply_zone_report(&zone, (&account, &quota), &first, &far_reach, 20_000);
+    assert!(before - level(&mut far) < 1.0, "{} units charged a second time", before - level(&mut far));
+    substitute.apply_member_report(&"daemon-1".into(), (&account, &quota), &total(105_000.0), &reach, 20_000);
+    let next = substitute.zone_report(20_000).remove(ACCOUNT).expect("the account was used");
+    far.apply_zone_report(&zone, (&account, &quota), &next, &far_reach, 20_000);
+    assert!((before - level(&mut far) - 5_000.0).abs() < 1.0, "{} units charged", before - level(&mut far));
+}
--- a/goldcrestward/src/process/replicas.rs
+++ b/goldcrestward/src/process/replicas.rs
@@ -117,7 +117,7 @@
 }
 
 impl Replica {
-    /// Hash of the instance name, which identifies the replica in digests.
+    /// Hash of the instance name, which identifies the replica in messages between daemons.
     pub fn hash(&self) -> u64 {
         self.hash
     }
--- a/goldcrestward/src/process/scaler.rs
+++ b/goldcrestward/src/process/scaler.rs
@@ -50,6 +50,22 @@
     refused: bool,
     /// When the target first fell below `count`, in ms.
     lower_since: Option<u64>,
+    /// Live servers at the last check.
+    live: u32,
+    /// Servers that were lost since the order was placed.
+    lost: u32,
+}
+
+impl PlacedOrder {
+    fn new(count: u32, live: u32, placed_ms: u64, refused: bool) -> Self {
+        Self { count, placed_ms, refused, lower_since: None, live, lost: 0 }
+    }
+
+    /// Counts servers that are gone although the order asks for them.
+    fn update_live(&mut self, live: u32) {
+        self.lost += self.live.min(self.count).saturating_sub(live);
+        self.live = live;
+    }
 }
 
 /// Pool, zone, and whether the servers are reclaimable.
@@ -65,6 +81,13 @@
     /// Returns the orders to place for a pool at `now`, in ms.
     pub fn decide(&mut self, pool: &Arc<str>, scaling: &Scaling, zones: &[ZonePool], now: u64) -> Vec<PoolOrder> {
         let mut orders = Vec::new();
+        for zone in zones {
+            for (live, reclaimable) in [(zone.reclaimable, true), (zone.on_demand, false)] {
+                if let Some(placed) = self.placed.get_mut(&(pool.clone(), zone.zone.clone(), reclaimable)) {
+                    placed.update_live(live);
+                }
+            }
+        }
         let substitutes = self.substitutes(pool, scaling, zones, now);
         for (zone, substitutes) in zones.iter().zip(substitutes) {
             let target = target(scaling, zone);
@@ -93,7 +116,8 @@
     pub fn record_answer(&mut self, order: &PoolOrder, answer: DutyAnswer, now: u64) {
         let key = (order.pool.clone(), order.zone.clone(), order.reclaimable);
         let refused = answer != DutyAnswer::Done;
-        self.placed.insert(key, PlacedOrder { count: order.count, placed_ms: now, refused, lower_since: None });
+        let live = self.placed.get(&key).map_or(0, |placed| placed.live);
+        self.placed.insert(key, PlacedOrder::new(order.count, live, now, refused));
     }
 
     /// Number of reclaimable servers that are ordered and still starting.
@@ -102,7 +126,7 @@
         let starting = |placed: &&PlacedOrder| {
             !placed.refused && now.saturating_sub(placed.placed_ms) <= boot_deadline_ms(scaling)
         };
-        placed.filter(starting).map_or(0, |placed| placed.count.saturating_sub(zone.reclaimable))
+        placed.filter(starting).map_or(0, |placed| placed.count.saturating_sub(zone.reclaimable + placed.lost))
     }
 
     /// On-demand servers that each zone needs in place of missing reclaimable ones: live servers count first, then new
@@ -145,25 +169,21 @@
 
     /// Whether an order for `count` servers must be placed while `live` servers are up.
     fn is_due(&mut self, key: &OrderKey, scaling: &Scaling, count: u32, live: u32, now: u64) -> bool {
-        let placed = self.placed.entry(key.clone()).or_insert(PlacedOrder {
-            count: live,
-            placed_ms: 0,
-            refused: false,
-            lower_since: None,
-        });
+        let placed = self.placed.entry(key.clone()).or_insert_with(|| PlacedOrder::new(live, live, 0, false));
         let since = now.saturating_sub(placed.placed_ms);
         if placed.refused && since < REFUSED_RETRY_DELAY_MS {
             return false;
         }
         // With ordered servers missing, a smaller order releases none, so it need not wait.
-        let is_short = live < count && (placed.refused || since > boot_deadline_ms(scaling));
+        let is_overdue = since > boot_deadline_ms(scaling) || placed.lost > 0;
+        let is_short = live < count && (placed.refused || is_overdue);
         if count < placed.count && !is_short {
             let lower = *placed.lower_since.get_or_insert(now);
             let delay = if key.2 { RECLAIMABLE_SCALE_DOWN_DELAY_MS } else { ON_DEMAND_SCALE_DOWN_DELAY_MS };
             return now.saturating_sub(lower) >= delay;
         }
         placed.lower_since = None;
-        count > placed.count || placed.refused || (live != count && since > boot_deadline_ms(scaling))
+        count > placed.count || placed.refused || (live != count && is_overdue)
     }
 }
 
--- a/goldcrestward/src/process/scaler_test.rs
+++ b/goldcrestward/src/process/scaler_test.rs
@@ -185,6 +185,25 @@
     assert!(platform.zones["a"].1 >= 3, "{:?}", platform.zones);
 }
 
+#[test]
+fn zone_lost_soon_after_an_order_is_replaced_at_once() {
+    let mut platform = FakePlatform::new(4, Some(0.2));
+    platform.busy_servers = Some(0.9);
+    platform.run_for(20);
+    // A wave of load is answered with an order; all servers of a zone, starting ones included, are reclaimed next.
+    platform.busy_servers = Some(2.2);
+    platform.run_for(2);
+    platform.zones_without_reclaimable = vec!["a", "b", "c"];
+    platform.starting.retain(|(_, order)| &*order.zone != "a");
+    platform.zones.get_mut("a").expect("a zone").1 = 0;
+    platform.orders.clear();
+    platform.run_for(2);
+    let attempts: Vec<_> = platform.orders.iter().filter(|order| &*order.zone == "a").collect();
+    assert!(attempts.iter().any(|order| order.reclaimable), "not ordered again: {:?}", platform.orders);
+    let ordered: u32 = platform.orders.iter().filter(|order| !order.reclaimable).map(|order| order.count).sum();
+    assert!(ordered >= 1, "no substitutes ordered within 2 s: {:?}", platform.orders);
+}
+
 #[test]
 fn successive_zone_losses_leave_enough_on_demand_servers() {
     let mut platform = FakePlatform::new(4, Some(0.2));
--- a/goldcrestward/src/process/site_state.rs
+++ b/goldcrestward/src/process/site_state.rs
@@ -27,8 +27,10 @@
     version::ordered_plan,
 };
 
-/// Number of daemons per availability zone that read the store.
-const WATCHERS: usize = 3;
+/// Number of daemons per region that read the store, so that one may fail or be turned away.
+const REGION_WATCHERS: usize = 2;
+/// Minimum number of daemons that read the store, at a site of few regions.
+const MIN_WATCHERS: usize = 4;
 /// Interval at which a daemon re-evaluates whether it reads the store.
 const ROLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without a message of a relay after which a daemon reads the store itself.
@@ -100,7 +102,13 @@
     /// Whether this daemon reads the store itself. The others rely on their peers, as long as they hear the relay of their zone.
     fn is_watcher(&self) -> bool {
         let since_relay = self.shared.now().saturating_sub(self.shared.last_relay_ms.load(Ordering::Relaxed));
-        since_relay > RELAY_SILENCE_MS || self.shared.view.lock().zone_rank("site-watch") < WATCHERS
+        since_relay > RELAY_SILENCE_MS || self.is_ranked_watcher()
+    }
+
+    /// Whether this daemon is one of those of its region that read the store while they hear each other.
+    fn is_ranked_watcher(&self) -> bool {
+        let (rank, regions) = self.shared.view.lock().region_rank("site-watch");
+        rank < watchers_per_region(regions)
     }
 
     fn record_store_error(&self, error: &Error) {
@@ -242,6 +250,11 @@
     }
 }
 
+/// Number of daemons of each region that read the store, at a site of so many regions.
+fn watchers_per_region(regions: usize) -> usize {
+    MIN_WATCHERS.div_ceil(regions.max(1)).max(REGION_WATCHERS)
+}
+
 fn row_to_file(row: Row) -> Option<pb::ConfigFile> {
     match String::from_utf8(row.value.to_vec()) {
         Ok(text) => Some(pb::ConfigFile { name: row.key, revision: row.revision, text: Some(text) }),
