Loads expire row by row, and all rows are sent again when a recipient is new

A row that became zero was sent once. Its message lost, or the table of sent rows begun anew when the relays of a zone changed, the load stayed in the sums for as long as the daemon reported anything. Change: a load that is not refreshed for 2.5 s expires by itself; a row that is gone is sent twice; a change of recipients sends all again and keeps what is to be told as gone. Tests failed first (fleet_table_test, changed_rows_test).

--- a/goldcrestward/src/process/exchange/changed_rows_test.rs
+++ b/goldcrestward/src/process/exchange/changed_rows_test.rs
@@ -18,6 +18,18 @@
     assert_eq!(rows.take(&table(&[(2, 7.0)]), 10, 400), [(1, 0.0)], "a row that is gone");
     assert_eq!(rows.take(&table(&[(2, 7.0)]), 10, 600), []);
     assert_eq!(rows.take(&table(&[(2, 7.0)]), 10, 1_300), [(2, 7.0)], "a refresh");
+    assert_eq!(rows.take(&table(&[(2, 7.0)]), 10, 1_400), [(1, 0.0)], "the message that told of its end may be lost");
+    assert_eq!(rows.take(&table(&[]), 10, 9_000), [(2, 0.0)]);
+}
+
+#[test]
+fn restart_sends_all_rows_and_those_that_are_gone() {
+    let mut rows = ChangedRows::default();
+    rows.take(&table(&[(1, 5.0), (2, 6.0)]), 10, 0);
+    // One recipient of the same messages has been replaced; the other still has the row that ends now.
+    rows.restart();
+    assert_eq!(rows.take(&table(&[(2, 6.0)]), 10, 200), [(1, 0.0), (2, 6.0)]);
+    assert_eq!(rows.take(&table(&[(2, 6.0)]), 10, 400), []);
 }
 
 #[test]
--- a/goldcrestward/src/process/exchange/fleet_table.rs
+++ b/goldcrestward/src/process/exchange/fleet_table.rs
@@ -24,15 +24,21 @@
 pub(crate) type Works = BTreeMap<Arc<str>, f64>;
 
 impl RowValue for PeerLoad {
+    /// Changes relative to the load, so that those of servers with few short requests count as much as those of servers
+    /// with long prompts.
     fn distance(&self, known: &Self) -> f64 {
-        /// Prefill time that matters as much as one running request.
-        const PREFILL_PER_REQUEST_MS: f64 = 5.0;
+        /// Prefill time below which changes matter little.
+        const SHORT_PREFILL_MS: f64 = 20.0;
         /// Prefill time that is too short to be worth a message.
         const IGNORED_PREFILL_MS: f64 = 1.0;
 
+        let running =
+            f64::from(self.running.abs_diff(known.running)) / f64::from(self.running.max(known.running).max(1));
         let prefill = (self.prefill_ms - known.prefill_ms).abs();
-        let prefill = if prefill < IGNORED_PREFILL_MS && self.prefill_ms > 0.0 { 0.0 } else { prefill };
-        f64::from(self.running.abs_diff(known.running)) + prefill / PREFILL_PER_REQUEST_MS
+        if prefill < IGNORED_PREFILL_MS && self.prefill_ms > 0.0 {
+            return running;
+        }
+        running + prefill / (self.prefill_ms.max(known.prefill_ms) + SHORT_PREFILL_MS)
     }
 }
 
@@ -40,7 +46,8 @@
 struct Reported {
     life: u64,
     reported_at: u64,
-    loads: Loads,
+    /// Loads and when they were last reported; one whose end was told in a lost message expires.
+    loads: BTreeMap<u64, (PeerLoad, u64)>,
     works: Works,
     holds_duties: bool,
 }
@@ -56,8 +63,11 @@
 
     fn apply(&mut self, loads: Loads, works: Works, now: u64) {
         self.reported_at = now;
-        self.loads.extend(loads);
-        self.loads.retain(|_, load| load.running > 0 || load.prefill_ms > 0.0);
+        self.loads.extend(loads.into_iter().map(|(replica, load)| (replica, (load, now))));
+        self.loads.retain(|_, (load, at)| {
+            let is_fresh = now.saturating_sub(*at) < REPORT_TIMEOUT_MS;
+            is_fresh && (load.running > 0 || load.prefill_ms > 0.0)
+        });
         self.works.extend(works);
     }
 }
@@ -196,7 +206,7 @@
     pub fn without_member(&self, all: &Loads, daemon: &str, now: u64) -> Loads {
         let mut others = all.clone();
         if let Some(member) = self.members.get(daemon).filter(|member| member.is_fresh(now)) {
-            for (replica, load) in &member.loads {
+            for (replica, (load, _)) in &member.loads {
                 let Some(rest) = others.get_mut(replica) else { continue };
                 rest.running = rest.running.saturating_sub(load.running);
                 rest.prefill_ms = (rest.prefill_ms - load.prefill_ms).max(0.0);
@@ -227,7 +237,7 @@
 
 fn sum_loads<'a>(reports: impl Iterator<Item = &'a Reported>) -> Loads {
     let mut sum = Loads::new();
-    for (replica, load) in reports.flat_map(|report| &report.loads) {
+    for (replica, (load, _)) in reports.flat_map(|report| &report.loads) {
         let entry = sum.entry(*replica).or_default();
         entry.running += load.running;
         entry.prefill_ms += load.prefill_ms;
--- a/goldcrestward/src/process/exchange/fleet_table_test.rs
+++ b/goldcrestward/src/process/exchange/fleet_table_test.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
 
-use super::{FleetTable, Loads, Works};
+use super::{super::changed_rows::ChangedRows, FleetTable, Loads, Works};
 use crate::process::loads::PeerLoad;
 
 fn loads(rows: &[(u64, u32)]) -> Loads {
@@ -64,6 +64,19 @@
     assert_eq!(table.all_loads(10_000), loads(&[]), "old reports do not count");
 }
 
+#[test]
+fn load_that_is_not_refreshed_expires() {
+    // The message that told of the load's end was lost, and the daemon goes on reporting other loads.
+    let mut table = FleetTable::default();
+    table.apply_report(&name(1), 1, loads(&[(7, 2), (8, 1)]), works(0.0), false, 0);
+    for now in (200..=6_000).step_by(200) {
+        table.apply_report(&name(1), 1, loads(&[(8, 1)]), works(0.0), false, now);
+    }
+    assert_eq!(table.zone_loads(6_000), loads(&[(8, 1)]));
+    let all = table.all_loads(6_000);
+    assert_eq!(table.without_member(&all, "daemon-1", 6_000), loads(&[]));
+}
+
 #[test]
 fn sum_of_another_relay_replaces_the_zone() {
     let zone: Arc<str> = "other".into();
@@ -98,3 +111,32 @@
     table.expire(40_000);
     assert_eq!(table.reach(2, 40_000).total, 2);
 }
+
+/// A site of model replicas with long prompts, whose loads change a lot, and plain servers with six slots and short requests.
+#[test]
+fn loads_of_small_servers_are_sent_beside_those_of_long_prompts() {
+    const ROWS: usize = 44;
+    let mut random = SmallRng::seed_from_u64(5);
+    let (models, servers) = (66_u64, 6_u64);
+    let (mut sender, mut received) = (ChangedRows::default(), BTreeMap::<u64, (PeerLoad, u64)>::new());
+    for round in 0..200_u64 {
+        let mut current = Loads::new();
+        for replica in 0..models {
+            let (running, prefill_ms) = (random.random_range(10..50), random.random_range(0.0..800.0));
+            current.insert(replica, PeerLoad { running, prefill_ms });
+        }
+        for replica in models..models + servers {
+            current.insert(replica, PeerLoad { running: random.random_range(1..6), prefill_ms: 0.0 });
+        }
+        for (replica, load) in sender.take(&current, ROWS, round * 200) {
+            received.insert(replica, (load, round));
+        }
+        if round > 3 {
+            for replica in models..models + servers {
+                let (known, sent) = &received[&replica];
+                let is_current = *known == current[&replica];
+                assert!(is_current || round - sent <= 3, "server {replica} is {} rounds old", round - sent);
+            }
+        }
+    }
+}
--- a/goldcrestward/src/process/exchange/run.rs
+++ b/goldcrestward/src/process/exchange/run.rs
@@ -85,6 +85,17 @@
     levels: HashMap<Arc<str>, SentLevel>,
 }
 
+impl Sent {
+    /// Sends everything again, as one of the recipients is new.
+    fn restart(&mut self) {
+        self.loads.restart();
+        self.quotas.restart();
+        self.works.restart();
+        self.windows.restart();
+        self.levels.clear();
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     table: FleetTable,
@@ -328,7 +339,8 @@
         let targets: Vec<_> = targets.map(|(_, member)| member.clone()).collect();
         let names: Vec<_> = targets.iter().map(|target| target.name.clone()).collect();
         if state.reported.0 != names {
-            state.reported = (names, Sent::default());
+            state.reported.0 = names;
+            state.reported.1.restart();
         }
         if !targets.is_empty() {
             let report = report(gateway, &mut state.reported.1, &usage, false, now);
@@ -347,7 +359,7 @@
         let (rank, members) = (state.relays.rank, state.relays.members.len());
         let begins = state.role.step(rank, members, now);
         if !state.role.is_speaking() {
-            state.sent.clear();
+            state.sent.values_mut().for_each(Sent::restart);
             return messages;
         }
         let reach = state.table.reach(shared.daemon_count(), now);
