--- a/goldcrestward/src/process/clock_test.rs
+++ b/goldcrestward/src/process/clock_test.rs
@@ -51,3 +51,17 @@
     assert_eq!(clock.differences(START + 100, 0, |name| name.starts_with("peer"), 16), [0, -100, -100]);
     assert_eq!(clock.differences(START + 100, 0, |name| name.starts_with("peer"), 2).len(), 2);
 }
+
+#[test]
+fn extreme_clocks_of_peers_do_no_harm() {
+    let mut clock = AgreedClock::default();
+    for extreme in [0, 1 << 63, u64::MAX, i64::MAX as u64] {
+        clock.record_clocks(&"zone".into(), extreme, &[i64::MIN, i64::MAX], 5_000);
+        clock.record_peer(&"peer".into(), extreme, 5_000);
+        clock.now(START, 5_000);
+        clock.differences(START, 5_000, |_| true, 16);
+        clock.adopt(extreme, 5_000);
+        clock.now(START, 5_000);
+        clock.lead();
+    }
+}
--- a/goldcrestward/src/process/exchange/fleet_table.rs
+++ b/goldcrestward/src/process/exchange/fleet_table.rs
@@ -187,8 +187,9 @@
         let own = self.heard_members(now).max(1);
         let zones: Vec<_> =
             self.zones.iter().map(|(name, zone)| (name.clone(), zone.daemons, zone.sum.is_heard(now))).collect();
-        let known = self.members.len().max(1) as u32 + zones.iter().map(|(_, daemons, _)| daemons).sum::<u32>();
-        Reach { own, total: known.max(daemons as u32), zones }
+        let members = u32::try_from(self.members.len()).unwrap_or(u32::MAX).max(1);
+        let known = zones.iter().fold(members, |sum, (_, daemons, _)| sum.saturating_add(*daemons));
+        Reach { own, total: known.max(u32::try_from(daemons).unwrap_or(u32::MAX)), zones }
     }
 
     /// Sum of the loads of the own availability zone.
@@ -239,7 +240,7 @@
     let mut sum = Loads::new();
     for (replica, (load, _)) in reports.flat_map(|report| &report.loads) {
         let entry = sum.entry(*replica).or_default();
-        entry.running += load.running;
+        entry.running = entry.running.saturating_add(load.running);
         entry.prefill_ms += load.prefill_ms;
     }
     sum
--- a/goldcrestward/src/process/exchange/fleet_table_test.rs
+++ b/goldcrestward/src/process/exchange/fleet_table_test.rs
@@ -140,3 +140,16 @@
         }
     }
 }
+
+#[test]
+fn extreme_figures_of_a_peer_do_no_harm() {
+    let zones: [Arc<str>; 2] = ["one".into(), "two".into()];
+    let mut table = FleetTable::default();
+    for zone in &zones {
+        table.apply_zone_sum(zone, "far", 1, u32::MAX, (loads(&[(7, u32::MAX)]), works(f64::MAX)), 0);
+    }
+    table.apply_report(&name(1), u64::MAX, loads(&[(7, u32::MAX)]), works(f64::MAX), false, 0);
+    assert_eq!(table.all_loads(0), loads(&[(7, u32::MAX)]));
+    assert_eq!(table.reach(usize::MAX, 0).total, u32::MAX);
+    assert_eq!(table.without_member(&table.all_loads(0), "daemon-1", 0), loads(&[]));
+}
--- a/goldcrestward/src/process/exchange/run.rs
+++ b/goldcrestward/src/process/exchange/run.rs
@@ -39,6 +39,8 @@
 /// Daemons of each availability zone that are asked for request counts: the relays, and the one that was a relay
 /// before another joined.
 const USAGE_SOURCES: usize = RELAYS + 1;
+/// Windows by which a daemon's clock may be ahead of the agreed time.
+const MAX_WINDOWS_AHEAD: u64 = 2;
 /// Minimum interval between two reports.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(30);
 /// Time within which the relay must answer whether a request may be charged.
@@ -234,7 +236,7 @@
         let (continues, reach) = {
             let mut state = self.state.lock();
             let loads = loads_from(&report.loads);
-            let works = report.works.iter().map(|work| (work.pool.as_str().into(), work.total_ms)).collect();
+            let works = works_from(&report.works);
             let continues = state.table.apply_report(from, report.life, loads, works, report.holds_duties, now);
             (continues, state.table.reach(gateway.shared.daemon_count(), now))
         };
@@ -245,8 +247,8 @@
         }
         for row in &report.quotas {
             let Some(account) = in_force.site.accounts.get(row.account.as_str()) else { continue };
-            let Some(quota) = &account.quota else { continue };
-            ledger.apply_member_report(from, (&account.name, quota), &quota_total(row), &reach, now);
+            let (Some(quota), Some(total)) = (&account.quota, quota_total(row)) else { continue };
+            ledger.apply_member_report(from, (&account.name, quota), &total, &reach, now);
         }
         drop(ledger);
         if !is_own {
@@ -260,10 +262,10 @@
         }
         let now = gateway.shared.now();
         let zone: Arc<str> = sum.zone.as_str().into();
-        let works: Works = sum.works.iter().map(|work| (work.pool.as_str().into(), work.total_ms)).collect();
+        let works = works_from(&sum.works);
         let (continues, reach, is_speaking) = {
             let mut state = self.state.lock();
-            let figures = (loads_from(&sum.loads), works);
+            let figures = (loads_from(&sum.loads), works.clone());
             let hearing = state.table.apply_zone_sum(&zone, from, sum.life, sum.daemons, figures, now);
             let Some(continues) = hearing else { return };
             (continues, state.table.reach(gateway.shared.daemon_count(), now), state.role.is_speaking())
@@ -272,8 +274,8 @@
         // Any other daemon learns the work of the zone from its relay, whose figures are older than these.
         if is_speaking {
             let mut demand = gateway.demand.lock();
-            for work in &sum.works {
-                demand.record(&zone, (from, sum.life), &work.pool.as_str().into(), work.total_ms, now);
+            for (pool, total_ms) in &works {
+                demand.record(&zone, (from, sum.life), pool, *total_ms, now);
             }
         }
         let in_force = gateway.shared.in_force.load();
@@ -283,8 +285,8 @@
         }
         for row in &sum.quotas {
             let Some(account) = in_force.site.accounts.get(row.account.as_str()) else { continue };
-            let Some(quota) = &account.quota else { continue };
-            ledger.apply_zone_report(&zone, (&account.name, quota), &quota_total(row), &reach, now);
+            let (Some(quota), Some(total)) = (&account.quota, quota_total(row)) else { continue };
+            ledger.apply_zone_report(&zone, (&account.name, quota), &total, &reach, now);
         }
     }
 
@@ -313,12 +315,12 @@
         apply_loads(gateway, &loads, now);
         let mut balances = gateway.quota_balances.lock();
         for row in &summary.quotas {
-            let level = QuotaLevel { level: row.level, counted: row.counted, reachable: row.reachable };
+            let Some(level) = quota_level(row) else { continue };
             balances.apply_level(&row.account.as_str().into(), level, now);
         }
         drop(balances);
         let mut demand = gateway.demand.lock();
-        for work in &summary.works {
+        for work in summary.works.iter().filter(|work| work.total_ms.is_finite()) {
             let zone = work.zone.as_str().into();
             demand.record(&zone, (from, summary.life), &work.pool.as_str().into(), work.total_ms, now);
         }
@@ -538,8 +540,11 @@
 }
 
 fn merge_usage(gateway: &Gateway, from: &Arc<str>, epoch: u64, windows: &[pb::WindowCounts]) {
+    // A window far ahead would push out the counts of the present ones.
+    let window_ms = gateway.shared.settings.usage_window.as_millis().max(1) as u64;
+    let last_window = gateway.shared.agreed_ms() / window_ms + MAX_WINDOWS_AHEAD;
     let mut usage = gateway.usage.lock();
-    for window in windows {
+    for window in windows.iter().filter(|window| window.window <= last_window) {
         let counts = window.counts.iter().map(|c| (c.account.as_str().into(), c.count)).collect();
         usage.merge(from, epoch, window.window, counts);
     }
@@ -555,6 +560,12 @@
     rows.iter().map(|row| (row.replica, load(row))).collect()
 }
 
+/// Decodes work by pool, without figures that are no finite numbers.
+fn works_from(rows: &[pb::PoolWork]) -> Works {
+    let finite = rows.iter().filter(|work| work.total_ms.is_finite());
+    finite.map(|work| (work.pool.as_str().into(), work.total_ms)).collect()
+}
+
 fn load_rows(rows: Vec<(u64, PeerLoad)>) -> Vec<pb::ReplicaLoad> {
     let row = |(replica, load): (u64, PeerLoad)| {
         let PeerLoad { running, prefill_ms } = load;
@@ -571,8 +582,18 @@
     rows.into_iter().map(row).collect()
 }
 
-fn quota_total(row: &pb::QuotaUse) -> QuotaTotal {
-    QuotaTotal { used: row.used, asked: row.asked, used_before: row.used_before }
+/// Decodes an account's usage; `None` if its figures are no finite numbers, which would spoil all later sums.
+fn quota_total(row: &pb::QuotaUse) -> Option<QuotaTotal> {
+    let pb::QuotaUse { used, asked, used_before, .. } = *row;
+    let is_valid = [used, asked, used_before].iter().all(|units| units.is_finite());
+    is_valid.then_some(QuotaTotal { used, asked, used_before })
+}
+
+/// Decodes an account's level; `None` if its figures are no finite numbers.
+fn quota_level(row: &pb::QuotaLevel) -> Option<QuotaLevel> {
+    let pb::QuotaLevel { level, counted, reachable, .. } = *row;
+    let is_valid = [level, counted, reachable].iter().all(|units| units.is_finite());
+    is_valid.then_some(QuotaLevel { level, counted, reachable })
 }
 
 fn work_row(((zone, pool), total_ms): ((Arc<str>, Arc<str>), f64)) -> pb::PoolWork {
--- a/goldcrestward/src/process/exchange/run_test.rs
+++ b/goldcrestward/src/process/exchange/run_test.rs
@@ -2,7 +2,7 @@
 
 use prost::Message;
 
-use super::{MAX_CLOCKS, MAX_COUNTS, MAX_LOADS, MAX_QUOTAS, MAX_WORKS};
+use super::{MAX_CLOCKS, MAX_COUNTS, MAX_LOADS, MAX_QUOTAS, MAX_WORKS, quota_level, quota_total};
 use crate::pb;
 
 /// Space in a datagram beside members and facts, the envelope and the MAC.
@@ -45,3 +45,13 @@
         assert!(bytes <= BODY_BYTES, "a {kind} of {bytes} bytes");
     }
 }
+
+#[test]
+fn quota_rows_that_are_no_numbers_are_dropped() {
+    let usage = |used| pb::QuotaUse { account: NAME.into(), used, asked: 1.0, used_before: 0.0 };
+    let level = |level| pb::QuotaLevel { account: NAME.into(), level, counted: 0.0, reachable: 1.0 };
+    assert!(quota_total(&usage(1.0)).is_some() && quota_level(&level(-1.0)).is_some());
+    for wrong in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY] {
+        assert!(quota_total(&usage(wrong)).is_none() && quota_level(&level(wrong)).is_none(), "{wrong}");
+    }
+}
--- a/goldcrestward/src/process/quota/ledger.rs
+++ b/goldcrestward/src/process/quota/ledger.rs
@@ -168,7 +168,7 @@
     /// until then, and those that nobody has reported for.
     fn unreachable_fraction(&self, reach: &Reach) -> f64 {
         let count = f64::from(reach.total.max(1));
-        let known = reach.own + reach.zones.iter().map(|(_, daemons, _)| daemons).sum::<u32>();
+        let known = reach.zones.iter().fold(reach.own, |sum, (_, daemons, _)| sum.saturating_add(*daemons));
         let unknown = f64::from(reach.total.saturating_sub(known)) / count;
         let has_demand = self.reported.long_asked_rate > 0.0 || self.zones.values().any(|zone| zone.demand > 0.0);
         let mut timed_out = 0.0;
--- a/goldcrestward/src/process/usage.rs
+++ b/goldcrestward/src/process/usage.rs
@@ -62,7 +62,8 @@
         let mut total = self.own.get(&window).cloned().unwrap_or_default();
         for counts in self.others.values().filter_map(|windows| windows.get(&window)) {
             for (account, count) in counts {
-                *total.entry(account.clone()).or_default() += count;
+                let sum = total.entry(account.clone()).or_default();
+                *sum = count.saturating_add(*sum);
             }
         }
         total
