--- a/goldcrestward/src/process/exchange/mod.rs
+++ b/goldcrestward/src/process/exchange/mod.rs
@@ -9,12 +9,16 @@
 mod heard_relay;
 mod relay_role;
 mod relays;
+mod rows;
 mod run;
+mod sent;
 mod timing;
+mod usage_fetch;
 
 pub(crate) use changed_rows::RowValue;
 #[cfg(test)]
 pub(crate) use fleet_table::FleetTable;
 pub(crate) use fleet_table::Reach;
-pub(crate) use run::{Exchange, fetch_usage};
+pub(crate) use run::Exchange;
 pub(crate) use timing::{REPORT_TIMEOUT_MS, SILENCE_MS};
+pub(crate) use usage_fetch::fetch_usage;
--- a/goldcrestward/src/process/exchange/run_test.rs
+++ b/goldcrestward/src/process/exchange/rows_test.rs
@@ -1,4 +1,4 @@
-//! Tests of the messages of the exchange.
+//! Tests of the rows of messages.
 
 use prost::Message;
 
--- a/goldcrestward/src/process/exchange/run.rs
+++ b/goldcrestward/src/process/exchange/run.rs
@@ -1,102 +1,45 @@
 //! Drives the exchange: sends and receives its messages, and applies them to the daemon's state.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     sync::{Arc, Weak, atomic::Ordering},
     time::Duration,
 };
 
-use futures_util::future::join_all;
 use log::info;
 use parking_lot::Mutex;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::{
-    changed_rows::{ChangedRows, RowValue},
-    fleet_table::{FleetTable, Loads, Reach, Works},
+    fleet_table::{FleetTable, Loads, Reach},
     heard_relay::{HeardRelay, Hearing, relay_score},
     relay_role::{RELAYS, RelayRole},
     relays::{Recipient, Relays},
+    rows::{
+        MAX_CLOCKS, MAX_LOADS, MAX_QUOTAS, MAX_WORKS, load_rows, loads_from, quota_level, quota_rows, quota_total,
+        work_row, works_from,
+    },
+    sent::{Sent, SentLevel, is_level_due, report},
     timing::{exchange_interval, other_region_stride},
+    usage_fetch::{merge_usage, window_counts},
 };
 use crate::{
     pb::{self, answer, datagram::Body, request},
     process::{
         clock::boot_ms,
-        duty::SETTLE_DIVISOR,
         gateway::Gateway,
         gossip::Gossip,
-        loads::PeerLoad,
-        quota::{QuotaLedger, QuotaLevel, QuotaTotal},
-        usage::{AccountCounts, windows_in},
+        quota::{QuotaLedger, QuotaLevel},
+        usage::AccountCounts,
     },
     util::unix_ms,
 };
 
-/// Time within which a relay must answer a question for request counts.
-const USAGE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Daemons of each availability zone that are asked for request counts: the relays, and the one that was a relay
-/// before another joined.
-const USAGE_SOURCES: usize = RELAYS + 1;
-/// Windows by which a daemon's clock may be ahead of the agreed time.
-const MAX_WINDOWS_AHEAD: u64 = 2;
 /// Minimum interval between two reports.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(30);
 /// Time within which the relay must answer whether a request may be charged.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(25);
-/// Largest numbers of rows of each kind in one message, which has to fit into a datagram.
-const MAX_LOADS: usize = 44;
-const MAX_QUOTAS: usize = 24;
-const MAX_COUNTS: usize = 20;
-const MAX_WORKS: usize = 12;
-/// Largest number of clocks in the sum of a zone.
-const MAX_CLOCKS: usize = 16;
-/// Fraction of a quota's burst by which a level must differ from what a daemon expects to be sent.
-const LEVEL_TOLERANCE: f64 = 0.03;
-
-impl RowValue for f64 {
-    fn distance(&self, known: &Self) -> f64 {
-        (self - known).abs()
-    }
-}
-
-impl RowValue for u64 {
-    fn distance(&self, known: &Self) -> f64 {
-        self.abs_diff(*known) as f64
-    }
-}
-
-/// A level that a daemon has been sent, as it extrapolates it.
-#[derive(Clone, Debug)]
-struct SentLevel {
-    level: QuotaLevel,
-    sent_at: u64,
-}
-
-/// Totals of usage by account.
-type Totals = BTreeMap<Arc<str>, QuotaTotal>;
-
-/// What one recipient of messages has been sent.
-#[derive(Debug, Default)]
-struct Sent {
-    loads: ChangedRows<u64, PeerLoad>,
-    quotas: ChangedRows<Arc<str>, QuotaTotal>,
-    works: ChangedRows<(Arc<str>, Arc<str>), f64>,
-    windows: ChangedRows<(u64, Arc<str>), u64>,
-    levels: HashMap<Arc<str>, SentLevel>,
-}
-
-impl Sent {
-    /// Sends everything again, as one of the recipients is new.
-    fn restart(&mut self) {
-        self.loads.restart();
-        self.quotas.restart();
-        self.works.restart();
-        self.windows.restart();
-        self.levels.clear();
-    }
-}
 
 #[derive(Debug, Default)]
 struct State {
@@ -505,101 +448,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct NoRelay;
 
-/// Fetches the request counts since a window from the relays of all availability zones. Returns whether a relay of each
-/// zone has answered.
-pub(crate) async fn fetch_usage(gateway: &Gateway, from_window: u64) -> bool {
-    let own_name = gateway.shared.settings.name.clone();
-    let sources: Vec<(Arc<str>, SocketAddr)> = {
-        let relays = Relays::of(&gateway.shared.view.lock(), USAGE_SOURCES);
-        let members = relays.members.into_iter().take(USAGE_SOURCES).filter(|member| member.name != own_name);
-        let members = members.map(|member| (gateway.shared.settings.zone.clone(), member.address));
-        let others = relays.others.into_iter();
-        let others = others.flat_map(|(zone, (_, list))| list.into_iter().map(move |r| (zone.clone(), r.address)));
-        members.chain(others).collect()
-    };
-    let query = async |(zone, address): (Arc<str>, SocketAddr)| {
-        let body = request::Body::AskUsage(pb::AskUsage { from_window });
-        (zone, gateway.shared.peer_client.request(address, body, USAGE_TIMEOUT).await)
-    };
-    let count = sources.len();
-    let zones: BTreeSet<Arc<str>> = sources.iter().map(|(zone, _)| zone.clone()).collect();
-    let mut answered = BTreeSet::new();
-    for (zone, answer) in join_all(sources.into_iter().map(query)).await {
-        let Ok(answer::Body::UsageTable(table)) = answer else { continue };
-        answered.insert(zone);
-        for process in table.lives {
-            let daemon: Arc<str> = process.daemon.into();
-            if (&daemon, process.life) != (&own_name, gateway.shared.epoch) {
-                merge_usage(gateway, &daemon, process.life, &process.windows);
-            }
-        }
-    }
-    let missing: Vec<_> = zones.difference(&answered).collect();
-    info!("event=usage-learnt from_window={from_window} asked={count} zones={} missing={missing:?}", zones.len());
-    missing.is_empty()
-}
-
-fn merge_usage(gateway: &Gateway, from: &Arc<str>, epoch: u64, windows: &[pb::WindowCounts]) {
-    // A window far ahead would push out the counts of the present ones.
-    let window_ms = gateway.shared.settings.usage_window.as_millis().max(1) as u64;
-    let last_window = gateway.shared.agreed_ms() / window_ms + MAX_WINDOWS_AHEAD;
-    let mut usage = gateway.usage.lock();
-    for window in windows.iter().filter(|window| window.window <= last_window) {
-        let counts = window.counts.iter().map(|c| (c.account.as_str().into(), c.count)).collect();
-        usage.merge(from, epoch, window.window, counts);
-    }
-}
-
-fn window_counts((window, counts): (&u64, &AccountCounts)) -> pb::WindowCounts {
-    let counts = counts.iter().map(|(name, count)| pb::AccountCount { account: name.to_string(), count: *count });
-    pb::WindowCounts { window: *window, counts: counts.collect() }
-}
-
-fn loads_from(rows: &[pb::ReplicaLoad]) -> Loads {
-    let load = |row: &pb::ReplicaLoad| PeerLoad { running: row.running, prefill_ms: f64::from(row.reading_ms) };
-    rows.iter().map(|row| (row.replica, load(row))).collect()
-}
-
-/// Decodes work by pool, without figures that are no finite numbers.
-fn works_from(rows: &[pb::PoolWork]) -> Works {
-    let finite = rows.iter().filter(|work| work.total_ms.is_finite());
-    finite.map(|work| (work.pool.as_str().into(), work.total_ms)).collect()
-}
-
-fn load_rows(rows: Vec<(u64, PeerLoad)>) -> Vec<pb::ReplicaLoad> {
-    let row = |(replica, load): (u64, PeerLoad)| {
-        let PeerLoad { running, prefill_ms } = load;
-        pb::ReplicaLoad { replica, running, reading_ms: prefill_ms.round() as u32 }
-    };
-    rows.into_iter().map(row).collect()
-}
-
-fn quota_rows(rows: Vec<(Arc<str>, QuotaTotal)>) -> Vec<pb::QuotaUse> {
-    let row = |(name, total): (Arc<str>, QuotaTotal)| {
-        let QuotaTotal { used, asked, used_before } = total;
-        pb::QuotaUse { account: name.to_string(), used, asked, used_before }
-    };
-    rows.into_iter().map(row).collect()
-}
-
-/// Decodes an account's usage; `None` if its figures are no finite numbers, which would spoil all later sums.
-fn quota_total(row: &pb::QuotaUse) -> Option<QuotaTotal> {
-    let pb::QuotaUse { used, asked, used_before, .. } = *row;
-    let is_valid = [used, asked, used_before].iter().all(|units| units.is_finite());
-    is_valid.then_some(QuotaTotal { used, asked, used_before })
-}
-
-/// Decodes an account's level; `None` if its figures are no finite numbers.
-fn quota_level(row: &pb::QuotaLevel) -> Option<QuotaLevel> {
-    let pb::QuotaLevel { level, counted, reachable, .. } = *row;
-    let is_valid = [level, counted, reachable].iter().all(|units| units.is_finite());
-    is_valid.then_some(QuotaLevel { level, counted, reachable })
-}
-
-fn work_row(((zone, pool), total_ms): ((Arc<str>, Arc<str>), f64)) -> pb::PoolWork {
-    pb::PoolWork { pool: pool.to_string(), total_ms, zone: zone.to_string() }
-}
-
 fn apply_loads(gateway: &Gateway, loads: &Loads, now: u64) {
     for replica in gateway.shared.replicas.all() {
         if let Some(load) = loads.get(&replica.hash()) {
@@ -608,20 +456,6 @@
     }
 }
 
-fn counted(ledger: &QuotaLedger, name: &str, level: &QuotaLevel, daemon: &str) -> QuotaLevel {
-    QuotaLevel { counted: ledger.counted(name, daemon), ..level.clone() }
-}
-
-fn is_level_due(sent: Option<&SentLevel>, level: &QuotaLevel, quota: &crate::config::Quota, now: u64) -> bool {
-    /// Interval at which an unchanged level is sent again.
-    const REFRESH_MS: u64 = 700;
-
-    let Some(sent) = sent else { return true };
-    let age = now.saturating_sub(sent.sent_at);
-    let expected = sent.level.estimate(quota, level.counted, age);
-    age >= REFRESH_MS || (expected - level.level).abs() > LEVEL_TOLERANCE * quota.burst
-}
-
 /// Continues from the levels that the previous relay has told this daemon.
 fn adopt_levels(gateway: &Gateway, reach: &Reach, now: u64) {
     let in_force = gateway.shared.in_force.load();
@@ -635,49 +469,6 @@
     }
 }
 
-/// Builds a report of the rows that `sent` lacks, of as many as fit into a datagram unless it must be whole.
-fn report(gateway: &Gateway, sent: &mut Sent, usage: &Totals, is_whole: bool, now: u64) -> pb::Report {
-    let limit = |rows| if is_whole { usize::MAX } else { rows };
-    let shared = &gateway.shared;
-    let settings = &shared.settings;
-    let loads: Loads = shared
-        .replicas
-        .all()
-        .into_iter()
-        .map(|replica| (replica.hash(), replica.own_load()))
-        .filter(|(_, load)| load.running > 0)
-        .collect();
-    let works: BTreeMap<_, _> =
-        gateway.work.lock().iter().map(|(pool, ms)| ((Arc::from(""), pool.clone()), *ms)).collect();
-    // The current window, and those that the duty holder normally has not reported yet.
-    let recent = windows_in(settings.usage_window, settings.usage_delay / SETTLE_DIVISOR) + 2;
-    let counts = gateway.usage.lock();
-    let windows: BTreeMap<(u64, Arc<str>), u64> = counts
-        .own()
-        .iter()
-        .rev()
-        .take(recent)
-        .flat_map(|(window, accounts)| accounts.iter().map(|(name, count)| ((*window, name.clone()), *count)))
-        .collect();
-    drop(counts);
-    let mut by_window: BTreeMap<u64, Vec<pb::AccountCount>> = BTreeMap::new();
-    for ((window, account), count) in sent.windows.take(&windows, limit(MAX_COUNTS), now) {
-        if !windows.contains_key(&(window, account.clone())) {
-            continue;
-        }
-        by_window.entry(window).or_default().push(pb::AccountCount { account: account.to_string(), count });
-    }
-    pb::Report {
-        life: shared.epoch,
-        unix_ms: unix_ms(),
-        loads: load_rows(sent.loads.take(&loads, limit(MAX_LOADS), now)),
-        quotas: quota_rows(sent.quotas.take(usage, limit(MAX_QUOTAS), now)),
-        windows: by_window.into_iter().map(|(window, counts)| pb::WindowCounts { window, counts }).collect(),
-        works: sent.works.take(&works, limit(MAX_WORKS), now).into_iter().map(work_row).collect(),
-        holds_duties: shared.holds_duties.load(Ordering::Relaxed),
-    }
+fn counted(ledger: &QuotaLedger, name: &str, level: &QuotaLevel, daemon: &str) -> QuotaLevel {
+    QuotaLevel { counted: ledger.counted(name, daemon), ..level.clone() }
 }
-
-#[cfg(test)]
-#[path = "run_test.rs"]
-mod run_test;
--- /dev/null
+++ b/goldcrestward/src/process/exchange/usage_fetch.rs
@@ -0,0 +1,69 @@
+//! Request counts by window, which the holder of the duties fetches from the relays.
+
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+
+use futures_util::future::join_all;
+use log::info;
+
+use super::{relay_role::RELAYS, relays::Relays};
+use crate::{
+    pb::{self, answer, request},
+    process::{gateway::Gateway, usage::AccountCounts},
+};
+
+/// Time within which a relay must answer a question for request counts.
+const USAGE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Daemons of each availability zone that are asked for request counts: the relays, and the one that was a relay
+/// before another joined.
+const USAGE_SOURCES: usize = RELAYS + 1;
+/// Windows by which a daemon's clock may be ahead of the agreed time.
+const MAX_WINDOWS_AHEAD: u64 = 2;
+/// Fetches the request counts since a window from the relays of all availability zones. Returns whether a relay of each
+/// zone has answered.
+pub(crate) async fn fetch_usage(gateway: &Gateway, from_window: u64) -> bool {
+    let own_name = gateway.shared.settings.name.clone();
+    let sources: Vec<(Arc<str>, SocketAddr)> = {
+        let relays = Relays::of(&gateway.shared.view.lock(), USAGE_SOURCES);
+        let members = relays.members.into_iter().take(USAGE_SOURCES).filter(|member| member.name != own_name);
+        let members = members.map(|member| (gateway.shared.settings.zone.clone(), member.address));
+        let others = relays.others.into_iter();
+        let others = others.flat_map(|(zone, (_, list))| list.into_iter().map(move |r| (zone.clone(), r.address)));
+        members.chain(others).collect()
+    };
+    let query = async |(zone, address): (Arc<str>, SocketAddr)| {
+        let body = request::Body::AskUsage(pb::AskUsage { from_window });
+        (zone, gateway.shared.peer_client.request(address, body, USAGE_TIMEOUT).await)
+    };
+    let count = sources.len();
+    let zones: BTreeSet<Arc<str>> = sources.iter().map(|(zone, _)| zone.clone()).collect();
+    let mut answered = BTreeSet::new();
+    for (zone, answer) in join_all(sources.into_iter().map(query)).await {
+        let Ok(answer::Body::UsageTable(table)) = answer else { continue };
+        answered.insert(zone);
+        for process in table.lives {
+            let daemon: Arc<str> = process.daemon.into();
+            if (&daemon, process.life) != (&own_name, gateway.shared.epoch) {
+                merge_usage(gateway, &daemon, process.life, &process.windows);
+            }
+        }
+    }
+    let missing: Vec<_> = zones.difference(&answered).collect();
+    info!("event=usage-learnt from_window={from_window} asked={count} zones={} missing={missing:?}", zones.len());
+    missing.is_empty()
+}
+
+pub(super) fn merge_usage(gateway: &Gateway, from: &Arc<str>, epoch: u64, windows: &[pb::WindowCounts]) {
+    // A window far ahead would push out the counts of the present ones.
+    let window_ms = gateway.shared.settings.usage_window.as_millis().max(1) as u64;
+    let last_window = gateway.shared.agreed_ms() / window_ms + MAX_WINDOWS_AHEAD;
+    let mut usage = gateway.usage.lock();
+    for window in windows.iter().filter(|window| window.window <= last_window) {
+        let counts = window.counts.iter().map(|c| (c.account.as_str().into(), c.count)).collect();
+        usage.merge(from, epoch, window.window, counts);
+    }
+}
+
+pub(super) fn window_counts((window, counts): (&u64, &AccountCounts)) -> pb::WindowCounts {
+    let counts = counts.iter().map(|(name, count)| pb::AccountCount { account: name.to_string(), count: *count });
+    pb::WindowCounts { window: *window, counts: counts.collect() }
+}
