--- a/goldcrestward/src/process/demand_test.rs
+++ b/goldcrestward/src/process/demand_test.rs
@@ -18,6 +18,8 @@
             assert!((busy - 1.2).abs() < 0.1, "{busy} at {now} ms");
         }
     }
+    let busy = meters.busy_servers(&pool, &a, 20_000);
+    assert!((busy - 1.2).abs() < 0.05, "{busy}");
     assert!((meters.busy_servers(&pool, &b, 20_000) - 0.1).abs() < 0.01);
     assert_eq!(meters.busy_servers(&pool, &a, 30_000), 0.0, "a silent zone still counts");
 }
--- a/goldcrestward/src/process/exchange/timing_test.rs
+++ b/goldcrestward/src/process/exchange/timing_test.rs
@@ -25,3 +25,12 @@
         assert!(REPORT_TIMEOUT_MS > 4 * other_region_ms, "{zones} zones");
     }
 }
+
+#[test]
+fn timeouts_allow_for_one_lost_sum_of_another_region() {
+    for (zones, members) in [(6, 33), (33, 22)] {
+        let interval_ms = exchange_interval(members).as_millis() as u64;
+        let two_sums_ms = 2 * interval_ms * u64::from(other_region_stride(zones));
+        assert!(RELAY_TIMEOUT_MS > two_sums_ms, "{zones} zones: {two_sums_ms} ms from one sum to the next but one");
+    }
+}
--- a/goldcrestward/src/process/quota/ledger_test.rs
+++ b/goldcrestward/src/process/quota/ledger_test.rs
@@ -234,7 +234,16 @@
             self.exchange(now);
         }
         let sum = |from: u64, to: u64| -> f64 { charges.iter().filter(|u| u.0 >= from && u.0 < to).map(|u| u.1).sum() };
-        let peak = charges.iter().step_by(7).map(|u| sum(u.0, u.0 + WINDOW_MS)).fold(0.0, f64::max);
+        // Charges are in the order of time, so the windows that start at each of them slide over the list.
+        let (mut peak, mut in_window, mut end) = (0.0_f64, 0.0, 0);
+        for (at, units) in &charges {
+            while charges.get(end).is_some_and(|charge| charge.0 < at + WINDOW_MS) {
+                in_window += charges[end].1;
+                end += 1;
+            }
+            peak = peak.max(in_window);
+            in_window -= units;
+        }
         let used = sum(5_000, 20_000) / (self.quota.rate * 15.0);
         Outcome { peak, used, refused }
     }
