Crashes are logged and counted where they are seen and where they are learned

An incident in which one prompt part crashes replicas could not be explained from logs: nothing said that a crash was recorded, for which request, with which blame, or that a daemon learned a record of another. Now crash-seen, crash-learned and crash-cleared lines say so, and two counters.

--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -10,7 +10,7 @@
 };
 
 use arc_swap::ArcSwap;
-use log::info;
+use log::{info, warn};
 use parking_lot::Mutex;
 use snafu::ResultExt;
 use tokio::{
@@ -140,12 +140,21 @@
         if let Some(socket) = admin_socket {
             tasks.spawn(listen(socket, Admin::new(shared.clone(), configurer).router(), &operators));
         }
-        for (address, router) in [
-            (shared.settings.ready, ready_router(shared.clone())),
-            (shared.settings.metrics, metrics_router(shared.clone())),
+        for (kind, address, router) in [
+            ("ready", shared.settings.ready, ready_router(shared.clone())),
+            ("metrics", shared.settings.metrics, metrics_router(shared.clone())),
         ] {
             let Some(address) = address else { continue };
-            tasks.spawn(listen(bind(address).context(ConnectionSnafu)?, router, &operators));
+            let socket = match bind(address) {
+                Ok(socket) => socket,
+                Err(error) if kind == "metrics" => {
+                    warn!("event=listener-missing kind={kind} address={address} error={:?}", error.to_string());
+                    continue;
+                }
+                Err(error) => return Err(error).context(ConnectionSnafu),
+            };
+            info!("event=listening kind={kind} address={address}");
+            tasks.spawn(listen(socket, router, &operators));
         }
         tasks.spawn(listen(callers_socket, router, &callers));
 
--- a/goldcrestward/src/process/gossip.rs
+++ b/goldcrestward/src/process/gossip.rs
@@ -199,7 +199,11 @@
                 self.shared.refresh_version_choices();
             }
             FactKind::Step => self.shared.refresh_version_choices(),
-            FactKind::Crash | FactKind::Clear => {}
+            FactKind::Crash => {
+                self.shared.metrics.crash_records.inc();
+                info!("event=crash-learned record={}", fact.key);
+            }
+            FactKind::Clear => info!("event=crash-cleared fingerprint={} reason={:?}", fact.key, fact.note),
         }
     }
 
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -61,6 +61,10 @@
     pub replicas: IntGaugeVec,
     /// Finished rollouts, by outcome.
     pub rollouts: IntCounterVec,
+    /// Requests that a replica ran when it crashed, by whether they are blamed.
+    pub crashes: IntCounterVec,
+    /// Crash records learned from other daemons.
+    pub crash_records: IntCounter,
 }
 
 impl Metrics {
@@ -104,6 +108,8 @@
             config_changes: factory.counters("config_changes_total", "configurations taken into force", &["way"])?,
             replicas: factory.gauges("replicas", "replicas known by pool", &["pool"])?,
             rollouts: factory.counters("moves_total", "moves to new versions by outcome", &["outcome"])?,
+            crashes: factory.counters("crashes_total", "requests on crashed replicas by blame", &["blame"])?,
+            crash_records: factory.counter("crash_records_total", "crash records learned from other daemons")?,
             registry,
         })
     }
--- a/goldcrestward/src/process/replicas.rs
+++ b/goldcrestward/src/process/replicas.rs
@@ -116,6 +116,17 @@
     Sole,
 }
 
+impl Blame {
+    /// Value in log lines and metric labels.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Shared => "shared",
+            Self::Sole => "sole",
+        }
+    }
+}
+
 impl Replica {
     /// Hash of the instance name, which identifies the replica in messages between daemons.
     pub fn hash(&self) -> u64 {
@@ -175,6 +186,15 @@
         }
     }
 
+    /// Number of this daemon's requests that the replica ran when it crashed, and of those without output.
+    pub fn recent_requests(&self, now: u64) -> (usize, usize) {
+        let running = self.health.running.lock();
+        let recent = running
+            .iter()
+            .filter(|request| request.disconnected_at.is_none_or(|at| now.saturating_sub(at) < CRASH_WINDOW_MS));
+        recent.fold((0, 0), |(all, silent), request| (all + 1, silent + usize::from(!request.has_output)))
+    }
+
     /// Records the outcome of an attempt in the failure score, which placement takes into account.
     pub fn update_failure_score(&self, outcome: AttemptOutcome, now: u64) {
         self.health.failure_score.lock().record(outcome, now);
--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -55,6 +55,8 @@
 /// The attempts of one request.
 pub(crate) struct Attempts {
     shared: Arc<Shared>,
+    /// The request's id, for log lines.
+    id: Arc<str>,
     route: Arc<Route>,
     fingerprint: u64,
     affinity_key: u64,
@@ -73,6 +75,7 @@
     /// Starts with no attempt made. Requests with the same `affinity_key` prefer the same replica.
     pub fn new(
         shared: Arc<Shared>,
+        id: Arc<str>,
         route: Arc<Route>,
         fingerprint: u64,
         affinity_key: u64,
@@ -82,6 +85,7 @@
         shared.route_retry_budgets.deposit(&route.name, route.retry_share);
         Self {
             shared,
+            id,
             route,
             fingerprint,
             affinity_key,
@@ -170,7 +174,7 @@
 
     /// Counts a crash if the replica no longer accepts connections.
     async fn check_crash(&mut self, guard: &ReplicaGuard) {
-        let Some(is_suspect) = record_crash(&self.shared, guard, self.fingerprint).await else { return };
+        let Some(is_suspect) = record_crash(&self.shared, guard, self.fingerprint, &self.id).await else { return };
         self.crashes += 1;
         if is_suspect {
             // Spread suspected requests over replicas, so that one that crashes its replica does not fail the others.
--- a/goldcrestward/src/request/crash.rs
+++ b/goldcrestward/src/request/crash.rs
@@ -7,6 +7,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use log::info;
 use tokio::{net::TcpStream, time::timeout};
 
 use crate::{
@@ -35,7 +36,12 @@
 
 /// Checks, after the connection of a request broke, whether the replica has crashed, and if so ejects it.
 /// Returns whether the request is a suspect, or `None` if the replica has not crashed.
-pub(crate) async fn record_crash(shared: &Shared, guard: &ReplicaGuard, fingerprint: u64) -> Option<bool> {
+pub(crate) async fn record_crash(
+    shared: &Shared,
+    guard: &ReplicaGuard,
+    fingerprint: u64,
+    request: &str,
+) -> Option<bool> {
     let replica = guard.replica();
     guard.record_disconnect(shared.now());
     if replica.is_leaving() || accepts_connections(replica.address).await || replica.is_leaving() {
@@ -43,7 +49,13 @@
     }
     let now = shared.now();
     replica.eject(now);
-    let fact = CrashRecords::crash(fingerprint, &replica.id, replica.blame(guard, now));
+    let blame = replica.blame(guard, now);
+    shared.metrics.crashes.with_label_values(&[blame.label()]).inc();
+    let (instance, blame_label, (running, silent)) = (&replica.id, blame.label(), replica.recent_requests(now));
+    info!(
+        "event=crash-seen id={request} instance={instance} fingerprint={fingerprint:016x} blame={blame_label} running={running} without_output={silent}"
+    );
+    let fact = CrashRecords::crash(fingerprint, &replica.id, blame);
     let is_suspect = fact.is_some();
     fact.into_iter().for_each(|fact| shared.publish_fact(fact));
     Some(is_suspect)
--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -161,7 +161,7 @@
         let fingerprint = fingerprint(&account.name, &path, &body);
         let key = stable_hash(&[request.prefix().as_bytes()]);
         let version = shared.choose_version(&route.pool, request.conversation(&account.name));
-        let attempts = Attempts::new(shared.clone(), route.clone(), fingerprint, key, version);
+        let attempts = Attempts::new(shared.clone(), id.clone(), route.clone(), fingerprint, key, version);
         let _in_flight = InFlight::new(&shared);
         let (route, stream) = (route.clone(), request.stream);
         Ok(Self { shared, route, id, path, body, stream, attempts, received, kv_from: None, admitted, _in_flight })
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -109,7 +109,7 @@
         let fingerprint = fingerprint(&account.name, &path, &body);
         let version = shared.choose_version(&route.pool, stable_hash(&[id.as_bytes()]));
         let key = stable_hash(&[id.as_bytes()]);
-        let attempts = Attempts::new(shared.clone(), route.clone(), fingerprint, key, version);
+        let attempts = Attempts::new(shared.clone(), id.clone(), route.clone(), fingerprint, key, version);
         let _in_flight = InFlight::new(&shared);
         let account = account.name.clone();
         let received = Instant::now();
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -292,7 +292,7 @@
                     guard.replica().eject_briefly(self.gateway.shared.now());
                 }
                 if matches!(failure, ProxyFailure::Indeterminate("cut")) {
-                    record_crash(&self.gateway.shared, &guard, self.fingerprint).await;
+                    record_crash(&self.gateway.shared, &guard, self.fingerprint, &self.metadata.id).await;
                 }
                 Err(failure)
             }
@@ -499,7 +499,7 @@
         self.record_outcome(guard, AttemptOutcome::Failure);
         self.tried.push(guard.replica().id.clone());
         if cause == "cut" {
-            record_crash(&self.gateway.shared, guard, self.fingerprint).await;
+            record_crash(&self.gateway.shared, guard, self.fingerprint, &self.metadata.id).await;
         }
     }
 }
