A daemon that can be reached again learns at once what it missed

Gossip repeats a fact a few times only, and full views are exchanged 10 s apart and only in calm times. After a partition a daemon therefore acted for up to 20 s on what it knew before. Found while looking for daemons that still pass on requests that the others refuse. Three daemons now exchange full views with each that returns. The test fails before: 28 of 29 returning daemons of 87 had not learned the facts 9 s after the cut was healed.

--- a/goldcrestward/src/process/membership/view.rs
+++ b/goldcrestward/src/process/membership/view.rs
@@ -33,6 +33,8 @@
 /// Minimum interval between two full exchanges, per known daemon. The size of an exchange grows with the
 /// site; this keeps its bytes per second constant.
 const SYNC_INTERVAL_PER_DAEMON_MS: u64 = 150;
+/// Daemons that exchange full views with one that can be reached again.
+const RETURN_SYNCS: usize = 3;
 /// Time without a local change before a different hash of a peer's view triggers a full exchange.
 const SYNC_SETTLE_MS: u64 = 4_000;
 /// Time for which relayed probes are remembered.
@@ -379,6 +381,10 @@
             if before != update.state {
                 effects.push(Effect::MemberChanged(update.name.clone(), update.state));
             }
+            if update.state == State::Alive && before != State::Alive && self.rank(&update.name) < RETURN_SYNCS {
+                // Gossip has stopped repeating what the daemon missed while it could not be reached.
+                effects.push(Effect::Sync(update.address));
+            }
         } else {
             if !update.state.is_present() {
                 return;
--- a/goldcrestward/src/process/membership/view_test.rs
+++ b/goldcrestward/src/process/membership/view_test.rs
@@ -274,3 +274,24 @@
         assert_eq!(informed.count(), count, "after 2 s, of {count} daemons with {loss} of the datagrams lost");
     }
 }
+
+/// Guards against a daemon that was cut off while the others learned something, and is not told when it returns.
+#[test]
+fn view_daemons_that_return_learn_what_they_missed() {
+    for (count, side) in [(7, 1), (87, 29), (195, 65)] {
+        let mut network = Network::new(count, 0.01);
+        network.run(2_000);
+        network.partition = Some(side);
+        network.run(40_000);
+        for run in 0..5 {
+            accuse(&mut network, side, run);
+        }
+        network.run(20_000);
+        assert!(network.learned[..side].iter().all(|learned| *learned == 0));
+        network.partition = None;
+        // A daemon that is dead to the others is probed every 5 s.
+        network.run(9_000);
+        let missing = network.learned[..side].iter().filter(|learned| **learned < 5).count();
+        assert_eq!(missing, 0, "of {side} of {count} daemons");
+    }
+}
