Rate limits that replicas name are decoded, logged and counted

An incident in which a replica that had named a limit got more could not be explained from logs: no line said that a limit was named, and no metric counted what was sent to such a replica. The header is now decoded into a typed fact, a line says when a limit is named, changed or withdrawn, and a counter counts the requests sent to replicas that have named one. Nothing decides by it yet.

--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -157,6 +157,20 @@
         "moved-run-failed" => {
             format!("{} did not resume the migrated request: {}", field("instance"), cause(field("cause")))
         }
+        "crash-seen" => format!(
+            "{} no longer accepts connections, so it has crashed; of {} requests of this daemon {} had no output; blame on this request: {}",
+            field("instance"),
+            field("running"),
+            field("without_output"),
+            field("blame")
+        ),
+        "parts-accused" => format!(
+            "accused of the crash of {}: {} of {} prompt parts ({})",
+            field("instance"),
+            field("parts").split(',').filter(|part| !part.is_empty()).count(),
+            field("of"),
+            field("parts")
+        ),
         "answered" => format!("answered with status {} after {} ms", field("status"), field("ms")),
         event => {
             let fields: Vec<String> = line.fields.iter().map(|(key, value)| format!("{key}={value}")).collect();
--- a/goldcrestward/src/cmd/explain_test.rs
+++ b/goldcrestward/src/cmd/explain_test.rs
@@ -8,6 +8,8 @@
     "not a line at all\n",
     "time=1001 level=INFO daemon=front-a event=placed id=r2 instance=i-1 pool=p waited_ms=0 first_ms=31\n",
     "time=1002 level=WARN daemon=front-a event=lines-dropped count=7\n",
+    "time=1003 level=INFO daemon=front-a event=parts-accused id=r4 instance=i-1 parts=dead,aa of=2\n",
+    "time=1004 level=INFO daemon=front-a event=parts-accused id=r5 instance=i-1 parts= of=1\n",
     "\n",
     "time=x level=INFO daemon=front-a event=odd id=r1\n",
 );
@@ -34,3 +36,9 @@
 fn explain_reports_an_unknown_request() {
     assert!(render("r3").starts_with("no log line mentions request r3"));
 }
+
+#[test]
+fn explain_names_accused_prompt_parts() {
+    assert!(render("r4").contains("accused of the crash of i-1: 2 of 2 prompt parts (dead,aa)"), "{}", render("r4"));
+    assert!(render("r5").contains("accused of the crash of i-1: 0 of 1 prompt parts ()"), "{}", render("r5"));
+}
--- a/goldcrestward/src/cmd/overview.rs
+++ b/goldcrestward/src/cmd/overview.rs
@@ -33,7 +33,7 @@
     print_table(&["REPLICA", "VERSION", "ZONE", "IN FLIGHT", "LEAVING"], &rows(&value["replicas"], &fields))
 }
 
-/// Shows refusals and retries, or lifts the block on a fingerprint.
+/// Shows refusals, retries and refused prompt parts, or lifts the block on a fingerprint or part.
 pub(crate) fn refusals(admin: &AdminArgs, clear: Option<String>) -> Result<()> {
     let value = match clear {
         Some(fingerprint) => clear_fingerprint(admin, &fingerprint)?,
@@ -43,7 +43,8 @@
         return print_json(&value);
     }
     print_table(&["REFUSAL", "COUNT"], &rows(&value["refusals"], &["labels", "count"]))?;
-    print_table(&["RETRY", "COUNT"], &rows(&value["retries"], &["labels", "count"]))
+    print_table(&["RETRY", "COUNT"], &rows(&value["retries"], &["labels", "count"]))?;
+    print_table(&["REFUSED PROMPT PARTS", "CRASHES"], &rows(&value["refused_parts"], &["parts", "crashes"]))
 }
 
 fn clear_fingerprint(admin: &AdminArgs, fingerprint: &str) -> Result<Value> {
--- a/goldcrestward/src/port/header_codec.rs
+++ b/goldcrestward/src/port/header_codec.rs
@@ -67,8 +67,20 @@
     pub waiting: u32,
 }
 
+/// What a response says about the requests a second that its server takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum StatedLimit {
+    /// Nothing, so that there is no limit.
+    Unlimited,
+    /// The limit, in requests a second from all daemons together.
+    PerSecond(f64),
+    /// Nothing that can be relied on.
+    #[default]
+    Unreadable,
+}
+
 /// Metadata of a response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// The server guarantees that it has not run the request and will not.
     pub not_run: bool,
@@ -80,6 +92,8 @@
     pub unencoded: bool,
     /// Load of the server; `None` if not reported.
     pub load: Option<Load>,
+    /// The rate limit that the server names.
+    pub limit: StatedLimit,
 }
 
 /// Encodes and decodes a platform's HTTP headers.
--- a/goldcrestward/src/port/mod.rs
+++ b/goldcrestward/src/port/mod.rs
@@ -12,7 +12,9 @@
 pub use catalog::{Catalog, Entry, Instance, InstanceState, RolloutOrder, RolloutState};
 pub use duty::{Duties, DutyAnswer, Holder, PoolOrder};
 pub use engines::{Engines, MigratedKvCache};
-pub use header_codec::{AttemptMetadata, HeaderCodec, Load, PromptPart, RequestMetadata, ResponseMetadata};
+pub use header_codec::{
+    AttemptMetadata, HeaderCodec, Load, PromptPart, RequestMetadata, ResponseMetadata, StatedLimit,
+};
 
 /// The implementations of all ports for one platform.
 pub struct Ports {
--- a/goldcrestward/src/process/admin.rs
+++ b/goldcrestward/src/process/admin.rs
@@ -19,7 +19,8 @@
 
 use super::{
     configure::{Change, Configurer, ProposalOutcome},
-    crash_watch::clear_part,
+    crash_evidence::Condemned,
+    crash_watch::{clear_part, names},
     membership::{FactKind, State},
     rollout::{read_records, record_prefix},
     shared::Shared,
@@ -269,10 +270,16 @@
             let view = self.shared.view.lock();
             view.facts().of_kind(FactKind::Crash).map(|f| f.key.clone()).collect()
         };
+        let refused_parts: Vec<_> = {
+            let evidence = self.shared.crash_evidence.lock();
+            let row = |condemned: &Condemned| json!({ "parts": names(&condemned.parts), "crashes": condemned.crashes });
+            evidence.condemned().iter().map(row).collect()
+        };
         let body = json!({
             "refusals": counters(&self.shared.metrics.refusals),
             "retries": counters(&self.shared.metrics.retries),
             "crashes": crashes,
+            "refused_parts": refused_parts,
         });
         json_response(StatusCode::OK, &body)
     }
--- a/goldcrestward/src/process/gateway.rs
+++ b/goldcrestward/src/process/gateway.rs
@@ -2,11 +2,13 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use log::info;
 use parking_lot::Mutex;
 
 use super::{
     demand::DemandMeters,
     quota::{IsolatedQuotas, QuotaBalances, QuotaLedger, Verdict},
+    replicas::Replica,
     retries::RetryBudget,
     shared::Shared,
     usage::UsageCounts,
@@ -14,7 +16,7 @@
 use crate::{
     config::{Account, QuotaUnit},
     connection::BackendConnections,
-    port::{Engines, HeaderCodec, RequestMetadata},
+    port::{Engines, HeaderCodec, RequestMetadata, StatedLimit},
     request::{Reason, Refusal},
 };
 
@@ -67,6 +69,17 @@
         *self.work.lock().entry(pool.clone()).or_default() += ms;
     }
 
+    /// Applies what an answer says about its server's rate limit.
+    pub fn apply_stated_limit(&self, replica: &Replica, stated: StatedLimit, sent_ms: u64) {
+        if stated == StatedLimit::Unlimited && replica.limit().per_second.is_none() {
+            return;
+        }
+        let changes = replica.apply_stated_limit(stated, sent_ms, self.shared.agreed_ms());
+        if changes {
+            info!("event=server-limit-named instance={} per_second={:?}", replica.id, replica.limit().per_second);
+        }
+    }
+
     /// Counts a request of an account that started running.
     pub fn count_started(&self, account: &Account) {
         let window = self.shared.agreed_ms() / self.shared.settings.usage_window.as_millis().max(1) as u64;
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -67,6 +67,8 @@
     pub crash_records: IntCounter,
     /// Accusations of prompt parts, by where they come from and whether they stand.
     pub accusations: IntCounterVec,
+    /// Requests sent to replicas that had named a rate limit.
+    pub limited_sends: IntCounter,
     /// Sets of prompt parts that are refused.
     pub condemned_parts: IntGauge,
 }
@@ -118,6 +120,8 @@
                 "prompt parts accused of a crash by source and result",
                 &["source", "result"],
             )?,
+            limited_sends: factory
+                .counter("limited_sends_total", "requests sent to replicas that had named a rate limit")?,
             condemned_parts: factory.gauge("condemned_parts", "sets of prompt parts that are refused")?,
             crash_records: factory.counter("crash_records_total", "crash records learned from other daemons")?,
             registry,
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -19,6 +19,7 @@
 mod loads;
 pub(crate) mod membership;
 mod metrics;
+mod named_limit;
 mod peer_service;
 mod placement;
 mod pull;
--- /dev/null
+++ b/goldcrestward/src/process/named_limit_test.rs
@@ -0,0 +1,37 @@
+use super::NamedLimit;
+use crate::port::StatedLimit::{self, PerSecond, Unlimited, Unreadable};
+
+#[test]
+fn apply_answer_follows_what_the_replica_says() {
+    /// What an answer states, when its request was sent and when it was received; the limit afterwards.
+    type Step = (StatedLimit, u64, u64, Option<f64>);
+    let cases: [(&str, &[Step]); 6] = [
+        (
+            "named, lowered, raised",
+            &[
+                (PerSecond(4.0), 0, 10, Some(4.0)),
+                (PerSecond(2.0), 5, 20, Some(2.0)),
+                (PerSecond(6.0), 20, 30, Some(6.0)),
+            ],
+        ),
+        ("withdrawn", &[(PerSecond(4.0), 0, 10, Some(4.0)), (Unlimited, 10, 20, None)]),
+        (
+            "an answer from before does not withdraw",
+            &[(PerSecond(4.0), 0, 10, Some(4.0)), (Unlimited, 9, 20, Some(4.0))],
+        ),
+        (
+            "an answer from before does not raise",
+            &[(PerSecond(2.0), 0, 10, Some(2.0)), (PerSecond(8.0), 9, 20, Some(2.0))],
+        ),
+        ("an unreadable limit changes nothing", &[(PerSecond(4.0), 0, 10, Some(4.0)), (Unreadable, 15, 20, Some(4.0))]),
+        ("nothing named", &[(Unlimited, 0, 10, None), (Unreadable, 5, 20, None)]),
+    ];
+    for (name, steps) in cases {
+        let mut limit = NamedLimit::default();
+        for (stated, sent_ms, now_ms, expected) in steps {
+            let before = limit.per_second;
+            let changes = limit.apply_answer(*stated, *sent_ms, *now_ms);
+            assert_eq!((limit.per_second, changes), (*expected, before != *expected), "{name}: {stated:?}");
+        }
+    }
+}
--- a/goldcrestward/src/process/replicas.rs
+++ b/goldcrestward/src/process/replicas.rs
@@ -17,10 +17,11 @@
     admission_queue::{AdmissionQueue, AdmissionQueues},
     health::{AttemptOutcome, FailureScore},
     loads::{LoadTracker, PeerLoad},
+    named_limit::NamedLimit,
     placement::{Candidate, Locality, Placement, PromptCost, mix, place},
 };
 use crate::{
-    port::{Instance, InstanceState, Load},
+    port::{Instance, InstanceState, Load, StatedLimit},
     util::stable_hash,
     version::VersionRule,
 };
@@ -81,6 +82,7 @@
     prefill_us: AtomicU64,
     loads: Mutex<LoadTracker>,
     failure_score: Mutex<FailureScore>,
+    limit: Mutex<NamedLimit>,
 }
 
 impl Health {
@@ -224,6 +226,16 @@
         self.health.loads.lock().apply_server_report(load, now);
     }
 
+    /// The rate limit that the server has named.
+    pub fn limit(&self) -> NamedLimit {
+        *self.health.limit.lock()
+    }
+
+    /// Applies what an answer says about the server's rate limit; see [`NamedLimit::apply_answer`].
+    pub fn apply_stated_limit(&self, stated: StatedLimit, sent_ms: u64, now_ms: u64) -> bool {
+        self.health.limit.lock().apply_answer(stated, sent_ms, now_ms)
+    }
+
     fn candidate(&self, query: &PlacementQuery<'_>) -> Candidate {
         let PlacementQuery { zone, region, now, .. } = *query;
         let load = self.health.loads.lock().total(&self.own_load(), now);
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -341,6 +341,10 @@
         }
         let request = self.build_request(&replica.id, sequence.last());
         let (previous, idle_timeout) = (self.run_state, self.idle_timeout());
+        let sent_ms = self.gateway.shared.agreed_ms();
+        if replica.limit().per_second.is_some() {
+            self.gateway.shared.metrics.limited_sends.inc();
+        }
         self.sends += 1;
         self.run_state = RunState::MayHaveRun;
         let sent = timeout(idle_timeout, connection.send(request)).await;
@@ -359,6 +363,7 @@
         if let Some(load) = metadata.load {
             replica.set_reported_load(load, self.gateway.shared.now());
         }
+        self.gateway.apply_stated_limit(&replica, metadata.limit, sent_ms);
         if metadata.not_run {
             self.run_state = previous;
             self.discard(response, connection).await;
