Rate limits that replicas name are kept by all daemons together

Cause: nothing read the limit. With it read, each daemon keeping it by itself would send seven times as much: a bound of the whole site has to be counted for the whole site.

Now the relay of the replica's availability zone grants each request from a token bucket (send_limits.rs), by the same question and answer as for scarce quotas and within the share of the daemons that it hears. A limit that one daemon reads reaches the others as a fact; only an answer to a later request can raise or withdraw it. A replica that has got what it takes is not offered until it takes more; what exceeds it goes elsewhere at once, or is refused at once with the time of the next grant if all are limited. Repeats, resumed streams and migrated runs are charged as well. The autoscaler counts a limited server as the capacity that it has left.

--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -450,11 +450,21 @@
     #[prost(uint64, tag = "2")]
     pub retry_ms: u64,
 }
+/// Asks the relay of a replica's availability zone to charge a request to the rate limit that the replica has named.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct AskSend {
+    /// Hash of the replica's run.
+    #[prost(fixed64, tag = "1")]
+    pub run: u64,
+    /// The limit, in requests a second from all daemons.
+    #[prost(double, tag = "2")]
+    pub per_second: f64,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Request {
     #[prost(uint64, tag = "1")]
     pub id: u64,
-    #[prost(oneof = "request::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "request::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub body: ::core::option::Option<request::Body>,
 }
 /// Nested message and enum types in `Request`.
@@ -479,6 +489,9 @@
         AskUsage(super::AskUsage),
         #[prost(message, tag = "10")]
         AskQuota(super::AskQuota),
+        /// Answered by a `QuotaGrant`.
+        #[prost(message, tag = "11")]
+        AskSend(super::AskSend),
     }
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -602,6 +615,8 @@
     PartCrash = 6,
     /// The key is a part of a prompt whose accusations are void up to the time that is the value, as a request with it was answered.
     PartAnswered = 7,
+    /// The key is the run of a replica that has named a rate limit, the value is when; the note is the limit, or `none`.
+    ServerLimit = 8,
 }
 impl FactKind {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -618,6 +633,7 @@
             Self::Step => "FACT_KIND_STEP",
             Self::PartCrash => "FACT_KIND_PART_CRASH",
             Self::PartAnswered => "FACT_KIND_PART_ANSWERED",
+            Self::ServerLimit => "FACT_KIND_SERVER_LIMIT",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -631,6 +647,7 @@
             "FACT_KIND_STEP" => Some(Self::Step),
             "FACT_KIND_PART_CRASH" => Some(Self::PartCrash),
             "FACT_KIND_PART_ANSWERED" => Some(Self::PartAnswered),
+            "FACT_KIND_SERVER_LIMIT" => Some(Self::ServerLimit),
             _ => None,
         }
     }
--- a/goldcrestward/src/process/duty.rs
+++ b/goldcrestward/src/process/duty.rs
@@ -17,7 +17,7 @@
     exchange::fetch_usage,
     gateway::Gateway,
     lifecycle::Stage,
-    scaler::{Scaler, ZonePool},
+    scaler::{Scaler, ZonePool, lost_share},
     term::{Term, UsageRecord, UsageSchedule, UsageStep, WriteResult},
 };
 use crate::{
@@ -204,6 +204,7 @@
 
     fn zone_pools(&self, pool: &Arc<str>, scaling: &Scaling) -> Vec<ZonePool> {
         let replicas = self.gateway.shared.replicas.pool(pool);
+        let mean_work_ms = self.gateway.mean_work_ms(pool);
         let demand = self.gateway.demand.lock();
         let now = self.gateway.shared.now();
         let zone_pool = |zone: &Arc<str>| {
@@ -213,7 +214,15 @@
             };
             let busy = demand.busy_servers(pool, zone, now);
             let busy_servers = (busy > MIN_BUSY_SERVERS).then_some(busy);
-            ZonePool { zone: zone.clone(), on_demand: live(false), reclaimable: live(true), busy_servers }
+            let in_zone = replicas.iter().filter(|r| r.zone == *zone && !r.is_leaving());
+            let lost = in_zone.filter_map(|r| Some(lost_share(r.limit().per_second?, mean_work_ms?)));
+            ZonePool {
+                zone: zone.clone(),
+                on_demand: live(false),
+                reclaimable: live(true),
+                busy_servers,
+                lost_servers: lost.sum(),
+            }
         };
         scaling.zone_prices.keys().map(zone_pool).collect()
     }
--- a/goldcrestward/src/process/exchange/fleet_table.rs
+++ b/goldcrestward/src/process/exchange/fleet_table.rs
@@ -90,6 +90,14 @@
     pub zones: Vec<(Arc<str>, u32, bool)>,
 }
 
+impl Reach {
+    /// Share of the site's daemons that are heard, directly or through the relay of their zone.
+    pub fn heard_share(&self) -> f64 {
+        let heard = self.zones.iter().filter(|(_, _, is_heard)| *is_heard).map(|(_, daemons, _)| f64::from(*daemons));
+        ((f64::from(self.own) + heard.sum::<f64>()) / f64::from(self.total.max(1))).min(1.0)
+    }
+}
+
 /// What the daemons of the site report, as one daemon knows it.
 #[derive(Debug, Default)]
 pub(crate) struct FleetTable {
--- a/goldcrestward/src/process/exchange/run.rs
+++ b/goldcrestward/src/process/exchange/run.rs
@@ -33,7 +33,7 @@
         quota::{QuotaLedger, QuotaLevel},
         usage::AccountCounts,
     },
-    util::unix_ms,
+    util::{stable_hash, unix_ms},
 };
 
 /// Minimum interval between two reports.
@@ -99,6 +99,59 @@
         }
     }
 
+    /// Address of the relay that decides on requests to a replica in `zone` with a rate limit, and whether it is in this daemon's
+    /// zone; `None` in place of the address if this daemon is it. If no daemon is in that zone, another zone decides.
+    ///
+    /// # Errors
+    /// Fails if no relay has been heard lately.
+    pub fn send_relay(&self, own: &str, zone: &str, run: u64, now: u64) -> Result<(Option<SocketAddr>, bool), NoRelay> {
+        let decider = {
+            let state = self.state.lock();
+            let zones =
+                state.relays.others.iter().map(|(name, (_, list))| (&**name, list.first().map(|to| to.address)));
+            let mut zones = zones.chain([(own, None)]);
+            let score = |(name, _): &(&str, Option<SocketAddr>)| stable_hash(&[name.as_bytes(), &run.to_le_bytes()]);
+            let home = zones.clone().find(|(name, _)| *name == zone);
+            home.or_else(|| zones.by_ref().max_by_key(score)).and_then(|(_, address)| address)
+        };
+        match decider {
+            Some(address) => Ok((Some(address), false)),
+            None => self.quota_relay(now).map(|address| (address, true)),
+        }
+    }
+
+    /// Charges a request to the rate limit of a replica's run as the relay of the zone; `None` if this daemon is not the relay.
+    pub fn charge_send_as_relay(&self, run: u64, per_second: f64) -> Option<Result<(), Duration>> {
+        let gateway = self.gateway.upgrade()?;
+        let now = gateway.shared.now();
+        let share = {
+            let state = self.state.lock();
+            state.role.is_speaking().then(|| state.table.reach(gateway.shared.daemon_count(), now).heard_share())?
+        };
+        Some(gateway.send_limits.lock().charge(run, per_second, share, now))
+    }
+
+    /// Asks the relay at `address` to charge a request to the rate limit of a replica's run; `None` if it does not answer within `limit` or is no relay.
+    pub async fn ask_send(
+        &self,
+        gateway: &Gateway,
+        address: SocketAddr,
+        limit: Duration,
+        (run, per_second): (u64, f64),
+    ) -> Option<Result<(), Duration>> {
+        let body = request::Body::AskSend(pb::AskSend { run, per_second });
+        match gateway.shared.peer_client.request(address, body, limit).await {
+            Ok(answer::Body::QuotaGrant(grant)) => decision(&grant),
+            _ => None,
+        }
+    }
+
+    /// Answers a daemon that asks this one as the relay of its availability zone about a rate limit.
+    pub fn answer_send(&self, ask: &pb::AskSend) -> pb::QuotaGrant {
+        let per_second = if ask.per_second.is_finite() { ask.per_second.max(0.0) } else { 0.0 };
+        grant(self.charge_send_as_relay(ask.run, per_second))
+    }
+
     /// Charges a request to an account's quota as the relay of the zone; `None` if this daemon is not the relay.
     pub fn charge_as_relay(&self, name: &str, units: f64) -> Option<Result<(), Duration>> {
         let gateway = self.gateway.upgrade()?;
@@ -124,24 +177,13 @@
         let body = request::Body::AskQuota(pb::AskQuota { account: account.to_string(), units });
         let answer = gateway.shared.peer_client.request(address, body, GRANT_TIMEOUT).await;
         let Ok(answer::Body::QuotaGrant(grant)) = answer else { return None };
-        match grant.decision() {
-            pb::QuotaDecision::Granted => Some(Ok(())),
-            pb::QuotaDecision::Refused => Some(Err(Duration::from_millis(grant.retry_ms))),
-            pb::QuotaDecision::NotRelay | pb::QuotaDecision::Unspecified => None,
-        }
+        decision(&grant)
     }
 
     /// Answers a daemon that asks this one as the relay of their zone.
     pub fn answer_quota(&self, ask: &pb::AskQuota) -> pb::QuotaGrant {
         let units = if ask.units.is_finite() { ask.units.max(0.0) } else { 0.0 };
-        match self.charge_as_relay(&ask.account, units) {
-            None => pb::QuotaGrant { decision: pb::QuotaDecision::NotRelay.into(), retry_ms: 0 },
-            Some(Ok(())) => pb::QuotaGrant { decision: pb::QuotaDecision::Granted.into(), retry_ms: 0 },
-            Some(Err(wait)) => {
-                let retry_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-                pb::QuotaGrant { decision: pb::QuotaDecision::Refused.into(), retry_ms }
-            }
-        }
+        grant(self.charge_as_relay(&ask.account, units))
     }
 
     /// Removes a daemon that has announced its departure.
@@ -444,6 +486,27 @@
     }
 }
 
+/// Encodes what a relay decides; `None` if the daemon is no relay.
+fn grant(decided: Option<Result<(), Duration>>) -> pb::QuotaGrant {
+    match decided {
+        None => pb::QuotaGrant { decision: pb::QuotaDecision::NotRelay.into(), retry_ms: 0 },
+        Some(Ok(())) => pb::QuotaGrant { decision: pb::QuotaDecision::Granted.into(), retry_ms: 0 },
+        Some(Err(wait)) => {
+            let retry_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+            pb::QuotaGrant { decision: pb::QuotaDecision::Refused.into(), retry_ms }
+        }
+    }
+}
+
+/// Decodes what a relay has decided; `None` if the daemon was no relay.
+fn decision(grant: &pb::QuotaGrant) -> Option<Result<(), Duration>> {
+    match grant.decision() {
+        pb::QuotaDecision::Granted => Some(Ok(())),
+        pb::QuotaDecision::Refused => Some(Err(Duration::from_millis(grant.retry_ms))),
+        pb::QuotaDecision::NotRelay | pb::QuotaDecision::Unspecified => None,
+    }
+}
+
 /// No relay of the availability zone has been heard lately.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct NoRelay;
--- a/goldcrestward/src/process/exchange/sent.rs
+++ b/goldcrestward/src/process/exchange/sent.rs
@@ -92,7 +92,7 @@
         .filter(|(_, load)| load.running > 0)
         .collect();
     let works: BTreeMap<_, _> =
-        gateway.work.lock().iter().map(|(pool, ms)| ((Arc::from(""), pool.clone()), *ms)).collect();
+        gateway.work.lock().iter().map(|(pool, sent)| ((Arc::from(""), pool.clone()), sent.ms)).collect();
     // The current window, and those that the duty holder normally has not reported yet.
     let recent = windows_in(settings.usage_window, settings.usage_delay / SETTLE_DIVISOR) + 2;
     let counts = gateway.usage.lock();
--- a/goldcrestward/src/process/gateway.rs
+++ b/goldcrestward/src/process/gateway.rs
@@ -7,19 +7,37 @@
 
 use super::{
     demand::DemandMeters,
+    limit_facts::publish_limit,
     quota::{IsolatedQuotas, QuotaBalances, QuotaLedger, Verdict},
     replicas::Replica,
     retries::RetryBudget,
+    send_limits::{IsolatedSends, SendLimits},
     shared::Shared,
     usage::UsageCounts,
 };
 use crate::{
     config::{Account, QuotaUnit},
     connection::BackendConnections,
+    logs::is_sampled,
     port::{Engines, HeaderCodec, RequestMetadata, StatedLimit},
     request::{Reason, Refusal},
+    util::stable_hash,
 };
 
+/// Time within which a relay must answer whether a request may be sent to a replica: one of this zone, and one of another.
+const NEAR_RELAY_TIMEOUT: Duration = Duration::from_millis(25);
+const FAR_RELAY_TIMEOUT: Duration = Duration::from_millis(120);
+/// Longest time for which a replica is not offered, as its limit may be raised meanwhile.
+const MAX_BLOCK_MS: u64 = 2_000;
+
+/// Requests sent to a pool.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SentWork {
+    /// Estimated work in ms.
+    pub ms: f64,
+    pub requests: u64,
+}
+
 /// State that all requests to a platform's back ends share. No two of its locks are held at once.
 pub(crate) struct Gateway {
     pub shared: Arc<Shared>,
@@ -35,12 +53,16 @@
     pub quota_ledger: Mutex<QuotaLedger>,
     /// Account quotas while no relay can be reached: this daemon's part.
     isolated_quotas: Mutex<IsolatedQuotas>,
+    /// Requests to replicas with a rate limit that this daemon grants as the relay of the availability zone.
+    pub send_limits: Mutex<SendLimits>,
+    /// Its share of the rate limits of replicas while no relay can be reached.
+    isolated_sends: Mutex<IsolatedSends>,
     /// Limits the retries of each pool over all daemons.
     pub retry_budget: Mutex<RetryBudget>,
     /// Requests that started running, counted by account.
     pub usage: Mutex<UsageCounts>,
-    /// Estimated work in ms that this daemon has sent to each pool since its start.
-    pub work: Mutex<BTreeMap<Arc<str>, f64>>,
+    /// Work that this daemon has sent to each pool since its start.
+    pub work: Mutex<BTreeMap<Arc<str>, SentWork>>,
     /// Work that all daemons send to each pool.
     pub demand: Mutex<DemandMeters>,
 }
@@ -48,6 +70,7 @@
 impl Gateway {
     pub fn new(shared: Arc<Shared>, header_codec: Arc<dyn HeaderCodec>, engines: Arc<dyn Engines>) -> Self {
         let retry_budget = RetryBudget::new(shared.settings.retries.clone());
+        let seed = stable_hash(&[shared.settings.name.as_bytes()]);
         let usage = UsageCounts::new(shared.settings.usage_window, shared.settings.usage_delay);
         Self {
             shared,
@@ -57,6 +80,8 @@
             quota_balances: Mutex::default(),
             quota_ledger: Mutex::default(),
             isolated_quotas: Mutex::default(),
+            send_limits: Mutex::new(SendLimits::new(0)),
+            isolated_sends: Mutex::new(IsolatedSends::new(seed)),
             retry_budget: Mutex::new(retry_budget),
             usage: Mutex::new(usage),
             work: Mutex::default(),
@@ -66,7 +91,16 @@
 
     /// Adds work that is sent to a pool.
     pub fn add_work(&self, pool: &Arc<str>, ms: f64) {
-        *self.work.lock().entry(pool.clone()).or_default() += ms;
+        let mut work = self.work.lock();
+        let sent = work.entry(pool.clone()).or_default();
+        sent.ms += ms;
+        sent.requests += 1;
+    }
+
+    /// Mean work of a request to a pool in ms, if there were any.
+    pub fn mean_work_ms(&self, pool: &str) -> Option<f64> {
+        let work = self.work.lock();
+        work.get(pool).filter(|sent| sent.requests > 0).map(|sent| sent.ms / sent.requests as f64)
     }
 
     /// Applies what an answer says about its server's rate limit.
@@ -77,6 +111,56 @@
         let changes = replica.apply_stated_limit(stated, sent_ms, self.shared.agreed_ms());
         if changes {
             info!("event=server-limit-named instance={} per_second={:?}", replica.id, replica.limit().per_second);
+            publish_limit(&self.shared, replica);
+        }
+    }
+
+    /// Charges a request to the rate limit that its server has named, if it has.
+    ///
+    /// # Errors
+    /// Returns the time after which the server takes another request; until then it is not offered.
+    pub async fn admit_to_server(&self, id: &str, replica: &Replica) -> Result<(), Duration> {
+        let limit = replica.limit();
+        let Some(per_second) = limit.per_second else { return Ok(()) };
+        let (run, now) = (replica.run_hash(), self.shared.now());
+        let (decided, by) = match self.charge_send_at_relay(replica, run, per_second, now).await {
+            Some(decided) => {
+                self.isolated_sends.lock().record_answer(&replica.zone);
+                (decided, "relay")
+            }
+            None => {
+                let daemons = self.shared.daemon_count();
+                let limit = (run, per_second);
+                (self.isolated_sends.lock().charge(&replica.zone, limit, daemons, now), "own-share")
+            }
+        };
+        let result = if decided.is_ok() { "granted" } else { "refused" };
+        self.shared.metrics.send_grants.with_label_values(&[by, result]).inc();
+        if is_sampled(id) {
+            let (instance, age) = (&replica.id, self.shared.agreed_ms().saturating_sub(limit.named_ms));
+            info!("event=send-{result} id={id} instance={instance} limit={per_second} limit_age_ms={age} by={by}");
+        }
+        if let Err(wait) = decided {
+            replica.block_until(now + u64::try_from(wait.as_millis()).unwrap_or(u64::MAX).min(MAX_BLOCK_MS));
+        }
+        decided
+    }
+
+    /// Charges a request at the relay that decides on the replica's limit; `None` if none decides in time.
+    async fn charge_send_at_relay(
+        &self,
+        replica: &Replica,
+        run: u64,
+        per_second: f64,
+        now: u64,
+    ) -> Option<Result<(), Duration>> {
+        let exchange = self.shared.exchange.get()?;
+        match exchange.send_relay(&self.shared.settings.zone, &replica.zone, run, now).ok()? {
+            (None, _) => exchange.charge_send_as_relay(run, per_second),
+            (Some(address), is_near) => {
+                let limit = if is_near { NEAR_RELAY_TIMEOUT } else { FAR_RELAY_TIMEOUT };
+                exchange.ask_send(self, address, limit, (run, per_second)).await
+            }
         }
     }
 
--- a/goldcrestward/src/process/gossip.rs
+++ b/goldcrestward/src/process/gossip.rs
@@ -8,6 +8,7 @@
 
 use super::{
     crash_watch::{judge, learn_part_fact},
+    limit_facts::learn_limit_fact,
     membership::{Effect, Fact, FactKind, State},
     pull::pull_config,
     shared::Shared,
@@ -206,6 +207,7 @@
                 info!("event=crash-learned record={}", fact.key);
             }
             FactKind::PartCrash | FactKind::PartAnswered => learn_part_fact(&self.shared, fact),
+            FactKind::ServerLimit => learn_limit_fact(&self.shared, fact),
             FactKind::Clear => info!("event=crash-cleared fingerprint={} reason={:?}", fact.key, fact.note),
         }
     }
--- a/goldcrestward/src/process/membership/fact.rs
+++ b/goldcrestward/src/process/membership/fact.rs
@@ -29,6 +29,8 @@
         PartCrash,
         /// Accusations of a part up to the agreed time that is the value are void; the key is the part.
         PartAnswered,
+        /// A replica has named a rate limit, or withdrawn it; the key is its run, the value is the agreed time.
+        ServerLimit,
     }
 }
 
@@ -57,6 +59,7 @@
             FactKind::Step => pb::FactKind::Step,
             FactKind::PartCrash => pb::FactKind::PartCrash,
             FactKind::PartAnswered => pb::FactKind::PartAnswered,
+            FactKind::ServerLimit => pb::FactKind::ServerLimit,
         };
         Self {
             kind: kind.into(),
@@ -80,6 +83,7 @@
             pb::FactKind::Step => FactKind::Step,
             pb::FactKind::PartCrash => FactKind::PartCrash,
             pb::FactKind::PartAnswered => FactKind::PartAnswered,
+            pb::FactKind::ServerLimit => FactKind::ServerLimit,
         };
         let (value, until_ms) = (fact.value, fact.until_ms);
         Some(Self { kind, key: fact.key.into(), value, until_ms, note: fact.note.into() })
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -69,6 +69,8 @@
     pub accusations: IntCounterVec,
     /// Requests sent to replicas that had named a rate limit.
     pub limited_sends: IntCounter,
+    /// Requests charged to the rate limits of replicas, by who decided and the result.
+    pub send_grants: IntCounterVec,
     /// Sets of prompt parts that are refused.
     pub condemned_parts: IntGauge,
 }
@@ -122,6 +124,11 @@
             )?,
             limited_sends: factory
                 .counter("limited_sends_total", "requests sent to replicas that had named a rate limit")?,
+            send_grants: factory.counters(
+                "send_grants_total",
+                "requests charged to rate limits of replicas by decider and result",
+                &["by", "result"],
+            )?,
             condemned_parts: factory.gauge("condemned_parts", "sets of prompt parts that are refused")?,
             crash_records: factory.counter("crash_records_total", "crash records learned from other daemons")?,
             registry,
--- a/goldcrestward/src/process/named_limit.rs
+++ b/goldcrestward/src/process/named_limit.rs
@@ -37,6 +37,18 @@
     }
 }
 
+impl NamedLimit {
+    /// Applies what another daemon knows as of `named_ms`. Returns whether the limit changes.
+    pub fn learn(&mut self, per_second: Option<f64>, named_ms: u64) -> bool {
+        if named_ms <= self.named_ms {
+            return false;
+        }
+        let changes = self.per_second != per_second;
+        *self = Self { per_second, named_ms };
+        changes
+    }
+}
+
 #[cfg(test)]
 #[path = "named_limit_test.rs"]
 mod named_limit_test;
--- a/goldcrestward/src/process/named_limit_test.rs
+++ b/goldcrestward/src/process/named_limit_test.rs
@@ -35,3 +35,14 @@
         }
     }
 }
+
+#[test]
+fn learn_keeps_what_was_named_last() {
+    let mut limit = NamedLimit::default();
+    assert!(limit.learn(Some(4.0), 10));
+    assert!(!limit.learn(Some(8.0), 10), "not newer");
+    assert!(!limit.learn(Some(4.0), 20), "newer but the same");
+    assert!(!limit.apply_answer(Unlimited, 15, 25), "sent before the limit was named last");
+    assert!(limit.learn(None, 30));
+    assert_eq!(limit, NamedLimit { per_second: None, named_ms: 30 });
+}
--- a/goldcrestward/src/process/peer_service.rs
+++ b/goldcrestward/src/process/peer_service.rs
@@ -91,6 +91,9 @@
                 let table = self.shared.exchange.get().map(|exchange| exchange.usage_table(ask.from_window));
                 answer::Body::UsageTable(table.unwrap_or_default())
             }
+            request::Body::AskSend(ask) => {
+                answer::Body::QuotaGrant(self.shared.exchange.get().map(|exchange| exchange.answer_send(&ask))?)
+            }
             request::Body::AskQuota(ask) => {
                 answer::Body::QuotaGrant(self.shared.exchange.get().map(|exchange| exchange.answer_quota(&ask))?)
             }
@@ -111,6 +114,7 @@
         request::Body::AskEvidence(_) => "evidence",
         request::Body::AskUsage(_) => "usage",
         request::Body::AskQuota(_) => "quota",
+        request::Body::AskSend(_) => "send",
     }
 }
 
--- a/goldcrestward/src/process/replicas.rs
+++ b/goldcrestward/src/process/replicas.rs
@@ -83,6 +83,8 @@
     loads: Mutex<LoadTracker>,
     failure_score: Mutex<FailureScore>,
     limit: Mutex<NamedLimit>,
+    /// When the next request may be sent within the limit, in ms since the daemon's start.
+    blocked_until: AtomicU64,
 }
 
 impl Health {
@@ -233,7 +235,29 @@
 
     /// Applies what an answer says about the server's rate limit; see [`NamedLimit::apply_answer`].
     pub fn apply_stated_limit(&self, stated: StatedLimit, sent_ms: u64, now_ms: u64) -> bool {
-        self.health.limit.lock().apply_answer(stated, sent_ms, now_ms)
+        let changes = self.health.limit.lock().apply_answer(stated, sent_ms, now_ms);
+        if changes {
+            self.block_until(0);
+        }
+        changes
+    }
+
+    /// Applies a limit that another daemon has learned; see [`NamedLimit::learn`].
+    pub fn learn_limit(&self, per_second: Option<f64>, named_ms: u64) -> bool {
+        let changes = self.health.limit.lock().learn(per_second, named_ms);
+        if changes {
+            self.block_until(0);
+        }
+        changes
+    }
+
+    /// Sends no request before this time, in ms since the daemon's start, as the limit is used up.
+    pub fn block_until(&self, until: u64) {
+        self.health.blocked_until.store(until, Ordering::Relaxed);
+    }
+
+    fn blocked_ms(&self, now: u64) -> u64 {
+        self.health.blocked_until.load(Ordering::Relaxed).saturating_sub(now)
     }
 
     fn candidate(&self, query: &PlacementQuery<'_>) -> Candidate {
@@ -395,6 +419,8 @@
     None,
     /// All eligible replicas have [`MAX_IN_FLIGHT_FACTOR`] times their concurrency in flight.
     Overloaded,
+    /// All eligible replicas have got what they take; the first takes another request after this time.
+    RateLimited(Duration),
 }
 
 /// The backend servers of all pools.
@@ -493,7 +519,12 @@
         let pool = pools.get(query.pool).ok_or(NoReplica::None)?;
         let is_eligible =
             |r: &&Arc<Replica>| !r.is_leaving() && query.versions.allows(&r.version) && !query.tried.contains(&r.id);
-        let eligible: Vec<&Arc<Replica>> = pool.iter().filter(is_eligible).collect();
+        let mut eligible: Vec<&Arc<Replica>> = pool.iter().filter(is_eligible).collect();
+        let first_free = eligible.iter().map(|r| r.blocked_ms(query.now)).min();
+        if let Some(wait) = first_free.filter(|wait| *wait > 0) {
+            return Err(NoReplica::RateLimited(Duration::from_millis(wait)));
+        }
+        eligible.retain(|r| r.blocked_ms(query.now) == 0);
         let healthy: Vec<_> = eligible.iter().copied().filter(|r| !r.is_ejected(query.now)).collect();
         // An ejected server may have recovered, so it is better than none.
         let usable = if healthy.is_empty() { &eligible } else { &healthy };
--- a/goldcrestward/src/process/scaler.rs
+++ b/goldcrestward/src/process/scaler.rs
@@ -40,6 +40,8 @@
         pub reclaimable: u32,
         /// Load of the zone's callers, in servers kept busy; `None` while it is unknown.
         pub busy_servers: Option<f64>,
+        /// Capacity that is missing as live servers take fewer requests than others, in servers.
+        pub lost_servers: f64,
     }
 }
 
@@ -194,7 +196,12 @@
 
 /// Servers that a zone's load requires, without spares.
 fn required_servers(zone: &ZonePool) -> u32 {
-    zone.busy_servers.map_or(0, |busy_servers| (busy_servers / TARGET_UTILIZATION).ceil() as u32)
+    zone.busy_servers.map_or(0, |busy_servers| (busy_servers / TARGET_UTILIZATION + zone.lost_servers).ceil() as u32)
+}
+
+/// Share of its capacity that a server loses which takes only `per_second` requests with this mean work.
+pub(crate) fn lost_share(per_second: f64, mean_work_ms: f64) -> f64 {
+    (1.0 - per_second * mean_work_ms / 1000.0 / TARGET_UTILIZATION).clamp(0.0, 1.0)
 }
 
 /// Servers that a zone should have when every order can be filled.
--- a/goldcrestward/src/process/scaler_test.rs
+++ b/goldcrestward/src/process/scaler_test.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use super::{Scaler, ZonePool};
+use super::{Scaler, ZonePool, lost_share};
 use crate::{
     config::Scaling,
     port::{DutyAnswer, PoolOrder},
@@ -57,6 +57,7 @@
                     on_demand: *on_demand,
                     reclaimable: *reclaimable,
                     busy_servers: self.busy_servers,
+                    lost_servers: 0.0,
                 })
                 .collect();
             for order in self.scaler.decide(&"pool".into(), &self.scaling, &zones, self.now) {
@@ -222,3 +223,22 @@
     let (on_demand, _) = platform.totals();
     assert!(f64::from(on_demand) >= 3.0 * 1.2 / 0.45 * 0.75, "{on_demand} servers are left: {:?}", platform.zones);
 }
+
+#[test]
+fn decide_orders_replacements_for_servers_that_take_few_requests() {
+    let zone = |name: &str, lost_servers| ZonePool {
+        zone: name.into(),
+        on_demand: 0,
+        reclaimable: 5,
+        busy_servers: Some(1.3),
+        lost_servers,
+    };
+    for (lost_servers, expected) in [(0.0, vec![]), (1.6, vec![("a", 7)])] {
+        let zones = [zone("a", lost_servers), zone("b", 0.0), zone("c", 0.0)];
+        let orders = Scaler::default().decide(&"pool".into(), &scaling(Some(0.2)), &zones, 60_000);
+        let reclaimable = orders.iter().filter(|order| order.reclaimable);
+        assert_eq!(reclaimable.map(|order| (&*order.zone, order.count)).collect::<Vec<_>>(), expected);
+    }
+    assert!((lost_share(3.6, 50.0) - 0.6).abs() < 1e-9);
+    assert!(lost_share(0.0, 50.0) == 1.0 && lost_share(100.0, 50.0) == 0.0);
+}
--- a/goldcrestward/src/request/placement_request.rs
+++ b/goldcrestward/src/request/placement_request.rs
@@ -12,7 +12,7 @@
     config::{Route, Site},
     logs::is_sampled,
     port::{PromptPart, RequestMetadata},
-    process::{Gateway, Offer, Placement, PlacementQuery, PromptCost, Rank, ReplicaGuard},
+    process::{Gateway, NoReplica, Offer, Placement, PlacementQuery, PromptCost, Rank, ReplicaGuard},
     util::stable_hash,
 };
 
@@ -31,6 +31,16 @@
 /// Bounds of the `Retry-After` of a refusal.
 const RETRY_AFTER_RANGE: (Duration, Duration) = (Duration::from_millis(150), Duration::from_secs(2));
 
+/// Why a request has no place yet.
+enum Obstacle {
+    /// No server is eligible.
+    NoServer,
+    /// The best server is busy, and would answer after this time in ms.
+    Busy(f64),
+    /// All servers have got what their rate limits allow; the first takes another request after this time.
+    RateLimited(Duration),
+}
+
 /// What a request needs from a pool.
 pub(crate) struct PlacementRequest {
     /// The request's id.
@@ -94,28 +104,38 @@
         let mut woken = false;
         loop {
             let offer = self.offer(gateway, tried, crash_score()?);
-            let limit = if offer.is_some() { queue_timeout } else { NO_SERVER_TIMEOUT.min(queue_timeout) };
-            let first_ms = offer.as_ref().map(|offer| offer.placement.first_response_ms);
-            if let Some(offer) = offer.filter(|offer| self.is_acceptable(offer))
+            let (limit, obstacle) = match &offer {
+                Ok(offer) => (queue_timeout, Obstacle::Busy(offer.placement.first_response_ms)),
+                Err(NoReplica::RateLimited(wait)) => (queue_timeout, Obstacle::RateLimited(*wait)),
+                Err(_) => (NO_SERVER_TIMEOUT.min(queue_timeout), Obstacle::NoServer),
+            };
+            if let Some(offer) = offer.ok().filter(|offer| self.is_acceptable(offer))
                 && (woken || queue.is_next(self.rank))
             {
-                gateway.add_work(&self.pool, offer.placement.prefill_ms + self.decode_ms);
                 let placed = offer.placement.clone();
                 let guard = offer.accept();
+                if gateway.admit_to_server(&self.id, guard.replica()).await.is_err() {
+                    // The server is not offered again until it takes another request.
+                    continue;
+                }
+                gateway.add_work(&self.pool, placed.prefill_ms + self.decode_ms);
                 self.log(&guard, &placed, started);
                 queue.wake_next();
                 return Ok(guard);
             }
             let left = (started + limit).min(self.deadline).saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                return Err(self.refuse(first_ms));
+            if left.is_zero() || matches!(obstacle, Obstacle::RateLimited(wait) if wait > left) {
+                return Err(self.refuse(&obstacle));
             }
             woken = queue.wait(self.rank, left.min(RECHECK_INTERVAL)).await;
         }
     }
 
     /// The best place at the moment, even if the request would rather wait for a better one.
-    pub fn offer(&self, gateway: &Gateway, tried: &[Arc<str>], score: u64) -> Option<Offer> {
+    ///
+    /// # Errors
+    /// Returns why there is none.
+    pub fn offer(&self, gateway: &Gateway, tried: &[Arc<str>], score: u64) -> Result<Offer, NoReplica> {
         let settings = &gateway.shared.settings;
         let query = PlacementQuery {
             pool: &self.pool,
@@ -128,7 +148,7 @@
             salt: self.salt,
             now: gateway.shared.now(),
         };
-        gateway.shared.replicas.place(&query).ok()
+        gateway.shared.replicas.place(&query)
     }
 
     fn log(&self, guard: &ReplicaGuard, placed: &Placement, started: Instant) {
@@ -146,10 +166,20 @@
         placed.has_free_slot && (placed.first_response_ms <= left_ms || queue_ms <= SHORT_QUEUE_MS)
     }
 
-    fn refuse(&self, first_ms: Option<f64>) -> Refusal {
-        let Some(first_ms) = first_ms else {
-            let message = format!("no replica of pool {} can take the request", self.pool);
-            return Refusal::not_run(Reason::NoReplica, message).with_retry_after(RETRY_AFTER_RANGE.1 / 2);
+    fn refuse(&self, obstacle: &Obstacle) -> Refusal {
+        let first_ms = match obstacle {
+            Obstacle::Busy(first_ms) => *first_ms,
+            Obstacle::NoServer => {
+                let message = format!("no replica of pool {} can take the request", self.pool);
+                return Refusal::not_run(Reason::NoReplica, message).with_retry_after(RETRY_AFTER_RANGE.1 / 2);
+            }
+            Obstacle::RateLimited(wait) => {
+                let (pool, ms) = (&self.pool, wait.as_millis());
+                let message =
+                    format!("all replicas of pool {pool} have got what they take; the next request in {ms} ms");
+                let wait = (*wait).clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
+                return Refusal::not_run(Reason::Overloaded, message).with_retry_after(wait);
+            }
         };
         let message = format!("all replicas of pool {} are busy; the best would answer in {first_ms:.0} ms", self.pool);
         let wait = Duration::from_secs_f64(first_ms.max(0.0) / 1000.0).clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -484,7 +484,9 @@
         let (id, source) = (self.metadata.id.clone(), guard.replica().clone());
         let offer = self.placement.offer(&gateway, std::slice::from_ref(&source.id), 0);
         Box::pin(async move {
-            let target = offer.ok_or("there is no other server")?.accept();
+            let target = offer.map_err(|_| "no other server takes requests")?.accept();
+            let admitted = gateway.admit_to_server(&id, target.replica()).await;
+            admitted.map_err(|_| "the other server has got what it takes")?;
             let address = target.replica().address;
             let migration = gateway.engines.migrate_run(source.address, &id, address);
             let kv_cache = timeout(MIGRATION_TIMEOUT, migration).await.map_err(|_| "no answer in time")??;
