Replicas that crash at the same time condemn no prompt part

Crashes within 200 ms now count as one event, as replicas that are lost together have a reason of their own.

--- a/goldcrestward/src/process/crash_evidence.rs
+++ b/goldcrestward/src/process/crash_evidence.rs
@@ -3,12 +3,14 @@
 //! A part is accused of the crash of a replica that had begun a request with it, and cleared by a complete answer to a
 //! request with it. A part that alone explains several crashes is condemned. Accusations and answers reach the other daemons as facts.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 
 use crate::util::derive_value_traits;
 
-/// Replicas that must have crashed before a part is condemned.
+/// Replicas that must have crashed, each at another time, before a part is condemned.
 const CONDEMN_CRASHES: usize = 3;
+/// Time within which crashes count as one event.
+const MOMENT_GAP_MS: u64 = 200;
 /// Time from the first accusation until a part may be condemned, in which other daemons can clear it.
 const SETTLE_MS: u64 = 1_000;
 /// Time for which a complete answer speaks for a part.
@@ -177,9 +179,11 @@
 
     /// Attributes crashes to as few parts as possible: that with the most crashes first, which takes its crashes from the others.
     fn explain(&self, now: u64) -> Vec<Condemned> {
-        let mut open: BTreeMap<u64, BTreeSet<u64>> = BTreeMap::new();
+        // Runs of crashed replicas with the times of their crashes, by part.
+        let mut open: BTreeMap<u64, BTreeMap<u64, u64>> = BTreeMap::new();
         for (part, suspect) in &self.suspects {
-            let runs: BTreeSet<u64> = suspect.valid_crashes().map(|(run, _)| run).collect();
+            let runs: BTreeMap<u64, u64> =
+                suspect.valid_crashes().map(|(run, crash)| (run, crash.crashed_ms)).collect();
             if runs.len() >= CONDEMN_CRASHES {
                 open.insert(*part, runs);
             }
@@ -189,12 +193,15 @@
             if runs.len() < CONDEMN_CRASHES {
                 break;
             }
-            let parts: Vec<u64> = open.iter().filter(|(_, own)| **own == runs).map(|(part, _)| *part).collect();
-            if parts.iter().all(|part| self.is_settled(*part, now)) {
+            let has_same_runs = |own: &BTreeMap<u64, u64>| own.keys().eq(runs.keys());
+            let parts: Vec<u64> = open.iter().filter(|(_, own)| has_same_runs(own)).map(|(part, _)| *part).collect();
+            if count_moments(runs.values().copied()) >= CONDEMN_CRASHES
+                && parts.iter().all(|part| self.is_settled(*part, now))
+            {
                 condemned.push(Condemned { crashes: runs.len(), parts });
             }
             for own in open.values_mut() {
-                own.retain(|run| !runs.contains(run));
+                own.retain(|run, _| !runs.contains_key(run));
             }
         }
         condemned
@@ -207,6 +214,19 @@
     }
 }
 
+/// Number of times at which crashes happened. Replicas that crash at the same time do so for a reason of their own, such as a loss of power.
+fn count_moments(crashed_ms: impl Iterator<Item = u64>) -> usize {
+    let mut times: Vec<u64> = crashed_ms.collect();
+    times.sort_unstable();
+    let mut last = None;
+    times.retain(|time| {
+        let is_apart = last.is_none_or(|last| time - last >= MOMENT_GAP_MS);
+        last = if is_apart { Some(*time) } else { last };
+        is_apart
+    });
+    times.len()
+}
+
 #[cfg(test)]
 #[path = "crash_evidence_test.rs"]
 mod crash_evidence_test;
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -53,3 +53,6 @@
 pub use retries::RetryLimit;
 pub use settings::{Overrides, Settings, SettingsError};
 pub(crate) use shared::{InFlight, Shared};
+
+#[cfg(test)]
+mod crash_simulation_test;
