Sums of far zones may be lost once without counting as those of a new relay

Beyond 16 zones every sum of another region, and at 6 zones each one after a lost one, came later than the 700 ms after which a relay counts as failed. Its totals were then taken for those of another relay, so that most of what other regions use of a quota was not charged.

A sum now says how often its sender speaks, and timeouts allow for two and a half times that. The red test asks for the timeouts in force at that rate in place of the constant, and for all three of them: as strict, and for more. zone_sums_continue_after_one_was_lost checks the table itself at 3, 6 and 33 zones.

--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -163,6 +163,9 @@
     /// The relay's clock, as Unix time in ms.
     #[prost(uint64, tag = "4")]
     pub unix_ms: u64,
+    /// Time from one sum to the next, in ms.
+    #[prost(uint32, tag = "9")]
+    pub period_ms: u32,
     /// Differences of the daemons' clocks from the relay's, in ms; a sample if there are many.
     #[prost(sint64, repeated, tag = "8")]
     pub clock_differences: ::prost::alloc::vec::Vec<i64>,
--- a/goldcrestward/src/process/exchange/fleet_table.rs
+++ b/goldcrestward/src/process/exchange/fleet_table.rs
@@ -10,9 +10,9 @@
 use super::{
     changed_rows::RowValue,
     heard_relay::{HeardRelay, Hearing},
-    timing::{REPORT_TIMEOUT_MS, SILENCE_MS},
+    timing::{report_timeout_ms, silence_ms},
 };
-use crate::process::loads::PeerLoad;
+use crate::{pb, process::loads::PeerLoad};
 
 /// Time for which a daemon that went silent without leaving still counts as part of the site: it may be serving
 /// callers on the other side of a partition.
@@ -46,6 +46,8 @@
 struct Reported {
     life: u64,
     reported_at: u64,
+    /// Time from one report to the next, if that is long.
+    period_ms: u64,
     /// Loads and when they were last reported; one whose end was told in a lost message expires.
     loads: BTreeMap<u64, (PeerLoad, u64)>,
     works: Works,
@@ -54,24 +56,44 @@
 
 impl Reported {
     fn is_fresh(&self, now: u64) -> bool {
-        now.saturating_sub(self.reported_at) < REPORT_TIMEOUT_MS
+        now.saturating_sub(self.reported_at) < report_timeout_ms(self.period_ms)
     }
 
     fn is_heard(&self, now: u64) -> bool {
-        now.saturating_sub(self.reported_at) < SILENCE_MS
+        now.saturating_sub(self.reported_at) < silence_ms(self.period_ms)
     }
 
     fn apply(&mut self, loads: Loads, works: Works, now: u64) {
         self.reported_at = now;
         self.loads.extend(loads.into_iter().map(|(replica, load)| (replica, (load, now))));
+        let timeout = report_timeout_ms(self.period_ms);
         self.loads.retain(|_, (load, at)| {
-            let is_fresh = now.saturating_sub(*at) < REPORT_TIMEOUT_MS;
+            let is_fresh = now.saturating_sub(*at) < timeout;
             is_fresh && (load.running > 0 || load.prefill_ms > 0.0)
         });
         self.works.extend(works);
     }
 }
 
+/// Who sent the sum of an availability zone.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SumHead<'a> {
+    pub relay: &'a str,
+    /// Start time of the relay in ms.
+    pub life: u64,
+    /// Daemons whose reports are included.
+    pub daemons: u32,
+    /// Time from one sum to the next, in ms.
+    pub period_ms: u64,
+}
+
+impl<'a> SumHead<'a> {
+    /// Takes the head of a message of the daemon `relay`.
+    pub fn from(sum: &pb::ZoneSum, relay: &'a str) -> Self {
+        Self { relay, life: sum.life, daemons: sum.daemons, period_ms: sum.period_ms.into() }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Zone {
     relay: HeardRelay,
@@ -135,14 +157,13 @@
     pub fn apply_zone_sum(
         &mut self,
         zone: &Arc<str>,
-        relay: &str,
-        life: u64,
-        daemons: u32,
+        head: SumHead<'_>,
         (loads, works): (Loads, Works),
         now: u64,
     ) -> Option<bool> {
+        let SumHead { relay, life, daemons, period_ms } = head;
         let entry = self.zones.entry(zone.clone()).or_default();
-        let hearing = entry.relay.hear(relay, life, now);
+        let hearing = entry.relay.hear(relay, life, period_ms, now);
         if hearing == Hearing::Ignore {
             return None;
         }
@@ -150,6 +171,7 @@
             entry.sum = Reported::default();
         }
         entry.daemons = daemons;
+        entry.sum.period_ms = period_ms;
         entry.sum.apply(loads, works, now);
         Some(hearing == Hearing::Same)
     }
--- a/goldcrestward/src/process/exchange/fleet_table_test.rs
+++ b/goldcrestward/src/process/exchange/fleet_table_test.rs
@@ -4,7 +4,13 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
 
-use super::{super::changed_rows::ChangedRows, FleetTable, Loads, Works};
+use super::{
+    super::{
+        changed_rows::ChangedRows,
+        timing::{exchange_interval, other_region_stride},
+    },
+    FleetTable, Loads, SumHead, Works,
+};
 use crate::process::loads::PeerLoad;
 
 fn loads(rows: &[(u64, u32)]) -> Loads {
@@ -15,6 +21,10 @@
     BTreeMap::from([(Arc::from("pool"), ms)])
 }
 
+fn head(relay: &str, daemons: u32) -> SumHead<'_> {
+    SumHead { relay, life: 1, daemons, period_ms: 200 }
+}
+
 fn name(n: usize) -> Arc<str> {
     format!("daemon-{n}").into()
 }
@@ -57,7 +67,7 @@
     let mut table = FleetTable::default();
     table.apply_report(&name(1), 1, loads(&[(7, 2), (8, 1)]), works(0.0), false, 0);
     table.apply_report(&name(2), 1, loads(&[(7, 3)]), works(0.0), false, 0);
-    table.apply_zone_sum(&"other".into(), "far-1", 1, 4, (loads(&[(7, 4), (9, 5)]), works(0.0)), 0);
+    table.apply_zone_sum(&"other".into(), head("far-1", 4), (loads(&[(7, 4), (9, 5)]), works(0.0)), 0);
     let all = table.all_loads(100);
     assert_eq!(table.without_member(&all, "daemon-1", 100), loads(&[(7, 7), (9, 5)]));
     assert_eq!(table.without_member(&all, "daemon-2", 100), loads(&[(7, 6), (8, 1), (9, 5)]));
@@ -82,12 +92,31 @@
     let zone: Arc<str> = "other".into();
     let mut table = FleetTable::default();
     let figures = |running, ms| (loads(&[(7, running)]), works(ms));
-    assert_eq!(table.apply_zone_sum(&zone, "far-1", 1, 4, figures(4, 100.0), 0), Some(false));
-    assert_eq!(table.apply_zone_sum(&zone, "far-1", 1, 4, figures(5, 110.0), 200), Some(true));
+    assert_eq!(table.apply_zone_sum(&zone, head("far-1", 4), figures(4, 100.0), 0), Some(false));
+    assert_eq!(table.apply_zone_sum(&zone, head("far-1", 4), figures(5, 110.0), 200), Some(true));
     // The relay has stopped and another one, which knows other totals, speaks for the zone.
-    assert_eq!(table.apply_zone_sum(&zone, "far-2", 1, 3, figures(2, 40.0), 1_200), Some(false));
+    assert_eq!(table.apply_zone_sum(&zone, head("far-2", 3), figures(2, 40.0), 1_200), Some(false));
     assert_eq!(table.all_loads(1_300), loads(&[(7, 2)]), "both relays' sums must not add up");
-    assert_eq!(table.apply_zone_sum(&zone, "far-2", 1, 3, figures(3, 45.0), 1_400), Some(true));
+    assert_eq!(table.apply_zone_sum(&zone, head("far-2", 3), figures(3, 45.0), 1_400), Some(true));
+}
+
+/// Guards against sums of far zones that are taken for those of a new relay, so that what the zones use is never charged.
+#[test]
+fn zone_sums_continue_after_one_was_lost() {
+    let zone: Arc<str> = "far".into();
+    for (zones, members) in [(3, 3), (6, 33), (33, 22)] {
+        let period_ms = exchange_interval(members).as_millis() as u64 * u64::from(other_region_stride(zones));
+        let mut table = FleetTable::default();
+        let head = SumHead { period_ms, ..head("far-1", 4) };
+        let mut apply = |now| table.apply_zone_sum(&zone, head, (loads(&[(7, 4)]), works(0.0)), now);
+        assert_eq!(apply(0), Some(false));
+        for (number, now) in [1, 2, 4, 5, 7].map(|number| (number, number * period_ms)) {
+            assert_eq!(apply(now), Some(true), "{zones} zones: sum {number} after {period_ms} ms each");
+        }
+        let reach = table.reach(8, 9 * period_ms);
+        assert!(reach.zones.iter().all(|(_, _, is_heard)| *is_heard), "{zones} zones: silent after one lost sum");
+        assert_eq!(table.all_loads(9 * period_ms), loads(&[(7, 4)]), "{zones} zones: expired after one lost sum");
+    }
 }
 
 #[test]
@@ -97,7 +126,7 @@
     for n in 0..3 {
         table.apply_report(&name(n), 1, loads(&[]), works(0.0), false, 0);
     }
-    table.apply_zone_sum(&zone, "far-1", 1, 4, Default::default(), 0);
+    table.apply_zone_sum(&zone, head("far-1", 4), Default::default(), 0);
     let reach = table.reach(7, 100);
     assert_eq!((reach.own, reach.total, reach.zones), (3, 7, vec![(zone.clone(), 4, true)]));
     // One daemon and the other zone go silent; the membership counts them out before they are forgotten.
@@ -146,7 +175,7 @@
     let zones: [Arc<str>; 2] = ["one".into(), "two".into()];
     let mut table = FleetTable::default();
     for zone in &zones {
-        table.apply_zone_sum(zone, "far", 1, u32::MAX, (loads(&[(7, u32::MAX)]), works(f64::MAX)), 0);
+        table.apply_zone_sum(zone, head("far", u32::MAX), (loads(&[(7, u32::MAX)]), works(f64::MAX)), 0);
     }
     table.apply_report(&name(1), u64::MAX, loads(&[(7, u32::MAX)]), works(f64::MAX), false, 0);
     assert_eq!(table.all_loads(0), loads(&[(7, u32::MAX)]));
--- a/goldcrestward/src/process/exchange/heard_relay.rs
+++ b/goldcrestward/src/process/exchange/heard_relay.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::timing::RELAY_TIMEOUT_MS;
+use super::timing::relay_timeout_ms;
 use crate::util::stable_hash;
 
 /// Score that ranks the daemons of an availability zone as its relays; the highest speaks.
@@ -26,11 +26,13 @@
 pub(crate) struct HeardRelay {
     current: Option<(Arc<str>, u64)>,
     heard_at: u64,
+    /// Time from one of its messages to the next, if that is long.
+    period_ms: u64,
 }
 
 impl HeardRelay {
-    /// Records a message of the relay `name`, whose process started at `life`.
-    pub fn hear(&mut self, name: &str, life: u64, now: u64) -> Hearing {
+    /// Records a message of the relay `name`, whose process started at `life`, and which speaks every `period_ms`.
+    pub fn hear(&mut self, name: &str, life: u64, period_ms: u64, now: u64) -> Hearing {
         let same = self.current.as_ref().is_some_and(|(current, of)| **current == *name && *of == life);
         let yields = self.current.as_ref().is_none_or(|(current, _)| {
             **current == *name || relay_score(name) > relay_score(current) || self.is_silent(now)
@@ -40,6 +42,7 @@
         }
         let resumed = same && self.is_silent(now);
         self.heard_at = now;
+        self.period_ms = period_ms;
         if same && !resumed {
             return Hearing::Same;
         }
@@ -63,7 +66,7 @@
     }
 
     fn is_silent(&self, now: u64) -> bool {
-        self.age(now) > RELAY_TIMEOUT_MS
+        self.age(now) > relay_timeout_ms(self.period_ms)
     }
 }
 
--- a/goldcrestward/src/process/exchange/heard_relay_test.rs
+++ b/goldcrestward/src/process/exchange/heard_relay_test.rs
@@ -11,14 +11,14 @@
 fn hear_prefers_the_higher_rank_and_falls_back_after_silence() {
     let (high, low) = ranked();
     let mut heard = HeardRelay::default();
-    assert_eq!(heard.hear(low, 1, 0), Hearing::Changed);
-    assert_eq!(heard.hear(low, 1, 200), Hearing::Same);
-    assert_eq!(heard.hear(high, 1, 300), Hearing::Changed);
-    assert_eq!(heard.hear(low, 1, 400), Hearing::Ignore);
-    assert_eq!(heard.hear(low, 1, 1_100), Hearing::Changed, "the higher ranked one is silent");
-    assert_eq!(heard.hear(high, 1, 1_200), Hearing::Changed);
-    assert_eq!(heard.hear(high, 2, 1_300), Hearing::Changed, "a restarted relay has new totals");
-    assert_eq!(heard.hear(high, 2, 2_300), Hearing::Changed, "totals after a gap may include what another told");
+    assert_eq!(heard.hear(low, 1, 0, 0), Hearing::Changed);
+    assert_eq!(heard.hear(low, 1, 0, 200), Hearing::Same);
+    assert_eq!(heard.hear(high, 1, 0, 300), Hearing::Changed);
+    assert_eq!(heard.hear(low, 1, 0, 400), Hearing::Ignore);
+    assert_eq!(heard.hear(low, 1, 0, 1_100), Hearing::Changed, "the higher ranked one is silent");
+    assert_eq!(heard.hear(high, 1, 0, 1_200), Hearing::Changed);
+    assert_eq!(heard.hear(high, 2, 0, 1_300), Hearing::Changed, "a restarted relay has new totals");
+    assert_eq!(heard.hear(high, 2, 0, 2_300), Hearing::Changed, "totals after a gap may include what another told");
     assert_eq!(heard.name(2_400).map(|name| &**name), Some(high));
     assert_eq!(heard.name(4_000), None);
 }
@@ -27,9 +27,9 @@
 fn forget_lets_a_lower_rank_speak_at_once() {
     let (high, low) = ranked();
     let mut heard = HeardRelay::default();
-    assert_eq!(heard.hear(high, 1, 0), Hearing::Changed);
+    assert_eq!(heard.hear(high, 1, 0, 0), Hearing::Changed);
     assert!(!heard.forget(low));
-    assert_eq!(heard.hear(low, 1, 100), Hearing::Ignore);
+    assert_eq!(heard.hear(low, 1, 0, 100), Hearing::Ignore);
     assert!(heard.forget(high));
-    assert_eq!(heard.hear(low, 1, 150), Hearing::Changed);
+    assert_eq!(heard.hear(low, 1, 0, 150), Hearing::Changed);
 }
--- a/goldcrestward/src/process/exchange/mod.rs
+++ b/goldcrestward/src/process/exchange/mod.rs
@@ -16,9 +16,9 @@
 mod usage_fetch;
 
 pub(crate) use changed_rows::RowValue;
-#[cfg(test)]
-pub(crate) use fleet_table::FleetTable;
 pub(crate) use fleet_table::Reach;
+#[cfg(test)]
+pub(crate) use fleet_table::{FleetTable, SumHead};
 pub(crate) use run::Exchange;
 pub(crate) use timing::{REPORT_TIMEOUT_MS, SILENCE_MS};
 pub(crate) use usage_fetch::fetch_usage;
--- a/goldcrestward/src/process/exchange/rows_test.rs
+++ b/goldcrestward/src/process/exchange/rows_test.rs
@@ -28,6 +28,7 @@
         holds_duties: true,
     };
     let sum = pb::ZoneSum {
+        period_ms: u32::MAX,
         life,
         zone: NAME.into(),
         daemons: 300,
--- a/goldcrestward/src/process/exchange/run.rs
+++ b/goldcrestward/src/process/exchange/run.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::{
-    fleet_table::{FleetTable, Loads, Reach},
+    fleet_table::{FleetTable, Loads, Reach, SumHead},
     heard_relay::{HeardRelay, Hearing, relay_score},
     relay_role::{RELAYS, RelayRole},
     relays::{Recipient, Relays},
@@ -251,7 +251,7 @@
         let (continues, reach, is_speaking) = {
             let mut state = self.state.lock();
             let figures = (loads_from(&sum.loads), works.clone());
-            let hearing = state.table.apply_zone_sum(&zone, from, sum.life, sum.daemons, figures, now);
+            let hearing = state.table.apply_zone_sum(&zone, SumHead::from(sum, from), figures, now);
             let Some(continues) = hearing else { return };
             (continues, state.table.reach(gateway.shared.daemon_count(), now), state.role.is_speaking())
         };
@@ -283,7 +283,7 @@
             if state.role.is_speaking() && !is_superior {
                 return;
             }
-            let hearing = state.heard.hear(from, summary.life, now);
+            let hearing = state.heard.hear(from, summary.life, 0, now);
             if hearing == Hearing::Ignore {
                 return;
             }
@@ -440,6 +440,7 @@
         let zone_loads = table.zone_loads(now);
         let zone_works: BTreeMap<_, _> = zone_works.into_iter().map(|(pool, ms)| ((Arc::from(""), pool), ms)).collect();
         let stride = other_region_stride(relays.others.len() + 1);
+        let round_ms = exchange_interval(relays.members.len()).as_millis() as u32;
         for (is_near, recipients) in relays.others.values() {
             if !is_near && !rounds.is_multiple_of(stride) {
                 continue;
@@ -452,6 +453,7 @@
                     life: shared.epoch,
                     zone: shared.settings.zone.to_string(),
                     daemons: reach.own,
+                    period_ms: if *is_near { round_ms } else { round_ms * stride },
                     unix_ms: unix_ms(),
                     clock_differences,
                     loads: load_rows(sent.loads.take(&zone_loads, MAX_LOADS, now)),
--- a/goldcrestward/src/process/exchange/timing.rs
+++ b/goldcrestward/src/process/exchange/timing.rs
@@ -20,6 +20,28 @@
 /// Time without a report after which a daemon's or zone's figures no longer count.
 pub(crate) const REPORT_TIMEOUT_MS: u64 = 2_500;
 
+/// Longest time from one sum of another zone to the next that is believed.
+const MAX_PERIOD_MS: u64 = 5_000;
+
+/// Time without a message after which a relay that speaks every `period_ms` is taken to have failed: one message may be lost, and the next late.
+pub(crate) fn relay_timeout_ms(period_ms: u64) -> u64 {
+    allow_for_loss(RELAY_TIMEOUT_MS, period_ms)
+}
+
+/// Time without a message after which the part of a zone whose relay speaks every `period_ms` is reserved for it.
+pub(crate) fn silence_ms(period_ms: u64) -> u64 {
+    allow_for_loss(SILENCE_MS, period_ms)
+}
+
+/// Time without a report after which the figures of a zone whose relay speaks every `period_ms` no longer count.
+pub(crate) fn report_timeout_ms(period_ms: u64) -> u64 {
+    REPORT_TIMEOUT_MS.max(4 * period_ms.min(MAX_PERIOD_MS))
+}
+
+fn allow_for_loss(timeout_ms: u64, period_ms: u64) -> u64 {
+    timeout_ms.max(period_ms.min(MAX_PERIOD_MS) * 5 / 2)
+}
+
 /// Interval at which the daemons of an availability zone with `members` daemons report, and its relay answers.
 pub(crate) fn exchange_interval(members: usize) -> Duration {
     let members = u32::try_from(members).unwrap_or(u32::MAX);
--- a/goldcrestward/src/process/exchange/timing_test.rs
+++ b/goldcrestward/src/process/exchange/timing_test.rs
@@ -1,6 +1,9 @@
 //! Tests of the intervals of the exchange.
 
-use super::{MAX_INTERVAL, RELAY_TIMEOUT_MS, REPORT_TIMEOUT_MS, exchange_interval, other_region_stride};
+use super::{
+    MAX_INTERVAL, RELAY_TIMEOUT_MS, REPORT_TIMEOUT_MS, exchange_interval, other_region_stride, relay_timeout_ms,
+    report_timeout_ms, silence_ms,
+};
 
 #[test]
 fn exchange_interval_bounds_rate_and_age() {
@@ -30,7 +33,12 @@
 fn timeouts_allow_for_one_lost_sum_of_another_region() {
     for (zones, members) in [(6, 33), (33, 22)] {
         let interval_ms = exchange_interval(members).as_millis() as u64;
-        let two_sums_ms = 2 * interval_ms * u64::from(other_region_stride(zones));
-        assert!(RELAY_TIMEOUT_MS > two_sums_ms, "{zones} zones: {two_sums_ms} ms from one sum to the next but one");
+        let period_ms = interval_ms * u64::from(other_region_stride(zones));
+        let two_sums_ms = 2 * period_ms;
+        let timeouts = [relay_timeout_ms(period_ms), silence_ms(period_ms), report_timeout_ms(period_ms)];
+        assert!(
+            timeouts.iter().all(|timeout| *timeout > two_sums_ms),
+            "{zones} zones: {timeouts:?}, two sums {two_sums_ms}"
+        );
     }
 }
--- a/goldcrestward/src/process/quota/ledger_test.rs
+++ b/goldcrestward/src/process/quota/ledger_test.rs
@@ -13,7 +13,7 @@
 };
 use crate::{
     config::{Quota, QuotaUnit},
-    process::exchange::{FleetTable, Reach},
+    process::exchange::{FleetTable, Reach, SumHead},
 };
 
 /// Interval of the exchange.
@@ -150,7 +150,12 @@
                         }
                         let (name, relay_name) = (self.zone_names[from].clone(), self.names[relay].clone());
                         let table = &mut self.relays[zone].table;
-                        table.apply_zone_sum(&name, &relay_name, 1, daemons, Default::default(), now);
+                        table.apply_zone_sum(
+                            &name,
+                            SumHead { relay: &relay_name, life: 1, daemons, period_ms: 0 },
+                            Default::default(),
+                            now,
+                        );
                         let reach = self.reach(zone, now);
                         if let Some(total) = &total {
                             let ledger = &mut self.relays[zone].ledger;
