A flood of accusations leaves room for the next prompt part

Found by reading. The parts with the fewest crashes are now forgotten first, the oldest of them. The test fails before.

--- a/goldcrestward/src/process/crash_evidence.rs
+++ b/goldcrestward/src/process/crash_evidence.rs
@@ -125,18 +125,14 @@
 
     /// Accuses a part of the crash of a replica's run at `crashed_ms`. The accusation expires at `until_ms`.
     pub fn accuse(&mut self, part: u64, run: u64, crashed_ms: u64, until_ms: u64, now: u64) {
-        if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&part) {
-            return;
-        }
+        self.make_room(part);
         let suspect = self.suspects.entry(part).or_default();
         suspect.crashes.entry(run).or_insert(Accusation { crashed_ms, learned_at: now, until_ms });
     }
 
     /// Voids the accusations of a part up to this agreed Unix time in ms.
     pub fn clear(&mut self, part: u64, until_ms: u64) {
-        if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&part) {
-            return;
-        }
+        self.make_room(part);
         let suspect = self.suspects.entry(part).or_default();
         suspect.cleared_until = suspect.cleared_until.max(until_ms);
     }
@@ -207,6 +203,20 @@
         condemned
     }
 
+    /// Forgets parts if there is no room for another: those with the fewest crashes, which were mostly accused by chance, and of these the oldest.
+    fn make_room(&mut self, part: u64) {
+        if self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(&part) {
+            return;
+        }
+        let latest = |suspect: &Suspect| suspect.valid_crashes().map(|(_, accusation)| accusation.learned_at).max();
+        let rank = |(part, suspect): (&u64, &Suspect)| (suspect.valid_crashes().count(), latest(suspect), *part);
+        let mut ranked: Vec<_> = self.suspects.iter().map(rank).collect();
+        ranked.sort_unstable();
+        for (.., part) in ranked.into_iter().take(MAX_SUSPECTS / 4) {
+            self.suspects.remove(&part);
+        }
+    }
+
     fn is_settled(&self, part: u64, now: u64) -> bool {
         let Some(suspect) = self.suspects.get(&part) else { return false };
         let first = suspect.valid_crashes().map(|(_, accusation)| accusation.learned_at).min();
--- a/goldcrestward/src/process/crash_evidence_test.rs
+++ b/goldcrestward/src/process/crash_evidence_test.rs
@@ -178,3 +178,18 @@
     assert!(daemon.evidence.suspects.len() <= super::MAX_SUSPECTS);
     assert!(daemon.evidence.answers.current.len() <= super::MAX_ANSWERED);
 }
+
+/// Guards against a loss of many replicas after which no new part can be accused.
+#[test]
+fn judge_deadly_part_is_found_after_a_flood_of_accusations() {
+    let mut daemon = Daemon::default();
+    for part in 0..3 * super::MAX_SUSPECTS as u64 {
+        daemon.crash(part % 300, &[1_000 + part]);
+    }
+    for run in 1_000..1_003 {
+        daemon.crash(run, &[DEADLY]);
+        daemon.pass(SETTLE_MS);
+        (0..100).for_each(|part| daemon.crash(run, &[900_000 + 100 * run + part]));
+    }
+    assert!(daemon.refuses(&[DEADLY]));
+}
