--- a/goldcrestward/src/process/admin.rs
+++ b/goldcrestward/src/process/admin.rs
@@ -20,7 +20,7 @@
 use super::{
     configure::{Change, Configurer, ProposalOutcome},
     crash_evidence::Condemned,
-    crash_watch::{clear_part, names},
+    crash_watch::{clear_part, part_names},
     membership::{FactKind, State},
     rollout::{read_records, record_prefix},
     shared::Shared,
@@ -272,7 +272,8 @@
         };
         let refused_parts: Vec<_> = {
             let evidence = self.shared.crash_evidence.lock();
-            let row = |condemned: &Condemned| json!({ "parts": names(&condemned.parts), "crashes": condemned.crashes });
+            let row =
+                |condemned: &Condemned| json!({ "parts": part_names(&condemned.parts), "crashes": condemned.crashes });
             evidence.condemned().iter().map(row).collect()
         };
         let body = json!({
--- a/goldcrestward/src/process/crash_watch.rs
+++ b/goldcrestward/src/process/crash_watch.rs
@@ -34,7 +34,7 @@
     };
     count("standing", accused.len());
     count("contradicted", parts.len() - accused.len());
-    let (accused_names, instance, all) = (names(&accused), &replica.id, parts.len());
+    let (accused_names, instance, all) = (part_names(&accused), &replica.id, parts.len());
     info!("event=parts-accused id={id} instance={instance} parts={accused_names} of={all}");
     for part in accused {
         let key = fact_key(part, run).into();
@@ -105,9 +105,9 @@
     };
     shared.metrics.condemned_parts.set(count as i64);
     for Condemned { parts, crashes } in &condemned {
-        let names = names(parts);
+        let parts = part_names(parts);
         warn!(
-            "event=parts-refused parts={names} crashes={crashes} reason=\"replicas crash when they begin to answer requests with them\""
+            "event=parts-refused parts={parts} crashes={crashes} reason=\"replicas crash when they begin to answer requests with them\""
         );
     }
 }
@@ -126,6 +126,6 @@
 }
 
 /// The parts as in the header of a request, separated by commas.
-pub(crate) fn names(parts: &[u64]) -> String {
+pub(crate) fn part_names(parts: &[u64]) -> String {
     parts.iter().map(|part| format!("{part:x}")).collect::<Vec<_>>().join(",")
 }
--- a/goldcrestward/src/process/gateway.rs
+++ b/goldcrestward/src/process/gateway.rs
@@ -108,9 +108,11 @@
         if stated == StatedLimit::Unlimited && replica.limit().per_second.is_none() {
             return;
         }
-        let changes = replica.apply_stated_limit(stated, sent_ms, self.shared.agreed_ms());
-        if changes {
-            info!("event=server-limit-named instance={} per_second={:?}", replica.id, replica.limit().per_second);
+        let before = replica.limit();
+        replica.apply_stated_limit(stated, sent_ms, self.shared.agreed_ms());
+        let after = replica.limit();
+        if after.is_news(&before) {
+            info!("event=rate-limit-named instance={} per_second={:?}", replica.id, after.per_second);
             publish_limit(&self.shared, replica);
         }
     }
--- a/goldcrestward/src/process/limit_facts.rs
+++ b/goldcrestward/src/process/limit_facts.rs
@@ -39,6 +39,6 @@
     shared.announce.notify_one();
     let Some(replica) = shared.replicas.all().into_iter().find(|replica| replica.run_hash() == run) else { return };
     if replica.learn_limit(per_second, fact.value) {
-        info!("event=server-limit-learned instance={} per_second={per_second:?}", replica.id);
+        info!("event=rate-limit-learned instance={} per_second={per_second:?}", replica.id);
     }
 }
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -41,7 +41,7 @@
 
 pub(crate) use admission_queue::Rank;
 pub(crate) use crash_evidence::Condemned;
-pub(crate) use crash_watch::{accuse_parts, names, record_answer};
+pub(crate) use crash_watch::{accuse_parts, part_names, record_answer};
 pub use daemon::{Daemon, DaemonCounts};
 pub use error::{Error, Result};
 pub(crate) use gateway::Gateway;
--- a/goldcrestward/src/process/named_limit.rs
+++ b/goldcrestward/src/process/named_limit.rs
@@ -2,6 +2,9 @@
 
 use crate::port::StatedLimit;
 
+/// Change of a limit, relative to it, from which other daemons are told.
+const NEWS_FRACTION: f64 = 0.1;
+
 /// The rate limit that a replica has named.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct NamedLimit {
@@ -38,6 +41,14 @@
 }
 
 impl NamedLimit {
+    /// Whether other daemons should be told of this limit, which was `before`. They learn small changes from their own answers.
+    pub fn is_news(&self, before: &Self) -> bool {
+        match (before.per_second, self.per_second) {
+            (Some(before), Some(rate)) => (rate - before).abs() > NEWS_FRACTION * before,
+            (before, rate) => before.is_some() != rate.is_some(),
+        }
+    }
+
     /// Applies what another daemon knows as of `named_ms`. Returns whether the limit changes.
     pub fn learn(&mut self, per_second: Option<f64>, named_ms: u64) -> bool {
         if named_ms <= self.named_ms {
--- a/goldcrestward/src/process/named_limit_test.rs
+++ b/goldcrestward/src/process/named_limit_test.rs
@@ -46,3 +46,19 @@
     assert!(limit.learn(None, 30));
     assert_eq!(limit, NamedLimit { per_second: None, named_ms: 30 });
 }
+
+#[test]
+fn is_news_for_named_withdrawn_and_large_changes() {
+    let limit = |per_second| NamedLimit { per_second, named_ms: 1 };
+    let cases = [
+        (None, None, false),
+        (None, Some(4.0), true),
+        (Some(4.0), None, true),
+        (Some(4.0), Some(4.2), false),
+        (Some(4.0), Some(3.0), true),
+        (Some(0.0), Some(0.5), true),
+    ];
+    for (before, after, expected) in cases {
+        assert_eq!(limit(after).is_news(&limit(before)), expected, "{before:?} to {after:?}");
+    }
+}
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -27,7 +27,7 @@
     config::{Account, Route, RouteKind},
     connection::{BackendConnection, SendError},
     port::{AttemptMetadata, MigratedKvCache, RequestMetadata},
-    process::{AttemptOutcome, Condemned, Gateway, ReplicaGuard, names, record_answer},
+    process::{AttemptOutcome, Condemned, Gateway, ReplicaGuard, part_names, record_answer},
     version::Sample,
 };
 
@@ -221,7 +221,7 @@
     fn crash_score(&self) -> Result<u64, Refusal> {
         let refused = self.gateway.shared.crash_evidence.lock().refusal(self.parts.iter().copied()).cloned();
         if let Some(Condemned { parts, crashes }) = refused {
-            let message = format!("prompt part {} has crashed {crashes} backend servers", names(&parts));
+            let message = format!("prompt part {} has crashed {crashes} backend servers", part_names(&parts));
             return Err(Refusal { run: self.run_state, ..Refusal::not_run(Reason::CrashesBackends, message) });
         }
         let view = self.gateway.shared.view.lock();
