--- a/goldcrestward/src/process/named_limit.rs
+++ b/goldcrestward/src/process/named_limit.rs
@@ -38,9 +38,7 @@
         }
         changes
     }
-}
 
-impl NamedLimit {
     /// Whether other daemons should be told of this limit, which was `before`. They learn small changes from their own answers.
     pub fn is_news(&self, before: &Self) -> bool {
         match (before.per_second, self.per_second) {
