A question that the relay did not answer long ago no longer lets a daemon use its own share

The time since when a relay is silent was kept until the next answer, also when nothing was asked for minutes; one lost question then let the daemon grant itself requests at once, beside the relay that grants the whole limit to the others.

--- a/goldcrestward/src/process/send_limits.rs
+++ b/goldcrestward/src/process/send_limits.rs
@@ -18,6 +18,8 @@
 const MIN_SHARE: f64 = 1e-4;
 /// Part of its share that an isolated daemon uses, as the requests of several by chance come together.
 const USED_SHARE: f64 = 0.6;
+/// Time without a question after which an unanswered one says nothing about the relay. A replica is not offered for 2 s at most.
+const FORGET_MS: u64 = 5_000;
 /// Time for which a replica is not offered after its relay has not answered.
 const SILENCE_WAIT: Duration = Duration::from_millis(60);
 /// Shortest time after which a refused request may ask again.
@@ -75,19 +77,19 @@
 #[derive(Debug)]
 pub(crate) struct IsolatedSends {
     limits: SendLimits,
-    /// Since when the relay of an availability zone has not answered.
-    unanswered_since: HashMap<Arc<str>, u64>,
+    /// When the relay of an availability zone first and last did not answer, since it last did.
+    unanswered: HashMap<Arc<str>, (u64, u64)>,
 }
 
 impl IsolatedSends {
     /// Creates empty buckets; see [`SendLimits::new`].
     pub fn new(seed: u64) -> Self {
-        Self { limits: SendLimits::new(seed), unanswered_since: HashMap::new() }
+        Self { limits: SendLimits::new(seed), unanswered: HashMap::new() }
     }
 
     /// Records that the relay that decides for the replicas of a zone has answered.
     pub fn record_answer(&mut self, zone: &str) {
-        self.unanswered_since.remove(zone);
+        self.unanswered.remove(zone);
     }
 
     /// Charges one request to this daemon's share of a limit, at a site with so many daemons. It has none until the relay has been silent
@@ -102,8 +104,12 @@
         daemons: usize,
         now: u64,
     ) -> Result<(), Duration> {
-        let since = *self.unanswered_since.entry(zone.clone()).or_insert(now);
-        if now.saturating_sub(since) < SILENCE_MS {
+        let (since, last) = self.unanswered.entry(zone.clone()).or_insert((now, now));
+        if now.saturating_sub(*last) >= FORGET_MS {
+            *since = now;
+        }
+        *last = now;
+        if now.saturating_sub(*since) < SILENCE_MS {
             return Err(SILENCE_WAIT);
         }
         self.limits.charge(run, per_second, USED_SHARE / daemons.max(1) as f64, now)
--- a/goldcrestward/src/process/send_limits_test.rs
+++ b/goldcrestward/src/process/send_limits_test.rs
@@ -156,3 +156,17 @@
     assert!((19..=23).contains(&count(10_000, 2.0)));
     assert!((99..=106).contains(&count(20_000, 10.0)));
 }
+
+/// Guards against a daemon that uses a share of its own beside the relay, as an answer was lost long before.
+#[test]
+fn charge_after_an_earlier_loss_waits_for_the_relay_again() {
+    let (zone, mut daemon) = (Arc::from("zone"), IsolatedSends::new(1));
+    assert!(daemon.charge(&zone, (RUN, 20.0), 1, 0).is_err());
+    let late = 60_000;
+    let granted =
+        (late..late + SILENCE_MS).step_by(50).filter(|now| daemon.charge(&zone, (RUN, 20.0), 1, *now).is_ok());
+    assert_eq!(granted.count(), 0, "the relay was not silent for long");
+    let granted =
+        (late + SILENCE_MS..late + 5_000).step_by(50).filter(|now| daemon.charge(&zone, (RUN, 20.0), 1, *now).is_ok());
+    assert!(granted.count() > 0, "the relay was silent for long");
+}
