Facts of other daemons that cannot be read are logged

Facts on prompt parts and rate limits with a malformed key or limit were dropped without a line. Found by reading the diff; a line fact-refused now names kind, key and note.

--- a/goldcrestward/src/process/crash_watch.rs
+++ b/goldcrestward/src/process/crash_watch.rs
@@ -66,7 +66,7 @@
     match fact.kind {
         FactKind::PartCrash => learn_accusation(shared, fact),
         FactKind::PartAnswered => {
-            let Ok(part) = u64::from_str_radix(&fact.key, 16) else { return };
+            let Ok(part) = u64::from_str_radix(&fact.key, 16) else { return reject_fact(fact) };
             shared.crash_evidence.lock().clear(part, fact.value);
             info!("event=part-cleared part={part:x} until={} reason={:?}", fact.value, fact.note);
             shared.announce.notify_one();
@@ -79,7 +79,7 @@
 fn learn_accusation(shared: &Shared, fact: &Fact) {
     let hex = |text| u64::from_str_radix(text, 16).ok();
     let Some((part, run)) = fact.key.split_once('/').and_then(|(part, run)| Some((hex(part)?, hex(run)?))) else {
-        return;
+        return reject_fact(fact);
     };
     let contradiction = {
         let mut evidence = shared.crash_evidence.lock();
@@ -112,6 +112,11 @@
     }
 }
 
+/// Logs a fact of another daemon that cannot be read and is not applied.
+pub(super) fn reject_fact(fact: &Fact) {
+    warn!("event=fact-refused kind={:?} key={:?} note={:?}", fact.kind, fact.key, fact.note);
+}
+
 fn publish_clear(shared: &Shared, part: u64, until: u64, reason: &str) {
     shared.crash_evidence.lock().clear(part, until);
     info!("event=part-cleared part={part:x} until={until} reason={reason:?}");
--- a/goldcrestward/src/process/limit_facts.rs
+++ b/goldcrestward/src/process/limit_facts.rs
@@ -3,6 +3,7 @@
 use log::info;
 
 use super::{
+    crash_watch::reject_fact,
     membership::{Fact, FactKind},
     replicas::Replica,
     shared::Shared,
@@ -33,9 +34,9 @@
 pub(crate) fn learn_limit_fact(shared: &Shared, fact: &Fact) {
     let per_second = fact.note.parse::<f64>().ok().filter(|rate| rate.is_finite() && *rate >= 0.0);
     if per_second.is_none() && *fact.note != *NONE {
-        return;
+        return reject_fact(fact);
     }
-    let Ok(run) = u64::from_str_radix(&fact.key, 16) else { return };
+    let Ok(run) = u64::from_str_radix(&fact.key, 16) else { return reject_fact(fact) };
     shared.announce.notify_one();
     let Some(replica) = shared.replicas.all().into_iter().find(|replica| replica.run_hash() == run) else { return };
     if replica.learn_limit(per_second, fact.value) {
