--- a/goldcrestward/src/ledger/owner_test.rs
+++ b/goldcrestward/src/ledger/owner_test.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use prometheus::{IntCounterVec, Opts};
+use prometheus::{IntCounter, IntCounterVec, Opts};
 
 use super::{Claim, Ledger, Settlement, ledger_key};
 use crate::{
@@ -15,7 +15,8 @@
     let counter =
         || IntCounterVec::new(Opts::new("calls", "calls"), &["call", "purpose", "result"]).expect("a counter");
     let commits = IntCounterVec::new(Opts::new("commits", "commits"), &["result"]).expect("a counter");
-    let kv = Kv::new(Arc::new(MemoryStore::default()), counter());
+    let restores = IntCounter::new("restores", "restores").expect("a counter");
+    let kv = Kv::new(Arc::new(MemoryStore::default()), counter(), restores);
     let peer_client = PeerClient::new(Secrets::new(&["secret".to_owned()]));
     Ledger::start("site", "daemon", &kv, peer_client, Arc::new(|_| None), &commits)
 }
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -213,7 +213,7 @@
     let secrets = Secrets::new(&settings.secrets);
     let peer_client = PeerClient::new(secrets.clone());
     let store = store.unwrap_or_else(|| Arc::new(Etcd::new(settings.platform, client.clone())));
-    let kv = Kv::new(store, metrics.kv_calls.clone());
+    let kv = Kv::new(store, metrics.kv_calls.clone(), metrics.store_restores.clone());
     let epoch = unix_ms();
     let local = Member {
         name: settings.name.clone(),
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -39,6 +39,8 @@
     pub in_flight: IntGauge,
     /// Calls to the key-value store, by kind, purpose and result.
     pub kv_calls: IntCounterVec,
+    /// Restores of the key-value store from a copy that this daemon has noticed.
+    pub store_restores: IntCounter,
     /// Commits of the ledger, by result.
     pub ledger_commits: IntCounterVec,
     /// Answers of the ledger to claims, by kind of grant.
@@ -101,6 +103,10 @@
                 "calls to the key-value service",
                 &["kind", "purpose", "result"],
             )?,
+            store_restores: factory.counter(
+                "store_restores_total",
+                "restores of the key-value service from a copy that this daemon has noticed",
+            )?,
             ledger_commits: factory.counters("ledger_commits_total", "commits of the ledger by result", &["result"])?,
             ledger_grants: factory.counters("ledger_grants_total", "answers to claims by kind", &["grant"])?,
             peer_messages: factory.counters(
--- a/goldcrestward/src/process/site_state.rs
+++ b/goldcrestward/src/process/site_state.rs
@@ -78,14 +78,21 @@
         let (rows, revision) = self.shared.kv.list(Purpose::Site, self.catalog.prefix(), 0).await?;
         let rows = rows.into_iter().filter(|row| self.is_relevant(&row.key));
         let listing = pb::ConfigDelta { revision, files: rows.filter_map(row_to_file).collect(), whole: true };
+        let known = self.shared.config.lock().revision();
+        let files = listing.files.len();
         if self.shared.config.lock().replace(listing) {
             self.notify_changed("listing");
         }
+        info!("event=state-listed revision={revision} files={files} known={known}");
         let mut watch = self.shared.kv.watch(Purpose::Site, self.catalog.prefix(), revision).await?;
         loop {
             let Changes { changes, revision } = watch.next().await?;
             let files = changes.into_iter().filter_map(|change| self.changed_file(change)).collect::<Vec<_>>();
             let any = !files.is_empty();
+            let known = self.shared.config.lock().revision();
+            if any && revision < known {
+                warn!("event=changes-dropped revision={revision} files={} known={known}", files.len());
+            }
             let newer = self.shared.config.lock().merge(pb::ConfigDelta { revision, files, whole: false });
             if newer && any {
                 self.notify_changed("watch");
--- a/goldcrestward/src/store/client.rs
+++ b/goldcrestward/src/store/client.rs
@@ -7,12 +7,13 @@
 
 use futures_util::future::BoxFuture;
 use log::{info, warn};
-use prometheus::IntCounterVec;
-use tokio::time::timeout;
+use prometheus::{IntCounter, IntCounterVec};
+use tokio::{sync::watch, time::timeout};
 
 use super::{
     breaker::CircuitBreaker,
     error::{BudgetSnafu, Error, Result, UnansweredSnafu},
+    history::History,
     port::{Lease, Row, StorePort, Txn, TxnOutcome, WatchPort},
 };
 
@@ -60,13 +61,27 @@
 pub(crate) struct Kv {
     port: Arc<dyn StorePort>,
     calls: IntCounterVec,
+    restores: IntCounter,
     breaker: Arc<CircuitBreaker>,
+    history: Arc<watch::Sender<History>>,
 }
 
 impl Kv {
-    /// Creates a client over `port`; `calls` counts by kind, purpose and result.
-    pub fn new(port: Arc<dyn StorePort>, calls: IntCounterVec) -> Self {
-        Self { port, calls, breaker: Arc::new(CircuitBreaker::new(MAX_PAUSE_MS)) }
+    /// Creates a client over `port`; `calls` counts by kind, purpose and result, `restores` counts noticed restores.
+    pub fn new(port: Arc<dyn StorePort>, calls: IntCounterVec, restores: IntCounter) -> Self {
+        let breaker = Arc::new(CircuitBreaker::new(MAX_PAUSE_MS));
+        Self { port, calls, restores, breaker, history: Arc::new(watch::Sender::new(History::unknown())) }
+    }
+
+    /// Enters the history that the service's answers tell of.
+    fn follow_history(&self, source: &str) {
+        let number = self.port.history();
+        let before = self.history.borrow().number;
+        let is_later = self.history.send_if_modified(|history| history.enter(number));
+        if let Some(before) = before.filter(|_| is_later) {
+            self.restores.inc();
+            warn!("event=store-restored history={number} before={before} source={source}");
+        }
     }
 
     /// Whether calls pause now because of repeated failures.
@@ -141,6 +156,7 @@
             return BudgetSnafu { purpose: purpose.label() }.fail();
         }
         let result = with_timeout(call).await;
+        self.follow_history(purpose.label());
         let failed = matches!(&result, Err(Error::Unreached { .. } | Error::Unanswered { .. }));
         let label = if failed { "failed" } else { "answered" };
         self.calls.with_label_values(&[kind, purpose.label(), label]).inc();
--- /dev/null
+++ b/goldcrestward/src/store/history.rs
@@ -0,0 +1,24 @@
+//! The history of the key-value service that is in force.
+
+/// A history ends when the service is restored from a copy: what was written after the copy was made is lost, and
+/// revisions are given out again.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct History {
+    /// Rises with each restore; `None` before the first answer.
+    pub number: Option<u64>,
+}
+
+impl History {
+    pub fn unknown() -> Self {
+        Self { number: None }
+    }
+
+    /// Enters a later history; returns whether it is later. Earlier ones are ignored, as their answers were delayed.
+    pub fn enter(&mut self, number: u64) -> bool {
+        if self.number.is_some_and(|known| number <= known) {
+            return false;
+        }
+        *self = Self { number: Some(number) };
+        true
+    }
+}
--- a/goldcrestward/src/store/mod.rs
+++ b/goldcrestward/src/store/mod.rs
@@ -3,6 +3,7 @@
 mod breaker;
 mod client;
 mod error;
+mod history;
 mod port;
 
 pub(crate) use client::{Kv, Purpose};
--- a/goldcrestward/src/store/port.rs
+++ b/goldcrestward/src/store/port.rs
@@ -89,6 +89,12 @@
 
 /// A key-value service with revisions, watches and leases.
 pub trait StorePort: Send + Sync {
+    /// Number of the store's history, as far as its answers tell. It rises when the store is restored from a copy, whose
+    /// revisions are lower than those before. Always 0 if the protocol does not tell.
+    fn history(&self) -> u64 {
+        0
+    }
+
     /// Reads one key.
     fn get<'a>(&'a self, purpose: &'static str, key: &'a str) -> BoxFuture<'a, Result<Option<Row>>>;
 
