--- a/goldcrestward/src/config/replica.rs
+++ b/goldcrestward/src/config/replica.rs
@@ -12,87 +12,207 @@
     document::Document,
     merge::{Merged, merge},
 };
-use crate::pb;
+use crate::{
+    pb::{self, FileOrigin},
+    store::Revision,
+};
 
 /// Most removal markers kept; once there are more, only the newest half of this number is kept.
 const MAX_REMOVED_FILES: usize = 4096;
 
+/// Whether a text of a file is older than another one, by what the texts themselves say: file name, text, other text.
+pub(crate) type Precedence = Arc<dyn Fn(&str, &str, &str) -> bool + Send + Sync>;
+
 struct File {
-    revision: u64,
+    revision: Revision,
     text: Option<Arc<str>>,
+    origin: FileOrigin,
+    /// Revision at which the content was first seen; earlier than `revision` if it is known from before a restore.
+    first_seen: Revision,
+    /// Content before a restore that lost the file, and when it was first seen.
+    lost: Option<(Arc<str>, Revision)>,
+    /// Number of the change of this replica that set the file.
+    change: u64,
     document: OnceLock<Arc<Document>>,
 }
 
 impl File {
-    fn new(revision: u64, text: Option<Arc<str>>) -> Self {
-        Self { revision, text, document: OnceLock::new() }
+    fn new(revision: Revision, text: Option<Arc<str>>) -> Self {
+        Self {
+            revision,
+            text,
+            origin: FileOrigin::Written,
+            first_seen: revision,
+            lost: None,
+            change: 0,
+            document: OnceLock::new(),
+        }
+    }
+
+    fn from_message(message: pb::ConfigFile) -> (Arc<str>, Self) {
+        let (origin, first_seen) = (message.origin(), Revision::from_ordinal(message.first_seen));
+        let mut file = Self::new(Revision::from_ordinal(message.revision), message.text.map(Into::into));
+        file.origin = origin;
+        if !first_seen.is_none() {
+            file.first_seen = first_seen;
+        }
+        (message.name.into(), file)
+    }
+
+    fn to_message(&self, name: &str) -> pb::ConfigFile {
+        let is_older = self.first_seen != self.revision;
+        pb::ConfigFile {
+            name: name.to_owned(),
+            revision: self.revision.ordinal(),
+            text: self.text.as_ref().map(ToString::to_string),
+            origin: self.origin.into(),
+            first_seen: if is_older { self.first_seen.ordinal() } else { 0 },
+        }
+    }
+
+    /// The content that is in force or was lost in a restore, and when it was first seen.
+    fn last_content(&self) -> Option<(Arc<str>, Revision)> {
+        self.text.clone().map(|text| (text, self.first_seen)).or_else(|| self.lost.clone())
     }
 }
 
 /// Files with the revision at which each was set or removed.
 ///
 /// A removed file is kept for a time as a removal marker, an entry without text, so that deltas include the removal.
+/// When the store is restored from a copy, its revisions belong to a new history. A listing of that history replaces the
+/// files, but content that is newer by its own account is kept, and what was there before is remembered.
 #[derive(Default)]
 pub(crate) struct ConfigReplica {
-    revision: u64,
+    revision: Revision,
     /// Revision from which on all removals are known. A listing does not show files removed before it began.
-    complete_from: u64,
+    complete_from: Revision,
     files: BTreeMap<Arc<str>, File>,
+    /// Number of changes of files so far.
+    changes: u64,
+    precedence: Option<Precedence>,
 }
 
 impl ConfigReplica {
     /// Highest revision merged so far.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
+    /// Sets how texts of a file are compared that say themselves which is newer.
+    pub fn set_precedence(&mut self, precedence: Precedence) {
+        self.precedence = Some(precedence);
+    }
+
     /// Merges a delta, or applies a whole listing. Returns false if its revision is not newer.
     ///
     /// A delta holds every file changed after the revision from which it was requested, so
     /// it must be requested from this replica's revision or an earlier one.
     pub fn merge(&mut self, delta: pb::ConfigDelta) -> bool {
-        if delta.revision <= self.revision {
+        let revision = Revision::from_ordinal(delta.revision);
+        // Removals and files from before a restore may be missing in a delta, so only a whole listing leads into the
+        // new history.
+        let is_later_history = !self.revision.is_none() && revision.history() != self.revision.history();
+        if revision <= self.revision || (is_later_history && !delta.whole) {
             return false;
         }
         if delta.whole {
             return self.replace(delta);
         }
-        for file in delta.files {
-            self.set(file.name.into(), file.revision, file.text.map(Into::into));
-        }
-        self.revision = delta.revision;
+        self.set_all(delta.files);
+        self.revision = revision;
         self.prune();
         true
     }
 
     /// Applies a whole listing that began at its revision: files up to that revision that it lacks are removed.
     pub fn replace(&mut self, listing: pb::ConfigDelta) -> bool {
-        if listing.revision <= self.revision {
+        let revision = Revision::from_ordinal(listing.revision);
+        if revision <= self.revision {
             return false;
         }
-        self.complete_from = listing.revision;
+        self.complete_from = revision;
         let listed: std::collections::BTreeSet<&str> = listing.files.iter().map(|file| file.name.as_str()).collect();
         let removed_name = |(name, file): (&Arc<str>, &File)| {
-            let older = file.revision <= listing.revision;
+            let older = file.revision <= revision;
             (file.text.is_some() && older && !listed.contains(&**name)).then(|| name.clone())
         };
         let removed: Vec<_> = self.files.iter().filter_map(removed_name).collect();
         for name in removed {
             // The file may be newer here than the listing says it was removed.
-            self.files.insert(name, File::new(listing.revision, None));
+            let mut marker = File::new(revision, None);
+            let before = self.files.get(&name).filter(|file| file.revision.history() < revision.history());
+            if let Some(before) = before {
+                marker.origin = FileOrigin::Lost;
+                marker.lost = before.last_content();
+            }
+            self.insert(name, marker);
+        }
+        self.set_all(listing.files);
+        self.revision = revision;
+        self.prune();
+        true
+    }
+
+    /// Adopts content that another replica knows from before a restore, for files that this one has only from the copy.
+    /// Returns whether there was any.
+    pub fn adopt_kept(&mut self, delta: pb::ConfigDelta) -> bool {
+        let before = self.changes;
+        for (name, file) in delta.files.into_iter().map(File::from_message) {
+            let own = self.files.get(&name);
+            let is_same_entry = own.is_some_and(|own| own.revision == file.revision && own.text.is_some());
+            let knows_less =
+                own.is_some_and(|own| own.origin == FileOrigin::Written && own.first_seen > file.first_seen);
+            if file.origin == FileOrigin::Kept && file.text.is_some() && is_same_entry && knows_less {
+                self.insert(name, file);
+            }
         }
-        self.merge(pb::ConfigDelta { whole: false, ..listing })
+        self.changes > before
     }
 
-    fn set(&mut self, name: Arc<str>, revision: u64, text: Option<Arc<str>>) {
-        if self.files.get(&name).is_none_or(|old| old.revision < revision) {
-            self.files.insert(name, File::new(revision, text));
+    fn set_all(&mut self, files: Vec<pb::ConfigFile>) {
+        for (name, file) in files.into_iter().map(File::from_message) {
+            let file = match self.files.get(&name) {
+                Some(old) if old.revision >= file.revision => continue,
+                Some(old) => self.with_earlier_content(&name, old, file),
+                None => file,
+            };
+            self.insert(name, file);
         }
     }
 
+    /// Compares a file with what was known of it: content that is newer by its own account is kept, and content from
+    /// before a restore is recognized.
+    fn with_earlier_content(&self, name: &str, old: &File, mut file: File) -> File {
+        let Some(text) = file.text.clone() else {
+            file.lost = old.last_content().filter(|_| file.origin == FileOrigin::Lost);
+            return file;
+        };
+        let is_restored = old.revision.history() < file.revision.history();
+        let Some((known, first_seen)) = old.last_content() else {
+            if is_restored {
+                file.origin = FileOrigin::Reappeared;
+            }
+            return file;
+        };
+        let is_outdated = self.precedence.as_ref().is_some_and(|is_older| is_older(name, &text, &known));
+        let is_same = text == known && (is_restored || old.origin == FileOrigin::Lost);
+        if is_outdated || is_same {
+            file.text = Some(known);
+            file.origin = FileOrigin::Kept;
+            file.first_seen = first_seen;
+        }
+        file
+    }
+
+    fn insert(&mut self, name: Arc<str>, mut file: File) {
+        self.changes += 1;
+        file.change = self.changes;
+        self.files.insert(name, file);
+    }
+
     /// Drops the oldest removal markers once there are too many.
     fn prune(&mut self) {
-        let mut removed: Vec<u64> = self.files.values().filter(|f| f.text.is_none()).map(|f| f.revision).collect();
+        let mut removed: Vec<Revision> = self.files.values().filter(|f| f.text.is_none()).map(|f| f.revision).collect();
         if removed.len() <= MAX_REMOVED_FILES {
             return;
         }
@@ -103,37 +223,42 @@
     }
 
     /// Files changed or removed after revision `from`.
-    pub fn delta(&self, from: u64) -> pb::ConfigDelta {
-        let files = self
-            .files
-            .iter()
-            .filter(|(_, file)| file.revision > from)
-            .map(|(name, file)| pb::ConfigFile {
-                name: name.to_string(),
-                revision: file.revision,
-                text: file.text.as_ref().map(ToString::to_string),
-            })
-            .collect();
-        pb::ConfigDelta { revision: self.revision, files, whole: false }
+    pub fn delta(&self, from: Revision) -> pb::ConfigDelta {
+        let files = self.files.iter().filter(|(_, file)| file.revision > from);
+        let files = files.map(|(name, file)| file.to_message(name)).collect();
+        pb::ConfigDelta { revision: self.revision.ordinal(), files, whole: false }
     }
 
     /// Update for a replica at revision `from`: a delta, or all files if removals since `from` may be unknown here.
-    pub fn delta_or_snapshot(&self, from: u64) -> pb::ConfigDelta {
+    pub fn delta_or_snapshot(&self, from: Revision) -> pb::ConfigDelta {
         if from >= self.complete_from {
             return self.delta(from);
         }
-        let mut delta = self.delta(0);
+        let mut delta = self.delta(Revision::NONE);
         delta.files.retain(|file| file.text.is_some());
         pb::ConfigDelta { whole: true, ..delta }
     }
 
+    /// Files whose content is known from before a restore of the store.
+    pub fn kept(&self) -> pb::ConfigDelta {
+        let mut delta = self.delta(Revision::NONE);
+        delta.files.retain(|file| file.origin() == FileOrigin::Kept);
+        delta
+    }
+
+    /// Files set or removed here since a number of changes, and the number of changes until now.
+    pub fn changes_since(&self, changes: u64) -> (Vec<pb::ConfigFile>, u64) {
+        let files = self.files.iter().filter(|(_, file)| file.change > changes);
+        (files.map(|(name, file)| file.to_message(name)).collect(), self.changes)
+    }
+
     /// Text of a file; `None` if it is unknown or removed.
     pub fn text(&self, name: &str) -> Option<&Arc<str>> {
         self.files.get(name)?.text.as_ref()
     }
 
     /// Name, content and revision of the files in force whose names start with `prefix`.
-    pub fn with_prefix(&self, prefix: &str) -> Vec<(Arc<str>, Arc<str>, u64)> {
+    pub fn with_prefix(&self, prefix: &str) -> Vec<(Arc<str>, Arc<str>, Revision)> {
         let files = self.files.iter().filter(|(name, _)| name.starts_with(prefix));
         files.filter_map(|(name, file)| Some((name.clone(), file.text.clone()?, file.revision))).collect()
     }
--- a/goldcrestward/src/config/replica_test.rs
+++ b/goldcrestward/src/config/replica_test.rs
@@ -1,13 +1,17 @@
 //! Tests of the configuration replica.
 
 use super::ConfigReplica;
-use crate::pb::{ConfigDelta, ConfigFile};
+use crate::{
+    pb::{ConfigDelta, ConfigFile},
+    store::Revision,
+};
 
 fn delta(revision: u64, files: &[(&str, u64, Option<&str>)]) -> ConfigDelta {
     let file = |(name, revision, text): &(&str, u64, Option<&str>)| ConfigFile {
         name: (*name).into(),
         revision: *revision,
         text: text.map(Into::into),
+        ..ConfigFile::default()
     };
     ConfigDelta { revision, files: files.iter().map(file).collect(), whole: false }
 }
@@ -31,7 +35,7 @@
         (replica.text("a").is_some(), replica.text("b").is_some(), replica.text("c").is_some()),
         (true, false, true)
     );
-    let changed = replica.delta(10).files;
+    let changed = replica.delta(Revision::new(0, 10)).files;
     assert_eq!(
         changed.iter().filter(|file| file.name == "b" && file.text.is_none()).count(),
         1,
--- a/goldcrestward/src/config/site.rs
+++ b/goldcrestward/src/config/site.rs
@@ -164,6 +164,8 @@
 /// A merged and validated configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Site {
+    /// Number that the operator gave the configuration; 0 if it has none.
+    pub version: u64,
     pub routes: BTreeMap<Arc<str>, Arc<Route>>,
     pub accounts: BTreeMap<Arc<str>, Arc<Account>>,
     pub pools: BTreeMap<Arc<str>, Pool>,
--- a/goldcrestward/src/ledger/owner.rs
+++ b/goldcrestward/src/ledger/owner.rs
@@ -23,7 +23,7 @@
 use crate::{
     connection::PeerClient,
     pb::{self, Grant, answer, request},
-    store::{Kv, Purpose, Txn},
+    store::{Kv, Purpose, Revision, Txn},
     util::unix_ms,
 };
 
@@ -302,7 +302,7 @@
     fn load(&self) {
         let (kv, self_sender, prefix) = (self.kv.clone(), self.self_sender.clone(), self.slot.prefix().to_owned());
         tokio::spawn(async move {
-            let result = kv.list(Purpose::Ledger, &prefix, 0).await;
+            let result = kv.list(Purpose::Ledger, &prefix, Revision::NONE).await;
             post_result(&self_sender, StoreResult::Loaded(result.map(|(rows, _)| rows))).await;
         });
     }
--- a/goldcrestward/src/ledger/rows.rs
+++ b/goldcrestward/src/ledger/rows.rs
@@ -4,11 +4,11 @@
 
 use crate::{
     pb,
-    store::{Put, Row},
+    store::{Put, Revision, Row},
 };
 
-/// Finds and decodes the slot's head; the number is its revision.
-pub(super) fn find_head(rows: &[Row], prefix: &str) -> Option<(pb::LedgerHead, u64)> {
+/// Finds and decodes the slot's head; with its revision.
+pub(super) fn find_head(rows: &[Row], prefix: &str) -> Option<(pb::LedgerHead, Revision)> {
     let row = rows.iter().find(|row| row.key.strip_prefix(prefix) == Some("head"))?;
     Some((pb::LedgerHead::decode(&row.value[..]).ok()?, row.revision))
 }
--- a/goldcrestward/src/ledger/slot.rs
+++ b/goldcrestward/src/ledger/slot.rs
@@ -22,7 +22,7 @@
 };
 use crate::{
     pb::{self, Grant},
-    store::{Compare, Error, Put, Row, TxnOutcome},
+    store::{Compare, Error, Put, Revision, Row, TxnOutcome},
 };
 
 /// Size of the open segment from which the next write begins a new one.
@@ -49,7 +49,7 @@
     phase: Phase,
     wanted: bool,
     call_pending: bool,
-    head_revision: u64,
+    head_revision: Revision,
     fencing_token: u64,
     commit_sequence: u64,
     entries: HashMap<Key, Entry>,
@@ -77,7 +77,7 @@
             phase: Phase::Idle,
             wanted: false,
             call_pending: false,
-            head_revision: 0,
+            head_revision: Revision::NONE,
             fencing_token: 0,
             commit_sequence: 0,
             entries: HashMap::new(),
@@ -249,7 +249,7 @@
             self.phase = Phase::Owned;
             return Vec::new();
         }
-        let (fencing_token, revision) = head.map_or((0, 0), |(head, revision)| (head.fence, revision));
+        let (fencing_token, revision) = head.map_or((0, Revision::NONE), |(head, revision)| (head.fence, revision));
         self.fencing_token = fencing_token + 1;
         self.phase = Phase::Acquiring;
         self.call_pending = true;
@@ -372,7 +372,7 @@
             entries: entries.map(Into::into).collect(),
         };
         let key = self.segment_key(self.open_segment);
-        let revision = self.segments.get(&self.open_segment).map_or(0, |s| s.revision);
+        let revision = self.segments.get(&self.open_segment).map_or(Revision::NONE, |s| s.revision);
         let head = Compare { key: format!("{}head", self.prefix), revision: self.head_revision };
         let compares = vec![head, Compare { key: key.clone(), revision }];
         let removes = self.batch.removes.iter().map(|n| self.segment_key(*n)).collect();
@@ -404,7 +404,7 @@
         }
     }
 
-    fn on_commit_succeeded(&mut self, revision: u64) -> Vec<Effect> {
+    fn on_commit_succeeded(&mut self, revision: Revision) -> Vec<Effect> {
         self.phase = Phase::Owned;
         let last_updated_at = self.open_entries.iter().filter_map(|k| self.entries.get(k)).map(|e| e.updated_at).max();
         self.segments.insert(self.open_segment, Segment { revision, last_updated_at: last_updated_at.unwrap_or(0) });
--- a/goldcrestward/src/ledger/state.rs
+++ b/goldcrestward/src/ledger/state.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::{entry::Key, message::Ticket};
+use crate::store::Revision;
 
 /// A claim that waits for a commit.
 #[derive(Clone, Debug)]
@@ -33,7 +34,7 @@
 /// A segment as it was last stored.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Segment {
-    pub revision: u64,
+    pub revision: Revision,
     /// Unix time in seconds of the last change of any entry.
     pub last_updated_at: u64,
 }
--- a/goldcrestward/src/ledger/store_test.rs
+++ b/goldcrestward/src/ledger/store_test.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::message::{Effect, StoreResult};
-use crate::store::{Row, TxnOutcome};
+use crate::store::{Revision, Row, TxnOutcome};
 
 #[derive(Clone, Debug, Default)]
 pub(super) struct Store {
@@ -19,13 +19,13 @@
             let rows = self.rows.iter().map(|(key, (value, revision))| Row {
                 key: key.clone(),
                 value: value.clone().into(),
-                revision: *revision,
-                create_revision: *revision,
+                revision: Revision::new(0, *revision),
+                create_revision: Revision::new(0, *revision),
             });
             return StoreResult::Loaded(Ok(rows.collect()));
         };
         let at = |key: &String| self.rows.get(key).map_or(0, |(_, revision)| *revision);
-        let succeeded = compares.iter().all(|c| at(&c.key) == c.revision);
+        let succeeded = compares.iter().all(|c| at(&c.key) == c.revision.number());
         if succeeded {
             self.revision += 1;
             for put in puts {
@@ -35,6 +35,6 @@
                 self.rows.remove(key);
             }
         }
-        StoreResult::Executed(Ok(TxnOutcome { succeeded, revision: self.revision }))
+        StoreResult::Executed(Ok(TxnOutcome { succeeded, revision: Revision::new(0, self.revision) }))
     }
 }
--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -285,7 +285,7 @@
     #[prost(bytes = "vec", tag = "2")]
     pub mac: ::prost::alloc::vec::Vec<u8>,
 }
-/// One file of the configuration; a removed file has no text.
+/// One file of the configuration; a removed file has no text. Revisions contain the history of the store in their high bits.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ConfigFile {
     #[prost(string, tag = "1")]
@@ -294,6 +294,11 @@
     pub revision: u64,
     #[prost(string, optional, tag = "3")]
     pub text: ::core::option::Option<::prost::alloc::string::String>,
+    #[prost(enumeration = "FileOrigin", tag = "4")]
+    pub origin: i32,
+    /// Revision at which the content was first seen, if it is known from before a restore; otherwise 0.
+    #[prost(uint64, tag = "5")]
+    pub first_seen: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ConfigDelta {
@@ -309,6 +314,9 @@
 pub struct PullConfig {
     #[prost(uint64, tag = "1")]
     pub from: u64,
+    /// Asks only for files whose content is known from before a restore of the store.
+    #[prost(bool, tag = "2")]
+    pub kept_only: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SyncView {
@@ -655,6 +663,43 @@
         }
     }
 }
+/// How the content of a file came about when the store was restored from a copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum FileOrigin {
+    /// The file was written or removed at its revision.
+    Written = 0,
+    /// The content is known from before the restore.
+    Kept = 1,
+    /// The file was there before the restore, and the copy lacks it.
+    Lost = 2,
+    /// The file was removed before the restore, and the copy still has it.
+    Reappeared = 3,
+}
+impl FileOrigin {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Written => "FILE_ORIGIN_WRITTEN",
+            Self::Kept => "FILE_ORIGIN_KEPT",
+            Self::Lost => "FILE_ORIGIN_LOST",
+            Self::Reappeared => "FILE_ORIGIN_REAPPEARED",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "FILE_ORIGIN_WRITTEN" => Some(Self::Written),
+            "FILE_ORIGIN_KEPT" => Some(Self::Kept),
+            "FILE_ORIGIN_LOST" => Some(Self::Lost),
+            "FILE_ORIGIN_REAPPEARED" => Some(Self::Reappeared),
+            _ => None,
+        }
+    }
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum Grant {
--- a/goldcrestward/src/platform/etcd.rs
+++ b/goldcrestward/src/platform/etcd.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     connection::{HttpClient, OutboundRequest, SendError},
-    store::{Change, Changes, Error, Lease, Result, Row, StorePort, Txn, TxnOutcome, WatchPort},
+    store::{Change, Changes, Error, Lease, Result, Revision, Row, StorePort, Txn, TxnOutcome, WatchPort},
 };
 
 const SERVICE: &str = "key-value service";
@@ -159,13 +159,19 @@
         Self { address, client }
     }
 
-    async fn range(&self, purpose: &'static str, key: &str, end: &str, since: u64) -> Result<(Vec<Row>, u64)> {
+    async fn range(
+        &self,
+        purpose: &'static str,
+        key: &str,
+        end: &str,
+        since: Revision,
+    ) -> Result<(Vec<Row>, Revision)> {
         let key = STANDARD.encode(key);
         let end = if end.is_empty() { String::new() } else { STANDARD.encode(end) };
-        let request = RangeRequest { key: &key, range_end: &end, min_mod_revision: since.to_string() };
+        let request = RangeRequest { key: &key, range_end: &end, min_mod_revision: since.number().to_string() };
         let response: RangeResponse = self.request("/v3/kv/range", purpose, &request).await?;
         let rows = response.kvs.into_iter().filter_map(decode_row).collect();
-        Ok((rows, parse_number(&response.header.revision)))
+        Ok((rows, parse_revision(&response.header.revision)))
     }
 
     async fn request<Q: Serialize, R: DeserializeOwned>(
@@ -198,15 +204,15 @@
 
 impl StorePort for Etcd {
     fn get<'a>(&'a self, purpose: &'static str, key: &'a str) -> BoxFuture<'a, Result<Option<Row>>> {
-        Box::pin(async move { Ok(self.range(purpose, key, "", 0).await?.0.into_iter().next()) })
+        Box::pin(async move { Ok(self.range(purpose, key, "", Revision::NONE).await?.0.into_iter().next()) })
     }
 
     fn list<'a>(
         &'a self,
         purpose: &'static str,
         prefix: &'a str,
-        since: u64,
-    ) -> BoxFuture<'a, Result<(Vec<Row>, u64)>> {
+        since: Revision,
+    ) -> BoxFuture<'a, Result<(Vec<Row>, Revision)>> {
         Box::pin(async move { self.range(purpose, prefix, &prefix_end(prefix), since).await })
     }
 
@@ -214,11 +220,11 @@
         &'a self,
         purpose: &'static str,
         prefix: &'a str,
-        after: u64,
+        after: Revision,
     ) -> BoxFuture<'a, Result<Box<dyn WatchPort>>> {
         Box::pin(async move {
             let (key, end) = (STANDARD.encode(prefix), STANDARD.encode(prefix_end(prefix)));
-            let start_revision = (after + 1).to_string();
+            let start_revision = (after.number() + 1).to_string();
             let create_request = WatchCreate { key: &key, range_end: &end, start_revision };
             let response = self.send("/v3/watch", purpose, &WatchRequest { create_request }).await?;
             let watch = Watch { body: response.into_body(), buffer: Vec::new(), revision: after };
@@ -231,7 +237,7 @@
             key: STANDARD.encode(&c.key),
             target: "MOD",
             result: "EQUAL",
-            mod_revision: c.revision.to_string(),
+            mod_revision: c.revision.number().to_string(),
         });
         let puts = txn.puts.iter().map(|p| {
             let lease = if p.lease == 0 { String::new() } else { p.lease.to_string() };
@@ -242,7 +248,7 @@
         let request = TxnRequest { compare: compare.collect(), success: puts.chain(removes).collect() };
         Box::pin(async move {
             let response: TxnResponse = self.request("/v3/kv/txn", purpose, &request).await?;
-            Ok(TxnOutcome { succeeded: response.succeeded, revision: parse_number(&response.header.revision) })
+            Ok(TxnOutcome { succeeded: response.succeeded, revision: parse_revision(&response.header.revision) })
         })
     }
 
@@ -277,7 +283,7 @@
 struct Watch {
     body: Body,
     buffer: Vec<u8>,
-    revision: u64,
+    revision: Revision,
 }
 
 impl WatchPort for Watch {
@@ -293,7 +299,7 @@
                         Change::Put(row) => row.revision,
                         Change::Removed(_, revision) => *revision,
                     });
-                    self.revision = revisions.max().unwrap_or(0).max(self.revision);
+                    self.revision = revisions.max().unwrap_or_default().max(self.revision);
                     return Ok(Changes { changes, revision: self.revision });
                 }
                 let frame = self.body.frame().await.and_then(std::result::Result::ok);
@@ -316,11 +322,16 @@
     Some(Row {
         key,
         value,
-        revision: parse_number(&raw.mod_revision),
-        create_revision: parse_number(&raw.create_revision),
+        revision: parse_revision(&raw.mod_revision),
+        create_revision: parse_revision(&raw.create_revision),
     })
 }
 
+/// The gateway does not tell histories apart, so all revisions are of one.
+fn parse_revision(text: &str) -> Revision {
+    Revision::new(0, parse_number(text))
+}
+
 fn parse_number(text: &str) -> u64 {
     text.parse().unwrap_or(0)
 }
--- a/goldcrestward/src/port/catalog.rs
+++ b/goldcrestward/src/port/catalog.rs
@@ -93,6 +93,9 @@
     /// Returns the reason if the entry is invalid.
     fn parse(&self, key: &str, value: &str) -> Result<Entry, String>;
 
+    /// Whether an entry's value is older than another one that was seen for the key, by what the values say themselves.
+    fn is_outdated(&self, key: &str, value: &str, known: &str) -> bool;
+
     /// Key and value of the entry that reports the state of a rollout to operators.
     fn rollout_status(&self, pool: &str, version: &str, state: RolloutState) -> (String, String);
 
--- a/goldcrestward/src/process/admin.rs
+++ b/goldcrestward/src/process/admin.rs
@@ -28,6 +28,7 @@
 use crate::{
     pb::{self, answer, request},
     request::CrashRecords,
+    store::Revision,
     util::{sha256_hex, unix_ms},
     version::Rollout,
 };
@@ -164,7 +165,7 @@
     }
 
     fn config(&self) -> Response {
-        let delta = self.shared.config.lock().delta(0);
+        let delta = self.shared.config.lock().delta(Revision::NONE);
         let files = delta.files.into_iter().filter_map(|file| {
             let text = file.text?;
             Some(json!({ "name": file.name, "revision": file.revision, "text": text }))
@@ -174,7 +175,7 @@
 
     /// Queries every daemon for the configuration revision that it has in force.
     async fn status(&self) -> Response {
-        let newest = self.shared.config.lock().revision();
+        let newest = self.shared.config.lock().revision().ordinal();
         let members: Vec<_> = {
             let view = self.shared.view.lock();
             let others = view.others().filter(|m| m.state != State::Left);
@@ -184,7 +185,7 @@
             .into_iter()
             .map(|(name, zone, state, address)| self.query_status(name, zone, state, address, newest));
         let mut daemons = join_all(queries).await;
-        let own_revision = self.shared.in_force.load().revision;
+        let own_revision = self.shared.in_force.load().revision.ordinal();
         daemons.push(DaemonStatus {
             name: self.shared.settings.name.clone(),
             zone: self.shared.settings.zone.clone(),
--- a/goldcrestward/src/process/configure.rs
+++ b/goldcrestward/src/process/configure.rs
@@ -10,7 +10,7 @@
 use crate::{
     config::{Document, Override, Problem, merge},
     pb,
-    store::{Change as StoreChange, Compare, Error, Purpose, Put, Row, Txn},
+    store::{Change as StoreChange, Compare, Error, Purpose, Put, Revision, Row, Txn},
     util::unix_ms,
 };
 
@@ -99,7 +99,7 @@
 
     /// Reads the store once, then watches it while this daemon is a watcher.
     pub async fn watch(self) {
-        while self.read().await.is_err() && self.shared.config.lock().revision() == 0 {
+        while self.read().await.is_err() && self.shared.config.lock().revision().is_none() {
             sleep(RETRY_PAUSE).await;
         }
         loop {
@@ -122,7 +122,7 @@
             };
             if merged.problems.is_empty() {
                 self.shared.in_force.store(Arc::new(InForce { revision, site: merged.site }));
-                self.shared.metrics.config_revision.set(revision as i64);
+                self.shared.metrics.config_revision.set(revision.ordinal() as i64);
                 self.shared.metrics.config_since.set(unix_ms() as i64);
                 self.shared.refresh_version_choices();
                 info!("event=config-in-force revision={revision}");
@@ -141,15 +141,15 @@
             return ProposalOutcome::Unavailable { message: error.to_string() };
         }
         let revision = self.shared.config.lock().revision();
-        if let Some(base) = base.filter(|base| *base != revision) {
+        if let Some(base) = base.map(Revision::from_ordinal).filter(|base| *base != revision) {
             let changed = self.shared.config.lock().delta(base).files;
             let changed = changed.into_iter().map(|file| file.name.into()).collect();
-            return ProposalOutcome::Conflict { revision, changed };
+            return ProposalOutcome::Conflict { revision: revision.ordinal(), changed };
         }
         let documents = self.shared.config.lock().documents();
         let changes: Vec<_> = changes.into_iter().filter(|change| differs(&documents, change)).collect();
         if changes.is_empty() {
-            return ProposalOutcome::Unchanged { revision };
+            return ProposalOutcome::Unchanged { revision: revision.ordinal() };
         }
         let merged = merge(&apply_changes(documents, &changes));
         if !merged.problems.is_empty() {
@@ -167,19 +167,20 @@
     }
 
     /// Reads files newer than this daemon's copy; returns the store's revision.
-    async fn read(&self) -> Result<u64, Error> {
+    async fn read(&self) -> Result<Revision, Error> {
         let from = self.shared.config.lock().revision();
-        let (rows, now) = self.shared.kv.list(Purpose::Config, &self.prefix, from + 1).await?;
+        let (rows, now) = self.shared.kv.list(Purpose::Config, &self.prefix, from.next()).await?;
         self.merge_rows(rows);
         Ok(now)
     }
 
     fn merge_rows(&self, rows: Vec<Row>) {
-        let revision = rows.iter().map(|row| row.revision).max().unwrap_or(0);
+        let revision = rows.iter().map(|row| row.revision).max().unwrap_or_default().ordinal();
         let files = rows.into_iter().filter_map(|row| {
             let name = row.key.strip_prefix(&self.prefix)?.strip_prefix("file/")?.to_owned();
             let file: StoredFile = serde_json::from_slice(&row.value).ok()?;
-            Some(pb::ConfigFile { name, revision: row.revision, text: file.text })
+            let revision = row.revision.ordinal();
+            Some(pb::ConfigFile { name, revision, text: file.text, ..pb::ConfigFile::default() })
         });
         let files = files.collect();
         self.shared.merge_config(pb::ConfigDelta { revision, files, whole: false }, "service");
@@ -201,10 +202,10 @@
         }
     }
 
-    async fn commit(&self, changes: &[Change], revision: u64, overrides: Vec<Override>) -> ProposalOutcome {
+    async fn commit(&self, changes: &[Change], revision: Revision, overrides: Vec<Override>) -> ProposalOutcome {
         let previous = match self.read_head().await {
             Ok((head, at)) if at == revision => head.token,
-            Ok((_, at)) => return ProposalOutcome::Conflict { revision: at, changed: Vec::new() },
+            Ok((_, at)) => return ProposalOutcome::Conflict { revision: at.ordinal(), changed: Vec::new() },
             Err(error) => return ProposalOutcome::Unavailable { message: error.to_string() },
         };
         let token = format!("{:032x}", rand::random::<u128>());
@@ -228,7 +229,7 @@
         }
     }
 
-    fn transaction(&self, changes: &[Change], revision: u64, token: &str, previous: &str) -> Txn {
+    fn transaction(&self, changes: &[Change], revision: Revision, token: &str, previous: &str) -> Txn {
         let head = Head { token: token.to_owned(), after: previous.to_owned() };
         let mut puts =
             vec![Put { key: self.head_key(), value: serde_json::to_vec(&head).unwrap_or_default(), lease: 0 }];
@@ -240,16 +241,16 @@
         Txn { compares: vec![Compare { key: self.head_key(), revision }], puts, removes: Vec::new() }
     }
 
-    async fn read_head(&self) -> Result<(Head, u64), Error> {
+    async fn read_head(&self) -> Result<(Head, Revision), Error> {
         let row = self.shared.kv.get(Purpose::Config, &self.head_key()).await?;
-        let Some(row) = row else { return Ok((Head::default(), 0)) };
+        let Some(row) = row else { return Ok((Head::default(), Revision::NONE)) };
         Ok((serde_json::from_slice(&row.value).unwrap_or_default(), row.revision))
     }
 
-    async fn accepted(&self, revision: u64, overrides: Vec<Override>) -> ProposalOutcome {
+    async fn accepted(&self, revision: Revision, overrides: Vec<Override>) -> ProposalOutcome {
         self.read().await.ok();
         info!("event=config-accepted revision={revision}");
-        ProposalOutcome::Accepted { revision, overrides }
+        ProposalOutcome::Accepted { revision: revision.ordinal(), overrides }
     }
 
     /// Handles a failed comparison: either another change came first, or an earlier attempt took effect.
@@ -258,8 +259,8 @@
         self.read().await.ok();
         match head {
             Ok((head, at)) if head.token == token => self.accepted(at, overrides).await,
-            Ok((head, at)) if head.after == token => self.accepted(at - 1, overrides).await,
-            Ok((_, at)) if !uncertain => ProposalOutcome::Conflict { revision: at, changed: Vec::new() },
+            Ok((head, at)) if head.after == token => self.accepted(at.previous(), overrides).await,
+            Ok((_, at)) if !uncertain => ProposalOutcome::Conflict { revision: at.ordinal(), changed: Vec::new() },
             _ => {
                 let message = "other changes came meanwhile; look at the files in force";
                 ProposalOutcome::Unknown { message: message.into() }
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         Arc, OnceLock,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -42,13 +42,12 @@
     membership::{Member, State, Timing, View},
     metrics::Metrics,
     peer_service::{PeerService, report_limit_demand},
-    pull::watch_instances,
     replicas::Replicas,
     rollout::RolloutController,
     seeds::Seeder,
     settings::Settings,
     shared::{InForce, Shared},
-    site_state::SiteState,
+    state::{SiteState, watch_instances},
     verdict_keeper::VerdictKeeper,
 };
 use crate::{
@@ -251,6 +250,7 @@
         last_store_error_ms: AtomicU64::new(0),
         last_relay_ms: AtomicU64::new(0),
         holds_duties: AtomicBool::new(false),
+        kept_pulls: AtomicU32::new(0),
         pull_permit: Arc::new(Semaphore::new(1)),
         config_changed: Notify::new(),
         announce: Notify::new(),
@@ -329,7 +329,7 @@
     /// Time to wait for the list of instances. The daemon then serves without it, as refusals need no instances.
     const INSTANCE_LIST_TIMEOUT: Duration = Duration::from_secs(5);
 
-    while shared.in_force.load().revision == 0 {
+    while shared.in_force.load().revision.is_none() {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     let deadline = Instant::now() + INSTANCE_LIST_TIMEOUT;
--- a/goldcrestward/src/process/duty.rs
+++ b/goldcrestward/src/process/duty.rs
@@ -23,7 +23,7 @@
 use crate::{
     config::Scaling,
     port::{Duties, DutyAnswer, Holder, PoolOrder},
-    store::{Compare, Error, Purpose, Put, Row, Txn},
+    store::{Compare, Error, Purpose, Put, Revision, Row, Txn},
     version::VersionChoice,
 };
 
@@ -48,6 +48,8 @@
 
 struct HeldDuties {
     holder: Holder,
+    /// Revision of the entry that names this daemon as the holder.
+    revision: Revision,
     term: Term,
 }
 
@@ -115,7 +117,7 @@
         let shared = &self.gateway.shared;
         let now = boot_ms();
         let has_holder = shared.config.lock().text(&self.key("duty")).is_some();
-        if has_holder || shared.in_force.load().revision == 0 {
+        if has_holder || shared.in_force.load().revision.is_none() {
             self.vacant_since = None;
             return;
         }
@@ -138,11 +140,11 @@
         // The lease distinguishes this attempt from one by an earlier process of the same daemon.
         let value = format!("{name} {}", lease.id).into_bytes();
         let commit = Txn {
-            compares: vec![Compare { key: key.clone(), revision: 0 }],
+            compares: vec![Compare { key: key.clone(), revision: Revision::NONE }],
             puts: vec![Put { key: key.clone(), value: value.clone(), lease: lease.id }],
             removes: Vec::new(),
         };
-        let fencing_token = match kv.txn(Purpose::Duty, commit).await {
+        let revision = match kv.txn(Purpose::Duty, commit).await {
             Ok(txn) if txn.succeeded => txn.revision,
             Ok(_) => return None,
             Err(_) => {
@@ -150,9 +152,10 @@
                 (row.value == value).then_some(row.revision)?
             }
         };
+        let fencing_token = revision.ordinal();
         info!("event=duty-taken fence={fencing_token} lease={}", lease.id);
         let term = Term::new(lease.id, fencing_token, requested_ms, self.lease_time());
-        Some(HeldDuties { holder: Holder { name, fencing_token }, term })
+        Some(HeldDuties { holder: Holder { name, fencing_token }, revision, term })
     }
 
     /// Renews the lease, reports usage and scales pools.
@@ -255,7 +258,8 @@
                     let Ok(row) = self.gateway.shared.kv.get(Purpose::Duty, &self.key("usage")).await else {
                         return true;
                     };
-                    let (record, revision) = row.map_or((None, 0), |row| (read_record(&row), row.revision));
+                    let (record, revision) =
+                        row.map_or((None, Revision::NONE), |row| (read_record(&row), row.revision));
                     held.term.apply_read(record, revision);
                 }
                 UsageStep::Write(record, replaced) => {
@@ -305,11 +309,11 @@
     }
 
     /// Stores the record that will be reported, in place of the one with revision `replaced`.
-    async fn write_usage(&self, held: &HeldDuties, record: &UsageRecord, replaced: u64) -> WriteResult {
+    async fn write_usage(&self, held: &HeldDuties, record: &UsageRecord, replaced: Revision) -> WriteResult {
         let Ok(value) = serde_json::to_vec(record) else { return WriteResult::Unknown };
         let put = Put { key: self.key("usage"), value, lease: 0 };
         let compares = vec![
-            Compare { key: self.key("duty"), revision: held.holder.fencing_token },
+            Compare { key: self.key("duty"), revision: held.revision },
             Compare { key: self.key("usage"), revision: replaced },
         ];
         let commit = Txn { compares, puts: vec![put], removes: Vec::new() };
--- a/goldcrestward/src/process/gossip.rs
+++ b/goldcrestward/src/process/gossip.rs
@@ -10,12 +10,13 @@
     crash_watch::{judge, learn_part_fact},
     limit_facts::learn_limit_fact,
     membership::{Effect, Fact, FactKind, State},
-    pull::pull_config,
     shared::Shared,
+    state::{adopt_kept, pull_config},
 };
 use crate::{
     connection::DatagramSealer,
     pb::{self, answer, datagram, request},
+    store::Revision,
     util::unix_ms,
 };
 
@@ -127,14 +128,18 @@
     fn handle(&self, payload: &[u8]) {
         let Ok(datagram) = pb::Datagram::decode(payload) else { return self.reject("malformed") };
         let Ok(address) = datagram.address.parse::<SocketAddr>() else { return self.reject("malformed") };
-        let newer = datagram.config_revision > self.shared.config.lock().revision();
+        let revision = Revision::from_ordinal(datagram.config_revision);
+        let newer = revision > self.shared.config.lock().revision();
         let now = self.shared.now();
         if let (Some(body), Some(exchange)) = (&datagram.body, self.shared.exchange.get()) {
             exchange.receive(&datagram.from, address, body);
         }
         let effects = self.shared.view.lock().receive(datagram, address, now, unix_ms());
+        self.shared.learn_history(revision);
         if newer {
             pull_config(&self.shared, address);
+        } else {
+            adopt_kept(&self.shared, address, revision);
         }
         self.apply(effects);
     }
@@ -163,7 +168,7 @@
         let payload = pb::Datagram {
             from: self.shared.settings.name.to_string(),
             address: self.shared.settings.advertise.to_string(),
-            config_revision: self.shared.config.lock().revision(),
+            config_revision: self.shared.config.lock().revision().ordinal(),
             view: self.shared.view.lock().hash(),
             members,
             facts,
--- a/goldcrestward/src/process/peer_service.rs
+++ b/goldcrestward/src/process/peer_service.rs
@@ -7,6 +7,7 @@
     connection::PeerHandler,
     ledger::{Claim, Settlement},
     pb::{self, Grant, answer, request},
+    store::Revision,
 };
 
 /// Answers peers' requests from the daemon's shared state.
@@ -52,7 +53,7 @@
     fn status(&self) -> pb::StatusReport {
         pb::StatusReport {
             name: self.shared.settings.name.to_string(),
-            config_revision: self.shared.in_force.load().revision,
+            config_revision: self.shared.in_force.load().revision.ordinal(),
             in_flight: self.shared.metrics.in_flight.get().unsigned_abs(),
             life: self.shared.stage.get().label().into(),
         }
@@ -72,7 +73,9 @@
         self.count(kind, &request, "received");
         let answer = match request.body? {
             request::Body::PullConfig(pull) => {
-                answer::Body::ConfigDelta(self.shared.config.lock().delta_or_snapshot(pull.from))
+                let config = self.shared.config.lock();
+                let from = Revision::from_ordinal(pull.from);
+                answer::Body::ConfigDelta(if pull.kept_only { config.kept() } else { config.delta_or_snapshot(from) })
             }
             request::Body::SyncView(view) => {
                 let own = self.shared.view.lock().export();
--- a/goldcrestward/src/process/rollout.rs
+++ b/goldcrestward/src/process/rollout.rs
@@ -18,7 +18,7 @@
     config::VersionPlan,
     pb::{self, answer, request},
     port::{Catalog, RolloutState},
-    store::{Compare, Purpose, Put, Txn, TxnOutcome},
+    store::{Compare, Purpose, Put, Revision, Txn, TxnOutcome},
     util::{stable_hash, unix_ms},
     version::{Decision, Outcome, Readiness, Rollout, Snapshot, Strata, Tally, TallyKey},
 };
@@ -44,7 +44,7 @@
 struct HeldRollout {
     rollout: Rollout,
     record: RolloutRecord,
-    revision: u64,
+    revision: Revision,
     /// Evidence by daemon.
     sources: HashMap<Arc<str>, Source>,
     next_query_ms: u64,
@@ -174,14 +174,14 @@
     async fn record_start(&mut self, plan: &VersionPlan) -> bool {
         let name = &plan.rollout_key;
         let Some(held) = self.held.get(name) else { return false };
-        if held.revision > 0 || !held.read {
+        if !held.revision.is_none() || !held.read {
             return true;
         }
         let now = self.shared.agreed_ms();
         let holder = self.shared.settings.name.clone();
         let begun_ms = plan.start_ms.map_or(now, |start| start.min(now));
         let record = RolloutRecord { begun_ms, at_ms: now, holder, ..held.record.clone() };
-        let result = self.write_record(&record, 0).await;
+        let result = self.write_record(&record, Revision::NONE).await;
         let Some(held) = self.held.get_mut(name) else { return false };
         let txn = match result {
             Ok(txn) => txn,
@@ -236,7 +236,11 @@
         }
     }
 
-    async fn write_record(&self, record: &RolloutRecord, revision: u64) -> Result<TxnOutcome, crate::store::Error> {
+    async fn write_record(
+        &self,
+        record: &RolloutRecord,
+        revision: Revision,
+    ) -> Result<TxnOutcome, crate::store::Error> {
         let key = format!("{}{}", self.prefix, record.version);
         let compare = Compare { key: key.clone(), revision };
         let put = Put { key, value: serde_json::to_vec(record).unwrap_or_default(), lease: 0 };
@@ -273,7 +277,7 @@
             step: if read { 0 } else { known_step },
             ..RolloutRecord::default()
         };
-        let (record, revision) = found.unwrap_or((fresh, 0));
+        let (record, revision) = found.unwrap_or((fresh, Revision::NONE));
         if let Some(held) = self.held.get_mut(&name).filter(|_| !read) {
             held.record.step = known_step;
             return;
@@ -381,8 +385,8 @@
 }
 
 /// Reads the records of all rollouts with their revisions. Returns `None` if the store does not answer.
-pub(crate) async fn read_records(shared: &Shared, prefix: &str) -> Option<Vec<(RolloutRecord, u64)>> {
-    let (rows, _) = shared.kv.list(Purpose::Rollout, prefix, 0).await.ok()?;
+pub(crate) async fn read_records(shared: &Shared, prefix: &str) -> Option<Vec<(RolloutRecord, Revision)>> {
+    let (rows, _) = shared.kv.list(Purpose::Rollout, prefix, Revision::NONE).await.ok()?;
     let parse = |row: crate::store::Row| Some((serde_json::from_slice(&row.value).ok()?, row.revision));
     Some(rows.into_iter().filter_map(parse).collect())
 }
--- a/goldcrestward/src/process/seeds.rs
+++ b/goldcrestward/src/process/seeds.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{gossip::Gossip, membership::State, shared::Shared};
-use crate::store::{Compare, Purpose, Put, Txn};
+use crate::store::{Compare, Purpose, Put, Revision, Txn};
 
 /// Maximum number of daemons on the list.
 const MAX_SEEDS: usize = 8;
@@ -104,14 +104,14 @@
         }
     }
 
-    async fn read(&self) -> Option<(Seeds, u64)> {
+    async fn read(&self) -> Option<(Seeds, Revision)> {
         let row = self.shared.kv.get(Purpose::Seeds, &self.key).await.ok()?;
-        let Some(row) = row else { return Some((Seeds::default(), 0)) };
+        let Some(row) = row else { return Some((Seeds::default(), Revision::NONE)) };
         Some((serde_json::from_slice(&row.value).unwrap_or_default(), row.revision))
     }
 
     /// Replaces daemons on the list that are not alive.
-    async fn repair(&self, seeds: Seeds, revision: u64) {
+    async fn repair(&self, seeds: Seeds, revision: Revision) {
         let repaired = self.repaired(&seeds);
         if repaired == seeds {
             return;
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -7,7 +7,7 @@
     collections::HashMap,
     sync::{
         Arc, OnceLock,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering},
     },
     time::Instant,
 };
@@ -35,7 +35,7 @@
     ledger::Ledger,
     pb,
     request::{Refusal, RouteRetryBudgets},
-    store::Kv,
+    store::{Kv, Revision},
     util::unix_ms,
     version::{EvidenceTable, Sample, TallyKey, VersionChoice, VersionRule, version_choice},
 };
@@ -46,8 +46,8 @@
 /// The configuration in force.
 #[derive(Debug, Default)]
 pub(crate) struct InForce {
-    /// 0 until the first configuration takes effect.
-    pub revision: u64,
+    /// [`Revision::NONE`] until the first configuration takes effect.
+    pub revision: Revision,
     pub site: Site,
 }
 
@@ -91,6 +91,8 @@
     pub last_relay_ms: AtomicU64,
     /// Whether this daemon holds the duties.
     pub holds_duties: AtomicBool,
+    /// How often this daemon has asked others for what they know from before a restore of the store.
+    pub kept_pulls: AtomicU32,
     /// Limits pulls of the configuration from peers to one at a time.
     pub pull_permit: Arc<Semaphore>,
     /// Notified when configuration files have changed.
@@ -122,6 +124,13 @@
         self.view.lock().add_fact(fact, now, unix_ms());
     }
 
+    /// Learns of the store's history from a revision that another daemon knows.
+    pub fn learn_history(&self, revision: Revision) {
+        if self.kv.history().number.is_some_and(|known| known < revision.history()) {
+            self.kv.learn_history(revision.history());
+        }
+    }
+
     /// Number of daemons that take part, including this one.
     pub fn daemon_count(&self) -> usize {
         self.daemons.load(Ordering::Relaxed)
--- a/goldcrestward/src/process/pull.rs
+++ b/goldcrestward/src/process/state/pull.rs
@@ -8,18 +8,21 @@
 
 use log::{info, warn};
 
-use super::{
-    membership::{Fact, FactKind},
-    shared::Shared,
-};
 use crate::{
     pb::{self, answer, request},
     platform::InstanceList,
     port::InstanceState,
+    process::{
+        membership::{Fact, FactKind},
+        shared::Shared,
+    },
+    store::Revision,
     util::unix_ms,
 };
 
 const PULL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Peers that a daemon asks for what they know from before a restore.
+const KEPT_PULLS: u32 = 3;
 /// Interval between two readings of the instance list.
 const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time for which the fact that an instance is leaving is gossiped.
@@ -30,8 +33,8 @@
     let Ok(permit) = shared.pull_permit.clone().try_acquire_owned() else { return };
     let shared = shared.clone();
     tokio::spawn(async move {
-        let from = shared.config.lock().revision();
-        let body = request::Body::PullConfig(pb::PullConfig { from });
+        let from = shared.config.lock().revision().ordinal();
+        let body = request::Body::PullConfig(pb::PullConfig { from, kept_only: false });
         let answer = shared.peer_client.request(address, body, PULL_TIMEOUT).await;
         if let Ok(answer::Body::ConfigDelta(delta)) = answer {
             shared.merge_config(delta, "peer");
@@ -40,6 +43,30 @@
     });
 }
 
+/// Asks a peer, a few times after the start, for content that it knows from before a restore of the store: a daemon that
+/// starts after the restore knows only the copy, until operators have written their entries again.
+pub(crate) fn adopt_kept(shared: &Arc<Shared>, address: SocketAddr, peer_revision: Revision) {
+    let own = shared.config.lock().revision();
+    let is_useful = !own.is_none() && peer_revision.history() == own.history();
+    if !is_useful || shared.kept_pulls.load(Ordering::Relaxed) >= KEPT_PULLS {
+        return;
+    }
+    let Ok(permit) = shared.pull_permit.clone().try_acquire_owned() else { return };
+    shared.kept_pulls.fetch_add(1, Ordering::Relaxed);
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        let body = request::Body::PullConfig(pb::PullConfig { from: own.ordinal(), kept_only: true });
+        let answer = shared.peer_client.request(address, body, PULL_TIMEOUT).await;
+        if let Ok(answer::Body::ConfigDelta(delta)) = answer
+            && shared.config.lock().adopt_kept(delta)
+        {
+            info!("event=state-adopted from={address} revision={own}");
+            shared.config_changed.notify_one();
+        }
+        drop(permit);
+    });
+}
+
 /// Polls the platform's instance list until the task is dropped.
 pub(crate) async fn watch_instances(shared: Arc<Shared>) {
     let mut list = InstanceList::new(shared.settings.platform, shared.client.clone());
--- a/goldcrestward/src/process/site_state.rs
+++ b/goldcrestward/src/process/state/site_state.rs
@@ -14,16 +14,17 @@
 use rand::Rng;
 use tokio::time::sleep;
 
-use super::{
-    duty::OWN_PREFIX,
-    shared::{InForce, Shared},
-    verdict_keeper::apply_verdict,
-};
+use super::delayed::Delayed;
 use crate::{
     config::{Site, VersionPlan},
-    pb,
+    pb::{self, FileOrigin},
     port::{Catalog, Entry, Instance, RolloutOrder},
-    store::{Change, Changes, Error, Purpose, Row},
+    process::{
+        duty::OWN_PREFIX,
+        shared::{InForce, Shared},
+        verdict_keeper::apply_verdict,
+    },
+    store::{Change, Changes, Error, Purpose, Revision, Row},
     util::unix_ms,
     version::ordered_plan,
 };
@@ -40,10 +41,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Time after a failed call to the store in which a removed entry may come back: three heartbeats.
 const STORE_ERROR_WINDOW_MS: u64 = 4_000;
-/// Time for a running server to restore an entry that expired while the store was unavailable.
-const REMOVAL_GRACE_MS: u64 = 2_200;
-/// Interval between checks for instances whose grace time has ended.
-const REMOVAL_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval between checks for delayed changes that are due.
+const DELAYED_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Follows the site's state in the platform's store and applies it.
 #[derive(Clone)]
@@ -56,13 +55,16 @@
 
 impl SiteState {
     pub fn new(shared: Arc<Shared>, catalog: Arc<dyn Catalog>) -> Self {
+        let precedence = catalog.clone();
+        let is_outdated = move |key: &str, value: &str, known: &str| precedence.is_outdated(key, value, known);
+        shared.config.lock().set_precedence(Arc::new(is_outdated));
         Self { shared, catalog, orders: Arc::default() }
     }
 
     /// Reads and watches the store until the task is dropped, while this daemon is a watcher.
     pub async fn watch(self) {
         loop {
-            if self.shared.config.lock().revision() > 0 && !self.is_watcher() {
+            if !self.shared.config.lock().revision().is_none() && !self.is_watcher() {
                 sleep(ROLE_INTERVAL).await;
                 continue;
             }
@@ -75,25 +77,32 @@
     }
 
     async fn follow(&self) -> Result<(), Error> {
-        let (rows, revision) = self.shared.kv.list(Purpose::Site, self.catalog.prefix(), 0).await?;
+        let (rows, revision) = self.shared.kv.list(Purpose::Site, self.catalog.prefix(), Revision::NONE).await?;
         let rows = rows.into_iter().filter(|row| self.is_relevant(&row.key));
-        let listing = pb::ConfigDelta { revision, files: rows.filter_map(row_to_file).collect(), whole: true };
+        let files = rows.map(row_to_file).collect();
+        let listing = pb::ConfigDelta { revision: revision.ordinal(), files, whole: true };
         let known = self.shared.config.lock().revision();
         let files = listing.files.len();
         if self.shared.config.lock().replace(listing) {
             self.notify_changed("listing");
         }
         info!("event=state-listed revision={revision} files={files} known={known}");
+        let history = self.shared.kv.history().number;
         let mut watch = self.shared.kv.watch(Purpose::Site, self.catalog.prefix(), revision).await?;
         loop {
-            let Changes { changes, revision } = watch.next().await?;
+            let Changes { changes, revision } = tokio::select! {
+                changes = watch.next() => changes?,
+                // Another call has been answered from a new history, in which the watch may miss changes.
+                () = self.shared.kv.history_ended(history) => return Ok(()),
+            };
             let files = changes.into_iter().filter_map(|change| self.changed_file(change)).collect::<Vec<_>>();
             let any = !files.is_empty();
             let known = self.shared.config.lock().revision();
             if any && revision < known {
                 warn!("event=changes-dropped revision={revision} files={} known={known}", files.len());
             }
-            let newer = self.shared.config.lock().merge(pb::ConfigDelta { revision, files, whole: false });
+            let newer =
+                self.shared.config.lock().merge(pb::ConfigDelta { revision: revision.ordinal(), files, whole: false });
             if newer && any {
                 self.notify_changed("watch");
             }
@@ -135,9 +144,9 @@
 
     fn changed_file(&self, change: Change) -> Option<pb::ConfigFile> {
         match change {
-            Change::Put(row) if self.is_relevant(&row.key) => row_to_file(row),
+            Change::Put(row) if self.is_relevant(&row.key) => Some(row_to_file(row)),
             Change::Removed(key, revision) if self.is_relevant(&key) => {
-                Some(pb::ConfigFile { name: key, revision, text: None })
+                Some(pb::ConfigFile { name: key, revision: revision.ordinal(), ..pb::ConfigFile::default() })
             }
             _ => None,
         }
@@ -146,53 +155,68 @@
     /// Applies changes of the copy until the task is dropped.
     pub async fn apply(self) {
         let mut applied = 0;
-        let mut pending_removals = BTreeMap::new();
+        let mut delayed = Delayed::default();
         loop {
             tokio::select! {
                 () = self.shared.config_changed.notified() => {}
-                () = sleep(REMOVAL_CHECK_INTERVAL), if !pending_removals.is_empty() => {}
+                () = sleep(DELAYED_CHECK_INTERVAL), if !delayed.is_empty() => {}
             }
-            let delta = self.shared.config.lock().delta(applied);
-            applied = delta.revision;
+            let (files, changes) = self.shared.config.lock().changes_since(applied);
+            applied = changes;
             let mut instances = Vec::new();
-            for file in delta.files {
-                self.apply_file(file, &mut instances, &mut pending_removals);
+            for file in files {
+                self.apply_file(file, &mut instances, &mut delayed);
             }
-            self.shared.replicas.update(instances, self.shared.now());
+            let now = self.shared.now();
+            let due = delayed.take_due(now);
+            instances.extend(due.returned);
+            self.shared.replicas.update(instances, now);
             self.shared.instances_listed.store(true, Ordering::Relaxed);
-            self.remove_due(&mut pending_removals);
+            due.removed.iter().for_each(|id| self.shared.replicas.remove(id, now));
+            due.withdrawn.iter().for_each(|key| self.withdraw_order(key));
         }
     }
 
-    fn apply_file(
-        &self,
-        file: pb::ConfigFile,
-        instances: &mut Vec<Instance>,
-        pending_removals: &mut BTreeMap<Arc<str>, u64>,
-    ) {
+    fn apply_file(&self, file: pb::ConfigFile, instances: &mut Vec<Instance>, delayed: &mut Delayed) {
         let id: Option<Arc<str>> = self.catalog.instance_id(&file.name).map(Into::into);
+        let (origin, now) = (file.origin(), self.shared.now());
+        let revision = Revision::from_ordinal(file.revision);
         let Some(text) = &file.text else {
-            let Some(id) = id else { return self.apply_order(&file, None) };
-            let grace = if self.had_recent_store_error() { REMOVAL_GRACE_MS } else { 0 };
-            info!("event=instance-removed instance={id} revision={} grace_ms={grace}", file.revision);
-            pending_removals.insert(id, self.shared.now() + grace);
+            match id {
+                Some(id) => {
+                    let grace = delayed.remove(id.clone(), origin, self.had_recent_store_error(), now);
+                    info!("event=instance-removed instance={id} revision={revision} grace_ms={grace}");
+                }
+                None if delayed.keeps_order(&file.name, origin, now) => {}
+                None => self.withdraw_order(&file.name),
+            }
             return;
         };
         match self.catalog.parse(&file.name, text) {
-            Ok(Entry::Site(site)) => self.apply_site(file.revision, *site),
+            Ok(Entry::Site(site)) => self.apply_site(revision, *site),
             Ok(Entry::Instance(instance)) => {
-                pending_removals.remove(&instance.id);
-                let (id, pool, state) = (&instance.id, &instance.pool, instance.state);
-                info!("event=instance-changed instance={id} pool={pool} state={state:?} revision={}", file.revision);
-                instances.push(instance);
+                let (id, pool, state) = (instance.id.clone(), instance.pool.clone(), instance.state);
+                let used = delayed.use_server(instance, origin, now);
+                let held_back = used.is_none();
+                if origin != FileOrigin::Kept {
+                    info!(
+                        "event=instance-changed instance={id} pool={pool} state={state:?} revision={revision} held_back={held_back}"
+                    );
+                }
+                // Entries that a restored store still has would only start the warm-up again.
+                instances
+                    .extend(used.filter(|used| origin != FileOrigin::Kept || !self.shared.replicas.is_known(&used.id)));
+            }
+            Ok(Entry::Rollout(order)) => {
+                delayed.order_written(&file.name);
+                self.apply_order(&file, order);
             }
-            Ok(Entry::Rollout(order)) => self.apply_order(&file, Some(order)),
             Ok(Entry::Other) => apply_verdict(&self.shared, &file.name, text),
             Err(error) => {
-                warn!("event=entry-refused key={:?} revision={} error={error:?}", file.name, file.revision);
+                warn!("event=entry-refused key={:?} revision={revision} error={error:?}", file.name);
                 // The instance that an unreadable entry names must not be used, whatever the entry said before.
                 if let Some(id) = id {
-                    pending_removals.insert(id, self.shared.now());
+                    delayed.remove(id, FileOrigin::Written, false, now);
                 }
             }
         }
@@ -203,35 +227,31 @@
         self.shared.kv.is_failing() || (last_error > 0 && self.shared.now() < last_error + STORE_ERROR_WINDOW_MS)
     }
 
-    fn remove_due(&self, pending_removals: &mut BTreeMap<Arc<str>, u64>) {
-        let now = self.shared.now();
-        let due: Vec<_> =
-            pending_removals.iter().filter(|(_, remove_at)| **remove_at <= now).map(|(id, _)| id.clone()).collect();
-        for id in due {
-            pending_removals.remove(&id);
-            self.shared.replicas.remove(&id, now);
+    /// Applies an order for a rollout.
+    fn apply_order(&self, file: &pb::ConfigFile, order: RolloutOrder) {
+        // An order that is written again after a restore is the same order.
+        let revision = Revision::from_ordinal(if file.first_seen > 0 { file.first_seen } else { file.revision });
+        let RolloutOrder { pool, version, duration } = order;
+        let ms = duration.as_millis();
+        let plan = ordered_plan(pool, version, duration, revision, self.shared.agreed_ms());
+        if self.orders.lock().get(&file.name).is_some_and(|known| known.rollout_key == plan.rollout_key) {
+            return;
         }
+        info!("event=move-ordered pool={} version={} ms={ms} revision={revision}", plan.pool, plan.name);
+        self.shared.evidence.remove_version(&plan.name);
+        self.orders.lock().insert(file.name.clone(), plan);
+        self.orders_changed();
     }
 
-    /// Applies an order for a rollout, or removes the order if its entry is gone.
-    fn apply_order(&self, file: &pb::ConfigFile, order: Option<RolloutOrder>) {
-        let mut orders = self.orders.lock();
-        match order {
-            None if !orders.contains_key(&file.name) => return,
-            None => {
-                info!("event=move-withdrawn key={:?} revision={}", file.name, file.revision);
-                orders.remove(&file.name);
-            }
-            Some(order) => {
-                let RolloutOrder { pool, version, duration } = &order;
-                let (duration, ms) = (*duration, duration.as_millis());
-                info!("event=move-ordered pool={pool} version={version} ms={ms} revision={}", file.revision);
-                self.shared.evidence.remove_version(version);
-                let plan = ordered_plan(order.pool, order.version, duration, file.revision, self.shared.agreed_ms());
-                orders.insert(file.name.clone(), plan);
-            }
+    /// Removes an order whose entry is gone.
+    fn withdraw_order(&self, key: &str) {
+        if self.orders.lock().remove(key).is_some() {
+            info!("event=move-withdrawn key={key:?}");
+            self.orders_changed();
         }
-        drop(orders);
+    }
+
+    fn orders_changed(&self) {
         let in_force = self.shared.in_force.load();
         let (revision, site) = (in_force.revision, in_force.site.clone());
         self.shared.in_force.store(Arc::new(InForce { revision, site: self.with_orders(site) }));
@@ -244,17 +264,23 @@
         Site { versions, ..site }
     }
 
-    fn apply_site(&self, revision: u64, site: Site) {
-        if revision <= self.shared.in_force.load().revision {
+    fn apply_site(&self, revision: Revision, site: Site) {
+        let in_force = self.shared.in_force.load();
+        let (version, known) = (site.version, in_force.site.version);
+        if version < known {
+            warn!("event=config-outdated revision={revision} version={version} in_force={known}");
+            return;
+        }
+        if version == known && revision <= in_force.revision {
             return;
         }
         let site = self.with_orders(site);
         let (routes, accounts) = (site.routes.len(), site.accounts.len());
         self.shared.in_force.store(Arc::new(InForce { revision, site }));
-        self.shared.metrics.config_revision.set(revision as i64);
+        self.shared.metrics.config_revision.set(revision.ordinal() as i64);
         self.shared.metrics.config_since.set(unix_ms() as i64);
         self.shared.refresh_version_choices();
-        info!("event=config-in-force revision={revision} routes={routes} accounts={accounts}");
+        info!("event=config-in-force revision={revision} version={version} routes={routes} accounts={accounts}");
     }
 }
 
@@ -263,13 +289,12 @@
     MIN_WATCHERS.div_ceil(regions.max(1)).max(REGION_WATCHERS)
 }
 
-fn row_to_file(row: Row) -> Option<pb::ConfigFile> {
-    match String::from_utf8(row.value.to_vec()) {
-        Ok(text) => Some(pb::ConfigFile { name: row.key, revision: row.revision, text: Some(text) }),
-        Err(_) => {
-            warn!("event=entry-refused key={:?} revision={} error=\"not UTF-8\"", row.key, row.revision);
-            // Empty text is just as unreadable, so it is propagated in place of the value.
-            Some(pb::ConfigFile { name: row.key, revision: row.revision, text: Some(String::new()) })
-        }
-    }
+fn row_to_file(row: Row) -> pb::ConfigFile {
+    let Row { key, revision, .. } = row;
+    let text = String::from_utf8(row.value.to_vec()).unwrap_or_else(|_| {
+        warn!("event=entry-refused key={key:?} revision={revision} error=\"not UTF-8\"");
+        // Empty text is just as unreadable, so it is propagated in place of the value.
+        String::new()
+    });
+    pb::ConfigFile { name: key, revision: revision.ordinal(), text: Some(text), ..pb::ConfigFile::default() }
 }
--- a/goldcrestward/src/process/term.rs
+++ b/goldcrestward/src/process/term.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::usage::AccountCounts;
-use crate::port::DutyAnswer;
+use crate::{port::DutyAnswer, store::Revision};
 
 /// Fraction of the lease that is left unused, to allow for clock drift and calls in transit.
 const SAFETY_MARGIN: f64 = 0.2;
@@ -45,8 +45,8 @@
     Idle,
     /// Read the stored record.
     Read,
-    /// Store this record in place of the one with this revision, 0 for none.
-    Write(UsageRecord, u64),
+    /// Store this record in place of the one with this revision, if any.
+    Write(UsageRecord, Revision),
     /// Report this record to the platform.
     Send(UsageRecord),
 }
@@ -55,7 +55,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum WriteResult {
     /// Stored with this revision.
-    Done(u64),
+    Done(Revision),
     /// Refused: another record is stored, or the duties are no longer held.
     Refused,
     /// It may have been executed, or may still be.
@@ -72,8 +72,8 @@
     valid_until_ms: u64,
     renew_at_ms: u64,
     record: Option<UsageRecord>,
-    /// Revision of the stored record, 0 if there is none; `None` while it is unknown.
-    revision: Option<u64>,
+    /// Revision of the stored record, if there is one; `None` while it is unknown.
+    revision: Option<Revision>,
     reported: bool,
 }
 
@@ -133,7 +133,7 @@
     }
 
     /// Applies the stored record and its revision. Whether it has been reported is unknown, so it is reported again.
-    pub fn apply_read(&mut self, record: Option<UsageRecord>, revision: u64) {
+    pub fn apply_read(&mut self, record: Option<UsageRecord>, revision: Revision) {
         self.record = record;
         self.revision = Some(revision);
         self.reported = false;
--- a/goldcrestward/src/process/term_search_test.rs
+++ b/goldcrestward/src/process/term_search_test.rs
@@ -10,7 +10,7 @@
 };
 
 use super::{Term, UsageRecord, UsageSchedule, UsageStep, WriteResult};
-use crate::port::DutyAnswer;
+use crate::{port::DutyAnswer, store::Revision};
 
 const TTL: Duration = Duration::from_secs(3);
 /// Time between two ticks of the search, and number of ticks searched.
@@ -293,16 +293,16 @@
             UsageStep::Idle => Vec::new(),
             UsageStep::Read => {
                 let (record, revision) = self.record.clone().map_or((None, 0), |(record, at)| (Some(record), at));
-                term.apply_read(record, revision);
+                term.apply_read(record, Revision::new(0, revision));
                 vec![world.with(daemon, Daemon::Holding(term))]
             }
             UsageStep::Write(record, replaced) => {
-                let call = PendingCall::Write(record.clone(), term.fencing_token, replaced);
-                let write = |world: &mut Self| world.write(&record, term.fencing_token, replaced);
+                let call = PendingCall::Write(record.clone(), term.fencing_token, replaced.number());
+                let write = |world: &mut Self| world.write(&record, term.fencing_token, replaced.number());
                 let after = |(world, answer): (Self, Option<bool>)| {
                     let mut term = term.clone();
                     let result = match answer {
-                        Some(true) => WriteResult::Done(world.revision),
+                        Some(true) => WriteResult::Done(Revision::new(0, world.revision)),
                         Some(false) => WriteResult::Refused,
                         None => WriteResult::Unknown,
                     };
--- a/goldcrestward/src/process/verdict_keeper.rs
+++ b/goldcrestward/src/process/verdict_keeper.rs
@@ -13,7 +13,7 @@
     shared::Shared,
 };
 use crate::{
-    store::{Compare, Purpose, Put, Txn},
+    store::{Compare, Purpose, Put, Revision, Txn},
     util::unix_ms,
 };
 
@@ -44,7 +44,7 @@
     pub async fn run(self) {
         loop {
             sleep(INTERVAL).await;
-            if self.shared.in_force.load().revision == 0 || self.shared.view.lock().rank("verdicts") > 0 {
+            if self.shared.in_force.load().revision.is_none() || self.shared.view.lock().rank("verdicts") > 0 {
                 continue;
             }
             let Some((part, txn)) = self.next_change() else { continue };
@@ -72,7 +72,7 @@
                 condemned.iter().copied().find(|part| kept.iter().all(|(name, ..)| **name != key(*part)))
         {
             let value = serde_json::to_vec(&self.crashes(part)).unwrap_or_default();
-            let compares = vec![Compare { key: key(part), revision: 0 }];
+            let compares = vec![Compare { key: key(part), revision: Revision::NONE }];
             return Some((
                 part,
                 Txn { compares, puts: vec![Put { key: key(part), value, lease: 0 }], removes: Vec::new() },
--- a/goldcrestward/src/request/proxy_ingress.rs
+++ b/goldcrestward/src/request/proxy_ingress.rs
@@ -70,7 +70,7 @@
         let in_force = self.gateway.shared.in_force.load_full();
         let mut id: Arc<str> = Arc::from("-");
         let refuse = |id: &Arc<str>, refusal: Refusal| (id.clone(), refusal);
-        if in_force.revision == 0 {
+        if in_force.revision.is_none() {
             let refusal = Refusal::not_run(Reason::NoConfiguration, "this daemon has no configuration yet");
             return Err(refuse(&id, refusal.with_retry_after(NO_CONFIGURATION_RETRY_AFTER)));
         }
--- a/goldcrestward/src/store/client.rs
+++ b/goldcrestward/src/store/client.rs
@@ -15,6 +15,7 @@
     error::{BudgetSnafu, Error, Result, UnansweredSnafu},
     history::History,
     port::{Lease, Row, StorePort, Txn, TxnOutcome, WatchPort},
+    revision::Revision,
 };
 
 const SERVICE: &str = "key-value service";
@@ -73,6 +74,24 @@
         Self { port, calls, restores, breaker, history: Arc::new(watch::Sender::new(History::unknown())) }
     }
 
+    /// The history of the service that is in force, as far as this daemon knows.
+    pub fn history(&self) -> History {
+        *self.history.borrow()
+    }
+
+    /// Waits until the history is not the one with this number.
+    pub async fn history_ended(&self, number: Option<u64>) {
+        let mut history = self.history.subscribe();
+        // The sender lives as long as this client.
+        history.wait_for(|history| history.number != number).await.ok();
+    }
+
+    /// Learns of a history that another daemon knows.
+    pub fn learn_history(&self, number: u64) {
+        self.port.learn_history(number);
+        self.follow_history("peer");
+    }
+
     /// Enters the history that the service's answers tell of.
     fn follow_history(&self, source: &str) {
         let number = self.port.history();
@@ -106,7 +125,7 @@
     ///
     /// # Errors
     /// Fails when the service does not answer.
-    pub async fn list(&self, purpose: Purpose, prefix: &str, since: u64) -> Result<(Vec<Row>, u64)> {
+    pub async fn list(&self, purpose: Purpose, prefix: &str, since: Revision) -> Result<(Vec<Row>, Revision)> {
         self.call("range", purpose, self.port.list(purpose.label(), prefix, since)).await
     }
 
@@ -122,7 +141,7 @@
     ///
     /// # Errors
     /// Fails when the service does not answer.
-    pub async fn watch(&self, purpose: Purpose, prefix: &str, after: u64) -> Result<Box<dyn WatchPort>> {
+    pub async fn watch(&self, purpose: Purpose, prefix: &str, after: Revision) -> Result<Box<dyn WatchPort>> {
         self.call("watch", purpose, self.port.watch(purpose.label(), prefix, after)).await
     }
 
--- a/goldcrestward/src/store/error.rs
+++ b/goldcrestward/src/store/error.rs
@@ -20,6 +20,9 @@
     /// The service has compacted the changes that a watch asked for.
     #[snafu(display("the platform's {service} no longer has the changes asked for"))]
     Compacted { service: &'static str },
+    /// The service was restored from a copy, so that the answer or the condition belongs to an earlier history.
+    #[snafu(display("the platform's {service} was restored from a copy meanwhile"))]
+    Restored { service: &'static str },
     /// The lease has expired or was revoked.
     #[snafu(display("the lease has ended at the platform's {service}"))]
     LeaseEnded { service: &'static str },
--- a/goldcrestward/src/store/memory_store.rs
+++ b/goldcrestward/src/store/memory_store.rs
@@ -9,23 +9,23 @@
 use futures_util::future::BoxFuture;
 use parking_lot::Mutex;
 
-use super::{Lease, Result, Row, StorePort, Txn, TxnOutcome, WatchPort, error::UnreachedSnafu};
+use super::{Lease, Result, Revision, Row, StorePort, Txn, TxnOutcome, WatchPort, error::UnreachedSnafu};
 
 /// Rows by key and the revision of the whole store. Watches are not supported.
 #[derive(Debug, Default)]
 pub(crate) struct MemoryStore {
-    rows: Mutex<(u64, BTreeMap<String, Row>)>,
+    rows: Mutex<(Revision, BTreeMap<String, Row>)>,
     leases: AtomicU64,
 }
 
 impl MemoryStore {
     fn apply(&self, txn: &Txn) -> TxnOutcome {
         let (revision, rows) = &mut *self.rows.lock();
-        let at = |key: &String| rows.get(key).map_or(0, |row| row.revision);
+        let at = |key: &String| rows.get(key).map_or(Revision::NONE, |row| row.revision);
         if txn.compares.iter().any(|compare| at(&compare.key) != compare.revision) {
             return TxnOutcome { succeeded: false, revision: *revision };
         }
-        *revision += 1;
+        *revision = Revision::new(0, revision.number() + 1);
         for put in &txn.puts {
             let create_revision = rows.get(&put.key).map_or(*revision, |row| row.create_revision);
             let (key, value) = (put.key.clone(), put.value.clone().into());
@@ -47,8 +47,8 @@
         &'a self,
         _purpose: &'static str,
         prefix: &'a str,
-        since: u64,
-    ) -> BoxFuture<'a, Result<(Vec<Row>, u64)>> {
+        since: Revision,
+    ) -> BoxFuture<'a, Result<(Vec<Row>, Revision)>> {
         Box::pin(async move {
             let (revision, rows) = &*self.rows.lock();
             let wanted = rows.values().filter(|row| row.key.starts_with(prefix) && row.revision >= since);
@@ -60,7 +60,7 @@
         &'a self,
         _purpose: &'static str,
         _prefix: &'a str,
-        _after: u64,
+        _after: Revision,
     ) -> BoxFuture<'a, Result<Box<dyn WatchPort>>> {
         Box::pin(async { UnreachedSnafu { service: "memory" }.fail() })
     }
--- a/goldcrestward/src/store/mod.rs
+++ b/goldcrestward/src/store/mod.rs
@@ -5,6 +5,7 @@
 mod error;
 mod history;
 mod port;
+mod revision;
 
 pub(crate) use client::{Kv, Purpose};
 pub use error::{Error, Result};
@@ -12,3 +13,4 @@
 pub(crate) mod memory_store;
 
 pub use port::{Change, Changes, Compare, Lease, Put, Row, StorePort, Txn, TxnOutcome, WatchPort};
+pub use revision::Revision;
--- a/goldcrestward/src/store/port.rs
+++ b/goldcrestward/src/store/port.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 
-use super::error::Result;
+use super::{error::Result, revision::Revision};
 
 /// A key with its value and revisions.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,9 +13,9 @@
     pub key: String,
     pub value: Bytes,
     /// Revision of the last change.
-    pub revision: u64,
+    pub revision: Revision,
     /// Revision at which the key was created.
-    pub create_revision: u64,
+    pub create_revision: Revision,
 }
 
 /// One change of a key.
@@ -24,7 +24,7 @@
     /// The key has a new value.
     Put(Row),
     /// The key was removed at a revision.
-    Removed(String, u64),
+    Removed(String, Revision),
 }
 
 /// Changes in the order of their revisions.
@@ -32,15 +32,15 @@
 pub struct Changes {
     pub changes: Vec<Change>,
     /// Revision up to which the changes are complete.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// A condition of a transaction: the key was last changed at this revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Compare {
     pub key: String,
-    /// Expected revision of the last change; 0 if the key must not exist.
-    pub revision: u64,
+    /// Expected revision of the last change; [`Revision::NONE`] if the key must not exist.
+    pub revision: Revision,
 }
 
 /// A value to store.
@@ -67,7 +67,7 @@
     /// Whether all conditions held, so that the transaction was applied.
     pub succeeded: bool,
     /// Revision of the service after the transaction.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// A lease granted by the service.
@@ -95,19 +95,26 @@
         0
     }
 
+    /// Learns of a history from elsewhere, so that answers of earlier ones that are still to come count as lost.
+    fn learn_history(&self, _history: u64) {}
+
     /// Reads one key.
     fn get<'a>(&'a self, purpose: &'static str, key: &'a str) -> BoxFuture<'a, Result<Option<Row>>>;
 
     /// Lists the rows with `prefix` that changed at revision `since` or later, and the revision of the service.
-    fn list<'a>(&'a self, purpose: &'static str, prefix: &'a str, since: u64)
-    -> BoxFuture<'a, Result<(Vec<Row>, u64)>>;
+    fn list<'a>(
+        &'a self,
+        purpose: &'static str,
+        prefix: &'a str,
+        since: Revision,
+    ) -> BoxFuture<'a, Result<(Vec<Row>, Revision)>>;
 
     /// Opens a watch on the keys with `prefix` for changes after revision `after`.
     fn watch<'a>(
         &'a self,
         purpose: &'static str,
         prefix: &'a str,
-        after: u64,
+        after: Revision,
     ) -> BoxFuture<'a, Result<Box<dyn WatchPort>>>;
 
     /// Executes a transaction.
--- a/goldcrestward/src/version/order.rs
+++ b/goldcrestward/src/version/order.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::config::{RolloutMode, VersionPlan};
+use crate::{
+    config::{RolloutMode, VersionPlan},
+    store::Revision,
+};
 
 /// Shares of traffic by step in a short rollout. The first is the exposure to a bad version that operators accept.
 const SHORT_STEPS: [f64; 3] = [0.1, 0.3, 1.0];
@@ -21,7 +24,7 @@
     pool: Arc<str>,
     version: Arc<str>,
     duration: Duration,
-    revision: u64,
+    revision: Revision,
     now_ms: u64,
 ) -> VersionPlan {
     let duration_ms = duration.as_millis() as u64;
--- a/goldcrestward/src/version/order_test.rs
+++ b/goldcrestward/src/version/order_test.rs
@@ -6,7 +6,10 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use super::ordered_plan;
-use crate::version::{Decision, Outcome, Readiness, Rollout, Snapshot, Strata, Tally};
+use crate::{
+    store::Revision,
+    version::{Decision, Outcome, Readiness, Rollout, Snapshot, Strata, Tally},
+};
 
 const RUNS: u64 = 200;
 /// Time from one decision to the next.
@@ -51,7 +54,7 @@
 
 fn run(rate: f64, duration_s: u64, fault: Fault, base: Fault, seed: u64) -> RunResult {
     let mut random = SmallRng::seed_from_u64(seed);
-    let plan = ordered_plan("pool".into(), "new".into(), Duration::from_secs(duration_s), 7, 0);
+    let plan = ordered_plan("pool".into(), "new".into(), Duration::from_secs(duration_s), Revision::new(0, 7), 0);
     let mut rollout = Rollout::new(plan.clone(), 0, 0);
     let (mut step, mut result) = (0, RunResult::default());
     let (mut strata, mut delayed_strata) = (Strata::new(), std::collections::VecDeque::new());
