Duties end with the history of the store that they were acquired in, and reported counts outlive it

Cause: the holder's lease survived in the copy, but its conditions named revisions of the former history, and the entry kept all others from acquiring the duties; where the lease was lost, a removal below the known revision was dropped, so nobody found the duties vacant. The record that guards a window is remembered by all who saw it, learned from relays and former holders, and written again before anything new is reported, so no window gets other counts.

--- a/goldcrestward/src/config/replica.rs
+++ b/goldcrestward/src/config/replica.rs
@@ -257,6 +257,11 @@
         self.files.get(name)?.text.as_ref()
     }
 
+    /// Text of a file, or the text that it had before a restore of the store lost it.
+    pub fn last_text(&self, name: &str) -> Option<Arc<str>> {
+        self.files.get(name)?.last_content().map(|(text, _)| text)
+    }
+
     /// Name, content and revision of the files in force whose names start with `prefix`.
     pub fn with_prefix(&self, prefix: &str) -> Vec<(Arc<str>, Arc<str>, Revision)> {
         let files = self.files.iter().filter(|(name, _)| name.starts_with(prefix));
--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -115,6 +115,9 @@
 pub struct UsageTable {
     #[prost(message, repeated, tag = "1")]
     pub lives: ::prost::alloc::vec::Vec<LifeCounts>,
+    /// The latest counts that were stored to be reported, as far as the sender knows; a restore of the store may have lost them.
+    #[prost(message, optional, tag = "2")]
+    pub recorded: ::core::option::Option<WindowCounts>,
 }
 /// Total work that daemons have sent to a pool since the sender's start.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/goldcrestward/src/process/duty.rs
+++ b/goldcrestward/src/process/duty.rs
@@ -43,6 +43,9 @@
 /// A zone's load below this number of busy servers counts as unknown.
 const MIN_BUSY_SERVERS: f64 = 0.02;
 
+/// Number of former holders that are asked for what they recorded.
+const MAX_FORMER_HOLDERS: usize = 3;
+
 /// Prefix of the store keys that daemons write for each other.
 pub(crate) const OWN_PREFIX: &str = "goldcrestward/";
 
@@ -66,6 +69,8 @@
     last_scaled_ms: u64,
     /// First window whose counts have not been fetched since it ended.
     unfetched_window: u64,
+    /// The daemons that held the duties last, the latest first.
+    former_holders: Vec<Arc<str>>,
 }
 
 impl Duty {
@@ -80,6 +85,7 @@
             scaler: Scaler::default(),
             last_scaled_ms: 0,
             unfetched_window: 0,
+            former_holders: Vec::new(),
         }
     }
 
@@ -112,8 +118,15 @@
         info!("event=duty-released fence={} error={:?}", held.holder.fencing_token, result.err());
     }
 
+    /// Whether the duties were acquired in the history of the store that is in force. After a restore, the lease may be lost
+    /// or belong to another daemon.
+    fn is_current(&self, held: &HeldDuties) -> bool {
+        self.gateway.shared.kv.history().number.is_none_or(|number| number == held.revision.history())
+    }
+
     /// Tries to acquire the duties if no daemon holds them, after a delay that grows with this daemon's rank.
     async fn acquire_if_vacant(&mut self) {
+        self.remember_holder();
         let shared = &self.gateway.shared;
         let now = boot_ms();
         let has_holder = shared.config.lock().text(&self.key("duty")).is_some();
@@ -121,6 +134,10 @@
             self.vacant_since = None;
             return;
         }
+        // A holder whose lease the restored store has lost may act until the lease would have ended.
+        if shared.kv.history().known_for() < self.lease_time() {
+            return;
+        }
         let since = *self.vacant_since.get_or_insert(now);
         let rank = shared.view.lock().rank("duty") as u64;
         if now < since + rank * RANK_DELAY_MS || now < self.not_before {
@@ -132,6 +149,16 @@
         self.gateway.shared.holds_duties.store(self.held.is_some(), Ordering::Relaxed);
     }
 
+    /// Remembers the latest holders, as a restore of the store may lose their entries.
+    fn remember_holder(&mut self) {
+        let text = self.gateway.shared.config.lock().last_text(&self.key("duty"));
+        let Some(name) = text.and_then(|text| text.split(' ').next().map(Arc::<str>::from)) else { return };
+        if !self.former_holders.contains(&name) {
+            self.former_holders.truncate(MAX_FORMER_HOLDERS - 1);
+            self.former_holders.insert(0, name);
+        }
+    }
+
     async fn acquire(&mut self, requested_ms: u64) -> Option<HeldDuties> {
         let kv = &self.gateway.shared.kv;
         let lease = kv.grant(Purpose::Duty, self.lease_time()).await.ok()?;
@@ -164,9 +191,13 @@
         if !held.term.is_valid(now) {
             return self.give_up(&held, "the lease was not renewed in time");
         }
+        if !self.is_current(&held) {
+            return self.give_up(&held, "the store was restored from a copy");
+        }
         if held.term.is_renewal_due(now) {
             match self.gateway.shared.kv.renew(Purpose::Duty, held.term.lease).await {
-                Ok(()) => held.term.extend(now, self.lease_time()),
+                Ok(()) if self.is_current(&held) => held.term.extend(now, self.lease_time()),
+                Ok(()) => return self.give_up(&held, "the store was restored from a copy"),
                 Err(Error::LeaseEnded { .. }) => return self.give_up(&held, "the lease has ended"),
                 Err(error) => warn!("event=duty-renewal-failed fence={} error={error:?}", held.holder.fencing_token),
             }
@@ -260,10 +291,21 @@
                     };
                     let (record, revision) =
                         row.map_or((None, Revision::NONE), |row| (read_record(&row), row.revision));
-                    held.term.apply_read(record, revision);
+                    match self.later_record(record.as_ref()) {
+                        Some(lost) => {
+                            let window = lost.window;
+                            let result = self.write_usage(held, &lost, revision).await;
+                            info!("event=usage-record-restored window={window} revision={revision} result={result:?}");
+                            held.term.apply_write(lost, result);
+                        }
+                        None => held.term.apply_read(record, revision),
+                    }
                 }
                 UsageStep::Write(record, replaced) => {
                     let result = self.write_usage(held, &record, replaced).await;
+                    if matches!(result, WriteResult::Done(_)) {
+                        self.gateway.usage.lock().learn_record(record.clone());
+                    }
                     held.term.apply_write(record, result);
                 }
                 UsageStep::Send(record) => return self.send_usage(held, &record).await,
@@ -272,6 +314,18 @@
         true
     }
 
+    /// The latest record that this daemon knows of, if it is later than the stored one, as the store has been restored from
+    /// an older copy. It may have been reported.
+    fn later_record(&self, stored: Option<&UsageRecord>) -> Option<UsageRecord> {
+        let last_text = self.gateway.shared.config.lock().last_text(&self.key("usage"));
+        let mut usage = self.gateway.usage.lock();
+        if let Some(record) = last_text.and_then(|text| serde_json::from_str(&text).ok()) {
+            usage.learn_record(record);
+        }
+        let known = usage.recorded()?;
+        stored.is_none_or(|stored| stored.window < known.window).then(|| known.clone())
+    }
+
     /// Fetches the counts of windows that have ended from the relays. Returns false while it is worth waiting for those
     /// that have not answered.
     async fn learn_usage(&mut self) -> bool {
@@ -282,7 +336,8 @@
             return true;
         }
         let oldest_on_time = first_open.saturating_sub(report_within_ms / window_ms + 1);
-        let is_whole = fetch_usage(&self.gateway, self.unfetched_window.max(oldest_on_time)).await;
+        let is_whole =
+            fetch_usage(&self.gateway, self.unfetched_window.max(oldest_on_time), &self.former_holders).await;
         let is_late = agreed_ms > first_open * window_ms + report_within_ms / 2;
         if is_whole || is_late {
             self.unfetched_window = first_open;
@@ -338,6 +393,13 @@
     }
 }
 
+/// Whether a value of the key is an earlier record of usage than another one.
+pub(crate) fn is_earlier_record(key: &str, value: &str, known: &str) -> bool {
+    let window = |text: &str| serde_json::from_str::<UsageRecord>(text).ok().map(|record| record.window);
+    let is_record = key.starts_with(OWN_PREFIX) && key.ends_with("/usage");
+    is_record && window(value).zip(window(known)).is_some_and(|(value, known)| value < known)
+}
+
 fn read_record(row: &Row) -> Option<UsageRecord> {
     let record = serde_json::from_slice(&row.value);
     if let Err(error) = &record {
--- a/goldcrestward/src/process/exchange/run.rs
+++ b/goldcrestward/src/process/exchange/run.rs
@@ -483,8 +483,9 @@
             life: *epoch,
             windows: rows(windows),
         });
+        let recorded = usage.recorded().map(|record| window_counts((&record.window, &record.counts)));
         let lives = std::iter::once(own).chain(others).filter(|life| !life.windows.is_empty());
-        pb::UsageTable { lives: lives.collect() }
+        pb::UsageTable { lives: lives.collect(), recorded }
     }
 }
 
--- a/goldcrestward/src/process/exchange/usage_fetch.rs
+++ b/goldcrestward/src/process/exchange/usage_fetch.rs
@@ -8,7 +8,7 @@
 use super::{relay_role::RELAYS, relays::Relays};
 use crate::{
     pb::{self, answer, request},
-    process::{gateway::Gateway, usage::AccountCounts},
+    process::{gateway::Gateway, term::UsageRecord, usage::AccountCounts},
 };
 
 /// Time within which a relay must answer a question for request counts.
@@ -18,17 +18,22 @@
 const USAGE_SOURCES: usize = RELAYS + 1;
 /// Windows by which a daemon's clock may be ahead of the agreed time.
 const MAX_WINDOWS_AHEAD: u64 = 2;
-/// Fetches the request counts since a window from the relays of all availability zones. Returns whether a relay of each
-/// zone has answered.
-pub(crate) async fn fetch_usage(gateway: &Gateway, from_window: u64) -> bool {
+/// Fetches the request counts since a window from the relays of all availability zones and from the daemons that held the
+/// duties before. Returns whether a relay of each zone has answered.
+pub(crate) async fn fetch_usage(gateway: &Gateway, from_window: u64, former_holders: &[Arc<str>]) -> bool {
     let own_name = gateway.shared.settings.name.clone();
     let sources: Vec<(Arc<str>, SocketAddr)> = {
-        let relays = Relays::of(&gateway.shared.view.lock(), USAGE_SOURCES);
+        let view = gateway.shared.view.lock();
+        let is_former = |name: &Arc<str>| former_holders.contains(name) && *name != own_name;
+        let former = view.present().filter(|member| is_former(&member.name));
+        let former: Vec<_> = former.map(|member| (member.zone.clone(), member.address)).collect();
+        let relays = Relays::of(&view, USAGE_SOURCES);
         let members = relays.members.into_iter().take(USAGE_SOURCES).filter(|member| member.name != own_name);
         let members = members.map(|member| (gateway.shared.settings.zone.clone(), member.address));
         let others = relays.others.into_iter();
         let others = others.flat_map(|(zone, (_, list))| list.into_iter().map(move |r| (zone.clone(), r.address)));
-        members.chain(others).collect()
+        let asked: BTreeSet<_> = members.chain(others).chain(former).collect();
+        asked.into_iter().collect()
     };
     let query = async |(zone, address): (Arc<str>, SocketAddr)| {
         let body = request::Body::AskUsage(pb::AskUsage { from_window });
@@ -40,6 +45,10 @@
     for (zone, answer) in join_all(sources.into_iter().map(query)).await {
         let Ok(answer::Body::UsageTable(table)) = answer else { continue };
         answered.insert(zone);
+        if let Some(recorded) = table.recorded {
+            let counts = recorded.counts.into_iter().map(|c| (c.account.into(), c.count)).collect();
+            gateway.usage.lock().learn_record(UsageRecord { window: recorded.window, counts });
+        }
         for process in table.lives {
             let daemon: Arc<str> = process.daemon.into();
             if (&daemon, process.life) != (&own_name, gateway.shared.epoch) {
--- a/goldcrestward/src/process/state/site_state.rs
+++ b/goldcrestward/src/process/state/site_state.rs
@@ -20,7 +20,7 @@
     pb::{self, FileOrigin},
     port::{Catalog, Entry, Instance, RolloutOrder},
     process::{
-        duty::OWN_PREFIX,
+        duty::{OWN_PREFIX, is_earlier_record},
         shared::{InForce, Shared},
         verdict_keeper::apply_verdict,
     },
@@ -56,7 +56,9 @@
 impl SiteState {
     pub fn new(shared: Arc<Shared>, catalog: Arc<dyn Catalog>) -> Self {
         let precedence = catalog.clone();
-        let is_outdated = move |key: &str, value: &str, known: &str| precedence.is_outdated(key, value, known);
+        let is_outdated = move |key: &str, value: &str, known: &str| {
+            precedence.is_outdated(key, value, known) || is_earlier_record(key, value, known)
+        };
         shared.config.lock().set_precedence(Arc::new(is_outdated));
         Self { shared, catalog, orders: Arc::default() }
     }
--- a/goldcrestward/src/process/usage.rs
+++ b/goldcrestward/src/process/usage.rs
@@ -6,6 +6,8 @@
     time::Duration,
 };
 
+use super::term::UsageRecord;
+
 /// Number of requests by account.
 pub(crate) type AccountCounts = BTreeMap<Arc<str>, u64>;
 
@@ -17,12 +19,19 @@
     own: BTreeMap<u64, AccountCounts>,
     /// By daemon and start of its process, so that counts from before a restart are not lost.
     others: HashMap<(Arc<str>, u64), BTreeMap<u64, AccountCounts>>,
+    /// Latest counts that some daemon has stored to report them.
+    recorded: Option<UsageRecord>,
 }
 
 impl UsageCounts {
     /// Creates empty counts for windows of length `window`, each to be reported within `delay` of its end.
     pub fn new(window: Duration, delay: Duration) -> Self {
-        Self { retained_windows: windows_in(window, delay) + 2, own: BTreeMap::new(), others: HashMap::new() }
+        Self {
+            retained_windows: windows_in(window, delay) + 2,
+            own: BTreeMap::new(),
+            others: HashMap::new(),
+            recorded: None,
+        }
     }
 
     /// Counts a request that started in a window.
@@ -69,6 +78,19 @@
         total
     }
 
+    /// Learns of counts that were stored to be reported. Those of the latest window are kept, as a restore of the store may
+    /// lose them, and a window must not be reported with other counts.
+    pub fn learn_record(&mut self, record: UsageRecord) {
+        if self.recorded.as_ref().is_none_or(|known| known.window < record.window) {
+            self.recorded = Some(record);
+        }
+    }
+
+    /// The latest counts that were stored to be reported, as far as this daemon knows.
+    pub fn recorded(&self) -> Option<&UsageRecord> {
+        self.recorded.as_ref()
+    }
+
     /// Returns the window to report next, if it has ended. Without an earlier record, it is the first that was counted.
     ///
     /// `last_written` is the last window on record, `first_open` the first that has not ended, and `oldest_on_time` the
--- a/goldcrestward/src/process/usage_test.rs
+++ b/goldcrestward/src/process/usage_test.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use super::{AccountCounts, UsageCounts};
+use super::{AccountCounts, UsageCounts, UsageRecord};
 
 fn counts(rows: &[(&str, u64)]) -> AccountCounts {
     rows.iter().map(|(name, count)| (Arc::from(*name), *count)).collect()
@@ -73,3 +73,14 @@
     usage.forget_before(8);
     assert_eq!(usage.total(7), counts(&[("a", 3)]));
 }
+
+#[test]
+fn learn_record_keeps_the_latest_window() {
+    let mut usage = UsageCounts::new(Duration::from_secs(5), Duration::from_secs(10));
+    let record = |window, count| UsageRecord { window, counts: [("account".into(), count)].into() };
+    for (learned, kept) in [(record(7, 1), 7), (record(6, 2), 7), (record(8, 3), 8), (record(8, 4), 8)] {
+        usage.learn_record(learned);
+        assert_eq!(usage.recorded().map(|record| record.window), Some(kept));
+    }
+    assert_eq!(usage.recorded(), Some(&record(8, 3)), "counts of a window that is recorded must not change");
+}
