Rollouts go on after a restore of the store with what the site knows of them

What the operator saw: a good version was rolled back, or its rollout was not finished by its date, as the store had lost its record; a version that had been rolled back could get traffic again, as the order, written again, counted as a new one.

--- a/goldcrestward/src/process/rollout.rs
+++ b/goldcrestward/src/process/rollout.rs
@@ -52,6 +52,8 @@
     pending: Option<Decision>,
     /// Whether the record has been read; until then nothing is written and no step is taken.
     read: bool,
+    /// Whether the site knows more than the stored record says, as a restore of the store has lost a write.
+    unsaved: bool,
 }
 
 /// Tallies reported by one daemon, including those of earlier processes with its name.
@@ -69,13 +71,15 @@
     catalog: Option<Arc<dyn Catalog>>,
     prefix: String,
     held: HashMap<Arc<str>, HeldRollout>,
+    /// History of the store that the held records were read in.
+    history: Option<u64>,
 }
 
 impl RolloutController {
     /// Creates a controller that holds no rollout yet.
     pub fn new(shared: Arc<Shared>, catalog: Option<Arc<dyn Catalog>>) -> Self {
         let prefix = record_prefix(&shared.settings.site);
-        Self { shared, catalog, prefix, held: HashMap::new() }
+        Self { shared, catalog, prefix, held: HashMap::new(), history: None }
     }
 
     /// Runs until the task is dropped.
@@ -89,6 +93,7 @@
             // Facts are added and expire, so the choice of versions is recomputed on each tick.
             self.shared.refresh_version_choices();
             let plans: Vec<_> = self.shared.in_force.load().site.versions.values().cloned().collect();
+            self.follow_history();
             self.held.retain(|name, _| plans.iter().any(|plan| plan.rollout_key == *name));
             for plan in plans {
                 if plan.start_ms.is_some_and(|start| self.shared.agreed_ms() >= start) {
@@ -98,6 +103,15 @@
         }
     }
 
+    /// Has all records read again after a restore of the store, which may have lost them.
+    fn follow_history(&mut self) {
+        let history = self.shared.kv.history().number;
+        if self.history != history {
+            self.history = history;
+            self.held.values_mut().for_each(|held| held.read = false);
+        }
+    }
+
     /// Publishes what earlier holders recorded, as no daemon knows it after a restart of all of them. Returns false if
     /// the store does not answer and there is no other daemon to learn it from.
     async fn load_records(&self) -> bool {
@@ -127,6 +141,9 @@
         if self.is_ordered(&plan) && !self.record_start(&plan).await {
             return;
         }
+        if !self.save_record(&name).await {
+            return;
+        }
         let Some(held) = self.held.get_mut(&name) else { return };
         if held.record.outcome.is_some() {
             let record = held.record.clone();
@@ -197,9 +214,38 @@
         info!("event=move-begun version={name} begun_ms={begun_ms}");
         held.revision = txn.revision;
         held.record = record;
+        held.unsaved = false;
         true
     }
 
+    /// Stores a record again of which a restore of the store has lost a part. Returns false until it is stored.
+    async fn save_record(&mut self, name: &Arc<str>) -> bool {
+        let Some(held) = self.held.get(name) else { return false };
+        if !held.unsaved || !held.read {
+            return true;
+        }
+        let record = RolloutRecord { at_ms: self.shared.agreed_ms(), ..held.record.clone() };
+        let result = self.write_record(&record, held.revision).await;
+        let Some(held) = self.held.get_mut(name) else { return false };
+        match result {
+            Ok(txn) if txn.succeeded => {
+                info!("event=move-record-restored version={name} step={} outcome={:?}", record.step, record.outcome);
+                held.revision = txn.revision;
+                held.record = record;
+                held.unsaved = false;
+                true
+            }
+            Ok(_) => {
+                self.held.remove(name);
+                false
+            }
+            Err(error) => {
+                warn!("event=move-record-unsaved version={name} error={error:?}");
+                false
+            }
+        }
+    }
+
     /// Lets any version serve again some time after an ordered rollout has completed.
     fn end_version_choice(&self, plan: &VersionPlan, record: &RolloutRecord) {
         let is_due = self.shared.agreed_ms() >= record.at_ms + OLD_SERVERS_STOP_MS;
@@ -277,7 +323,9 @@
             step: if read { 0 } else { known_step },
             ..RolloutRecord::default()
         };
-        let (record, revision) = found.unwrap_or((fresh, Revision::NONE));
+        let (stored, revision) = found.unwrap_or((fresh, Revision::NONE));
+        let record = self.with_known_state(stored.clone(), plan);
+        let unsaved = record != stored;
         if let Some(held) = self.held.get_mut(&name).filter(|_| !read) {
             held.record.step = known_step;
             return;
@@ -287,9 +335,33 @@
         }
         info!("event=move-held version={name} step={} read={read}", record.step);
         let earlier = self.held.remove(&name);
-        let (sources, pending) = earlier.map(|held| (held.sources, held.pending)).unwrap_or_default();
-        let rollout = Rollout::new(plan.clone(), record.step, self.shared.agreed_ms());
-        self.held.insert(name, HeldRollout { rollout, record, revision, sources, next_query_ms: 0, pending, read });
+        let new_rollout = || Rollout::new(plan.clone(), record.step, self.shared.agreed_ms());
+        let (sources, pending, rollout) = match earlier {
+            // The same holder goes on after a restore of the store.
+            Some(held) if held.rollout.step() == record.step => (held.sources, held.pending, held.rollout),
+            Some(held) => (held.sources, held.pending, new_rollout()),
+            None => (HashMap::new(), None, new_rollout()),
+        };
+        self.held
+            .insert(name, HeldRollout { rollout, record, revision, sources, next_query_ms: 0, pending, read, unsaved });
+    }
+
+    /// Adds what the site's facts say of a rollout to its record, which may be older.
+    fn with_known_state(&self, mut record: RolloutRecord, plan: &VersionPlan) -> RolloutRecord {
+        let view = self.shared.view.lock();
+        let step = view.facts().get(FactKind::Step, &plan.rollout_key).map_or(0, |fact| fact.value as usize);
+        let last = plan.steps.len() + 1;
+        record.step = record.step.max(step.min(last));
+        if record.outcome.is_some() {
+            return record;
+        }
+        if let Some(fact) = view.facts().get(FactKind::TakenBack, &plan.rollout_key) {
+            record.outcome = Some(Outcome::RolledBack.label().into());
+            record.reason = fact.note.to_string();
+        } else if step >= last {
+            record.outcome = Some(Outcome::Completed.label().into());
+        }
+        record
     }
 
     /// Rolls a version back while its record cannot be read; the outcome is stored once it can.
--- a/goldcrestward/src/version/rollout.rs
+++ b/goldcrestward/src/version/rollout.rs
@@ -100,6 +100,11 @@
         self.plan = plan;
     }
 
+    /// Step that has been reached, counted from 1; 0 before the first.
+    pub fn step(&self) -> usize {
+        self.step
+    }
+
     /// Number of steps in the plan.
     pub fn steps(&self) -> usize {
         self.plan.steps.len()
