Connections to backend servers are counted by result, and failures say whether they were refused or silent

unreached stood for both, so the log could not tell a daemon that is cut off from servers that are down. backend_connects_total and connect-failed now do. No logic changed.

--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -19,6 +19,7 @@
 };
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use prometheus::IntCounterVec;
 use tokio::{net::TcpStream, time::timeout};
 
 use super::client::SendError;
@@ -43,13 +44,39 @@
     expires: Instant,
 }
 
+/// Why a connection could not be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectError {
+    /// The server, or a host on the way, refused it.
+    Refused,
+    /// Nothing answered in time.
+    Silent,
+}
+
+impl ConnectError {
+    /// Value in metric labels and log lines.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// Idle connections to backend servers, by address and the instance that was found there.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct BackendConnections {
     idle: Arc<Mutex<HashMap<Key, Vec<IdleConnection>>>>,
+    /// Connections that were to be opened, by result.
+    connects: IntCounterVec,
 }
 
 impl BackendConnections {
+    /// Creates a pool without connections; `connects` counts those that are to be opened, by result.
+    pub fn new(connects: IntCounterVec) -> Self {
+        Self { idle: Arc::default(), connects }
+    }
+
     /// Returns an idle connection to the instance, or opens one.
     ///
     /// # Errors
@@ -59,13 +86,16 @@
         address: SocketAddr,
         instance: &Arc<str>,
         limit: Duration,
-    ) -> Option<BackendConnection> {
+    ) -> Result<BackendConnection, ConnectError> {
         let key = (address, instance.clone());
         if let Some(sender) = self.take_idle(&key) {
-            return Some(BackendConnection { sender, key, connections: self.clone() });
+            return Ok(BackendConnection { sender, key, connections: self.clone() });
         }
-        let sender = timeout(limit.min(CONNECT_TIMEOUT), connect(address)).await.ok().flatten()?;
-        Some(BackendConnection { sender, key, connections: self.clone() })
+        let opened = timeout(limit.min(CONNECT_TIMEOUT), connect(address)).await;
+        let opened = opened.map_or(Err(ConnectError::Silent), |sender| sender.ok_or(ConnectError::Refused));
+        let result = opened.as_ref().map_or_else(|error| error.label(), |_| "opened");
+        self.connects.with_label_values(&[result]).inc();
+        opened.map(|sender| BackendConnection { sender, key, connections: self.clone() })
     }
 
     /// Closes idle connections that have expired or whose instance does not satisfy `is_known`.
--- a/goldcrestward/src/process/gateway.rs
+++ b/goldcrestward/src/process/gateway.rs
@@ -72,11 +72,12 @@
         let retry_budget = RetryBudget::new(shared.settings.retries.clone());
         let seed = stable_hash(&[shared.settings.name.as_bytes()]);
         let usage = UsageCounts::new(shared.settings.usage_window, shared.settings.usage_delay);
+        let backend_connections = BackendConnections::new(shared.metrics.backend_connects.clone());
         Self {
             shared,
             header_codec,
             engines,
-            backend_connections: BackendConnections::default(),
+            backend_connections,
             quota_balances: Mutex::default(),
             quota_ledger: Mutex::default(),
             isolated_quotas: Mutex::default(),
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -37,6 +37,8 @@
     pub plain_seconds: HistogramVec,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    /// Connections to backend servers that were to be opened, by result.
+    pub backend_connects: IntCounterVec,
     /// Calls to the key-value store, by kind, purpose and result.
     pub kv_calls: IntCounterVec,
     /// Restores of the key-value store from a copy that this daemon has noticed.
@@ -98,6 +100,11 @@
             between_tokens: factory.between_tokens()?,
             plain_seconds: factory.histograms("plain_seconds", "time of plain requests", &["route"])?,
             in_flight: factory.gauge("in_flight", "requests in flight")?,
+            backend_connects: factory.counters(
+                "backend_connects_total",
+                "connections to backend servers that were to be opened, by result",
+                &["result"],
+            )?,
             kv_calls: factory.counters(
                 "kv_calls_total",
                 "calls to the key-value service",
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -334,7 +334,11 @@
     ) -> Result<ExchangeResult, ProxyFailure> {
         let replica = guard.replica().clone();
         let acquired = self.gateway.backend_connections.acquire(replica.address, &replica.id, self.time_left()).await;
-        let mut connection = acquired.ok_or(ProxyFailure::ConnectFailed)?;
+        let mut connection = acquired.map_err(|error| {
+            let (id, instance, why) = (&self.metadata.id, &replica.id, error.label());
+            info!("event=connect-failed id={id} instance={instance} why={why}");
+            ProxyFailure::ConnectFailed
+        })?;
         // The server may have started to leave while the connection was being opened.
         if replica.is_leaving() {
             return Err(ProxyFailure::ConnectFailed);
