Backend servers that a daemon does not reach are reached by way of its peers

Cause: there was one path; each try waited 400 ms for a connection that hung, and health was kept by server, so that the daemon never knew that it was cut off. The class: what one daemon cannot do, although the site can. Change: process/reach/ knows from connections which servers this daemon reaches. After 150 ms, or at once where a server is known as lost, a peer is asked to open the connection; its bytes then pass in the frames of an authenticated stream. The request stays with the daemon that took it: what may be repeated, quotas, limits, seals, resumption and the caller's leaving work as over a connection of its own, and all is counted once. A peer never passes a connection on, says when it is cut off itself, and carries 512 at most. Lost servers are probed in the background, by one caller each 0.4 to 1.6 s. A daemon that reaches none of the last three servers tried accuses none: no failure score, no evidence on versions, no crash. A tunnel that breaks never looks like the end of an answer.

--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -20,12 +20,14 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use prometheus::IntCounterVec;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+    time::timeout,
+};
 
-use super::client::SendError;
+use super::{client::SendError, tunnel::Tunnel};
 
-/// Time limit for opening a connection; a live server needs a few ms for the round trip and handshake.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after which an idle connection is closed if the server states none.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time by which a connection is retired before the server would close it.
@@ -41,6 +43,8 @@
 
 struct IdleConnection {
     sender: Sender,
+    /// Whether it goes by way of a peer.
+    relayed: bool,
     expires: Instant,
 }
 
@@ -77,25 +81,48 @@
         Self { idle: Arc::default(), connects }
     }
 
-    /// Returns an idle connection to the instance, or opens one.
+    /// Takes an idle connection to the instance. Without `relayed`, only a direct one; those by way of a peer are closed.
+    pub fn take(&self, address: SocketAddr, instance: &Arc<str>, relayed: bool) -> Option<BackendConnection> {
+        let key = (address, instance.clone());
+        let idle = self.take_idle(&key, relayed)?;
+        Some(BackendConnection { sender: idle.sender, key, relayed: idle.relayed, connections: self.clone() })
+    }
+
+    /// Opens a connection to the instance.
     ///
     /// # Errors
-    /// Fails when no connection can be opened in time; nothing has been sent then.
-    pub async fn acquire(
+    /// Fails when it cannot be opened in time; nothing has been sent then.
+    pub async fn open(
         &self,
         address: SocketAddr,
         instance: &Arc<str>,
         limit: Duration,
     ) -> Result<BackendConnection, ConnectError> {
-        let key = (address, instance.clone());
-        if let Some(sender) = self.take_idle(&key) {
-            return Ok(BackendConnection { sender, key, connections: self.clone() });
-        }
-        let opened = timeout(limit.min(CONNECT_TIMEOUT), connect(address)).await;
+        let open = async { handshake(open_backend_socket(address).await?).await };
+        let opened = timeout(limit, open).await;
         let opened = opened.map_or(Err(ConnectError::Silent), |sender| sender.ok_or(ConnectError::Refused));
         let result = opened.as_ref().map_or_else(|error| error.label(), |_| "opened");
         self.connects.with_label_values(&[result]).inc();
-        opened.map(|sender| BackendConnection { sender, key, connections: self.clone() })
+        let key = (address, instance.clone());
+        opened.map(|sender| BackendConnection { sender, key, relayed: false, connections: self.clone() })
+    }
+
+    /// Uses a connection to the instance that a peer has opened.
+    pub async fn open_over(
+        &self,
+        tunnel: Tunnel,
+        address: SocketAddr,
+        instance: &Arc<str>,
+    ) -> Option<BackendConnection> {
+        let sender = handshake(tunnel).await?;
+        Some(BackendConnection { sender, key: (address, instance.clone()), relayed: true, connections: self.clone() })
+    }
+
+    /// Closes direct idle connections to an instance.
+    pub fn close_idle(&self, address: SocketAddr, instance: &Arc<str>) {
+        if let Some(idle) = self.idle.lock().get_mut(&(address, instance.clone())) {
+            idle.retain(|connection| connection.relayed);
+        }
     }
 
     /// Closes idle connections that have expired or whose instance does not satisfy `is_known`.
@@ -107,21 +134,29 @@
         });
     }
 
-    fn take_idle(&self, key: &Key) -> Option<Sender> {
-        let now = Instant::now();
+    fn take_idle(&self, key: &Key, relayed: bool) -> Option<IdleConnection> {
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(key)?;
+        let now = Instant::now();
         connections.retain(|connection| connection.expires > now && !connection.sender.is_closed());
+        if !relayed {
+            connections.retain(|connection| !connection.relayed);
+        }
         let index = connections.iter().rposition(|connection| connection.sender.is_ready())?;
-        Some(connections.remove(index).sender)
+        Some(connections.remove(index))
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<Sender> {
+/// Opens a TCP connection to a backend server; `None` if it is refused.
+pub(crate) async fn open_backend_socket(address: SocketAddr) -> Option<TcpStream> {
     let stream = TcpStream::connect(address).await.ok()?;
     stream.set_nodelay(true).ok()?;
     // A server that loses power or its network does not respond at all; without this time-out writes would hang.
     rustix::net::sockopt::set_tcp_user_timeout(&stream, UNACKNOWLEDGED_TIMEOUT.as_millis() as u32).ok();
+    Some(stream)
+}
+
+async fn handshake(stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static) -> Option<Sender> {
     let builder = Builder::new().max_buf_size(MAX_HEAD_BYTES).to_owned();
     let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
     // Errors of the connection are returned to the request that uses it.
@@ -133,6 +168,7 @@
 pub(crate) struct BackendConnection {
     sender: Sender,
     key: Key,
+    relayed: bool,
     connections: BackendConnections,
 }
 
@@ -160,8 +196,22 @@
             return;
         }
         let stated = head.get("keep-alive").and_then(|v| v.to_str().ok()).and_then(stated_timeout);
-        let Some(lifetime) = stated.unwrap_or(IDLE_TIMEOUT).checked_sub(IDLE_MARGIN) else { return };
-        let idle = IdleConnection { sender: self.sender, expires: Instant::now() + lifetime };
+        self.keep_for(stated.unwrap_or(IDLE_TIMEOUT));
+    }
+
+    /// Keeps a new connection for the next request.
+    pub fn keep(self) {
+        self.keep_for(IDLE_TIMEOUT);
+    }
+
+    /// Whether it goes by way of a peer.
+    pub fn is_relayed(&self) -> bool {
+        self.relayed
+    }
+
+    fn keep_for(self, lifetime: Duration) {
+        let Some(lifetime) = lifetime.checked_sub(IDLE_MARGIN) else { return };
+        let idle = IdleConnection { sender: self.sender, relayed: self.relayed, expires: Instant::now() + lifetime };
         self.connections.idle.lock().entry(self.key).or_default().push(idle);
     }
 }
--- a/goldcrestward/src/connection/mod.rs
+++ b/goldcrestward/src/connection/mod.rs
@@ -8,9 +8,10 @@
 mod listener;
 mod peer;
 mod seal;
+mod tunnel;
 
 pub(crate) use activity::AmbiguousFraming;
-pub(crate) use backend::{BackendConnection, BackendConnections};
+pub(crate) use backend::{BackendConnection, BackendConnections, ConnectError, open_backend_socket};
 pub use client::{HttpClient, OutboundRequest, SendError};
 pub(crate) use error::Error;
 pub(crate) use listener::{CurrentCallerLimits, Drain, Listener, MAX_HEAD_BYTES, bind};
--- a/goldcrestward/src/connection/peer.rs
+++ b/goldcrestward/src/connection/peer.rs
@@ -1,24 +1,34 @@
 //! Request streams between daemons: one connection to each peer, with authenticated frames.
 
-use std::{collections::HashMap, future::Future, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    future::Future,
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicBool},
+    time::Duration,
+};
 
 use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{
+    SinkExt, StreamExt,
+    stream::{SplitSink, SplitStream},
+};
 use parking_lot::Mutex;
 use prometheus::IntCounter;
 use prost::Message;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{mpsc, oneshot},
+    sync::{Semaphore, mpsc, oneshot},
     time::timeout,
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::{
-    error::{PeerSnafu, Result},
+    error::{PeerSnafu, Result as PeerResult},
     seal::Secrets,
+    tunnel::{Tunnel, carry},
 };
-use crate::pb::{self, answer, request};
+use crate::pb::{self, TunnelResult, answer, request};
 
 /// Largest frame between daemons, in bytes.
 const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
@@ -31,6 +41,11 @@
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Connections that are carried for peers at once.
+const MAX_TUNNELS: usize = 512;
+/// Time after which a stream whose sent bytes are not acknowledged is closed.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
+
 type Stream = Framed<TcpStream, LengthDelimitedCodec>;
 /// Channels on which the callers await their answers, by request id.
 type PendingAnswers = HashMap<u64, oneshot::Sender<answer::Body>>;
@@ -39,21 +54,59 @@
 pub(crate) trait PeerHandler: Clone + Send + Sync + 'static {
     /// Serves one request. On `None` the answer has no body, and the peer closes the connection.
     fn handle(&self, body: request::Body) -> impl Future<Output = Option<answer::Body>> + Send;
+
+    /// Opens a connection to a backend server, whose bytes the peer's stream then carries.
+    fn open_tunnel(&self, open: pb::OpenTunnel) -> impl Future<Output = Result<TcpStream, TunnelResult>> + Send;
 }
 
 /// A stream whose remote end has proved that it knows the site's secret.
-struct AuthenticatedStream {
-    stream: Stream,
+pub(super) struct AuthenticatedStream {
+    sender: FrameSender,
+    receiver: FrameReceiver,
+}
+
+/// Sends authenticated frames.
+pub(super) struct FrameSender {
+    sink: SplitSink<Stream, Bytes>,
     secrets: Secrets,
-    session: Vec<u8>,
+    session: Arc<[u8]>,
     sent: u64,
+}
+
+/// Receives authenticated frames.
+pub(super) struct FrameReceiver {
+    stream: SplitStream<Stream>,
+    secrets: Secrets,
+    session: Arc<[u8]>,
     received: u64,
 }
 
+impl FrameSender {
+    pub async fn send(&mut self, payload: Vec<u8>) -> Option<()> {
+        let mac = self.secrets.sign(&[&self.session, &self.sent.to_le_bytes(), &payload]);
+        self.sent += 1;
+        let frame = pb::Frame { payload, mac };
+        let sending = self.sink.send(Bytes::from(frame.encode_to_vec()));
+        timeout(SEND_TIMEOUT, sending).await.ok()?.ok()
+    }
+}
+
+impl FrameReceiver {
+    pub async fn next(&mut self) -> Option<Vec<u8>> {
+        let frame = pb::Frame::decode(self.stream.next().await?.ok()?).ok()?;
+        // The two ends count in different halves of the counter's range.
+        let counter = self.received ^ (1 << 63);
+        self.received += 1;
+        let parts: [&[u8]; 3] = [&self.session, &counter.to_le_bytes(), &frame.payload];
+        self.secrets.verify(&parts, &frame.mac).then_some(frame.payload)
+    }
+}
+
 impl AuthenticatedStream {
     /// Performs the handshake; the initiator sends the first message.
     async fn new(socket: TcpStream, secrets: Secrets, is_initiator: bool) -> Option<Self> {
         socket.set_nodelay(true).ok();
+        rustix::net::sockopt::set_tcp_user_timeout(&socket, UNACKNOWLEDGED_TIMEOUT.as_millis() as u32).ok();
         let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
         let mut stream = Framed::new(socket, codec);
         let own_nonce: [u8; 16] = rand::random();
@@ -66,31 +119,36 @@
             }
             let proof = secrets.sign(&[b"first", &session]);
             stream.send(hello(&own_nonce, proof)).await.ok()?;
-            return Some(Self { stream, secrets, session, sent: 0, received: 0 });
+            return Some(Self::authenticated(stream, secrets, session, 0));
         }
         let greeting = pb::Hello::decode(stream.next().await?.ok()?).ok()?;
         let session = [&greeting.nonce[..], &own_nonce].concat();
         stream.send(hello(&own_nonce, secrets.sign(&[b"second", &session]))).await.ok()?;
         let confirmation = pb::Hello::decode(stream.next().await?.ok()?).ok()?;
         let is_proven = secrets.verify(&[b"first", &session], &confirmation.proof);
-        is_proven.then_some(Self { stream, secrets, session, sent: 1 << 63, received: 1 << 63 })
+        is_proven.then(|| Self::authenticated(stream, secrets, session, 1 << 63))
+    }
+
+    /// Counts frames from `first` on, in both directions.
+    fn authenticated(stream: Stream, secrets: Secrets, session: Vec<u8>, first: u64) -> Self {
+        let (sink, stream) = stream.split();
+        let session: Arc<[u8]> = session.into();
+        Self {
+            sender: FrameSender { sink, secrets: secrets.clone(), session: session.clone(), sent: first },
+            receiver: FrameReceiver { stream, secrets, session, received: first },
+        }
+    }
+
+    pub(super) fn split(self) -> (FrameSender, FrameReceiver) {
+        (self.sender, self.receiver)
     }
 
     async fn send(&mut self, payload: Vec<u8>) -> Option<()> {
-        let mac = self.secrets.sign(&[&self.session, &self.sent.to_le_bytes(), &payload]);
-        self.sent += 1;
-        let frame = pb::Frame { payload, mac };
-        let sending = self.stream.send(Bytes::from(frame.encode_to_vec()));
-        timeout(SEND_TIMEOUT, sending).await.ok()?.ok()
+        self.sender.send(payload).await
     }
 
     async fn next(&mut self) -> Option<Vec<u8>> {
-        let frame = pb::Frame::decode(self.stream.next().await?.ok()?).ok()?;
-        // The two ends count in different halves of the counter's range.
-        let counter = self.received ^ (1 << 63);
-        self.received += 1;
-        let parts: [&[u8]; 3] = [&self.session, &counter.to_le_bytes(), &frame.payload];
-        self.secrets.verify(&parts, &frame.mac).then_some(frame.payload)
+        self.receiver.next().await
     }
 }
 
@@ -106,29 +164,34 @@
     handler: H,
     rejected_handshakes: IntCounter,
 ) {
+    let tunnels = Arc::new(Semaphore::new(MAX_TUNNELS));
     loop {
         let Ok((socket, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
         let (secrets, handler, rejected_handshakes) = (secrets.clone(), handler.clone(), rejected_handshakes.clone());
+        let tunnels = tunnels.clone();
         tokio::spawn(async move {
             let handshake = timeout(HANDSHAKE_TIMEOUT, AuthenticatedStream::new(socket, secrets, false)).await;
             match handshake.ok().flatten() {
-                Some(stream) => serve_stream(stream, handler).await,
+                Some(stream) => serve_stream(stream, handler, &tunnels).await,
                 None => rejected_handshakes.inc(),
             }
         });
     }
 }
 
-async fn serve_stream<H: PeerHandler>(mut stream: AuthenticatedStream, handler: H) {
+async fn serve_stream<H: PeerHandler>(mut stream: AuthenticatedStream, handler: H, tunnels: &Semaphore) {
     let (sender, mut answers) = mpsc::channel::<pb::Answer>(QUEUE_LENGTH);
     loop {
         tokio::select! {
             payload = stream.next() => {
                 let Some(payload) = payload else { return };
                 let Ok(pb::Request { id, body: Some(body) }) = pb::Request::decode(&payload[..]) else { return };
+                if let request::Body::OpenTunnel(open) = body {
+                    return serve_tunnel(stream, id, open, &handler, tunnels).await;
+                }
                 let (handler, sender) = (handler.clone(), sender.clone());
                 tokio::spawn(async move {
                     let body = handler.handle(body).await;
@@ -144,6 +207,26 @@
     }
 }
 
+/// Carries a connection to a backend server for a peer, until either end closes it.
+async fn serve_tunnel<H: PeerHandler>(
+    mut stream: AuthenticatedStream,
+    id: u64,
+    open: pb::OpenTunnel,
+    handler: &H,
+    tunnels: &Semaphore,
+) {
+    let permit = tunnels.try_acquire();
+    let opened = if permit.is_ok() { handler.open_tunnel(open).await } else { Err(TunnelResult::Busy) };
+    let result = opened.as_ref().map_or_else(|result| *result, |_| TunnelResult::Opened);
+    let body = answer::Body::TunnelAnswer(pb::TunnelAnswer { result: result.into() });
+    if stream.send(pb::Answer { id, body: Some(body) }.encode_to_vec()).await.is_none() {
+        return;
+    }
+    if let Ok(socket) = opened {
+        carry(stream, socket, &AtomicBool::new(false)).await;
+    }
+}
+
 struct PendingRequest {
     body: request::Body,
     answer: oneshot::Sender<answer::Body>,
@@ -165,7 +248,7 @@
     ///
     /// # Errors
     /// Fails when no answer arrives within `limit`; the peer may have processed the request nevertheless.
-    pub async fn request(&self, address: SocketAddr, body: request::Body, limit: Duration) -> Result<answer::Body> {
+    pub async fn request(&self, address: SocketAddr, body: request::Body, limit: Duration) -> PeerResult<answer::Body> {
         let (answer, received) = oneshot::channel();
         let requests = self.connection(address);
         let exchange = async {
@@ -179,6 +262,27 @@
         }
     }
 
+    /// Has the peer at `address` open a connection to a backend server, on a stream of its own.
+    ///
+    /// # Errors
+    /// Says why there is none.
+    pub async fn open_tunnel(&self, address: SocketAddr, open: pb::OpenTunnel) -> Result<Tunnel, TunnelResult> {
+        let lost = || TunnelResult::Unspecified;
+        let socket = TcpStream::connect(address).await.map_err(|_| lost())?;
+        let mut stream = AuthenticatedStream::new(socket, self.secrets.clone(), true).await.ok_or_else(lost)?;
+        let request = pb::Request { id: 1, body: Some(request::Body::OpenTunnel(open)) };
+        stream.send(request.encode_to_vec()).await.ok_or_else(lost)?;
+        let payload = stream.next().await.ok_or_else(lost)?;
+        let answer = pb::Answer::decode(&payload[..]).map_err(|_| lost())?;
+        match answer.body {
+            Some(answer::Body::TunnelAnswer(answer)) if answer.result() == TunnelResult::Opened => {
+                Ok(Tunnel::new(stream))
+            }
+            Some(answer::Body::TunnelAnswer(answer)) => Err(answer.result()),
+            _ => Err(lost()),
+        }
+    }
+
     fn connection(&self, address: SocketAddr) -> mpsc::Sender<PendingRequest> {
         let mut connections = self.connections.lock();
         if let Some(sender) = connections.get(&address).filter(|s| !s.is_closed()) {
--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -474,11 +474,26 @@
     #[prost(double, tag = "2")]
     pub per_second: f64,
 }
+/// Asks the receiver to open a connection to a backend server. If it does, the frames of the stream carry the bytes of that
+/// connection after its answer: each frame is a piece, and an empty one the end of the sender's side.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OpenTunnel {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    /// Hash of the replica's run.
+    #[prost(fixed64, tag = "2")]
+    pub run: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TunnelAnswer {
+    #[prost(enumeration = "TunnelResult", tag = "1")]
+    pub result: i32,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Request {
     #[prost(uint64, tag = "1")]
     pub id: u64,
-    #[prost(oneof = "request::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "request::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub body: ::core::option::Option<request::Body>,
 }
 /// Nested message and enum types in `Request`.
@@ -506,13 +521,16 @@
         /// Answered by a `QuotaGrant`.
         #[prost(message, tag = "11")]
         AskSend(super::AskSend),
+        /// Answered by a `TunnelAnswer`.
+        #[prost(message, tag = "12")]
+        OpenTunnel(super::OpenTunnel),
     }
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Answer {
     #[prost(uint64, tag = "1")]
     pub id: u64,
-    #[prost(oneof = "answer::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "answer::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub body: ::core::option::Option<answer::Body>,
 }
 /// Nested message and enum types in `Answer`.
@@ -537,6 +555,8 @@
         UsageTable(super::UsageTable),
         #[prost(message, tag = "10")]
         QuotaGrant(super::QuotaGrant),
+        #[prost(message, tag = "11")]
+        TunnelAnswer(super::TunnelAnswer),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -791,6 +811,48 @@
         }
     }
 }
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum TunnelResult {
+    Unspecified = 0,
+    Opened = 1,
+    /// The receiver cannot open a connection to the server, though it reaches others.
+    Unreached = 2,
+    /// The receiver knows no such server that takes requests.
+    Unknown = 3,
+    /// The receiver is cut off from the server itself.
+    CutOff = 4,
+    /// The receiver carries as many connections as it may.
+    Busy = 5,
+}
+impl TunnelResult {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "TUNNEL_RESULT_UNSPECIFIED",
+            Self::Opened => "TUNNEL_RESULT_OPENED",
+            Self::Unreached => "TUNNEL_RESULT_UNREACHED",
+            Self::Unknown => "TUNNEL_RESULT_UNKNOWN",
+            Self::CutOff => "TUNNEL_RESULT_CUT_OFF",
+            Self::Busy => "TUNNEL_RESULT_BUSY",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "TUNNEL_RESULT_UNSPECIFIED" => Some(Self::Unspecified),
+            "TUNNEL_RESULT_OPENED" => Some(Self::Opened),
+            "TUNNEL_RESULT_UNREACHED" => Some(Self::Unreached),
+            "TUNNEL_RESULT_UNKNOWN" => Some(Self::Unknown),
+            "TUNNEL_RESULT_CUT_OFF" => Some(Self::CutOff),
+            "TUNNEL_RESULT_BUSY" => Some(Self::Busy),
+            _ => None,
+        }
+    }
+}
 /// Run state of a key in the ledger.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -311,6 +311,7 @@
     loop {
         tokio::time::sleep(EVICTION_INTERVAL).await;
         gateway.backend_connections.evict(|instance| gateway.shared.replicas.is_known(instance));
+        gateway.reach.lock().forget(|instance| gateway.shared.replicas.is_known(instance), gateway.shared.now());
     }
 }
 
--- a/goldcrestward/src/process/exchange/run.rs
+++ b/goldcrestward/src/process/exchange/run.rs
@@ -468,6 +468,11 @@
         sent.retain(|name, _| recipients.iter().any(|recipient| recipient.name == *name));
     }
 
+    /// The state that requests to back ends share, while the daemon runs.
+    pub fn gateway(&self) -> Option<Arc<Gateway>> {
+        self.gateway.upgrade()
+    }
+
     /// Returns the request counts since a window that this daemon knows, its own and those of other daemons.
     pub fn usage_table(&self, from_window: u64) -> pb::UsageTable {
         let Some(gateway) = self.gateway.upgrade() else { return pb::UsageTable::default() };
--- a/goldcrestward/src/process/gateway.rs
+++ b/goldcrestward/src/process/gateway.rs
@@ -9,6 +9,7 @@
     demand::DemandMeters,
     limit_facts::publish_limit,
     quota::{IsolatedQuotas, QuotaBalances, QuotaLedger, Verdict},
+    reach::ReachTable,
     replicas::Replica,
     retries::RetryBudget,
     send_limits::{IsolatedSends, SendLimits},
@@ -47,6 +48,8 @@
     pub engines: Arc<dyn Engines>,
     /// Connection pool for backend servers.
     pub backend_connections: BackendConnections,
+    /// Which servers this daemon reaches.
+    pub reach: Mutex<ReachTable>,
     /// What this daemon knows of the account quotas, which apply across all daemons.
     pub quota_balances: Mutex<QuotaBalances>,
     /// Account quotas as the relay of the availability zone knows them.
@@ -78,6 +81,7 @@
             header_codec,
             engines,
             backend_connections,
+            reach: Mutex::default(),
             quota_balances: Mutex::default(),
             quota_ledger: Mutex::default(),
             isolated_quotas: Mutex::default(),
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -39,6 +39,10 @@
     pub in_flight: IntGauge,
     /// Connections to backend servers that were to be opened, by result.
     pub backend_connects: IntCounterVec,
+    /// Connections that peers were asked to open, by result.
+    pub relayed_connects: IntCounterVec,
+    /// Servers that this daemon does not reach.
+    pub unreached_servers: IntGauge,
     /// Calls to the key-value store, by kind, purpose and result.
     pub kv_calls: IntCounterVec,
     /// Restores of the key-value store from a copy that this daemon has noticed.
@@ -105,6 +109,12 @@
                 "connections to backend servers that were to be opened, by result",
                 &["result"],
             )?,
+            relayed_connects: factory.counters(
+                "relayed_connects_total",
+                "connections to backend servers that peers were asked to open, by result",
+                &["result"],
+            )?,
+            unreached_servers: factory.gauge("unreached_servers", "backend servers that this daemon does not reach")?,
             kv_calls: factory.counters(
                 "kv_calls_total",
                 "calls to the key-value service",
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -24,6 +24,7 @@
 mod peer_service;
 mod placement;
 mod quota;
+mod reach;
 mod replicas;
 mod retries;
 mod rollout;
--- a/goldcrestward/src/process/peer_service.rs
+++ b/goldcrestward/src/process/peer_service.rs
@@ -2,11 +2,13 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use super::{gossip::Gossip, rollout::evidence_report, shared::Shared};
+use tokio::net::TcpStream;
+
+use super::{exchange::Exchange, gossip::Gossip, reach::open_for_peer, rollout::evidence_report, shared::Shared};
 use crate::{
     connection::PeerHandler,
     ledger::{Claim, Settlement},
-    pb::{self, Grant, answer, request},
+    pb::{self, Grant, TunnelResult, answer, request},
     store::Revision,
 };
 
@@ -94,6 +96,8 @@
                 let table = self.shared.exchange.get().map(|exchange| exchange.usage_table(ask.from_window));
                 answer::Body::UsageTable(table.unwrap_or_default())
             }
+            // Streams that open a tunnel are not served here.
+            request::Body::OpenTunnel(_) => return None,
             request::Body::AskSend(ask) => {
                 answer::Body::QuotaGrant(self.shared.exchange.get().map(|exchange| exchange.answer_send(&ask))?)
             }
@@ -104,6 +108,11 @@
         self.count(kind, &pb::Answer { id: 0, body: Some(answer.clone()) }, "sent");
         Some(answer)
     }
+
+    async fn open_tunnel(&self, open: pb::OpenTunnel) -> Result<TcpStream, TunnelResult> {
+        let gateway = self.shared.exchange.get().and_then(Exchange::gateway).ok_or(TunnelResult::Unknown)?;
+        open_for_peer(&gateway, &self.shared, &open).await
+    }
 }
 
 /// Returns the `kind` label under which a request is counted.
@@ -118,6 +127,7 @@
         request::Body::AskUsage(_) => "usage",
         request::Body::AskQuota(_) => "quota",
         request::Body::AskSend(_) => "send",
+        request::Body::OpenTunnel(_) => "tunnel",
     }
 }
 
--- a/goldcrestward/src/process/replicas.rs
+++ b/goldcrestward/src/process/replicas.rs
@@ -498,6 +498,11 @@
         pools.get(pool).is_some_and(|pool| pool.iter().any(|r| wanted(&r.version) && !r.is_leaving()))
     }
 
+    /// Finds a server by its instance's id.
+    pub fn find(&self, id: &str) -> Option<Arc<Replica>> {
+        self.known.lock().get(id).cloned()
+    }
+
     pub fn is_known(&self, id: &str) -> bool {
         self.known.lock().contains_key(id)
     }
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -26,6 +26,7 @@
 use crate::{
     config::{Account, Route, RouteKind},
     connection::{BackendConnection, SendError},
+    logs::is_sampled,
     port::{AttemptMetadata, MigratedKvCache, RequestMetadata},
     process::{AttemptOutcome, Condemned, Gateway, ReplicaGuard, part_names, record_answer},
     version::Sample,
@@ -192,6 +193,9 @@
 
     /// Records a sample as evidence on the server's version.
     pub(super) fn observe(&self, guard: &ReplicaGuard, sample: Sample) {
+        if sample != Sample::Good && self.gateway.is_cut_off() {
+            return;
+        }
         self.gateway.shared.observe(guard.replica(), &self.route.name, sample);
     }
 
@@ -211,6 +215,9 @@
     }
 
     pub(super) fn record_outcome(&self, guard: &ReplicaGuard, outcome: AttemptOutcome) {
+        if outcome == AttemptOutcome::Failure && self.gateway.is_cut_off() {
+            return;
+        }
         guard.replica().update_failure_score(outcome, self.gateway.shared.now());
     }
 
@@ -303,6 +310,9 @@
                 Ok(ProxyResponse::Stream(Box::new(ProxyStream { head, body, connection, guard, first })))
             }
             Err(failure) => {
+                if matches!(failure, ProxyFailure::Indeterminate("silent")) {
+                    self.gateway.probe(guard.replica());
+                }
                 match &failure {
                     ProxyFailure::NotRun => {}
                     ProxyFailure::ErrorResponse(_) => {
@@ -319,7 +329,7 @@
                     guard.replica().eject_briefly(self.gateway.shared.now());
                 }
                 // A response without a length ends with its connection, also when the server has crashed.
-                if matches!(failure, ProxyFailure::Indeterminate("cut" | "empty")) {
+                if matches!(failure, ProxyFailure::Indeterminate("cut" | "empty")) && !self.gateway.is_cut_off() {
                     record_crash(&self.gateway.shared, &guard, self.possible_cause()).await;
                 }
                 Err(failure)
@@ -333,12 +343,15 @@
         sequence: &mut EventSequence,
     ) -> Result<ExchangeResult, ProxyFailure> {
         let replica = guard.replica().clone();
-        let acquired = self.gateway.backend_connections.acquire(replica.address, &replica.id, self.time_left()).await;
+        let acquired = self.gateway.connect(&self.metadata.id, &replica, self.time_left()).await;
         let mut connection = acquired.map_err(|error| {
             let (id, instance, why) = (&self.metadata.id, &replica.id, error.label());
             info!("event=connect-failed id={id} instance={instance} why={why}");
             ProxyFailure::ConnectFailed
         })?;
+        if connection.is_relayed() && is_sampled(&self.metadata.id) {
+            info!("event=relayed id={} instance={}", self.metadata.id, replica.id);
+        }
         // The server may have started to leave while the connection was being opened.
         if replica.is_leaving() {
             return Err(ProxyFailure::ConnectFailed);
@@ -538,7 +551,7 @@
         self.observe(guard, Sample::Failed);
         self.record_outcome(guard, AttemptOutcome::Failure);
         self.tried.push(guard.replica().id.clone());
-        if cause == "cut" {
+        if cause == "cut" && !self.gateway.is_cut_off() {
             record_crash(&self.gateway.shared, guard, self.possible_cause()).await;
         }
     }
