The room of brittle servers is shared out among the daemons before it is filled

Cause: daemons learn of each other's requests with 300 ms of delay, and nothing read Server-Brittle. The class is that of the matter: a bound on the sum over all daemons cannot be kept by what one of them sees. Change: the header is decoded; while a server of a pool says so, the free places of each server lie in a row that the daemons' parts cover in the order of their names, turned each 300 ms of the agreed time, so that each place belongs to one daemon. A daemon that is turned away pauses for daemons / N seconds, 0.25 to 2. Which pools are brittle goes round as a fact, so that a daemon that was idle knows it before a burst. What has no place waits or is refused by the daemon, as with named limits.

--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -651,6 +651,8 @@
     PartAnswered = 7,
     /// The key is the run of a replica that has named a rate limit, the value is when; the note is the limit, or `none`.
     ServerLimit = 8,
+    /// The key is a pool whose servers are brittle, the value is when one has said so; the note is how many requests one may turn away in a second.
+    ServerBrittle = 9,
 }
 impl FactKind {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -668,6 +670,7 @@
             Self::PartCrash => "FACT_KIND_PART_CRASH",
             Self::PartAnswered => "FACT_KIND_PART_ANSWERED",
             Self::ServerLimit => "FACT_KIND_SERVER_LIMIT",
+            Self::ServerBrittle => "FACT_KIND_SERVER_BRITTLE",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -682,6 +685,7 @@
             "FACT_KIND_PART_CRASH" => Some(Self::PartCrash),
             "FACT_KIND_PART_ANSWERED" => Some(Self::PartAnswered),
             "FACT_KIND_SERVER_LIMIT" => Some(Self::ServerLimit),
+            "FACT_KIND_SERVER_BRITTLE" => Some(Self::ServerBrittle),
             _ => None,
         }
     }
--- a/goldcrestward/src/port/header_codec.rs
+++ b/goldcrestward/src/port/header_codec.rs
@@ -94,6 +94,8 @@
     pub load: Option<Load>,
     /// The rate limit that the server names.
     pub limit: StatedLimit,
+    /// The server is brittle: it falls over if it turns away more requests in a second than this.
+    pub max_refusals: Option<u32>,
 }
 
 /// Encodes and decodes a platform's HTTP headers.
--- /dev/null
+++ b/goldcrestward/src/process/brittle/room_test.rs
@@ -0,0 +1,172 @@
+//! Bursts at servers that fall over if they turn away too many requests, without a network, at four sizes.
+//!
+//! Guards against daemons that each fill the places that all of them believe to be free.
+
+use std::collections::VecDeque;
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use super::{DaemonRank, Places, Room};
+
+const STEP_MS: u64 = 5;
+const RUN_MS: u64 = 12_000;
+/// Time after which daemons know of each other's requests.
+const EXCHANGE_MS: u64 = 300;
+const SLOTS: u32 = 6;
+/// Refusals in a second that a server bears, and time for which it is down after it fell over.
+const MAX_REFUSALS: u32 = 5;
+const DOWN_MS: u64 = 3_000;
+/// Time that a request takes.
+const WORK_MS: u64 = 60;
+const SEEDS: u64 = 4;
+
+/// Numbers of daemons and servers.
+const SIZES: [(usize, usize); 4] = [(7, 6), (87, 40), (195, 90), (730, 240)];
+
+struct SimServer {
+    /// End times and daemons of the running requests.
+    running: Vec<(u64, usize)>,
+    refused_at: VecDeque<u64>,
+    down_until: u64,
+    falls: u32,
+    /// What all daemons knew of each other at the last exchange: requests by daemon.
+    known: Vec<u32>,
+    known_total: u32,
+}
+
+struct Outcome {
+    falls: u32,
+    served: u32,
+    asked: u32,
+}
+
+/// A burst of `load` times what the servers bear, between quiet times; each daemon chooses the server with the most room.
+fn burst(daemons: usize, servers: usize, load: f64, careful: bool, seed: u64) -> Outcome {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let new = || SimServer {
+        running: vec![],
+        refused_at: VecDeque::new(),
+        down_until: 0,
+        falls: 0,
+        known: vec![0; daemons],
+        known_total: 0,
+    };
+    let mut sims: Vec<SimServer> = (0..servers).map(|_| new()).collect();
+    let mut rooms: Vec<Vec<Room>> = (0..daemons).map(|_| (0..servers).map(|_| Room::default()).collect()).collect();
+    let (mut served, mut asked) = (0, 0);
+    let capacity_per_step = servers as f64 * f64::from(SLOTS) * STEP_MS as f64 / WORK_MS as f64;
+    for now in (0..RUN_MS).step_by(STEP_MS as usize) {
+        for sim in &mut sims {
+            sim.running.retain(|(end, _)| *end > now);
+        }
+        if now % EXCHANGE_MS == 0 {
+            for (index, sim) in sims.iter_mut().enumerate() {
+                sim.known = vec![0; daemons];
+                sim.running.iter().for_each(|(_, daemon)| sim.known[*daemon] += 1);
+                sim.known_total = sim.running.len() as u32;
+                for (daemon, rooms) in rooms.iter_mut().enumerate() {
+                    rooms[index].set_known(sim.known[daemon]);
+                    if careful {
+                        rooms[index].state(MAX_REFUSALS, now);
+                    }
+                }
+            }
+        }
+        let share = if (4_000..8_000).contains(&now) { load } else { 0.4 };
+        let mut arrivals = capacity_per_step * share;
+        while arrivals > 0.0 {
+            let arrives = arrivals >= 1.0 || random.random_bool(arrivals);
+            arrivals -= 1.0;
+            if !arrives {
+                continue;
+            }
+            asked += 1;
+            let daemon = random.random_range(0..daemons);
+            // The server that seems least busy is asked, if there is room; equal ones in a random order.
+            let first = random.random_range(0..servers);
+            let choice = (0..servers).map(|offset| (first + offset) % servers).filter_map(|index| {
+                let sim = &sims[index];
+                let own = sim.running.iter().filter(|(_, of)| *of == daemon).count() as u32;
+                let taken = sim.known_total - sim.known[daemon] + own;
+                let places = Places { slots: SLOTS, taken, own };
+                let rank = DaemonRank { rank: daemon, count: daemons };
+                let is_free = taken < SLOTS && rooms[daemon][index].wait(places, rank, index as u64, now, now) == 0;
+                is_free.then_some((taken, index))
+            });
+            let Some((_, index)) = choice.min_by_key(|(taken, _)| *taken) else { continue };
+            let sim = &mut sims[index];
+            if now < sim.down_until {
+                continue;
+            }
+            if sim.running.len() < SLOTS as usize {
+                sim.running.push((now + WORK_MS, daemon));
+                served += 1;
+                continue;
+            }
+            rooms[daemon][index].record_refusal(daemons, now);
+            sim.refused_at.push_back(now);
+            sim.refused_at.retain(|at| now < at + 1_000);
+            if sim.refused_at.len() > MAX_REFUSALS as usize {
+                sim.falls += 1;
+                sim.down_until = now + DOWN_MS;
+                sim.running.clear();
+                sim.refused_at.clear();
+            }
+        }
+    }
+    Outcome { falls: sims.iter().map(|sim| sim.falls).sum(), served, asked }
+}
+
+#[test]
+fn burst_at_brittle_servers_lets_few_fall() {
+    for (daemons, servers) in SIZES {
+        // What the users allow in one time in which servers are brittle.
+        let allowed = 2 + servers as u32 / 10;
+        for seed in 0..if daemons > 100 { 1 } else { SEEDS } {
+            let Outcome { falls, served, asked } = burst(daemons, servers, 2.0, true, seed);
+            let careless = burst(daemons, servers, 2.0, false, seed);
+            assert!(
+                falls <= allowed,
+                "{daemons} daemons, seed {seed}: {falls} of {servers} fell, {allowed} are allowed"
+            );
+            assert!(careless.falls > allowed, "{daemons} daemons, seed {seed}: the load is too low for the test");
+            assert!(
+                served > careless.served,
+                "{daemons} daemons, seed {seed}: {served} of {asked} served, {} without care",
+                careless.served
+            );
+        }
+    }
+}
+
+#[test]
+fn wait_is_zero_unless_the_server_is_brittle() {
+    let mut room = Room::default();
+    let full = Places { slots: 6, taken: 6, own: 3 };
+    let wait = |room: &Room, now| room.wait(full, DaemonRank { rank: 3, count: 7 }, 1, now, now);
+    assert_eq!(wait(&room, 10), 0);
+    assert!(room.state(5, 10) && !room.state(5, 20));
+    assert!(wait(&room, 30) > 0);
+    assert_eq!(wait(&room, 60_000), 0);
+}
+
+#[test]
+fn refusal_pauses_longer_the_more_daemons_there_are() {
+    let wait = |daemons| {
+        let mut room = Room::default();
+        room.state(5, 0);
+        room.record_refusal(daemons, 0);
+        room.wait(Places { slots: 6, taken: 0, own: 0 }, DaemonRank { rank: 0, count: daemons }, 1, 0, 0)
+    };
+    assert_eq!([wait(1), wait(7), wait(730)], [250, 1_400, 2_000]);
+}
+
+#[test]
+fn part_of_shares_out_each_place_once() {
+    for (count, places) in [(1, 6), (7, 6), (7, 48), (195, 6), (730, 48)] {
+        for turn in [0.0, 0.3, 0.999] {
+            let parts: u32 = (0..count).map(|rank| DaemonRank { rank, count }.part_of(places, turn)).sum();
+            assert_eq!(parts, places, "{count} daemons, turn {turn}");
+        }
+    }
+}
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -246,6 +246,7 @@
         version_choices: ArcSwap::from_pointee(HashMap::new()),
         clock: Mutex::default(),
         daemons: AtomicUsize::new(1),
+        rank: AtomicUsize::new(0),
         instances_listed: AtomicBool::new(false),
         last_store_error_ms: AtomicU64::new(0),
         last_relay_ms: AtomicU64::new(0),
--- a/goldcrestward/src/process/gossip.rs
+++ b/goldcrestward/src/process/gossip.rs
@@ -7,6 +7,7 @@
 use tokio::{net::UdpSocket, time::MissedTickBehavior};
 
 use super::{
+    brittle::learn_brittle_fact,
     crash_watch::{judge, learn_part_fact},
     limit_facts::learn_limit_fact,
     membership::{Effect, Fact, FactKind, State},
@@ -213,6 +214,7 @@
             }
             FactKind::PartCrash | FactKind::PartAnswered => learn_part_fact(&self.shared, fact),
             FactKind::ServerLimit => learn_limit_fact(&self.shared, fact),
+            FactKind::ServerBrittle => learn_brittle_fact(&self.shared, fact),
             FactKind::Clear => info!("event=crash-cleared fingerprint={} reason={:?}", fact.key, fact.note),
         }
     }
@@ -220,6 +222,9 @@
     fn refresh_member_counts(&self) {
         let view = self.shared.view.lock();
         self.shared.daemons.store(view.present().count(), Ordering::Relaxed);
+        let own = view.local().name.clone();
+        let rank = view.present().filter(|member| member.name < own).count();
+        self.shared.rank.store(rank, Ordering::Relaxed);
         let states = [State::Alive, State::Suspect, State::Dead, State::Left];
         for state in states {
             let count = view.others().filter(|m| m.state == state).count();
--- a/goldcrestward/src/process/membership/fact.rs
+++ b/goldcrestward/src/process/membership/fact.rs
@@ -31,6 +31,8 @@
         PartAnswered,
         /// A replica has named a rate limit, or withdrawn it; the key is its run, the value is the agreed time.
         ServerLimit,
+        /// The servers of a pool are brittle; the key is the pool, the value is the agreed time.
+        ServerBrittle,
     }
 }
 
@@ -60,6 +62,7 @@
             FactKind::PartCrash => pb::FactKind::PartCrash,
             FactKind::PartAnswered => pb::FactKind::PartAnswered,
             FactKind::ServerLimit => pb::FactKind::ServerLimit,
+            FactKind::ServerBrittle => pb::FactKind::ServerBrittle,
         };
         Self {
             kind: kind.into(),
@@ -84,6 +87,7 @@
             pb::FactKind::PartCrash => FactKind::PartCrash,
             pb::FactKind::PartAnswered => FactKind::PartAnswered,
             pb::FactKind::ServerLimit => FactKind::ServerLimit,
+            pb::FactKind::ServerBrittle => FactKind::ServerBrittle,
         };
         let (value, until_ms) = (fact.value, fact.until_ms);
         Some(Self { kind, key: fact.key.into(), value, until_ms, note: fact.note.into() })
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod admission_queue;
+mod brittle;
 mod clock;
 mod configure;
 mod crash_evidence;
@@ -40,6 +41,7 @@
 mod verdict_keeper;
 
 pub(crate) use admission_queue::Rank;
+pub(crate) use brittle::record_stated as record_brittle;
 pub(crate) use crash_evidence::Condemned;
 pub(crate) use crash_watch::{accuse_parts, part_names, record_answer};
 pub use daemon::{Daemon, DaemonCounts};
--- a/goldcrestward/src/process/replicas.rs
+++ b/goldcrestward/src/process/replicas.rs
@@ -15,6 +15,7 @@
 
 use super::{
     admission_queue::{AdmissionQueue, AdmissionQueues},
+    brittle::{DaemonRank, Places, Room},
     health::{AttemptOutcome, FailureScore},
     loads::{LoadTracker, PeerLoad},
     named_limit::NamedLimit,
@@ -85,6 +86,8 @@
     limit: Mutex<NamedLimit>,
     /// When the next request may be sent within the limit, in ms since the daemon's start.
     blocked_until: AtomicU64,
+    /// This daemon's part of its room while it is brittle.
+    room: Mutex<Room>,
 }
 
 impl Health {
@@ -221,6 +224,20 @@
     /// Stores the load that all other daemons put on the server.
     pub fn set_others_load(&self, load: PeerLoad, now: u64) {
         self.health.loads.lock().set_others(load, now);
+        self.health.room.lock().set_known(self.in_flight());
+    }
+
+    /// Records that the server is brittle; returns whether that is new.
+    pub fn state_brittle(&self, max_refusals: u32, now: u64) -> bool {
+        self.health.room.lock().state(max_refusals, now)
+    }
+
+    /// Records that the server has turned a request away for want of room.
+    pub fn record_refusal(&self, daemons: usize, now: u64) {
+        let mut room = self.health.room.lock();
+        if room.is_brittle(now) {
+            room.record_refusal(daemons, now);
+        }
     }
 
     /// Stores the load that the server reported.
@@ -256,8 +273,17 @@
         self.health.blocked_until.store(until, Ordering::Relaxed);
     }
 
-    fn blocked_ms(&self, now: u64) -> u64 {
-        self.health.blocked_until.load(Ordering::Relaxed).saturating_sub(now)
+    /// Time in ms until the server takes another request of this daemon; 0 if it does now.
+    fn blocked_ms(&self, query: &PlacementQuery<'_>) -> u64 {
+        let now = query.now;
+        let limited = self.health.blocked_until.load(Ordering::Relaxed).saturating_sub(now);
+        let room = self.health.room.lock();
+        if !room.is_brittle(now) {
+            return limited;
+        }
+        let taken = self.health.loads.lock().total(&self.own_load(), now).running;
+        let places = Places { slots: self.slots, taken, own: self.in_flight() };
+        limited.max(room.wait(places, query.daemon, self.run_hash(), now, query.agreed_ms))
     }
 
     fn candidate(&self, query: &PlacementQuery<'_>) -> Candidate {
@@ -393,6 +419,10 @@
     pub crash_score: u64,
     /// Differs between requests, to spread them over equally good servers.
     pub salt: u64,
+    /// This daemon among those that may send to the servers.
+    pub daemon: DaemonRank,
+    /// Time agreed among the daemons, as Unix time in ms.
+    pub agreed_ms: u64,
     /// Time in ms since the daemon's start.
     pub now: u64,
 }
@@ -525,11 +555,11 @@
         let is_eligible =
             |r: &&Arc<Replica>| !r.is_leaving() && query.versions.allows(&r.version) && !query.tried.contains(&r.id);
         let mut eligible: Vec<&Arc<Replica>> = pool.iter().filter(is_eligible).collect();
-        let first_free = eligible.iter().map(|r| r.blocked_ms(query.now)).min();
+        let first_free = eligible.iter().map(|r| r.blocked_ms(query)).min();
         if let Some(wait) = first_free.filter(|wait| *wait > 0) {
             return Err(NoReplica::RateLimited(Duration::from_millis(wait)));
         }
-        eligible.retain(|r| r.blocked_ms(query.now) == 0);
+        eligible.retain(|r| r.blocked_ms(query) == 0);
         let healthy: Vec<_> = eligible.iter().copied().filter(|r| !r.is_ejected(query.now)).collect();
         // An ejected server may have recovered, so it is better than none.
         let usable = if healthy.is_empty() { &eligible } else { &healthy };
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -19,6 +19,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::{
+    brittle::DaemonRank,
     clock::{AgreedClock, boot_ms},
     crash_evidence::CrashEvidence,
     exchange::Exchange,
@@ -82,6 +83,8 @@
     pub clock: Mutex<AgreedClock>,
     /// Number of daemons that take part, including this one.
     pub daemons: AtomicUsize,
+    /// Position of this daemon in the order of their names.
+    pub rank: AtomicUsize,
     /// Whether the platform's list of instances has been read.
     pub instances_listed: AtomicBool,
     /// Time of the last error while reading the site's state from the platform's store, in ms since the daemon's
@@ -136,6 +139,11 @@
         self.daemons.load(Ordering::Relaxed)
     }
 
+    /// This daemon's place among those that take part.
+    pub fn daemon_rank(&self) -> DaemonRank {
+        DaemonRank { rank: self.rank.load(Ordering::Relaxed), count: self.daemon_count() }
+    }
+
     /// Merges newer configuration files and wakes the task that applies them; returns whether any was newer.
     ///
     /// `source` is the metric label for where they came from.
--- a/goldcrestward/src/request/placement_request.rs
+++ b/goldcrestward/src/request/placement_request.rs
@@ -146,6 +146,8 @@
             region: &settings.region,
             crash_score: score,
             salt: self.salt,
+            daemon: gateway.shared.daemon_rank(),
+            agreed_ms: gateway.shared.agreed_ms(),
             now: gateway.shared.now(),
         };
         gateway.shared.replicas.place(&query)
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -28,7 +28,7 @@
     connection::{BackendConnection, SendError},
     logs::is_sampled,
     port::{AttemptMetadata, MigratedKvCache, RequestMetadata},
-    process::{AttemptOutcome, Condemned, Gateway, ReplicaGuard, part_names, record_answer},
+    process::{AttemptOutcome, Condemned, Gateway, ReplicaGuard, part_names, record_answer, record_brittle},
     version::Sample,
 };
 
@@ -381,8 +381,14 @@
             replica.set_reported_load(load, self.gateway.shared.now());
         }
         self.gateway.apply_stated_limit(&replica, metadata.limit, sent_ms);
+        if let Some(max_refusals) = metadata.max_refusals {
+            record_brittle(&self.gateway.shared, &self.placement.pool, max_refusals);
+        }
         if metadata.not_run {
             self.run_state = previous;
+            if metadata.max_refusals.is_some() {
+                replica.record_refusal(self.gateway.shared.daemon_count(), self.gateway.shared.now());
+            }
             self.discard(response, connection).await;
             return Err(ProxyFailure::NotRun);
         }
