--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -171,6 +171,15 @@
             field("of"),
             field("parts")
         ),
+        "connect-failed" => {
+            let why = if field("why") == "refused" { "the connection was refused" } else { "nothing answered" };
+            format!("{} could not be reached, directly or by way of a peer: {why}", field("instance"))
+        }
+        "relay-asked" => {
+            let (peer, instance) = (field("peer"), field("instance"));
+            format!("{peer} was asked to open a connection to {instance}: {}", relay_result(field("result")))
+        }
+        "relayed" => format!("sent to {} by way of a peer", field("instance")),
         "answered" => format!("answered with status {} after {} ms", field("status"), field("ms")),
         event => {
             let fields: Vec<String> = line.fields.iter().map(|(key, value)| format!("{key}={value}")).collect();
@@ -179,6 +188,18 @@
     }
 }
 
+fn relay_result(label: &str) -> &str {
+    match label {
+        "opened" => "it did",
+        "unreached" => "the server is down for the peer as well",
+        "cut-off" => "the peer does not reach the server either",
+        "busy" => "the peer carries as many connections as it may",
+        "unknown" => "the peer knows no such server that takes requests",
+        "no-answer" => "no answer in time",
+        other => other,
+    }
+}
+
 fn cause(label: &str) -> &str {
     match label {
         "unreached" => "no connection could be opened, so nothing was sent",
--- a/goldcrestward/src/cmd/explain_test.rs
+++ b/goldcrestward/src/cmd/explain_test.rs
@@ -10,6 +10,9 @@
     "time=1002 level=WARN daemon=front-a event=lines-dropped count=7\n",
     "time=1003 level=INFO daemon=front-a event=parts-accused id=r4 instance=i-1 parts=dead,aa of=2\n",
     "time=1004 level=INFO daemon=front-a event=parts-accused id=r5 instance=i-1 parts= of=1\n",
+    "time=1005 level=INFO daemon=front-a event=relay-asked id=r6 instance=i-1 peer=front-c result=cut-off\n",
+    "time=1006 level=INFO daemon=front-a event=relay-asked id=r6 instance=i-1 peer=front-b result=opened\n",
+    "time=1007 level=INFO daemon=front-a event=relayed id=r6 instance=i-1\n",
     "\n",
     "time=x level=INFO daemon=front-a event=odd id=r1\n",
 );
@@ -42,3 +45,12 @@
     assert!(render("r4").contains("accused of the crash of i-1: 2 of 2 prompt parts (dead,aa)"), "{}", render("r4"));
     assert!(render("r5").contains("accused of the crash of i-1: 0 of 1 prompt parts ()"), "{}", render("r5"));
 }
+
+#[test]
+fn explain_shows_the_way_over_a_peer() {
+    let text = render("r6");
+    let lines: Vec<&str> = text.lines().collect();
+    assert!(lines[0].contains("front-c was asked to open a connection to i-1: the peer does not reach"), "{text}");
+    assert!(lines[1].contains("front-b was asked to open a connection to i-1: it did"), "{text}");
+    assert!(lines[2].contains("sent to i-1 by way of a peer"), "{text}");
+}
--- a/goldcrestward/src/connection/peer.rs
+++ b/goldcrestward/src/connection/peer.rs
@@ -43,7 +43,7 @@
 
 /// Connections that are carried for peers at once.
 const MAX_TUNNELS: usize = 512;
-/// Time after which a stream whose sent bytes are not acknowledged is closed.
+/// Time after which a tunnel whose sent bytes are not acknowledged is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 type Stream = Framed<TcpStream, LengthDelimitedCodec>;
@@ -106,7 +106,6 @@
     /// Performs the handshake; the initiator sends the first message.
     async fn new(socket: TcpStream, secrets: Secrets, is_initiator: bool) -> Option<Self> {
         socket.set_nodelay(true).ok();
-        rustix::net::sockopt::set_tcp_user_timeout(&socket, UNACKNOWLEDGED_TIMEOUT.as_millis() as u32).ok();
         let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
         let mut stream = Framed::new(socket, codec);
         let own_nonce: [u8; 16] = rand::random();
@@ -269,6 +268,7 @@
     pub async fn open_tunnel(&self, address: SocketAddr, open: pb::OpenTunnel) -> Result<Tunnel, TunnelResult> {
         let lost = || TunnelResult::Unspecified;
         let socket = TcpStream::connect(address).await.map_err(|_| lost())?;
+        rustix::net::sockopt::set_tcp_user_timeout(&socket, UNACKNOWLEDGED_TIMEOUT.as_millis() as u32).ok();
         let mut stream = AuthenticatedStream::new(socket, self.secrets.clone(), true).await.ok_or_else(lost)?;
         let request = pb::Request { id: 1, body: Some(request::Body::OpenTunnel(open)) };
         stream.send(request.encode_to_vec()).await.ok_or_else(lost)?;
