--- a/goldcrestward/src/process/quota/ledger_test.rs
+++ b/goldcrestward/src/process/quota/ledger_test.rs
@@ -343,3 +343,26 @@
     far.apply_zone_report(&zone, (&account, &quota), &next, &far_reach, 20_000);
     assert!((before - level(&mut far) - 5_000.0).abs() < 1.0, "{} units charged", before - level(&mut far));
 }
+
+/// Guards against use above the quota when daemons are cut off at any moment of a burst.
+#[test]
+fn quotas_hold_whenever_daemons_are_partitioned() {
+    let quota = tokens(320_000.0);
+    let mut worst = (0.0_f64, String::new());
+    for partitioned in [vec![1, 5], vec![0, 4], vec![1, 2], vec![3, 5]] {
+        for partitioned_since in (6_800..11_000).step_by(300) {
+            for units in [900.0, 9_200.0] {
+                let base_rates = vec![vec![25_000.0; 3], vec![25_000.0; 2], vec![25_000.0; 2]];
+                let partitioned = partitioned.clone();
+                let case = format!("{partitioned:?} from {partitioned_since} ms, {units} units");
+                let load = Load { base_rates, burst_factor: 7.5, partitioned, partitioned_since, units, loss: 0.0 };
+                let peak = Simulation::new(&load, &quota, partitioned_since).run().peak / allowed(&quota);
+                if peak > worst.0 {
+                    worst = (peak, case);
+                }
+            }
+        }
+    }
+    println!("worst: {:.3} of what is allowed, {}", worst.0, worst.1);
+    assert!(worst.0 <= 1.0, "{:.3} of what is allowed, {}", worst.0, worst.1);
+}
