A daemon admits by itself only its part of what is plenty until the relay has counted it

Cause: while an account has plenty left, each daemon admits by itself until it believes that half of the burst is left. Cut off, its reports are lost, so each of several daemons could use half of a burst more than the site has. Change: what the relay has not counted yet is at most the daemon's part of that; beyond it the relay is asked, as when little is left.

--- a/goldcrestward/src/process/gateway.rs
+++ b/goldcrestward/src/process/gateway.rs
@@ -192,7 +192,7 @@
         let (daemons, now) = (self.shared.daemon_count(), self.shared.now());
         let verdict = {
             let mut balances = self.quota_balances.lock();
-            let verdict = balances.charge(&account.name, quota, units, now);
+            let verdict = balances.charge(&account.name, quota, units, daemons, now);
             if balances.is_report_due(&account.name, quota, daemons) {
                 self.shared.report_due.notify_one();
             }
--- a/goldcrestward/src/process/quota/balance.rs
+++ b/goldcrestward/src/process/quota/balance.rs
@@ -71,12 +71,17 @@
 }
 
 impl QuotaBalances {
-    /// Decides how to charge a request, and charges it if plenty is left.
-    pub fn charge(&mut self, name: &Arc<str>, quota: &Quota, units: f64, now: u64) -> Verdict {
+    /// Decides how to charge a request, and charges it if plenty is left and this daemon, one of `daemons`, has not used its
+    /// part of that since the relay last counted: if it is cut off, its reports are lost and the others use the rest.
+    pub fn charge(&mut self, name: &Arc<str>, quota: &Quota, units: f64, daemons: usize, now: u64) -> Verdict {
         let account = self.accounts.entry(name.clone()).or_default();
         let Some((left, age)) = account.estimate(quota, now) else { return Verdict::NoRelay };
-        let reachable = account.known.as_ref().map_or(0.0, |(known, _)| known.reachable);
-        if left - units < quota.burst * reachable * PLENTY_FRACTION {
+        let (reachable, counted) =
+            account.known.as_ref().map_or((0.0, 0.0), |(known, _)| (known.reachable, known.counted));
+        let plenty = quota.burst * reachable * PLENTY_FRACTION;
+        let unconfirmed = account.own.used - counted;
+        let exceeds_part = unconfirmed > 0.0 && unconfirmed + units > plenty / daemons.max(1) as f64;
+        if left - units < plenty || exceeds_part {
             return Verdict::AskRelay(left, age);
         }
         account.own.used += units;
--- a/goldcrestward/src/process/quota/ledger_test.rs
+++ b/goldcrestward/src/process/quota/ledger_test.rs
@@ -201,7 +201,8 @@
 
     fn charge(&mut self, n: usize, now: u64) -> Result<(), Duration> {
         let (zone, units) = (self.daemons[n].zone, self.load.units);
-        let verdict = self.daemons[n].balances.charge(&self.account, self.quota, units, now);
+        let count = self.daemons.len();
+        let verdict = self.daemons[n].balances.charge(&self.account, self.quota, units, count, now);
         if verdict == Verdict::Admitted {
             return Ok(());
         }
@@ -209,7 +210,6 @@
             let reach = self.reach(zone, now);
             return self.relays[zone].ledger.charge(&self.account, self.quota, units, &reach, now);
         }
-        let count = self.daemons.len();
         let daemon = &mut self.daemons[n];
         let last_level = daemon.balances.last_level(ACCOUNT);
         daemon.isolated.charge(&self.account, self.quota, units, count, last_level, now)?;
