Daemons of a zone that are lost no longer leave their relay the part of silent zones

Cause: a relay that is cut off alone counted the daemons that nobody reports for as a fraction of all daemons, though the share of silent zones had been taken off already. It went on with twice its part: 2/7 of the rate for one daemon of seven, so that the site used 1.2 times the rate for as long as the partition lasted. Change: the unknown daemons are a fraction of those that are not in silent zones.

--- a/goldcrestward/src/process/quota/ledger.rs
+++ b/goldcrestward/src/process/quota/ledger.rs
@@ -169,7 +169,10 @@
     fn unreachable_fraction(&self, reach: &Reach) -> f64 {
         let count = f64::from(reach.total.max(1));
         let known = reach.zones.iter().fold(reach.own, |sum, (_, daemons, _)| sum.saturating_add(*daemons));
-        let unknown = f64::from(reach.total.saturating_sub(known)) / count;
+        let silent = reach.zones.iter().filter(|(_, _, is_heard)| !is_heard).map(|(_, daemons, _)| *daemons);
+        // The share of silent zones is counted below, so the unknown daemons are some of the others.
+        let others = f64::from(reach.total.saturating_sub(silent.sum()).max(1));
+        let unknown = (f64::from(reach.total.saturating_sub(known)) / others).min(1.0);
         let has_demand = self.reported.long_asked_rate > 0.0 || self.zones.values().any(|zone| zone.demand > 0.0);
         let mut timed_out = 0.0;
         for (name, daemons, _) in reach.zones.iter().filter(|(_, _, is_heard)| !is_heard) {
