A watch ends when the history of its own listing has ended

Another call could tell the new history between the listing and the start of the watch; the watch then waited for the end of the new history, and noticed the restore only with its next answer, up to 4 s later. Found by reading. It waits for the end of the history that was listed.

--- a/goldcrestward/src/process/state/site_state.rs
+++ b/goldcrestward/src/process/state/site_state.rs
@@ -89,22 +89,21 @@
             self.notify_changed("listing");
         }
         info!("event=state-listed revision={revision} files={files} known={known}");
-        let history = self.shared.kv.history().number;
         let mut watch = self.shared.kv.watch(Purpose::Site, self.catalog.prefix(), revision).await?;
         loop {
-            let Changes { changes, revision } = tokio::select! {
+            let Changes { changes, revision: watched } = tokio::select! {
                 changes = watch.next() => changes?,
                 // Another call has been answered from a new history, in which the watch may miss changes.
-                () = self.shared.kv.history_ended(history) => return Ok(()),
+                () = self.shared.kv.history_ended(revision.history()) => return Ok(()),
             };
             let files = changes.into_iter().filter_map(|change| self.changed_file(change)).collect::<Vec<_>>();
             let any = !files.is_empty();
             let known = self.shared.config.lock().revision();
-            if any && revision < known {
-                warn!("event=changes-dropped revision={revision} files={} known={known}", files.len());
+            if any && watched < known {
+                warn!("event=changes-dropped revision={watched} files={} known={known}", files.len());
             }
             let newer =
-                self.shared.config.lock().merge(pb::ConfigDelta { revision: revision.ordinal(), files, whole: false });
+                self.shared.config.lock().merge(pb::ConfigDelta { revision: watched.ordinal(), files, whole: false });
             if newer && any {
                 self.notify_changed("watch");
             }
--- a/goldcrestward/src/store/client.rs
+++ b/goldcrestward/src/store/client.rs
@@ -80,10 +80,10 @@
     }
 
     /// Waits until the history is not the one with this number.
-    pub async fn history_ended(&self, number: Option<u64>) {
+    pub async fn history_ended(&self, number: u64) {
         let mut history = self.history.subscribe();
         // The sender lives as long as this client.
-        history.wait_for(|history| history.number != number).await.ok();
+        history.wait_for(|history| history.number.is_some_and(|known| known != number)).await.ok();
     }
 
     /// Learns of a history that another daemon knows.
