--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -16,6 +16,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -492,8 +493,9 @@
             await site.stop()
     try:
         breaks = asyncio.run(main())
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except Exception as error:
         print(f"could not run: {error!r}")
+        traceback.print_exc()
         sys.exit(2)
     for line in breaks[:10]:
         print(f"broken: {line}")
