Review case 5: a daemon whose connections to its peers fell silent goes on with an old configuration

review/5/run.sh, five times: exit 1 each time; one of seven daemons ran requests with a withdrawn key and answered 404 on a new route for all of the 30 s that it was watched (206 to 208 requests later than config_apply_ms). TROUBLE=0 review/5/run.sh: exit 0. The common stand-ins got a proxy for the peers' addresses; cases 1 to 4 were run again with them: exit 1 each time.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -290,6 +290,8 @@
         ports = [free_port(self.ip) for _ in range(3)]
         self.callers, self.ready, self.peers = (f"{self.ip}:{port}" for port in ports)
         self.store, self.cloud, self.zones, self.process = store, cloud, zones, None
+        # The address for peers if they reach this daemon by way of a proxy.
+        self.advertise = None
 
     def settings(self, seeds):
         template = open(os.path.join(ROOT, "deploy/settings.yaml")).read()
@@ -300,7 +302,8 @@
                   "listen.ready": self.ready, "listen.control": self.peers, "ip": self.ip,
                   "platform.address": self.store, "cloud.address": self.cloud, "zones|json": json.dumps(self.zones)}
         values |= {f"bounds.{name}": value for name, value in bounds.items()}
-        return re.sub(r"\{\{([^}]*)\}\}", lambda match: str(values[match.group(1)]), template)
+        text = re.sub(r"\{\{([^}]*)\}\}", lambda match: str(values[match.group(1)]), template)
+        return text if self.advertise is None else f"{text}\nadvertise: {self.advertise}\n"
 
     async def start(self, folder, seeds):
         self.folder = folder
@@ -342,6 +345,65 @@
             await self.process.wait()
 
 
+class PeerProxy:
+    """Stands before a daemon's peers' address and passes on datagrams and connections. It can let all connections that are open
+    fall silent for good, without a reset, while new ones and datagrams pass."""
+
+    def __init__(self, daemon):
+        self.daemon, self.target, self.pipes, self.silenced = daemon, daemon.peers, [], 0
+
+    async def start(self):
+        ip = f"127.{random.randrange(1, 250)}.{random.randrange(1, 250)}.{random.randrange(100, 250)}"
+        port = free_port(ip)
+        self.server = await asyncio.start_server(self.pass_on, ip, port)
+        host, target_port = self.target.split(":")
+        loop = asyncio.get_running_loop()
+        proxy = self
+
+        class Datagrams(asyncio.DatagramProtocol):
+            def connection_made(self, transport):
+                self.transport = transport
+
+            def datagram_received(self, data, addr):
+                proxy.sender.sendto(data, (host, int(target_port)))
+
+        self.sender, _ = await loop.create_datagram_endpoint(asyncio.DatagramProtocol, local_addr=(ip, 0))
+        await loop.create_datagram_endpoint(Datagrams, local_addr=(ip, port))
+        self.daemon.advertise = f"{ip}:{port}"
+
+    async def pass_on(self, reader, writer):
+        host, port = self.target.split(":")
+        try:
+            target_reader, target_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return writer.close()
+        pipe = {"silent": False}
+        self.pipes.append(pipe)
+
+        async def copy(source, sink):
+            try:
+                while piece := await source.read(65536):
+                    if pipe["silent"]:
+                        continue
+                    sink.write(piece)
+                    await sink.drain()
+            except ConnectionError:
+                pass
+            if not pipe["silent"]:
+                sink.close()
+
+        await asyncio.gather(copy(reader, target_writer), copy(target_reader, writer))
+        if not pipe["silent"]:
+            self.pipes.remove(pipe)
+
+    def silence(self):
+        """Nothing passes any more on the connections that are open now."""
+        for pipe in self.pipes:
+            pipe["silent"] = True
+        self.silenced += len(self.pipes)
+        self.pipes = []
+
+
 class CannotRun(Exception):
     """The case could not be run."""
 
@@ -432,8 +494,8 @@
 ZONES = {"zone-a": "region-a", "zone-b": "region-b", "zone-c": "region-c"}
 
 
-def configuration(version, routes, services):
-    tenant = {"name": "tenant-1", "api_keys": [KEY], "priority": 1, "unit": "token", "plain_tokens": 200, "rate_per_s": 0,
+def configuration(version, routes, services, keys=(KEY,)):
+    tenant = {"name": "tenant-1", "api_keys": list(keys), "priority": 1, "unit": "token", "plain_tokens": 200, "rate_per_s": 0,
               "burst": 0}
     return {"version": version, "routes": routes, "services": services, "limits": LIMITS, "tenants": [tenant]}
 
@@ -449,9 +511,9 @@
     return {**plain_service(name), "max_conns": 300, "engine": engine}
 
 
-def client_headers(request_id, deadline_ms, *more):
+def client_headers(request_id, deadline_ms, *more, key=KEY):
     return [("Host", HOST), ("X-Request-Id", request_id), ("X-Deadline-Ms", str(deadline_ms)),
-            ("Authorization", f"Token {KEY}"), *more]
+            ("Authorization", f"Token {key}"), *more]
 
 
 class Site:
@@ -463,11 +525,15 @@
         self.temporary = tempfile.mkdtemp(prefix="goldcrestward-review-")
         self.store, self.cloud, self.daemons = Store(), Cloud(self.record), []
 
-    async def start(self, zones):
+    async def start(self, zones, with_proxies=False):
         """Starts a daemon in each of the zones named, and waits until all are ready."""
+        self.proxies = []
         for number, zone in enumerate(zones):
             self.daemons.append(Daemon(number, zone, self.store.address, self.cloud.address, ZONES))
-        self.seeds = [daemon.peers for daemon in self.daemons[:3]]
+            if with_proxies:
+                self.proxies.append(PeerProxy(self.daemons[-1]))
+                await self.proxies[-1].start()
+        self.seeds = [daemon.advertise or daemon.peers for daemon in self.daemons[:3]]
         for daemon in self.daemons:
             await daemon.start(self.temporary, self.seeds)
         for daemon in self.daemons:
@@ -491,13 +557,23 @@
             return await asyncio.wait_for(case(site), 110)
         finally:
             await site.stop()
-    try:
-        breaks = asyncio.run(main())
-    except Exception as error:
-        print(f"could not run: {error!r}")
-        traceback.print_exc()
-        sys.exit(2)
-    for line in breaks[:10]:
-        print(f"broken: {line}")
-    print(f"trouble={int(TROUBLE)} breaks={len(breaks)}")
-    sys.exit(1 if breaks else 0)
+
+    async def run():
+        try:
+            breaks = await main()
+        except Exception as error:
+            print(f"could not run: {error!r}")
+            traceback.print_exc()
+            return 2
+        for line in breaks[:10]:
+            print(f"broken: {line}")
+        print(f"trouble={int(TROUBLE)} breaks={len(breaks)}")
+        return 1 if breaks else 0
+
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    code = loop.run_until_complete(run())
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # Connections of the stand-ins that are still open end with the process.
+    os._exit(code)
