--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -15,7 +15,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 import traceback
 from urllib.parse import parse_qs, urlsplit
 
@@ -301,7 +300,7 @@
         values = {"node": self.name, "region": self.zones[self.zone], "zone": self.zone, "listen.front": self.callers,
                   "listen.ready": self.ready, "listen.control": self.peers, "ip": self.ip,
                   "platform.address": self.store, "cloud.address": self.cloud, "zones|json": json.dumps(self.zones)}
-        values |= {f"bounds.{name}": value for name, value in bounds.items()}
+        values.update({f"bounds.{name}": value for name, value in bounds.items()})
         text = re.sub(r"\{\{([^}]*)\}\}", lambda match: str(values[match.group(1)]), template)
         return text if self.advertise is None else f"{text}\nadvertise: {self.advertise}\n"
 
@@ -310,8 +309,8 @@
         path = os.path.join(folder, f"{self.name}.yaml")
         with open(path, "w") as file:
             file.write(self.settings(seeds))
-        with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
-            run = tomllib.load(file)["roles"]["front"]["run"]
+        with open(os.path.join(ROOT, "deploy/system.toml")) as file:
+            run = re.search(r'^run = "(.*)"$', file.read(), re.MULTILINE).group(1)
         words = [path if word == "/etc/goldcrestward/local.toml" else word for word in run.split(" ")]
         log = open(os.path.join(folder, f"{self.name}.log"), "ab")
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
