--- a/review/3/case.py
+++ b/review/3/case.py
@@ -17,10 +17,14 @@
 GAP_S = 0.02
 PER_SECOND = 250
 SECONDS = 60
-# Share of its answers that the faulty server, one of two, spoils.
+# Share of its answers that the faulty server, one of two, spoils, for 5 of each 8 seconds.
 SPOILED = 0.02
 
 
+def in_trouble():
+    return TROUBLE and now() % 8 < 5
+
+
 class Engine:
     """Streams events with chunks; resumes after Last-Event-Id."""
 
@@ -40,7 +44,7 @@
         request_id, first = head.get("x-request-id"), int(head.get("last-event-id", "0"))
         self.record.line("run", server=self.name, id=request_id, after=first)
         self.resumed += first > 0
-        is_spoiled = TROUBLE and self.is_faulty and self.random.random() < SPOILED
+        is_spoiled = self.is_faulty and in_trouble() and self.random.random() < SPOILED
         wrong = self.random.randrange(first + 1, EVENTS + 1) if is_spoiled else None
         writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
                      f"X-Request-Id: {request_id}\r\nX-Response-Seal: seal.{request_id}\r\nX-Weight-Versions: 1\r\n\r\n".encode())
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -493,10 +493,11 @@
 ZONES = {"zone-a": "region-a", "zone-b": "region-b", "zone-c": "region-c"}
 
 
-def configuration(version, routes, services, keys=(KEY,)):
-    tenant = {"name": "tenant-1", "api_keys": list(keys), "priority": 1, "unit": "token", "plain_tokens": 200, "rate_per_s": 0,
-              "burst": 0}
-    return {"version": version, "routes": routes, "services": services, "limits": LIMITS, "tenants": [tenant]}
+def configuration(version, routes, services, keys=((KEY,),)):
+    """The operator's configuration; `keys` holds the keys of each tenant."""
+    tenants = [{"name": f"tenant-{number + 1}", "api_keys": list(own), "priority": 1, "unit": "token", "plain_tokens": 200,
+                "rate_per_s": 0, "burst": 0} for number, own in enumerate(keys)]
+    return {"version": version, "routes": routes, "services": services, "limits": LIMITS, "tenants": tenants}
 
 
 def plain_service(name):
