--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -45,6 +45,8 @@
     sender: Sender,
     /// Whether it goes by way of a peer.
     relayed: bool,
+    /// Whether a request has been sent on it.
+    used: bool,
     expires: Instant,
 }
 
@@ -85,7 +87,8 @@
     pub fn take(&self, address: SocketAddr, instance: &Arc<str>, relayed: bool) -> Option<BackendConnection> {
         let key = (address, instance.clone());
         let idle = self.take_idle(&key, relayed)?;
-        Some(BackendConnection { sender: idle.sender, key, relayed: idle.relayed, connections: self.clone() })
+        let IdleConnection { sender, relayed, used, .. } = idle;
+        Some(BackendConnection { sender, key, relayed, used, connections: self.clone() })
     }
 
     /// Opens a connection to the instance.
@@ -104,7 +107,7 @@
         let result = opened.as_ref().map_or_else(|error| error.label(), |_| "opened");
         self.connects.with_label_values(&[result]).inc();
         let key = (address, instance.clone());
-        opened.map(|sender| BackendConnection { sender, key, relayed: false, connections: self.clone() })
+        opened.map(|sender| BackendConnection { sender, key, relayed: false, used: false, connections: self.clone() })
     }
 
     /// Uses a connection to the instance that a peer has opened.
@@ -115,7 +118,8 @@
         instance: &Arc<str>,
     ) -> Option<BackendConnection> {
         let sender = handshake(tunnel).await?;
-        Some(BackendConnection { sender, key: (address, instance.clone()), relayed: true, connections: self.clone() })
+        let key = (address, instance.clone());
+        Some(BackendConnection { sender, key, relayed: true, used: false, connections: self.clone() })
     }
 
     /// Closes direct idle connections to an instance.
@@ -169,6 +173,7 @@
     sender: Sender,
     key: Key,
     relayed: bool,
+    used: bool,
     connections: BackendConnections,
 }
 
@@ -178,6 +183,7 @@
     /// # Errors
     /// Says whether the server may have received the request.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
+        self.used = true;
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => {
@@ -204,6 +210,11 @@
         self.keep_for(IDLE_TIMEOUT);
     }
 
+    /// Whether no request has been sent on it, so that the first response on it is that of the next request.
+    pub fn is_unused(&self) -> bool {
+        !self.used
+    }
+
     /// Whether it goes by way of a peer.
     pub fn is_relayed(&self) -> bool {
         self.relayed
@@ -211,8 +222,9 @@
 
     fn keep_for(self, lifetime: Duration) {
         let Some(lifetime) = lifetime.checked_sub(IDLE_MARGIN) else { return };
-        let idle = IdleConnection { sender: self.sender, relayed: self.relayed, expires: Instant::now() + lifetime };
-        self.connections.idle.lock().entry(self.key).or_default().push(idle);
+        let Self { sender, key, relayed, used, connections } = self;
+        let idle = IdleConnection { sender, relayed, used, expires: Instant::now() + lifetime };
+        connections.idle.lock().entry(key).or_default().push(idle);
     }
 }
 
--- a/goldcrestward/src/port/header_codec.rs
+++ b/goldcrestward/src/port/header_codec.rs
@@ -79,15 +79,30 @@
     Unreadable,
 }
 
-/// Metadata of a response.
+/// The head of a response, by whose it is. Nothing that it says may be used before that is known: a faulty server may
+/// send a copy of an earlier response where the next one is expected.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ResponseHead {
+    /// It bears the id of the attempt's request.
+    Own(ResponseMetadata),
+    /// It bears no id, so it can only be attributed to the request by the connection that it came on.
+    Unidentified {
+        /// The server states that it has not run the request and will not.
+        not_run: bool,
+    },
+    /// It bears the id of another request.
+    Foreign,
+}
+
+/// Metadata of a response that bears the id of its request.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// The server guarantees that it has not run the request and will not.
     pub not_run: bool,
     /// The server vouches for the response with a seal.
     pub sealed: bool,
-    /// The response has the id of the request.
-    pub matches_request: bool,
+    /// Another instance has the address.
+    pub misdirected: bool,
     /// The body has no content encoding.
     pub unencoded: bool,
     /// Load of the server; `None` if not reported.
@@ -110,5 +125,5 @@
     fn encode_attempt(&self, headers: &mut HeaderMap, metadata: &AttemptMetadata<'_>);
 
     /// Decodes status and headers of the response to request `id`.
-    fn decode_response(&self, status: StatusCode, headers: &HeaderMap, id: &str) -> ResponseMetadata;
+    fn decode_response(&self, status: StatusCode, headers: &HeaderMap, id: &str) -> ResponseHead;
 }
--- a/goldcrestward/src/port/mod.rs
+++ b/goldcrestward/src/port/mod.rs
@@ -13,7 +13,7 @@
 pub use duty::{Duties, DutyAnswer, Holder, PoolOrder};
 pub use engines::{Engines, MigratedKvCache};
 pub use header_codec::{
-    AttemptMetadata, HeaderCodec, Load, PromptPart, RequestMetadata, ResponseMetadata, StatedLimit,
+    AttemptMetadata, HeaderCodec, Load, PromptPart, RequestMetadata, ResponseHead, ResponseMetadata, StatedLimit,
 };
 
 /// The implementations of all ports for one platform.
--- a/goldcrestward/src/process/replicas.rs
+++ b/goldcrestward/src/process/replicas.rs
@@ -88,6 +88,8 @@
     blocked_until: AtomicU64,
     /// This daemon's part of its room while it is brittle.
     room: Mutex<Room>,
+    /// Whether its responses have borne the ids of their requests.
+    echoes_ids: AtomicBool,
 }
 
 impl Health {
@@ -245,6 +247,16 @@
         self.health.loads.lock().apply_server_report(load, now);
     }
 
+    /// Whether its responses bear the ids of their requests.
+    pub fn echoes_ids(&self) -> bool {
+        self.health.echoes_ids.load(Ordering::Relaxed)
+    }
+
+    /// Records whether its last response bore an id.
+    pub fn set_echoes_ids(&self, echoes: bool) {
+        self.health.echoes_ids.store(echoes, Ordering::Relaxed);
+    }
+
     /// The rate limit that the server has named.
     pub fn limit(&self) -> NamedLimit {
         *self.health.limit.lock()
--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -15,6 +15,7 @@
 mod proxy_ingress;
 mod proxy_outcome;
 mod refusal;
+mod response_owner;
 mod token_events;
 
 pub(crate) use budget::RouteRetryBudgets;
--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -20,12 +20,13 @@
     crash::fingerprint,
     model_body::ModelBody,
     refusal::{Reason, Refusal},
+    response_owner::ResponseOwner,
     token_events::{StreamError, TokenEventReader},
 };
 use crate::{
     config::{Account, Route},
     connection::{OutboundRequest, SendError},
-    process::{AdmissionPermit, InFlight, ReplicaGuard, Shared},
+    process::{AdmissionPermit, InFlight, Replica, ReplicaGuard, Shared},
     util::stable_hash,
     version::Sample,
 };
@@ -254,7 +255,7 @@
 
     async fn try_open(&mut self, guard: &ReplicaGuard, next: u64) -> Result<AttemptResult, Failure> {
         let request = self.build_request(guard, self.attempt_body(next));
-        let response = self.send(request).await?;
+        let response = self.send(guard.replica(), request).await?;
         if response.status() != StatusCode::OK {
             return pass_client_error(response).map(AttemptResult::Refused);
         }
@@ -280,9 +281,12 @@
         }
     }
 
-    async fn send(&mut self, request: OutboundRequest) -> Result<Response, Failure> {
+    async fn send(&mut self, replica: &Replica, request: OutboundRequest) -> Result<Response, Failure> {
         let limit = IDLE_TIMEOUT.min(self.attempts.time_left());
-        let result = timeout(limit, self.shared.client.send(request)).await;
+        let is_shared = replica.echoes_ids();
+        let client = &self.shared.client;
+        let sending = async { if is_shared { client.send(request).await } else { client.send_fresh(request).await } };
+        let result = timeout(limit, sending).await;
         match result {
             Err(_) => {
                 self.attempts.mark_sent();
@@ -295,17 +299,25 @@
             }
             Ok(Ok(response)) => {
                 self.attempts.mark_sent();
-                self.check_response_id(response)
+                let owner = ResponseOwner::of(response.headers(), &self.id);
+                replica.set_echoes_ids(owner != ResponseOwner::Unknown);
+                self.check_response_id(response, is_shared)
             }
         }
     }
 
-    /// Rejects a response that has the id of another request or the number of another attempt.
-    fn check_response_id(&self, response: Response) -> Result<Response, Failure> {
-        let matches = |name: &str, wanted: &str| {
-            response.headers().get(name).is_none_or(|value| value.as_bytes() == wanted.as_bytes())
+    /// Rejects a response that has the id of another request or the number of another attempt, and one without an id on a
+    /// connection that may have carried other requests (`is_shared`).
+    fn check_response_id(&self, response: Response, is_shared: bool) -> Result<Response, Failure> {
+        let owner = ResponseOwner::of(response.headers(), &self.id);
+        let number = self.attempts.number().to_string();
+        let attempt = response.headers().get("x-attempt");
+        let is_own = match owner {
+            ResponseOwner::Request => true,
+            ResponseOwner::Unknown => !is_shared,
+            ResponseOwner::Other => false,
         };
-        if matches("x-request-id", &self.id) && matches("x-attempt", &self.attempts.number().to_string()) {
+        if is_own && attempt.is_none_or(|value| value.as_bytes() == number.as_bytes()) {
             return Ok(response);
         }
         self.shared.metrics.dropped.with_label_values(&["crossed"]).inc();
@@ -342,7 +354,7 @@
 
     async fn try_buffered(&mut self, guard: &ReplicaGuard) -> Result<Response, Failure> {
         let request = self.build_request(guard, self.body.clone());
-        let response = self.send(request).await?;
+        let response = self.send(guard.replica(), request).await?;
         let response = if response.status() == StatusCode::OK { response } else { pass_client_error(response)? };
         let (mut parts, body) = response.into_parts();
         let limited = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES);
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -18,13 +18,14 @@
     crash::fingerprint,
     headers::drop_hop_by_hop,
     refusal::{Reason, Refusal},
+    response_owner::ResponseOwner,
 };
 use crate::{
     config::{Account, Route},
     connection::{OutboundRequest, SendError},
     ledger::{Claim, Key, Settlement, ledger_key},
     pb::{self, Grant},
-    process::{AdmissionPermit, InFlight, ReplicaGuard, Shared},
+    process::{AdmissionPermit, InFlight, Replica, ReplicaGuard, Shared},
     util::stable_hash,
     version::Sample,
 };
@@ -57,6 +58,14 @@
     _in_flight: InFlight,
 }
 
+/// A request to one replica.
+struct OutboundCall {
+    shared: Arc<Shared>,
+    replica: Arc<Replica>,
+    id: Arc<str>,
+    request: OutboundRequest,
+}
+
 /// The head of a request to a plain service.
 pub(crate) struct PlainRequestHead {
     /// The request's id.
@@ -176,7 +185,7 @@
         let body = Body::from_stream(start.chain(rest.into_data_stream().map(|piece| piece.map(Frame::data))));
         let request = OutboundRequest { body, ..self.build_request(&guard) };
         self.attempts.mark_sent();
-        match send(self.shared.clone(), request, self.attempts.time_left()).await {
+        match send(self.outbound(&guard, request), self.attempts.time_left()).await {
             Ok(response) => {
                 self.attempts.record_success(guard.replica());
                 self.shared.observe(guard.replica(), &self.route.name, Sample::Good);
@@ -204,14 +213,14 @@
 
     async fn send(&mut self, guard: &ReplicaGuard) -> Result<Response, Failure> {
         self.attempts.mark_sent();
-        send(self.shared.clone(), self.build_request(guard), self.attempts.time_left()).await
+        send(self.outbound(guard, self.build_request(guard)), self.attempts.time_left()).await
     }
 
     /// Sends a lookup to a second replica too if the first is slow and the retry budget allows it.
     async fn send_hedged(&mut self, guard: &ReplicaGuard) -> Result<Response, Failure> {
         self.attempts.mark_sent();
         let left = self.attempts.time_left();
-        let first = send(self.shared.clone(), self.build_request(guard), left);
+        let first = send(self.outbound(guard, self.build_request(guard)), left);
         tokio::pin!(first);
         if let Ok(result) = timeout(HEDGE_DELAY, &mut first).await {
             return result;
@@ -221,7 +230,7 @@
         }
         let Some(other) = self.attempts.choose_hedge(guard.replica()) else { return first.await };
         self.shared.metrics.retries.with_label_values(&["hedged"]).inc();
-        let second = send(self.shared.clone(), self.build_request(&other), left);
+        let second = send(self.outbound(&other, self.build_request(&other)), left);
         tokio::pin!(second);
         tokio::select! {
             result = &mut first => match result {
@@ -235,6 +244,10 @@
         }
     }
 
+    fn outbound(&self, guard: &ReplicaGuard, request: OutboundRequest) -> OutboundCall {
+        OutboundCall { shared: self.shared.clone(), replica: guard.replica().clone(), id: self.id.clone(), request }
+    }
+
     fn build_request(&self, guard: &ReplicaGuard) -> OutboundRequest {
         OutboundRequest {
             address: guard.replica().address,
@@ -324,6 +337,11 @@
             let sending = self.shared.client.send_fresh(self.build_request(&guard));
             match timeout(self.attempts.time_left(), sending).await {
                 Ok(Err(SendError::NotSent)) => self.attempts.record_failure(&guard, Failure::ConnectFailed).await,
+                // The connection has carried nothing else, so a response without an id is the request's own.
+                Ok(Ok(response)) if ResponseOwner::of(response.headers(), &self.id) == ResponseOwner::Other => {
+                    self.shared.metrics.dropped.with_label_values(&["crossed"]).inc();
+                    return Err(self.record_unknown(key, &guard, Failure::WrongResponse).await);
+                }
                 Ok(Ok(response)) => return self.finish_claimed(key, response, &guard).await,
                 Ok(Err(SendError::MaybeSent)) => {
                     return Err(self.record_unknown(key, &guard, Failure::Disconnected).await);
@@ -370,14 +388,29 @@
     }
 }
 
-async fn send(shared: Arc<Shared>, request: OutboundRequest, limit: Duration) -> Result<Response, Failure> {
-    match timeout(limit, shared.client.send(request)).await {
-        Err(_) => Err(Failure::TimedOut),
-        Ok(Err(SendError::NotSent)) => Err(Failure::ConnectFailed),
-        Ok(Err(SendError::MaybeSent)) => Err(Failure::Disconnected),
-        Ok(Ok(response)) if response.status().is_server_error() => Err(Failure::ErrorStatus),
-        Ok(Ok(response)) => Ok(response),
+/// Sends a request, on an open connection only if the replica's responses bear the ids of their requests: a copy of an
+/// earlier response could otherwise not be told from the request's own.
+async fn send(call: OutboundCall, limit: Duration) -> Result<Response, Failure> {
+    let OutboundCall { shared, replica, id, request } = call;
+    let echoes_ids = replica.echoes_ids();
+    let sending =
+        async { if echoes_ids { shared.client.send(request).await } else { shared.client.send_fresh(request).await } };
+    let response = match timeout(limit, sending).await {
+        Err(_) => return Err(Failure::TimedOut),
+        Ok(Err(SendError::NotSent)) => return Err(Failure::ConnectFailed),
+        Ok(Err(SendError::MaybeSent)) => return Err(Failure::Disconnected),
+        Ok(Ok(response)) => response,
+    };
+    match ResponseOwner::of(response.headers(), &id) {
+        ResponseOwner::Request => replica.set_echoes_ids(true),
+        ResponseOwner::Unknown if !echoes_ids => {}
+        owner => {
+            replica.set_echoes_ids(owner != ResponseOwner::Unknown);
+            shared.metrics.dropped.with_label_values(&["crossed"]).inc();
+            return Err(Failure::WrongResponse);
+        }
     }
+    if response.status().is_server_error() { Err(Failure::ErrorStatus) } else { Ok(response) }
 }
 
 /// Builds a response from the recorded outcome.
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -27,8 +27,8 @@
     config::{Account, Route, RouteKind},
     connection::{BackendConnection, SendError},
     logs::is_sampled,
-    port::{AttemptMetadata, MigratedKvCache, RequestMetadata},
-    process::{AttemptOutcome, Condemned, Gateway, ReplicaGuard, part_names, record_answer, record_brittle},
+    port::{AttemptMetadata, MigratedKvCache, RequestMetadata, ResponseHead, ResponseMetadata},
+    process::{AttemptOutcome, Condemned, Gateway, Replica, ReplicaGuard, part_names, record_answer, record_brittle},
     version::Sample,
 };
 
@@ -356,6 +356,7 @@
         if replica.is_leaving() {
             return Err(ProxyFailure::ConnectFailed);
         }
+        let is_first = connection.is_unused();
         let request = self.build_request(&replica.id, sequence.last());
         let (previous, idle_timeout) = (self.run_state, self.idle_timeout());
         let sent_ms = self.gateway.shared.agreed_ms();
@@ -375,8 +376,15 @@
             }
             Ok(Ok(response)) => response,
         };
-        let metadata =
-            self.gateway.header_codec.decode_response(response.status(), response.headers(), &self.metadata.id);
+        let metadata = match self.attribute(&replica, &response, is_first) {
+            Ok(metadata) => metadata,
+            Err(failure) => {
+                if matches!(failure, ProxyFailure::NotRun) {
+                    self.run_state = previous;
+                }
+                return Err(failure);
+            }
+        };
         if let Some(load) = metadata.load {
             replica.set_reported_load(load, self.gateway.shared.now());
         }
@@ -389,15 +397,36 @@
             if metadata.max_refusals.is_some() {
                 replica.record_refusal(self.gateway.shared.daemon_count(), self.gateway.shared.now());
             }
-            self.discard(response, connection).await;
+            if !metadata.misdirected {
+                self.discard(response, connection).await;
+            }
             return Err(ProxyFailure::NotRun);
         }
-        if !metadata.matches_request {
-            return Err(ProxyFailure::Indeterminate("crossed"));
-        }
         self.read(response, connection, metadata.sealed && metadata.unencoded, sequence).await
     }
 
+    /// Returns what the response says if it is the attempt's own. Only such a response lets its connection be used
+    /// again, so that a copy of an earlier response on a used connection bears that request's id. Hence a response without
+    /// an id is believed only if it is the first on its connection (`is_first`).
+    fn attribute(
+        &self,
+        replica: &Replica,
+        response: &HttpResponse<Incoming>,
+        is_first: bool,
+    ) -> Result<ResponseMetadata, ProxyFailure> {
+        let head = self.gateway.header_codec.decode_response(response.status(), response.headers(), &self.metadata.id);
+        let owner = match head {
+            ResponseHead::Own(metadata) => return Ok(metadata),
+            ResponseHead::Unidentified { not_run: true } if is_first => return Err(ProxyFailure::NotRun),
+            ResponseHead::Unidentified { .. } => "unknown",
+            ResponseHead::Foreign => "other",
+        };
+        self.gateway.shared.metrics.dropped.with_label_values(&["crossed"]).inc();
+        let (id, instance, status) = (&self.metadata.id, &replica.id, response.status().as_u16());
+        info!("event=response-dropped id={id} instance={instance} status={status} owner={owner} first={is_first}");
+        Err(ProxyFailure::Indeterminate("crossed"))
+    }
+
     async fn read(
         &mut self,
         response: HttpResponse<Incoming>,
--- a/goldcrestward/tests/it/responses.rs
+++ b/goldcrestward/tests/it/responses.rs
@@ -203,3 +203,66 @@
     }
     assert!(may_have_run > 0 && completed > 0, "{not_run} not run, {may_have_run} may have run, {completed} completed");
 }
+
+/// Starts a back end that answers with the request's path and, on each connection, sends its answers again, late: before
+/// the next one. Its answers bear the request's id if `echoes_ids`.
+async fn start_copying_back_end(echoes_ids: bool) -> std::net::SocketAddr {
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = socket.local_addr().expect("the socket has an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = socket.accept().await {
+            tokio::spawn(async move {
+                let (mut buffer, mut previous) = ([0; 8192], String::new());
+                while let Ok(length @ 1..) = stream.read(&mut buffer).await {
+                    let head = String::from_utf8_lossy(&buffer[..length]).to_lowercase();
+                    let path = head.split(' ').nth(1).unwrap_or_default();
+                    let id = head.lines().find(|line| line.starts_with("x-request-id:")).filter(|_| echoes_ids);
+                    let id = id.map(|line| format!("{line}\r\n")).unwrap_or_default();
+                    let answer = format!("HTTP/1.1 200 OK\r\n{id}content-length: {}\r\n\r\n{path}", path.len());
+                    if stream.write_all(previous.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    tokio::time::sleep(std::time::Duration::from_millis(3)).await;
+                    stream.write_all(answer.as_bytes()).await.ok();
+                    previous = answer;
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against MIXED: a late copy of an earlier answer on a kept connection was passed on as the answer to a request
+/// to a plain service.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn late_copy_of_an_answer_does_not_answer_the_next_request() {
+    for echoes_ids in [true, false] {
+        let mut site = TestSite::start(1, 0).await;
+        site.services.iter().for_each(standin::service::Service::kill);
+        site.services.clear();
+        for number in 0..2 {
+            site.register_service(start_copying_back_end(echoes_ids).await, &format!("copying-{number}"));
+        }
+        let listed = || async {
+            let value = site.daemons[0].get("/admin/requests").await?;
+            value.to_string().contains("copying-1").then_some(())
+        };
+        eventually("the daemon lists the back ends", listed).await;
+        let mut whole = 0;
+        for number in 0..40 {
+            let path = format!("/orders/{number}-end");
+            let mut stream = tokio::net::TcpStream::connect(site.daemons[0].callers).await.expect("a connection");
+            let request = format!(
+                "GET {path} HTTP/1.1\r\nhost: site\r\nauthorization: Bearer {KEY}\r\nconnection: close\r\n\r\n"
+            );
+            stream.write_all(request.as_bytes()).await.expect("the request is sent");
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).await.expect("the answer is read");
+            if answer.starts_with("HTTP/1.1 200") {
+                assert!(answer.ends_with(&path), "{path} got {answer:?}");
+                whole += 1;
+            }
+        }
+        assert!(whole > 0, "no request was answered");
+    }
+}
