--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -264,8 +264,8 @@
         loop {
             let idle_timeout = IDLE_TIMEOUT.min(self.attempts.time_left());
             let data = read_frame(timeout(idle_timeout, body.frame()).await)?;
-            let (first, error) = reader.read(&data);
-            if let Some(error) = error.filter(|_| first.is_empty()) {
+            let first = reader.read(&data);
+            if let Some(error) = reader.error().filter(|_| first.is_empty()) {
                 self.count_stream_error(error);
                 return Err(Failure::WrongResponse);
             }
--- a/goldcrestward/src/request/model_body.rs
+++ b/goldcrestward/src/request/model_body.rs
@@ -85,7 +85,7 @@
         let State::Streaming(parts) = &mut self.state else { return Bytes::new() };
         let (call, open) = &mut **parts;
         let before = open.reader.next_token();
-        let (out, error) = open.reader.read(data);
+        let out = open.reader.read(data);
         let tokens = open.reader.next_token() - before;
         if tokens > 0 {
             let now = Instant::now();
@@ -93,15 +93,22 @@
             call.count_tokens(tokens);
             self.last_token_at = now;
         }
-        if let Some(error) = error {
-            call.count_stream_error(error);
-            self.reopen(Failure::WrongResponse);
-        } else if open.guard.replica().is_leaving() && !open.reader.is_done() {
+        if open.reader.error().is_none() && open.guard.replica().is_leaving() && !open.reader.is_done() {
             self.reopen(Failure::Leaving);
         }
         out
     }
 
+    /// Reopens the stream if its current one cannot be continued; returns whether it does.
+    fn reopen_after_error(&mut self) -> bool {
+        let State::Streaming(parts) = &self.state else { return false };
+        let (call, open) = &**parts;
+        let Some(error) = open.reader.error() else { return false };
+        call.count_stream_error(error);
+        self.reopen(Failure::WrongResponse);
+        true
+    }
+
     fn finish(&mut self) {
         let State::Streaming(parts) = mem::replace(&mut self.state, State::Ended) else { return };
         let (call, open) = *parts;
@@ -150,6 +157,11 @@
                         self.finish();
                         continue;
                     }
+                    if self.reopen_after_error() {
+                        continue;
+                    }
+                    let State::Streaming(parts) = &mut self.state else { continue };
+                    let open = &mut parts.1;
                     let data = match Pin::new(&mut open.body).poll_frame(context) {
                         Poll::Ready(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                         Poll::Ready(None | Some(Err(_))) => {
--- a/goldcrestward/src/request/numbered_events.rs
+++ b/goldcrestward/src/request/numbered_events.rs
@@ -20,12 +20,13 @@
     scanned: usize,
     last: Option<u64>,
     repeated: u64,
+    error: Option<SequenceError>,
 }
 
 impl EventSequence {
     /// Creates a sequence that continues after event number `last`.
     pub fn new(last: Option<u64>) -> Self {
-        Self { buffer: BytesMut::new(), scanned: 0, last, repeated: 0 }
+        Self { buffer: BytesMut::new(), scanned: 0, last, repeated: 0, error: None }
     }
 
     /// Number of the last event that was forwarded.
@@ -43,14 +44,25 @@
         !self.buffer.is_empty()
     }
 
-    /// Discards an incomplete event, to continue with the stream of another attempt.
+    /// Why the stream of this attempt cannot be continued; nothing more is read from it.
+    pub fn error(&self) -> Option<SequenceError> {
+        self.error
+    }
+
+    /// Discards an incomplete event and the error, to continue with the stream of another attempt.
     pub fn restart(&mut self) {
         self.buffer.clear();
         self.scanned = 0;
+        self.error = None;
     }
 
-    /// Consumes received bytes and returns the complete events to forward, including those before an error.
-    pub fn read(&mut self, bytes: &Bytes) -> (Bytes, Option<SequenceError>) {
+    /// Consumes received bytes and returns the complete events up to an error. They count as forwarded from now on, so
+    /// the caller must get them, whatever [`error`](Self::error) says.
+    #[must_use]
+    pub fn read(&mut self, bytes: &Bytes) -> Bytes {
+        if self.error.is_some() {
+            return Bytes::new();
+        }
         self.buffer.extend_from_slice(bytes);
         let mut out = BytesMut::new();
         while let Some(end) = self.find_end() {
@@ -60,11 +72,14 @@
                 Ok(true) if out.is_empty() => out = event,
                 Ok(true) => out.extend_from_slice(&event),
                 Ok(false) => {}
-                Err(error) => return (out.freeze(), Some(error)),
+                Err(error) => {
+                    self.error = Some(error);
+                    return out.freeze();
+                }
             }
         }
-        let error = (self.buffer.len() > MAX_EVENT_BYTES).then_some(SequenceError::Malformed);
-        (out.freeze(), error)
+        self.error = (self.buffer.len() > MAX_EVENT_BYTES).then_some(SequenceError::Malformed);
+        out.freeze()
     }
 
     fn find_end(&mut self) -> Option<usize> {
--- a/goldcrestward/src/request/numbered_events_test.rs
+++ b/goldcrestward/src/request/numbered_events_test.rs
@@ -15,10 +15,10 @@
     while !rest.is_empty() {
         let size = sizes.get(n % sizes.len().max(1)).map_or(7, |size| size % 40 + 1).min(rest.len());
         let (piece, after) = rest.split_at(size);
-        let (events, error) = sequence.read(&Bytes::copy_from_slice(piece));
+        let events = sequence.read(&Bytes::copy_from_slice(piece));
         out.push_str(&String::from_utf8_lossy(&events));
-        if error.is_some() {
-            return (out, error);
+        if sequence.error().is_some() {
+            return (out, sequence.error());
         }
         (rest, n) = (after, n + 1);
     }
@@ -47,6 +47,25 @@
         first + &second == text && error.is_none()
     }
 
+    /// Guards against ORDER: events before a spoiled one counted as forwarded and were lost.
+    fn read_spoiled_event_loses_none_before_it(count: u8, spoiled: u8, sizes: Vec<usize>) -> bool {
+        let count = u64::from(count % 30) + 1;
+        let spoiled = u64::from(spoiled) % count + 1;
+        let text: String = (1..=count).map(event).collect();
+        let faulty = text.replacen(&format!("id: {spoiled}\n"), "id: ?\n", 1);
+        let mut sequence = EventSequence::new(None);
+        let (first, error) = read(&mut sequence, &faulty, &sizes);
+        // What comes after the error is not read, even if it would be in order.
+        let late = sequence.read(&Bytes::from(event(spoiled)));
+        let before: String = (1..spoiled).map(event).collect();
+        let stops = first == before && error == Some(SequenceError::Malformed) && late.is_empty();
+        let last = sequence.last().unwrap_or(0);
+        sequence.restart();
+        let rest: String = (last + 1..=count).map(event).collect();
+        let (second, error) = read(&mut sequence, &rest, &sizes);
+        stops && first + &second == text && error.is_none()
+    }
+
     fn read_missing_event_returns_gap(count: u8, missing: u8, sizes: Vec<usize>) -> bool {
         let count = u64::from(count % 30) + 3;
         let missing = u64::from(missing) % (count - 2) + 2;
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -473,13 +473,13 @@
                 let Ok(data) = frame.map_err(drop).and_then(|frame| frame.into_data().map_err(drop)) else {
                     return Err(ProxyFailure::Indeterminate("cut"));
                 };
-                let (events, error) = sequence.read(&data);
-                if error.is_some() {
-                    return Err(ProxyFailure::Indeterminate("disorder"));
-                }
+                let events = sequence.read(&data);
                 if !events.is_empty() {
                     return Ok(events);
                 }
+                if sequence.error().is_some() {
+                    return Err(ProxyFailure::Indeterminate("disorder"));
+                }
             }
             Err(ProxyFailure::Indeterminate("empty"))
         };
--- a/goldcrestward/src/request/proxy_body.rs
+++ b/goldcrestward/src/request/proxy_body.rs
@@ -242,7 +242,7 @@
     /// Reads from the server and returns the events to forward.
     fn poll_source(&mut self, context: &mut Context<'_>) -> Poll<Result<Option<Bytes>, &'static str>> {
         let State::Streaming(source) = &mut self.state else { return Poll::Ready(Ok(None)) };
-        if let Some(error_cause) = source.error_cause {
+        if let Some(error_cause) = source.error_cause.or(source.sequence.error().map(|_| "disorder")) {
             return Poll::Ready(Err(error_cause));
         }
         let data = match Pin::new(&mut source.body).poll_frame(context) {
@@ -253,9 +253,7 @@
             Poll::Ready(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
         };
         self.last_byte_at = Instant::now();
-        let (events, error) = source.sequence.read(&data);
-        source.error_cause = error.map(|_| "disorder");
-        Poll::Ready(Ok(Some(events)))
+        Poll::Ready(Ok(Some(source.sequence.read(&data))))
     }
 }
 
--- a/goldcrestward/src/request/token_events.rs
+++ b/goldcrestward/src/request/token_events.rs
@@ -38,12 +38,22 @@
     next: u64,
     repeated: u64,
     done: bool,
+    error: Option<StreamError>,
 }
 
 impl TokenEventReader {
     /// Creates a reader for attempt number `attempt` of `request` that expects the token with index `next`.
     pub fn new(request: &str, attempt: u32, next: u64) -> Self {
-        Self { request: request.into(), attempt, buffer: BytesMut::new(), scanned: 0, next, repeated: 0, done: false }
+        Self {
+            request: request.into(),
+            attempt,
+            buffer: BytesMut::new(),
+            scanned: 0,
+            next,
+            repeated: 0,
+            done: false,
+            error: None,
+        }
     }
 
     /// Index of the next expected token.
@@ -61,11 +71,18 @@
         self.done
     }
 
-    /// Consumes received bytes and returns the complete events to forward, including those before an error.
-    ///
-    /// # Errors
-    /// The second value is the error, after which the stream cannot be continued.
-    pub fn read(&mut self, bytes: &Bytes) -> (Bytes, Option<StreamError>) {
+    /// Why the attempt's stream cannot be continued; nothing more is read from it.
+    pub fn error(&self) -> Option<StreamError> {
+        self.error
+    }
+
+    /// Consumes received bytes and returns the complete events up to an error. Their tokens count as forwarded from now
+    /// on, so the caller must get them, whatever [`error`](Self::error) says.
+    #[must_use]
+    pub fn read(&mut self, bytes: &Bytes) -> Bytes {
+        if self.error.is_some() {
+            return Bytes::new();
+        }
         self.buffer.extend_from_slice(bytes);
         let mut out = BytesMut::new();
         while let Some(end) = self.find_end() {
@@ -75,13 +92,14 @@
                 Ok(true) if out.is_empty() => out = event,
                 Ok(true) => out.extend_from_slice(&event),
                 Ok(false) => {}
-                Err(error) => return (out.freeze(), Some(error)),
+                Err(error) => {
+                    self.error = Some(error);
+                    return out.freeze();
+                }
             }
         }
-        if self.buffer.len() > MAX_EVENT_BYTES {
-            return (out.freeze(), Some(StreamError::Malformed));
-        }
-        (out.freeze(), None)
+        self.error = (self.buffer.len() > MAX_EVENT_BYTES).then_some(StreamError::Malformed);
+        out.freeze()
     }
 
     fn find_end(&mut self) -> Option<usize> {
--- a/goldcrestward/src/request/token_events_test.rs
+++ b/goldcrestward/src/request/token_events_test.rs
@@ -23,10 +23,9 @@
         let mut reader = TokenEventReader::new("r", 1, 0);
         let (mut out, mut from) = (Vec::new(), 0);
         for end in ends {
-            let (piece, error) = reader.read(&Bytes::copy_from_slice(&whole.as_bytes()[from..end]));
-            out.extend_from_slice(&piece);
+            out.extend_from_slice(&reader.read(&Bytes::copy_from_slice(&whole.as_bytes()[from..end])));
             from = end;
-            if error.is_some() {
+            if reader.error().is_some() {
                 return false;
             }
         }
@@ -41,9 +40,8 @@
             for repeat in repeats.iter().filter(|r| usize::from(**r) <= index) {
                 text.push_str(&event("r", 1, usize::from(*repeat)));
             }
-            let (piece, error) = reader.read(&Bytes::from(text));
-            out.push_str(&String::from_utf8_lossy(&piece));
-            if error.is_some() {
+            out.push_str(&String::from_utf8_lossy(&reader.read(&Bytes::from(text))));
+            if reader.error().is_some() {
                 return false;
             }
         }
@@ -62,17 +60,27 @@
     ];
     for (name, text, wanted) in cases {
         let mut reader = TokenEventReader::new("r", 1, 0);
-        let (out, error) = reader.read(&Bytes::from(text));
-        assert_eq!((out.len(), error), (0, Some(wanted)), "{name}");
+        let out = reader.read(&Bytes::from(text));
+        assert_eq!((out.len(), reader.error()), (0, Some(wanted)), "{name}");
     }
 }
 
+/// Guards against ORDER: after a spoiled last token in the first piece, the end mark made the stream look whole.
+#[test]
+fn read_after_error_yields_nothing() {
+    let mut reader = TokenEventReader::new("r", 1, 0);
+    let first = reader.read(&Bytes::from(event("r", 1, 0) + "data: {\n\n"));
+    assert_eq!((&first[..], reader.error()), (event("r", 1, 0).as_bytes(), Some(StreamError::Malformed)));
+    assert!(reader.read(&Bytes::from("data: [DONE]\n\n")).is_empty());
+    assert!(!reader.is_done() && reader.error().is_some());
+}
+
 #[test]
 fn read_resumed_stream_continues_from_its_token() {
     let mut reader = TokenEventReader::new("r", 2, 7);
     let text: String = (5..9).map(|index| event("r", 2, index)).collect();
-    let (out, error) = reader.read(&Bytes::from(text));
-    assert_eq!(error, None);
+    let out = reader.read(&Bytes::from(text));
+    assert_eq!(reader.error(), None);
     assert_eq!(out, event("r", 2, 7) + &event("r", 2, 8));
     assert_eq!(reader.repeated(), 2);
 }
