--- a/goldcrestward/src/connection/mod.rs
+++ b/goldcrestward/src/connection/mod.rs
@@ -6,6 +6,7 @@
 mod error;
 mod framing;
 mod listener;
+mod observed_stream;
 mod peer;
 mod seal;
 mod tunnel;
--- a/goldcrestward/src/connection/peer.rs
+++ b/goldcrestward/src/connection/peer.rs
@@ -13,25 +13,29 @@
     SinkExt, StreamExt,
     stream::{SplitSink, SplitStream},
 };
+use log::warn;
 use parking_lot::Mutex;
 use prometheus::IntCounter;
 use prost::Message;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, mpsc, oneshot},
-    time::timeout,
+    time::{Instant, sleep, sleep_until, timeout},
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::{
     error::{PeerSnafu, Result as PeerResult},
+    observed_stream::{ObservedStream, Receipts},
     seal::Secrets,
     tunnel::{Tunnel, carry},
 };
 use crate::pb::{self, TunnelResult, answer, request};
 
-/// Largest frame between daemons, in bytes.
-const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
+/// Largest frame of the handshake, before the remote end has proved that it knows the secret, in bytes.
+const MAX_HANDSHAKE_BYTES: usize = 4 * 1024;
+/// Largest frame between daemons, in bytes: the state of a site of the largest size that is supported, several times.
+const MAX_FRAME_BYTES: usize = 32 * 1024 * 1024;
 /// Time limit for opening a connection and completing the handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time limit for sending a frame.
@@ -40,13 +44,19 @@
 const QUEUE_LENGTH: usize = 1024;
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time after which the accepting end closes an idle connection whose other end has not.
+const ACCEPTED_IDLE_TIMEOUT: Duration = Duration::from_secs(90);
+/// Time without a byte from a peer that owes an answer after which it is asked for a sign of life.
+const PROBE_AFTER: Duration = Duration::from_millis(400);
+/// Time without a byte after that question until the connection counts as dead.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Connections that are carried for peers at once.
 const MAX_TUNNELS: usize = 512;
-/// Time after which a tunnel whose sent bytes are not acknowledged is closed.
+/// Time after which a connection whose sent bytes are not acknowledged is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-type Stream = Framed<TcpStream, LengthDelimitedCodec>;
+type Stream = Framed<ObservedStream, LengthDelimitedCodec>;
 /// Channels on which the callers await their answers, by request id.
 type PendingAnswers = HashMap<u64, oneshot::Sender<answer::Body>>;
 
@@ -63,6 +73,7 @@
 pub(super) struct AuthenticatedStream {
     sender: FrameSender,
     receiver: FrameReceiver,
+    receipts: Receipts,
 }
 
 /// Sends authenticated frames.
@@ -106,8 +117,9 @@
     /// Performs the handshake; the initiator sends the first message.
     async fn new(socket: TcpStream, secrets: Secrets, is_initiator: bool) -> Option<Self> {
         socket.set_nodelay(true).ok();
-        let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
-        let mut stream = Framed::new(socket, codec);
+        rustix::net::sockopt::set_tcp_user_timeout(&socket, UNACKNOWLEDGED_TIMEOUT.as_millis() as u32).ok();
+        let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_HANDSHAKE_BYTES).new_codec();
+        let mut stream = Framed::new(ObservedStream::new(socket), codec);
         let own_nonce: [u8; 16] = rand::random();
         if is_initiator {
             stream.send(hello(&own_nonce, Vec::new())).await.ok()?;
@@ -129,12 +141,15 @@
     }
 
     /// Counts frames from `first` on, in both directions.
-    fn authenticated(stream: Stream, secrets: Secrets, session: Vec<u8>, first: u64) -> Self {
+    fn authenticated(mut stream: Stream, secrets: Secrets, session: Vec<u8>, first: u64) -> Self {
+        stream.codec_mut().set_max_frame_length(MAX_FRAME_BYTES);
+        let receipts = stream.get_ref().receipts();
         let (sink, stream) = stream.split();
         let session: Arc<[u8]> = session.into();
         Self {
             sender: FrameSender { sink, secrets: secrets.clone(), session: session.clone(), sent: first },
             receiver: FrameReceiver { stream, secrets, session, received: first },
+            receipts,
         }
     }
 
@@ -166,7 +181,7 @@
     let tunnels = Arc::new(Semaphore::new(MAX_TUNNELS));
     loop {
         let Ok((socket, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            sleep(Duration::from_millis(20)).await;
             continue;
         };
         let (secrets, handler, rejected_handshakes) = (secrets.clone(), handler.clone(), rejected_handshakes.clone());
@@ -183,6 +198,7 @@
 
 async fn serve_stream<H: PeerHandler>(mut stream: AuthenticatedStream, handler: H, tunnels: &Semaphore) {
     let (sender, mut answers) = mpsc::channel::<pb::Answer>(QUEUE_LENGTH);
+    let running = Arc::new(());
     loop {
         tokio::select! {
             payload = stream.next() => {
@@ -191,10 +207,11 @@
                 if let request::Body::OpenTunnel(open) = body {
                     return serve_tunnel(stream, id, open, &handler, tunnels).await;
                 }
-                let (handler, sender) = (handler.clone(), sender.clone());
+                let (handler, sender, running) = (handler.clone(), sender.clone(), running.clone());
                 tokio::spawn(async move {
                     let body = handler.handle(body).await;
                     sender.send(pb::Answer { id, body }).await.ok();
+                    drop(running);
                 });
             }
             Some(answer) = answers.recv() => {
@@ -202,6 +219,7 @@
                     return;
                 }
             }
+            () = sleep(ACCEPTED_IDLE_TIMEOUT), if Arc::strong_count(&running) == 1 => return,
         }
     }
 }
@@ -268,7 +286,6 @@
     pub async fn open_tunnel(&self, address: SocketAddr, open: pb::OpenTunnel) -> Result<Tunnel, TunnelResult> {
         let lost = || TunnelResult::Unspecified;
         let socket = TcpStream::connect(address).await.map_err(|_| lost())?;
-        rustix::net::sockopt::set_tcp_user_timeout(&socket, UNACKNOWLEDGED_TIMEOUT.as_millis() as u32).ok();
         let mut stream = AuthenticatedStream::new(socket, self.secrets.clone(), true).await.ok_or_else(lost)?;
         let request = pb::Request { id: 1, body: Some(request::Body::OpenTunnel(open)) };
         stream.send(request.encode_to_vec()).await.ok_or_else(lost)?;
@@ -303,6 +320,7 @@
     };
     let Ok(Some(mut stream)) = timeout(HANDSHAKE_TIMEOUT, open).await else { return };
     let mut pending = PendingAnswers::new();
+    let mut silence = Silence::default();
     let mut last_id = 0;
     loop {
         tokio::select! {
@@ -312,18 +330,84 @@
                 pending.retain(|_, answer| !answer.is_closed());
                 pending.insert(last_id, queued.answer);
                 let request = pb::Request { id: last_id, body: Some(queued.body) };
+                silence.begin();
                 if stream.send(request.encode_to_vec()).await.is_none() {
                     return;
                 }
             }
             payload = stream.next() => {
                 let Some(payload) = payload else { return };
+                silence.end();
                 let Ok(pb::Answer { id, body: Some(body) }) = pb::Answer::decode(&payload[..]) else { return };
                 if let Some(answer) = pending.remove(&id) {
                     answer.send(body).ok();
                 }
+                if !pending.is_empty() {
+                    silence.begin();
+                }
+            }
+            () = silence.lasted() => {
+                if stream.receipts.take() {
+                    // Part of a long frame has arrived.
+                    silence.end();
+                    silence.begin();
+                } else if silence.is_probed() {
+                    warn!("event=peer-silent peer={address} pending={} silent_ms={}", pending.len(), silence.elapsed_ms());
+                    return;
+                } else {
+                    last_id += 1;
+                    let request = pb::Request { id: last_id, body: Some(request::Body::AskStatus(pb::AskStatus {})) };
+                    silence.probe();
+                    if stream.send(request.encode_to_vec()).await.is_none() {
+                        return;
+                    }
+                }
             }
-            () = tokio::time::sleep(IDLE_TIMEOUT), if pending.is_empty() => return,
+            () = sleep(IDLE_TIMEOUT), if pending.is_empty() => return,
         }
     }
 }
+
+/// For how long a peer that owes an answer has sent nothing. A dead connection looks the same as one to a peer that takes its
+/// time over a request, so the peer is asked for its status, which it answers at once.
+#[derive(Debug, Default)]
+struct Silence {
+    since: Option<Instant>,
+    probed_at: Option<Instant>,
+}
+
+impl Silence {
+    /// An answer is owed from now on, if none was before.
+    fn begin(&mut self) {
+        self.since.get_or_insert_with(Instant::now);
+    }
+
+    fn end(&mut self) {
+        *self = Self::default();
+    }
+
+    fn probe(&mut self) {
+        self.probed_at = Some(Instant::now());
+    }
+
+    fn is_probed(&self) -> bool {
+        self.probed_at.is_some()
+    }
+
+    fn elapsed_ms(&self) -> u128 {
+        self.since.map_or(0, |since| since.elapsed().as_millis())
+    }
+
+    /// Waits until the peer is to be asked for a sign of life, or has not given one in time.
+    async fn lasted(&self) {
+        match (self.since, self.probed_at) {
+            (_, Some(at)) => sleep_until(at + PROBE_TIMEOUT).await,
+            (Some(since), None) => sleep_until(since + PROBE_AFTER).await,
+            (None, None) => std::future::pending().await,
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "peer_test.rs"]
+mod peer_test;
--- a/goldcrestward/src/process/state/pull.rs
+++ b/goldcrestward/src/process/state/pull.rs
@@ -3,10 +3,11 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use log::{info, warn};
+use tokio::time::timeout;
 
 use crate::{
     pb::{self, answer, request},
@@ -21,6 +22,8 @@
 };
 
 const PULL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which another peer may be asked as well, as the first one may be slow or silent.
+const PULL_HEDGE_DELAY: Duration = Duration::from_millis(300);
 /// Peers that a daemon asks for what they know from before a restore.
 const KEPT_PULLS: u32 = 3;
 /// Interval between two readings of the instance list.
@@ -28,19 +31,42 @@
 /// Time for which the fact that an instance is leaving is gossiped.
 const LEAVING_FACT_TTL_MS: u64 = 10 * 60 * 1000;
 
-/// Pulls configuration changes from a peer in the background. Does nothing while another pull is running.
+/// Pulls configuration changes from a peer in the background. Does nothing while another pull has just begun.
 pub(crate) fn pull_config(shared: &Arc<Shared>, address: SocketAddr) {
     let Ok(permit) = shared.pull_permit.clone().try_acquire_owned() else { return };
     let shared = shared.clone();
     tokio::spawn(async move {
-        let from = shared.config.lock().revision().ordinal();
+        let pull = pull_from(&shared, address);
+        tokio::pin!(pull);
+        if timeout(PULL_HEDGE_DELAY, &mut pull).await.is_err() {
+            drop(permit);
+            pull.await;
+        }
+    });
+}
+
+async fn pull_from(shared: &Shared, address: SocketAddr) {
+    let started = Instant::now();
+    let from = shared.config.lock().revision().ordinal();
+    let pull = async || {
         let body = request::Body::PullConfig(pb::PullConfig { from, kept_only: false });
-        let answer = shared.peer_client.request(address, body, PULL_TIMEOUT).await;
-        if let Ok(answer::Body::ConfigDelta(delta)) = answer {
+        shared.peer_client.request(address, body, PULL_TIMEOUT.saturating_sub(started.elapsed())).await
+    };
+    let mut answer = pull().await;
+    if answer.is_err() {
+        // The connection was dead, and the next one is new.
+        answer = pull().await;
+    }
+    match answer {
+        Ok(answer::Body::ConfigDelta(delta)) => {
             shared.merge_config(delta, "peer");
         }
-        drop(permit);
-    });
+        Ok(_) => warn!("event=pull-failed peer={address} from={from} error=\"an answer of another kind\""),
+        Err(error) => {
+            let ms = started.elapsed().as_millis();
+            info!("event=pull-failed peer={address} from={from} ms={ms} error={:?}", error.to_string());
+        }
+    }
 }
 
 /// Asks a peer, a few times after the start, for content that it knows from before a restore of the store: a daemon that
