--- a/goldcrestward/src/process/retries.rs
+++ b/goldcrestward/src/process/retries.rs
@@ -51,17 +51,20 @@
 
     /// Withdraws one retry from the budget; false if none is left. `daemons` is the number of daemons in the site.
     pub fn withdraw(&mut self, pool: &Arc<str>, daemons: usize, now: u64) -> bool {
+        let allows = self.allows(pool, daemons, now);
+        self.current_slot(pool, now).retries += u32::from(allows);
+        allows
+    }
+
+    /// Whether a retry is left in the budget.
+    pub fn allows(&mut self, pool: &Arc<str>, daemons: usize, now: u64) -> bool {
         self.current_slot(pool, now);
         let slots = &self.pools[pool];
         let requests: u32 = slots.iter().map(|slot| slot.requests).sum();
         let retries: u32 = slots.iter().map(|slot| slot.retries).sum();
         let extra = self.limit.extra / daemons.max(1) as f64;
         let allowed = USABLE_FRACTION * (self.limit.share * f64::from(requests) + extra);
-        if f64::from(retries + 1) > allowed {
-            return false;
-        }
-        self.current_slot(pool, now).retries += 1;
-        true
+        f64::from(retries + 1) <= allowed
     }
 
     fn current_slot(&mut self, pool: &Arc<str>, now: u64) -> &mut Slot {
--- /dev/null
+++ b/goldcrestward/src/request/fallback.rs
@@ -0,0 +1,109 @@
+//! Another server for a request whose server is silent.
+//!
+//! A silent server may be sound and go on a moment later, so it is given up only once the way on is certain: another server
+//! has a place and a connection, and the retry budget allows it. Without a way on the request waits.
+
+use std::{
+    future::Future,
+    pin::pin,
+    time::{Duration, Instant},
+};
+
+use futures_util::future::BoxFuture;
+use log::info;
+use tokio::time::timeout;
+
+use super::proxy::{MIN_RETRY_TIME, ProxyCall};
+use crate::{connection::BackendConnection, process::ReplicaGuard};
+
+/// Time between two searches for another server while one is silent.
+pub(super) const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A place at another server, with a connection to it.
+pub(super) struct Fallback {
+    pub guard: ReplicaGuard,
+    pub connection: BackendConnection,
+}
+
+impl Fallback {
+    /// Gives the place up; a new connection is kept for other requests.
+    fn release(self) {
+        if self.connection.is_unused() {
+            self.connection.keep();
+        }
+    }
+}
+
+/// A search for another server under way; `None` if there is none at the moment.
+pub(super) type Search = BoxFuture<'static, Option<Fallback>>;
+
+impl ProxyCall {
+    /// Starts to look for another server than the silent one; `None` if the request may not be sent to another one now.
+    pub(super) fn search_fallback(&self, silent: &ReplicaGuard) -> Option<Search> {
+        let gateway = self.gateway.clone();
+        let has_attempt = self.route.kind.is_idempotent() && self.sends < self.route.attempt_limit;
+        if !has_attempt || self.time_left() < MIN_RETRY_TIME || self.is_suspect() {
+            return None;
+        }
+        let (daemons, now) = (gateway.shared.daemon_count(), gateway.shared.now());
+        if !gateway.retry_budget.lock().allows(&self.placement.pool, daemons, now) {
+            return None;
+        }
+        let mut excluded = self.tried.clone();
+        excluded.push(silent.replica().id.clone());
+        let offer = self.placement.offer(&gateway, &excluded, self.crash_score().ok()?).ok()?;
+        let offer = Some(offer).filter(|offer| offer.placement.has_free_slot)?;
+        let (guard, id, limit) = (offer.accept(), self.metadata.id.clone(), self.time_left());
+        Some(Box::pin(async move {
+            gateway.admit_to_server(&id, guard.replica()).await.ok()?;
+            let connection = gateway.connect(&id, guard.replica(), limit).await.ok()?;
+            Some(Fallback { guard, connection })
+        }))
+    }
+
+    /// Uses the place for the next attempt, if the retry budget still allows it.
+    pub(super) fn accept_fallback(&mut self, fallback: Fallback, silent: &ReplicaGuard, since: Instant) -> bool {
+        let gateway = &self.gateway;
+        let (daemons, now) = (gateway.shared.daemon_count(), gateway.shared.now());
+        let is_leaving = fallback.guard.replica().is_leaving();
+        if is_leaving || !gateway.retry_budget.lock().withdraw(&self.placement.pool, daemons, now) {
+            fallback.release();
+            return false;
+        }
+        let (id, instance, to) = (&self.metadata.id, &silent.replica().id, &fallback.guard.replica().id);
+        let silent_ms = since.elapsed().as_millis();
+        info!("event=server-given-up id={id} instance={instance} silent_ms={silent_ms} to={to}");
+        self.fallback = Some(fallback);
+        true
+    }
+
+    /// Waits for a step of the exchange with a server. Returns `None` once the server has been silent for the idle timeout and
+    /// there is another place for the request, or its time is over.
+    pub(super) async fn wait_for<T>(&mut self, guard: &ReplicaGuard, step: impl Future<Output = T>) -> Option<T> {
+        let (mut step, started) = (pin!(step), Instant::now());
+        let mut limit = self.idle_timeout();
+        let mut is_probed = false;
+        loop {
+            if let Ok(output) = timeout(limit, &mut step).await {
+                return Some(output);
+            }
+            if !is_probed {
+                self.gateway.probe(guard.replica());
+                is_probed = true;
+            }
+            if self.time_left().is_zero() {
+                return None;
+            }
+            if let Some(search) = self.search_fallback(guard) {
+                let found = tokio::select! {
+                    output = &mut step => return Some(output),
+                    found = search => found,
+                };
+                if found.is_some_and(|fallback| self.accept_fallback(fallback, guard, started)) {
+                    return None;
+                }
+            }
+            limit = SEARCH_INTERVAL.min(self.time_left());
+        }
+    }
+}
--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod budget;
 mod crash;
+mod fallback;
 mod headers;
 mod ingress;
 mod model;
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -16,6 +16,7 @@
 
 use super::{
     crash::{CrashRecords, PossibleCause, fingerprint, record_crash},
+    fallback::Fallback,
     headers::drop_hop_by_hop,
     numbered_events::EventSequence,
     placement_request::PlacementRequest,
@@ -37,9 +38,9 @@
 /// How often a request is retried after a connection failure; such attempts do not count as sends.
 const MAX_CONNECT_FAILURES: u32 = 3;
 /// Minimum time before the deadline for another attempt.
-const MIN_RETRY_TIME: Duration = Duration::from_millis(20);
+pub(super) const MIN_RETRY_TIME: Duration = Duration::from_millis(20);
 const MIGRATION_TIMEOUT: Duration = Duration::from_millis(700);
-/// Idle time after which an idempotent request is retried at another server, as a multiple of the latency target.
+/// Idle time after which another server is sought for an idempotent request, as a multiple of the latency target.
 const IDLE_TIMEOUT_TARGETS: u32 = 3;
 /// Bounds of the idle timeout.
 const IDLE_TIMEOUT_RANGE: (Duration, Duration) = (Duration::from_millis(700), Duration::from_millis(1_600));
@@ -72,17 +73,21 @@
     pub(super) metadata: RequestMetadata,
     head: RequestHead,
     body: Bytes,
-    placement: PlacementRequest,
+    pub(super) placement: PlacementRequest,
     fingerprint: u64,
     /// Ids of the parts of its prompt that other requests may have in common.
     parts: Vec<u64>,
-    tried: Vec<Arc<str>>,
-    sends: u32,
+    pub(super) tried: Vec<Arc<str>>,
+    pub(super) sends: u32,
     connect_failures: u32,
     run_state: RunState,
     usage_counted: bool,
     quota_units: f64,
     kv_cache: Option<MigratedKvCache>,
+    /// The place for the next attempt, paid for from the retry budget.
+    pub(super) fallback: Option<Fallback>,
+    /// The connection for the next attempt, if there is one already.
+    connection: Option<BackendConnection>,
 }
 
 impl ProxyCall {
@@ -120,6 +125,8 @@
             usage_counted: false,
             quota_units,
             kv_cache: None,
+            fallback: None,
+            connection: None,
         }
     }
 
@@ -147,8 +154,7 @@
     /// Makes attempts until one returns a response. A stream is resumed after the last event of `sequence`.
     pub(super) async fn attempts(&mut self, sequence: &mut EventSequence) -> Result<ProxyResponse, Refusal> {
         loop {
-            let acquired = self.placement.acquire(&self.gateway, &self.tried, || self.crash_score()).await;
-            let guard = acquired.map_err(|refusal| Refusal { run: self.run_state, ..refusal })?;
+            let guard = self.next_place().await?;
             let instance = guard.replica().id.clone();
             match self.attempt(guard, sequence).await {
                 Ok(response) => return Ok(response),
@@ -168,14 +174,24 @@
         }
     }
 
+    /// The place for the next attempt.
+    async fn next_place(&mut self) -> Result<ReplicaGuard, Refusal> {
+        if let Some(Fallback { guard, connection }) = self.fallback.take() {
+            self.connection = Some(connection);
+            return Ok(guard);
+        }
+        let acquired = self.placement.acquire(&self.gateway, &self.tried, || self.crash_score()).await;
+        acquired.map_err(|refusal| Refusal { run: self.run_state, ..refusal })
+    }
+
     /// Time until the request's deadline.
     pub(super) fn time_left(&self) -> Duration {
         self.placement.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Idle time after which another server is tried; the time left if the request cannot be retried.
+    /// Idle time after which another server is sought; the time left if the request cannot be sent to another one.
     pub(super) fn idle_timeout(&self) -> Duration {
-        if !self.route.kind.is_idempotent() || self.sends > self.route.attempt_limit {
+        if !self.route.kind.is_idempotent() || self.sends >= self.route.attempt_limit {
             return self.time_left();
         }
         (self.route.latency_target * IDLE_TIMEOUT_TARGETS)
@@ -225,7 +241,7 @@
     ///
     /// # Errors
     /// Returns a refusal if requests like this one crash servers.
-    fn crash_score(&self) -> Result<u64, Refusal> {
+    pub(super) fn crash_score(&self) -> Result<u64, Refusal> {
         let refused = self.gateway.shared.crash_evidence.lock().refusal(self.parts.iter().copied()).cloned();
         if let Some(Condemned { parts, crashes }) = refused {
             let message = format!("prompt part {} has crashed {crashes} backend servers", part_names(&parts));
@@ -247,11 +263,16 @@
         }
     }
 
+    /// Whether the request has a part of a prompt that is suspected to crash servers.
+    pub(super) fn is_suspect(&self) -> bool {
+        self.gateway.shared.crash_evidence.lock().is_suspect(self.parts.iter().copied())
+    }
+
     fn may_retry(&mut self, failure: &ProxyFailure) -> bool {
-        if self.time_left() < MIN_RETRY_TIME {
-            return false;
+        if self.fallback.is_some() {
+            return true;
         }
-        if self.gateway.shared.crash_evidence.lock().is_suspect(self.parts.iter().copied()) {
+        if self.time_left() < MIN_RETRY_TIME || self.is_suspect() {
             return false;
         }
         let allowed = match failure {
@@ -310,9 +331,6 @@
                 Ok(ProxyResponse::Stream(Box::new(ProxyStream { head, body, connection, guard, first })))
             }
             Err(failure) => {
-                if matches!(failure, ProxyFailure::Indeterminate("silent")) {
-                    self.gateway.probe(guard.replica());
-                }
                 match &failure {
                     ProxyFailure::NotRun => {}
                     ProxyFailure::ErrorResponse(_) => {
@@ -343,7 +361,10 @@
         sequence: &mut EventSequence,
     ) -> Result<ExchangeResult, ProxyFailure> {
         let replica = guard.replica().clone();
-        let acquired = self.gateway.connect(&self.metadata.id, &replica, self.time_left()).await;
+        let acquired = match self.connection.take() {
+            Some(connection) => Ok(connection),
+            None => self.gateway.connect(&self.metadata.id, &replica, self.time_left()).await,
+        };
         let mut connection = acquired.map_err(|error| {
             let (id, instance, why) = (&self.metadata.id, &replica.id, error.label());
             info!("event=connect-failed id={id} instance={instance} why={why}");
@@ -358,23 +379,22 @@
         }
         let is_first = connection.is_unused();
         let request = self.build_request(&replica.id, sequence.last());
-        let (previous, idle_timeout) = (self.run_state, self.idle_timeout());
+        let previous = self.run_state;
         let sent_ms = self.gateway.shared.agreed_ms();
         if replica.limit().per_second.is_some() {
             self.gateway.shared.metrics.limited_sends.inc();
         }
         self.sends += 1;
         self.run_state = RunState::MayHaveRun;
-        let sent = timeout(idle_timeout, connection.send(request)).await;
-        let response = match sent {
-            Err(_) => return Err(ProxyFailure::Indeterminate("silent")),
-            Ok(Err(SendError::MaybeSent)) => return Err(ProxyFailure::Indeterminate("cut")),
-            Ok(Err(SendError::NotSent)) => {
+        let response = match self.wait_for(guard, connection.send(request)).await {
+            None => return Err(ProxyFailure::Indeterminate("silent")),
+            Some(Err(SendError::MaybeSent)) => return Err(ProxyFailure::Indeterminate("cut")),
+            Some(Err(SendError::NotSent)) => {
                 self.run_state = previous;
                 self.sends -= 1;
                 return Err(ProxyFailure::ConnectFailed);
             }
-            Ok(Ok(response)) => response,
+            Some(Ok(response)) => response,
         };
         let metadata = match self.attribute(&replica, &response, is_first) {
             Ok(metadata) => metadata,
@@ -402,7 +422,7 @@
             }
             return Err(ProxyFailure::NotRun);
         }
-        self.read(response, connection, metadata.sealed && metadata.unencoded, sequence).await
+        self.read(guard, response, connection, metadata.sealed && metadata.unencoded, sequence).await
     }
 
     /// Returns what the response says if it is the attempt's own. Only such a response lets its connection be used
@@ -429,6 +449,7 @@
 
     async fn read(
         &mut self,
+        guard: &ReplicaGuard,
         response: HttpResponse<Incoming>,
         connection: BackendConnection,
         is_trusted: bool,
@@ -439,7 +460,7 @@
             return Err(ProxyFailure::Indeterminate("unsealed"));
         }
         if head.status.is_success() && self.route.kind.is_stream() {
-            return self.first_event(head, body, connection, sequence).await;
+            return self.first_event(guard, head, body, connection, sequence).await;
         }
         let limited = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let collected = match timeout(self.time_left(), limited).await {
@@ -461,13 +482,13 @@
     /// Waits for the first event, since until then the request can still be retried at another server.
     async fn first_event(
         &mut self,
+        guard: &ReplicaGuard,
         head: Parts,
         mut body: Incoming,
         connection: BackendConnection,
         sequence: &mut EventSequence,
     ) -> Result<ExchangeResult, ProxyFailure> {
         sequence.restart();
-        let limit = self.idle_timeout();
         let first = async {
             while let Some(frame) = body.frame().await {
                 let Ok(data) = frame.map_err(drop).and_then(|frame| frame.into_data().map_err(drop)) else {
@@ -483,7 +504,7 @@
             }
             Err(ProxyFailure::Indeterminate("empty"))
         };
-        let first = timeout(limit, first).await.unwrap_or(Err(ProxyFailure::Indeterminate("silent")))?;
+        let first = self.wait_for(guard, first).await.unwrap_or(Err(ProxyFailure::Indeterminate("silent")))?;
         self.count_started();
         Ok(ExchangeResult::Stream(head, body, connection, first))
     }
--- a/goldcrestward/src/request/proxy_body.rs
+++ b/goldcrestward/src/request/proxy_body.rs
@@ -22,6 +22,7 @@
 use volo_http::error::BoxError;
 
 use super::{
+    fallback::{SEARCH_INTERVAL, Search},
     numbered_events::EventSequence,
     proxy::ProxyCall,
     proxy_outcome::{MigratedRun, ProxyResponse, ProxyStream},
@@ -44,6 +45,8 @@
     migration: Migration,
     /// Why the stream cannot continue once the events before the error have been forwarded.
     error_cause: Option<&'static str>,
+    /// Search for another server while this one is silent. The mutex is never contended; it makes the state `Sync`.
+    search: Option<Mutex<Search>>,
 }
 
 /// Migration of a run whose server is leaving.
@@ -76,6 +79,8 @@
     pending_events: Bytes,
     timer: Pin<Box<Sleep>>,
     last_byte_at: Instant,
+    /// No search for another server starts before this time.
+    search_at: Instant,
 }
 
 impl ProxyBody {
@@ -100,8 +105,9 @@
             head,
             migration: Migration::Idle,
             error_cause: None,
+            search: None,
         };
-        Self { state: State::Streaming(Box::new(source)), pending_events, timer, last_byte_at }
+        Self { state: State::Streaming(Box::new(source)), pending_events, timer, last_byte_at, search_at: last_byte_at }
     }
 
     /// Starts to resume the stream at another server, if that is allowed.
@@ -169,6 +175,7 @@
                     head,
                     migration: Migration::Idle,
                     error_cause: None,
+                    search: None,
                 }));
                 return Ok(());
             }
@@ -192,17 +199,39 @@
         connection.release(&head);
     }
 
-    /// Whether the idle timeout or the request's deadline has passed.
-    fn poll_timer(&mut self, context: &mut Context<'_>) -> bool {
-        let State::Streaming(source) = &self.state else { return false };
-        while self.timer.as_mut().poll(context).is_ready() {
-            let due = self.last_byte_at + source.call.idle_timeout();
-            if source.call.time_left().is_zero() || Instant::now() >= due {
+    /// Whether the silent server is given up: the stream can go on elsewhere, or the request's deadline has passed.
+    fn poll_silence(&mut self, context: &mut Context<'_>) -> bool {
+        loop {
+            let State::Streaming(source) = &mut self.state else { return false };
+            if let Some(search) = &mut source.search
+                && let Poll::Ready(found) = search.get_mut().as_mut().poll(context)
+            {
+                source.search = None;
+                let StreamSource { call, guard, .. } = &mut **source;
+                if found.is_some_and(|fallback| call.accept_fallback(fallback, guard, self.last_byte_at)) {
+                    return true;
+                }
+            }
+            if self.timer.as_mut().poll(context).is_pending() {
+                return false;
+            }
+            let now = Instant::now();
+            let due = (self.last_byte_at + source.call.idle_timeout()).max(self.search_at);
+            // A run that has been migrated goes on at its new server.
+            if source.call.time_left().is_zero() || (now >= due && matches!(source.migration, Migration::Done(_))) {
                 return true;
             }
-            self.timer.as_mut().reset(due.into());
+            let wake_at = if now < due {
+                due
+            } else {
+                if source.search.is_none() {
+                    source.search = source.call.search_fallback(&source.guard).map(Mutex::new);
+                }
+                self.search_at = now + SEARCH_INTERVAL;
+                self.search_at
+            };
+            self.timer.as_mut().reset(wake_at.min(now + source.call.time_left()).into());
         }
-        false
     }
 
     /// Requests the migration of the run when its server is about to terminate, and polls for the result.
@@ -253,6 +282,7 @@
             Poll::Ready(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
         };
         self.last_byte_at = Instant::now();
+        source.search = None;
         Poll::Ready(Ok(Some(source.sequence.read(&data))))
     }
 }
@@ -285,7 +315,7 @@
                         continue;
                     }
                     Poll::Ready(Err(cause)) => cause,
-                    Poll::Pending if self.poll_timer(context) => "silent",
+                    Poll::Pending if self.poll_silence(context) => "silent",
                     Poll::Pending => return Poll::Pending,
                 },
             };
