Connections that are carried for peers outlive a planned stop (LOST beside stops and changes of the configuration)

Callers' answers broke off in the middle. In the users' record, and in our play of it, the daemon that took the request is not the one that reached the server: front-pohja-a-3 and front-pohja-a-2 carried it, had got SIGTERM 5 s before, and ended when their own callers were done. Cause: a stopping daemon waited for its own callers only, went on taking connections to carry, and told peers of its end at the end. Change: the beginning of a stop is a fact that all learn (FACT_KIND_STOPPING); peers ask a stopping daemon no more, close idle connections by way of it and keep none; it refuses new ones and ends when those that it carries have ended, or 0.3 s before drain-seconds have passed since the signal, which now bound the whole stop. Builds before ignore the fact and take the refusal as 'no answer'.

--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -34,6 +34,8 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Time after which a connection whose sent bytes are not acknowledged is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time for which no idle connection is kept by way of a peer that is being stopped.
+const AVOID_TIME: Duration = Duration::from_secs(15);
 /// Largest response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -43,8 +45,8 @@
 
 struct IdleConnection {
     sender: Sender,
-    /// Whether it goes by way of a peer.
-    relayed: bool,
+    /// The peer by way of which it goes; `None` if it is direct.
+    via: Option<Arc<str>>,
     /// Whether a request has been sent on it.
     used: bool,
     expires: Instant,
@@ -73,6 +75,8 @@
 #[derive(Clone)]
 pub(crate) struct BackendConnections {
     idle: Arc<Mutex<HashMap<Key, Vec<IdleConnection>>>>,
+    /// Peers that are being stopped, until when no connection by way of them is kept.
+    avoided: Arc<Mutex<HashMap<Arc<str>, Instant>>>,
     /// Connections that were to be opened, by result.
     connects: IntCounterVec,
 }
@@ -80,15 +84,15 @@
 impl BackendConnections {
     /// Creates a pool without connections; `connects` counts those that are to be opened, by result.
     pub fn new(connects: IntCounterVec) -> Self {
-        Self { idle: Arc::default(), connects }
+        Self { idle: Arc::default(), avoided: Arc::default(), connects }
     }
 
     /// Takes an idle connection to the instance. Without `relayed`, only a direct one; those by way of a peer are closed.
     pub fn take(&self, address: SocketAddr, instance: &Arc<str>, relayed: bool) -> Option<BackendConnection> {
         let key = (address, instance.clone());
         let idle = self.take_idle(&key, relayed)?;
-        let IdleConnection { sender, relayed, used, .. } = idle;
-        Some(BackendConnection { sender, key, relayed, used, connections: self.clone() })
+        let IdleConnection { sender, via, used, .. } = idle;
+        Some(BackendConnection { sender, key, via, used, connections: self.clone() })
     }
 
     /// Opens a connection to the instance.
@@ -107,28 +111,46 @@
         let result = opened.as_ref().map_or_else(|error| error.label(), |_| "opened");
         self.connects.with_label_values(&[result]).inc();
         let key = (address, instance.clone());
-        opened.map(|sender| BackendConnection { sender, key, relayed: false, used: false, connections: self.clone() })
+        opened.map(|sender| BackendConnection { sender, key, via: None, used: false, connections: self.clone() })
     }
 
     /// Uses a connection to the instance that a peer has opened.
     pub async fn open_over(
         &self,
         tunnel: Tunnel,
+        peer: Arc<str>,
         address: SocketAddr,
         instance: &Arc<str>,
     ) -> Option<BackendConnection> {
         let sender = handshake(tunnel).await?;
         let key = (address, instance.clone());
-        Some(BackendConnection { sender, key, relayed: true, used: false, connections: self.clone() })
+        Some(BackendConnection { sender, key, via: Some(peer), used: false, connections: self.clone() })
     }
 
     /// Closes direct idle connections to an instance.
     pub fn close_idle(&self, address: SocketAddr, instance: &Arc<str>) {
         if let Some(idle) = self.idle.lock().get_mut(&(address, instance.clone())) {
-            idle.retain(|connection| connection.relayed);
+            idle.retain(|connection| connection.via.is_some());
         }
     }
 
+    /// Closes idle connections by way of a peer that is being stopped, and keeps none for a time.
+    pub fn avoid_peer(&self, peer: &Arc<str>) {
+        let now = Instant::now();
+        {
+            let mut avoided = self.avoided.lock();
+            avoided.retain(|_, until| *until > now);
+            avoided.insert(peer.clone(), now + AVOID_TIME);
+        }
+        for idle in self.idle.lock().values_mut() {
+            idle.retain(|connection| connection.via.as_ref() != Some(peer));
+        }
+    }
+
+    fn is_avoided(&self, peer: &str) -> bool {
+        self.avoided.lock().get(peer).is_some_and(|until| *until > Instant::now())
+    }
+
     /// Closes idle connections that have expired or whose instance does not satisfy `is_known`.
     pub fn evict(&self, is_known: impl Fn(&str) -> bool) {
         let now = Instant::now();
@@ -144,7 +166,7 @@
         let now = Instant::now();
         connections.retain(|connection| connection.expires > now && !connection.sender.is_closed());
         if !relayed {
-            connections.retain(|connection| !connection.relayed);
+            connections.retain(|connection| connection.via.is_none());
         }
         let index = connections.iter().rposition(|connection| connection.sender.is_ready())?;
         Some(connections.remove(index))
@@ -172,7 +194,7 @@
 pub(crate) struct BackendConnection {
     sender: Sender,
     key: Key,
-    relayed: bool,
+    via: Option<Arc<str>>,
     used: bool,
     connections: BackendConnections,
 }
@@ -215,15 +237,18 @@
         !self.used
     }
 
-    /// Whether it goes by way of a peer.
-    pub fn is_relayed(&self) -> bool {
-        self.relayed
+    /// The peer by way of which it goes; `None` if it is direct.
+    pub fn via(&self) -> Option<&Arc<str>> {
+        self.via.as_ref()
     }
 
     fn keep_for(self, lifetime: Duration) {
         let Some(lifetime) = lifetime.checked_sub(IDLE_MARGIN) else { return };
-        let Self { sender, key, relayed, used, connections } = self;
-        let idle = IdleConnection { sender, relayed, used, expires: Instant::now() + lifetime };
+        let Self { sender, key, via, used, connections } = self;
+        if via.as_ref().is_some_and(|peer| connections.is_avoided(peer)) {
+            return;
+        }
+        let idle = IdleConnection { sender, via, used, expires: Instant::now() + lifetime };
         connections.idle.lock().entry(key).or_default().push(idle);
     }
 }
--- a/goldcrestward/src/connection/peer.rs
+++ b/goldcrestward/src/connection/peer.rs
@@ -25,6 +25,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::{
+    carried::CarriedConnection,
     error::{PeerSnafu, Result as PeerResult},
     observed_stream::{ObservedStream, Receipts},
     seal::Secrets,
@@ -66,7 +67,8 @@
     fn handle(&self, body: request::Body) -> impl Future<Output = Option<answer::Body>> + Send;
 
     /// Opens a connection to a backend server, whose bytes the peer's stream then carries.
-    fn open_tunnel(&self, open: pb::OpenTunnel) -> impl Future<Output = Result<TcpStream, TunnelResult>> + Send;
+    fn open_tunnel(&self, open: pb::OpenTunnel)
+    -> impl Future<Output = Result<CarriedConnection, TunnelResult>> + Send;
 }
 
 /// A stream whose remote end has proved that it knows the site's secret.
@@ -239,7 +241,7 @@
     if stream.send(pb::Answer { id, body: Some(body) }.encode_to_vec()).await.is_none() {
         return;
     }
-    if let Ok(socket) = opened {
+    if let Ok(CarriedConnection { socket, guard: _guard }) = opened {
         carry(stream, socket, &AtomicBool::new(false)).await;
     }
 }
--- a/goldcrestward/src/connection/peer_test.rs
+++ b/goldcrestward/src/connection/peer_test.rs
@@ -18,7 +18,7 @@
 
 use super::{PeerClient, PeerHandler, serve_peers};
 use crate::{
-    connection::Secrets,
+    connection::{CarriedConnection, Secrets},
     pb::{self, TunnelResult, answer, request},
 };
 
@@ -47,7 +47,7 @@
         }
     }
 
-    async fn open_tunnel(&self, _: pb::OpenTunnel) -> Result<TcpStream, TunnelResult> {
+    async fn open_tunnel(&self, _: pb::OpenTunnel) -> Result<CarriedConnection, TunnelResult> {
         Err(TunnelResult::Unknown)
     }
 }
--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -653,6 +653,8 @@
     ServerLimit = 8,
     /// The key is a pool whose servers are brittle, the value is when one has said so; the note is how many requests one may turn away in a second.
     ServerBrittle = 9,
+    /// The key is a daemon that is being stopped, the value is the Unix time in ms at which that began.
+    Stopping = 10,
 }
 impl FactKind {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -671,6 +673,7 @@
             Self::PartAnswered => "FACT_KIND_PART_ANSWERED",
             Self::ServerLimit => "FACT_KIND_SERVER_LIMIT",
             Self::ServerBrittle => "FACT_KIND_SERVER_BRITTLE",
+            Self::Stopping => "FACT_KIND_STOPPING",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -686,6 +689,7 @@
             "FACT_KIND_PART_ANSWERED" => Some(Self::PartAnswered),
             "FACT_KIND_SERVER_LIMIT" => Some(Self::ServerLimit),
             "FACT_KIND_SERVER_BRITTLE" => Some(Self::ServerBrittle),
+            "FACT_KIND_STOPPING" => Some(Self::Stopping),
             _ => None,
         }
     }
@@ -828,6 +832,8 @@
     CutOff = 4,
     /// The receiver carries as many connections as it may.
     Busy = 5,
+    /// The receiver is being stopped.
+    Stopping = 6,
 }
 impl TunnelResult {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -842,6 +848,7 @@
             Self::Unknown => "TUNNEL_RESULT_UNKNOWN",
             Self::CutOff => "TUNNEL_RESULT_CUT_OFF",
             Self::Busy => "TUNNEL_RESULT_BUSY",
+            Self::Stopping => "TUNNEL_RESULT_STOPPING",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -853,6 +860,7 @@
             "TUNNEL_RESULT_UNKNOWN" => Some(Self::Unknown),
             "TUNNEL_RESULT_CUT_OFF" => Some(Self::CutOff),
             "TUNNEL_RESULT_BUSY" => Some(Self::Busy),
+            "TUNNEL_RESULT_STOPPING" => Some(Self::Stopping),
             _ => None,
         }
     }
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -53,7 +53,8 @@
 use crate::{
     cmd::PortsFactory,
     connection::{
-        CurrentCallerLimits, DatagramSealer, Drain, HttpClient, Listener, PeerClient, Secrets, bind, serve_peers,
+        CarriedConnections, CurrentCallerLimits, DatagramSealer, Drain, HttpClient, Listener, PeerClient, Secrets,
+        bind, serve_peers,
     },
     ledger::{Ledger, OwnerLookup, SLOTS},
     platform::Etcd,
@@ -65,6 +66,8 @@
 
 /// Interval at which expired idle connections and those to unknown instances are closed.
 const EVICTION_INTERVAL: Duration = Duration::from_secs(1);
+/// Time before the end of the drain's time limit that is left for the last steps.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Time on stop for the ledger to write pending records, and for operators' requests to finish.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -180,21 +183,30 @@
         DaemonCounts { resumed: resumed.iter().sum(), recomputed: metrics.recomputed.get() }
     }
 
-    /// Stops gracefully: accepts no new requests, lets those in flight finish and writes pending ledger records.
+    /// Stops gracefully: accepts no new requests, lets those in flight and the connections that are carried for peers
+    /// finish, and writes pending ledger records.
     pub async fn stop(mut self) {
-        info!("event=stopping daemon={}", self.shared.settings.name);
+        let begun = Instant::now();
+        let carried = &self.shared.carried;
+        info!("event=stopping daemon={} carried={}", self.shared.settings.name, carried.count());
         let _draining = self.serving.drain();
+        self.gossip.announce_stop();
         tokio::time::sleep(self.shared.settings.notice).await;
         let drain_timeout = match self.shared.settings.drain_seconds {
             0 => Duration::MAX,
-            seconds => Duration::from_secs(seconds),
+            seconds => Duration::from_secs(seconds).saturating_sub(begun.elapsed() + STOP_MARGIN),
         };
         let drained = async {
             self.callers.finish().await;
             self.shared.tasks.close();
             self.shared.tasks.wait().await;
+            carried.finish().await;
         };
         let whole = timeout(drain_timeout, drained).await.is_ok();
+        let left = carried.count();
+        if left > 0 {
+            warn!("event=carried-cut daemon={} count={left}", self.shared.settings.name);
+        }
         self.shared.ledger.flush(FLUSH_TIMEOUT).await;
         self.gossip.leave();
         timeout(FLUSH_TIMEOUT, self.operators.finish()).await.ok();
@@ -228,6 +240,7 @@
     let owner_of = slot_owner(view.clone());
     let ledger = Ledger::start(&settings.site, &process, &kv, peer_client.clone(), owner_of, &metrics.ledger_commits);
     let (starting, stage) = Starting::new();
+    let carried = CarriedConnections::new(metrics.carried.clone());
     let shared = Arc::new(Shared {
         settings,
         metrics,
@@ -258,6 +271,7 @@
         exchange: OnceLock::new(),
         report_due: Notify::new(),
         stage,
+        carried,
         tasks: TaskTracker::new(),
         start: Instant::now(),
         epoch,
--- a/goldcrestward/src/process/gossip.rs
+++ b/goldcrestward/src/process/gossip.rs
@@ -9,6 +9,7 @@
 use super::{
     brittle::learn_brittle_fact,
     crash_watch::{judge, learn_part_fact},
+    exchange::Exchange,
     limit_facts::learn_limit_fact,
     membership::{Effect, Fact, FactKind, State},
     shared::Shared,
@@ -30,6 +31,9 @@
 /// Minimum interval between announcements of newer configurations.
 const MIN_ANNOUNCE_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Time for which the fact that a daemon is being stopped is gossiped.
+const STOPPING_FACT_TTL_MS: u64 = 60_000;
+
 /// Sends and receives the datagrams of the membership protocol.
 #[derive(Clone)]
 pub(crate) struct Gossip {
@@ -102,6 +106,14 @@
         }
     }
 
+    /// Notifies other daemons that this one is being stopped: they give it no more connections to carry.
+    pub fn announce_stop(&self) {
+        let (key, value) = (self.shared.settings.name.clone(), unix_ms());
+        let until_ms = value + STOPPING_FACT_TTL_MS;
+        self.shared.publish_fact(Fact { kind: FactKind::Stopping, key, value, until_ms, note: Arc::from("") });
+        self.shared.announce.notify_one();
+    }
+
     /// Notifies other daemons that this one is leaving.
     pub fn leave(&self) {
         let effects = self.shared.view.lock().leave(self.shared.now());
@@ -215,6 +227,12 @@
             FactKind::PartCrash | FactKind::PartAnswered => learn_part_fact(&self.shared, fact),
             FactKind::ServerLimit => learn_limit_fact(&self.shared, fact),
             FactKind::ServerBrittle => learn_brittle_fact(&self.shared, fact),
+            FactKind::Stopping => {
+                info!("event=peer-stopping peer={} since_unix_ms={}", fact.key, fact.value);
+                if let Some(gateway) = self.shared.exchange.get().and_then(Exchange::gateway) {
+                    gateway.backend_connections.avoid_peer(&fact.key);
+                }
+            }
             FactKind::Clear => info!("event=crash-cleared fingerprint={} reason={:?}", fact.key, fact.note),
         }
     }
--- a/goldcrestward/src/process/membership/fact.rs
+++ b/goldcrestward/src/process/membership/fact.rs
@@ -33,6 +33,8 @@
         ServerLimit,
         /// The servers of a pool are brittle; the key is the pool, the value is the agreed time.
         ServerBrittle,
+        /// A daemon is being stopped; the key is its name, the value the Unix time in ms at which that began.
+        Stopping,
     }
 }
 
@@ -63,6 +65,7 @@
             FactKind::PartAnswered => pb::FactKind::PartAnswered,
             FactKind::ServerLimit => pb::FactKind::ServerLimit,
             FactKind::ServerBrittle => pb::FactKind::ServerBrittle,
+            FactKind::Stopping => pb::FactKind::Stopping,
         };
         Self {
             kind: kind.into(),
@@ -88,6 +91,7 @@
             pb::FactKind::PartAnswered => FactKind::PartAnswered,
             pb::FactKind::ServerLimit => FactKind::ServerLimit,
             pb::FactKind::ServerBrittle => FactKind::ServerBrittle,
+            pb::FactKind::Stopping => FactKind::Stopping,
         };
         let (value, until_ms) = (fact.value, fact.until_ms);
         Some(Self { kind, key: fact.key.into(), value, until_ms, note: fact.note.into() })
--- a/goldcrestward/src/process/membership/view.rs
+++ b/goldcrestward/src/process/membership/view.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom, seq::SliceRandom};
 
 use super::{
-    fact::{Fact, Facts},
+    fact::{Fact, FactKind, Facts},
     member::{Member, State},
     protocol::{Effect, Timing},
 };
@@ -127,6 +127,12 @@
         self.peers.values().map(|p| &p.member)
     }
 
+    /// Whether a member is being stopped. A process that was started later under its name is not.
+    pub fn is_stopping(&self, member: &Member) -> bool {
+        let fact = self.facts.get(FactKind::Stopping, &member.name);
+        fact.is_some_and(|fact| fact.value >= member.incarnation)
+    }
+
     /// The daemons that count as part of the site, including this one.
     pub fn present(&self) -> impl Iterator<Item = &Member> {
         let others = self.others().filter(|m| m.state.is_present());
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -41,6 +41,8 @@
     pub backend_connects: IntCounterVec,
     /// Connections that peers were asked to open, by result.
     pub relayed_connects: IntCounterVec,
+    /// Connections to backend servers that are carried for peers.
+    pub carried: IntGauge,
     /// Servers that this daemon does not reach.
     pub unreached_servers: IntGauge,
     /// Calls to the key-value store, by kind, purpose and result.
@@ -114,6 +116,8 @@
                 "connections to backend servers that peers were asked to open, by result",
                 &["result"],
             )?,
+            carried: factory
+                .gauge("carried_connections", "connections to backend servers that are carried for peers")?,
             unreached_servers: factory.gauge("unreached_servers", "backend servers that this daemon does not reach")?,
             kv_calls: factory.counters(
                 "kv_calls_total",
--- a/goldcrestward/src/process/peer_service.rs
+++ b/goldcrestward/src/process/peer_service.rs
@@ -2,11 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use tokio::net::TcpStream;
-
 use super::{exchange::Exchange, gossip::Gossip, reach::open_for_peer, rollout::evidence_report, shared::Shared};
 use crate::{
-    connection::PeerHandler,
+    connection::{CarriedConnection, PeerHandler},
     ledger::{Claim, Settlement},
     pb::{self, Grant, TunnelResult, answer, request},
     store::Revision,
@@ -109,7 +107,7 @@
         Some(answer)
     }
 
-    async fn open_tunnel(&self, open: pb::OpenTunnel) -> Result<TcpStream, TunnelResult> {
+    async fn open_tunnel(&self, open: pb::OpenTunnel) -> Result<CarriedConnection, TunnelResult> {
         let gateway = self.shared.exchange.get().and_then(Exchange::gateway).ok_or(TunnelResult::Unknown)?;
         open_for_peer(&gateway, &self.shared, &open).await
     }
--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -3,13 +3,19 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use log::{info, warn};
-use tokio::{net::TcpStream, time::timeout};
+use tokio::time::timeout;
 
 use super::table::{Change, Path};
 use crate::{
-    connection::{BackendConnection, ConnectError, open_backend_socket},
+    connection::{BackendConnection, CarriedConnection, ConnectError, open_backend_socket},
     pb::{OpenTunnel, TunnelResult},
-    process::{Gateway, membership::State, replicas::Replica, shared::Shared},
+    process::{
+        Gateway,
+        lifecycle::Stage,
+        membership::{Member, State},
+        replicas::Replica,
+        shared::Shared,
+    },
     util::stable_hash,
 };
 
@@ -113,7 +119,7 @@
             info!("event=relay-asked id={id} instance={} peer={name} result={}", replica.id, label(result));
             match (opened, result) {
                 (Ok(Ok(tunnel)), _) => {
-                    return self.backend_connections.open_over(tunnel, replica.address, &replica.id).await;
+                    return self.backend_connections.open_over(tunnel, name, replica.address, &replica.id).await;
                 }
                 // The peer reaches other servers, so this one is down.
                 (_, TunnelResult::Unreached) => return None,
@@ -129,7 +135,8 @@
         let view = self.shared.view.lock();
         let reach = self.reach.lock();
         let may_help = |name: &str| reach.may_help(name, now);
-        let peers = view.others().filter(|member| member.state == State::Alive && may_help(&member.name));
+        let is_free = |member: &&Member| member.state == State::Alive && !view.is_stopping(member);
+        let peers = view.others().filter(is_free).filter(|member| may_help(&member.name));
         let mut peers: Vec<_> = peers.collect();
         peers.sort_by_cached_key(|member| {
             let distance = (member.zone != settings.zone, member.region != settings.region);
@@ -147,7 +154,10 @@
     gateway: &Gateway,
     shared: &Shared,
     open: &OpenTunnel,
-) -> Result<TcpStream, TunnelResult> {
+) -> Result<CarriedConnection, TunnelResult> {
+    if shared.stage.get() == Stage::Draining {
+        return Err(TunnelResult::Stopping);
+    }
     let replica = shared.replicas.find(&open.instance).filter(|replica| replica.run_hash() == open.run);
     let Some(replica) = replica.filter(|replica| !replica.is_leaving()) else { return Err(TunnelResult::Unknown) };
     {
@@ -159,7 +169,8 @@
     let opened = timeout(DIRECT_TIMEOUT, open_backend_socket(replica.address)).await;
     let opened = opened.map_or(Err(ConnectError::Silent), |socket| socket.ok_or(ConnectError::Refused));
     gateway.record_reach(&replica, opened.as_ref().map(|_| ()).map_err(|error| *error));
-    opened.map_err(|_| TunnelResult::Unreached)
+    let socket = opened.map_err(|_| TunnelResult::Unreached)?;
+    Ok(CarriedConnection { socket, guard: shared.carried.begin() })
 }
 
 /// Value in metric labels and log lines.
@@ -170,6 +181,7 @@
         TunnelResult::Unknown => "unknown",
         TunnelResult::CutOff => "cut-off",
         TunnelResult::Busy => "busy",
+        TunnelResult::Stopping => "stopping",
         TunnelResult::Unspecified => "no-answer",
     }
 }
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -32,7 +32,7 @@
 };
 use crate::{
     config::{ConfigReplica, Site},
-    connection::{HttpClient, PeerClient},
+    connection::{CarriedConnections, HttpClient, PeerClient},
     ledger::Ledger,
     pb,
     request::{Refusal, RouteRetryBudgets},
@@ -108,6 +108,8 @@
     pub report_due: Notify,
     /// Lifecycle stage of the daemon.
     pub stage: StageView,
+    /// Connections to backend servers that this daemon carries for peers.
+    pub carried: CarriedConnections,
     /// Tasks that finish requests whose callers have disconnected.
     pub tasks: TaskTracker,
     pub start: Instant,
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -370,8 +370,8 @@
             info!("event=connect-failed id={id} instance={instance} why={why}");
             ProxyFailure::ConnectFailed
         })?;
-        if connection.is_relayed() && is_sampled(&self.metadata.id) {
-            info!("event=relayed id={} instance={}", self.metadata.id, replica.id);
+        if let Some(peer) = connection.via().filter(|_| is_sampled(&self.metadata.id)) {
+            info!("event=relayed id={} instance={} peer={peer}", self.metadata.id, replica.id);
         }
         // The server may have started to leave while the connection was being opened.
         if replica.is_leaving() {
--- a/goldcrestward/src/request/proxy_body.rs
+++ b/goldcrestward/src/request/proxy_body.rs
@@ -117,6 +117,7 @@
     fn resume(&mut self, cause: &'static str) -> Result<(), BoxError> {
         let State::Streaming(source) = mem::replace(&mut self.state, State::Ended) else { return Ok(()) };
         let StreamSource { mut call, mut sequence, guard, connection, body, migration, .. } = *source;
+        let via = connection.via().cloned();
         // Closing the connection ends the old run, which must not overlap with its successor.
         drop((connection, body));
         if let Migration::Done(migrated) = migration {
@@ -137,7 +138,8 @@
         metrics.dropped.with_label_values(&[cause]).inc();
         let allowed = call.may_resume(cause);
         info!(
-            "event=stream-broken id={id} instance={instance} cause={cause} last={last:?} left_ms={left_ms} resume={allowed}"
+            "event=stream-broken id={id} instance={instance} via={} cause={cause} last={last:?} left_ms={left_ms} resume={allowed}",
+            via.as_deref().unwrap_or("-")
         );
         if !allowed {
             call.gateway.shared.metrics.cut_answers.inc();
