A stopping daemon goes on carrying what ends before it does

Cause: where a stopping daemon is the only one that reaches a server, refusing all new connections turned callers of the cut-off daemons away for up to 7.7 s. Change: OpenTunnel.ends_within_ms says how long the connection is needed (a request's time; 3 s where it may go on elsewhere); a stopping daemon is asked last and takes what ends in time. 0, as older builds send, is refused.

--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -186,23 +186,25 @@
     /// Stops gracefully: accepts no new requests, lets those in flight and the connections that are carried for peers
     /// finish, and writes pending ledger records.
     pub async fn stop(mut self) {
+        let drain_timeout = match self.shared.settings.drain_seconds {
+            0 => Duration::MAX,
+            seconds => Duration::from_secs(seconds).saturating_sub(STOP_MARGIN),
+        };
         let begun = Instant::now();
+        let ends_at_ms = self.shared.now().saturating_add(u64::try_from(drain_timeout.as_millis()).unwrap_or(u64::MAX));
+        self.shared.ends_at_ms.store(ends_at_ms, Ordering::Relaxed);
         let carried = &self.shared.carried;
         info!("event=stopping daemon={} carried={}", self.shared.settings.name, carried.count());
         let _draining = self.serving.drain();
         self.gossip.announce_stop();
         tokio::time::sleep(self.shared.settings.notice).await;
-        let drain_timeout = match self.shared.settings.drain_seconds {
-            0 => Duration::MAX,
-            seconds => Duration::from_secs(seconds).saturating_sub(begun.elapsed() + STOP_MARGIN),
-        };
         let drained = async {
             self.callers.finish().await;
             self.shared.tasks.close();
             self.shared.tasks.wait().await;
             carried.finish().await;
         };
-        let whole = timeout(drain_timeout, drained).await.is_ok();
+        let whole = timeout(drain_timeout.saturating_sub(begun.elapsed()), drained).await.is_ok();
         let left = carried.count();
         if left > 0 {
             warn!("event=carried-cut daemon={} count={left}", self.shared.settings.name);
@@ -272,6 +274,7 @@
         report_due: Notify::new(),
         stage,
         carried,
+        ends_at_ms: AtomicU64::new(u64::MAX),
         tasks: TaskTracker::new(),
         start: Instant::now(),
         epoch,
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -51,6 +51,7 @@
 pub(crate) use lifecycle::Stage;
 pub(crate) use limits::AdmissionPermit;
 pub(crate) use placement::{Placement, PromptCost};
+pub(crate) use reach::TimeNeeded;
 pub(crate) use replicas::{Blame, NoReplica, Offer, PlacementQuery, Replica, ReplicaGuard, ReplicaQuery};
 pub use retries::RetryLimit;
 pub use settings::{Overrides, Settings, SettingsError};
--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -1,6 +1,10 @@
 //! Opens connections to backend servers, directly or by way of a peer.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use log::{info, warn};
 use tokio::time::timeout;
@@ -9,13 +13,7 @@
 use crate::{
     connection::{BackendConnection, CarriedConnection, ConnectError, open_backend_socket},
     pb::{OpenTunnel, TunnelResult},
-    process::{
-        Gateway,
-        lifecycle::Stage,
-        membership::{Member, State},
-        replicas::Replica,
-        shared::Shared,
-    },
+    process::{Gateway, lifecycle::Stage, membership::State, replicas::Replica, shared::Shared},
     util::stable_hash,
 };
 
@@ -28,6 +26,15 @@
 /// Peers that are asked for one connection.
 const MAX_HELPERS: usize = 3;
 
+/// The time that a request has and needs on a connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TimeNeeded {
+    /// Time until the request's deadline.
+    pub left: Duration,
+    /// Time for which a connection must last so that the request is not lost with it.
+    pub to_end: Duration,
+}
+
 impl Gateway {
     /// Returns a connection to a server, idle or new: directly, or by way of a peer if this daemon does not reach it.
     ///
@@ -37,8 +44,9 @@
         self: &Arc<Self>,
         id: &str,
         replica: &Arc<Replica>,
-        limit: Duration,
+        time: TimeNeeded,
     ) -> Result<BackendConnection, ConnectError> {
+        let TimeNeeded { left: limit, .. } = time;
         let (path, is_silent) = {
             let mut reach = self.reach.lock();
             (reach.path(&replica.id, self.shared.now()), reach.is_silent())
@@ -65,7 +73,7 @@
             Path::Relay => {}
             Path::RelayAndProbe => self.probe(replica),
         }
-        let relayed = timeout(limit, self.connect_by_peer(id, replica)).await;
+        let relayed = timeout(limit, self.connect_by_peer(id, replica, time)).await;
         relayed.ok().flatten().ok_or(failure)
     }
 
@@ -106,9 +114,10 @@
     }
 
     /// Has a peer open a connection to the server, and uses that one.
-    async fn connect_by_peer(&self, id: &str, replica: &Replica) -> Option<BackendConnection> {
+    async fn connect_by_peer(&self, id: &str, replica: &Replica, time: TimeNeeded) -> Option<BackendConnection> {
+        let ends_within_ms = u64::try_from(time.to_end.as_millis()).unwrap_or(0);
         for (name, address) in self.helpers(id) {
-            let open = OpenTunnel { instance: replica.id.to_string(), run: replica.run_hash() };
+            let open = OpenTunnel { instance: replica.id.to_string(), run: replica.run_hash(), ends_within_ms };
             let opened = timeout(RELAY_TIMEOUT, self.shared.peer_client.open_tunnel(address, open)).await;
             let result = match &opened {
                 Ok(Ok(_)) => TunnelResult::Opened,
@@ -123,23 +132,24 @@
                 }
                 // The peer reaches other servers, so this one is down.
                 (_, TunnelResult::Unreached) => return None,
+                // It may still carry what ends sooner.
+                (_, TunnelResult::Stopping) => {}
                 _ => self.reach.lock().pause_helper(&name, self.shared.now()),
             }
         }
         None
     }
 
-    /// Peers to ask, the nearest first, in an order that differs between requests.
+    /// Peers to ask, those that are not being stopped and the nearest first, in an order that differs between requests.
     fn helpers(&self, id: &str) -> Vec<(Arc<str>, SocketAddr)> {
         let (settings, now) = (&self.shared.settings, self.shared.now());
         let view = self.shared.view.lock();
         let reach = self.reach.lock();
         let may_help = |name: &str| reach.may_help(name, now);
-        let is_free = |member: &&Member| member.state == State::Alive && !view.is_stopping(member);
-        let peers = view.others().filter(is_free).filter(|member| may_help(&member.name));
+        let peers = view.others().filter(|member| member.state == State::Alive && may_help(&member.name));
         let mut peers: Vec<_> = peers.collect();
         peers.sort_by_cached_key(|member| {
-            let distance = (member.zone != settings.zone, member.region != settings.region);
+            let distance = (view.is_stopping(member), member.zone != settings.zone, member.region != settings.region);
             (distance, stable_hash(&[id.as_bytes(), member.name.as_bytes()]))
         });
         peers.into_iter().take(MAX_HELPERS).map(|member| (member.name.clone(), member.address)).collect()
@@ -155,7 +165,7 @@
     shared: &Shared,
     open: &OpenTunnel,
 ) -> Result<CarriedConnection, TunnelResult> {
-    if shared.stage.get() == Stage::Draining {
+    if shared.stage.get() == Stage::Draining && !ends_in_time(shared, open) {
         return Err(TunnelResult::Stopping);
     }
     let replica = shared.replicas.find(&open.instance).filter(|replica| replica.run_hash() == open.run);
@@ -173,6 +183,12 @@
     Ok(CarriedConnection { socket, guard: shared.carried.begin() })
 }
 
+/// Whether the request on the connection ends before this daemon, which is being stopped.
+fn ends_in_time(shared: &Shared, open: &OpenTunnel) -> bool {
+    let ends_at_ms = shared.ends_at_ms.load(Ordering::Relaxed);
+    open.ends_within_ms > 0 && shared.now().saturating_add(open.ends_within_ms) < ends_at_ms
+}
+
 /// Value in metric labels and log lines.
 fn label(result: TunnelResult) -> &'static str {
     match result {
--- a/goldcrestward/src/process/reach/mod.rs
+++ b/goldcrestward/src/process/reach/mod.rs
@@ -3,5 +3,6 @@
 mod connect;
 mod table;
 
+pub(crate) use connect::TimeNeeded;
 pub(super) use connect::open_for_peer;
 pub(crate) use table::ReachTable;
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -110,6 +110,8 @@
     pub stage: StageView,
     /// Connections to backend servers that this daemon carries for peers.
     pub carried: CarriedConnections,
+    /// When this daemon ends, in ms since its start; `u64::MAX` while it is not being stopped or there is no limit.
+    pub ends_at_ms: AtomicU64,
     /// Tasks that finish requests whose callers have disconnected.
     pub tasks: TaskTracker,
     pub start: Instant,
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -29,7 +29,10 @@
     connection::{BackendConnection, SendError},
     logs::is_sampled,
     port::{AttemptMetadata, MigratedKvCache, RequestMetadata, ResponseHead, ResponseMetadata},
-    process::{AttemptOutcome, Condemned, Gateway, Replica, ReplicaGuard, part_names, record_answer, record_brittle},
+    process::{
+        AttemptOutcome, Condemned, Gateway, Replica, ReplicaGuard, TimeNeeded, part_names, record_answer,
+        record_brittle,
+    },
     version::Sample,
 };
 
@@ -39,6 +42,8 @@
 const MAX_CONNECT_FAILURES: u32 = 3;
 /// Minimum time before the deadline for another attempt.
 pub(super) const MIN_RETRY_TIME: Duration = Duration::from_millis(20);
+/// Time that most idempotent requests need at most.
+const IDEMPOTENT_RUN_TIME: Duration = Duration::from_secs(3);
 const MIGRATION_TIMEOUT: Duration = Duration::from_millis(700);
 /// Idle time after which another server is sought for an idempotent request, as a multiple of the latency target.
 const IDLE_TIMEOUT_TARGETS: u32 = 3;
@@ -189,6 +194,13 @@
         self.placement.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Time for which a new connection must last. An idempotent request that takes longer goes on at another server.
+    pub(super) fn time_needed(&self) -> TimeNeeded {
+        let left = self.time_left();
+        let to_end = if self.route.kind.is_idempotent() { left.min(IDEMPOTENT_RUN_TIME) } else { left };
+        TimeNeeded { left, to_end }
+    }
+
     /// Idle time after which another server is sought; the time left if the request cannot be sent to another one.
     pub(super) fn idle_timeout(&self) -> Duration {
         if !self.route.kind.is_idempotent() || self.sends >= self.route.attempt_limit {
@@ -363,7 +375,7 @@
         let replica = guard.replica().clone();
         let acquired = match self.connection.take() {
             Some(connection) => Ok(connection),
-            None => self.gateway.connect(&self.metadata.id, &replica, self.time_left()).await,
+            None => self.gateway.connect(&self.metadata.id, &replica, self.time_needed()).await,
         };
         let mut connection = acquired.map_err(|error| {
             let (id, instance, why) = (&self.metadata.id, &replica.id, error.label());
