--- a/goldcrestward/src/process/loads.rs
+++ b/goldcrestward/src/process/loads.rs
@@ -41,10 +41,13 @@
         let others = self.others.as_ref().filter(|(_, at)| now.saturating_sub(*at) < REPORT_TIMEOUT_MS);
         let sum = others.map_or_else(
             || own.clone(),
-            |(load, _)| PeerLoad { running: own.running + load.running, prefill_ms: own.prefill_ms + load.prefill_ms },
+            |(load, _)| PeerLoad {
+                running: own.running.saturating_add(load.running),
+                prefill_ms: own.prefill_ms + load.prefill_ms,
+            },
         );
         let reported = self.server_report.filter(|(_, at)| now.saturating_sub(*at) < SERVER_REPORT_TTL_MS);
-        let running = reported.map_or(0, |(load, _)| load.running + load.waiting).max(sum.running);
+        let running = reported.map_or(0, |(load, _)| load.running.saturating_add(load.waiting)).max(sum.running);
         PeerLoad { running, ..sum }
     }
 }
--- a/goldcrestward/src/process/replicas.rs
+++ b/goldcrestward/src/process/replicas.rs
@@ -95,7 +95,7 @@
 impl Health {
     fn leave(&self, now: u64, leaves_in: Option<Duration>) {
         self.leaving.store(true, Ordering::Relaxed);
-        let leaves_at = now + leaves_in.unwrap_or(DEFAULT_LEAVING_TIME).as_millis() as u64;
+        let leaves_at = now.saturating_add(leaves_in.unwrap_or(DEFAULT_LEAVING_TIME).as_millis() as u64);
         self.leaves_at.compare_exchange(0, leaves_at, Ordering::Relaxed, Ordering::Relaxed).ok();
     }
 }
@@ -506,7 +506,7 @@
                 slots: instance.slots,
                 reclaimable: instance.reclaimable,
                 started_unix_ms: instance.started_unix_ms,
-                warm_at_ms: now + instance.warm_up.as_millis() as u64,
+                warm_at_ms: now.saturating_add(instance.warm_up.as_millis() as u64),
                 admission_queue: self.admission_queues.for_pool(&instance.pool),
                 health,
             });
--- a/goldcrestward/src/process/state/site_state.rs
+++ b/goldcrestward/src/process/state/site_state.rs
@@ -41,6 +41,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Time after a failed call to the store in which a removed entry may come back: three heartbeats.
 const STORE_ERROR_WINDOW_MS: u64 = 4_000;
+/// Longest entry of a server, in bytes.
+const MAX_INSTANCE_BYTES: usize = 16 * 1024;
 /// Interval between checks for delayed changes that are due.
 const DELAYED_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -81,7 +83,7 @@
     async fn follow(&self) -> Result<(), Error> {
         let (rows, revision) = self.shared.kv.list(Purpose::Site, self.catalog.prefix(), Revision::NONE).await?;
         let rows = rows.into_iter().filter(|row| self.is_relevant(&row.key));
-        let files = rows.map(row_to_file).collect();
+        let files = rows.map(|row| self.row_to_file(row)).collect();
         let listing = pb::ConfigDelta { revision: revision.ordinal(), files, whole: true };
         let known = self.shared.config.lock().revision();
         let files = listing.files.len();
@@ -143,9 +145,22 @@
         self.shared.announce.notify_one();
     }
 
+    /// Converts a row. Text that no server's entry can be is propagated as empty text, which is just as unreadable: others may
+    /// write entries of any length there, and every daemon keeps them.
+    fn row_to_file(&self, row: Row) -> pb::ConfigFile {
+        let Row { key, revision, value, .. } = row;
+        let is_long = self.catalog.instance_id(&key).is_some() && value.len() > MAX_INSTANCE_BYTES;
+        let text = if is_long { Err("too long") } else { String::from_utf8(value.to_vec()).map_err(|_| "not UTF-8") };
+        let text = text.unwrap_or_else(|error| {
+            warn!("event=entry-refused key={key:?} revision={revision} bytes={} error={error:?}", value.len());
+            String::new()
+        });
+        pb::ConfigFile { name: key, revision: revision.ordinal(), text: Some(text), ..pb::ConfigFile::default() }
+    }
+
     fn changed_file(&self, change: Change) -> Option<pb::ConfigFile> {
         match change {
-            Change::Put(row) if self.is_relevant(&row.key) => Some(row_to_file(row)),
+            Change::Put(row) if self.is_relevant(&row.key) => Some(self.row_to_file(row)),
             Change::Removed(key, revision) if self.is_relevant(&key) => {
                 Some(pb::ConfigFile { name: key, revision: revision.ordinal(), ..pb::ConfigFile::default() })
             }
@@ -289,13 +304,3 @@
 fn watchers_per_region(regions: usize) -> usize {
     MIN_WATCHERS.div_ceil(regions.max(1)).max(REGION_WATCHERS)
 }
-
-fn row_to_file(row: Row) -> pb::ConfigFile {
-    let Row { key, revision, .. } = row;
-    let text = String::from_utf8(row.value.to_vec()).unwrap_or_else(|_| {
-        warn!("event=entry-refused key={key:?} revision={revision} error=\"not UTF-8\"");
-        // Empty text is just as unreadable, so it is propagated in place of the value.
-        String::new()
-    });
-    pb::ConfigFile { name: key, revision: revision.ordinal(), text: Some(text), ..pb::ConfigFile::default() }
-}
