An idle connection is kept for a minute at most, whatever its server states

Cause: keep_for added the number to the clock; the overflow ended the task of the caller's connection. Evidence: answers_with_an_absurd_keep_alive_are_passed_on failed before ('overflow when adding duration to instant') and passes.

--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -30,6 +30,8 @@
 
 /// Time after which an idle connection is closed if the server states none.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longest time for which an idle connection is kept, whatever the server states.
+const MAX_LIFETIME: Duration = Duration::from_secs(60);
 /// Time by which a connection is retired before the server would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Time after which a connection whose sent bytes are not acknowledged is closed.
@@ -243,7 +245,7 @@
     }
 
     fn keep_for(self, lifetime: Duration) {
-        let Some(lifetime) = lifetime.checked_sub(IDLE_MARGIN) else { return };
+        let Some(lifetime) = lifetime.min(MAX_LIFETIME).checked_sub(IDLE_MARGIN) else { return };
         let Self { sender, key, via, used, connections } = self;
         if via.as_ref().is_some_and(|peer| connections.is_avoided(peer)) {
             return;
