A resumed stream begins with the event that continues it (an operator's report)

Callers would have found the text of an error, or another answer's head, in the middle of their stream, and an end that looked whole, where a stream broke off and the next server answered 200 with an error as its body. Cause: events without a number were always forwarded, and any event counted as the beginning of the rest. Change: before the event that continues the stream only comments are borne with; an attempt without that event is empty. Evidence: other_answer_of_the_next_server_is_not_part_of_the_stream, sixteen answers, failed before (the error's text, complete: true) and passes.

--- a/goldcrestward/src/request/numbered_events.rs
+++ b/goldcrestward/src/request/numbered_events.rs
@@ -21,12 +21,16 @@
     last: Option<u64>,
     repeated: u64,
     error: Option<SequenceError>,
+    /// Whether the caller has been sent events of an earlier attempt, which this one resumes.
+    resumed: bool,
+    /// Whether events of this attempt have been sent to the caller, in a resumed stream only those that continue it.
+    begun: bool,
 }
 
 impl EventSequence {
     /// Creates a sequence that continues after event number `last`.
     pub fn new(last: Option<u64>) -> Self {
-        Self { buffer: BytesMut::new(), scanned: 0, last, repeated: 0, error: None }
+        Self { buffer: BytesMut::new(), scanned: 0, last, repeated: 0, error: None, resumed: false, begun: false }
     }
 
     /// Number of the last event that was forwarded.
@@ -54,6 +58,13 @@
         self.buffer.clear();
         self.scanned = 0;
         self.error = None;
+        self.resumed |= self.begun;
+        self.begun = false;
+    }
+
+    /// Whether the stream of this attempt has begun: it has continued the response if it resumes one.
+    pub fn has_begun(&self) -> bool {
+        self.begun
     }
 
     /// Consumes received bytes and returns the complete events up to an error. They count as forwarded from now on, so
@@ -94,9 +105,17 @@
         }
     }
 
-    /// Returns whether to forward the event.
+    /// Returns whether to forward the event. An event without a number may be anything, so that a stream can't be resumed with
+    /// one: it may be the text of an error.
     fn check(&mut self, event: &[u8]) -> Result<bool, SequenceError> {
-        let Some(number) = event_number(event)? else { return Ok(true) };
+        let Some(number) = event_number(event)? else {
+            if !self.resumed {
+                self.begun = true;
+            } else if !self.begun && !is_comment(event) {
+                return Err(SequenceError::Malformed);
+            }
+            return Ok(true);
+        };
         match self.last {
             Some(last) if number <= last => {
                 self.repeated += 1;
@@ -105,12 +124,18 @@
             Some(last) if number > last + 1 => Err(SequenceError::Gap),
             _ => {
                 self.last = Some(number);
+                self.begun = true;
                 Ok(true)
             }
         }
     }
 }
 
+/// Whether an event has comments only, which servers send to keep a connection open.
+fn is_comment(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').all(|line| line.trim_ascii().is_empty() || line.starts_with(b":"))
+}
+
 /// The number in the event's `id` field; `None` if it has none, such as a comment.
 fn event_number(event: &[u8]) -> Result<Option<u64>, SequenceError> {
     let mut ids = event.split(|b| *b == b'\n').filter_map(|line| line.strip_prefix(b"id:"));
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -507,7 +507,7 @@
                     return Err(ProxyFailure::Indeterminate("cut"));
                 };
                 let events = sequence.read(&data);
-                if !events.is_empty() {
+                if sequence.has_begun() {
                     return Ok(events);
                 }
                 if sequence.error().is_some() {
