--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -1,7 +1,7 @@
 //! `goldcrestward explain`: traces one request through the logs of all daemons.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     fs::File,
     io::{self, BufRead, BufReader, Write},
 };
@@ -14,6 +14,11 @@
     error::{ReadSnafu, Result, WriteSnafu},
 };
 
+/// Time before a request's first line from which stops of its carriers are shown, in ms.
+const STOP_LEAD_MS: u64 = 30_000;
+/// Time after its last line until which they are shown, in ms.
+const STOP_LAG_MS: u64 = 1_000;
+
 /// A parsed log line.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) struct LogLine {
@@ -24,10 +29,25 @@
     fields: BTreeMap<String, String>,
 }
 
+impl LogLine {
+    /// The peer by way of which the line says that the request goes.
+    fn carrier(&self) -> Option<&str> {
+        let name = match self.event.as_str() {
+            "relay-asked" if self.fields.get("result").is_some_and(|result| result == "opened") => "peer",
+            "relayed" => "peer",
+            "stream-broken" => "via",
+            _ => return None,
+        };
+        self.fields.get(name).map(String::as_str)
+    }
+}
+
 /// The log lines of one request.
 #[derive(Debug, Default)]
 pub(crate) struct RequestTrace {
     lines: Vec<LogLine>,
+    /// Stops of all daemons. Those of peers that carried the request are shown with it.
+    stops: Vec<LogLine>,
     /// Lines that could not be parsed.
     skipped_lines: u64,
     /// Lines that the daemons report as dropped.
@@ -60,6 +80,7 @@
                     self.dropped_lines += line.fields.get("count").and_then(|count| count.parse().ok()).unwrap_or(0);
                 }
                 Some(line) if line.fields.get("id").is_some_and(|line_id| line_id == id) => self.lines.push(line),
+                Some(line) if matches!(line.event.as_str(), "stopping" | "carried-cut") => self.stops.push(line),
                 Some(_) => {}
                 None if text.trim().is_empty() => {}
                 None => self.skipped_lines += 1,
@@ -69,8 +90,20 @@
         Ok(())
     }
 
+    /// Adds the stops of peers that carried the request, from shortly before it to its end.
+    fn add_stops_of_carriers(&mut self) {
+        let times = self.lines.iter().map(|line| line.time);
+        let (Some(first), Some(last)) = (times.clone().min(), times.max()) else { return };
+        let carriers: BTreeSet<String> = self.lines.iter().filter_map(LogLine::carrier).map(str::to_owned).collect();
+        let span = first.saturating_sub(STOP_LEAD_MS)..=last + STOP_LAG_MS;
+        let stops = std::mem::take(&mut self.stops);
+        self.lines
+            .extend(stops.into_iter().filter(|line| carriers.contains(&line.daemon) && span.contains(&line.time)));
+    }
+
     /// Describes the events of the request in order of time.
     pub fn render(&mut self, id: &str) -> String {
+        self.add_stops_of_carriers();
         self.lines.sort_by_key(|line| line.time);
         let mut text = String::new();
         let start = self.lines.first().map_or(0, |line| line.time);
@@ -142,8 +175,12 @@
         }
         "stream-broken" => {
             let then = if field("resume") == "true" { "resumed on another server" } else { "the answer is cut off" };
+            let way = match line.fields.get("via").filter(|via| *via != "-") {
+                Some(peer) => format!(" by way of {peer}"),
+                None => String::new(),
+            };
             format!(
-                "the stream from {} ended early after event {}: {}; {then}",
+                "the stream from {}{way} ended early after event {}: {}; {then}",
                 field("instance"),
                 field("last"),
                 cause(field("cause"))
@@ -179,7 +216,20 @@
             let (peer, instance) = (field("peer"), field("instance"));
             format!("{peer} was asked to open a connection to {instance}: {}", relay_result(field("result")))
         }
-        "relayed" => format!("sent to {} by way of a peer", field("instance")),
+        "relayed" => {
+            let peer = line.fields.get("peer").map_or("a peer", String::as_str);
+            format!("sent to {} by way of {peer}", field("instance"))
+        }
+        "server-given-up" => {
+            let (instance, to) = (field("instance"), field("to"));
+            format!("{instance} had been silent for {} ms; the request goes on at {to}", field("silent_ms"))
+        }
+        "response-dropped" => {
+            let owner = if field("owner") == "other" { "bears another request's id" } else { "bears no id" };
+            format!("a response of {} with status {} was dropped, as it {owner}", field("instance"), field("status"))
+        }
+        "stopping" => format!("is being stopped; it carries {} connections for peers", field("carried")),
+        "carried-cut" => format!("ended while it carried {} connections for peers", field("count")),
         "answered" => format!("answered with status {} after {} ms", field("status"), field("ms")),
         event => {
             let fields: Vec<String> = line.fields.iter().map(|(key, value)| format!("{key}={value}")).collect();
@@ -194,6 +244,7 @@
         "unreached" => "the server is down for the peer as well",
         "cut-off" => "the peer does not reach the server either",
         "busy" => "the peer carries as many connections as it may",
+        "stopping" => "the peer is being stopped, and ends before the request does",
         "unknown" => "the peer knows no such server that takes requests",
         "no-answer" => "no answer in time",
         other => other,
--- a/goldcrestward/src/cmd/explain_test.rs
+++ b/goldcrestward/src/cmd/explain_test.rs
@@ -13,6 +13,13 @@
     "time=1005 level=INFO daemon=front-a event=relay-asked id=r6 instance=i-1 peer=front-c result=cut-off\n",
     "time=1006 level=INFO daemon=front-a event=relay-asked id=r6 instance=i-1 peer=front-b result=opened\n",
     "time=1007 level=INFO daemon=front-a event=relayed id=r6 instance=i-1\n",
+    "time=2000 level=INFO daemon=front-c event=stopping daemon=front-c carried=4\n",
+    "time=2001 level=INFO daemon=front-d event=stopping daemon=front-d carried=0\n",
+    "time=2002 level=INFO daemon=front-a event=relay-asked id=r7 instance=i-1 peer=front-c result=opened\n",
+    "time=2500 level=INFO daemon=front-a event=server-given-up id=r7 instance=i-0 silent_ms=700 to=i-1\n",
+    "time=2600 level=INFO daemon=front-a event=response-dropped id=r7 instance=i-1 status=503 owner=other first=false\n",
+    "time=9000 level=WARN daemon=front-c event=carried-cut daemon=front-c count=1\n",
+    "time=9001 level=INFO daemon=front-a event=stream-broken id=r7 instance=i-1 via=front-c cause=cut last=Some(4) left_ms=9 resume=false\n",
     "\n",
     "time=x level=INFO daemon=front-a event=odd id=r1\n",
 );
@@ -54,3 +61,18 @@
     assert!(lines[1].contains("front-b was asked to open a connection to i-1: it did"), "{text}");
     assert!(lines[2].contains("sent to i-1 by way of a peer"), "{text}");
 }
+
+#[test]
+fn explain_shows_the_stop_of_the_peer_that_carried_the_request() {
+    let text = render("r7");
+    let lines: Vec<&str> = text.lines().collect();
+    assert!(lines[0].contains("front-c") && lines[0].contains("is being stopped; it carries 4 connections"), "{text}");
+    assert!(lines[2].contains("i-0 had been silent for 700 ms; the request goes on at i-1"), "{text}");
+    assert!(
+        lines[3].contains("a response of i-1 with status 503 was dropped, as it bears another request's id"),
+        "{text}"
+    );
+    assert!(lines[4].contains("front-c") && lines[4].contains("ended while it carried 1 connections"), "{text}");
+    assert!(lines[5].contains("the stream from i-1 by way of front-c ended early after event Some(4)"), "{text}");
+    assert!(!text.contains("front-d"), "{text}");
+}
