A stop without a time limit takes no new connections for peers

Cause, by reading: without drain-seconds a stopping daemon would have gone on taking connections from peers that reach no server, so that its stop might never end. Change: it takes what ends before it only where there is an end. The platform's deployment sets drain-seconds, so that nothing changes there; carried.rs passes (3 tests).

--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -186,7 +186,9 @@
 /// Whether the request on the connection ends before this daemon, which is being stopped.
 fn ends_in_time(shared: &Shared, open: &OpenTunnel) -> bool {
     let ends_at_ms = shared.ends_at_ms.load(Ordering::Relaxed);
-    open.ends_within_ms > 0 && shared.now().saturating_add(open.ends_within_ms) < ends_at_ms
+    // Without a limit, a stop that takes new connections might never end.
+    let has_limit = ends_at_ms != u64::MAX;
+    has_limit && open.ends_within_ms > 0 && shared.now().saturating_add(open.ends_within_ms) < ends_at_ms
 }
 
 /// Value in metric labels and log lines.
