--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -89,7 +89,8 @@
         Self { idle: Arc::default(), avoided: Arc::default(), connects }
     }
 
-    /// Takes an idle connection to the instance. Without `relayed`, only a direct one; those by way of a peer are closed.
+    /// Takes an idle connection to the instance. Without `relayed`, only a direct one; those by way of a peer are
+    /// closed.
     pub fn take(&self, address: SocketAddr, instance: &Arc<str>, relayed: bool) -> Option<BackendConnection> {
         let key = (address, instance.clone());
         let idle = self.take_idle(&key, relayed)?;
--- a/goldcrestward/src/connection/peer.rs
+++ b/goldcrestward/src/connection/peer.rs
@@ -370,8 +370,8 @@
     }
 }
 
-/// For how long a peer that owes an answer has sent nothing. A dead connection looks the same as one to a peer that takes its
-/// time over a request, so the peer is asked for its status, which it answers at once.
+/// For how long a peer that owes an answer has sent nothing. A dead connection looks the same as one to a peer that
+/// takes its time over a request, so the peer is asked for its status, which it answers at once.
 #[derive(Debug, Default)]
 struct Silence {
     since: Option<Instant>,
--- a/goldcrestward/src/connection/peer_test.rs
+++ b/goldcrestward/src/connection/peer_test.rs
@@ -108,8 +108,8 @@
     request::Body::AskStatus(pb::AskStatus {})
 }
 
-/// Guards against CONFIG: a connection to a peer that had fallen silent was used for ever, each request on it being replaced
-/// by the next.
+/// Guards against CONFIG: a connection to a peer that had fallen silent was used for ever, each request on it being
+/// replaced by the next.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_after_silence_uses_new_connection() {
     let (client, way) = start().await;
--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -483,7 +483,8 @@
     /// Hash of the replica's run.
     #[prost(fixed64, tag = "2")]
     pub run: u64,
-    /// Time in ms within which the request on the connection ends; 0 if unknown. A daemon that is being stopped carries only what ends before it does.
+    /// Time in ms within which the request on the connection ends; 0 if unknown. A daemon that is being stopped carries
+    /// only what ends before it does.
     #[prost(uint64, tag = "3")]
     pub ends_within_ms: u64,
 }
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -90,7 +90,8 @@
     /// Time of the last error while reading the site's state from the platform's store, in ms since the daemon's
     /// start; 0 if there was none.
     pub last_store_error_ms: AtomicU64,
-    /// When this daemon last exchanged figures with others as a relay, or heard its zone's relay, in ms since its start.
+    /// When this daemon last exchanged figures with others as a relay, or heard its zone's relay, in ms since its
+    /// start.
     pub last_relay_ms: AtomicU64,
     /// Whether this daemon holds the duties.
     pub holds_duties: AtomicBool,
--- a/goldcrestward/src/process/state/pull.rs
+++ b/goldcrestward/src/process/state/pull.rs
@@ -69,8 +69,8 @@
     }
 }
 
-/// Asks a peer, a few times after the start, for content that it knows from before a restore of the store: a daemon that
-/// starts after the restore knows only the copy, until operators have written their entries again.
+/// Asks a peer, a few times after the start, for content that it knows from before a restore of the store: a daemon
+/// that starts after the restore knows only the copy, until operators have written their entries again.
 pub(crate) fn adopt_kept(shared: &Arc<Shared>, address: SocketAddr, peer_revision: Revision) {
     let own = shared.config.lock().revision();
     let is_useful = !own.is_none() && peer_revision.history() == own.history();
--- a/goldcrestward/src/process/state/site_state.rs
+++ b/goldcrestward/src/process/state/site_state.rs
@@ -119,7 +119,8 @@
         self.catalog.is_relevant(key) || key.starts_with(OWN_PREFIX)
     }
 
-    /// Whether this daemon reads the store itself. The others rely on their peers, as long as they hear the relay of their zone.
+    /// Whether this daemon reads the store itself. The others rely on their peers, as long as they hear the relay of
+    /// their zone.
     fn is_watcher(&self) -> bool {
         let since_relay = self.shared.now().saturating_sub(self.shared.last_relay_ms.load(Ordering::Relaxed));
         since_relay > RELAY_SILENCE_MS || self.is_ranked_watcher()
@@ -145,8 +146,8 @@
         self.shared.announce.notify_one();
     }
 
-    /// Converts a row. Text that no server's entry can be is propagated as empty text, which is just as unreadable: others may
-    /// write entries of any length there, and every daemon keeps them.
+    /// Converts a row. Text that no server's entry can be is propagated as empty text, which is just as unreadable:
+    /// others may write entries of any length there, and every daemon keeps them.
     fn row_to_file(&self, row: Row) -> pb::ConfigFile {
         let Row { key, revision, value, .. } = row;
         let is_long = self.catalog.instance_id(&key).is_some() && value.len() > MAX_INSTANCE_BYTES;
--- a/goldcrestward/src/request/fallback.rs
+++ b/goldcrestward/src/request/fallback.rs
@@ -1,7 +1,7 @@
 //! Another server for a request whose server is silent.
 //!
-//! A silent server may be sound and go on a moment later, so it is given up only once the way on is certain: another server
-//! has a place and a connection, and the retry budget allows it. Without a way on the request waits.
+//! A silent server may be sound and go on a moment later, so it is given up only once the way on is certain: another
+//! server has a place and a connection, and the retry budget allows it. Without a way on the request waits.
 
 use std::{
     future::Future,
@@ -77,8 +77,8 @@
         true
     }
 
-    /// Waits for a step of the exchange with a server. Returns `None` once the server has been silent for the idle timeout and
-    /// there is another place for the request, or its time is over.
+    /// Waits for a step of the exchange with a server. Returns `None` once the server has been silent for the idle
+    /// timeout and there is another place for the request, or its time is over.
     pub(super) async fn wait_for<T>(&mut self, guard: &ReplicaGuard, step: impl Future<Output = T>) -> Option<T> {
         let (mut step, started) = (pin!(step), Instant::now());
         let mut limit = self.idle_timeout();
--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -306,8 +306,8 @@
         }
     }
 
-    /// Rejects a response that has the id of another request or the number of another attempt, and one without an id on a
-    /// connection that may have carried other requests (`is_shared`).
+    /// Rejects a response that has the id of another request or the number of another attempt, and one without an id on
+    /// a connection that may have carried other requests (`is_shared`).
     fn check_response_id(&self, response: Response, is_shared: bool) -> Result<Response, Failure> {
         let owner = ResponseOwner::of(response.headers(), &self.id);
         let number = self.attempts.number().to_string();
--- a/goldcrestward/src/request/numbered_events.rs
+++ b/goldcrestward/src/request/numbered_events.rs
@@ -105,8 +105,8 @@
         }
     }
 
-    /// Returns whether to forward the event. An event without a number may be anything, so that a stream can't be resumed with
-    /// one: it may be the text of an error.
+    /// Returns whether to forward the event. An event without a number may be anything, so that a stream can't be
+    /// resumed with one: it may be the text of an error.
     fn check(&mut self, event: &[u8]) -> Result<bool, SequenceError> {
         let Some(number) = event_number(event)? else {
             if !self.resumed {
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -438,8 +438,8 @@
     }
 
     /// Returns what the response says if it is the attempt's own. Only such a response lets its connection be used
-    /// again, so that a copy of an earlier response on a used connection bears that request's id. Hence a response without
-    /// an id is believed only if it is the first on its connection (`is_first`).
+    /// again, so that a copy of an earlier response on a used connection bears that request's id. Hence a response
+    /// without an id is believed only if it is the first on its connection (`is_first`).
     fn attribute(
         &self,
         replica: &Replica,
--- a/goldcrestward/tests/it/responses.rs
+++ b/goldcrestward/tests/it/responses.rs
@@ -204,8 +204,8 @@
     assert!(may_have_run > 0 && completed > 0, "{not_run} not run, {may_have_run} may have run, {completed} completed");
 }
 
-/// Starts a back end that answers with the request's path and, on each connection, sends its answers again, late: before
-/// the next one. Its answers bear the request's id if `echoes_ids`.
+/// Starts a back end that answers with the request's path and, on each connection, sends its answers again, late:
+/// before the next one. Its answers bear the request's id if `echoes_ids`.
 async fn start_copying_back_end(echoes_ids: bool) -> std::net::SocketAddr {
     let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let address = socket.local_addr().expect("the socket has an address");
