Tests: late bodies in shutdowns of the own interface

Callers of a daemon with drain-seconds saw streams and calls cut at the limit, among them calls that run at most once.

The steps after the drain are not part of the limit: the process also ended later than drain-seconds allow.

--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -11,3 +11,4 @@
 mod rollout;
 mod shutdown;
 mod soak;
+mod stops;
--- /dev/null
+++ b/goldcrestward/tests/it/stops.rs
@@ -0,0 +1,223 @@
+//! Graceful shutdowns with a time limit and without one, while callers still write their requests.
+
+use std::{
+    fmt::Write,
+    time::{Duration, Instant as StdInstant},
+};
+
+use rustix::process::Signal;
+use serde_json::json;
+use standin::service::ServiceFaults;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, sleep_until},
+};
+
+use crate::support::{SlowReply, SlowRequest, TestSite};
+
+/// Time limit of the shutdown, in seconds.
+const DRAIN_SECONDS: u64 = 8;
+const GRACE: Duration = Duration::from_secs(DRAIN_SECONDS);
+/// Time between the callers' heads and SIGTERM.
+const HEAD_START: Duration = Duration::from_millis(700);
+/// Time that has to be left, beyond the back end's, for a request to count as one that could have ended.
+const SPARE_TIME: Duration = Duration::from_secs(1);
+/// Largest share of the requests that could have ended which may be refused.
+const MAX_REFUSED: f64 = 0.1;
+/// Tokens of a stream that takes well under a second, and of one that takes several.
+const SHORT_TOKENS: usize = 10;
+const LONG_TOKENS: usize = 800;
+const KINDS: [Kind; 5] =
+    [Kind::Stream(SHORT_TOKENS), Kind::Stream(LONG_TOKENS), Kind::Confirm, Kind::Order, Kind::Lookup];
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// A stream of a model, with this number of tokens.
+    Stream(usize),
+    /// A call that runs at most once.
+    Confirm,
+    /// A repeatable call.
+    Order,
+    Lookup,
+}
+
+impl Kind {
+    fn request(self, site: &TestSite, id: &str, body_ends: Instant) -> SlowRequest {
+        let path = match self {
+            Self::Stream(_) => "/v1/chat/completions",
+            Self::Confirm => "/orders/confirm",
+            Self::Order => "/orders/new",
+            Self::Lookup => "/orders/lookup",
+        };
+        let body = match self {
+            Self::Stream(tokens) => json!({
+                "model": "meal-planner", "stream": true, "max_tokens": tokens,
+                "messages": [{ "role": "user", "content": id }],
+            }),
+            _ => json!({ "order": id }),
+        };
+        SlowRequest {
+            target: site.daemons[0].callers,
+            path,
+            idempotency_key: (!matches!(self, Self::Stream(_))).then(|| id.into()),
+            body: body.to_string(),
+            body_ends,
+        }
+    }
+}
+
+/// What became of a request.
+#[derive(Debug)]
+struct Outcome {
+    kind: Kind,
+    id: String,
+    /// When the body ended, counted from SIGTERM.
+    offset: Duration,
+    stop: Instant,
+    reply: SlowReply,
+    runs: u64,
+}
+
+impl Outcome {
+    fn is_served(&self) -> bool {
+        let whole = match self.kind {
+            Kind::Stream(tokens) => {
+                self.reply.body.contains("data: [DONE]") && self.reply.body.matches("\"content\":\"").count() == tokens
+            }
+            _ => self.reply.body.contains(&format!("\"{}\"", self.id)),
+        };
+        self.reply.status == 200 && self.reply.complete && whole
+    }
+
+    /// Whether the answer states that the request has not run.
+    fn is_refused(&self) -> bool {
+        self.reply.status != 200 && self.reply.head.contains("x-run-state: not-run")
+    }
+}
+
+/// Sends requests to the first daemon, whose bodies end at these times after SIGTERM, in ms, and stops it. Returns what
+/// became of them and how long the process took to end.
+async fn stop_beside_requests(site: &mut TestSite, offsets: &[u64]) -> (Vec<Outcome>, Duration) {
+    let stop = Instant::now() + HEAD_START;
+    let mut calls = JoinSet::new();
+    for kind in KINDS {
+        for offset in offsets.iter().copied().map(Duration::from_millis) {
+            let id = format!("{kind:?}-{}", offset.as_millis());
+            let request = kind.request(site, &id, stop + offset);
+            calls.spawn(async move { (kind, id, offset, request.send().await) });
+        }
+    }
+    sleep_until(stop).await;
+    site.daemons[0].signal(Signal::TERM);
+    let begun = StdInstant::now();
+    let status = loop {
+        match site.daemons[0].exit_status() {
+            Some(status) => break status,
+            None => sleep(Duration::from_millis(20)).await,
+        }
+        assert!(begun.elapsed() < 10 * GRACE, "the process does not end");
+    };
+    let elapsed = begun.elapsed();
+    assert!(status.success(), "{status}");
+    let mut outcomes = Vec::new();
+    while let Some(call) = calls.join_next().await {
+        let (kind, id, offset, reply) = call.expect("the caller's task ends");
+        let runs = site.executions.lock().get(&id).copied().unwrap_or(0);
+        outcomes.push(Outcome { kind, id, offset, stop, reply, runs });
+    }
+    expect_none("said not to have run, but run", &outcomes, |outcome| outcome.is_refused() && outcome.runs > 0);
+    expect_none("run more than once", &outcomes, |outcome| outcome.kind == Kind::Confirm && outcome.runs > 1);
+    (outcomes, elapsed)
+}
+
+/// Lists requests, at most some of them in full.
+fn listed<'a>(outcomes: impl IntoIterator<Item = &'a Outcome>) -> String {
+    let mut outcomes: Vec<&Outcome> = outcomes.into_iter().collect();
+    outcomes.sort_by_key(|outcome| outcome.offset);
+    let mut text = format!("{} requests", outcomes.len());
+    for Outcome { id, stop, reply, runs, .. } in outcomes.iter().take(16) {
+        let after = |at: Option<Instant>| at.map(|at| at.saturating_duration_since(*stop).as_millis());
+        let (answered, ended) = (after(reply.answered), after(reply.ended));
+        write!(
+            text,
+            "\n  {id}: answered {answered:?} ms after SIGTERM, ended {ended:?}; status {}, complete {}, runs {runs}",
+            reply.status, reply.complete
+        )
+        .expect("writing to a string");
+    }
+    text
+}
+
+fn expect_none(what: &str, outcomes: &[Outcome], is_wrong: impl Fn(&Outcome) -> bool) {
+    let wrong: Vec<&Outcome> = outcomes.iter().filter(|outcome| is_wrong(outcome)).collect();
+    assert!(wrong.is_empty(), "{what}, of {}: {}", outcomes.len(), listed(wrong));
+}
+
+/// Starts a site whose services take some time.
+async fn start(drain_seconds: Option<u64>, work: Duration) -> TestSite {
+    let site = TestSite::start_with_grace(2, 2, drain_seconds).await;
+    site.set_service_faults(&ServiceFaults { delay_ms: work.as_millis() as u64, ..ServiceFaults::default() });
+    site
+}
+
+/// Guards against LOST: requests that were read whole late in the shutdown were passed on, and cut without an answer at
+/// its time limit.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_read_late_in_a_limited_shutdown_are_answered() {
+    let offsets: Vec<u64> = (100..=7_600).step_by(300).collect();
+    let run = |work| {
+        let offsets = offsets.clone();
+        async move {
+            let mut site = start(Some(DRAIN_SECONDS), work).await;
+            (stop_beside_requests(&mut site, &offsets).await, work)
+        }
+    };
+    let runs = tokio::join!(run(Duration::from_millis(15)), run(Duration::from_secs(1)));
+    let mut faults = String::new();
+    for ((outcomes, elapsed), work) in [runs.0, runs.1] {
+        let could_end = |outcome: &&Outcome| {
+            outcome.kind != Kind::Stream(LONG_TOKENS) && outcome.offset + work + SPARE_TIME <= GRACE
+        };
+        let cut: Vec<&Outcome> = outcomes.iter().filter(|outcome| !outcome.reply.complete).collect();
+        let could_end: Vec<&Outcome> = outcomes.iter().filter(could_end).collect();
+        let refused: Vec<&Outcome> = could_end.iter().copied().filter(|outcome| outcome.is_refused()).collect();
+        let failed = could_end.iter().copied().filter(|outcome| !outcome.is_refused() && !outcome.is_served());
+        let failed: Vec<&Outcome> = failed.collect();
+        let refused_share = refused.len() as f64 / could_end.len() as f64;
+        if cut.is_empty() && failed.is_empty() && refused_share <= MAX_REFUSED && elapsed <= GRACE {
+            continue;
+        }
+        writeln!(
+            faults,
+            "services take {work:?}, the process ended {elapsed:?} after SIGTERM, of {} requests:\ncut: {}\nof {} that \
+             could have ended:\nfailed: {}\nrefused: {}",
+            outcomes.len(),
+            listed(cut),
+            could_end.len(),
+            listed(failed),
+            listed(refused)
+        )
+        .expect("writing to a string");
+    }
+    assert!(faults.is_empty(), "{faults}");
+}
+
+/// Guards against LOST: a caller that wrote its body slowly had no answer when the time limit was reached.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn callers_that_still_write_at_the_limit_are_refused() {
+    let mut site = start(Some(DRAIN_SECONDS), Duration::from_millis(15)).await;
+    let (outcomes, elapsed) = stop_beside_requests(&mut site, &[8_000, 9_000, 12_000]).await;
+    expect_none("not refused with Retry-After", &outcomes, |outcome| {
+        let SlowReply { status, head, complete, .. } = &outcome.reply;
+        *status != 503 || !complete || !head.contains("retry-after:") || !outcome.is_refused()
+    });
+    assert!(elapsed <= GRACE, "the process ended {elapsed:?} after SIGTERM");
+}
+
+/// Without a limit, a shutdown waits for every caller and cuts nothing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn shutdown_without_a_limit_answers_everything() {
+    let mut site = start(None, Duration::from_millis(2_500)).await;
+    let (outcomes, _) = stop_beside_requests(&mut site, &[100, 2_000, 7_600, 8_500, 10_000]).await;
+    expect_none("not served", &outcomes, |outcome| !outcome.is_served());
+}
--- a/goldcrestward/tests/it/support/daemon.rs
+++ b/goldcrestward/tests/it/support/daemon.rs
@@ -19,6 +19,8 @@
     /// Upstream of the proxy through which the daemon reaches the platform.
     pub platform: SocketAddr,
     pub join: Vec<SocketAddr>,
+    /// Time limit of a graceful shutdown; none if absent.
+    pub drain_seconds: Option<u64>,
 }
 
 pub(crate) struct TestDaemon {
@@ -67,6 +69,9 @@
         for address in &options.join {
             command.args(["--join", &address.to_string()]);
         }
+        if let Some(seconds) = options.drain_seconds {
+            command.args(["--drain-seconds", &seconds.to_string()]);
+        }
         if std::env::var_os("GOLDCRESTWARD_TEST_LOG").is_none() {
             command.stderr(Stdio::null());
         }
--- a/goldcrestward/tests/it/support/mod.rs
+++ b/goldcrestward/tests/it/support/mod.rs
@@ -2,9 +2,11 @@
 
 mod daemon;
 mod site;
+mod slow_request;
 
 pub(crate) use daemon::{TestDaemon, free_port};
 pub(crate) use site::{KEY, TOKEN, TestSite, propose, run_load};
+pub(crate) use slow_request::{SlowReply, SlowRequest};
 
 use std::{future::Future, time::Duration};
 
--- a/goldcrestward/tests/it/support/site.rs
+++ b/goldcrestward/tests/it/support/site.rs
@@ -54,12 +54,19 @@
     pub services: Vec<Service>,
     pub executions: Executions,
     pub daemons: Vec<TestDaemon>,
+    /// Time limit of the daemons' graceful shutdown; none if absent.
+    pub drain_seconds: Option<u64>,
 }
 
 impl TestSite {
     /// Starts daemons, engines and two replicas of a plain service, and waits until the configuration is in force.
     pub async fn start(daemons: usize, engines: usize) -> Self {
-        let mut site = Self::start_platform().await;
+        Self::start_with_grace(daemons, engines, None).await
+    }
+
+    /// Like [`TestSite::start`], with a time limit of the daemons' graceful shutdown.
+    pub async fn start_with_grace(daemons: usize, engines: usize, drain_seconds: Option<u64>) -> Self {
+        let mut site = Self { drain_seconds, ..Self::start_platform().await };
         for _ in 0..engines {
             site.add_engine("models-1", "north").await;
         }
@@ -79,7 +86,14 @@
     pub async fn start_platform() -> Self {
         let platform = Platform::start(listener().await.0, 1).expect("the platform starts");
         let executions = Executions::default();
-        Self { platform, engines: Vec::new(), services: Vec::new(), executions, daemons: Vec::new() }
+        Self {
+            platform,
+            engines: Vec::new(),
+            services: Vec::new(),
+            executions,
+            daemons: Vec::new(),
+            drain_seconds: None,
+        }
     }
 
     pub async fn add_engine(&mut self, version: &str, region: &str) -> usize {
@@ -118,6 +132,7 @@
             region: region.into(),
             platform: self.platform.address(),
             join,
+            drain_seconds: self.drain_seconds,
         };
         self.daemons.push(TestDaemon::start(options).await);
     }
