--- a/goldcrestward/src/cmd/serve.rs
+++ b/goldcrestward/src/cmd/serve.rs
@@ -11,7 +11,7 @@
     error::{DaemonSnafu, Result, RuntimeSnafu, SettingsSnafu},
     logs,
     port::Ports,
-    process::{Daemon, Overrides, Settings},
+    process::{Overrides, Settings, StartingDaemon},
 };
 
 /// Builds a daemon's ports to a platform for which this crate has no adapters.
@@ -57,10 +57,16 @@
         }
     };
     tokio::pin!(shutdown);
-    let daemon = tokio::select! {
-        daemon = Daemon::start(settings, ports) => daemon.context(DaemonSnafu)?,
-        () = &mut shutdown => return Ok(()),
+    let starting = StartingDaemon::launch(settings, ports).await.context(DaemonSnafu)?;
+    let is_configured = tokio::select! {
+        () = starting.configured() => true,
+        () = &mut shutdown => false,
     };
+    if !is_configured {
+        starting.stop().await;
+        return Ok(());
+    }
+    let daemon = starting.serve();
     loop {
         tokio::select! {
             () = &mut shutdown => break,
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -38,7 +38,7 @@
     exchange::Exchange,
     gateway::Gateway,
     gossip::Gossip,
-    lifecycle::{Serving, Starting},
+    lifecycle::{Draining, Serving, Starting},
     membership::{Member, State, Timing, View},
     metrics::Metrics,
     peer_service::{PeerService, report_limit_demand},
@@ -71,13 +71,23 @@
 /// Time on stop for the ledger to write pending records, and for operators' requests to finish.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// A running daemon. Dropping it aborts its tasks; [`Daemon::stop`] stops it gracefully.
+/// A daemon that serves. Dropping it aborts its tasks; [`Daemon::stop`] stops it gracefully.
 pub struct Daemon {
+    parts: Parts,
+    serving: Serving,
+}
+
+/// A daemon that has opened its sockets and waits for its first configuration.
+pub struct StartingDaemon {
+    parts: Parts,
+    starting: Starting,
+}
+
+struct Parts {
     shared: Arc<Shared>,
     gossip: Gossip,
     secrets: Secrets,
     tasks: JoinSet<()>,
-    serving: Serving,
     callers: Drain,
     operators: Drain,
 }
@@ -91,12 +101,12 @@
     pub recomputed: u64,
 }
 
-impl Daemon {
-    /// Opens the sockets, joins the site, and starts serving once there is a configuration.
+impl StartingDaemon {
+    /// Opens the sockets and joins the site.
     ///
     /// # Errors
     /// Fails when a socket cannot be opened, or when the HTTP client or the metrics cannot be created.
-    pub async fn start(settings: Settings, ports: Option<PortsFactory>) -> Result<Self> {
+    pub async fn launch(settings: Settings, ports: Option<PortsFactory>) -> Result<Self> {
         let callers_socket = bind(settings.callers).context(ConnectionSnafu)?;
         let admin_socket = settings.admin.map(bind).transpose().context(ConnectionSnafu)?;
         let peers_socket = bind(settings.peers).context(ConnectionSnafu)?;
@@ -162,30 +172,67 @@
         tasks.spawn(listen(callers_socket, router, &callers));
 
         info!("event=started daemon={} zone={}", shared.settings.name, shared.settings.zone);
-        let serving = serve_when_configured(starting, &shared).await;
-        Ok(Self { shared, gossip, secrets, tasks, serving, callers, operators })
+        Ok(Self { parts: Parts { shared, gossip, secrets, tasks, callers, operators }, starting })
+    }
+
+    /// Waits until there is a configuration.
+    pub async fn configured(&self) {
+        wait_until_configured(&self.parts.shared).await;
+    }
+
+    /// Starts serving.
+    pub fn serve(self) -> Daemon {
+        info!("event=serving daemon={}", self.parts.shared.settings.name);
+        Daemon { parts: self.parts, serving: self.starting.serve() }
+    }
+
+    /// Stops gracefully. Callers may have been served already, though the daemon has never said that it is ready.
+    pub async fn stop(self) {
+        let Self { parts, starting } = self;
+        parts.stop(|| starting.drain(), Duration::ZERO).await;
+    }
+}
+
+impl Daemon {
+    /// Opens the sockets, joins the site, and starts serving once there is a configuration.
+    ///
+    /// # Errors
+    /// Fails when a socket cannot be opened, or when the HTTP client or the metrics cannot be created.
+    pub async fn start(settings: Settings, ports: Option<PortsFactory>) -> Result<Self> {
+        let starting = StartingDaemon::launch(settings, ports).await?;
+        starting.configured().await;
+        Ok(starting.serve())
     }
 
     pub fn settings(&self) -> &Settings {
-        &self.shared.settings
+        &self.parts.shared.settings
     }
 
     /// Replaces the shared secrets by which daemons authenticate each other.
     pub fn rotate_secrets(&self, secrets: &[String]) {
-        self.secrets.rotate(secrets);
+        self.parts.secrets.rotate(secrets);
         info!("event=peer-secrets-replaced count={}", secrets.len());
     }
 
     /// Returns selected counters.
     pub fn counts(&self) -> DaemonCounts {
-        let metrics = &self.shared.metrics;
+        let metrics = &self.parts.shared.metrics;
         let resumed = ["import", "recompute"].map(|way| metrics.resumed.with_label_values(&[way]).get());
         DaemonCounts { resumed: resumed.iter().sum(), recomputed: metrics.recomputed.get() }
     }
 
     /// Stops gracefully: accepts no new requests, lets those in flight and the connections that are carried for peers
     /// finish, and writes pending ledger records.
-    pub async fn stop(mut self) {
+    pub async fn stop(self) {
+        let Self { parts, serving } = self;
+        let notice = parts.shared.settings.notice;
+        parts.stop(|| serving.drain(), notice).await;
+    }
+}
+
+impl Parts {
+    /// Stops within the limit of the settings; new connections are accepted for the time of `notice`.
+    async fn stop(mut self, drain: impl FnOnce() -> Draining, notice: Duration) {
         let drain_timeout = match self.shared.settings.drain_seconds {
             0 => Duration::MAX,
             seconds => Duration::from_secs(seconds).saturating_sub(STOP_MARGIN),
@@ -195,9 +242,9 @@
         self.shared.ends_at_ms.store(ends_at_ms, Ordering::Relaxed);
         let carried = &self.shared.carried;
         info!("event=stopping daemon={} carried={}", self.shared.settings.name, carried.count());
-        let _draining = self.serving.drain();
+        let _draining = drain();
         self.gossip.announce_stop();
-        tokio::time::sleep(self.shared.settings.notice).await;
+        tokio::time::sleep(notice).await;
         let drained = async {
             self.callers.finish().await;
             self.shared.tasks.close();
@@ -342,7 +389,7 @@
     Router::new().route("/metrics", get(move || async move { Response::new(Body::from(shared.metrics.render())) }))
 }
 
-async fn serve_when_configured(starting: Starting, shared: &Arc<Shared>) -> Serving {
+async fn wait_until_configured(shared: &Shared) {
     /// Interval between checks.
     const POLL_INTERVAL: Duration = Duration::from_millis(20);
     /// Time to wait for the list of instances. The daemon then serves without it, as refusals need no instances.
@@ -355,6 +402,4 @@
     while !shared.instances_listed.load(Ordering::Relaxed) && Instant::now() < deadline {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
-    info!("event=serving daemon={}", shared.settings.name);
-    starting.serve()
 }
--- a/goldcrestward/src/process/lifecycle.rs
+++ b/goldcrestward/src/process/lifecycle.rs
@@ -64,6 +64,12 @@
         (Self(view.clone()), view)
     }
 
+    /// Enters the draining stage, when the daemon is asked to stop before it has served.
+    pub fn drain(self) -> Draining {
+        self.0.0.store(2, Ordering::Release);
+        Draining
+    }
+
     /// Enters the serving stage, once a configuration is in force.
     pub fn serve(self) -> Serving {
         self.0.0.store(1, Ordering::Release);
