Work is not begun that can't end before a daemon that is being stopped (LOST)

Callers saw connections end without an answer 7.7 s after the SIGTERM of a daemon with a grace of 8 s, in calm: requests whose body or place came late in the grace were passed on and cut, among them such as may run only once.

Cause: a decision to send work looked at the request's time and not at the daemon's own. Class: two limits on one run, of which only one was asked. What was carried for peers knew the daemon's end, the daemon's own requests did not.

Change: the end is one fact (process/lifetime.rs), asked by each place that sends, repeats, waits or goes on, in both request paths; how long a request needs is measured by route and size (process/run_times.rs). What can't be expected to end is refused as not run, at once, also while its body is on the way; what runs at the end is given up with an answer. The fixed 3 s for repeatable requests by way of a stopping peer is replaced by the same measure.

The own interface's test sends four requests of each short kind before the stop, as without any run nothing can be expected of the next one: it refuses what it knows nothing of and may run once.

--- a/goldcrestward/src/port/header_codec.rs
+++ b/goldcrestward/src/port/header_codec.rs
@@ -35,6 +35,11 @@
 }
 
 impl RequestMetadata {
+    /// Number of tokens that the answer may have; 0 if the request states none.
+    pub fn max_tokens(&self) -> u32 {
+        self.tokens.map_or(0, |(_, output)| output)
+    }
+
     /// The parts of the prompt that other requests may have in common: all but the last, which is the request's own.
     pub fn shared_parts(&self) -> &[PromptPart] {
         self.prompt_parts.split_last().map_or(&[], |(_, shared)| shared)
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -39,11 +39,13 @@
     gateway::Gateway,
     gossip::Gossip,
     lifecycle::{Draining, Serving, Starting},
+    lifetime::Lifetime,
     membership::{Member, State, Timing, View},
     metrics::Metrics,
     peer_service::{PeerService, report_limit_demand},
     replicas::Replicas,
     rollout::RolloutController,
+    run_times::RunTimes,
     seeds::Seeder,
     settings::Settings,
     shared::{InForce, Shared},
@@ -68,7 +70,9 @@
 const EVICTION_INTERVAL: Duration = Duration::from_secs(1);
 /// Time before the end of the drain's time limit that is left for the last steps.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
-/// Time on stop for the ledger to write pending records, and for operators' requests to finish.
+/// Time before the end of the drain by which each request has its final answer, so that it still reaches the caller.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
+/// Time on stop for the ledger to write pending records, and for operators' requests to finish, without a time limit.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A daemon that serves. Dropping it aborts its tasks; [`Daemon::stop`] stops it gracefully.
@@ -233,34 +237,42 @@
 impl Parts {
     /// Stops within the limit of the settings; new connections are accepted for the time of `notice`.
     async fn stop(mut self, drain: impl FnOnce() -> Draining, notice: Duration) {
-        let drain_timeout = match self.shared.settings.drain_seconds {
-            0 => Duration::MAX,
-            seconds => Duration::from_secs(seconds).saturating_sub(STOP_MARGIN),
-        };
         let begun = Instant::now();
-        let ends_at_ms = self.shared.now().saturating_add(u64::try_from(drain_timeout.as_millis()).unwrap_or(u64::MAX));
-        self.shared.ends_at_ms.store(ends_at_ms, Ordering::Relaxed);
-        let carried = &self.shared.carried;
-        info!("event=stopping daemon={} carried={}", self.shared.settings.name, carried.count());
+        let shared = self.shared.clone();
+        let name = &shared.settings.name;
+        let limit = Some(shared.settings.drain_seconds).filter(|seconds| *seconds > 0);
+        let limit = limit.map(|seconds| Duration::from_secs(seconds).saturating_sub(STOP_MARGIN));
+        shared.lifetime.begin_stop(limit.map(|limit| limit.saturating_sub(LAST_ANSWERS_TIME)));
+        let ends_in_ms = limit.map_or("-".to_owned(), |limit| limit.as_millis().to_string());
+        info!("event=stopping daemon={name} ends_in_ms={ends_in_ms} carried={}", shared.carried.count());
         let _draining = drain();
         self.gossip.announce_stop();
         tokio::time::sleep(notice).await;
         let drained = async {
             self.callers.finish().await;
-            self.shared.tasks.close();
-            self.shared.tasks.wait().await;
-            carried.finish().await;
+            shared.tasks.close();
+            shared.tasks.wait().await;
+            shared.carried.finish().await;
+        };
+        let whole = match limit {
+            Some(limit) => timeout(limit.saturating_sub(begun.elapsed()), drained).await.is_ok(),
+            None => {
+                drained.await;
+                true
+            }
         };
-        let whole = timeout(drain_timeout.saturating_sub(begun.elapsed()), drained).await.is_ok();
-        let left = carried.count();
+        let left = shared.carried.count();
         if left > 0 {
-            warn!("event=carried-cut daemon={} count={left}", self.shared.settings.name);
+            warn!("event=carried-cut daemon={name} count={left}");
         }
-        self.shared.ledger.flush(FLUSH_TIMEOUT).await;
+        let rest = || limit.map_or(FLUSH_TIMEOUT, |limit| (limit + STOP_MARGIN).saturating_sub(begun.elapsed()));
+        shared.ledger.flush(rest()).await;
         self.gossip.leave();
-        timeout(FLUSH_TIMEOUT, self.operators.finish()).await.ok();
+        timeout(rest(), self.operators.finish()).await.ok();
         self.tasks.shutdown().await;
-        info!("event=stopped daemon={} whole={whole}", self.shared.settings.name);
+        let [refused, given_up, cut] = ["refused", "given-up", "cut"]
+            .map(|outcome| shared.metrics.stop_outcomes.with_label_values(&[outcome]).get());
+        info!("event=stopped daemon={name} whole={whole} refused={refused} given_up={given_up} cut={cut}");
     }
 }
 
@@ -321,7 +333,8 @@
         report_due: Notify::new(),
         stage,
         carried,
-        ends_at_ms: AtomicU64::new(u64::MAX),
+        lifetime: Lifetime::default(),
+        run_times: RunTimes::default(),
         tasks: TaskTracker::new(),
         start: Instant::now(),
         epoch,
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -27,6 +27,8 @@
     pub recomputed: IntCounter,
     /// Streams resumed on another replica, by method.
     pub resumed: IntCounterVec,
+    /// Requests that a stop refused, gave up or cut off, by outcome.
+    pub stop_outcomes: IntCounterVec,
     /// Answers that ended incomplete.
     pub cut_answers: IntCounter,
     /// Time to the first token, by route.
@@ -101,6 +103,11 @@
             tokens: factory.counter("tokens_total", "tokens passed on")?,
             recomputed: factory.counter("recomputed_tokens_total", "tokens computed again")?,
             resumed: factory.counters("resumed_total", "streams moved to another replica by way", &["way"])?,
+            stop_outcomes: factory.counters(
+                "stop_outcomes_total",
+                "requests that a stop refused, gave up or cut off",
+                &["outcome"],
+            )?,
             cut_answers: factory.counter("cut_answers_total", "answers that could not be ended whole")?,
             first_token: factory.histograms("first_token_seconds", "time to the first token", &["route"])?,
             between_tokens: factory.between_tokens()?,
--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -1,10 +1,6 @@
 //! Opens connections to backend servers, directly or by way of a peer.
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use log::{info, warn};
 use tokio::time::timeout;
@@ -185,10 +181,9 @@
 
 /// Whether the request on the connection ends before this daemon, which is being stopped.
 fn ends_in_time(shared: &Shared, open: &OpenTunnel) -> bool {
-    let ends_at_ms = shared.ends_at_ms.load(Ordering::Relaxed);
     // Without a limit, a stop that takes new connections might never end.
-    let has_limit = ends_at_ms != u64::MAX;
-    has_limit && open.ends_within_ms > 0 && shared.now().saturating_add(open.ends_within_ms) < ends_at_ms
+    let has_limit = shared.lifetime.time_left().is_some();
+    has_limit && open.ends_within_ms > 0 && shared.lifetime.allows(Duration::from_millis(open.ends_within_ms))
 }
 
 /// Value in metric labels and log lines.
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -24,10 +24,12 @@
     crash_evidence::CrashEvidence,
     exchange::Exchange,
     lifecycle::StageView,
+    lifetime::Lifetime,
     limits::AccountLimits,
     membership::{Fact, View},
     metrics::Metrics,
     replicas::{Replica, Replicas},
+    run_times::RunTimes,
     settings::Settings,
 };
 use crate::{
@@ -111,8 +113,10 @@
     pub stage: StageView,
     /// Connections to backend servers that this daemon carries for peers.
     pub carried: CarriedConnections,
-    /// When this daemon ends, in ms since its start; `u64::MAX` while it is not being stopped or there is no limit.
-    pub ends_at_ms: AtomicU64,
+    /// When this daemon ends.
+    pub lifetime: Lifetime,
+    /// How long the requests of each route take.
+    pub run_times: RunTimes,
     /// Tasks that finish requests whose callers have disconnected.
     pub tasks: TaskTracker,
     pub start: Instant,
--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -8,6 +8,7 @@
 use super::{
     crash::{CrashRecords, PossibleCause, record_crash},
     refusal::{Reason, Refusal, RunState},
+    run_window::{Phase, RunWindow},
 };
 use crate::{
     config::Route,
@@ -61,7 +62,7 @@
     fingerprint: u64,
     affinity_key: u64,
     version: Option<Arc<str>>,
-    deadline: Instant,
+    window: RunWindow,
     tried: Vec<Arc<str>>,
     rounds: u32,
     number: u32,
@@ -81,7 +82,7 @@
         affinity_key: u64,
         version: Option<Arc<str>>,
     ) -> Self {
-        let deadline = Instant::now() + route.timeout;
+        let window = RunWindow::new(shared.clone(), id.clone(), route.clone(), Instant::now() + route.timeout);
         shared.route_retry_budgets.deposit(&route.name, route.retry_share);
         Self {
             shared,
@@ -90,7 +91,7 @@
             fingerprint,
             affinity_key,
             version,
-            deadline,
+            window,
             tried: Vec::new(),
             rounds: 0,
             number: 0,
@@ -101,14 +102,24 @@
         }
     }
 
+    /// Sets how many tokens the answer may have; `None` if there is no limit.
+    pub fn with_tokens(self, tokens: Option<u32>) -> Self {
+        Self { window: self.window.with_tokens(tokens), ..self }
+    }
+
     /// Number of the current attempt, counted from 1; 0 before the first.
     pub fn number(&self) -> u32 {
         self.number
     }
 
-    /// Time until the request's deadline.
+    /// The time that the request has.
+    pub fn window(&self) -> &RunWindow {
+        &self.window
+    }
+
+    /// Time until the request's deadline or the daemon's end.
     pub fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.window.time_left()
     }
 
     /// Records that the current attempt may have reached the back end.
@@ -184,6 +195,12 @@
     }
 
     fn check_allowed(&mut self, resuming: bool) -> Result<(), Refusal> {
+        if self.window.has_ended() {
+            return Err(self.window.give_up(self.run_state));
+        }
+        if !resuming {
+            self.window.check(Phase::Send).map_err(|refusal| Refusal { run: self.run_state, ..refusal })?;
+        }
         if self.time_left().is_zero() {
             return Err(self.refuse(Reason::Deadline, "the request's time is over"));
         }
--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! Handling of a request: admission, placement, attempts and the response.
 
 mod attempt;
+mod bounded_body;
 mod budget;
 mod crash;
 mod fallback;
@@ -17,6 +18,7 @@
 mod proxy_outcome;
 mod refusal;
 mod response_owner;
+mod run_window;
 mod token_events;
 
 pub(crate) use budget::RouteRetryBudgets;
--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -12,11 +12,11 @@
 use http_body_util::BodyExt;
 use serde::Deserialize;
 use serde_json::{Map, Value, json};
-use tokio::time::timeout;
 use volo_http::{body::Body, error::BoxError, response::Response};
 
 use super::{
     attempt::{Attempts, Failure},
+    bounded_body::BoundedBody,
     crash::fingerprint,
     model_body::ModelBody,
     refusal::{Reason, Refusal},
@@ -53,6 +53,10 @@
     messages: Vec<Message>,
     #[serde(default)]
     user: Option<String>,
+    #[serde(default)]
+    max_tokens: Option<Value>,
+    #[serde(default)]
+    max_completion_tokens: Option<Value>,
 }
 
 #[derive(Deserialize)]
@@ -76,6 +80,12 @@
         stable_hash(&[account.as_bytes(), texts.concat().as_bytes()])
     }
 
+    /// The limit of the answer's tokens, if there is a readable one.
+    fn token_limit(&self) -> Option<u32> {
+        let stated = self.max_completion_tokens.as_ref().or(self.max_tokens.as_ref())?;
+        u32::try_from(stated.as_u64()?).ok()
+    }
+
     fn prefix(&self) -> String {
         let mut prefix = String::new();
         let contents = self.messages.iter().map(|m| &m.content);
@@ -162,7 +172,8 @@
         let fingerprint = fingerprint(&account.name, &path, &body);
         let key = stable_hash(&[request.prefix().as_bytes()]);
         let version = shared.choose_version(&route.pool, request.conversation(&account.name));
-        let attempts = Attempts::new(shared.clone(), id.clone(), route.clone(), fingerprint, key, version);
+        let attempts = Attempts::new(shared.clone(), id.clone(), route.clone(), fingerprint, key, version)
+            .with_tokens(request.token_limit());
         let _in_flight = InFlight::new(&shared);
         let (route, stream) = (route.clone(), request.stream);
         Ok(Self { shared, route, id, path, body, stream, attempts, received, kv_from: None, admitted, _in_flight })
@@ -184,6 +195,7 @@
 
     fn streamed_response(self, open: ModelStream) -> Response {
         let id = HeaderValue::from_str(&self.id);
+        let window = self.attempts.window().clone();
         let mut response = Response::new(Body::from_body(ModelBody::new(self, open)));
         let headers = response.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
@@ -191,7 +203,7 @@
         if let Ok(id) = id {
             headers.insert("x-request-id", id);
         }
-        response
+        BoundedBody::bound(response, window)
     }
 
     /// Opens a stream from token `next` at another replica after `failed` has failed or is leaving.
@@ -219,6 +231,7 @@
     /// Records that the replica sent a complete response.
     pub fn record_success(&self, guard: &ReplicaGuard) {
         self.attempts.record_success(guard.replica());
+        self.attempts.window().record_run(self.received);
         self.shared.observe(guard.replica(), &self.route.name, Sample::Good);
     }
 
@@ -263,7 +276,7 @@
         let mut body = response.into_body();
         loop {
             let idle_timeout = IDLE_TIMEOUT.min(self.attempts.time_left());
-            let data = read_frame(timeout(idle_timeout, body.frame()).await)?;
+            let data = read_frame(self.attempts.window().within(idle_timeout, body.frame()).await)?;
             let first = reader.read(&data);
             if let Some(error) = reader.error().filter(|_| first.is_empty()) {
                 self.count_stream_error(error);
@@ -286,18 +299,18 @@
         let is_shared = replica.echoes_ids();
         let client = &self.shared.client;
         let sending = async { if is_shared { client.send(request).await } else { client.send_fresh(request).await } };
-        let result = timeout(limit, sending).await;
+        let result = self.attempts.window().within(limit, sending).await;
         match result {
-            Err(_) => {
+            None => {
                 self.attempts.mark_sent();
                 Err(Failure::TimedOut)
             }
-            Ok(Err(SendError::NotSent)) => Err(Failure::ConnectFailed),
-            Ok(Err(SendError::MaybeSent)) => {
+            Some(Err(SendError::NotSent)) => Err(Failure::ConnectFailed),
+            Some(Err(SendError::MaybeSent)) => {
                 self.attempts.mark_sent();
                 Err(Failure::Disconnected)
             }
-            Ok(Ok(response)) => {
+            Some(Ok(response)) => {
                 self.attempts.mark_sent();
                 let owner = ResponseOwner::of(response.headers(), &self.id);
                 replica.set_echoes_ids(owner != ResponseOwner::Unknown);
@@ -340,6 +353,7 @@
             let failure = match self.try_buffered(&guard).await {
                 Ok(response) => {
                     self.attempts.record_success(&replica);
+                    self.attempts.window().record_run(self.received);
                     self.count_end("whole");
                     self.shared.observe(&replica, &self.route.name, Sample::Good);
                     return Ok(response);
@@ -358,11 +372,11 @@
         let response = if response.status() == StatusCode::OK { response } else { pass_client_error(response)? };
         let (mut parts, body) = response.into_parts();
         let limited = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES);
-        let collected = timeout(self.attempts.time_left(), limited.collect()).await;
+        let collected = self.attempts.window().within(self.attempts.time_left(), limited.collect()).await;
         let bytes = match collected {
-            Err(_) => return Err(Failure::TimedOut),
-            Ok(Err(_)) => return Err(Failure::Disconnected),
-            Ok(Ok(body)) => body.to_bytes(),
+            None => return Err(Failure::TimedOut),
+            Some(Err(_)) => return Err(Failure::Disconnected),
+            Some(Ok(body)) => body.to_bytes(),
         };
         if parts.status == StatusCode::OK && serde_json::from_slice::<serde::de::IgnoredAny>(&bytes).is_err() {
             return Err(Failure::Disconnected);
@@ -407,12 +421,10 @@
     Err(Failure::ErrorStatus)
 }
 
-fn read_frame(
-    frame: Result<Option<Result<Frame<Bytes>, BoxError>>, tokio::time::error::Elapsed>,
-) -> Result<Bytes, Failure> {
+fn read_frame(frame: Option<Option<Result<Frame<Bytes>, BoxError>>>) -> Result<Bytes, Failure> {
     match frame {
-        Err(_) => Err(Failure::TimedOut),
-        Ok(None | Some(Err(_))) => Err(Failure::Disconnected),
-        Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
+        None => Err(Failure::TimedOut),
+        Some(None | Some(Err(_))) => Err(Failure::Disconnected),
+        Some(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
     }
 }
--- a/goldcrestward/src/request/model_body.rs
+++ b/goldcrestward/src/request/model_body.rs
@@ -187,7 +187,8 @@
 impl Drop for ModelBody {
     fn drop(&mut self) {
         if let State::Streaming(parts) = &self.state {
-            parts.0.count_end("hung-up");
+            let is_cut = parts.0.shared().lifetime.has_ended();
+            parts.0.count_end(if is_cut { "cut" } else { "hung-up" });
         }
     }
 }
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -15,10 +15,12 @@
 
 use super::{
     attempt::{Attempts, Failure},
+    bounded_body::BoundedBody,
     crash::fingerprint,
     headers::drop_hop_by_hop,
-    refusal::{Reason, Refusal},
+    refusal::{Reason, Refusal, RunState},
     response_owner::ResponseOwner,
+    run_window::{Phase, RunTimer, RunWindow},
 };
 use crate::{
     config::{Account, Route},
@@ -146,6 +148,7 @@
     /// Returns a refusal if no back end responded.
     pub async fn run(self) -> Result<Response, Refusal> {
         let (shared, route, received) = (self.shared.clone(), self.route.clone(), self.received);
+        let window = self.attempts.window().clone();
         let result = match (self.rest.is_some(), self.route.repeatable) {
             (true, _) => self.run_streamed().await,
             (false, true) => self.run_repeatable().await,
@@ -155,7 +158,7 @@
         shared.metrics.requests.with_label_values(&[&*route.name, end]).inc();
         let seconds = received.elapsed().as_secs_f64();
         shared.metrics.plain_seconds.with_label_values(&[&*route.name]).observe(seconds);
-        result
+        result.map(|response| BoundedBody::bound(response, window))
     }
 
     async fn run_repeatable(mut self) -> Result<Response, Refusal> {
@@ -185,7 +188,7 @@
         let body = Body::from_stream(start.chain(rest.into_data_stream().map(|piece| piece.map(Frame::data))));
         let request = OutboundRequest { body, ..self.build_request(&guard) };
         self.attempts.mark_sent();
-        match send(self.outbound(&guard, request), self.attempts.time_left()).await {
+        match send(self.outbound(&guard, request), self.attempts.window()).await {
             Ok(response) => {
                 self.attempts.record_success(guard.replica());
                 self.shared.observe(guard.replica(), &self.route.name, Sample::Good);
@@ -194,7 +197,12 @@
             Err(failure) => {
                 self.shared.observe(guard.replica(), &self.route.name, Sample::Failed);
                 self.attempts.record_failure(&guard, failure).await;
-                Err(self.attempts.refuse(Reason::BackendFailed, "the back end did not take the whole body"))
+                match self.attempts.window().has_ended() {
+                    true => Err(self.attempts.window().give_up(RunState::MayHaveRun)),
+                    false => {
+                        Err(self.attempts.refuse(Reason::BackendFailed, "the back end did not take the whole body"))
+                    }
+                }
             }
         }
     }
@@ -203,7 +211,8 @@
     fn pass_through(self, response: Response, guard: ReplicaGuard) -> Response {
         let (mut parts, body) = response.into_parts();
         drop_hop_by_hop(&mut parts.headers);
-        let guards = (guard, self._admitted, self._in_flight);
+        let timer = RunTimer::new(self.attempts.window().clone(), self.received);
+        let guards = (guard, timer, self._admitted, self._in_flight);
         let body = body.map_frame(move |frame| {
             let _guards = &guards;
             frame
@@ -213,14 +222,14 @@
 
     async fn send(&mut self, guard: &ReplicaGuard) -> Result<Response, Failure> {
         self.attempts.mark_sent();
-        send(self.outbound(guard, self.build_request(guard)), self.attempts.time_left()).await
+        send(self.outbound(guard, self.build_request(guard)), self.attempts.window()).await
     }
 
     /// Sends a lookup to a second replica too if the first is slow and the retry budget allows it.
     async fn send_hedged(&mut self, guard: &ReplicaGuard) -> Result<Response, Failure> {
         self.attempts.mark_sent();
-        let left = self.attempts.time_left();
-        let first = send(self.outbound(guard, self.build_request(guard)), left);
+        let window = self.attempts.window().clone();
+        let first = send(self.outbound(guard, self.build_request(guard)), &window);
         tokio::pin!(first);
         if let Ok(result) = timeout(HEDGE_DELAY, &mut first).await {
             return result;
@@ -230,7 +239,7 @@
         }
         let Some(other) = self.attempts.choose_hedge(guard.replica()) else { return first.await };
         self.shared.metrics.retries.with_label_values(&["hedged"]).inc();
-        let second = send(self.outbound(&other, self.build_request(&other)), left);
+        let second = send(self.outbound(&other, self.build_request(&other)), &window);
         tokio::pin!(second);
         tokio::select! {
             result = &mut first => match result {
@@ -282,8 +291,17 @@
     }
 
     async fn claim_and_run(mut self, key: Key) -> Result<Response, Refusal> {
+        let window = self.attempts.window().clone();
+        window.check(Phase::Claim)?;
         let claim = Claim { key, fingerprint: self.fingerprint, request: self.id.clone() };
-        let claimed = match self.shared.ledger.claim(claim).await {
+        let Some(claimed) = window.within(window.time_left(), self.shared.ledger.claim(claim)).await else {
+            self.settle(key, false, None);
+            return Err(match window.has_ended() {
+                true => window.give_up(RunState::NotRun),
+                false => Refusal::not_run(Reason::Deadline, "the request's time is over"),
+            });
+        };
+        let claimed = match claimed {
             Ok(claimed) => claimed,
             Err(error) => {
                 self.settle(key, false, None);
@@ -335,18 +353,18 @@
                 }
             };
             let sending = self.shared.client.send_fresh(self.build_request(&guard));
-            match timeout(self.attempts.time_left(), sending).await {
-                Ok(Err(SendError::NotSent)) => self.attempts.record_failure(&guard, Failure::ConnectFailed).await,
+            match self.attempts.window().within(self.attempts.time_left(), sending).await {
+                Some(Err(SendError::NotSent)) => self.attempts.record_failure(&guard, Failure::ConnectFailed).await,
                 // The connection has carried nothing else, so a response without an id is the request's own.
-                Ok(Ok(response)) if ResponseOwner::of(response.headers(), &self.id) == ResponseOwner::Other => {
+                Some(Ok(response)) if ResponseOwner::of(response.headers(), &self.id) == ResponseOwner::Other => {
                     self.shared.metrics.dropped.with_label_values(&["crossed"]).inc();
                     return Err(self.record_unknown(key, &guard, Failure::WrongResponse).await);
                 }
-                Ok(Ok(response)) => return self.finish_claimed(key, response, &guard).await,
-                Ok(Err(SendError::MaybeSent)) => {
+                Some(Ok(response)) => return self.finish_claimed(key, response, &guard).await,
+                Some(Err(SendError::MaybeSent)) => {
                     return Err(self.record_unknown(key, &guard, Failure::Disconnected).await);
                 }
-                Err(_) => return Err(self.record_unknown(key, &guard, Failure::TimedOut).await),
+                None => return Err(self.record_unknown(key, &guard, Failure::TimedOut).await),
             }
         }
     }
@@ -359,7 +377,8 @@
     ) -> Result<Response, Refusal> {
         let (mut parts, body) = response.into_parts();
         let limited = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES);
-        let Ok(Ok(collected)) = timeout(self.attempts.time_left(), limited.collect()).await else {
+        let collected = self.attempts.window().within(self.attempts.time_left(), limited.collect()).await;
+        let Some(Ok(collected)) = collected else {
             return Err(self.record_unknown(key, guard, Failure::Disconnected).await);
         };
         let bytes = collected.to_bytes();
@@ -370,6 +389,7 @@
         // Recording the outcome first lets a retry at another daemon find it; the timeout limits the added latency.
         timeout(RECORD_TIMEOUT, self.settle(key, true, Some(outcome))).await.ok();
         self.attempts.record_success(guard.replica());
+        self.attempts.window().record_run(self.received);
         let sample = if parts.status.is_server_error() { Sample::Failed } else { Sample::Good };
         self.shared.observe(guard.replica(), &self.route.name, sample);
         drop_hop_by_hop(&mut parts.headers);
@@ -380,6 +400,9 @@
         self.settle(key, true, None);
         self.shared.observe(guard.replica(), &self.route.name, Sample::Failed);
         self.attempts.record_failure(guard, failure).await;
+        if self.attempts.window().has_ended() {
+            return self.attempts.window().give_up(RunState::MayHaveRun);
+        }
         Refusal::may_have_run(Reason::BackendFailed, "the back end gave no whole answer; the call may have run")
     }
 
@@ -390,16 +413,16 @@
 
 /// Sends a request, on an open connection only if the replica's responses bear the ids of their requests: a copy of an
 /// earlier response could otherwise not be told from the request's own.
-async fn send(call: OutboundCall, limit: Duration) -> Result<Response, Failure> {
+async fn send(call: OutboundCall, window: &RunWindow) -> Result<Response, Failure> {
     let OutboundCall { shared, replica, id, request } = call;
     let echoes_ids = replica.echoes_ids();
     let sending =
         async { if echoes_ids { shared.client.send(request).await } else { shared.client.send_fresh(request).await } };
-    let response = match timeout(limit, sending).await {
-        Err(_) => return Err(Failure::TimedOut),
-        Ok(Err(SendError::NotSent)) => return Err(Failure::ConnectFailed),
-        Ok(Err(SendError::MaybeSent)) => return Err(Failure::Disconnected),
-        Ok(Ok(response)) => response,
+    let response = match window.within(window.time_left(), sending).await {
+        None => return Err(Failure::TimedOut),
+        Some(Err(SendError::NotSent)) => return Err(Failure::ConnectFailed),
+        Some(Err(SendError::MaybeSent)) => return Err(Failure::Disconnected),
+        Some(Ok(response)) => response,
     };
     match ResponseOwner::of(response.headers(), &id) {
         ResponseOwner::Request => replica.set_echoes_ids(true),
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -23,6 +23,7 @@
     proxy_body::ProxyBody,
     proxy_outcome::{ExchangeResult, MigratedRun, ProxyFailure, ProxyResponse, ProxyStream},
     refusal::{Reason, Refusal, RunState},
+    run_window::{Phase, RunWindow},
 };
 use crate::{
     config::{Account, Route, RouteKind},
@@ -42,8 +43,6 @@
 const MAX_CONNECT_FAILURES: u32 = 3;
 /// Minimum time before the deadline for another attempt.
 pub(super) const MIN_RETRY_TIME: Duration = Duration::from_millis(20);
-/// Time that most idempotent requests need at most.
-const IDEMPOTENT_RUN_TIME: Duration = Duration::from_secs(3);
 const MIGRATION_TIMEOUT: Duration = Duration::from_millis(700);
 /// Idle time after which another server is sought for an idempotent request, as a multiple of the latency target.
 const IDLE_TIMEOUT_TARGETS: u32 = 3;
@@ -79,6 +78,12 @@
     head: RequestHead,
     body: Bytes,
     pub(super) placement: PlacementRequest,
+    /// The time that the request has.
+    pub(super) window: RunWindow,
+    /// When the run began whose answer is passed on.
+    pub(super) run_started: Instant,
+    /// Whether the caller has got the beginning of a stream, so that the request can no longer be refused.
+    is_answering: bool,
     fingerprint: u64,
     /// Ids of the parts of its prompt that other requests may have in common.
     parts: Vec<u64>,
@@ -113,6 +118,9 @@
         let fingerprint = fingerprint(name, &head.path, &body);
         let parts = metadata.shared_parts().iter().map(|part| part.id).collect();
         gateway.retry_budget.lock().record_request(&placement.pool, gateway.shared.now());
+        let (shared, id) = (gateway.shared.clone(), metadata.id.clone());
+        let window =
+            RunWindow::new(shared, id, route.clone(), placement.deadline).with_tokens(Some(metadata.max_tokens()));
         Self {
             gateway,
             route,
@@ -121,6 +129,9 @@
             head,
             body,
             placement,
+            window,
+            run_started: Instant::now(),
+            is_answering: false,
             fingerprint,
             parts,
             tried: Vec::new(),
@@ -150,6 +161,7 @@
             ProxyResponse::Stream(open) => {
                 let ProxyStream { head, body, connection, guard, first } = *open;
                 let headers = head.headers.clone();
+                self.is_answering = true;
                 let body = ProxyBody::new(self, sequence, body, connection, guard, first, headers);
                 Ok(Response::from_parts(caller_head(head), Body::from_body(body)))
             }
@@ -161,7 +173,13 @@
         loop {
             let guard = self.next_place().await?;
             let instance = guard.replica().id.clone();
-            match self.attempt(guard, sequence).await {
+            let window = self.window.clone();
+            let result = tokio::select! {
+                biased;
+                () = window.ended() => Err(ProxyFailure::Stopped),
+                result = self.attempt(guard, sequence) => result,
+            };
+            match result {
                 Ok(response) => return Ok(response),
                 Err(failure) => {
                     let repeat = self.may_retry(&failure);
@@ -185,20 +203,27 @@
             self.connection = Some(connection);
             return Ok(guard);
         }
-        let acquired = self.placement.acquire(&self.gateway, &self.tried, || self.crash_score()).await;
+        let acquired = self.placement.acquire(&self.gateway, &self.tried, || self.crash_score());
+        let acquired = match self.is_answering {
+            true => acquired.await,
+            false => self.window.wait_for(Phase::Place, acquired).await.and_then(|acquired| acquired),
+        };
         acquired.map_err(|refusal| Refusal { run: self.run_state, ..refusal })
     }
 
-    /// Time until the request's deadline.
+    /// Time until the request's deadline or the daemon's end.
     pub(super) fn time_left(&self) -> Duration {
+        self.window.time_left()
+    }
+
+    /// Time until the request's deadline.
+    pub(super) fn time_to_deadline(&self) -> Duration {
         self.placement.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Time for which a new connection must last. An idempotent request that takes longer goes on at another server.
+    /// Time for which a new connection must last.
     pub(super) fn time_needed(&self) -> TimeNeeded {
-        let left = self.time_left();
-        let to_end = if self.route.kind.is_idempotent() { left.min(IDEMPOTENT_RUN_TIME) } else { left };
-        TimeNeeded { left, to_end }
+        TimeNeeded { left: self.time_left(), to_end: self.window.needed_at_peer() }
     }
 
     /// Idle time after which another server is sought; the time left if the request cannot be sent to another one.
@@ -237,6 +262,11 @@
         PossibleCause { id: &self.metadata.id, fingerprint: self.fingerprint, parts: &self.parts }
     }
 
+    /// Whether an attempt that begins now can be expected to end before the daemon.
+    pub(super) fn may_send(&self) -> bool {
+        self.is_answering || self.window.allows_run()
+    }
+
     /// Records that the request was answered completely, which speaks for the parts of its prompt.
     pub(super) fn record_answer(&self) {
         record_answer(&self.gateway.shared, &self.parts);
@@ -288,6 +318,7 @@
             return false;
         }
         let allowed = match failure {
+            ProxyFailure::TooLate(_) | ProxyFailure::Stopped => return false,
             ProxyFailure::ConnectFailed => {
                 self.connect_failures += 1;
                 return self.connect_failures <= MAX_CONNECT_FAILURES;
@@ -306,6 +337,9 @@
         let refusal = |reason, message: &str| Err(Refusal { run: self.run_state, ..Refusal::not_run(reason, message) });
         match failure {
             ProxyFailure::ErrorResponse(response) => Ok(ProxyResponse::Buffered(response)),
+            ProxyFailure::TooLate(refusal) => Err(Refusal { run: self.run_state, ..*refusal }),
+            _ if self.window.has_ended() => Err(self.window.give_up(self.run_state)),
+            ProxyFailure::Stopped => Err(self.window.give_up(self.run_state)),
             ProxyFailure::ConnectFailed => refusal(Reason::NoReplica, "no backend server could be reached"),
             ProxyFailure::NotRun => {
                 let overloaded = refusal(Reason::Overloaded, "the backend server had no room");
@@ -324,12 +358,16 @@
         sequence: &mut EventSequence,
     ) -> Result<ProxyResponse, ProxyFailure> {
         let started = Instant::now();
+        if !self.is_answering {
+            self.run_started = started;
+        }
         let result = self.exchange(&guard, sequence).await;
         match result {
             Ok(ExchangeResult::Buffered(response)) => {
                 self.observe(&guard, Sample::Good);
                 self.observe_latency(&guard, started);
                 self.record_outcome(&guard, AttemptOutcome::Success);
+                self.window.record_run(started);
                 if response.status().is_success() {
                     self.record_answer();
                 }
@@ -344,7 +382,7 @@
             }
             Err(failure) => {
                 match &failure {
-                    ProxyFailure::NotRun => {}
+                    ProxyFailure::NotRun | ProxyFailure::TooLate(_) | ProxyFailure::Stopped => {}
                     ProxyFailure::ErrorResponse(_) => {
                         self.observe(&guard, Sample::Failed);
                         self.record_outcome(&guard, AttemptOutcome::ErrorResponse);
@@ -389,6 +427,11 @@
         if replica.is_leaving() {
             return Err(ProxyFailure::ConnectFailed);
         }
+        if !self.is_answering
+            && let Err(refusal) = self.window.check(Phase::Send)
+        {
+            return Err(ProxyFailure::TooLate(Box::new(refusal)));
+        }
         let is_first = connection.is_unused();
         let request = self.build_request(&replica.id, sequence.last());
         let previous = self.run_state;
--- a/goldcrestward/src/request/proxy_body.rs
+++ b/goldcrestward/src/request/proxy_body.rs
@@ -197,6 +197,7 @@
             call.gateway.shared.metrics.dropped.with_label_values(&["repeated"]).inc_by(sequence.repeated());
         }
         call.record_outcome(&guard, AttemptOutcome::Success);
+        call.window.record_run(call.run_started);
         call.record_answer();
         connection.release(&head);
     }
@@ -220,7 +221,9 @@
             let now = Instant::now();
             let due = (self.last_byte_at + source.call.idle_timeout()).max(self.search_at);
             // A run that has been migrated goes on at its new server.
-            if source.call.time_left().is_zero() || (now >= due && matches!(source.migration, Migration::Done(_))) {
+            if source.call.time_to_deadline().is_zero()
+                || (now >= due && matches!(source.migration, Migration::Done(_)))
+            {
                 return true;
             }
             let wake_at = if now < due {
@@ -232,7 +235,7 @@
                 self.search_at = now + SEARCH_INTERVAL;
                 self.search_at
             };
-            self.timer.as_mut().reset(wake_at.min(now + source.call.time_left()).into());
+            self.timer.as_mut().reset(wake_at.min(now + source.call.time_to_deadline()).into());
         }
     }
 
--- a/goldcrestward/src/request/proxy_ingress.rs
+++ b/goldcrestward/src/request/proxy_ingress.rs
@@ -13,9 +13,11 @@
 use volo_http::{body::Body, request::Request, response::Response};
 
 use super::{
+    bounded_body::BoundedBody,
     placement_request::{PlacementRequest, choose_pool},
     proxy::{AdmittedCaller, ProxyCall, RequestHead},
     refusal::{Reason, Refusal},
+    run_window::{Phase, RunWindow},
 };
 use crate::{
     config::{CallerLimits, Site},
@@ -80,12 +82,14 @@
         id = metadata.id.clone();
         let caller = admit_caller(&in_force.site, &parts, metadata).map_err(|refusal| refuse(&id, refusal))?;
         let deadline = arrived + caller.metadata.timeout.unwrap_or(caller.route.timeout).min(caller.route.timeout);
-        let body = self.read_body(body, &in_force.site.caller_limits, deadline).await;
-        let body = body.map_err(|refusal| refuse(&id, refusal))?;
+        let window = RunWindow::new(self.gateway.shared.clone(), id.clone(), caller.route.clone(), deadline)
+            .with_tokens(Some(caller.metadata.max_tokens()));
+        let body = window.wait_for(Phase::Body, self.read_body(body, &in_force.site.caller_limits, deadline)).await;
+        let body = body.and_then(|body| body).map_err(|refusal| refuse(&id, refusal))?;
         let call = self.prepare_call(caller, parts, body, arrived, deadline).await;
         let call = call.map_err(|refusal| refuse(&id, refusal))?;
-        let route = call.route.name.clone();
-        let result = call.run().await;
+        let (route, window) = (call.route.name.clone(), call.window.clone());
+        let result = call.run().await.map(|response| BoundedBody::bound(response, window));
         let end = if result.is_ok() { "passed" } else { "refused" };
         self.gateway.shared.metrics.requests.with_label_values(&[&*route, end]).inc();
         let seconds = arrived.elapsed().as_secs_f64();
@@ -113,7 +117,11 @@
         let pool = choose_pool(route, &in_force.site, salt)
             .ok_or_else(|| Refusal::not_run(Reason::NoReplica, format!("route {} leads to no pool", route.name)))?;
         let quota_units = match account {
-            Some(account) => gateway.admit(account, metadata).await?,
+            Some(account) => {
+                let window = RunWindow::new(gateway.shared.clone(), metadata.id.clone(), route.clone(), deadline)
+                    .with_tokens(Some(metadata.max_tokens()));
+                window.wait_for(Phase::Place, gateway.admit(account, metadata)).await??
+            }
             None => 0.0,
         };
         let priority = account.as_ref().and_then(|account| account.priority).unwrap_or(route.priority);
--- a/goldcrestward/src/request/proxy_outcome.rs
+++ b/goldcrestward/src/request/proxy_outcome.rs
@@ -5,6 +5,7 @@
 use hyper::body::Incoming;
 use volo_http::response::Response;
 
+use super::refusal::Refusal;
 use crate::{connection::BackendConnection, port::MigratedKvCache, process::ReplicaGuard};
 
 /// The destination of a migrated run.
@@ -25,6 +26,10 @@
     ErrorResponse(Box<Response>),
     /// No trustworthy response was received, for the given reason; the request may have run.
     Indeterminate(&'static str),
+    /// Nothing was sent, as the daemon is being stopped and would have ended first.
+    TooLate(Box<Refusal>),
+    /// The daemon ended first.
+    Stopped,
 }
 
 impl ProxyFailure {
@@ -35,6 +40,8 @@
             Self::NotRun => "not-run",
             Self::ErrorResponse(_) => "own-failure",
             Self::Indeterminate(reason) => reason,
+            Self::TooLate(_) => "too-late",
+            Self::Stopped => "stopped",
         }
     }
 }
--- a/goldcrestward/src/request/refusal.rs
+++ b/goldcrestward/src/request/refusal.rs
@@ -181,6 +181,14 @@
         Self { retry_after: Some(wait), ..self }
     }
 
+    fn status(&self) -> StatusCode {
+        match (self.reason, self.run) {
+            // 503 would say that the request has not run.
+            (Reason::Stopping, RunState::MayHaveRun) => StatusCode::BAD_GATEWAY,
+            (reason, _) => reason.status(),
+        }
+    }
+
     fn body(&self) -> String {
         let body = json!({
             "error": {
@@ -196,7 +204,7 @@
 
     /// Formats the response as HTTP/1.1 text, for connections on which no request could be parsed.
     pub fn to_http_text(&self) -> String {
-        let (status, reason, run, body) = (self.reason.status(), self.reason.label(), self.run.label(), self.body());
+        let (status, reason, run, body) = (self.status(), self.reason.label(), self.run.label(), self.body());
         let length = body.len();
         format!(
             "HTTP/1.1 {status}\r\ncontent-type: application/json\r\nx-refusal: {reason}\r\nx-run-state: {run}\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
@@ -206,7 +214,7 @@
     /// Builds the response to a proxied request: callers take 429 and 503 as a guarantee that the request has not run,
     /// so that a retry is safe, and accept fractions of a second in `Retry-After`.
     pub fn retry_safe_response(&self) -> Response {
-        let status = match (self.run, self.reason.status()) {
+        let status = match (self.run, self.status()) {
             (RunState::NotRun, StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT) => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
@@ -228,7 +236,7 @@
     /// Builds the response to a request for a model or a plain service, with `Retry-After` rounded up to seconds.
     pub fn response(&self) -> Response {
         let mut response = Response::new(Body::from(self.body()));
-        *response.status_mut() = self.reason.status();
+        *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
         headers.insert("x-refusal", HeaderValue::from_static(self.reason.label()));
--- /dev/null
+++ b/goldcrestward/src/request/run_window.rs
@@ -0,0 +1,213 @@
+//! The time that a request has: until its deadline, and until the end of a daemon that is being stopped.
+
+use std::{
+    pin::pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use log::info;
+use tokio::time::timeout;
+
+use super::refusal::{Reason, Refusal, RunState};
+use crate::{
+    config::Route,
+    process::{RunKind, Shared},
+};
+
+/// Time that repeatable requests are assumed to take while no run of their route is known.
+const UNKNOWN_RUN_TIME: Duration = Duration::from_secs(3);
+/// Time for the refusal of a request to reach a caller that still writes its body.
+pub(super) const REFUSAL_TIME: Duration = Duration::from_millis(500);
+/// `Retry-After` of what a stopping daemon refuses; the other daemons can take it at once.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// What a request was waiting for when it was refused, in log lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// The rest of its body.
+    Body,
+    /// Its account's quota, or a place at a server.
+    Place,
+    /// An attempt, all else being ready.
+    Send,
+    /// The ledger's answer to a claim.
+    Claim,
+}
+
+impl Phase {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Body => "body",
+            Self::Place => "place",
+            Self::Send => "send",
+            Self::Claim => "claim",
+        }
+    }
+}
+
+/// The time that one request has. Work that can't be expected to end in it is not begun.
+#[derive(Clone)]
+pub(crate) struct RunWindow {
+    shared: Arc<Shared>,
+    id: Arc<str>,
+    route: Arc<Route>,
+    kind: RunKind,
+    deadline: Instant,
+}
+
+impl RunWindow {
+    pub fn new(shared: Arc<Shared>, id: Arc<str>, route: Arc<Route>, deadline: Instant) -> Self {
+        let kind = RunKind::new(route.name.clone(), Some(0));
+        Self { shared, id, route, kind, deadline }
+    }
+
+    /// Sets how many tokens the answer may have; `None` if there is no limit.
+    pub fn with_tokens(self, tokens: Option<u32>) -> Self {
+        Self { kind: RunKind::new(self.route.name.clone(), tokens), ..self }
+    }
+
+    /// Time until the request's deadline or the daemon's end.
+    pub fn time_left(&self) -> Duration {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        self.shared.lifetime.time_left().map_or(left, |end| left.min(end))
+    }
+
+    /// Whether the daemon has to end the request now.
+    pub fn has_ended(&self) -> bool {
+        self.shared.lifetime.has_ended()
+    }
+
+    /// Time for which a connection by way of a peer must last. A repeatable request that takes longer goes on elsewhere.
+    pub fn needed_at_peer(&self) -> Duration {
+        self.needed(self.is_repeatable())
+    }
+
+    /// Time that the request needs at this daemon. Only a request that the caller can repeat, and whose answer has not
+    /// begun, may turn out to take longer.
+    fn needed_here(&self) -> Duration {
+        self.needed(self.is_repeatable() && !self.is_stream())
+    }
+
+    fn needed_for(&self, phase: Phase) -> Duration {
+        let needed = self.needed_here();
+        if phase == Phase::Body { needed.max(REFUSAL_TIME) } else { needed }
+    }
+
+    fn needed(&self, may_fail: bool) -> Duration {
+        let (times, now) = (&self.shared.run_times, Instant::now());
+        let left = self.deadline.saturating_duration_since(now);
+        let known = if may_fail { times.usual(&self.kind, now) } else { times.longest(&self.kind, now) };
+        known.unwrap_or(if may_fail { UNKNOWN_RUN_TIME } else { left }).min(left)
+    }
+
+    fn is_repeatable(&self) -> bool {
+        self.route.repeatable || self.route.kind.is_idempotent()
+    }
+
+    fn is_stream(&self) -> bool {
+        self.route.kind.is_stream() || self.route.model.is_some()
+    }
+
+    /// Whether a run that begins now can be expected to end before the daemon.
+    pub fn allows_run(&self) -> bool {
+        self.shared.lifetime.allows(self.needed_here())
+    }
+
+    /// Refuses the request if it can't be expected to end before the daemon.
+    pub fn check(&self, phase: Phase) -> Result<(), Refusal> {
+        if self.shared.lifetime.time_left().is_none() {
+            return Ok(());
+        }
+        let needed = self.needed_for(phase);
+        if self.shared.lifetime.allows(needed) { Ok(()) } else { Err(self.refuse(needed, phase)) }
+    }
+
+    /// Waits for `step`, until the request can no longer be expected to end before the daemon.
+    ///
+    /// # Errors
+    /// Returns the refusal of the request, which has not run.
+    pub async fn wait_for<T>(&self, phase: Phase, step: impl Future<Output = T>) -> Result<T, Refusal> {
+        let mut step = pin!(step);
+        loop {
+            self.check(phase)?;
+            let too_late = async {
+                self.shared.lifetime.stopping().await;
+                self.shared.lifetime.shorter_than(self.needed_for(phase)).await;
+            };
+            // Runs that have ended meanwhile may show that the request needs less.
+            tokio::select! {
+                biased;
+                output = &mut step => return Ok(output),
+                () = too_late => {}
+            }
+        }
+    }
+
+    /// Waits for `step`; `None` if it takes longer than `limit` or the daemon ends meanwhile.
+    pub async fn within<T>(&self, limit: Duration, step: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            output = timeout(limit, step) => output.ok(),
+            () = self.shared.lifetime.ended() => None,
+        }
+    }
+
+    /// Waits for the daemon's end.
+    pub async fn ended(&self) {
+        self.shared.lifetime.ended().await;
+    }
+
+    /// Records how long a run took.
+    pub fn record_run(&self, started: Instant) {
+        let now = Instant::now();
+        self.shared.run_times.record(&self.kind, now - started, now);
+    }
+
+    /// The final answer to a request that runs, or may have run, at the end of the daemon.
+    pub fn give_up(&self, run: RunState) -> Refusal {
+        let (id, route, label) = (&self.id, &self.route.name, run.label());
+        let left = self.deadline.saturating_duration_since(Instant::now()).as_millis();
+        info!("event=stop-given-up id={id} route={route} run={label} left_ms={left}");
+        self.shared.metrics.stop_outcomes.with_label_values(&["given-up"]).inc();
+        let refusal = Refusal::not_run(Reason::Stopping, "this daemon ends before the request");
+        match run {
+            RunState::NotRun => refusal.with_retry_after(RETRY_AFTER),
+            RunState::MayHaveRun => Refusal { run, ..refusal },
+        }
+    }
+
+    /// Records that the answer is cut off by the end of the daemon.
+    pub fn record_cut(&self, bytes: u64) {
+        let left = self.deadline.saturating_duration_since(Instant::now()).as_millis();
+        info!("event=stop-cut id={} route={} bytes={bytes} left_ms={left}", self.id, self.route.name);
+        self.shared.metrics.stop_outcomes.with_label_values(&["cut"]).inc();
+    }
+
+    fn refuse(&self, needed: Duration, phase: Phase) -> Refusal {
+        let left = self.shared.lifetime.time_left().unwrap_or_default().as_millis();
+        let (id, route, phase, needed) = (&self.id, &self.route.name, phase.label(), needed.as_millis());
+        info!("event=stop-refused id={id} route={route} needed_ms={needed} left_ms={left} phase={phase}");
+        self.shared.metrics.stop_outcomes.with_label_values(&["refused"]).inc();
+        let message = format!("this daemon ends in {left} ms, and the request may take {needed} ms");
+        Refusal::not_run(Reason::Stopping, message).with_retry_after(RETRY_AFTER)
+    }
+}
+
+/// Records how long a run took when it is dropped.
+pub(super) struct RunTimer {
+    window: RunWindow,
+    started: Instant,
+}
+
+impl RunTimer {
+    pub fn new(window: RunWindow, started: Instant) -> Self {
+        Self { window, started }
+    }
+}
+
+impl Drop for RunTimer {
+    fn drop(&mut self) {
+        self.window.record_run(self.started);
+    }
+}
--- a/goldcrestward/tests/it/stops.rs
+++ b/goldcrestward/tests/it/stops.rs
@@ -24,6 +24,8 @@
 const SPARE_TIME: Duration = Duration::from_secs(1);
 /// Largest share of the requests that could have ended which may be refused.
 const MAX_REFUSED: f64 = 0.1;
+/// Requests of each kind before the stop.
+const WARM_UP_REQUESTS: usize = 4;
 /// Tokens of a stream that takes well under a second, and of one that takes several.
 const SHORT_TOKENS: usize = 10;
 const LONG_TOKENS: usize = 800;
@@ -153,10 +155,19 @@
     assert!(wrong.is_empty(), "{what}, of {}: {}", outcomes.len(), listed(wrong));
 }
 
-/// Starts a site whose services take some time.
+/// Starts a site whose services take some time, as the first daemon has seen in a few requests of each short kind.
 async fn start(drain_seconds: Option<u64>, work: Duration) -> TestSite {
     let site = TestSite::start_with_grace(2, 2, drain_seconds).await;
     site.set_service_faults(&ServiceFaults { delay_ms: work.as_millis() as u64, ..ServiceFaults::default() });
+    let mut calls = JoinSet::new();
+    for kind in KINDS.into_iter().filter(|kind| *kind != Kind::Stream(LONG_TOKENS)) {
+        for number in 0..WARM_UP_REQUESTS {
+            calls.spawn(kind.request(&site, &format!("warm-{kind:?}-{number}"), Instant::now()).send());
+        }
+    }
+    for reply in calls.join_all().await {
+        assert!(reply.status == 200 && reply.complete, "before the stop: {reply:?}");
+    }
     site
 }
 
