Tests: answers of plain services and engines that are cut anywhere, at the own interface

The same as at the platform's interface: each answer is cut at every byte, with a length, with chunks and with neither, after an interim answer, by a clean close and by a reset, for repeatable requests, lookups, calls that may not be repeated, and a model's stream and completion.

--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod ledger;
 mod membership;
+mod partial_heads;
 mod responses;
 mod rollout;
 mod shutdown;
--- a/goldcrestward/tests/it/support/mod.rs
+++ b/goldcrestward/tests/it/support/mod.rs
@@ -1,9 +1,13 @@
 //! A test site: daemons as child processes, stand-ins in this process and fault-injecting proxies between them.
 
 mod daemon;
+mod raw_back_end;
+mod raw_reply;
 mod site;
 
 pub(crate) use daemon::{TestDaemon, free_port};
+pub(crate) use raw_back_end::{RawBackEnd, RawEnd};
+pub(crate) use raw_reply::RawReply;
 pub(crate) use site::{KEY, TOKEN, TestSite, propose, run_load};
 
 use std::{future::Future, time::Duration};
--- a/goldcrestward/tests/it/support/site.rs
+++ b/goldcrestward/tests/it/support/site.rs
@@ -107,7 +107,12 @@
 
     /// Adds a back end, which may be the test's own, to the platform's list of instances in the pool `orders`.
     pub fn register_service(&self, address: SocketAddr, id: &str) {
-        let row = instance("orders", "orders-1", "north", address, InstanceState::Live);
+        self.register_back_end("orders", address, id);
+    }
+
+    /// Adds a back end, which may be the test's own, to the platform's list of instances in a pool.
+    pub fn register_back_end(&self, pool: &str, address: SocketAddr, id: &str) {
+        let row = instance(pool, &format!("{pool}-1"), "north", address, InstanceState::Live);
         self.platform.put_instance(Instance { id: id.into(), ..row });
     }
 
