Tests: answers of the platform's services that are cut anywhere

Listings, reads, watches, transactions, leases, usage reports and kv-move on the platform's services, and the calls to the key-value service and the instance list of the own adapters: each answer is cut at every byte, with a length, with chunks and with neither, by a clean close and by a reset, on new and on kept connections. A cut answer counts as lost, never as a shorter listing, an absent key or a call that was not executed.

--- a/goldcrestward/src/platform/mod.rs
+++ b/goldcrestward/src/platform/mod.rs
@@ -5,3 +5,6 @@
 
 pub(crate) use etcd::Etcd;
 pub(crate) use instances::InstanceList;
+
+#[cfg(test)]
+mod partial_answers_test;
