Fix: an outcome whose body was not recorded is not replayed as an empty 200

What callers saw: a call that may not be repeated, sent again with its Idempotency-Key after an answer of more than 4 KB, got "200 OK, content-length: 0, x-replayed: true": an empty answer, framed as whole.

Cause: the ledger keeps only status and content type of longer answers, and replay() built the answer from what there was. An empty body that was recorded and one that was left out looked the same.

Change: the recorded outcome says whether its body was omitted (a new field; entries of earlier builds read as before). Such a call is refused as earlier-may-have-run, with the status of its answer in the message; it is still never sent again.

Test: outcome_without_its_body_is_not_replayed_as_whole, failing before with (200, "", "") in place of (409, "earlier-may-have-run", "may-have-run") at 4097 bytes; answers of 0 and 4096 bytes are replayed whole before and after.

--- a/goldcrestward/src/ledger/owner_test.rs
+++ b/goldcrestward/src/ledger/owner_test.rs
@@ -28,7 +28,7 @@
     let claim = |request: &str| Claim { key, fingerprint: 1, request: request.into() };
     let first = ledger.claim(claim("first")).await.expect("a grant");
     assert_eq!(first.grant, Grant::Run);
-    let outcome = Outcome { status: 200, content_type: String::new(), body: b"done".to_vec() };
+    let outcome = Outcome { status: 200, content_type: String::new(), body: b"done".to_vec(), body_omitted: false };
     ledger.settle(Settlement { key, request: "first".into(), ran: true, outcome: Some(outcome.clone()) }).await.ok();
     let second = ledger.claim(claim("second")).await.expect("a grant");
     assert_eq!((second.grant, second.outcome), (Grant::Done, Some(outcome)));
--- a/goldcrestward/src/ledger/slot_test.rs
+++ b/goldcrestward/src/ledger/slot_test.rs
@@ -104,7 +104,8 @@
     let (mut service, mut first, mut now) = (Service::default(), slot("a"), 0);
     let effects = claim(&mut first, 1, 5, now);
     service.drive(&mut first, effects, &mut now);
-    let outcome = pb::Outcome { status: 200, content_type: "text/plain".into(), body: b"done".to_vec() };
+    let outcome =
+        pb::Outcome { status: 200, content_type: "text/plain".into(), body: b"done".to_vec(), body_omitted: false };
     let settlement = Settlement { key: key(5), request: "request-1".into(), ran: true, outcome: Some(outcome) };
     let (recorded, effects) = first.settle(settlement, now, unix(now));
     assert!(recorded);
@@ -185,7 +186,8 @@
                 service.drive_once(&mut owner, more, now);
             }
         }
-        let outcome = pb::Outcome { status: 200, content_type: String::new(), body: vec![b'x'; 4096] };
+        let outcome =
+            pb::Outcome { status: 200, content_type: String::new(), body: vec![b'x'; 4096], body_omitted: false };
         let request = format!("request-{number}").into();
         let settlement = Settlement { key: key(number), request, ran: true, outcome: Some(outcome) };
         let (_, effects) = owner.settle(settlement, now, unix(now));
--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -364,6 +364,9 @@
     pub content_type: ::prost::alloc::string::String,
     #[prost(bytes = "vec", tag = "3")]
     pub body: ::prost::alloc::vec::Vec<u8>,
+    /// Whether the body was too long to be recorded.
+    #[prost(bool, tag = "4")]
+    pub body_omitted: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ClaimAnswer {
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -297,7 +297,7 @@
             return self.run_claimed(key).await;
         }
         if let (Grant::Done, Some(outcome)) = (grant, &claimed.outcome) {
-            return Ok(replay(outcome));
+            return replay(outcome);
         }
         Err(self.refuse_grant(grant, key))
     }
@@ -364,9 +364,10 @@
         };
         let bytes = collected.to_bytes();
         let content_type = parts.headers.get(header::CONTENT_TYPE).and_then(|v| v.to_str().ok()).unwrap_or_default();
-        let recorded_body = if bytes.len() <= MAX_OUTCOME_BYTES { bytes.to_vec() } else { Vec::new() };
+        let body_omitted = bytes.len() > MAX_OUTCOME_BYTES;
+        let body = if body_omitted { Vec::new() } else { bytes.to_vec() };
         let status = u32::from(parts.status.as_u16());
-        let outcome = pb::Outcome { status, content_type: content_type.to_owned(), body: recorded_body };
+        let outcome = pb::Outcome { status, content_type: content_type.to_owned(), body, body_omitted };
         // Recording the outcome first lets a retry at another daemon find it; the timeout limits the added latency.
         timeout(RECORD_TIMEOUT, self.settle(key, true, Some(outcome))).await.ok();
         self.attempts.record_success(guard.replica());
@@ -414,7 +415,17 @@
 }
 
 /// Builds a response from the recorded outcome.
-fn replay(outcome: &pb::Outcome) -> Response {
+///
+/// # Errors
+/// Returns a refusal if the body has not been recorded, as a response without it would look whole.
+fn replay(outcome: &pb::Outcome) -> Result<Response, Refusal> {
+    if outcome.body_omitted {
+        let message = format!(
+            "a request with this key has run and was answered with status {}; the answer was too long to be recorded",
+            outcome.status
+        );
+        return Err(Refusal::may_have_run(Reason::EarlierMayHaveRun, message));
+    }
     let mut response = Response::new(Body::from(outcome.body.clone()));
     if let Ok(status) = u16::try_from(outcome.status).map_err(drop).and_then(|s| s.try_into().map_err(drop)) {
         *response.status_mut() = status;
@@ -424,5 +435,5 @@
         headers.insert(header::CONTENT_TYPE, content_type);
     }
     headers.insert("x-replayed", HeaderValue::from_static("true"));
-    response
+    Ok(response)
 }
--- a/goldcrestward/tests/it/ledger.rs
+++ b/goldcrestward/tests/it/ledger.rs
@@ -8,7 +8,7 @@
     time::{Duration, sleep},
 };
 
-use crate::support::{TestSite, eventually, run_load};
+use crate::support::{RawBackEnd, RawEnd, RawReply, TestSite, eventually, run_load};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn keyed_requests_with_truncated_responses_run_once() {
@@ -118,3 +118,39 @@
     }
     assert_eq!(count, 1, "the request was sent more than once");
 }
+
+/// Guards against MIXED: a call whose answer was too long for the ledger was answered again by an empty 200, framed as
+/// whole.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn outcome_without_its_body_is_not_replayed_as_whole() {
+    let mut site = TestSite::start(1, 0).await;
+    site.services.iter().for_each(standin::service::Service::kill);
+    site.services.clear();
+    let back_end = RawBackEnd::start(|request, _| {
+        let length = request.split_once("length=").and_then(|(_, rest)| rest.split(' ').next()?.parse().ok());
+        let body = "x".repeat(length.unwrap_or(0));
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        (answer.into_bytes(), RawEnd::Close)
+    })
+    .await;
+    site.register_service(back_end.address, "long-answers");
+    let listed = || async {
+        let value = site.daemons[0].get("/admin/requests").await?;
+        value.to_string().contains("long-answers").then_some(())
+    };
+    eventually("the daemon lists the back end", listed).await;
+    for (length, is_kept) in [(0, true), (4_096, true), (4_097, false), (100_000, false)] {
+        let (path, key) = (format!("/orders/confirm?length={length}"), format!("idempotency-key: of-{length}\r\n"));
+        let daemon = site.daemons[0].callers;
+        let first = RawReply::post(daemon, &path, &key, "order").await;
+        assert_eq!((first.status, first.body.len(), first.complete), (200, length, true), "{}", first.head);
+        let again = RawReply::post(daemon, &path, &key, "order").await;
+        if is_kept {
+            assert_eq!((again.status, again.body == first.body, again.header("x-replayed")), (200, true, "true"));
+        } else {
+            let refusal = (again.status, again.header("x-refusal"), again.header("x-run-state"));
+            assert_eq!(refusal, (409, "earlier-may-have-run", "may-have-run"), "{again:?}");
+            assert!(again.body.contains("200"), "the status is not told: {again:?}");
+        }
+    }
+}
