--- a/goldcrestward/tests/it/support/mod.rs
+++ b/goldcrestward/tests/it/support/mod.rs
@@ -1,10 +1,14 @@
 //! A test site: daemons as child processes, stand-ins in this process and fault-injecting proxies between them.
 
 mod daemon;
+mod raw_back_end;
+mod raw_reply;
 mod site;
 mod slow_request;
 
 pub(crate) use daemon::{TestDaemon, free_port};
+pub(crate) use raw_back_end::{RawBackEnd, RawEnd};
+pub(crate) use raw_reply::RawReply;
 pub(crate) use site::{KEY, TOKEN, TestSite, propose, run_load};
 pub(crate) use slow_request::{SlowReply, SlowRequest};
 
