The end of a process waits for its queued log lines

What was seen: the log of a stopped daemon ended before the stop did; `event=stopped` and the lines before it were missing.

Cause: lines pass through a queue to a writer thread, and `main` returned without waiting for it, so the process ended with lines in the queue.

Change: the queue is a type of its own, `LineQueue`, whose `flush` waits until the lines that are queued at the moment are written, for a limited time. `main` holds a guard that flushes when it is dropped, also when a panic unwinds, for 1 s at most, so a reader that has stopped does not hold up the end. Nothing else waits. A closed pipe stays quiet. A writer thread that cannot be started is now reported on standard error.

--- a/goldcrestward/src/lib.rs
+++ b/goldcrestward/src/lib.rs
@@ -11,6 +11,7 @@
 mod demo;
 pub mod error;
 mod ledger;
+mod line_queue;
 pub mod logs;
 pub mod pb;
 mod platform;
--- a/goldcrestward/src/logs.rs
+++ b/goldcrestward/src/logs.rs
@@ -2,41 +2,44 @@
 //!
 //! Lines pass through a bounded queue to a writer thread. Lines that do not fit are dropped and counted, and
 //! the count is logged once there is room again. Requests go on if the reader closes the pipe or stops reading.
+//! The end of the process waits for the queued lines, for a limited time.
 
 use std::{
-    fmt,
     io::{self, Write},
-    sync::{
-        OnceLock,
-        atomic::{AtomicU64, Ordering},
-        mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
-    },
+    sync::OnceLock,
     thread,
+    time::Duration,
 };
 
 use env_logger::{Builder, Env, Target, fmt::Formatter};
 use log::Record;
 
-use crate::util::{stable_hash, unix_ms};
+use crate::{
+    line_queue::LineQueue,
+    util::{stable_hash, unix_ms},
+};
 
-/// Capacity of the queue, in lines.
-const QUEUE_LINES: usize = 4096;
 /// All lines are logged for one request in this many; failures and refusals are logged for every request.
 const SAMPLE_INTERVAL: u64 = 16;
+/// Time for which the end of the process waits for a reader that does not take the queued lines.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 
 static DAEMON: OnceLock<Box<str>> = OnceLock::new();
-static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
+static LINES: LineQueue = LineQueue::new();
 
 /// Starts logging from level `info` up, unless `RUST_LOG` sets another filter.
-pub fn init() {
-    let (sender, lines) = sync_channel(QUEUE_LINES);
-    if thread::Builder::new().name("log".into()).spawn(move || write_lines(&lines)).is_err() {
-        return;
+/// Dropping the guard, which `main` does last, writes the lines that are still queued.
+pub fn init() -> FlushGuard {
+    let write = || LINES.write_to(io::stdout(), dropped_line);
+    if let Err(error) = thread::Builder::new().name("log".into()).spawn(write) {
+        LINES.close();
+        eprintln!("goldcrestward: could not start the thread that writes the log: {error}");
     }
     Builder::from_env(Env::default().default_filter_or("goldcrestward=info,goldcrestward_platform=info"))
-        .target(Target::Pipe(Box::new(QueueWriter { sender })))
+        .target(Target::Pipe(Box::new(&LINES)))
         .format(write_record)
         .init();
+    FlushGuard { lines: &LINES }
 }
 
 /// Sets the name of the daemon that subsequent lines carry; only the first call has an effect.
@@ -46,7 +49,7 @@
 
 /// Number of lines dropped since the start because the queue was full.
 pub fn dropped_lines() -> u64 {
-    DROPPED_LINES.load(Ordering::Relaxed)
+    LINES.dropped()
 }
 
 /// Whether successful requests with this id are logged; all daemons decide alike.
@@ -54,49 +57,32 @@
     stable_hash(&[id.as_bytes()]).is_multiple_of(SAMPLE_INTERVAL)
 }
 
-fn write_record(out: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
-    let (time, level, args) = (unix_ms(), record.level(), record.args());
-    let daemon = DAEMON.get().map_or("-", |name| name);
-    writeln!(out, "time={time} level={level} daemon={daemon} {args}")
-}
-
-struct QueueWriter {
-    sender: SyncSender<Vec<u8>>,
+/// Writes the queued lines when it is dropped, which a panic of the main thread does too.
+#[must_use = "the queued lines are written when the guard is dropped"]
+pub struct FlushGuard {
+    lines: &'static LineQueue,
 }
 
-impl Write for QueueWriter {
-    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if let Err(TrySendError::Full(_)) = self.sender.try_send(line.to_vec()) {
-            DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
-        }
-        Ok(line.len())
+impl Drop for FlushGuard {
+    fn drop(&mut self) {
+        self.lines.flush(FLUSH_TIMEOUT);
     }
+}
 
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
+fn write_record(out: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
+    let (time, level, args) = (unix_ms(), record.level(), record.args());
+    writeln!(out, "time={time} level={level} daemon={} {args}", daemon())
 }
 
-fn write_lines(lines: &Receiver<Vec<u8>>) {
-    let mut reported = 0;
-    let mut out = io::stdout();
-    while let Ok(mut batch) = lines.recv() {
-        while let Ok(line) = lines.try_recv() {
-            batch.extend_from_slice(&line);
-        }
-        let dropped = dropped_lines();
-        if dropped > reported {
-            batch.extend_from_slice(dropped_line(dropped - reported).to_string().as_bytes());
-            reported = dropped;
-        }
-        // The reader has closed the pipe; further lines are discarded and requests go on.
-        if out.write_all(&batch).and_then(|()| out.flush()).is_err() {
-            return;
-        }
-    }
+fn dropped_line(count: u64) -> String {
+    format!("time={} level=WARN daemon={} event=lines-dropped count={count}\n", unix_ms(), daemon())
 }
 
-fn dropped_line(count: u64) -> impl fmt::Display {
-    let daemon = DAEMON.get().map_or("-", |name| name);
-    format!("time={} level=WARN daemon={daemon} event=lines-dropped count={count}\n", unix_ms())
+/// Name of the daemon, or `-` before it is known.
+fn daemon() -> &'static str {
+    DAEMON.get().map_or("-", |name| name)
 }
+
+#[cfg(test)]
+#[path = "logs_test.rs"]
+mod logs_test;
--- a/goldcrestward/src/main.rs
+++ b/goldcrestward/src/main.rs
@@ -5,7 +5,7 @@
 use goldcrestward::cmd::Run;
 
 fn main() -> ExitCode {
-    goldcrestward::logs::init();
+    let _flush = goldcrestward::logs::init();
     match goldcrestward::args::command().run().run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod command_line;
 mod configuration;
 mod ledger;
+mod logs;
 mod membership;
 mod responses;
 mod rollout;
--- a/goldcrestward/tests/it/support/daemon.rs
+++ b/goldcrestward/tests/it/support/daemon.rs
@@ -1,6 +1,7 @@
 //! A daemon process whose connections to the platform and from its peers pass through fault-injecting proxies.
 
 use std::{
+    fs,
     net::SocketAddr,
     process::{Child, Command, ExitStatus, Stdio},
 };
@@ -8,6 +9,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use standin::fault_proxy::{FaultProxy, LinkFaults};
+use tempfile::NamedTempFile;
 use tokio::net::{TcpListener, UdpSocket};
 
 use super::site::{SECRET, TOKEN, TOKEN_HASH};
@@ -30,6 +32,7 @@
     pub advertise: SocketAddr,
     platform_proxy: FaultProxy,
     peer_proxy: FaultProxy,
+    log: NamedTempFile,
 }
 
 impl TestDaemon {
@@ -54,6 +57,7 @@
         let (callers, admin, peers) = (free_port().await, free_port().await, free_port().await);
         let (advertise, peer_proxy) = start_proxy(peers).await;
         let (platform, platform_proxy) = start_proxy(options.platform).await;
+        let log = NamedTempFile::new().expect("a temporary file");
         let mut command = Command::new(env!("CARGO_BIN_EXE_goldcrestward"));
         command
             .args(["serve", "--site", "test", "--name", &options.name, "--region", &options.region])
@@ -63,7 +67,7 @@
             .args(["--platform", &platform.to_string()])
             .args(["--peer-secret", SECRET, "--admin-token-sha256", TOKEN_HASH])
             .stdin(Stdio::null())
-            .stdout(Stdio::null());
+            .stdout(log.reopen().expect("a temporary file"));
         for address in &options.join {
             command.args(["--join", &address.to_string()]);
         }
@@ -72,7 +76,7 @@
         }
         let child = command.spawn().expect("the daemon starts");
         let name = options.name.clone();
-        Self { child, name, callers, admin, advertise, platform_proxy, peer_proxy }
+        Self { child, name, callers, admin, advertise, platform_proxy, peer_proxy, log }
     }
 
     /// Sets the faults on the daemon's connections to the platform.
@@ -99,6 +103,11 @@
         self.child.try_wait().expect("the exit status can be read")
     }
 
+    /// What the daemon has logged.
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.log.path()).expect("the log can be read")
+    }
+
     pub async fn get(&self, path: &str) -> Option<Value> {
         let text = standin::http::get(self.admin, path, Some(TOKEN)).await.ok()?;
         serde_json::from_str(&text).ok()
