A start that fails is logged

What was seen: a daemon that could not start told the reason on standard error only; its log was empty or broke off.

Cause: `main` prints the error, and nothing logged it.

Change: `serve` logs `event=start-failed error=…` before it returns the error. The text on standard error and the exit code are as before.

--- a/goldcrestward/src/cmd/serve.rs
+++ b/goldcrestward/src/cmd/serve.rs
@@ -29,6 +29,14 @@
     /// # Errors
     /// Returns the reason why the daemon could not start.
     pub fn run_with_ports(self, ports: Option<PortsFactory>) -> Result<()> {
+        let result = self.run_daemon(ports);
+        if let Err(error) = &result {
+            error!("event=start-failed error={:?}", error.to_string());
+        }
+        result
+    }
+
+    fn run_daemon(&self, ports: Option<PortsFactory>) -> Result<()> {
         let settings = self.read_settings()?;
         logs::set_daemon(&settings.name);
         let mut builder = match settings.workers {
@@ -36,7 +44,7 @@
             _ => tokio::runtime::Builder::new_multi_thread(),
         };
         let runtime = builder.worker_threads(settings.workers).enable_all().build().context(RuntimeSnafu)?;
-        runtime.block_on(serve(&self, settings, ports))
+        runtime.block_on(serve(self, settings, ports))
     }
 
     fn read_settings(&self) -> Result<Settings> {
--- a/goldcrestward/tests/it/logs.rs
+++ b/goldcrestward/tests/it/logs.rs
@@ -1,8 +1,13 @@
 //! What a daemon's log holds when the process has ended.
 
+use std::{
+    net::TcpListener,
+    process::{Command, Stdio},
+};
+
 use rustix::process::Signal;
 
-use crate::support::{TestDaemon, TestSite, eventually};
+use crate::support::{TestDaemon, TestSite, eventually, free_port};
 
 /// Stops the daemons together and returns the last lines of their logs.
 async fn stop_all(daemons: &mut [TestDaemon]) -> Vec<String> {
@@ -24,3 +29,23 @@
     let last = stop_all(&mut site.daemons).await;
     assert!(last.iter().all(|line| line.contains("event=stopped")), "{last:#?}");
 }
+
+/// Guards against a start whose failure is on standard error only, where the log does not show it.
+#[tokio::test]
+async fn log_of_failed_start_ends_with_its_error() {
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let taken = socket.local_addr().expect("a bound socket").to_string();
+    let peers = free_port().await.to_string();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_goldcrestward"));
+    command
+        .args(["serve", "--site", "test", "--name", "unstarted", "--region", "north", "--zone", "north-a"])
+        .args(["--callers", &taken, "--peers", &peers, "--platform", "127.0.0.1:1"])
+        .args(["--peer-secret", "a secret for tests only"])
+        .stdin(Stdio::null());
+    let output = command.output().expect("the daemon runs");
+    let (stdout, stderr) = (String::from_utf8_lossy(&output.stdout), String::from_utf8_lossy(&output.stderr));
+    assert_eq!(output.status.code(), Some(1), "{stderr}");
+    assert!(stderr.starts_with("goldcrestward: could not run the daemon: ") && stderr.contains(&taken), "{stderr}");
+    let last = stdout.lines().last().unwrap_or_default();
+    assert!(last.contains("daemon=unstarted event=start-failed error=\"could not run the daemon: "), "{stdout:?}");
+}
