A panic is logged

What was seen: the log of a daemon that panicked ended without a reason; only standard error had the message.

Evidence: `logs::log_of_panic_ends_with_its_message` failed before with an empty log. It provokes a panic of a real process by a standard error without space, to which the error of a failed start cannot be written.

Change: a panic hook logs `event=panic thread=… location=… message=…`, then prints as before. The guard in `main` writes the line when the panic unwinds, and the exit code stays 101. The hook itself does not wait for the queue, as the process goes on after the panic of a task.

--- a/goldcrestward/src/logs.rs
+++ b/goldcrestward/src/logs.rs
@@ -6,13 +6,14 @@
 
 use std::{
     io::{self, Write},
+    panic::{self, PanicHookInfo},
     sync::OnceLock,
     thread,
     time::Duration,
 };
 
 use env_logger::{Builder, Env, Target, fmt::Formatter};
-use log::Record;
+use log::{Record, error};
 
 use crate::{
     line_queue::LineQueue,
@@ -27,7 +28,7 @@
 static DAEMON: OnceLock<Box<str>> = OnceLock::new();
 static LINES: LineQueue = LineQueue::new();
 
-/// Starts logging from level `info` up, unless `RUST_LOG` sets another filter.
+/// Starts logging from level `info` up, unless `RUST_LOG` sets another filter; panics are logged as well.
 /// Dropping the guard, which `main` does last, writes the lines that are still queued.
 pub fn init() -> FlushGuard {
     let write = || LINES.write_to(io::stdout(), dropped_line);
@@ -39,6 +40,11 @@
         .target(Target::Pipe(Box::new(&LINES)))
         .format(write_record)
         .init();
+    let print = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        log_panic(info);
+        print(info);
+    }));
     FlushGuard { lines: &LINES }
 }
 
@@ -57,7 +63,8 @@
     stable_hash(&[id.as_bytes()]).is_multiple_of(SAMPLE_INTERVAL)
 }
 
-/// Writes the queued lines when it is dropped, which a panic of the main thread does too.
+/// Writes the queued lines when it is dropped, which a panic of the main thread does too. The panic hook does not
+/// wait for them, as the process goes on after the panic of a task.
 #[must_use = "the queued lines are written when the guard is dropped"]
 pub struct FlushGuard {
     lines: &'static LineQueue,
@@ -78,6 +85,13 @@
     format!("time={} level=WARN daemon={} event=lines-dropped count={count}\n", unix_ms(), daemon())
 }
 
+fn log_panic(info: &PanicHookInfo<'_>) {
+    let thread = thread::current();
+    let location = info.location().map_or_else(|| "-".to_owned(), ToString::to_string);
+    let message = info.payload_as_str().unwrap_or("-");
+    error!("event=panic thread={:?} location={location:?} message={message:?}", thread.name().unwrap_or("-"));
+}
+
 /// Name of the daemon, or `-` before it is known.
 fn daemon() -> &'static str {
     DAEMON.get().map_or("-", |name| name)
