The stop of a daemon that is still starting is logged

What was seen: a daemon that was stopped while it waited for its first configuration ended with no line that said so, which in a log looks like a kill.

Evidence: `logs::log_of_daemon_stopped_while_starting_ends_with_stopped` failed before; the last line was `event=joined alone=true`.

Change: `event=stopped daemon=… whole=true` is logged there too.

--- a/goldcrestward/src/cmd/serve.rs
+++ b/goldcrestward/src/cmd/serve.rs
@@ -1,6 +1,6 @@
 //! `goldcrestward serve`: runs a daemon.
 
-use log::error;
+use log::{error, info};
 use snafu::ResultExt;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -65,9 +65,14 @@
         }
     };
     tokio::pin!(shutdown);
+    let name = settings.name.clone();
     let daemon = tokio::select! {
         daemon = Daemon::start(settings, ports) => daemon.context(DaemonSnafu)?,
-        () = &mut shutdown => return Ok(()),
+        () = &mut shutdown => {
+            // It has served nothing yet.
+            info!("event=stopped daemon={name} whole=true");
+            return Ok(());
+        }
     };
     loop {
         tokio::select! {
--- a/goldcrestward/tests/it/logs.rs
+++ b/goldcrestward/tests/it/logs.rs
@@ -30,6 +30,15 @@
     assert!(last.iter().all(|line| line.contains("event=stopped")), "{last:#?}");
 }
 
+/// Guards against a stop that the log does not show, as the daemon had no configuration yet.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn log_of_daemon_stopped_while_starting_ends_with_stopped() {
+    let mut site = TestSite::start_platform().await;
+    site.add_daemon(0, "north").await;
+    let last = stop_all(&mut site.daemons).await;
+    assert!(last.iter().all(|line| line.contains("event=stopped daemon=daemon-0")), "{last:#?}");
+}
+
 /// Guards against a start whose failure is on standard error only, where the log does not show it.
 #[tokio::test]
 async fn log_of_failed_start_ends_with_its_error() {
