The log of a carrier names the connections that it carries

What was seen: when the stop of a daemon cut connections that it carried for peers, its log gave their number only (`carried-cut`); nothing led from the id of a request to the carrier's side of it.

Cause: the log of the daemon that carries named no request, peer or server, and the message that asks for a connection held neither the request nor the sender.

Change: `OpenTunnel` has the new fields `request` and `from`, which earlier versions leave empty and ignore. `event=carried-begun` and `event=carried-ended` name the request, the peer and the instance; the end also has its cause (`server`, `peer`, `server-error`, `peer-error`, `stop`), the time and the bytes each way. Written for every connection that breaks or that the stop cuts, for all while the daemon is being stopped, and otherwise for sampled requests.

--- a/goldcrestward/src/connection/peer.rs
+++ b/goldcrestward/src/connection/peer.rs
@@ -1,12 +1,6 @@
 //! Request streams between daemons: one connection to each peer, with authenticated frames.
 
-use std::{
-    collections::HashMap,
-    future::Future,
-    net::SocketAddr,
-    sync::{Arc, atomic::AtomicBool},
-    time::Duration,
-};
+use std::{collections::HashMap, future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::{
@@ -29,7 +23,7 @@
     error::{PeerSnafu, Result as PeerResult},
     observed_stream::{ObservedStream, Receipts},
     seal::Secrets,
-    tunnel::{Tunnel, carry},
+    tunnel::{Tunnel, TunnelEnd, carry},
 };
 use crate::pb::{self, TunnelResult, answer, request};
 
@@ -238,11 +232,13 @@
     let opened = if permit.is_ok() { handler.open_tunnel(open).await } else { Err(TunnelResult::Busy) };
     let result = opened.as_ref().map_or_else(|result| *result, |_| TunnelResult::Opened);
     let body = answer::Body::TunnelAnswer(pb::TunnelAnswer { result: result.into() });
-    if stream.send(pb::Answer { id, body: Some(body) }.encode_to_vec()).await.is_none() {
-        return;
-    }
-    if let Ok(CarriedConnection { socket, guard: _guard }) = opened {
-        carry(stream, socket, &AtomicBool::new(false)).await;
+    let sent = stream.send(pb::Answer { id, body: Some(body) }.encode_to_vec()).await;
+    if let Ok(CarriedConnection { socket, mut guard }) = opened {
+        let end = match sent {
+            Some(()) => carry(stream, socket, guard.progress()).await,
+            None => TunnelEnd::PeerError,
+        };
+        guard.set_end(end);
     }
 }
 
--- a/goldcrestward/src/connection/tunnel.rs
+++ b/goldcrestward/src/connection/tunnel.rs
@@ -5,7 +5,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll},
 };
@@ -22,18 +22,17 @@
 /// The end of a tunnel that is used like the connection to the server. Dropping it closes that connection.
 pub(crate) struct Tunnel {
     io: DuplexStream,
-    /// Whether the server has closed its side, and the connection has not broken.
-    ended: Arc<AtomicBool>,
+    progress: Arc<Progress>,
 }
 
 impl Tunnel {
     /// Carries a connection in the frames of a stream from now on.
     pub(super) fn new(stream: AuthenticatedStream) -> Self {
         let (io, remote) = duplex(BUFFER_BYTES);
-        let ended = Arc::new(AtomicBool::new(false));
-        let flag = ended.clone();
-        tokio::spawn(async move { carry(stream, remote, &flag).await });
-        Self { io, ended }
+        let progress = Arc::new(Progress::default());
+        let shared = progress.clone();
+        tokio::spawn(async move { carry(stream, remote, &shared).await });
+        Self { io, progress }
     }
 }
 
@@ -47,7 +46,7 @@
         let result = Pin::new(&mut self.io).poll_read(context, buffer);
         let is_end = matches!(result, Poll::Ready(Ok(()))) && buffer.filled().len() == filled;
         // A response without a length ends with its connection, so a broken tunnel must not look like an end.
-        if is_end && buffer.remaining() > 0 && !self.ended.load(Ordering::Acquire) {
+        if is_end && buffer.remaining() > 0 && !self.progress.ended.load(Ordering::Acquire) {
             return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
         }
         result
@@ -68,40 +67,97 @@
     }
 }
 
+/// What has passed through a tunnel, as one of its ends sees it.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    /// Whether the peer's side has ended, and the stream has not broken.
+    ended: AtomicBool,
+    received: AtomicU64,
+    sent: AtomicU64,
+}
+
+impl Progress {
+    /// Bytes from the peer.
+    pub fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+
+    /// Bytes to the peer.
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+}
+
+/// What has ended a tunnel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TunnelEnd {
+    /// The connection to the server was closed.
+    Server,
+    /// The connection to the server broke.
+    ServerError,
+    /// The peer closed its side.
+    Peer,
+    /// The stream between the daemons broke.
+    PeerError,
+}
+
+impl TunnelEnd {
+    /// Value in log lines.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Server => "server",
+            Self::ServerError => "server-error",
+            Self::Peer => "peer",
+            Self::PeerError => "peer-error",
+        }
+    }
+}
+
 /// Carries bytes between a stream's frames and a connection until either ends. An empty frame is the end of the sender's
-/// side; a stream that ends without one has broken. Sets `ended` when the peer's side has ended.
+/// side; a stream that ends without one has broken.
 pub(super) async fn carry(
     stream: AuthenticatedStream,
     io: impl AsyncRead + AsyncWrite + Send + 'static,
-    ended: &AtomicBool,
-) {
+    progress: &Progress,
+) -> TunnelEnd {
     let (sender, receiver) = stream.split();
     let (reader, writer) = tokio::io::split(io);
     tokio::select! {
-        () = send_pieces(reader, sender) => {}
-        () = receive_pieces(receiver, writer, ended) => {}
+        end = send_pieces(reader, sender, progress) => end,
+        end = receive_pieces(receiver, writer, progress) => end,
     }
 }
 
-async fn send_pieces(mut reader: impl AsyncRead + Unpin, mut sender: FrameSender) {
+async fn send_pieces(mut reader: impl AsyncRead + Unpin, mut sender: FrameSender, progress: &Progress) -> TunnelEnd {
     let mut buffer = vec![0; PIECE_BYTES];
     loop {
-        let Ok(count) = reader.read(&mut buffer).await else { return };
-        if sender.send(buffer[..count].to_vec()).await.is_none() || count == 0 {
-            return;
+        let Ok(count) = reader.read(&mut buffer).await else { return TunnelEnd::ServerError };
+        let sent = sender.send(buffer[..count].to_vec()).await;
+        if count == 0 {
+            return TunnelEnd::Server;
+        }
+        if sent.is_none() {
+            return TunnelEnd::PeerError;
         }
+        progress.sent.fetch_add(count as u64, Ordering::Relaxed);
     }
 }
 
-async fn receive_pieces(mut receiver: FrameReceiver, mut writer: impl AsyncWrite + Unpin, ended: &AtomicBool) {
+async fn receive_pieces(
+    mut receiver: FrameReceiver,
+    mut writer: impl AsyncWrite + Unpin,
+    progress: &Progress,
+) -> TunnelEnd {
     while let Some(piece) = receiver.next().await {
         if piece.is_empty() {
-            ended.store(true, Ordering::Release);
+            progress.ended.store(true, Ordering::Release);
             writer.shutdown().await.ok();
-            return;
+            return TunnelEnd::Peer;
         }
         if writer.write_all(&piece).await.is_err() {
-            return;
+            return TunnelEnd::ServerError;
         }
+        progress.received.fetch_add(piece.len() as u64, Ordering::Relaxed);
     }
+    TunnelEnd::PeerError
 }
--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -487,6 +487,12 @@
     /// only what ends before it does.
     #[prost(uint64, tag = "3")]
     pub ends_within_ms: u64,
+    /// Request for which the connection is opened; empty from earlier versions.
+    #[prost(string, tag = "4")]
+    pub request: ::prost::alloc::string::String,
+    /// Daemon that has the request; empty from earlier versions.
+    #[prost(string, tag = "5")]
+    pub from: ::prost::alloc::string::String,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TunnelAnswer {
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -38,7 +38,7 @@
     exchange::Exchange,
     gateway::Gateway,
     gossip::Gossip,
-    lifecycle::{Serving, Starting},
+    lifecycle::{Serving, Stage, Starting},
     membership::{Member, State, Timing, View},
     metrics::Metrics,
     peer_service::{PeerService, report_limit_demand},
@@ -53,8 +53,8 @@
 use crate::{
     cmd::PortsFactory,
     connection::{
-        CarriedConnections, CurrentCallerLimits, DatagramSealer, Drain, HttpClient, Listener, PeerClient, Secrets,
-        bind, serve_peers,
+        CarriedConnections, CurrentCallerLimits, DatagramSealer, Drain, HttpClient, IsStopping, Listener, PeerClient,
+        Secrets, bind, serve_peers,
     },
     ledger::{Ledger, OwnerLookup, SLOTS},
     platform::Etcd,
@@ -242,7 +242,11 @@
     let owner_of = slot_owner(view.clone());
     let ledger = Ledger::start(&settings.site, &process, &kv, peer_client.clone(), owner_of, &metrics.ledger_commits);
     let (starting, stage) = Starting::new();
-    let carried = CarriedConnections::new(metrics.carried.clone());
+    let is_stopping: IsStopping = {
+        let stage = stage.clone();
+        Arc::new(move || stage.get() == Stage::Draining)
+    };
+    let carried = CarriedConnections::new(metrics.carried.clone(), is_stopping);
     let shared = Arc::new(Shared {
         settings,
         metrics,
--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -117,7 +117,13 @@
     async fn connect_by_peer(&self, id: &str, replica: &Replica, time: TimeNeeded) -> Option<BackendConnection> {
         let ends_within_ms = u64::try_from(time.to_end.as_millis()).unwrap_or(0);
         for (name, address) in self.helpers(id) {
-            let open = OpenTunnel { instance: replica.id.to_string(), run: replica.run_hash(), ends_within_ms };
+            let open = OpenTunnel {
+                instance: replica.id.to_string(),
+                run: replica.run_hash(),
+                ends_within_ms,
+                request: id.to_owned(),
+                from: self.shared.settings.name.to_string(),
+            };
             let opened = timeout(RELAY_TIMEOUT, self.shared.peer_client.open_tunnel(address, open)).await;
             let result = match &opened {
                 Ok(Ok(_)) => TunnelResult::Opened,
@@ -180,7 +186,7 @@
     let opened = opened.map_or(Err(ConnectError::Silent), |socket| socket.ok_or(ConnectError::Refused));
     gateway.record_reach(&replica, opened.as_ref().map(|_| ()).map_err(|error| *error));
     let socket = opened.map_err(|_| TunnelResult::Unreached)?;
-    Ok(CarriedConnection { socket, guard: shared.carried.begin() })
+    Ok(CarriedConnection { socket, guard: shared.carried.begin(open) })
 }
 
 /// Whether the request on the connection ends before this daemon, which is being stopped.
