explain shows what a stop did to a request

`stop-refused`, `stop-given-up`, `stop-cut`, `carried-begun` and `carried-ended` are described in a sentence each. A request that the stop of its own daemon refused, gave up or cut is shown with that stop (`stopping`, `carried-cut`, `stopped`), as was so far only the stop of a peer that carried it. A stop is shown if it is under way within a second of the request's lines, however long ago it began (10 minutes at most), and no longer if it ended before: a stop of more than 30 s was missing. A connection is kept for later requests, so the broken connection of a carrier is also shown if it was opened for another request: from the same daemon, by way of the same peer, to the same server, at the same time.

The `stop-*` lines are described from their keys; none of a real run was read.

--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -4,6 +4,7 @@
     collections::{BTreeMap, BTreeSet},
     fs::File,
     io::{self, BufRead, BufReader, Write},
+    ops::RangeInclusive,
 };
 
 use snafu::ResultExt;
@@ -14,10 +15,12 @@
     error::{ReadSnafu, Result, WriteSnafu},
 };
 
-/// Time before a request's first line from which stops of its carriers are shown, in ms.
-const STOP_LEAD_MS: u64 = 30_000;
-/// Time after its last line until which they are shown, in ms.
-const STOP_LAG_MS: u64 = 1_000;
+/// Time before a request's first line from which a stop that is still under way is shown, in ms.
+const STOP_LEAD_MS: u64 = 600_000;
+/// Time after its last line until which the end of a stop that is shown may come, in ms.
+const STOP_END_LAG_MS: u64 = 30_000;
+/// Time by which lines of other daemons that bear on the request may lie before its first or after its last line, in ms.
+const CONTEXT_MARGIN_MS: u64 = 1_000;
 
 /// A parsed log line.
 #[derive(Debug, PartialEq, Eq)]
@@ -36,18 +39,42 @@
             "relay-asked" if self.fields.get("result").is_some_and(|result| result == "opened") => "peer",
             "relayed" => "peer",
             "stream-broken" => "via",
+            "carried-begun" | "carried-ended" => return Some(&self.daemon),
             _ => return None,
         };
         self.fields.get(name).map(String::as_str)
     }
+
+    /// The daemon whose stop bears on the request: its own, or a peer that carried it.
+    fn stopped_daemon(&self) -> Option<&str> {
+        let is_stop = matches!(self.event.as_str(), "stop-refused" | "stop-given-up" | "stop-cut");
+        if is_stop { Some(&self.daemon) } else { self.carrier() }
+    }
+
+    /// Whether a daemon says that a connection which it carried was broken, or cut by its own end.
+    fn is_broken_carrying(&self) -> bool {
+        let planned = ["server", "peer"];
+        self.event == "carried-ended" && self.fields.get("end").is_some_and(|end| !planned.contains(&end.as_str()))
+    }
+
+    /// Whether the line tells the end of a connection that this request's line says it was sent on: to the same server,
+    /// from the same daemon by way of the same peer.
+    fn ends_way_of(&self, request: &Self) -> bool {
+        request.carrier() == Some(&self.daemon)
+            && self.fields.get("peer") == Some(&request.daemon)
+            && self.fields.get("instance") == request.fields.get("instance")
+    }
 }
 
 /// The log lines of one request.
 #[derive(Debug, Default)]
 pub(crate) struct RequestTrace {
     lines: Vec<LogLine>,
-    /// Stops of all daemons. Those of peers that carried the request are shown with it.
+    /// Starts and stops of all daemons. Stops of the request's own daemon, if its stop ended the request, and of peers that carried
+    /// it are shown.
     stops: Vec<LogLine>,
+    /// Broken connections that daemons carried for peers and that were opened for other requests.
+    broken_carryings: Vec<LogLine>,
     /// Lines that could not be parsed.
     skipped_lines: u64,
     /// Lines that the daemons report as dropped.
@@ -80,7 +107,10 @@
                     self.dropped_lines += line.fields.get("count").and_then(|count| count.parse().ok()).unwrap_or(0);
                 }
                 Some(line) if line.fields.get("id").is_some_and(|line_id| line_id == id) => self.lines.push(line),
-                Some(line) if matches!(line.event.as_str(), "stopping" | "carried-cut") => self.stops.push(line),
+                Some(line) if matches!(line.event.as_str(), "started" | "stopping" | "carried-cut" | "stopped") => {
+                    self.stops.push(line);
+                }
+                Some(line) if line.is_broken_carrying() => self.broken_carryings.push(line),
                 Some(_) => {}
                 None if text.trim().is_empty() => {}
                 None => self.skipped_lines += 1,
@@ -90,26 +120,35 @@
         Ok(())
     }
 
-    /// Adds the stops of peers that carried the request, from shortly before it to its end.
-    fn add_stops_of_carriers(&mut self) {
+    /// Adds the lines of other requests' connections and of whole daemons that bear on the request.
+    fn add_context(&mut self) {
         let times = self.lines.iter().map(|line| line.time);
         let (Some(first), Some(last)) = (times.clone().min(), times.max()) else { return };
-        let carriers: BTreeSet<String> = self.lines.iter().filter_map(LogLine::carrier).map(str::to_owned).collect();
-        let span = first.saturating_sub(STOP_LEAD_MS)..=last + STOP_LAG_MS;
-        let stops = std::mem::take(&mut self.stops);
-        self.lines
-            .extend(stops.into_iter().filter(|line| carriers.contains(&line.daemon) && span.contains(&line.time)));
+        let span = first.saturating_sub(CONTEXT_MARGIN_MS)..=last + CONTEXT_MARGIN_MS;
+        let broken = std::mem::take(&mut self.broken_carryings).into_iter();
+        let broken = broken.filter(|line| span.contains(&line.time));
+        let broken: Vec<_> = broken.filter(|line| self.lines.iter().any(|own| line.ends_way_of(own))).collect();
+        self.lines.extend(broken);
+
+        let stopped = self.lines.iter().filter_map(LogLine::stopped_daemon);
+        let stopped: BTreeSet<String> = stopped.map(str::to_owned).collect();
+        self.stops.sort_by_key(|line| line.time);
+        for daemon in stopped {
+            let (own, others) = std::mem::take(&mut self.stops).into_iter().partition(|line| line.daemon == daemon);
+            self.stops = others;
+            self.lines.extend(stop_during(own, &span));
+        }
     }
 
     /// Describes the events of the request in order of time.
     pub fn render(&mut self, id: &str) -> String {
-        self.add_stops_of_carriers();
+        self.add_context();
         self.lines.sort_by_key(|line| line.time);
         let mut text = String::new();
         let start = self.lines.first().map_or(0, |line| line.time);
         for line in &self.lines {
             let after = line.time - start;
-            text.push_str(&format!("{after:>6} ms  {:<20} {}\n", line.daemon, describe(line)));
+            text.push_str(&format!("{after:>6} ms  {:<20} {}\n", line.daemon, describe(line, id)));
         }
         if self.lines.is_empty() {
             text.push_str(&format!(
@@ -126,6 +165,26 @@
     }
 }
 
+/// Returns the lines of a daemon's stop that is under way in a span of time, from the daemon's starts and stops in order.
+fn stop_during(lines: Vec<LogLine>, span: &RangeInclusive<u64>) -> Vec<LogLine> {
+    let mut stop = Vec::new();
+    for line in lines {
+        let (is_over, is_late) = (line.time < *span.start(), line.time > *span.end());
+        match line.event.as_str() {
+            "stopping" if !is_late && line.time + STOP_LEAD_MS >= *span.start() => stop = vec![line],
+            "started" | "stopped" if is_over => stop.clear(),
+            "started" if !stop.is_empty() => break,
+            "stopped" if !stop.is_empty() && line.time <= span.end() + STOP_END_LAG_MS => {
+                stop.push(line);
+                break;
+            }
+            "carried-cut" if !is_over && !is_late => stop.push(line),
+            _ => {}
+        }
+    }
+    stop
+}
+
 /// Parses a line of `key=value` pairs, in which quoted values may contain spaces. Text before `time=` is skipped.
 pub(crate) fn parse(text: &str) -> Option<LogLine> {
     let start = text.find("time=")?;
@@ -155,7 +214,7 @@
     })
 }
 
-fn describe(line: &LogLine) -> String {
+fn describe(line: &LogLine, id: &str) -> String {
     let field = |name: &str| line.fields.get(name).map_or("?", String::as_str);
     match line.event.as_str() {
         "placed" => format!(
@@ -228,7 +287,32 @@
             let owner = if field("owner") == "other" { "bears another request's id" } else { "bears no id" };
             format!("a response of {} with status {} was dropped, as it {owner}", field("instance"), field("status"))
         }
-        "stopping" => format!("is being stopped; it carries {} connections for peers", field("carried")),
+        "stop-refused" => format!(
+            "refused by the stop of its daemon {}: it needs {} ms, and the daemon ends in {} ms",
+            phase(field("phase")),
+            field("needed_ms"),
+            field("left_ms")
+        ),
+        "stop-given-up" => {
+            let run = if field("run") == "not-run" { "it has not run" } else { "it may have run" };
+            format!("given up {} ms before the end of its daemon, {run}", field("left_ms"))
+        }
+        "stop-cut" => format!("the answer was cut off by the end of its daemon, {}", progress(field("last"))),
+        "carried-begun" => {
+            format!("carries a connection to {} for {}{}", field("instance"), field("peer"), owner(line, id))
+        }
+        "carried-ended" => format!(
+            "the connection to {} that it carried for {}{} {} after {} ms, {} bytes to the server and {} to the peer",
+            field("instance"),
+            field("peer"),
+            owner(line, id),
+            carried_end(field("end")),
+            field("ms"),
+            field("to_server"),
+            field("to_peer")
+        ),
+        "stopping" => describe_stopping(line),
+        "stopped" => describe_stopped(line),
         "carried-cut" => format!("ended while it carried {} connections for peers", field("count")),
         "answered" => format!("answered with status {} after {} ms", field("status"), field("ms")),
         event => {
@@ -238,6 +322,69 @@
     }
 }
 
+fn describe_stopping(line: &LogLine) -> String {
+    let mut text = "is being stopped".to_owned();
+    match line.fields.get("ends_in_ms").map(|ms| ms.parse::<u64>()) {
+        Some(Ok(ms)) if ms < u64::MAX => text.push_str(&format!("; it ends in {ms} ms at the latest")),
+        Some(_) => text.push_str("; its end has no time limit"),
+        None => {}
+    }
+    if let Some(carried) = line.fields.get("carried") {
+        text.push_str(&format!("; it carries {carried} connections for peers"));
+    }
+    text
+}
+
+fn describe_stopped(line: &LogLine) -> String {
+    let is_whole = line.fields.get("whole").is_some_and(|whole| whole == "true");
+    let mut text =
+        if is_whole { "has stopped, with nothing left" } else { "has stopped, before all had ended" }.to_owned();
+    let count = |name: &str| line.fields.get(name);
+    if let (Some(refused), Some(given_up), Some(cut)) = (count("refused"), count("given_up"), count("cut")) {
+        text.push_str(&format!("; its stop refused {refused} requests, gave up {given_up} and cut {cut}"));
+    }
+    text
+}
+
+/// The request for which a carried connection was opened, if it is not `id`.
+fn owner(line: &LogLine, id: &str) -> String {
+    match line.fields.get("id").map(String::as_str) {
+        Some("-") => " (opened for a request that the peer did not name)".into(),
+        Some(opened_for) if opened_for != id => format!(" (opened for request {opened_for})"),
+        _ => String::new(),
+    }
+}
+
+fn carried_end(label: &str) -> &str {
+    match label {
+        "server" => "was closed by the server",
+        "peer" => "was closed by the peer",
+        "server-error" => "broke between this daemon and the server",
+        "peer-error" => "broke between this daemon and the peer",
+        "stop" => "was cut by the end of this daemon",
+        other => other,
+    }
+}
+
+fn phase(label: &str) -> &str {
+    match label {
+        "body" => "while its body was read",
+        "place" => "before a server was chosen",
+        "send" => "before it was sent to a server",
+        "claim" => "before its idempotency key was claimed",
+        other => other,
+    }
+}
+
+/// How far an answer had come, from the number of its last event.
+fn progress(last: &str) -> String {
+    let number = last.strip_prefix("Some(").and_then(|rest| rest.strip_suffix(')')).unwrap_or(last);
+    match number.parse::<u64>() {
+        Ok(number) => format!("after event {number}"),
+        Err(_) => "before its first event".into(),
+    }
+}
+
 fn relay_result(label: &str) -> &str {
     match label {
         "opened" => "it did",
--- a/goldcrestward/src/cmd/explain_test.rs
+++ b/goldcrestward/src/cmd/explain_test.rs
@@ -25,8 +25,12 @@
 );
 
 fn render(id: &str) -> String {
+    render_log(LOG, id)
+}
+
+fn render_log(log: &str, id: &str) -> String {
     let mut trace = RequestTrace::default();
-    trace.read(LOG.as_bytes(), id).expect("a log in memory");
+    trace.read(log.as_bytes(), id).expect("a log in memory");
     trace.render(id)
 }
 
@@ -76,3 +80,139 @@
     assert!(lines[5].contains("the stream from i-1 by way of front-c ended early after event Some(4)"), "{text}");
     assert!(!text.contains("front-d"), "{text}");
 }
+
+#[test]
+fn explain_describes_each_effect_of_a_stop() {
+    let cases = [
+        (
+            "stop-refused id=r1 route=lunch needed_ms=900 left_ms=400 phase=body",
+            "refused by the stop of its daemon while its body was read: it needs 900 ms, and the daemon ends in 400 ms",
+        ),
+        (
+            "stop-refused id=r1 route=lunch needed_ms=9 left_ms=4 phase=place",
+            "before a server was chosen: it needs 9 ms",
+        ),
+        ("stop-refused id=r1 route=lunch needed_ms=9 left_ms=4 phase=send", "before it was sent to a server: "),
+        (
+            "stop-refused id=r1 route=lunch needed_ms=9 left_ms=4 phase=claim",
+            "before its idempotency key was claimed: ",
+        ),
+        (
+            "stop-given-up id=r1 route=lunch run=not-run left_ms=80",
+            "given up 80 ms before the end of its daemon, it has not run",
+        ),
+        ("stop-given-up id=r1 route=lunch run=may-have-run left_ms=80", "end of its daemon, it may have run"),
+        ("stop-cut id=r1 route=lunch last=Some(7)", "the answer was cut off by the end of its daemon, after event 7"),
+        ("stop-cut id=r1 route=lunch last=7", "the answer was cut off by the end of its daemon, after event 7"),
+        ("stop-cut id=r1 route=lunch last=None", "cut off by the end of its daemon, before its first event"),
+        ("stop-cut id=r1 route=lunch last=-", "cut off by the end of its daemon, before its first event"),
+        ("carried-begun id=r1 peer=front-b instance=i-1", "carries a connection to i-1 for front-b\n"),
+        (
+            "carried-ended id=r1 peer=front-b instance=i-1 end=server ms=70 to_server=400 to_peer=9000",
+            "the connection to i-1 that it carried for front-b was closed by the server after 70 ms, 400 bytes to the server and 9000 to the peer",
+        ),
+        (
+            "carried-ended id=r1 peer=front-b instance=i-1 end=peer ms=7",
+            "for front-b was closed by the peer after 7 ms",
+        ),
+        ("carried-ended id=r1 peer=front-b instance=i-1 end=stop ms=7", "was cut by the end of this daemon after 7 ms"),
+        (
+            "carried-ended id=r1 peer=front-b instance=i-1 end=server-error ms=7",
+            "broke between this daemon and the server",
+        ),
+        ("carried-ended id=r1 peer=front-b instance=i-1 end=peer-error ms=7", "broke between this daemon and the peer"),
+    ];
+    for (line, expected) in cases {
+        let text = render_log(&format!("time=1000 level=INFO daemon=front-a event={line}\n"), "r1");
+        assert!(text.contains(expected), "{line}: {text}");
+    }
+}
+
+#[test]
+fn explain_shows_the_stop_of_the_daemon_that_ended_the_request() {
+    const LINE: &str = "time=2000 level=INFO daemon=front-a event=stop-cut id=r1 route=lunch last=Some(7)\n";
+    let cases = [
+        (1_500, "stopping daemon=front-a ends_in_ms=2200", "is being stopped; it ends in 2200 ms at the latest\n"),
+        (1_500, "stopping daemon=front-a ends_in_ms=2200 carried=3", "; it carries 3 connections for peers\n"),
+        (1_500, "stopping daemon=front-a ends_in_ms=-", "is being stopped; its end has no time limit\n"),
+        (1_500, "stopping daemon=front-a ends_in_ms=18446744073709551615", "its end has no time limit\n"),
+        (
+            2_100,
+            "stopped daemon=front-a whole=false refused=2 given_up=1 cut=4",
+            "has stopped, before all had ended; its stop refused 2 requests, gave up 1 and cut 4\n",
+        ),
+        (2_100, "stopped daemon=front-a whole=true", "has stopped, with nothing left\n"),
+        // The end of a stop may come long after the request's.
+        (30_000, "stopped daemon=front-a whole=true", "has stopped, with nothing left\n"),
+    ];
+    for (time, line, expected) in cases {
+        let begin = "time=1400 level=INFO daemon=front-a event=stopping daemon=front-a ends_in_ms=2300\n";
+        let log = format!("{LINE}{begin}time={time} level=INFO daemon=front-a event={line}\n");
+        let text = render_log(&log, "r1");
+        assert!(text.contains(expected) && text.contains("front-a"), "{line}: {text}");
+        let other = render_log(&log.replace("daemon=front-a event=stop-cut", "daemon=front-b event=stop-cut"), "r1");
+        assert!(!other.contains("front-a"), "the stop of another daemon is shown: {other}");
+    }
+}
+
+#[test]
+fn explain_shows_only_a_stop_that_is_under_way() {
+    let cases = [
+        // The end of the carrier may come before the line that says what it broke.
+        (&[(400_000, "stopping"), (599_900, "stopped")][..], &["is being stopped", "has stopped"][..]),
+        (&[(1_000, "stopping")], &["is being stopped"]),
+        (&[(400_000, "stopping"), (598_000, "stopped")], &[]),
+        (&[(400_000, "stopping"), (598_000, "started")], &[]),
+        (&[(400_000, "stopping"), (500_000, "started"), (599_000, "stopping")], &["is being stopped"]),
+        (&[(400_000, "stopping"), (600_500, "started"), (600_600, "stopped")], &["is being stopped"]),
+        (&[(400_000, "stopping"), (640_000, "stopped")], &["is being stopped"]),
+        (&[(599_900, "stopped")], &[]),
+        (&[(601_001, "stopping"), (601_002, "stopped")], &[]),
+    ];
+    for (lines, expected) in cases {
+        let mut log = "time=600000 level=INFO daemon=front-a event=stop-cut id=r1 route=lunch last=7\n".to_owned();
+        for (time, event) in lines {
+            log.push_str(&format!("time={time} level=INFO daemon=front-a event={event} daemon=front-a whole=true\n"));
+        }
+        let text = render_log(&log, "r1");
+        let shown: Vec<&str> = text.lines().filter(|line| line.contains("stopped")).collect();
+        assert_eq!(shown.len(), expected.len(), "{lines:?}: {text}");
+        assert!(shown.iter().zip(expected).all(|(line, part)| line.contains(part)), "{lines:?}: {text}");
+    }
+}
+
+/// A connection is kept for further requests, so the carrier may name another request than the one that was lost with it.
+#[test]
+fn explain_shows_the_broken_connection_of_a_carrier() {
+    const REQUEST: &str = concat!(
+        "time=2000 level=INFO daemon=front-a event=relayed id=r1 instance=i-1 peer=front-c\n",
+        "time=3000 level=INFO daemon=front-a event=stream-broken id=r1 instance=i-1 via=front-c cause=cut last=Some(4) resume=false\n",
+        "time=2900 level=INFO daemon=front-c event=stopping daemon=front-c ends_in_ms=100\n",
+    );
+    let cases = [
+        ("front-c", "time=2990", "id=r0 peer=front-a instance=i-1 end=stop", Some(" (opened for request r0) was cut")),
+        (
+            "front-c",
+            "time=2990",
+            "id=- peer=front-a instance=i-1 end=stop",
+            Some(" (opened for a request that the peer"),
+        ),
+        ("front-c", "time=2990", "id=r1 peer=front-a instance=i-1 end=stop", Some("for front-a was cut by the end")),
+        ("front-c", "time=2990", "id=r0 peer=front-a instance=i-1 end=server-error", Some("broke between this daemon")),
+        ("front-c", "time=2990", "id=r0 peer=front-a instance=i-1 end=peer", None),
+        ("front-c", "time=2990", "id=r0 peer=front-a instance=i-2 end=stop", None),
+        ("front-c", "time=2990", "id=r0 peer=front-b instance=i-1 end=stop", None),
+        ("front-d", "time=2990", "id=r0 peer=front-a instance=i-1 end=stop", None),
+        ("front-c", "time=999", "id=r0 peer=front-a instance=i-1 end=server-error", None),
+        ("front-c", "time=4001", "id=r0 peer=front-a instance=i-1 end=stop", None),
+    ];
+    for (daemon, time, line, expected) in cases {
+        let log = format!("{REQUEST}{time} level=INFO daemon={daemon} event=carried-ended {line} ms=7\n");
+        let text = render_log(&log, "r1");
+        match expected {
+            Some(expected) => assert!(text.contains(expected), "{daemon} {time} {line}: {text}"),
+            None => assert!(!text.contains("that it carried for"), "{daemon} {time} {line}: {text}"),
+        }
+        assert!(text.contains("is being stopped; it ends in 100 ms at the latest"), "{text}");
+    }
+}
