Servers that say in their answers that they are leaving get no new requests

Callers saw requests go to a server that had said `Server-Leaving: 1` in its answers, until its entry in the store said draining or was gone; streams there did not move before.

Cause: the header was not decoded. Only the store's entry took a server out of use.

Change: the adapter decodes the header of a response that bears the attempt's own id. The daemon marks the run of the server as leaving and tells the others by a fact about the run, which daemons of earlier versions skip. Entries and answers are joined in one type (`process/leaving/runs.rs`), in which leaving is final for a run, so that an entry that says ready, or one that is removed and comes back, does not undo it, and the next run under the name is not affected. Idle connections are closed. A stated end of the server now replaces an assumed one for moving its streams.

--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -137,6 +137,11 @@
         }
     }
 
+    /// Closes all idle connections to an instance, also those by way of a peer.
+    pub fn close_all_idle(&self, address: SocketAddr, instance: &Arc<str>) {
+        self.idle.lock().remove(&(address, instance.clone()));
+    }
+
     /// Closes idle connections by way of a peer that is being stopped, and keeps none for a time.
     pub fn avoid_peer(&self, peer: &Arc<str>) {
         let now = Instant::now();
@@ -154,12 +159,12 @@
         self.avoided.lock().get(peer).is_some_and(|until| *until > Instant::now())
     }
 
-    /// Closes idle connections that have expired or whose instance does not satisfy `is_known`.
-    pub fn evict(&self, is_known: impl Fn(&str) -> bool) {
+    /// Closes idle connections that have expired or whose instance does not satisfy `is_used`.
+    pub fn evict(&self, is_used: impl Fn(&str) -> bool) {
         let now = Instant::now();
         self.idle.lock().retain(|(_, instance), idle| {
             idle.retain(|connection| connection.expires > now && !connection.sender.is_closed());
-            !idle.is_empty() && is_known(instance)
+            !idle.is_empty() && is_used(instance)
         });
     }
 
--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -659,6 +659,8 @@
     ServerBrittle = 9,
     /// The key is a daemon that is being stopped, the value is the Unix time in ms at which that began.
     Stopping = 10,
+    /// The key is the run of a replica whose answers say that it is leaving, the value is when one first said so; the note is the replica's name.
+    ServerLeaving = 11,
 }
 impl FactKind {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -678,6 +680,7 @@
             Self::ServerLimit => "FACT_KIND_SERVER_LIMIT",
             Self::ServerBrittle => "FACT_KIND_SERVER_BRITTLE",
             Self::Stopping => "FACT_KIND_STOPPING",
+            Self::ServerLeaving => "FACT_KIND_SERVER_LEAVING",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -694,6 +697,7 @@
             "FACT_KIND_SERVER_LIMIT" => Some(Self::ServerLimit),
             "FACT_KIND_SERVER_BRITTLE" => Some(Self::ServerBrittle),
             "FACT_KIND_STOPPING" => Some(Self::Stopping),
+            "FACT_KIND_SERVER_LEAVING" => Some(Self::ServerLeaving),
             _ => None,
         }
     }
--- a/goldcrestward/src/port/header_codec.rs
+++ b/goldcrestward/src/port/header_codec.rs
@@ -111,6 +111,8 @@
     pub limit: StatedLimit,
     /// The server is brittle: it falls over if it turns away more requests in a second than this.
     pub max_refusals: Option<u32>,
+    /// The server is leaving and takes no new requests.
+    pub leaving: bool,
 }
 
 /// Encodes and decodes a platform's HTTP headers.
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -328,7 +328,7 @@
 async fn evict_idle_connections(gateway: Arc<Gateway>) {
     loop {
         tokio::time::sleep(EVICTION_INTERVAL).await;
-        gateway.backend_connections.evict(|instance| gateway.shared.replicas.is_known(instance));
+        gateway.backend_connections.evict(|instance| gateway.shared.replicas.is_used(instance));
         gateway.reach.lock().forget(|instance| gateway.shared.replicas.is_known(instance), gateway.shared.now());
     }
 }
--- a/goldcrestward/src/process/gossip.rs
+++ b/goldcrestward/src/process/gossip.rs
@@ -10,6 +10,7 @@
     brittle::learn_brittle_fact,
     crash_watch::{judge, learn_part_fact},
     exchange::Exchange,
+    leaving::learn_leaving_fact,
     limit_facts::learn_limit_fact,
     membership::{Effect, Fact, FactKind, State},
     shared::Shared,
@@ -227,6 +228,7 @@
             FactKind::PartCrash | FactKind::PartAnswered => learn_part_fact(&self.shared, fact),
             FactKind::ServerLimit => learn_limit_fact(&self.shared, fact),
             FactKind::ServerBrittle => learn_brittle_fact(&self.shared, fact),
+            FactKind::ServerLeaving => learn_leaving_fact(&self.shared, fact),
             FactKind::Stopping => {
                 info!("event=peer-stopping peer={} since_unix_ms={}", fact.key, fact.value);
                 if let Some(gateway) = self.shared.exchange.get().and_then(Exchange::gateway) {
--- a/goldcrestward/src/process/membership/fact.rs
+++ b/goldcrestward/src/process/membership/fact.rs
@@ -35,6 +35,8 @@
         ServerBrittle,
         /// A daemon is being stopped; the key is its name, the value the Unix time in ms at which that began.
         Stopping,
+        /// A replica's answers say that it is leaving; the key is its run, the value is the agreed time of the first one.
+        ServerLeaving,
     }
 }
 
@@ -66,6 +68,7 @@
             FactKind::ServerLimit => pb::FactKind::ServerLimit,
             FactKind::ServerBrittle => pb::FactKind::ServerBrittle,
             FactKind::Stopping => pb::FactKind::Stopping,
+            FactKind::ServerLeaving => pb::FactKind::ServerLeaving,
         };
         Self {
             kind: kind.into(),
@@ -92,6 +95,7 @@
             pb::FactKind::ServerLimit => FactKind::ServerLimit,
             pb::FactKind::ServerBrittle => FactKind::ServerBrittle,
             pb::FactKind::Stopping => FactKind::Stopping,
+            pb::FactKind::ServerLeaving => FactKind::ServerLeaving,
         };
         let (value, until_ms) = (fact.value, fact.until_ms);
         Some(Self { kind, key: fact.key.into(), value, until_ms, note: fact.note.into() })
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -77,6 +77,8 @@
     pub crash_records: IntCounter,
     /// Accusations of prompt parts, by where they come from and whether they stand.
     pub accusations: IntCounterVec,
+    /// Servers whose answers said that they were leaving, by who received the answer.
+    pub leaving_statements: IntCounterVec,
     /// Requests sent to replicas that had named a rate limit.
     pub limited_sends: IntCounter,
     /// Requests charged to the rate limits of replicas, by who decided and the result.
@@ -149,6 +151,11 @@
                 "prompt parts accused of a crash by source and result",
                 &["source", "result"],
             )?,
+            leaving_statements: factory.counters(
+                "leaving_statements_total",
+                "servers whose answers said that they were leaving, by who received the answer",
+                &["source"],
+            )?,
             limited_sends: factory
                 .counter("limited_sends_total", "requests sent to replicas that had named a rate limit")?,
             send_grants: factory.counters(
--- a/goldcrestward/src/process/replicas.rs
+++ b/goldcrestward/src/process/replicas.rs
@@ -11,12 +11,14 @@
 };
 
 use arc_swap::ArcSwap;
+use log::info;
 use parking_lot::Mutex;
 
 use super::{
     admission_queue::{AdmissionQueue, AdmissionQueues},
     brittle::{DaemonRank, Places, Room},
     health::{AttemptOutcome, FailureScore},
+    leaving::{LeavingRuns, LeavingSource},
     loads::{LoadTracker, PeerLoad},
     named_limit::NamedLimit,
     placement::{Candidate, Locality, Placement, PromptCost, mix, place},
@@ -76,8 +78,10 @@
     failures: AtomicU32,
     ejected_until: AtomicU64,
     leaving: AtomicBool,
-    /// When it is expected to be gone, in ms since the daemon's start; 0 if it is not leaving.
+    /// When the platform says that it is gone, in ms since the daemon's start; 0 if it does not say.
     leaves_at: AtomicU64,
+    /// When it is assumed to be gone if the platform does not say; 0 if it is not leaving.
+    assumed_end: AtomicU64,
     running: Mutex<Vec<RunningRequest>>,
     /// Estimated prefill time in microseconds of this daemon's requests that have not returned a token.
     prefill_us: AtomicU64,
@@ -95,8 +99,9 @@
 impl Health {
     fn leave(&self, now: u64, leaves_in: Option<Duration>) {
         self.leaving.store(true, Ordering::Relaxed);
-        let leaves_at = now.saturating_add(leaves_in.unwrap_or(DEFAULT_LEAVING_TIME).as_millis() as u64);
-        self.leaves_at.compare_exchange(0, leaves_at, Ordering::Relaxed, Ordering::Relaxed).ok();
+        let end = now.saturating_add(leaves_in.unwrap_or(DEFAULT_LEAVING_TIME).as_millis() as u64);
+        let known = if leaves_in.is_some() { &self.leaves_at } else { &self.assumed_end };
+        known.compare_exchange(0, end, Ordering::Relaxed, Ordering::Relaxed).ok();
     }
 }
 
@@ -150,6 +155,14 @@
         stable_hash(&[self.id.as_bytes(), &self.started_unix_ms.to_le_bytes()])
     }
 
+    /// Key of what the replica says about its run. Without a time of start, only the address tells runs apart.
+    pub fn statement_key(&self) -> u64 {
+        if self.started_unix_ms > 0 {
+            return self.run_hash();
+        }
+        stable_hash(&[self.id.as_bytes(), self.address.to_string().as_bytes()])
+    }
+
     /// Whether it has a reclaim notice or is being stopped; it then gets no new requests.
     pub fn is_leaving(&self) -> bool {
         self.health.leaving.load(Ordering::Relaxed)
@@ -157,7 +170,8 @@
 
     /// Whether its running requests must be migrated now, before it is gone.
     pub fn must_migrate(&self, now: u64) -> bool {
-        let leaves_at = self.health.leaves_at.load(Ordering::Relaxed);
+        let stated = self.health.leaves_at.load(Ordering::Relaxed);
+        let leaves_at = if stated > 0 { stated } else { self.health.assumed_end.load(Ordering::Relaxed) };
         leaves_at > 0 && now + MIGRATION_LEAD_MS >= leaves_at
     }
 
@@ -472,6 +486,15 @@
     known: Mutex<HashMap<Arc<str>, Arc<Replica>>>,
     /// Queues of requests for a free place, by pool.
     pub admission_queues: AdmissionQueues,
+    leaving_runs: Mutex<LeavingRuns>,
+}
+
+/// A run that was not known to be leaving until now.
+pub(crate) struct LeavingNews {
+    /// The replica; `None` if its entry is not known.
+    pub replica: Option<Arc<Replica>>,
+    /// Replicas of its pool that still take requests.
+    pub ready_in_pool: usize,
 }
 
 impl Replicas {
@@ -493,9 +516,6 @@
                 |r: &Arc<Replica>| r.address == instance.address && r.started_unix_ms == instance.started_unix_ms;
             let health = old.filter(same).map(|r| r.health.clone());
             let health = health.unwrap_or_default();
-            if instance.state == InstanceState::Leaving {
-                health.leave(now, instance.leaves_in);
-            }
             let replica = Arc::new(Replica {
                 hash: stable_hash(&[instance.id.as_bytes()]),
                 id: instance.id.clone(),
@@ -510,6 +530,7 @@
                 admission_queue: self.admission_queues.for_pool(&instance.pool),
                 health,
             });
+            self.apply_state(&replica, instance.state, instance.leaves_in, now);
             known.insert(instance.id, replica.clone());
             pool.push(replica);
         }
@@ -517,11 +538,46 @@
         self.admission_queues.wake_next_in_each();
     }
 
+    /// Applies the state in a replica's entry, and what its run has said about itself before.
+    fn apply_state(&self, replica: &Replica, state: InstanceState, leaves_in: Option<Duration>, now: u64) {
+        let run = replica.statement_key();
+        let mut runs = self.leaving_runs.lock();
+        if state == InstanceState::Leaving {
+            runs.state(run, LeavingSource::Entry, now, now);
+            replica.health.leave(now, leaves_in);
+        } else if let Some((source, at)) = runs.first(run) {
+            let (source, age_ms) = (source.label(), now.saturating_sub(at));
+            info!("event=ready-ignored instance={} leaving_by={source} age_ms={age_ms}", replica.id);
+            replica.health.leave(now, None);
+        }
+    }
+
+    /// Records that a run has said at `at` that it is leaving, whether or not its entry is known. Returns `None` if that is
+    /// no news.
+    pub fn state_leaving(&self, run: u64, at: u64, now: u64) -> Option<LeavingNews> {
+        // Held until the replica is marked, so that no entry of the run is applied in between.
+        let known = self.known.lock();
+        if !self.leaving_runs.lock().state(run, LeavingSource::Answer, at, now) {
+            return None;
+        }
+        let replica = known.values().find(|replica| replica.statement_key() == run).cloned();
+        let Some(replica) = replica else { return Some(LeavingNews { replica: None, ready_in_pool: 0 }) };
+        replica.health.leave(now, None);
+        let pools = self.pools.load();
+        let pool = pools.values().find(|pool| pool.iter().any(|other| other.id == replica.id));
+        let ready_in_pool = pool.map_or(0, |pool| pool.iter().filter(|other| !other.is_leaving()).count());
+        Some(LeavingNews { replica: Some(replica), ready_in_pool })
+    }
+
     /// Removes an instance that is gone.
     pub fn remove(&self, id: &str, now: u64) {
         let Some(replica) = self.known.lock().remove(id) else { return };
         // Requests that are still waiting for the replica must see that it is gone.
         replica.health.leave(now, None);
+        if replica.started_unix_ms == 0 {
+            // The next server under this name may have the same address.
+            self.leaving_runs.lock().forget(replica.statement_key());
+        }
         let mut pools = Pools::clone(&self.pools.load());
         pools.values_mut().for_each(|pool| pool.retain(|r| *r.id != *id));
         self.pools.store(Arc::new(pools));
@@ -549,6 +605,11 @@
         self.known.lock().contains_key(id)
     }
 
+    /// Whether an instance is known and takes requests.
+    pub fn is_used(&self, id: &str) -> bool {
+        self.known.lock().get(id).is_some_and(|replica| !replica.is_leaving())
+    }
+
     pub fn pool(&self, pool: &str) -> Vec<Arc<Replica>> {
         self.pools.load().get(pool).cloned().unwrap_or_default()
     }
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -31,7 +31,7 @@
     port::{AttemptMetadata, MigratedKvCache, RequestMetadata, ResponseHead, ResponseMetadata},
     process::{
         AttemptOutcome, Condemned, Gateway, Replica, ReplicaGuard, TimeNeeded, part_names, record_answer,
-        record_brittle,
+        record_brittle, record_leaving,
     },
     version::Sample,
 };
@@ -420,6 +420,9 @@
         if let Some(load) = metadata.load {
             replica.set_reported_load(load, self.gateway.shared.now());
         }
+        if metadata.leaving {
+            record_leaving(&self.gateway, &replica);
+        }
         self.gateway.apply_stated_limit(&replica, metadata.limit, sent_ms);
         if let Some(max_refusals) = metadata.max_refusals {
             record_brittle(&self.gateway.shared, &self.placement.pool, max_refusals);
@@ -572,6 +575,9 @@
             let target = offer.map_err(|_| "no other server takes requests")?.accept();
             let admitted = gateway.admit_to_server(&id, target.replica()).await;
             admitted.map_err(|_| "the other server has got what it takes")?;
+            if target.replica().is_leaving() {
+                return Err("the other server is leaving too".to_owned());
+            }
             let address = target.replica().address;
             let migration = gateway.engines.migrate_run(source.address, &id, address);
             let kv_cache = timeout(MIGRATION_TIMEOUT, migration).await.map_err(|_| "no answer in time")??;
