Servers that name a time for which they want nothing get nothing until its end

Callers saw requests sent to a server again at once after it had turned one away with a Retry-After, at the cost of an attempt each, and were told to come back after 200 ms while all servers of the pool wanted nothing for seconds.

Cause: the Retry-After of a 503 that has not run was not read.

Change: the adapter decodes whole seconds from a refusal that bears the attempt's own id. `process/hold.rs` keeps the time per run of a server and daemon, beside the named limit and the room of brittle servers, so that placement, waiting requests, fallbacks and moves treat it as room that is not there. A request whose connection is ready only after the refusal is withdrawn. After the end two requests a second go there until one is taken. If all servers of a pool want nothing, requests are refused at once with the time that is left and a spread of 3 s. Values that make no sense hold nothing back and are logged.

Without a network, hold_test.rs: at 7, 87 and 195 daemons no more than two requests in any named time, and the server is never idle for longer than that time and a second.

--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -224,6 +224,9 @@
             let (instance, to) = (field("instance"), field("to"));
             format!("{instance} had been silent for {} ms; the request goes on at {to}", field("silent_ms"))
         }
+        "server-held" => {
+            format!("{} turned it away and wants nothing for {} ms", field("instance"), field("left_ms"))
+        }
         "response-dropped" => {
             let owner = if field("owner") == "other" { "bears another request's id" } else { "bears no id" };
             format!("a response of {} with status {} was dropped, as it {owner}", field("instance"), field("status"))
@@ -254,6 +257,7 @@
 fn cause(label: &str) -> &str {
     match label {
         "unreached" => "no connection could be opened, so nothing was sent",
+        "withdrawn" => "it wanted no more requests by the time of sending, so nothing was sent",
         "not-run" => "it was full or leaving and has not run the request",
         "own-failure" => "the application returned an error",
         "silent" => "it timed out without sending data",
--- a/goldcrestward/src/port/header_codec.rs
+++ b/goldcrestward/src/port/header_codec.rs
@@ -79,6 +79,18 @@
     Unreadable,
 }
 
+/// What a response that turns a request away says about the time for which its server wants nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StatedHold {
+    /// Nothing.
+    #[default]
+    None,
+    /// The time, in seconds from the response on.
+    Seconds(u64),
+    /// Something that cannot be read.
+    Unreadable,
+}
+
 /// The head of a response, by whose it is. Nothing that it says may be used before that is known: a faulty server may
 /// send a copy of an earlier response where the next one is expected.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -113,6 +125,8 @@
     pub max_refusals: Option<u32>,
     /// The server is leaving and takes no new requests.
     pub leaving: bool,
+    /// For how long the server wants nothing from this daemon; only if it has not run the request.
+    pub hold: StatedHold,
 }
 
 /// Encodes and decodes a platform's HTTP headers.
--- a/goldcrestward/src/port/mod.rs
+++ b/goldcrestward/src/port/mod.rs
@@ -13,7 +13,8 @@
 pub use duty::{Duties, DutyAnswer, Holder, PoolOrder};
 pub use engines::{Engines, MigratedKvCache};
 pub use header_codec::{
-    AttemptMetadata, HeaderCodec, Load, PromptPart, RequestMetadata, ResponseHead, ResponseMetadata, StatedLimit,
+    AttemptMetadata, HeaderCodec, Load, PromptPart, RequestMetadata, ResponseHead, ResponseMetadata, StatedHold,
+    StatedLimit,
 };
 
 /// The implementations of all ports for one platform.
--- a/goldcrestward/src/process/gateway.rs
+++ b/goldcrestward/src/process/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use log::info;
+use log::{info, warn};
 use parking_lot::Mutex;
 
 use super::{
@@ -20,9 +20,9 @@
     config::{Account, QuotaUnit},
     connection::BackendConnections,
     logs::is_sampled,
-    port::{Engines, HeaderCodec, RequestMetadata, StatedLimit},
+    port::{Engines, HeaderCodec, RequestMetadata, StatedHold, StatedLimit},
     request::{Reason, Refusal},
-    util::stable_hash,
+    util::{stable_hash, unix_ms},
 };
 
 /// Time within which a relay must answer whether a request may be sent to a replica: one of this zone, and one of another.
@@ -122,6 +122,29 @@
         }
     }
 
+    /// Applies the time for which a server wants nothing, as the refusal of request `id` says.
+    pub fn apply_stated_hold(&self, id: &str, replica: &Replica, stated: StatedHold) {
+        let instance = &replica.id;
+        let (seconds, until) = match stated {
+            StatedHold::None => return,
+            StatedHold::Seconds(seconds) => {
+                (Some(seconds), replica.hold(Duration::from_secs(seconds), self.shared.now()))
+            }
+            StatedHold::Unreadable => (None, None),
+        };
+        let result = if until.is_some() { "applied" } else { "refused" };
+        self.shared.metrics.holds.with_label_values(&[result]).inc();
+        let Some(until) = until else {
+            warn!("event=hold-refused id={id} instance={instance} seconds={seconds:?}");
+            return;
+        };
+        let left_ms = until.saturating_sub(self.shared.now());
+        let until_unix_ms = unix_ms() + left_ms;
+        info!(
+            "event=server-held id={id} instance={instance} seconds={seconds:?} left_ms={left_ms} until_unix_ms={until_unix_ms}"
+        );
+    }
+
     /// Charges a request to the rate limit that its server has named, if it has.
     ///
     /// # Errors
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -79,6 +79,8 @@
     pub accusations: IntCounterVec,
     /// Servers whose answers said that they were leaving, by who received the answer.
     pub leaving_statements: IntCounterVec,
+    /// Refusals in which servers named a time for which they want nothing, by whether it was believed.
+    pub holds: IntCounterVec,
     /// Requests sent to replicas that had named a rate limit.
     pub limited_sends: IntCounter,
     /// Requests charged to the rate limits of replicas, by who decided and the result.
@@ -156,6 +158,11 @@
                 "servers whose answers said that they were leaving, by who received the answer",
                 &["source"],
             )?,
+            holds: factory.counters(
+                "holds_total",
+                "refusals in which servers named a time for which they want nothing, by result",
+                &["result"],
+            )?,
             limited_sends: factory
                 .counter("limited_sends_total", "requests sent to replicas that had named a rate limit")?,
             send_grants: factory.counters(
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -15,6 +15,7 @@
 mod gateway;
 mod gossip;
 mod health;
+mod hold;
 mod leaving;
 mod lifecycle;
 mod limit_facts;
--- a/goldcrestward/src/process/replicas.rs
+++ b/goldcrestward/src/process/replicas.rs
@@ -18,6 +18,7 @@
     admission_queue::{AdmissionQueue, AdmissionQueues},
     brittle::{DaemonRank, Places, Room},
     health::{AttemptOutcome, FailureScore},
+    hold::Hold,
     leaving::{LeavingRuns, LeavingSource},
     loads::{LoadTracker, PeerLoad},
     named_limit::NamedLimit,
@@ -90,6 +91,8 @@
     limit: Mutex<NamedLimit>,
     /// When the next request may be sent within the limit, in ms since the daemon's start.
     blocked_until: AtomicU64,
+    /// The time for which it wants nothing from this daemon.
+    hold: Mutex<Hold>,
     /// This daemon's part of its room while it is brittle.
     room: Mutex<Room>,
     /// Whether its responses have borne the ids of their requests.
@@ -299,10 +302,26 @@
         self.health.blocked_until.store(until, Ordering::Relaxed);
     }
 
+    /// Applies the time for which the server wants nothing; see [`Hold::state`].
+    pub fn hold(&self, time: Duration, now: u64) -> Option<u64> {
+        self.health.hold.lock().state(time, now)
+    }
+
+    /// Whether the server has said that it wants nothing now.
+    pub fn is_held(&self, now: u64) -> bool {
+        self.health.hold.lock().is_active(now)
+    }
+
+    /// Records that a request that was sent at `sent_at` has not been turned away.
+    pub fn record_taken(&self, sent_at: u64) {
+        self.health.hold.lock().record_taken(sent_at);
+    }
+
     /// Time in ms until the server takes another request of this daemon; 0 if it does now.
     fn blocked_ms(&self, query: &PlacementQuery<'_>) -> u64 {
         let now = query.now;
         let limited = self.health.blocked_until.load(Ordering::Relaxed).saturating_sub(now);
+        let limited = limited.max(self.health.hold.lock().wait(now));
         let room = self.health.room.lock();
         if !room.is_brittle(now) {
             return limited;
@@ -459,11 +478,14 @@
     crash_score: u64,
     /// The estimates that the choice is based on.
     pub placement: Placement,
+    /// When it was made, in ms since the daemon's start.
+    now: u64,
 }
 
 impl Offer {
     /// Accepts the offer: counts the request as in flight on the server.
     pub fn accept(self) -> ReplicaGuard {
+        self.replica.health.hold.lock().record_sent(self.now);
         ReplicaGuard::new(self.replica, self.crash_score, self.placement.prefill_ms)
     }
 }
@@ -477,6 +499,8 @@
     Overloaded,
     /// All eligible replicas have got what they take; the first takes another request after this time.
     RateLimited(Duration),
+    /// All eligible replicas have got what they take or want nothing; the first wants requests after this time.
+    Held(Duration),
 }
 
 /// The backend servers of all pools.
@@ -628,9 +652,10 @@
         let is_eligible =
             |r: &&Arc<Replica>| !r.is_leaving() && query.versions.allows(&r.version) && !query.tried.contains(&r.id);
         let mut eligible: Vec<&Arc<Replica>> = pool.iter().filter(is_eligible).collect();
-        let first_free = eligible.iter().map(|r| r.blocked_ms(query)).min();
-        if let Some(wait) = first_free.filter(|wait| *wait > 0) {
-            return Err(NoReplica::RateLimited(Duration::from_millis(wait)));
+        let first_free = eligible.iter().map(|r| (r.blocked_ms(query), r.is_held(query.now))).min();
+        if let Some((wait, is_held)) = first_free.filter(|(wait, _)| *wait > 0) {
+            let wait = Duration::from_millis(wait);
+            return Err(if is_held { NoReplica::Held(wait) } else { NoReplica::RateLimited(wait) });
         }
         eligible.retain(|r| r.blocked_ms(query) == 0);
         let healthy: Vec<_> = eligible.iter().copied().filter(|r| !r.is_ejected(query.now)).collect();
@@ -638,7 +663,8 @@
         let usable = if healthy.is_empty() { &eligible } else { &healthy };
         let candidates: Vec<_> = usable.iter().map(|r| r.candidate(query)).collect();
         let placement = place(&candidates, query.prompt_cost, query.salt).ok_or(NoReplica::None)?;
-        Ok(Offer { replica: usable[placement.index].clone(), crash_score: query.crash_score, placement })
+        let replica = usable[placement.index].clone();
+        Ok(Offer { replica, crash_score: query.crash_score, placement, now: query.now })
     }
 
     /// Chooses a replica by rendezvous hashing of the key, among those whose load is within the bound.
--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -213,7 +213,7 @@
                     let message = format!("all replicas of pool {} are busy", self.route.pool);
                     return Err(self.refuse(Reason::Overloaded, message).with_retry_after(Duration::from_secs(1)));
                 }
-                Err(NoReplica::None | NoReplica::RateLimited(_)) => {}
+                Err(NoReplica::None | NoReplica::RateLimited(_) | NoReplica::Held(_)) => {}
             }
             self.rounds += 1;
             if self.rounds > MAX_ROUNDS || self.tried.is_empty() {
--- a/goldcrestward/src/request/placement_request.rs
+++ b/goldcrestward/src/request/placement_request.rs
@@ -31,6 +31,11 @@
 /// Bounds of the `Retry-After` of a refusal.
 const RETRY_AFTER_RANGE: (Duration, Duration) = (Duration::from_millis(150), Duration::from_secs(2));
 
+/// Longest `Retry-After` while all servers want nothing, before the spread, as others may be started.
+const MAX_HELD_RETRY_AFTER: Duration = Duration::from_secs(30);
+/// Time over which callers come back that were refused while all servers wanted nothing.
+const RETURN_SPREAD_MS: u64 = 3_000;
+
 /// Why a request has no place yet.
 enum Obstacle {
     /// No server is eligible.
@@ -39,6 +44,8 @@
     Busy(f64),
     /// All servers have got what their rate limits allow; the first takes another request after this time.
     RateLimited(Duration),
+    /// All servers have said that they want nothing; the first wants requests after this time.
+    Held(Duration),
 }
 
 /// What a request needs from a pool.
@@ -107,6 +114,7 @@
             let (limit, obstacle) = match &offer {
                 Ok(offer) => (queue_timeout, Obstacle::Busy(offer.placement.first_response_ms)),
                 Err(NoReplica::RateLimited(wait)) => (queue_timeout, Obstacle::RateLimited(*wait)),
+                Err(NoReplica::Held(wait)) => (queue_timeout, Obstacle::Held(*wait)),
                 Err(_) => (NO_SERVER_TIMEOUT.min(queue_timeout), Obstacle::NoServer),
             };
             if let Some(offer) = offer.ok().filter(|offer| self.is_acceptable(offer))
@@ -124,7 +132,7 @@
                 return Ok(guard);
             }
             let left = (started + limit).min(self.deadline).saturating_duration_since(Instant::now());
-            if left.is_zero() || matches!(obstacle, Obstacle::RateLimited(wait) if wait > left) {
+            if left.is_zero() || matches!(obstacle, Obstacle::RateLimited(wait) | Obstacle::Held(wait) if wait > left) {
                 return Err(self.refuse(&obstacle));
             }
             woken = queue.wait(self.rank, left.min(RECHECK_INTERVAL)).await;
@@ -153,6 +161,19 @@
         gateway.shared.replicas.place(&query)
     }
 
+    /// The refusal of a request while all servers of the pool have said that they want nothing.
+    pub fn refuse_if_held(&self, gateway: &Gateway) -> Option<Refusal> {
+        match self.offer(gateway, &[], 0) {
+            Err(NoReplica::Held(wait)) => Some(self.refuse(&Obstacle::Held(wait))),
+            _ => None,
+        }
+    }
+
+    /// Added to the `Retry-After` of callers that are refused for the same reason, so that they do not all come back at once.
+    fn return_delay(&self) -> Duration {
+        Duration::from_millis(self.salt % RETURN_SPREAD_MS)
+    }
+
     fn log(&self, guard: &ReplicaGuard, placed: &Placement, started: Instant) {
         if is_sampled(&self.id) {
             let (id, pool, instance) = (&self.id, &self.pool, &guard.replica().id);
@@ -175,6 +196,12 @@
                 let message = format!("no replica of pool {} can take the request", self.pool);
                 return Refusal::not_run(Reason::NoReplica, message).with_retry_after(RETRY_AFTER_RANGE.1 / 2);
             }
+            Obstacle::Held(wait) => {
+                let (pool, ms) = (&self.pool, wait.as_millis());
+                let message = format!("all replicas of pool {pool} want no requests; the first does in {ms} ms");
+                let wait = (*wait).min(MAX_HELD_RETRY_AFTER) + self.return_delay();
+                return Refusal::not_run(Reason::Overloaded, message).with_retry_after(wait);
+            }
             Obstacle::RateLimited(wait) => {
                 let (pool, ms) = (&self.pool, wait.as_millis());
                 let message =
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -288,7 +288,7 @@
             return false;
         }
         let allowed = match failure {
-            ProxyFailure::ConnectFailed => {
+            ProxyFailure::ConnectFailed | ProxyFailure::Withdrawn => {
                 self.connect_failures += 1;
                 return self.connect_failures <= MAX_CONNECT_FAILURES;
             }
@@ -307,7 +307,11 @@
         match failure {
             ProxyFailure::ErrorResponse(response) => Ok(ProxyResponse::Buffered(response)),
             ProxyFailure::ConnectFailed => refusal(Reason::NoReplica, "no backend server could be reached"),
+            ProxyFailure::Withdrawn => refusal(Reason::NoReplica, "the backend server takes no requests any more"),
             ProxyFailure::NotRun => {
+                if let Some(held) = self.placement.refuse_if_held(&self.gateway) {
+                    return Err(Refusal { run: self.run_state, ..held });
+                }
                 let overloaded = refusal(Reason::Overloaded, "the backend server had no room");
                 overloaded.map_err(|refusal| refusal.with_retry_after(Duration::from_millis(200)))
             }
@@ -344,7 +348,7 @@
             }
             Err(failure) => {
                 match &failure {
-                    ProxyFailure::NotRun => {}
+                    ProxyFailure::NotRun | ProxyFailure::Withdrawn => {}
                     ProxyFailure::ErrorResponse(_) => {
                         self.observe(&guard, Sample::Failed);
                         self.record_outcome(&guard, AttemptOutcome::ErrorResponse);
@@ -389,6 +393,14 @@
         if replica.is_leaving() {
             return Err(ProxyFailure::ConnectFailed);
         }
+        // A run that has been migrated to the server has nowhere else to go.
+        let sent_at = self.gateway.shared.now();
+        if self.kv_cache.is_none() && replica.is_held(sent_at) {
+            if connection.is_unused() {
+                connection.keep();
+            }
+            return Err(ProxyFailure::Withdrawn);
+        }
         let is_first = connection.is_unused();
         let request = self.build_request(&replica.id, sequence.last());
         let previous = self.run_state;
@@ -427,6 +439,10 @@
         if let Some(max_refusals) = metadata.max_refusals {
             record_brittle(&self.gateway.shared, &self.placement.pool, max_refusals);
         }
+        self.gateway.apply_stated_hold(&self.metadata.id, &replica, metadata.hold);
+        if !metadata.not_run {
+            replica.record_taken(sent_at);
+        }
         if metadata.not_run {
             self.run_state = previous;
             if metadata.max_refusals.is_some() {
--- a/goldcrestward/src/request/proxy_outcome.rs
+++ b/goldcrestward/src/request/proxy_outcome.rs
@@ -19,6 +19,8 @@
 pub(crate) enum ProxyFailure {
     /// The connection could not be established, so nothing was sent.
     ConnectFailed,
+    /// The server has stopped taking requests meanwhile, so nothing was sent.
+    Withdrawn,
     /// The server reports that it has not run the request.
     NotRun,
     /// The server returned a sealed 5xx response.
@@ -32,6 +34,7 @@
     pub fn label(&self) -> &'static str {
         match self {
             Self::ConnectFailed => "unreached",
+            Self::Withdrawn => "withdrawn",
             Self::NotRun => "not-run",
             Self::ErrorResponse(_) => "own-failure",
             Self::Indeterminate(reason) => reason,
