--- a/goldcrestward/src/process/leaving/facts.rs
+++ b/goldcrestward/src/process/leaving/facts.rs
@@ -48,6 +48,6 @@
     gateway.shared.metrics.leaving_statements.with_label_values(&[source]).inc();
     let Some(replica) = replica else { return };
     let instance = &replica.id;
-    info!("event=server-leaving instance={instance} source={source} age_ms={age_ms} ready_in_pool={ready_in_pool}");
+    info!("event=leaving-stated instance={instance} source={source} age_ms={age_ms} ready_in_pool={ready_in_pool}");
     gateway.backend_connections.close_all_idle(replica.address, instance);
 }
