A server whose entry goes and comes back keeps the time for which it wants nothing

A server that had named such a time got requests again at once if its entry was removed and came back meanwhile, as after trouble with the store.

Cause: the time was kept with the entry's replica, which is new when the entry comes back.

Change: the times of removed runs are kept until they end, by id and start. Without a start time the next entry may be that of another run, which must not be held back.

Evidence: replicas_test.rs failed before ("start 1, returns as 1: left false, right true") and passes.

--- a/goldcrestward/src/process/replicas.rs
+++ b/goldcrestward/src/process/replicas.rs
@@ -511,6 +511,8 @@
     /// Queues of requests for a free place, by pool.
     pub admission_queues: AdmissionQueues,
     leaving_runs: Mutex<LeavingRuns>,
+    /// Times for which runs want nothing whose entries are gone and may come back.
+    holds: Mutex<HashMap<u64, Hold>>,
 }
 
 /// A run that was not known to be leaving until now.
@@ -555,6 +557,9 @@
                 health,
             });
             self.apply_state(&replica, instance.state, instance.leaves_in, now);
+            if let Some(hold) = self.holds.lock().remove(&replica.statement_key()) {
+                *replica.health.hold.lock() = hold;
+            }
             known.insert(instance.id, replica.clone());
             pool.push(replica);
         }
@@ -601,6 +606,11 @@
         if replica.started_unix_ms == 0 {
             // The next server under this name may have the same address.
             self.leaving_runs.lock().forget(replica.statement_key());
+        } else if replica.is_held(now) {
+            let hold = *replica.health.hold.lock();
+            let mut holds = self.holds.lock();
+            holds.retain(|_, hold| hold.is_active(now));
+            holds.insert(replica.statement_key(), hold);
         }
         let mut pools = Pools::clone(&self.pools.load());
         pools.values_mut().for_each(|pool| pool.retain(|r| *r.id != *id));
@@ -700,3 +710,7 @@
     let score = |r: &&&Arc<Replica>| mix(r.hash ^ key);
     replicas.iter().filter(|r| r.in_flight() < bound).max_by_key(score).copied()
 }
+
+#[cfg(test)]
+#[path = "replicas_test.rs"]
+mod replicas_test;
