An instance with the id and address of one that is gone gets requests again

On platforms whose entries carry no start time, an instance whose id and address were those of one that had left got no requests for up to ten minutes.

Evidence: order_test.rs, instance_without_a_start_time_is_forgotten_when_it_is_gone, failed before ("assertion failed: takes_requests(&replicas)") and passes.

--- a/goldcrestward/src/process/leaving/order_test.rs
+++ b/goldcrestward/src/process/leaving/order_test.rs
@@ -138,3 +138,13 @@
     assert!(!takes_requests(&replicas));
     assert!(replicas.state_leaving(key(1), 2, 2).is_none(), "the statement is no news");
 }
+
+/// Guards against an instance that gets no requests because its id and address were those of one that left.
+#[test]
+fn instance_without_a_start_time_is_forgotten_when_it_is_gone() {
+    let replicas = Replicas::default();
+    for state in [InstanceState::Leaving, InstanceState::Gone, InstanceState::Live] {
+        replicas.update(vec![entry(0, state)], 0);
+    }
+    assert!(takes_requests(&replicas));
+}
--- a/goldcrestward/src/process/replicas.rs
+++ b/goldcrestward/src/process/replicas.rs
@@ -536,6 +536,9 @@
             pool.retain(|r| r.id != instance.id);
             let old = known.remove(&instance.id);
             if instance.state == InstanceState::Gone {
+                if let Some(old) = old {
+                    self.end_statements(&old, now);
+                }
                 continue;
             }
             let same =
@@ -603,18 +606,24 @@
         let Some(replica) = self.known.lock().remove(id) else { return };
         // Requests that are still waiting for the replica must see that it is gone.
         replica.health.leave(now, None);
+        self.end_statements(&replica, now);
+        let mut pools = Pools::clone(&self.pools.load());
+        pools.values_mut().for_each(|pool| pool.retain(|r| *r.id != *id));
+        self.pools.store(Arc::new(pools));
+    }
+
+    /// Keeps what a run has said about itself, as its entry may come back. Without a start time, the next entry with the name
+    /// and address may be that of another run.
+    fn end_statements(&self, replica: &Replica, now: u64) {
+        let run = replica.statement_key();
         if replica.started_unix_ms == 0 {
-            // The next server under this name may have the same address.
-            self.leaving_runs.lock().forget(replica.statement_key());
+            self.leaving_runs.lock().forget(run);
         } else if replica.is_held(now) {
             let hold = *replica.health.hold.lock();
             let mut holds = self.holds.lock();
             holds.retain(|_, hold| hold.is_active(now));
-            holds.insert(replica.statement_key(), hold);
+            holds.insert(run, hold);
         }
-        let mut pools = Pools::clone(&self.pools.load());
-        pools.values_mut().for_each(|pool| pool.retain(|r| *r.id != *id));
-        self.pools.store(Arc::new(pools));
     }
 
     /// Marks an instance as leaving after a reclaim notice that arrived before the platform's list shows it.
