--- a/goldcrestward/src/process/replicas.rs
+++ b/goldcrestward/src/process/replicas.rs
@@ -11,12 +11,15 @@
 };
 
 use arc_swap::ArcSwap;
+use log::info;
 use parking_lot::Mutex;
 
 use super::{
     admission_queue::{AdmissionQueue, AdmissionQueues},
     brittle::{DaemonRank, Places, Room},
     health::{AttemptOutcome, FailureScore},
+    hold::Hold,
+    leaving::{LeavingRuns, LeavingSource},
     loads::{LoadTracker, PeerLoad},
     named_limit::NamedLimit,
     placement::{Candidate, Locality, Placement, PromptCost, mix, place},
@@ -76,8 +79,10 @@
     failures: AtomicU32,
     ejected_until: AtomicU64,
     leaving: AtomicBool,
-    /// When it is expected to be gone, in ms since the daemon's start; 0 if it is not leaving.
+    /// When the platform says that it is gone, in ms since the daemon's start; 0 if it does not say.
     leaves_at: AtomicU64,
+    /// When it is assumed to be gone if the platform does not say; 0 if it is not leaving.
+    assumed_end: AtomicU64,
     running: Mutex<Vec<RunningRequest>>,
     /// Estimated prefill time in microseconds of this daemon's requests that have not returned a token.
     prefill_us: AtomicU64,
@@ -86,6 +91,8 @@
     limit: Mutex<NamedLimit>,
     /// When the next request may be sent within the limit, in ms since the daemon's start.
     blocked_until: AtomicU64,
+    /// The time for which it wants nothing from this daemon.
+    hold: Mutex<Hold>,
     /// This daemon's part of its room while it is brittle.
     room: Mutex<Room>,
     /// Whether its responses have borne the ids of their requests.
@@ -95,8 +102,9 @@
 impl Health {
     fn leave(&self, now: u64, leaves_in: Option<Duration>) {
         self.leaving.store(true, Ordering::Relaxed);
-        let leaves_at = now.saturating_add(leaves_in.unwrap_or(DEFAULT_LEAVING_TIME).as_millis() as u64);
-        self.leaves_at.compare_exchange(0, leaves_at, Ordering::Relaxed, Ordering::Relaxed).ok();
+        let end = now.saturating_add(leaves_in.unwrap_or(DEFAULT_LEAVING_TIME).as_millis() as u64);
+        let known = if leaves_in.is_some() { &self.leaves_at } else { &self.assumed_end };
+        known.compare_exchange(0, end, Ordering::Relaxed, Ordering::Relaxed).ok();
     }
 }
 
@@ -150,6 +158,14 @@
         stable_hash(&[self.id.as_bytes(), &self.started_unix_ms.to_le_bytes()])
     }
 
+    /// Key of what the replica says about its run. Without a time of start, only the address tells runs apart.
+    pub fn statement_key(&self) -> u64 {
+        if self.started_unix_ms > 0 {
+            return self.run_hash();
+        }
+        stable_hash(&[self.id.as_bytes(), self.address.to_string().as_bytes()])
+    }
+
     /// Whether it has a reclaim notice or is being stopped; it then gets no new requests.
     pub fn is_leaving(&self) -> bool {
         self.health.leaving.load(Ordering::Relaxed)
@@ -157,7 +173,8 @@
 
     /// Whether its running requests must be migrated now, before it is gone.
     pub fn must_migrate(&self, now: u64) -> bool {
-        let leaves_at = self.health.leaves_at.load(Ordering::Relaxed);
+        let stated = self.health.leaves_at.load(Ordering::Relaxed);
+        let leaves_at = if stated > 0 { stated } else { self.health.assumed_end.load(Ordering::Relaxed) };
         leaves_at > 0 && now + MIGRATION_LEAD_MS >= leaves_at
     }
 
@@ -285,10 +302,26 @@
         self.health.blocked_until.store(until, Ordering::Relaxed);
     }
 
+    /// Applies the time for which the server wants nothing; see [`Hold::state`].
+    pub fn hold(&self, time: Duration, now: u64) -> Option<u64> {
+        self.health.hold.lock().state(time, now)
+    }
+
+    /// Whether the server has said that it wants nothing now.
+    pub fn is_held(&self, now: u64) -> bool {
+        self.health.hold.lock().is_active(now)
+    }
+
+    /// Records that a request that was sent at `sent_at` has not been turned away.
+    pub fn record_taken(&self, sent_at: u64) {
+        self.health.hold.lock().record_taken(sent_at);
+    }
+
     /// Time in ms until the server takes another request of this daemon; 0 if it does now.
     fn blocked_ms(&self, query: &PlacementQuery<'_>) -> u64 {
         let now = query.now;
         let limited = self.health.blocked_until.load(Ordering::Relaxed).saturating_sub(now);
+        let limited = limited.max(self.health.hold.lock().wait(now));
         let room = self.health.room.lock();
         if !room.is_brittle(now) {
             return limited;
@@ -445,11 +478,14 @@
     crash_score: u64,
     /// The estimates that the choice is based on.
     pub placement: Placement,
+    /// When it was made, in ms since the daemon's start.
+    now: u64,
 }
 
 impl Offer {
     /// Accepts the offer: counts the request as in flight on the server.
     pub fn accept(self) -> ReplicaGuard {
+        self.replica.health.hold.lock().record_sent(self.now);
         ReplicaGuard::new(self.replica, self.crash_score, self.placement.prefill_ms)
     }
 }
@@ -463,6 +499,8 @@
     Overloaded,
     /// All eligible replicas have got what they take; the first takes another request after this time.
     RateLimited(Duration),
+    /// All eligible replicas have got what they take or want nothing; the first wants requests after this time.
+    Held(Duration),
 }
 
 /// The backend servers of all pools.
@@ -472,6 +510,17 @@
     known: Mutex<HashMap<Arc<str>, Arc<Replica>>>,
     /// Queues of requests for a free place, by pool.
     pub admission_queues: AdmissionQueues,
+    leaving_runs: Mutex<LeavingRuns>,
+    /// Times for which runs want nothing whose entries are gone and may come back.
+    holds: Mutex<HashMap<u64, Hold>>,
+}
+
+/// A run that was not known to be leaving until now.
+pub(crate) struct LeavingNews {
+    /// The replica; `None` if its entry is not known.
+    pub replica: Option<Arc<Replica>>,
+    /// Replicas of its pool that still take requests.
+    pub ready_in_pool: usize,
 }
 
 impl Replicas {
@@ -487,15 +536,15 @@
             pool.retain(|r| r.id != instance.id);
             let old = known.remove(&instance.id);
             if instance.state == InstanceState::Gone {
+                if let Some(old) = old {
+                    self.end_statements(&old, now);
+                }
                 continue;
             }
             let same =
                 |r: &Arc<Replica>| r.address == instance.address && r.started_unix_ms == instance.started_unix_ms;
             let health = old.filter(same).map(|r| r.health.clone());
             let health = health.unwrap_or_default();
-            if instance.state == InstanceState::Leaving {
-                health.leave(now, instance.leaves_in);
-            }
             let replica = Arc::new(Replica {
                 hash: stable_hash(&[instance.id.as_bytes()]),
                 id: instance.id.clone(),
@@ -510,6 +559,10 @@
                 admission_queue: self.admission_queues.for_pool(&instance.pool),
                 health,
             });
+            self.apply_state(&replica, instance.state, instance.leaves_in, now);
+            if let Some(hold) = self.holds.lock().remove(&replica.statement_key()) {
+                *replica.health.hold.lock() = hold;
+            }
             known.insert(instance.id, replica.clone());
             pool.push(replica);
         }
@@ -517,16 +570,62 @@
         self.admission_queues.wake_next_in_each();
     }
 
+    /// Applies the state in a replica's entry, and what its run has said about itself before.
+    fn apply_state(&self, replica: &Replica, state: InstanceState, leaves_in: Option<Duration>, now: u64) {
+        let run = replica.statement_key();
+        let mut runs = self.leaving_runs.lock();
+        if state == InstanceState::Leaving {
+            runs.state(run, LeavingSource::Entry, now, now);
+            replica.health.leave(now, leaves_in);
+        } else if let Some((source, at)) = runs.first(run) {
+            let (source, age_ms) = (source.label(), now.saturating_sub(at));
+            info!("event=ready-ignored instance={} leaving_by={source} age_ms={age_ms}", replica.id);
+            replica.health.leave(now, None);
+        }
+    }
+
+    /// Records that a run has said at `at` that it is leaving, whether or not its entry is known. Returns `None` if that is
+    /// no news.
+    pub fn state_leaving(&self, run: u64, at: u64, now: u64) -> Option<LeavingNews> {
+        // Held until the replica is marked, so that no entry of the run is applied in between.
+        let known = self.known.lock();
+        if !self.leaving_runs.lock().state(run, LeavingSource::Answer, at, now) {
+            return None;
+        }
+        let replica = known.values().find(|replica| replica.statement_key() == run).cloned();
+        let Some(replica) = replica else { return Some(LeavingNews { replica: None, ready_in_pool: 0 }) };
+        replica.health.leave(now, None);
+        let pools = self.pools.load();
+        let pool = pools.values().find(|pool| pool.iter().any(|other| other.id == replica.id));
+        let ready_in_pool = pool.map_or(0, |pool| pool.iter().filter(|other| !other.is_leaving()).count());
+        Some(LeavingNews { replica: Some(replica), ready_in_pool })
+    }
+
     /// Removes an instance that is gone.
     pub fn remove(&self, id: &str, now: u64) {
         let Some(replica) = self.known.lock().remove(id) else { return };
         // Requests that are still waiting for the replica must see that it is gone.
         replica.health.leave(now, None);
+        self.end_statements(&replica, now);
         let mut pools = Pools::clone(&self.pools.load());
         pools.values_mut().for_each(|pool| pool.retain(|r| *r.id != *id));
         self.pools.store(Arc::new(pools));
     }
 
+    /// Keeps what a run has said about itself, as its entry may come back. Without a start time, the next entry with the name
+    /// and address may be that of another run.
+    fn end_statements(&self, replica: &Replica, now: u64) {
+        let run = replica.statement_key();
+        if replica.started_unix_ms == 0 {
+            self.leaving_runs.lock().forget(run);
+        } else if replica.is_held(now) {
+            let hold = *replica.health.hold.lock();
+            let mut holds = self.holds.lock();
+            holds.retain(|_, hold| hold.is_active(now));
+            holds.insert(run, hold);
+        }
+    }
+
     /// Marks an instance as leaving after a reclaim notice that arrived before the platform's list shows it.
     pub fn mark_leaving(&self, id: &str) {
         if let Some(replica) = self.known.lock().get(id) {
@@ -549,6 +648,11 @@
         self.known.lock().contains_key(id)
     }
 
+    /// Whether an instance is known and takes requests.
+    pub fn is_used(&self, id: &str) -> bool {
+        self.known.lock().get(id).is_some_and(|replica| !replica.is_leaving())
+    }
+
     pub fn pool(&self, pool: &str) -> Vec<Arc<Replica>> {
         self.pools.load().get(pool).cloned().unwrap_or_default()
     }
@@ -567,9 +671,10 @@
         let is_eligible =
             |r: &&Arc<Replica>| !r.is_leaving() && query.versions.allows(&r.version) && !query.tried.contains(&r.id);
         let mut eligible: Vec<&Arc<Replica>> = pool.iter().filter(is_eligible).collect();
-        let first_free = eligible.iter().map(|r| r.blocked_ms(query)).min();
-        if let Some(wait) = first_free.filter(|wait| *wait > 0) {
-            return Err(NoReplica::RateLimited(Duration::from_millis(wait)));
+        let first_free = eligible.iter().map(|r| (r.blocked_ms(query), r.is_held(query.now))).min();
+        if let Some((wait, is_held)) = first_free.filter(|(wait, _)| *wait > 0) {
+            let wait = Duration::from_millis(wait);
+            return Err(if is_held { NoReplica::Held(wait) } else { NoReplica::RateLimited(wait) });
         }
         eligible.retain(|r| r.blocked_ms(query) == 0);
         let healthy: Vec<_> = eligible.iter().copied().filter(|r| !r.is_ejected(query.now)).collect();
@@ -577,7 +682,8 @@
         let usable = if healthy.is_empty() { &eligible } else { &healthy };
         let candidates: Vec<_> = usable.iter().map(|r| r.candidate(query)).collect();
         let placement = place(&candidates, query.prompt_cost, query.salt).ok_or(NoReplica::None)?;
-        Ok(Offer { replica: usable[placement.index].clone(), crash_score: query.crash_score, placement })
+        let replica = usable[placement.index].clone();
+        Ok(Offer { replica, crash_score: query.crash_score, placement, now: query.now })
     }
 
     /// Chooses a replica by rendezvous hashing of the key, among those whose load is within the bound.
@@ -613,3 +719,7 @@
     let score = |r: &&&Arc<Replica>| mix(r.hash ^ key);
     replicas.iter().filter(|r| r.in_flight() < bound).max_by_key(score).copied()
 }
+
+#[cfg(test)]
+#[path = "replicas_test.rs"]
+mod replicas_test;
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -32,7 +32,7 @@
     port::{AttemptMetadata, MigratedKvCache, RequestMetadata, ResponseHead, ResponseMetadata},
     process::{
         AttemptOutcome, Condemned, Gateway, Replica, ReplicaGuard, TimeNeeded, part_names, record_answer,
-        record_brittle,
+        record_brittle, record_leaving,
     },
     version::Sample,
 };
@@ -319,7 +319,7 @@
         }
         let allowed = match failure {
             ProxyFailure::TooLate(_) | ProxyFailure::Stopped => return false,
-            ProxyFailure::ConnectFailed => {
+            ProxyFailure::ConnectFailed | ProxyFailure::Withdrawn => {
                 self.connect_failures += 1;
                 return self.connect_failures <= MAX_CONNECT_FAILURES;
             }
@@ -341,7 +341,11 @@
             _ if self.window.has_ended() => Err(self.window.give_up(self.run_state)),
             ProxyFailure::Stopped => Err(self.window.give_up(self.run_state)),
             ProxyFailure::ConnectFailed => refusal(Reason::NoReplica, "no backend server could be reached"),
+            ProxyFailure::Withdrawn => refusal(Reason::NoReplica, "the backend server takes no requests any more"),
             ProxyFailure::NotRun => {
+                if let Some(held) = self.placement.refuse_if_held(&self.gateway) {
+                    return Err(Refusal { run: self.run_state, ..held });
+                }
                 let overloaded = refusal(Reason::Overloaded, "the backend server had no room");
                 overloaded.map_err(|refusal| refusal.with_retry_after(Duration::from_millis(200)))
             }
@@ -382,7 +386,10 @@
             }
             Err(failure) => {
                 match &failure {
-                    ProxyFailure::NotRun | ProxyFailure::TooLate(_) | ProxyFailure::Stopped => {}
+                    ProxyFailure::NotRun
+                    | ProxyFailure::Withdrawn
+                    | ProxyFailure::TooLate(_)
+                    | ProxyFailure::Stopped => {}
                     ProxyFailure::ErrorResponse(_) => {
                         self.observe(&guard, Sample::Failed);
                         self.record_outcome(&guard, AttemptOutcome::ErrorResponse);
@@ -427,10 +434,17 @@
         if replica.is_leaving() {
             return Err(ProxyFailure::ConnectFailed);
         }
-        if !self.is_answering
-            && let Err(refusal) = self.window.check(Phase::Send)
-        {
-            return Err(ProxyFailure::TooLate(Box::new(refusal)));
+        // A run that has been migrated to the server has nowhere else to go.
+        let sent_at = self.gateway.shared.now();
+        let is_held = self.kv_cache.is_none() && replica.is_held(sent_at);
+        let checked = if self.is_answering { Ok(()) } else { self.window.check(Phase::Send) };
+        if is_held || checked.is_err() {
+            if connection.is_unused() {
+                connection.keep();
+            }
+            return Err(
+                checked.map_or_else(|refusal| ProxyFailure::TooLate(Box::new(refusal)), |()| ProxyFailure::Withdrawn)
+            );
         }
         let is_first = connection.is_unused();
         let request = self.build_request(&replica.id, sequence.last());
@@ -463,10 +477,17 @@
         if let Some(load) = metadata.load {
             replica.set_reported_load(load, self.gateway.shared.now());
         }
+        if metadata.leaving {
+            record_leaving(&self.gateway, &replica);
+        }
         self.gateway.apply_stated_limit(&replica, metadata.limit, sent_ms);
         if let Some(max_refusals) = metadata.max_refusals {
             record_brittle(&self.gateway.shared, &self.placement.pool, max_refusals);
         }
+        self.gateway.apply_stated_hold(&self.metadata.id, &replica, metadata.hold);
+        if !metadata.not_run {
+            replica.record_taken(sent_at);
+        }
         if metadata.not_run {
             self.run_state = previous;
             if metadata.max_refusals.is_some() {
@@ -615,6 +636,9 @@
             let target = offer.map_err(|_| "no other server takes requests")?.accept();
             let admitted = gateway.admit_to_server(&id, target.replica()).await;
             admitted.map_err(|_| "the other server has got what it takes")?;
+            if target.replica().is_leaving() {
+                return Err("the other server is leaving too".to_owned());
+            }
             let address = target.replica().address;
             let migration = gateway.engines.migrate_run(source.address, &id, address);
             let kv_cache = timeout(MIGRATION_TIMEOUT, migration).await.map_err(|_| "no answer in time")??;
