README's first command runs the demonstration as it stands

For that the demonstration ends after its table if standard input is no terminal, where nobody can press Ctrl-C.

--- a/goldcrestward/src/args.rs
+++ b/goldcrestward/src/args.rs
@@ -142,7 +142,7 @@
 /// Arguments of `demo`.
 #[derive(Clone, Debug, Bpaf)]
 pub struct DemoArgs {
-    /// Exit after the summary
+    /// Exit after the summary, as is done without a terminal on standard input
     pub once: bool,
     /// Print the summary as JSON
     pub json: bool,
--- a/goldcrestward/src/cmd/demo.rs
+++ b/goldcrestward/src/cmd/demo.rs
@@ -1,5 +1,7 @@
 //! `goldcrestward demo`: runs a complete site with stand-in back ends.
 
+use std::io::{self, IsTerminal};
+
 use snafu::ResultExt;
 
 use super::{
@@ -31,7 +33,8 @@
     if !summary.is_success() {
         return DemoSnafu { reason: "not every accepted request was answered once and whole" }.fail();
     }
-    if args.once {
+    // Without a terminal there is no Ctrl-C to wait for.
+    if args.once || !io::stdin().is_terminal() {
         return Ok(());
     }
     print_hints(&scenario);
