The demonstration shows events in sentences and keeps log lines apart

Cause: progress was written with carriage returns whether or not to a terminal, log lines went to standard output in every command, and the name of the daemon is one for the process. Each daemon has a runtime of its own, whose threads carry the daemon's name in log lines.

--- a/goldcrestward/src/args.rs
+++ b/goldcrestward/src/args.rs
@@ -144,8 +144,10 @@
 pub struct DemoArgs {
     /// Exit after the summary, as is done without a terminal on standard input
     pub once: bool,
-    /// Print the summary as JSON
+    /// Print the summary as JSON, and nothing else
     pub json: bool,
+    /// Print the daemons' log lines on standard error instead of writing them to a file
+    pub logs: bool,
     /// Seed of the random traffic and faults
     #[bpaf(long, argument("N"), fallback(1))]
     pub seed: u64,
--- a/goldcrestward/src/cmd/demo.rs
+++ b/goldcrestward/src/cmd/demo.rs
@@ -1,6 +1,10 @@
 //! `goldcrestward demo`: runs a complete site with stand-in back ends.
 
-use std::io::{self, IsTerminal};
+use std::{
+    env,
+    fs::File,
+    io::{self, IsTerminal},
+};
 
 use snafu::ResultExt;
 
@@ -10,25 +14,53 @@
 };
 use crate::{
     args::DemoArgs,
-    demo::{Scenario, Summary},
-    error::{DemoSnafu, Result, RuntimeSnafu},
+    demo::{ProgressDetail, Scenario, Summary},
+    error::{DemoSnafu, LogFileSnafu, Result, RuntimeSnafu},
+    logs,
+    util::unix_ms,
 };
 
-/// Worker threads shared by the whole site.
+/// Worker threads of the traffic and the stand-ins.
 const WORKERS: usize = 4;
 
 impl Run for DemoArgs {
     fn run(self) -> Result<()> {
+        self.start_logging()?;
         let mut builder = tokio::runtime::Builder::new_multi_thread();
         let runtime = builder.worker_threads(WORKERS).enable_all().build().context(RuntimeSnafu)?;
         runtime.block_on(run_demo(&self))
     }
 }
 
+impl DemoArgs {
+    fn start_logging(&self) -> Result<()> {
+        if self.logs {
+            logs::init_to(io::stderr());
+            return Ok(());
+        }
+        let path = env::temp_dir().join(format!("goldcrestward-demo-{}.log", unix_ms()));
+        let file = File::create_new(&path).context(LogFileSnafu { path: path.display().to_string() })?;
+        logs::init_to(file);
+        if !self.json {
+            eprintln!("Log lines of all daemons: {}", path.display());
+        }
+        Ok(())
+    }
+
+    fn progress_detail(&self) -> ProgressDetail {
+        match (self.json, self.logs) {
+            (true, _) => ProgressDetail::Quiet,
+            // Log lines would be written over the progress line.
+            (false, true) => ProgressDetail::Events,
+            (false, false) => ProgressDetail::Live,
+        }
+    }
+}
+
 async fn run_demo(args: &DemoArgs) -> Result<()> {
     let fail = |error: crate::demo::Error| DemoSnafu { reason: error.to_string() }.build();
     let mut scenario = Scenario::start(args.seed).await.map_err(fail)?;
-    let summary = scenario.run(args.json).await.map_err(fail)?;
+    let summary = scenario.run(args.progress_detail()).await.map_err(fail)?;
     print(&summary, args.json)?;
     if !summary.is_success() {
         return DemoSnafu { reason: "not every accepted request was answered once and whole" }.fail();
--- a/goldcrestward/src/demo/error.rs
+++ b/goldcrestward/src/demo/error.rs
@@ -22,6 +22,12 @@
     /// A daemon could not be started.
     #[snafu(display("could not start a daemon: {source}"))]
     Daemon { source: process::Error },
+    /// The threads of a daemon could not be started.
+    #[snafu(display("could not start the threads of a daemon: {source}"))]
+    Runtime { source: std::io::Error },
+    /// A task of a daemon panicked or was cancelled.
+    #[snafu(display("a task of a daemon did not end: {source}"))]
+    Task { source: tokio::task::JoinError },
     /// A daemon did not accept a proposed configuration.
     #[snafu(display("the daemon did not accept the configuration: {reason}"))]
     Configuration {
--- a/goldcrestward/src/demo/scenario.rs
+++ b/goldcrestward/src/demo/scenario.rs
@@ -2,26 +2,25 @@
 //! out, a zone is reclaimed and a daemon is stopped.
 
 use std::{
-    io::{self, Write},
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, atomic::AtomicU64},
     time::{Duration, Instant},
 };
 
-use serde_json::json;
+use log::warn;
+use serde_json::{Value, json};
 use standin::load::{self, LoadPlan, LoadReport, Targets, Workload};
 use tokio::time::sleep;
 
 use super::{
-    error::{ConfigurationSnafu, DaemonSnafu, Result},
+    daemon::DemoDaemon,
+    error::{ConfigurationSnafu, Result},
+    progress::{Progress, ProgressDetail},
     site::{DemoSite, InstanceSpec, propose_changes, propose_config},
     summary::Summary,
 };
-use crate::{process::Daemon, util::unix_ms};
-use snafu::{OptionExt, ResultExt};
+use crate::util::unix_ms;
+use snafu::OptionExt;
 
 /// Time during which new requests are sent.
 const TRAFFIC_DURATION: Duration = Duration::from_secs(26);
@@ -49,7 +48,7 @@
 
 pub(crate) struct Scenario {
     site: DemoSite,
-    daemons: Vec<Daemon>,
+    daemons: Vec<DemoDaemon>,
     targets: Targets,
     seed: u64,
 }
@@ -72,9 +71,9 @@
         sleep(LIST_WAIT).await;
         let first = site.settings("daemon-0", DAEMON_REGIONS[0]).await?;
         let admin = first.admin.context(ConfigurationSnafu { reason: "the daemon has no address for operators" })?;
-        let (daemon, accepted) = tokio::join!(Daemon::start(first, None), wait_and_configure(admin));
+        let (daemon, accepted) = tokio::join!(DemoDaemon::start(first), wait_and_configure(admin));
         accepted?;
-        let mut daemons = vec![daemon.context(DaemonSnafu)?];
+        let mut daemons = vec![daemon?];
         for (number, region) in DAEMON_REGIONS.iter().enumerate().skip(1) {
             daemons.push(site.start_daemon(&format!("daemon-{number}"), region).await?);
         }
@@ -87,43 +86,40 @@
         self.daemons.first().and_then(|d| Some((d.settings().callers, d.settings().admin?)))
     }
 
-    /// Runs the whole scenario and returns its summary. Progress goes to standard error unless
-    /// `quiet` is set.
-    pub async fn run(&mut self, quiet: bool) -> Result<Summary> {
+    /// Runs the whole scenario, shows its progress and returns its summary.
+    pub async fn run(&mut self, detail: ProgressDetail) -> Result<Summary> {
         let ended = Arc::new(AtomicU64::new(0));
         let swanvale = self.spawn_load(Workload::swanvale(), "demo-kitchens", &ended, 0);
         let klaasvikat = self.spawn_load(Workload::klaasvikat(), "demo-tallinn-studio", &ended, 1);
         let start = Instant::now();
-        let show_progress = |event: &str| {
-            if !quiet {
-                let mut out = io::stderr().lock();
-                let (seconds, ended) = (start.elapsed().as_secs(), ended.load(Ordering::Relaxed));
-                write!(out, "\r{seconds:3} s  {ended:5} requests ended  {event:<60}").ok();
-                out.flush().ok();
-            }
-        };
-        show_progress("traffic of both users starts");
+        let progress = Progress::start(detail, ended);
+        progress.event(&format!("Traffic of two users starts on {} daemons.", self.daemons.len()));
         self.start_rollout().await?;
-        show_progress("rollout to version planner-2 starts");
+        progress.event(&format!("The rollout of version {VERSION} is ordered."));
         sleep_until(start, NOTICE_AT).await;
         let notified = self.site.send_reclaim_notice(ZONE);
-        show_progress(&format!("zone {ZONE}: reclaim notice for {notified} instances"));
+        progress.event(&format!("Zone {ZONE} is about to be reclaimed: notice for {notified} instances."));
         sleep(NOTICE_PERIOD).await;
         self.site.reclaim(ZONE);
-        show_progress(&format!("zone {ZONE}: instances reclaimed"));
+        progress.event(&format!("Zone {ZONE} is reclaimed: its instances are gone."));
         sleep_until(start, DAEMON_STOP_AT).await;
         if let Some(daemon) = self.daemons.pop() {
             self.targets.remove(daemon.settings().callers);
-            show_progress("a daemon stops gracefully");
-            daemon.stop().await;
+            let name = daemon.settings().name.clone();
+            progress.event(&format!("Daemon {name} is told to stop."));
+            daemon.stop().await?;
+            progress.event(&format!("Daemon {name} has stopped."));
         }
+        let mut is_moved = false;
         while !(swanvale.is_finished() && klaasvikat.is_finished()) {
-            show_progress("traffic goes on");
+            if !is_moved && let Some((outcome, reason)) = self.rollout_outcome().await {
+                is_moved = true;
+                progress.event(&format!("The rollout of version {VERSION} has ended: {outcome}, {reason}."));
+            }
             sleep(Duration::from_millis(500)).await;
         }
-        if !quiet {
-            eprintln!();
-        }
+        progress.event("All requests have ended.");
+        drop(progress);
         let reports = [swanvale.await.unwrap_or_default(), klaasvikat.await.unwrap_or_default()];
         self.summarize(&reports).await
     }
@@ -174,20 +170,27 @@
         let not_run: Vec<_> = reports.iter().flat_map(|r| r.said_not_run.clone()).collect();
         summary.false_not_run = self.site.count_executed(&not_run);
         for daemon in &self.daemons {
-            let metrics = daemon.counts();
-            summary.resumed += metrics.resumed;
-            summary.recomputed += metrics.recomputed;
-        }
-        let Some((_, admin)) = self.first_daemon() else { return Ok(summary) };
-        let args = crate::args::AdminArgs { admin, token: super::site::ADMIN_TOKEN.into(), json: true };
-        if let Ok((_, value)) = crate::cmd::send_request(&args, http::Method::GET, "/admin/rollout", None).await {
-            let rows = value["versions"].as_array().cloned().unwrap_or_default();
-            let row = rows.into_iter().find(|row| row["version"] == VERSION).unwrap_or_default();
-            summary.outcome = row["outcome"].as_str().unwrap_or("none yet").to_owned();
-            summary.reason = row["reason"].as_str().unwrap_or_default().to_owned();
+            let counts = daemon.counts().unwrap_or_default();
+            summary.resumed += counts.resumed;
+            summary.recomputed += counts.recomputed;
         }
+        let (outcome, reason) = self.rollout_outcome().await.unwrap_or_else(|| ("none yet".into(), String::new()));
+        summary.outcome = outcome;
+        summary.reason = reason;
         Ok(summary)
     }
+
+    /// Outcome of the rollout and the reason for it, `None` until it has ended.
+    async fn rollout_outcome(&self) -> Option<(String, String)> {
+        let (_, admin) = self.first_daemon()?;
+        let args = crate::args::AdminArgs { admin, token: super::site::ADMIN_TOKEN.into(), json: true };
+        let response = crate::cmd::send_request(&args, http::Method::GET, "/admin/rollout", None).await;
+        let (_, value) =
+            response.inspect_err(|error| warn!("event=rollout-unread error={:?}", error.to_string())).ok()?;
+        let row = value["versions"].as_array()?.iter().find(|row| row["version"] == VERSION)?;
+        let text = |value: &Value| value.as_str().unwrap_or_default().to_owned();
+        Some((row["outcome"].as_str()?.to_owned(), text(&row["reason"])))
+    }
 }
 
 async fn wait_and_configure(admin: SocketAddr) -> Result<()> {
--- a/goldcrestward/src/demo/site.rs
+++ b/goldcrestward/src/demo/site.rs
@@ -12,9 +12,12 @@
 };
 use tokio::net::{TcpListener, UdpSocket};
 
-use super::error::{ConfigurationSnafu, DaemonSnafu, Result, SettingsSnafu, SocketSnafu, StandInSnafu};
+use super::{
+    daemon::DemoDaemon,
+    error::{ConfigurationSnafu, Result, SettingsSnafu, SocketSnafu, StandInSnafu},
+};
 use crate::{
-    process::{Daemon, Overrides, Settings},
+    process::{Overrides, Settings},
     util::sha256_hex,
 };
 
@@ -127,9 +130,8 @@
     }
 
     /// Starts a daemon, which serves once there is a configuration.
-    pub async fn start_daemon(&self, name: &str, region: &str) -> Result<Daemon> {
-        let settings = self.settings(name, region).await?;
-        Daemon::start(settings, None).await.context(DaemonSnafu)
+    pub async fn start_daemon(&self, name: &str, region: &str) -> Result<DemoDaemon> {
+        DemoDaemon::start(self.settings(name, region).await?).await
     }
 
     /// Settings of a daemon, with free ports.
--- a/goldcrestward/src/error.rs
+++ b/goldcrestward/src/error.rs
@@ -41,6 +41,9 @@
     /// A file could not be read.
     #[snafu(display("could not read {path}: {source}"))]
     Read { path: String, source: io::Error },
+    /// The log file of the demonstration could not be created.
+    #[snafu(display("could not create the log file {path}: {source}"))]
+    LogFile { path: String, source: io::Error },
     /// Standard output could not be written.
     #[snafu(display("could not write to standard output: {source}"))]
     Write { source: io::Error },
--- a/goldcrestward/src/logs.rs
+++ b/goldcrestward/src/logs.rs
@@ -4,6 +4,7 @@
 //! the count is logged once there is room again. Requests go on if the reader closes the pipe or stops reading.
 
 use std::{
+    cell::RefCell,
     fmt,
     io::{self, Write},
     sync::{
@@ -25,12 +26,20 @@
 const SAMPLE_INTERVAL: u64 = 16;
 
 static DAEMON: OnceLock<Box<str>> = OnceLock::new();
+thread_local! {
+    static THREAD_DAEMON: RefCell<Option<Box<str>>> = const { RefCell::new(None) };
+}
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
 
 /// Starts logging from level `info` up, unless `RUST_LOG` sets another filter.
 pub fn init() {
+    init_to(io::stdout());
+}
+
+/// Starts logging to `out`, as `init` does to standard output.
+pub fn init_to(out: impl Write + Send + 'static) {
     let (sender, lines) = sync_channel(QUEUE_LINES);
-    if thread::Builder::new().name("log".into()).spawn(move || write_lines(&lines)).is_err() {
+    if thread::Builder::new().name("log".into()).spawn(move || write_lines(&lines, out)).is_err() {
         return;
     }
     Builder::from_env(Env::default().default_filter_or("goldcrestward=info,goldcrestward_platform=info"))
@@ -44,6 +53,11 @@
     DAEMON.get_or_init(|| name.into());
 }
 
+/// Sets the name of the daemon that lines of this thread carry, where one process runs several daemons.
+pub(crate) fn set_thread_daemon(name: &str) {
+    THREAD_DAEMON.set(Some(name.into()));
+}
+
 /// Number of lines dropped since the start because the queue was full.
 pub fn dropped_lines() -> u64 {
     DROPPED_LINES.load(Ordering::Relaxed)
@@ -56,8 +70,10 @@
 
 fn write_record(out: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
     let (time, level, args) = (unix_ms(), record.level(), record.args());
-    let daemon = DAEMON.get().map_or("-", |name| name);
-    writeln!(out, "time={time} level={level} daemon={daemon} {args}")
+    THREAD_DAEMON.with_borrow(|thread_daemon| {
+        let daemon = thread_daemon.as_deref().or(DAEMON.get().map(|name| &**name)).unwrap_or("-");
+        writeln!(out, "time={time} level={level} daemon={daemon} {args}")
+    })
 }
 
 struct QueueWriter {
@@ -77,9 +93,8 @@
     }
 }
 
-fn write_lines(lines: &Receiver<Vec<u8>>) {
+fn write_lines(lines: &Receiver<Vec<u8>>, mut out: impl Write) {
     let mut reported = 0;
-    let mut out = io::stdout();
     while let Ok(mut batch) = lines.recv() {
         while let Ok(line) = lines.try_recv() {
             batch.extend_from_slice(&line);
--- a/goldcrestward/src/main.rs
+++ b/goldcrestward/src/main.rs
@@ -2,11 +2,15 @@
 
 use std::process::ExitCode;
 
-use goldcrestward::cmd::Run;
+use goldcrestward::{args::Command, cmd::Run};
 
 fn main() -> ExitCode {
-    goldcrestward::logs::init();
-    match goldcrestward::args::command().run().run() {
+    let command = goldcrestward::args::command().run();
+    // The demonstration decides by its arguments where log lines go.
+    if !matches!(command, Command::Demo(_)) {
+        goldcrestward::logs::init();
+    }
+    match command.run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             let code = error.code();
