--- a/goldcrestward/src/args.rs
+++ b/goldcrestward/src/args.rs
@@ -1,18 +1,37 @@
 //! Command-line arguments.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
 
-use bpaf::Bpaf;
+use bpaf::{Args, Bpaf, OptionParser, ParseFailure};
 
 use crate::process::Overrides;
 
+/// Exit code for wrong arguments.
+const WRONG_ARGUMENTS: u8 = 2;
+/// Width of help texts, in columns.
+const HELP_WIDTH: usize = 100;
+
+/// Parses the arguments of the process.
+///
+/// # Errors
+/// Returns the exit code of the process once help, the version, completions or an error were printed instead.
+pub fn parse<T>(options: &OptionParser<T>) -> Result<T, ExitCode> {
+    options.run_inner(Args::current_args()).map_err(|failure| {
+        failure.print_message(HELP_WIDTH);
+        match failure {
+            ParseFailure::Stdout(..) | ParseFailure::Completion(..) => ExitCode::SUCCESS,
+            ParseFailure::Stderr(..) => ExitCode::from(WRONG_ARGUMENTS),
+        }
+    })
+}
+
 /// Serves model traffic on reclaimable instances.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(
     options,
     version,
     footer(
-        "Exit codes: 0 success, 1 failure, 2 wrong arguments, 3 invalid configuration, 4 conflict, 5 not in force everywhere"
+        "Exit codes: 0 success, 1 failure, 2 wrong arguments or settings, 3 invalid configuration, 4 conflict, 5 not in force everywhere"
     )
 )]
 pub enum Command {
--- a/goldcrestward/src/main.rs
+++ b/goldcrestward/src/main.rs
@@ -2,10 +2,16 @@
 
 use std::process::ExitCode;
 
-use goldcrestward::{args::Command, cmd::Run};
+use goldcrestward::{
+    args::{self, Command},
+    cmd::Run,
+};
 
 fn main() -> ExitCode {
-    let command = goldcrestward::args::command().run();
+    let command = match args::parse(&args::command()) {
+        Ok(command) => command,
+        Err(code) => return code,
+    };
     // The demonstration decides by its arguments where log lines go.
     if !matches!(command, Command::Demo(_)) {
         goldcrestward::logs::init();
--- a/goldcrestward/tests/it/command_line.rs
+++ b/goldcrestward/tests/it/command_line.rs
@@ -10,6 +10,53 @@
     (output.status.code().unwrap_or(-1), text(&output.stdout), text(&output.stderr))
 }
 
+/// A call of the program, its exit code, and a part of its only output: standard output for 0, else standard error.
+type Case<'a> = (&'a [&'a str], i32, &'a str);
+
+#[test]
+fn arguments_decide_exit_code_and_output() {
+    let cases: &[Case<'_>] = &[
+        (&["--help"], 0, "Exit codes: 0 success, 1 failure, 2 wrong arguments or settings"),
+        (&["--version"], 0, env!("CARGO_PKG_VERSION")),
+        (&["serve", "--help"], 0, "--settings=<FILE.yaml>"),
+        (&["demo", "--help"], 0, "--once"),
+        (&["explain", "--help"], 0, "ID"),
+        (&["config", "--help"], 0, "apply"),
+        (&["config", "apply", "--help"], 0, "--base=REVISION"),
+        (&["rollout", "--help"], 0, "watch"),
+        (&["peers", "--help"], 0, "--admin=<IP:PORT>"),
+        (&["requests", "--help"], 0, "--token=TEXT"),
+        (&["refusals", "--help"], 0, "--clear=FINGERPRINT"),
+        (&["--bpaf-complete-style-bash"], 0, "complete -o nosort"),
+        (&["--bpaf-complete-style-zsh"], 0, "#compdef goldcrestward"),
+        (&["--bpaf-complete-style-fish"], 0, "complete"),
+        (&["--bpaf-complete-style-elvish"], 0, "edit:completion"),
+        (&["--bpaf-complete-rev=8", "ro"], 0, "rollout"),
+        (&[], 2, "COMMAND"),
+        (&["no-command"], 2, "no-command"),
+        (&["--no-flag"], 2, "--no-flag"),
+        (&["serve", "--workers", "many"], 2, "many"),
+        (&["serve", "--settings", "/no/such/settings.yaml"], 2, "/no/such/settings.yaml"),
+        (&["serve", "--callers", "nowhere"], 2, "nowhere"),
+        (&["demo", "--seed", "x"], 2, "x"),
+        (&["explain"], 2, "ID"),
+        (&["config"], 2, "COMMAND"),
+        (&["config", "check"], 2, "FOLDER"),
+        (&["peers", "--admin", "nowhere"], 2, "nowhere"),
+        (&["config", "check", "/no/such/folder"], 1, "/no/such/folder"),
+        (&["explain", "id", "/no/such/log"], 1, "/no/such/log"),
+        (&["peers", "--admin", "127.0.0.1:1"], 1, "127.0.0.1:1"),
+        (&["rollout", "status", "--admin", "127.0.0.1:1"], 1, "127.0.0.1:1"),
+    ];
+    for (args, expected, text) in cases {
+        let (code, stdout, stderr) = run_cli(args);
+        assert_eq!(code, *expected, "{args:?}: {stdout}{stderr}");
+        let (used, unused) = if code == 0 { (stdout, stderr) } else { (stderr, stdout) };
+        assert!(used.contains(text), "{args:?}: {used}");
+        assert_eq!(unused, "", "{args:?}");
+    }
+}
+
 #[test]
 fn serve_reports_file_line_and_field_of_bad_settings() {
     let dir = tempfile::tempdir().expect("the temporary directory is created");
