--- a/goldcrestward/src/logs.rs
+++ b/goldcrestward/src/logs.rs
@@ -5,6 +5,7 @@
 //! The end of the process waits for the queued lines, for a limited time.
 
 use std::{
+    cell::RefCell,
     io::{self, Write},
     panic::{self, PanicHookInfo},
     sync::OnceLock,
@@ -26,12 +27,20 @@
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 
 static DAEMON: OnceLock<Box<str>> = OnceLock::new();
+thread_local! {
+    static THREAD_DAEMON: RefCell<Option<Box<str>>> = const { RefCell::new(None) };
+}
 static LINES: LineQueue = LineQueue::new();
 
 /// Starts logging from level `info` up, unless `RUST_LOG` sets another filter; panics are logged as well.
 /// Dropping the guard, which `main` does last, writes the lines that are still queued.
 pub fn init() -> FlushGuard {
-    let write = || LINES.write_to(io::stdout(), dropped_line);
+    init_to(io::stdout())
+}
+
+/// Starts logging to `out`, as `init` does to standard output.
+pub fn init_to(out: impl Write + Send + 'static) -> FlushGuard {
+    let write = || LINES.write_to(out, dropped_line);
     if let Err(error) = thread::Builder::new().name("log".into()).spawn(write) {
         LINES.close();
         eprintln!("goldcrestward: could not start the thread that writes the log: {error}");
@@ -53,6 +62,11 @@
     DAEMON.get_or_init(|| name.into());
 }
 
+/// Sets the name of the daemon that lines of this thread carry, where one process runs several daemons.
+pub(crate) fn set_thread_daemon(name: &str) {
+    THREAD_DAEMON.set(Some(name.into()));
+}
+
 /// Number of lines dropped since the start because the queue was full.
 pub fn dropped_lines() -> u64 {
     LINES.dropped()
@@ -93,8 +107,9 @@
 }
 
 /// Name of the daemon, or `-` before it is known.
-fn daemon() -> &'static str {
-    DAEMON.get().map_or("-", |name| name)
+fn daemon() -> String {
+    let of_thread = THREAD_DAEMON.with_borrow(|name| name.as_deref().map(ToOwned::to_owned));
+    of_thread.unwrap_or_else(|| DAEMON.get().map_or("-", |name| name).to_owned())
 }
 
 #[cfg(test)]
--- a/goldcrestward/src/main.rs
+++ b/goldcrestward/src/main.rs
@@ -2,11 +2,19 @@
 
 use std::process::ExitCode;
 
-use goldcrestward::cmd::Run;
+use goldcrestward::{
+    args::{self, Command},
+    cmd::Run,
+};
 
 fn main() -> ExitCode {
-    let _flush = goldcrestward::logs::init();
-    match goldcrestward::args::command().run().run() {
+    let command = match args::parse(&args::command()) {
+        Ok(command) => command,
+        Err(code) => return code,
+    };
+    // The demonstration decides by its arguments where log lines go.
+    let _flush = (!matches!(command, Command::Demo(_))).then(goldcrestward::logs::init);
+    match command.run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             let code = error.code();
