Tests: the end of a process that is stopped with a time limit

What follows the drain is not part of the time limit: the ledger's records and operators' connections were waited for up to 5 s each after it. Operators saw processes outlast their grace, after which the platform kills them.

--- a/goldcrestward/tests/it/stops.rs
+++ b/goldcrestward/tests/it/stops.rs
@@ -221,3 +221,31 @@
     let (outcomes, _) = stop_beside_requests(&mut site, &[100, 2_000, 7_600, 8_500, 10_000]).await;
     expect_none("not served", &outcomes, |outcome| !outcome.is_served());
 }
+
+/// Guards against a process that outlasts its limit and is killed: outcomes were recorded after it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn process_ends_at_its_limit_whatever_runs() {
+    let run = |work| async move {
+        let mut site = start(Some(DRAIN_SECONDS), work).await;
+        // Streams that end long after the limit.
+        let begun = Instant::now();
+        let long: Vec<_> = (0..4)
+            .map(|number| Kind::Stream(50 * LONG_TOKENS).request(&site, &format!("long-{number}"), begun).send())
+            .map(tokio::spawn)
+            .collect();
+        let (_, elapsed) = stop_beside_requests(&mut site, &[100, 5_000, 6_500, 7_000, 7_500]).await;
+        long.iter().for_each(tokio::task::JoinHandle::abort);
+        (elapsed, work)
+    };
+    let runs = tokio::join!(run(Duration::from_millis(15)), run(Duration::from_millis(2_500)));
+    assert!(runs.0.0 <= GRACE && runs.1.0 <= GRACE, "the processes ended after: {runs:?}");
+}
+
+/// A daemon without a configuration refuses requests and ends when it is stopped.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn shutdown_without_a_configuration_answers_what_it_took() {
+    let mut site = TestSite::start_platform().await;
+    site.add_daemon(0, "north").await;
+    let (outcomes, _) = stop_beside_requests(&mut site, &[0, 1_000, 2_000]).await;
+    expect_none("not refused", &outcomes, |outcome| !outcome.reply.complete || !outcome.is_refused());
+}
