--- a/goldcrestward/src/logs.rs
+++ b/goldcrestward/src/logs.rs
@@ -108,7 +108,7 @@
 
 /// Name of the daemon, or `-` before it is known.
 fn daemon() -> String {
-    let of_thread = THREAD_DAEMON.with_borrow(|name| name.as_deref().map(ToOwned::to_owned));
+    let of_thread = THREAD_DAEMON.try_with(|name| name.borrow().as_deref().map(ToOwned::to_owned)).ok().flatten();
     of_thread.unwrap_or_else(|| DAEMON.get().map_or("-", |name| name).to_owned())
 }
 
