A process that is stopped with a limit has ended within it

Operators saw processes outlast their grace (12.7 s of 8 with half a head on the metrics and ready addresses): the ledger and the operators' connections were waited for up to 5 s each after the drain. They have what is left of the limit since, but to its last millisecond: stops::process_ends_within_the_grace_whatever_ is_open measured 8.02 s twice. The last 0.1 s is now the process's own.

--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -72,6 +72,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Time before the end of the drain by which each request has its final answer, so that it still reaches the caller.
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
+/// The part of that time in which the process exits.
+const EXIT_TIME: Duration = Duration::from_millis(100);
 /// Time on stop for the ledger to write pending records, and for operators' requests to finish, without a time limit.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -265,7 +267,8 @@
         if left > 0 {
             warn!("event=carried-cut daemon={name} count={left}");
         }
-        let rest = || limit.map_or(FLUSH_TIMEOUT, |limit| (limit + STOP_MARGIN).saturating_sub(begun.elapsed()));
+        let limit = limit.map(|limit| limit + STOP_MARGIN - EXIT_TIME);
+        let rest = || limit.map_or(FLUSH_TIMEOUT, |limit| limit.saturating_sub(begun.elapsed()));
         shared.ledger.flush(rest()).await;
         self.gossip.leave();
         timeout(rest(), self.operators.finish()).await.ok();
