Tests: an answer before a pipelined request breaks off in a stop (known red)

A caller that had sent its next request while it read an answer lost the end of that answer when the daemon was stopped: the connection is closed once the answer is written, over a request that nobody reads, and the reset destroys what is still in the socket's buffer.

--- a/goldcrestward/tests/it/stops.rs
+++ b/goldcrestward/tests/it/stops.rs
@@ -9,11 +9,13 @@
 use serde_json::json;
 use standin::service::ServiceFaults;
 use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
     task::JoinSet,
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
-use crate::support::{SlowReply, SlowRequest, TestSite};
+use crate::support::{KEY, RawBackEnd, RawEnd, SlowReply, SlowRequest, TestSite, eventually};
 
 /// Time limit of the shutdown, in seconds.
 const DRAIN_SECONDS: u64 = 8;
@@ -29,6 +31,12 @@
 /// Tokens of a stream that takes well under a second, and of one that takes several.
 const SHORT_TOKENS: usize = 10;
 const LONG_TOKENS: usize = 800;
+/// Size of an answer that fits into no socket's buffer.
+const LARGE_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+/// Size of the body of a pipelined request, more than the HTTP library reads ahead.
+const PIPELINED_BYTES: usize = 1024 * 1024;
+/// Pause between two reads of a slow caller.
+const READ_INTERVAL: Duration = Duration::from_millis(2);
 const KINDS: [Kind; 5] =
     [Kind::Stream(SHORT_TOKENS), Kind::Stream(LONG_TOKENS), Kind::Confirm, Kind::Order, Kind::Lookup];
 
@@ -232,3 +240,59 @@
     let (outcomes, _) = stop_beside_requests(&mut site, &[100, 2_000, 7_600, 8_500, 10_000]).await;
     expect_none("not served", &outcomes, |outcome| !outcome.is_served());
 }
+
+/// Starts a site whose only back end sends [`LARGE_ANSWER_BYTES`].
+async fn start_with_large_answers(drain_seconds: u64) -> (TestSite, RawBackEnd) {
+    let mut site = TestSite::start_with_grace(1, 0, Some(drain_seconds)).await;
+    site.services.iter().for_each(standin::service::Service::kill);
+    site.services.clear();
+    let back_end = RawBackEnd::start(|_, _| {
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE_ANSWER_BYTES}\r\n\r\n");
+        ([head.into_bytes(), vec![b'x'; LARGE_ANSWER_BYTES]].concat(), RawEnd::Keep)
+    });
+    let back_end = back_end.await;
+    site.register_back_end("orders", back_end.address, "large");
+    let listed = || async { site.daemons[0].get("/admin/requests").await?.to_string().contains("large").then_some(()) };
+    eventually("the daemon lists the back end", listed).await;
+    (site, back_end)
+}
+
+fn order(length: usize) -> String {
+    format!("POST /orders/new HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\nContent-Length: {length}\r\n\r\n")
+}
+
+/// Returns the status line of a response and the size of its body.
+fn measure(response: &[u8]) -> (String, usize) {
+    let head = response.windows(4).position(|bytes| bytes == b"\r\n\r\n").map_or(response.len(), |at| at + 4);
+    let text = String::from_utf8_lossy(&response[..head]);
+    (text.lines().next().unwrap_or_default().to_owned(), response.len() - head)
+}
+
+/// Guards against LOST: a connection that a stop closed over a pipelined request was reset, which destroyed the end of
+/// the answer before it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answer_before_a_pipelined_request_is_whole() {
+    let (site, _back_end) = start_with_large_answers(DRAIN_SECONDS).await;
+    let mut stream = TcpStream::connect(site.daemons[0].callers).await.expect("the daemon takes connections");
+    stream.write_all(order(0).as_bytes()).await.expect("the request is sent");
+    let (mut reader, mut writer) = stream.into_split();
+    let mut response = vec![0; 64 * 1024];
+    reader.read_exact(&mut response).await.expect("the answer begins");
+    site.daemons[0].signal(Signal::TERM);
+    let pipelined = tokio::spawn(async move {
+        let request = order(PIPELINED_BYTES) + &"y".repeat(PIPELINED_BYTES);
+        writer.write_all(request.as_bytes()).await.ok();
+        writer
+    });
+    let mut buffer = vec![0; 64 * 1024];
+    let mut end = None;
+    while end.is_none() {
+        sleep(READ_INTERVAL).await;
+        match timeout(GRACE, reader.read(&mut buffer)).await.expect("the answer goes on") {
+            Ok(count) if count > 0 => response.extend_from_slice(&buffer[..count]),
+            ended => end = Some(ended.map_err(|error| error.to_string())),
+        }
+    }
+    pipelined.abort();
+    assert_eq!(measure(&response), ("HTTP/1.1 200 OK".to_owned(), LARGE_ANSWER_BYTES), "ended with {end:?}");
+}
