Tests: a cut answer whose caller reads slowly leaves no line (known red)

BoundedBody notices the end of the daemon only when it is polled and its source has nothing. While the socket's buffer is full the HTTP library polls no body, so such an answer is cut when the process ends, without a stop-cut line and without being counted.

--- a/goldcrestward/tests/it/stops.rs
+++ b/goldcrestward/tests/it/stops.rs
@@ -296,3 +296,18 @@
     pipelined.abort();
     assert_eq!(measure(&response), ("HTTP/1.1 200 OK".to_owned(), LARGE_ANSWER_BYTES), "ended with {end:?}");
 }
+
+/// An answer that its caller has not read by the end of the daemon is cut, and counts as such.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn cut_answer_of_a_caller_that_does_not_read_is_logged() {
+    let (mut site, _back_end) = start_with_large_answers(3).await;
+    let mut stream = TcpStream::connect(site.daemons[0].callers).await.expect("the daemon takes connections");
+    stream.write_all(order(0).as_bytes()).await.expect("the request is sent");
+    stream.read_exact(&mut [0; 1024]).await.expect("the answer begins");
+    site.daemons[0].signal(Signal::TERM);
+    sleep(Duration::from_secs(4)).await;
+    assert!(site.daemons[0].exit_status().is_some(), "the process has not ended");
+    let log = site.daemons[0].log();
+    let lines: Vec<&str> = log.lines().filter(|line| line.contains("stop")).collect();
+    assert!(log.contains("event=stop-cut"), "no line tells of the cut answer: {lines:#?}");
+}
