--- a/goldcrestward/tests/it/stops.rs
+++ b/goldcrestward/tests/it/stops.rs
@@ -10,7 +10,7 @@
 use standin::service::ServiceFaults;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
     task::JoinSet,
     time::{Instant, sleep, sleep_until, timeout},
 };
@@ -35,6 +35,12 @@
 const LARGE_ANSWER_BYTES: usize = 32 * 1024 * 1024;
 /// Size of the body of a pipelined request, more than the HTTP library reads ahead.
 const PIPELINED_BYTES: usize = 1024 * 1024;
+/// Pause of a back end in the middle of a slow answer.
+const ANSWER_PAUSE: Duration = Duration::from_secs(2);
+/// Time from the stop to the end of the body of a request whose answer is slow.
+const LATE_BODY: Duration = Duration::from_secs(1);
+/// Requests before the stop, which show how long one usually takes.
+const USUAL_REQUESTS: usize = 20;
 /// Pause between two reads of a slow caller.
 const READ_INTERVAL: Duration = Duration::from_millis(2);
 const KINDS: [Kind; 5] =
@@ -311,3 +317,61 @@
     let lines: Vec<&str> = log.lines().filter(|line| line.contains("stop")).collect();
     assert!(log.contains("event=stop-cut"), "no line tells of the cut answer: {lines:#?}");
 }
+
+/// Serves connections until it is dropped; answers to requests that contain `slow` pause in the middle.
+async fn start_pausing_back_end() -> (std::net::SocketAddr, JoinSet<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the socket has an address");
+    let mut tasks = JoinSet::new();
+    tasks.spawn(async move {
+        let mut connections = JoinSet::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            connections.spawn(async move {
+                let (mut text, mut buffer) = (String::new(), [0; 8192]);
+                while !text.contains("end of the order") {
+                    let count = stream.read(&mut buffer).await.unwrap_or(0);
+                    if count == 0 {
+                        return;
+                    }
+                    text.push_str(&String::from_utf8_lossy(&buffer[..count]));
+                }
+                let head = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 8\r\n\r\nhalf";
+                stream.write_all(head.as_bytes()).await.ok();
+                if text.contains("slow") {
+                    sleep(ANSWER_PAUSE).await;
+                }
+                stream.write_all(b"half").await.ok();
+            });
+        }
+    });
+    (address, tasks)
+}
+
+/// Guards against LOST: an answer of a plain service is passed on as it comes, so one that takes longer than most can no
+/// longer be refused or repeated when the daemon ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answer_that_takes_longer_than_usual_is_not_cut() {
+    let mut site = TestSite::start_with_grace(1, 0, Some(3)).await;
+    site.services.iter().for_each(standin::service::Service::kill);
+    site.services.clear();
+    let (address, _back_end) = start_pausing_back_end().await;
+    site.register_back_end("orders", address, "pausing");
+    let listed =
+        || async { site.daemons[0].get("/admin/requests").await?.to_string().contains("pausing").then_some(()) };
+    eventually("the daemon lists the back end", listed).await;
+    let target = site.daemons[0].callers;
+    let order = |path, body_ends| {
+        let body = "end of the order".to_owned();
+        SlowRequest { target, path, idempotency_key: None, body, body_ends }
+    };
+    // One in twenty is slow.
+    let paths = (0..USUAL_REQUESTS).map(|number| if number == 0 { "/orders/slow" } else { "/orders/fast" });
+    let calls: JoinSet<SlowReply> = paths.map(|path| order(path, Instant::now()).send()).collect();
+    let replies = calls.join_all().await;
+    assert!(replies.iter().all(|reply| reply.status == 200 && reply.complete), "before the stop: {replies:?}");
+    let late = tokio::spawn(order("/orders/slow", Instant::now() + HEAD_START + LATE_BODY).send());
+    sleep(HEAD_START).await;
+    site.daemons[0].signal(Signal::TERM);
+    let reply = late.await.expect("the caller ends");
+    assert!(reply.complete, "{reply:?}");
+}
