Tests: answers whose callers hang up count as short runs (LOST, known red)

A caller whose request was read whole during a stop got 200 and half of the answer, as twenty callers had hung up early before. RunTimer records the time until an answer is dropped as the time that a run takes, so a route looks faster than it is. The design says that runs which were cut off don't count.

--- a/goldcrestward/tests/it/stops.rs
+++ b/goldcrestward/tests/it/stops.rs
@@ -347,31 +347,58 @@
     (address, tasks)
 }
 
-/// Guards against LOST: an answer of a plain service is passed on as it comes, so one that takes longer than most can no
-/// longer be refused or repeated when the daemon ends.
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn answer_that_takes_longer_than_usual_is_not_cut() {
+/// Starts a site with one daemon, whose back end of plain services is [`start_pausing_back_end`]'s.
+async fn start_with_pausing_back_end() -> (TestSite, JoinSet<()>) {
     let mut site = TestSite::start_with_grace(1, 0, Some(3)).await;
     site.services.iter().for_each(standin::service::Service::kill);
     site.services.clear();
-    let (address, _back_end) = start_pausing_back_end().await;
+    let (address, tasks) = start_pausing_back_end().await;
     site.register_back_end("orders", address, "pausing");
     let listed =
         || async { site.daemons[0].get("/admin/requests").await?.to_string().contains("pausing").then_some(()) };
     eventually("the daemon lists the back end", listed).await;
-    let target = site.daemons[0].callers;
-    let order = |path, body_ends| {
-        let body = "end of the order".to_owned();
-        SlowRequest { target, path, idempotency_key: None, body, body_ends }
-    };
+    (site, tasks)
+}
+
+fn pausing_order(site: &TestSite, path: &'static str, body_ends: Instant) -> SlowRequest {
+    let (target, body) = (site.daemons[0].callers, "end of the order".to_owned());
+    SlowRequest { target, path, idempotency_key: None, body, body_ends }
+}
+
+/// Stops the daemon beside a request whose answer is slow, and returns what its caller got.
+async fn stop_beside_slow_answer(site: &TestSite) -> SlowReply {
+    let late = tokio::spawn(pausing_order(site, "/orders/slow", Instant::now() + HEAD_START + LATE_BODY).send());
+    sleep(HEAD_START).await;
+    site.daemons[0].signal(Signal::TERM);
+    late.await.expect("the caller ends")
+}
+
+/// Guards against LOST: an answer of a plain service is passed on as it comes, so one that takes longer than most can no
+/// longer be refused or repeated when the daemon ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answer_that_takes_longer_than_usual_is_not_cut() {
+    let (site, _back_end) = start_with_pausing_back_end().await;
     // One in twenty is slow.
     let paths = (0..USUAL_REQUESTS).map(|number| if number == 0 { "/orders/slow" } else { "/orders/fast" });
-    let calls: JoinSet<SlowReply> = paths.map(|path| order(path, Instant::now()).send()).collect();
+    let calls: JoinSet<SlowReply> = paths.map(|path| pausing_order(&site, path, Instant::now()).send()).collect();
     let replies = calls.join_all().await;
     assert!(replies.iter().all(|reply| reply.status == 200 && reply.complete), "before the stop: {replies:?}");
-    let late = tokio::spawn(order("/orders/slow", Instant::now() + HEAD_START + LATE_BODY).send());
-    sleep(HEAD_START).await;
-    site.daemons[0].signal(Signal::TERM);
-    let reply = late.await.expect("the caller ends");
+    let reply = stop_beside_slow_answer(&site).await;
+    assert!(reply.complete, "{reply:?}");
+}
+
+/// Guards against LOST: answers whose callers hung up counted as short runs, so that a request was begun which could not
+/// end before the daemon.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answers_whose_callers_hang_up_do_not_count_as_short_runs() {
+    let (site, _back_end) = start_with_pausing_back_end().await;
+    for _ in 0..USUAL_REQUESTS {
+        let mut stream = TcpStream::connect(site.daemons[0].callers).await.expect("the daemon takes connections");
+        let body = "end of the order";
+        let request = order(body.len()).replace("/orders/new", "/orders/slow") + body;
+        stream.write_all(request.as_bytes()).await.expect("the request is sent");
+        stream.read_exact(&mut [0; 16]).await.expect("the answer begins");
+    }
+    let reply = stop_beside_slow_answer(&site).await;
     assert!(reply.complete, "{reply:?}");
 }
