--- a/goldcrestward/tests/it/stops.rs
+++ b/goldcrestward/tests/it/stops.rs
@@ -9,11 +9,13 @@
 use serde_json::json;
 use standin::service::ServiceFaults;
 use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
     task::JoinSet,
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
-use crate::support::{SlowReply, SlowRequest, TestSite};
+use crate::support::{KEY, RawBackEnd, RawEnd, SlowReply, SlowRequest, TestSite, eventually};
 
 /// Time limit of the shutdown, in seconds.
 const DRAIN_SECONDS: u64 = 8;
@@ -29,6 +31,18 @@
 /// Tokens of a stream that takes well under a second, and of one that takes several.
 const SHORT_TOKENS: usize = 10;
 const LONG_TOKENS: usize = 800;
+/// Size of an answer that fits into no socket's buffer.
+const LARGE_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+/// Size of the body of a pipelined request, more than the HTTP library reads ahead.
+const PIPELINED_BYTES: usize = 1024 * 1024;
+/// Pause of a back end in the middle of a slow answer.
+const ANSWER_PAUSE: Duration = Duration::from_secs(2);
+/// Time from the stop to the end of the body of a request whose answer is slow.
+const LATE_BODY: Duration = Duration::from_secs(1);
+/// Requests before the stop, which show how long one usually takes.
+const USUAL_REQUESTS: usize = 20;
+/// Pause between two reads of a slow caller.
+const READ_INTERVAL: Duration = Duration::from_millis(2);
 const KINDS: [Kind; 5] =
     [Kind::Stream(SHORT_TOKENS), Kind::Stream(LONG_TOKENS), Kind::Confirm, Kind::Order, Kind::Lookup];
 
@@ -260,3 +274,159 @@
     let (outcomes, _) = stop_beside_requests(&mut site, &[0, 1_000, 2_000]).await;
     expect_none("not refused", &outcomes, |outcome| !outcome.reply.complete || !outcome.is_refused());
 }
+
+/// Starts a site whose only back end sends [`LARGE_ANSWER_BYTES`].
+async fn start_with_large_answers(drain_seconds: u64) -> (TestSite, RawBackEnd) {
+    let mut site = TestSite::start_with_grace(1, 0, Some(drain_seconds)).await;
+    site.services.iter().for_each(standin::service::Service::kill);
+    site.services.clear();
+    let back_end = RawBackEnd::start(|_, _| {
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE_ANSWER_BYTES}\r\n\r\n");
+        ([head.into_bytes(), vec![b'x'; LARGE_ANSWER_BYTES]].concat(), RawEnd::Keep)
+    });
+    let back_end = back_end.await;
+    site.register_back_end("orders", back_end.address, "large");
+    let listed = || async { site.daemons[0].get("/admin/requests").await?.to_string().contains("large").then_some(()) };
+    eventually("the daemon lists the back end", listed).await;
+    (site, back_end)
+}
+
+fn order(length: usize) -> String {
+    format!("POST /orders/new HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\nContent-Length: {length}\r\n\r\n")
+}
+
+/// Returns the status line of a response and the size of its body.
+fn measure(response: &[u8]) -> (String, usize) {
+    let head = response.windows(4).position(|bytes| bytes == b"\r\n\r\n").map_or(response.len(), |at| at + 4);
+    let text = String::from_utf8_lossy(&response[..head]);
+    (text.lines().next().unwrap_or_default().to_owned(), response.len() - head)
+}
+
+/// Guards against LOST: a connection that a stop closed over a pipelined request was reset, which destroyed the end of
+/// the answer before it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answer_before_a_pipelined_request_is_whole() {
+    let (site, _back_end) = start_with_large_answers(DRAIN_SECONDS).await;
+    let mut stream = TcpStream::connect(site.daemons[0].callers).await.expect("the daemon takes connections");
+    stream.write_all(order(0).as_bytes()).await.expect("the request is sent");
+    let (mut reader, mut writer) = stream.into_split();
+    let mut response = vec![0; 64 * 1024];
+    reader.read_exact(&mut response).await.expect("the answer begins");
+    site.daemons[0].signal(Signal::TERM);
+    let pipelined = tokio::spawn(async move {
+        let request = order(PIPELINED_BYTES) + &"y".repeat(PIPELINED_BYTES);
+        writer.write_all(request.as_bytes()).await.ok();
+        writer
+    });
+    let mut buffer = vec![0; 64 * 1024];
+    let mut end = None;
+    while end.is_none() {
+        sleep(READ_INTERVAL).await;
+        match timeout(GRACE, reader.read(&mut buffer)).await.expect("the answer goes on") {
+            Ok(count) if count > 0 => response.extend_from_slice(&buffer[..count]),
+            ended => end = Some(ended.map_err(|error| error.to_string())),
+        }
+    }
+    pipelined.abort();
+    assert_eq!(measure(&response), ("HTTP/1.1 200 OK".to_owned(), LARGE_ANSWER_BYTES), "ended with {end:?}");
+}
+
+/// An answer that its caller has not read by the end of the daemon is cut, and counts as such.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn cut_answer_of_a_caller_that_does_not_read_is_logged() {
+    let (mut site, _back_end) = start_with_large_answers(3).await;
+    let mut stream = TcpStream::connect(site.daemons[0].callers).await.expect("the daemon takes connections");
+    stream.write_all(order(0).as_bytes()).await.expect("the request is sent");
+    stream.read_exact(&mut [0; 1024]).await.expect("the answer begins");
+    site.daemons[0].signal(Signal::TERM);
+    sleep(Duration::from_secs(4)).await;
+    assert!(site.daemons[0].exit_status().is_some(), "the process has not ended");
+    let log = site.daemons[0].log();
+    let lines: Vec<&str> = log.lines().filter(|line| line.contains("stop")).collect();
+    assert!(log.contains("event=stop-cut"), "no line tells of the cut answer: {lines:#?}");
+}
+
+/// Serves connections until it is dropped; answers to requests that contain `slow` pause in the middle.
+async fn start_pausing_back_end() -> (std::net::SocketAddr, JoinSet<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the socket has an address");
+    let mut tasks = JoinSet::new();
+    tasks.spawn(async move {
+        let mut connections = JoinSet::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            connections.spawn(async move {
+                let (mut text, mut buffer) = (String::new(), [0; 8192]);
+                while !text.contains("end of the order") {
+                    let count = stream.read(&mut buffer).await.unwrap_or(0);
+                    if count == 0 {
+                        return;
+                    }
+                    text.push_str(&String::from_utf8_lossy(&buffer[..count]));
+                }
+                let head = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 8\r\n\r\nhalf";
+                stream.write_all(head.as_bytes()).await.ok();
+                if text.contains("slow") {
+                    sleep(ANSWER_PAUSE).await;
+                }
+                stream.write_all(b"half").await.ok();
+            });
+        }
+    });
+    (address, tasks)
+}
+
+/// Starts a site with one daemon, whose back end of plain services is [`start_pausing_back_end`]'s.
+async fn start_with_pausing_back_end() -> (TestSite, JoinSet<()>) {
+    let mut site = TestSite::start_with_grace(1, 0, Some(3)).await;
+    site.services.iter().for_each(standin::service::Service::kill);
+    site.services.clear();
+    let (address, tasks) = start_pausing_back_end().await;
+    site.register_back_end("orders", address, "pausing");
+    let listed =
+        || async { site.daemons[0].get("/admin/requests").await?.to_string().contains("pausing").then_some(()) };
+    eventually("the daemon lists the back end", listed).await;
+    (site, tasks)
+}
+
+fn pausing_order(site: &TestSite, path: &'static str, body_ends: Instant) -> SlowRequest {
+    let (target, body) = (site.daemons[0].callers, "end of the order".to_owned());
+    SlowRequest { target, path, idempotency_key: None, body, body_ends }
+}
+
+/// Stops the daemon beside a request whose answer is slow, and returns what its caller got.
+async fn stop_beside_slow_answer(site: &TestSite) -> SlowReply {
+    let late = tokio::spawn(pausing_order(site, "/orders/slow", Instant::now() + HEAD_START + LATE_BODY).send());
+    sleep(HEAD_START).await;
+    site.daemons[0].signal(Signal::TERM);
+    late.await.expect("the caller ends")
+}
+
+/// Guards against LOST: an answer of a plain service is passed on as it comes, so one that takes longer than most can no
+/// longer be refused or repeated when the daemon ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answer_that_takes_longer_than_usual_is_not_cut() {
+    let (site, _back_end) = start_with_pausing_back_end().await;
+    // One in twenty is slow.
+    let paths = (0..USUAL_REQUESTS).map(|number| if number == 0 { "/orders/slow" } else { "/orders/fast" });
+    let calls: JoinSet<SlowReply> = paths.map(|path| pausing_order(&site, path, Instant::now()).send()).collect();
+    let replies = calls.join_all().await;
+    assert!(replies.iter().all(|reply| reply.status == 200 && reply.complete), "before the stop: {replies:?}");
+    let reply = stop_beside_slow_answer(&site).await;
+    assert!(reply.complete, "{reply:?}");
+}
+
+/// Guards against LOST: answers whose callers hung up counted as short runs, so that a request was begun which could not
+/// end before the daemon.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answers_whose_callers_hang_up_do_not_count_as_short_runs() {
+    let (site, _back_end) = start_with_pausing_back_end().await;
+    for _ in 0..USUAL_REQUESTS {
+        let mut stream = TcpStream::connect(site.daemons[0].callers).await.expect("the daemon takes connections");
+        let body = "end of the order";
+        let request = order(body.len()).replace("/orders/new", "/orders/slow") + body;
+        stream.write_all(request.as_bytes()).await.expect("the request is sent");
+        stream.read_exact(&mut [0; 16]).await.expect("the answer begins");
+    }
+    let reply = stop_beside_slow_answer(&site).await;
+    assert!(reply.complete, "{reply:?}");
+}
