A pipelined request does not destroy the answer before it when a daemon stops (LOST)

Callers lost the end of an answer when their connection was closed over a request that they had sent ahead: the reset drops what is not read yet. What is left unread is read and dropped, as after an answer to a request whose body was not read.

--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -48,7 +48,7 @@
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Time added to the idle time-out before a connection is closed, so that a request in transit is not cut off.
 const IDLE_GRACE: Duration = Duration::from_millis(500);
-/// Longest time for which the rest of a request is read after an early response.
+/// Longest time for which what a caller goes on to send is read after its last response.
 const DISCARD_TIME: Duration = Duration::from_secs(2);
 const DISCARD_BUFFER_BYTES: usize = 8 * 1024;
 /// Delay after a failed accept, such as when file descriptors run out.
@@ -171,9 +171,11 @@
     };
     match ended {
         Ok(()) => {
-            let mut stream = connection.into_parts().io.into_inner().into_inner();
+            let parts = connection.into_parts();
+            let mut stream = parts.io.into_inner().into_inner();
             stream.shutdown().await.ok();
-            if activity.has_unread_body() {
+            let has_next = !parts.read_buf.is_empty() || stream.try_read(&mut [0]).is_ok_and(|count| count > 0);
+            if has_next || activity.has_unread_body() {
                 discard_rest(&mut stream).await;
             }
         }
@@ -181,7 +183,7 @@
     }
 }
 
-/// Reads what a caller goes on to send after an early response, for a time: the response could be lost in the reset that
+/// Reads what a caller goes on to send after its last response, for a time: the response could be lost in the reset that
 /// follows when a connection is closed over unread bytes.
 async fn discard_rest(stream: &mut TcpStream) {
     let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
