explain reads the lines of a stop as the daemon writes them

Found by the review: a cut answer has its bytes in the line, not its last event, and left_ms of what was given up counts to the request's own deadline.

--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -298,9 +298,9 @@
         ),
         "stop-given-up" => {
             let run = if field("run") == "not-run" { "it has not run" } else { "it may have run" };
-            format!("given up {} ms before the end of its daemon, {run}", field("left_ms"))
+            format!("given up at the end of its daemon, {} ms before its own deadline; {run}", field("left_ms"))
         }
-        "stop-cut" => format!("the answer was cut off by the end of its daemon, {}", progress(field("last"))),
+        "stop-cut" => format!("the answer was cut off by the end of its daemon, after {} bytes", field("bytes")),
         "carried-begun" => {
             format!("carries a connection to {} for {}{}", field("instance"), field("peer"), owner(line, id))
         }
@@ -380,14 +380,6 @@
 }
 
 /// How far an answer had come, from the number of its last event.
-fn progress(last: &str) -> String {
-    let number = last.strip_prefix("Some(").and_then(|rest| rest.strip_suffix(')')).unwrap_or(last);
-    match number.parse::<u64>() {
-        Ok(number) => format!("after event {number}"),
-        Err(_) => "before its first event".into(),
-    }
-}
-
 fn relay_result(label: &str) -> &str {
     match label {
         "opened" => "it did",
