Test: a service gets no connection header of the caller's

The test took the daemon's own Connection: close, which requests on connections of their own bear since, for the caller's. It now compares the value: none, or the daemon's, so that the caller's still fails it.

--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -92,6 +92,7 @@
         }
         let key = request.headers().get("idempotency-key").and_then(|v| v.to_str().ok()).map(str::to_owned);
         let path = request.uri().path().to_owned();
+        let connection = request.headers().get("connection").and_then(|v| v.to_str().ok()).map(str::to_owned);
         let headers: Vec<_> = request.headers().keys().map(ToString::to_string).collect();
         let Ok(body) = request.into_body().collect().await else {
             return web::text(StatusCode::BAD_REQUEST, "could not read the body");
@@ -112,7 +113,7 @@
         }
         web::json(
             StatusCode::OK,
-            &json!({ "path": path, "key": key, "executions": count, "bytes": length, "headers": headers }),
+            &json!({ "path": path, "key": key, "executions": count, "bytes": length, "headers": headers, "connection": connection }),
         )
     }
 }
