--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -10,6 +10,7 @@
     connection::{BackendConnection, CarriedConnection, ConnectError, open_backend_socket},
     pb::{OpenTunnel, TunnelResult},
     process::{Gateway, lifecycle::Stage, membership::State, replicas::Replica, shared::Shared},
+    request::RunWindow,
     util::stable_hash,
 };
 
@@ -22,15 +23,6 @@
 /// Peers that are asked for one connection.
 const MAX_HELPERS: usize = 3;
 
-/// The time that a request has and needs on a connection.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct TimeNeeded {
-    /// Time until the request's deadline.
-    pub left: Duration,
-    /// Time for which a connection must last so that the request is not lost with it.
-    pub to_end: Duration,
-}
-
 impl Gateway {
     /// Returns a connection to a server, idle or new: directly, or by way of a peer if this daemon does not reach it.
     ///
@@ -40,9 +32,9 @@
         self: &Arc<Self>,
         id: &str,
         replica: &Arc<Replica>,
-        time: TimeNeeded,
+        window: &RunWindow,
     ) -> Result<BackendConnection, ConnectError> {
-        let TimeNeeded { left: limit, .. } = time;
+        let limit = window.time_left();
         let (path, is_silent) = {
             let mut reach = self.reach.lock();
             (reach.path(&replica.id, self.shared.now()), reach.is_silent())
@@ -69,7 +61,7 @@
             Path::Relay => {}
             Path::RelayAndProbe => self.probe(replica),
         }
-        let relayed = timeout(limit, self.connect_by_peer(id, replica, time)).await;
+        let relayed = timeout(limit, self.connect_by_peer(id, replica, window)).await;
         relayed.ok().flatten().ok_or(failure)
     }
 
@@ -110,8 +102,8 @@
     }
 
     /// Has a peer open a connection to the server, and uses that one.
-    async fn connect_by_peer(&self, id: &str, replica: &Replica, time: TimeNeeded) -> Option<BackendConnection> {
-        let ends_within_ms = u64::try_from(time.to_end.as_millis()).unwrap_or(0);
+    async fn connect_by_peer(&self, id: &str, replica: &Replica, window: &RunWindow) -> Option<BackendConnection> {
+        let ends_within_ms = u64::try_from(window.needed().as_millis()).unwrap_or(0);
         for (name, address) in self.helpers(id) {
             let open = OpenTunnel {
                 instance: replica.id.to_string(),
--- a/goldcrestward/src/process/reach/mod.rs
+++ b/goldcrestward/src/process/reach/mod.rs
@@ -3,6 +3,5 @@
 mod connect;
 mod table;
 
-pub(crate) use connect::TimeNeeded;
 pub(super) use connect::open_for_peer;
 pub(crate) use table::ReachTable;
--- a/goldcrestward/src/process/run_times_test.rs
+++ b/goldcrestward/src/process/run_times_test.rs
@@ -64,7 +64,7 @@
 #[test]
 fn runs_count_for_one_period_at_least_and_two_at_most() {
     let now = Instant::now();
-    let (times, route) = times(&vec![MS * 500; 10], now);
+    let (times, route) = times(&[MS * 500; 10], now);
     assert!(times.longest(&route, now + PERIOD).is_some());
     assert!(times.longest(&route, now + PERIOD * 2).is_none());
     times.record(&route, MS * 20, now + PERIOD * 4);
--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -82,7 +82,8 @@
         affinity_key: u64,
         version: Option<Arc<str>>,
     ) -> Self {
-        let window = RunWindow::new(shared.clone(), id.clone(), route.clone(), Instant::now() + route.timeout);
+        let window =
+            RunWindow::new(shared.clone(), id.clone(), route.clone(), Instant::now() + route.timeout).unbuffered();
         shared.route_retry_budgets.deposit(&route.name, route.retry_share);
         Self {
             shared,
--- a/goldcrestward/src/request/bounded_body.rs
+++ b/goldcrestward/src/request/bounded_body.rs
@@ -1,8 +1,10 @@
 //! A response body that ends with the daemon.
 
 use std::{
+    mem,
     pin::Pin,
     task::{Context, Poll},
+    time::Instant,
 };
 
 use bytes::Bytes;
@@ -20,19 +22,39 @@
     /// The mutex is never contended; it makes the body `Sync`.
     ended: Mutex<BoxFuture<'static, ()>>,
     bytes: u64,
+    /// When the run began whose time is recorded at the end of the body.
+    started: Option<Instant>,
+    is_over: bool,
 }
 
 impl BoundedBody {
-    /// Bounds the body of a response, unless all of it is there already.
-    pub fn bound(response: Response, window: RunWindow) -> Response {
-        if response.body().size_hint().exact().is_some() {
-            return response;
-        }
+    /// Bounds the body of a response that is passed on as it comes. If the response belongs to a run that `started`,
+    /// its time is recorded at the end of the body.
+    pub fn bound(response: Response, window: RunWindow, started: Option<Instant>) -> Response {
         let ended = Mutex::new({
             let window = window.clone();
             Box::pin(async move { window.ended().await }) as BoxFuture<'static, ()>
         });
-        response.map(|body| Body::from_body(Self { body, window, ended, bytes: 0 }))
+        response.map(|body| Body::from_body(Self { body, window, ended, bytes: 0, started, is_over: false }))
+    }
+}
+
+impl BoundedBody {
+    fn finish(&mut self) {
+        if !mem::replace(&mut self.is_over, true)
+            && let Some(started) = self.started
+        {
+            self.window.record_run(started);
+        }
+    }
+}
+
+impl Drop for BoundedBody {
+    fn drop(&mut self) {
+        // The caller reads too slowly for the body to be polled at the end of the daemon.
+        if !self.is_over && self.window.has_ended() {
+            self.window.record_cut(self.bytes);
+        }
     }
 }
 
@@ -45,14 +67,25 @@
         match &polled {
             Poll::Ready(Some(Ok(frame))) => {
                 self.bytes += frame.data_ref().map_or(0, Bytes::len) as u64;
+                if self.body.is_end_stream() {
+                    self.finish();
+                }
+                return polled;
+            }
+            Poll::Ready(None) => {
+                self.finish();
+                return polled;
+            }
+            Poll::Ready(Some(Err(_))) => {
+                self.is_over = true;
                 return polled;
             }
-            Poll::Ready(_) => return polled,
             Poll::Pending => {}
         }
         if self.ended.get_mut().as_mut().poll(context).is_pending() {
             return Poll::Pending;
         }
+        self.is_over = true;
         self.window.record_cut(self.bytes);
         Poll::Ready(Some(Err("the daemon is being stopped".into())))
     }
--- a/goldcrestward/src/request/fallback.rs
+++ b/goldcrestward/src/request/fallback.rs
@@ -53,10 +53,10 @@
         excluded.push(silent.replica().id.clone());
         let offer = self.placement.offer(&gateway, &excluded, self.crash_score().ok()?).ok()?;
         let offer = Some(offer).filter(|offer| offer.placement.has_free_slot)?;
-        let (guard, id, time) = (offer.accept(), self.metadata.id.clone(), self.time_needed());
+        let (guard, id, window) = (offer.accept(), self.metadata.id.clone(), self.window.clone());
         Some(Box::pin(async move {
             gateway.admit_to_server(&id, guard.replica()).await.ok()?;
-            let connection = gateway.connect(&id, guard.replica(), time).await.ok()?;
+            let connection = gateway.connect(&id, guard.replica(), &window).await.ok()?;
             Some(Fallback { guard, connection })
         }))
     }
--- a/goldcrestward/src/request/ingress.rs
+++ b/goldcrestward/src/request/ingress.rs
@@ -107,7 +107,8 @@
         }
         let admitted = self.admit(&account)?;
         let path = parts.uri.path_and_query().map_or(path, ToString::to_string);
-        let window = RunWindow::new(self.shared.clone(), id.clone(), route.clone(), Instant::now() + route.timeout);
+        let window =
+            RunWindow::new(self.shared.clone(), id.clone(), route.clone(), Instant::now() + route.timeout).unbuffered();
         let body = window.wait_for(Phase::Body, async {
             if route.repeatable { read_start(body).await } else { read_body(body).await.map(ReceivedBody::complete) }
         });
--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -26,6 +26,7 @@
 pub(crate) use ingress::Ingress;
 pub(crate) use proxy_ingress::ProxyIngress;
 pub(crate) use refusal::{Reason, Refusal};
+pub(crate) use run_window::RunWindow;
 
 #[cfg(test)]
 mod token_events_test;
--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -203,7 +203,7 @@
         if let Ok(id) = id {
             headers.insert("x-request-id", id);
         }
-        BoundedBody::bound(response, window)
+        BoundedBody::bound(response, window, None)
     }
 
     /// Opens a stream from token `next` at another replica after `failed` has failed or is leaving.
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -20,7 +20,7 @@
     headers::drop_hop_by_hop,
     refusal::{Reason, Refusal, RunState},
     response_owner::ResponseOwner,
-    run_window::{Phase, RunTimer, RunWindow},
+    run_window::{Phase, RunWindow},
 };
 use crate::{
     config::{Account, Route},
@@ -148,7 +148,6 @@
     /// Returns a refusal if no back end responded.
     pub async fn run(self) -> Result<Response, Refusal> {
         let (shared, route, received) = (self.shared.clone(), self.route.clone(), self.received);
-        let window = self.attempts.window().clone();
         let result = match (self.rest.is_some(), self.route.repeatable) {
             (true, _) => self.run_streamed().await,
             (false, true) => self.run_repeatable().await,
@@ -158,7 +157,7 @@
         shared.metrics.requests.with_label_values(&[&*route.name, end]).inc();
         let seconds = received.elapsed().as_secs_f64();
         shared.metrics.plain_seconds.with_label_values(&[&*route.name]).observe(seconds);
-        result.map(|response| BoundedBody::bound(response, window))
+        result
     }
 
     async fn run_repeatable(mut self) -> Result<Response, Refusal> {
@@ -211,13 +210,13 @@
     fn pass_through(self, response: Response, guard: ReplicaGuard) -> Response {
         let (mut parts, body) = response.into_parts();
         drop_hop_by_hop(&mut parts.headers);
-        let timer = RunTimer::new(self.attempts.window().clone(), self.received);
-        let guards = (guard, timer, self._admitted, self._in_flight);
+        let (window, started) = (self.attempts.window().clone(), self.received);
+        let guards = (guard, self._admitted, self._in_flight);
         let body = body.map_frame(move |frame| {
             let _guards = &guards;
             frame
         });
-        Response::from_parts(parts, Body::from_body(body))
+        BoundedBody::bound(Response::from_parts(parts, Body::from_body(body)), window, Some(started))
     }
 
     async fn send(&mut self, guard: &ReplicaGuard) -> Result<Response, Failure> {
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -15,6 +15,7 @@
 use volo_http::{body::Body, response::Response};
 
 use super::{
+    bounded_body::BoundedBody,
     crash::{CrashRecords, PossibleCause, fingerprint, record_crash},
     fallback::Fallback,
     headers::drop_hop_by_hop,
@@ -31,8 +32,8 @@
     logs::is_sampled,
     port::{AttemptMetadata, MigratedKvCache, RequestMetadata, ResponseHead, ResponseMetadata},
     process::{
-        AttemptOutcome, Condemned, Gateway, Replica, ReplicaGuard, TimeNeeded, part_names, record_answer,
-        record_brittle, record_leaving,
+        AttemptOutcome, Condemned, Gateway, Replica, ReplicaGuard, part_names, record_answer, record_brittle,
+        record_leaving,
     },
     version::Sample,
 };
@@ -162,8 +163,10 @@
                 let ProxyStream { head, body, connection, guard, first } = *open;
                 let headers = head.headers.clone();
                 self.is_answering = true;
+                let window = self.window.clone();
                 let body = ProxyBody::new(self, sequence, body, connection, guard, first, headers);
-                Ok(Response::from_parts(caller_head(head), Body::from_body(body)))
+                let response = Response::from_parts(caller_head(head), Body::from_body(body));
+                Ok(BoundedBody::bound(response, window, None))
             }
         }
     }
@@ -221,11 +224,6 @@
         self.placement.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Time for which a new connection must last.
-    pub(super) fn time_needed(&self) -> TimeNeeded {
-        TimeNeeded { left: self.time_left(), to_end: self.window.needed() }
-    }
-
     /// Idle time after which another server is sought; the time left if the request cannot be sent to another one.
     pub(super) fn idle_timeout(&self) -> Duration {
         if !self.route.kind.is_idempotent() || self.sends >= self.route.attempt_limit {
@@ -420,7 +418,7 @@
         let replica = guard.replica().clone();
         let acquired = match self.connection.take() {
             Some(connection) => Ok(connection),
-            None => self.gateway.connect(&self.metadata.id, &replica, self.time_needed()).await,
+            None => self.gateway.connect(&self.metadata.id, &replica, &self.window).await,
         };
         let mut connection = acquired.map_err(|error| {
             let (id, instance, why) = (&self.metadata.id, &replica.id, error.label());
--- a/goldcrestward/src/request/proxy_ingress.rs
+++ b/goldcrestward/src/request/proxy_ingress.rs
@@ -13,7 +13,6 @@
 use volo_http::{body::Body, request::Request, response::Response};
 
 use super::{
-    bounded_body::BoundedBody,
     placement_request::{PlacementRequest, choose_pool},
     proxy::{AdmittedCaller, ProxyCall, RequestHead},
     refusal::{Reason, Refusal},
@@ -88,8 +87,8 @@
         let body = body.and_then(|body| body).map_err(|refusal| refuse(&id, refusal))?;
         let call = self.prepare_call(caller, parts, body, arrived, deadline).await;
         let call = call.map_err(|refusal| refuse(&id, refusal))?;
-        let (route, window) = (call.route.name.clone(), call.window.clone());
-        let result = call.run().await.map(|response| BoundedBody::bound(response, window));
+        let route = call.route.name.clone();
+        let result = call.run().await;
         let end = if result.is_ok() { "passed" } else { "refused" };
         self.gateway.shared.metrics.requests.with_label_values(&[&*route, end]).inc();
         let seconds = arrived.elapsed().as_secs_f64();
--- a/goldcrestward/src/request/run_window.rs
+++ b/goldcrestward/src/request/run_window.rs
@@ -54,12 +54,20 @@
     route: Arc<Route>,
     kind: RunKind,
     deadline: Instant,
+    /// Whether the answer is complete before the caller gets any of it.
+    is_buffered: bool,
 }
 
 impl RunWindow {
     pub fn new(shared: Arc<Shared>, id: Arc<str>, route: Arc<Route>, deadline: Instant) -> Self {
         let kind = RunKind::new(route.name.clone(), Some(0));
-        Self { shared, id, route, kind, deadline }
+        let is_buffered = !route.kind.is_stream();
+        Self { shared, id, route, kind, deadline, is_buffered }
+    }
+
+    /// Marks an answer that the caller gets as it comes.
+    pub fn unbuffered(self) -> Self {
+        Self { is_buffered: false, ..self }
     }
 
     /// Sets how many tokens the answer may have; `None` if there is no limit.
@@ -81,7 +89,7 @@
     /// Time that the request needs. Only one that can be repeated, and whose answer has not begun, may turn out to take
     /// longer.
     pub fn needed(&self) -> Duration {
-        let may_fail = self.is_repeatable() && !self.is_stream();
+        let may_fail = self.is_buffered && self.route.kind.is_idempotent();
         let (times, now) = (&self.shared.run_times, Instant::now());
         let left = self.deadline.saturating_duration_since(now);
         let known = if may_fail { times.usual(&self.kind, now) } else { times.longest(&self.kind, now) };
@@ -93,14 +101,6 @@
         if phase == Phase::Body { needed.max(REFUSAL_TIME) } else { needed }
     }
 
-    fn is_repeatable(&self) -> bool {
-        self.route.repeatable || self.route.kind.is_idempotent()
-    }
-
-    fn is_stream(&self) -> bool {
-        self.route.kind.is_stream() || self.route.model.is_some()
-    }
-
     /// Whether a run that begins now can be expected to end before the daemon.
     pub fn allows_run(&self) -> bool {
         self.shared.lifetime.allows(self.needed())
@@ -185,21 +185,3 @@
         Refusal::not_run(Reason::Stopping, message).with_retry_after(RETRY_AFTER)
     }
 }
-
-/// Records how long a run took when it is dropped.
-pub(super) struct RunTimer {
-    window: RunWindow,
-    started: Instant,
-}
-
-impl RunTimer {
-    pub fn new(window: RunWindow, started: Instant) -> Self {
-        Self { window, started }
-    }
-}
-
-impl Drop for RunTimer {
-    fn drop(&mut self) {
-        self.window.record_run(self.started);
-    }
-}
