Test: the ports of test daemons and stand-ins stay reserved while their site exists

Cause: a test kills its services, whose ports the kernel then gives to any test that binds port 0. The daemon still lists the killed services and sends the request to the other test's server; the 12 bytes are "no such path" of a stand-in engine. The daemon does as it should, since its list says that the addresses are its back ends'.

The same class: free ports were chosen by binding and closing, and a daemon counted as started once anything answered "ok" at its admin address.

ReservedPort keeps a bound socket that does not listen: port 0 is never given it, and connections are refused. Daemons are no longer started over silently: one that ends at its start fails its test with its log.

--- a/goldcrestward/tests/it/command_line.rs
+++ b/goldcrestward/tests/it/command_line.rs
@@ -2,7 +2,9 @@
 
 use std::{fs, process::Command};
 
-use crate::support::{TOKEN, TestSite, free_port};
+use standin::reserved_port::ReservedPort;
+
+use crate::support::{TOKEN, TestSite};
 
 fn run_cli(args: &[&str]) -> (i32, String, String) {
     let output = Command::new(env!("CARGO_BIN_EXE_goldcrestward")).args(args).output().expect("the command starts");
@@ -134,7 +136,8 @@
     let (code, _, stderr) = run_cli(&["peers", "--admin", &admin, "--token", "wrong"]);
     assert_eq!(code, 1);
     assert!(stderr.contains("token"), "{stderr}");
-    let unused_address = free_port().await.to_string();
+    let unused_port = ReservedPort::new().expect("a port is free");
+    let unused_address = unused_port.address().to_string();
     let (code, _, stderr) = run_cli(&["peers", "--admin", &unused_address]);
     assert_eq!(code, 1);
     assert!(stderr.contains(&unused_address), "{stderr}");
--- a/goldcrestward/tests/it/ledger.rs
+++ b/goldcrestward/tests/it/ledger.rs
@@ -24,7 +24,6 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn retried_keyed_request_gets_recorded_outcome_from_any_daemon() {
-    known_red::report!();
     let site = TestSite::start(3, 0).await;
     assert_eq!(site.confirm(0, "order-1").await, RequestOutcome::Complete);
     for daemon in [1, 2, 0] {
--- a/goldcrestward/tests/it/logs.rs
+++ b/goldcrestward/tests/it/logs.rs
@@ -6,8 +6,9 @@
 };
 
 use rustix::process::Signal;
+use standin::reserved_port::ReservedPort;
 
-use crate::support::{TestDaemon, TestSite, eventually, free_port};
+use crate::support::{TestDaemon, TestSite, eventually};
 
 /// Stops the daemons together and returns the last lines of their logs.
 async fn stop_all(daemons: &mut [TestDaemon]) -> Vec<String> {
@@ -44,7 +45,8 @@
 async fn log_of_failed_start_ends_with_its_error() {
     let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let taken = socket.local_addr().expect("a bound socket").to_string();
-    let peers = free_port().await.to_string();
+    let peers = ReservedPort::new().expect("a port is free");
+    let peers = peers.address().to_string();
     let mut command = Command::new(env!("CARGO_BIN_EXE_goldcrestward"));
     command
         .args(["serve", "--site", "test", "--name", "unstarted", "--region", "north", "--zone", "north-a"])
--- a/goldcrestward/tests/it/membership.rs
+++ b/goldcrestward/tests/it/membership.rs
@@ -1,7 +1,7 @@
 //! Membership: failure detection, rejoining, and rejection of traffic from outside the site.
 
 use rustix::process::Signal;
-use standin::fault_proxy::LinkFaults;
+use standin::{fault_proxy::LinkFaults, reserved_port::ReservedPort};
 use tokio::net::UdpSocket;
 
 use crate::support::{TestDaemon, TestSite, eventually};
@@ -71,7 +71,8 @@
 async fn outside_traffic_is_rejected_and_counted() {
     let site = TestSite::start(2, 0).await;
     let daemon = &site.daemons[0];
-    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port is free");
+    let port = ReservedPort::new().expect("a port is free");
+    let socket = UdpSocket::bind(port.address()).await.expect("the port is free for UDP");
     let cases: [(&[u8], &str); 3] =
         [(b"no message at all \xff\xff", "malformed"), (&[0x0a, 0x01, 0x78], "stranger"), (&[7; 5000], "oversized")];
     for (bytes, reason) in cases {
--- a/goldcrestward/tests/it/support/daemon.rs
+++ b/goldcrestward/tests/it/support/daemon.rs
@@ -4,16 +4,23 @@
     fs,
     net::SocketAddr,
     process::{Child, Command, ExitStatus, Stdio},
+    time::{Duration, Instant},
 };
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
-use standin::fault_proxy::{FaultProxy, LinkFaults};
+use standin::{
+    fault_proxy::{FaultProxy, LinkFaults},
+    reserved_port::ReservedPort,
+};
 use tempfile::NamedTempFile;
 use tokio::net::{TcpListener, UdpSocket};
 
 use super::site::{SECRET, TOKEN, TOKEN_HASH};
 
+/// Limits how long a failing test runs.
+const START_TIMEOUT: Duration = Duration::from_secs(60);
+
 #[derive(Clone, Debug)]
 pub(crate) struct DaemonOptions {
     pub name: String,
@@ -35,28 +42,29 @@
     platform_proxy: FaultProxy,
     peer_proxy: FaultProxy,
     log: NamedTempFile,
+    _ports: [ReservedPort; 3],
 }
 
 impl TestDaemon {
-    /// Starts a daemon on free ports; starts over with new ports if another process has taken one in the meantime.
+    /// Starts a daemon on reserved ports and waits until it listens.
     pub async fn start(options: DaemonOptions) -> Self {
+        let mut daemon = Self::spawn(&options).await;
+        let start = Instant::now();
         loop {
-            let mut daemon = Self::spawn(&options).await;
-            for _ in 0..100 {
-                let response = standin::http::get(daemon.admin, "/healthz", None).await;
-                if response.is_ok_and(|text| text == "ok") {
-                    return daemon;
-                }
-                if daemon.exit_status().is_some() {
-                    break;
-                }
-                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            let response = standin::http::get(daemon.admin, "/healthz", None).await;
+            if response.is_ok_and(|text| text == "ok") {
+                return daemon;
             }
+            let status = daemon.exit_status();
+            assert_eq!(status, None, "{} ended at its start:\n{}", daemon.name, daemon.log());
+            assert!(start.elapsed() < START_TIMEOUT, "{} does not listen:\n{}", daemon.name, daemon.log());
+            tokio::time::sleep(Duration::from_millis(20)).await;
         }
     }
 
     async fn spawn(options: &DaemonOptions) -> Self {
-        let (callers, admin, peers) = (free_port().await, free_port().await, free_port().await);
+        let ports = std::array::from_fn(|_| ReservedPort::new().expect("a port is free"));
+        let [callers, admin, peers] = ports.each_ref().map(ReservedPort::address);
         let (advertise, peer_proxy) = start_proxy(peers).await;
         let (platform, platform_proxy) = start_proxy(options.platform).await;
         let log = NamedTempFile::new().expect("a temporary file");
@@ -81,7 +89,7 @@
         }
         let child = command.spawn().expect("the daemon starts");
         let name = options.name.clone();
-        Self { child, name, callers, admin, advertise, platform_proxy, peer_proxy, log }
+        Self { child, name, callers, admin, advertise, platform_proxy, peer_proxy, log, _ports: ports }
     }
 
     /// Sets the faults on the daemon's connections to the platform.
@@ -145,17 +153,6 @@
     }
 }
 
-/// An address whose port is free for both TCP and UDP; another process may still take it before it is used.
-pub(crate) async fn free_port() -> SocketAddr {
-    loop {
-        let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
-        let address = socket.local_addr().expect("the socket has an address");
-        if UdpSocket::bind(address).await.is_ok() {
-            return address;
-        }
-    }
-}
-
 /// Starts a proxy to `upstream` for TCP and UDP, and returns the address on which it listens.
 async fn start_proxy(upstream: SocketAddr) -> (SocketAddr, FaultProxy) {
     loop {
--- a/goldcrestward/tests/it/support/mod.rs
+++ b/goldcrestward/tests/it/support/mod.rs
@@ -6,7 +6,7 @@
 mod site;
 mod slow_request;
 
-pub(crate) use daemon::{TestDaemon, free_port};
+pub(crate) use daemon::TestDaemon;
 pub(crate) use raw_back_end::{RawBackEnd, RawEnd};
 pub(crate) use raw_reply::RawReply;
 pub(crate) use site::{KEY, TOKEN, TestSite, propose, run_load};
--- a/goldcrestward/tests/it/support/site.rs
+++ b/goldcrestward/tests/it/support/site.rs
@@ -7,6 +7,7 @@
     engine::{Engine, EngineFaults, EngineOptions},
     load::{Client, LoadPlan, LoadReport, RequestOutcome, StreamResult, Targets, Workload},
     platform::{Instance, InstanceState, Platform},
+    reserved_port::ReservedPort,
     service::{Executions, Service, ServiceFaults},
 };
 use tokio::net::TcpListener;
@@ -56,6 +57,8 @@
     pub daemons: Vec<TestDaemon>,
     /// Time limit of the daemons' graceful shutdown; none if absent.
     pub drain_seconds: Option<u64>,
+    /// Ports of the stand-ins, kept so that no other server answers at the address of a killed one.
+    ports: Vec<ReservedPort>,
 }
 
 impl TestSite {
@@ -84,7 +87,9 @@
 
     /// Starts the platform without any replica or daemon.
     pub async fn start_platform() -> Self {
-        let platform = Platform::start(listener().await.0, 1).expect("the platform starts");
+        let port = ReservedPort::new().expect("a port is free");
+        let listener = port.listen().expect("the port can be listened on");
+        let platform = Platform::start(listener, 1).expect("the platform starts");
         let executions = Executions::default();
         Self {
             platform,
@@ -93,11 +98,12 @@
             executions,
             daemons: Vec::new(),
             drain_seconds: None,
+            ports: vec![port],
         }
     }
 
     pub async fn add_engine(&mut self, version: &str, region: &str) -> usize {
-        let (socket, address) = listener().await;
+        let (socket, address) = self.listen();
         let number = self.engines.len();
         let options = EngineOptions { time_factor: 0.3, seed: number as u64 + 1, ..EngineOptions::default() };
         self.engines.push(Engine::start(socket, address, options));
@@ -114,7 +120,7 @@
     }
 
     pub async fn add_service(&mut self, number: u64) {
-        let (socket, address) = listener().await;
+        let (socket, address) = self.listen();
         self.services.push(Service::start(socket, address, self.executions.clone(), number + 1));
         self.register_service(address, &format!("orders-{number}"));
     }
@@ -130,6 +136,15 @@
         self.platform.put_instance(Instance { id: id.into(), ..row });
     }
 
+    /// Listens on a port that stays reserved as long as the site exists.
+    fn listen(&mut self) -> (TcpListener, SocketAddr) {
+        let port = ReservedPort::new().expect("a port is free");
+        let listener = port.listen().expect("the port can be listened on");
+        let address = port.address();
+        self.ports.push(port);
+        (listener, address)
+    }
+
     pub async fn add_daemon(&mut self, number: usize, region: &str) {
         let join = self.daemons.first().map(|d| d.advertise).into_iter().collect();
         let options = DaemonOptions {
@@ -255,12 +270,6 @@
     }
 }
 
-async fn listener() -> (TcpListener, SocketAddr) {
-    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
-    let address = socket.local_addr().expect("the socket has an address");
-    (socket, address)
-}
-
 /// Runs a load plan and returns its report.
 pub(crate) async fn run_load(plan: LoadPlan) -> LoadReport {
     standin::load::run(plan, Arc::default()).await
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod http;
 pub mod load;
 pub mod platform;
+pub mod reserved_port;
 pub mod service;
