Demo: the ports of daemons and stand-ins stay reserved

The demonstration and the capacity measurements chose ports by binding and closing them, so that another program could take one before the daemon bound it, or answer at the address of a stopped engine. ReservedPort is now their only way to a port of a daemon.

--- a/goldcrestward/src/demo/scenario.rs
+++ b/goldcrestward/src/demo/scenario.rs
@@ -69,7 +69,7 @@
             }
         }
         sleep(LIST_WAIT).await;
-        let first = site.settings("daemon-0", DAEMON_REGIONS[0]).await?;
+        let first = site.settings("daemon-0", DAEMON_REGIONS[0])?;
         let admin = first.admin.context(ConfigurationSnafu { reason: "the daemon has no address for operators" })?;
         let (daemon, accepted) = tokio::join!(DemoDaemon::start(first), wait_and_configure(admin));
         accepted?;
--- a/goldcrestward/src/demo/site.rs
+++ b/goldcrestward/src/demo/site.rs
@@ -8,9 +8,10 @@
 use standin::{
     engine::{Engine, EngineOptions},
     platform::{Instance, InstanceState, Platform},
+    reserved_port::ReservedPort,
     service::{Executions, Service},
 };
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::TcpListener;
 
 use super::{
     daemon::DemoDaemon,
@@ -55,6 +56,8 @@
     engines: Mutex<BTreeMap<String, ListedEngine>>,
     _services: Vec<Service>,
     executions: Executions,
+    /// Ports of all stand-ins and daemons, so that nothing else answers at the address of a stopped one.
+    ports: Mutex<Vec<ReservedPort>>,
     seed: u64,
 }
 
@@ -70,26 +73,26 @@
 impl DemoSite {
     /// Starts the platform and the plain services.
     pub async fn start(seed: u64) -> Result<Self> {
-        let platform = Platform::start(listener().await?, seed).context(StandInSnafu)?;
+        let mut ports = Vec::new();
+        let platform = Platform::start(listen(&mut ports)?.0, seed).context(StandInSnafu)?;
         platform.set_faults(standin::platform::PlatformFaults { list_lag_ms: LIST_LAG_MS, ..Default::default() });
         let executions = Executions::default();
         let mut services = Vec::new();
         for (pool, region) in [("orders", "perth-metro"), ("bookings", "pohja")] {
             for zone_letter in ['a', 'b', 'c'] {
-                let socket = listener().await?;
-                let address = socket.local_addr().context(SocketSnafu)?;
+                let (socket, address) = listen(&mut ports)?;
                 services.push(Service::start(socket, address, executions.clone(), seed));
                 let spec = InstanceSpec { pool, version: &format!("{pool}-1"), region, zone_letter };
                 platform.put_instance(instance(&spec, address));
             }
         }
-        Ok(Self { platform, engines: Mutex::default(), _services: services, executions, seed })
+        let ports = Mutex::new(ports);
+        Ok(Self { platform, engines: Mutex::default(), _services: services, executions, ports, seed })
     }
 
     /// Starts an engine and adds it to the platform's list.
     pub async fn start_engine(&self, spec: &InstanceSpec<'_>) -> Result<()> {
-        let socket = listener().await?;
-        let address = socket.local_addr().context(SocketSnafu)?;
+        let (socket, address) = listen(&mut self.ports.lock())?;
         let options = EngineOptions {
             model: spec.pool.into(),
             time_factor: ENGINE_TIME_FACTOR,
@@ -131,19 +134,19 @@
 
     /// Starts a daemon, which serves once there is a configuration.
     pub async fn start_daemon(&self, name: &str, region: &str) -> Result<DemoDaemon> {
-        DemoDaemon::start(self.settings(name, region).await?).await
+        DemoDaemon::start(self.settings(name, region)?).await
     }
 
-    /// Settings of a daemon, with free ports.
-    pub async fn settings(&self, name: &str, region: &str) -> Result<Settings> {
+    /// Settings of a daemon, with ports of its own.
+    pub fn settings(&self, name: &str, region: &str) -> Result<Settings> {
         let overrides = Overrides {
             site: Some("demo".into()),
             name: Some(name.into()),
             region: Some(region.into()),
             zone: Some(format!("{region}-a")),
-            callers: Some(free_port().await?),
-            admin: Some(free_port().await?),
-            peers: Some(free_port().await?),
+            callers: Some(self.reserve_port()?),
+            admin: Some(self.reserve_port()?),
+            peers: Some(self.reserve_port()?),
             platform: Some(self.platform.address()),
             peer_secrets: Some(vec![format!("demonstration-secret-{}", self.seed)]),
             admin_token_sha256: Some(sha256_hex(ADMIN_TOKEN.as_bytes())),
@@ -152,6 +155,13 @@
         Settings::try_from(overrides).context(SettingsSnafu)
     }
 
+    fn reserve_port(&self) -> Result<SocketAddr> {
+        let port = ReservedPort::new().context(SocketSnafu)?;
+        let address = port.address();
+        self.ports.lock().push(port);
+        Ok(address)
+    }
+
     /// Number of idempotency keys that were executed more than once.
     pub fn count_double_executions(&self) -> usize {
         self.executions.lock().values().filter(|count| **count > 1).count()
@@ -195,17 +205,11 @@
     }
 }
 
-async fn listener() -> Result<TcpListener> {
-    TcpListener::bind("127.0.0.1:0").await.context(SocketSnafu)
-}
-
-/// A local address whose port is free for TCP and UDP now.
-async fn free_port() -> Result<SocketAddr> {
-    loop {
-        let socket = listener().await?;
-        let address = socket.local_addr().context(SocketSnafu)?;
-        if UdpSocket::bind(address).await.is_ok() {
-            return Ok(address);
-        }
-    }
+/// Listens on a port that is kept in `ports`.
+fn listen(ports: &mut Vec<ReservedPort>) -> Result<(TcpListener, SocketAddr)> {
+    let port = ReservedPort::new().context(SocketSnafu)?;
+    let listener = port.listen().context(SocketSnafu)?;
+    let address = port.address();
+    ports.push(port);
+    Ok((listener, address))
 }
--- a/standin/src/capacity/fleet.rs
+++ b/standin/src/capacity/fleet.rs
@@ -9,15 +9,13 @@
 };
 
 use serde_json::{Value, json};
-use tokio::{
-    net::{TcpListener, UdpSocket},
-    time::sleep,
-};
+use tokio::{net::TcpListener, time::sleep};
 
 use crate::{
     error::{Error, Result},
     http::{get, post_with_token},
     platform::{Instance, InstanceState},
+    reserved_port::ReservedPort,
 };
 
 pub(crate) const ADMIN_TOKEN: &str = "capacity";
@@ -36,6 +34,7 @@
     /// Address for operators.
     pub admin: SocketAddr,
     pub name: String,
+    _ports: [ReservedPort; 3],
 }
 
 impl Drop for DaemonProcess {
@@ -46,9 +45,10 @@
 }
 
 impl DaemonProcess {
-    /// Starts a daemon on free ports.
-    pub async fn start(number: usize, platform: SocketAddr, workers: usize) -> Result<Self> {
-        let (callers, admin, peers) = (free_port().await?, free_port().await?, free_port().await?);
+    /// Starts a daemon on ports of its own.
+    pub fn start(number: usize, platform: SocketAddr, workers: usize) -> Result<Self> {
+        let ports = [reserve_port()?, reserve_port()?, reserve_port()?];
+        let [callers, admin, peers] = ports.each_ref().map(ReservedPort::address);
         let binary = daemon_binary()?;
         let name = format!("daemon-{number}");
         let region = format!("region-{}", number % REGION_COUNT);
@@ -65,7 +65,7 @@
             .stderr(Stdio::null())
             .spawn()
             .map_err(|source| Error::File { path: binary.display().to_string(), source })?;
-        Ok(Self { child, callers, admin, name })
+        Ok(Self { child, callers, admin, name, _ports: ports })
     }
 
     /// CPU time used so far, in seconds.
@@ -106,10 +106,10 @@
 impl Fleet {
     /// Starts `count` daemons, puts `config` into force and waits until they know each other.
     pub async fn start(count: usize, platform: SocketAddr, workers: usize, config: &str) -> Result<Self> {
-        let mut daemons = vec![DaemonProcess::start(0, platform, workers).await?];
+        let mut daemons = vec![DaemonProcess::start(0, platform, workers)?];
         let mut fleet = Self { daemons: Vec::new() };
         for number in 1..count {
-            daemons.push(DaemonProcess::start(number, platform, workers).await?);
+            daemons.push(DaemonProcess::start(number, platform, workers)?);
             // Staggers the starts so that they do not overload the machine.
             sleep(Duration::from_millis(10)).await;
         }
@@ -187,12 +187,6 @@
     Ok(path)
 }
 
-/// A local address whose port is free for TCP and UDP now.
-async fn free_port() -> Result<SocketAddr> {
-    loop {
-        let (_socket, address) = listener().await?;
-        if UdpSocket::bind(address).await.is_ok() {
-            return Ok(address);
-        }
-    }
+fn reserve_port() -> Result<ReservedPort> {
+    ReservedPort::new().map_err(|source| Error::File { path: "a free port".into(), source })
 }
