Membership: facts of kinds that a build does not know are kept and passed on

While daemons of two builds ran side by side, a fact of a kind that only the newer one knows was dropped by the older ones. The hashes of their views differed for as long as the fact lived (10 min for a server that says it is leaving), so daemons of both builds exchanged their full views again and again, and a daemon that joined by an older one was not told the fact.

Such a fact is now stored under its number, gossiped, expired and hashed like any other; it is logged and counted, and announced at once as the daemons that know the kind may need it. The hash of a view takes the number of the kind on the wire less one, which equals the discriminant that it took before for each known kind, so views still agree with those of earlier builds. A datagram with a body of an unknown kind was passed over already, and is counted now.

--- a/goldcrestward/src/process/gossip.rs
+++ b/goldcrestward/src/process/gossip.rs
@@ -145,8 +145,10 @@
         let revision = Revision::from_ordinal(datagram.config_revision);
         let newer = revision > self.shared.config.lock().revision();
         let now = self.shared.now();
-        if let (Some(body), Some(exchange)) = (&datagram.body, self.shared.exchange.get()) {
-            exchange.receive(&datagram.from, address, body);
+        match (&datagram.body, self.shared.exchange.get()) {
+            (Some(body), Some(exchange)) => exchange.receive(&datagram.from, address, body),
+            (Some(_), None) => {}
+            (None, _) => self.count_unknown("datagram"),
         }
         let effects = self.shared.view.lock().receive(datagram, address, now, unix_ms());
         self.shared.learn_history(revision);
@@ -205,6 +207,11 @@
         self.shared.metrics.peer_rejections.with_label_values(&[reason]).inc();
     }
 
+    /// Counts what a newer build sent that this one does not know.
+    fn count_unknown(&self, what: &str) {
+        self.shared.metrics.peer_unknown.with_label_values(&[what]).inc();
+    }
+
     fn member_changed(&self, name: &str, state: State) {
         info!("event=member-changed member={name} state={}", state.label());
         if let (State::Left, Some(exchange)) = (state, self.shared.exchange.get()) {
@@ -236,6 +243,12 @@
                 }
             }
             FactKind::Clear => info!("event=crash-cleared fingerprint={} reason={:?}", fact.key, fact.note),
+            FactKind::Unknown(number) => {
+                self.count_unknown("fact");
+                info!("event=fact-unknown kind={number} key={:?} value={}", fact.key, fact.value);
+                // The daemons that know the kind may need the fact soon.
+                self.shared.announce.notify_one();
+            }
         }
     }
 
--- a/goldcrestward/src/process/membership/fact.rs
+++ b/goldcrestward/src/process/membership/fact.rs
@@ -37,6 +37,48 @@
         Stopping,
         /// A replica's answers say that it is leaving; the key is its run, the value is the agreed time of the first one.
         ServerLeaving,
+        /// An event that this build does not know, with its number in messages. Such a fact is kept and passed on.
+        Unknown(i32),
+    }
+}
+
+impl FactKind {
+    /// The kind with this number in messages; `None` if the number stands for none.
+    fn from_number(number: i32) -> Option<Self> {
+        Some(match pb::FactKind::try_from(number) {
+            Ok(pb::FactKind::Unspecified) => return None,
+            Ok(pb::FactKind::TakenBack) => Self::TakenBack,
+            Ok(pb::FactKind::Crash) => Self::Crash,
+            Ok(pb::FactKind::Leaving) => Self::Leaving,
+            Ok(pb::FactKind::Clear) => Self::Clear,
+            Ok(pb::FactKind::Step) => Self::Step,
+            Ok(pb::FactKind::PartCrash) => Self::PartCrash,
+            Ok(pb::FactKind::PartAnswered) => Self::PartAnswered,
+            Ok(pb::FactKind::ServerLimit) => Self::ServerLimit,
+            Ok(pb::FactKind::ServerBrittle) => Self::ServerBrittle,
+            Ok(pb::FactKind::Stopping) => Self::Stopping,
+            Ok(pb::FactKind::ServerLeaving) => Self::ServerLeaving,
+            Err(_) => Self::Unknown(number),
+        })
+    }
+
+    /// The number in messages.
+    fn number(self) -> i32 {
+        let kind = match self {
+            Self::TakenBack => pb::FactKind::TakenBack,
+            Self::Crash => pb::FactKind::Crash,
+            Self::Leaving => pb::FactKind::Leaving,
+            Self::Clear => pb::FactKind::Clear,
+            Self::Step => pb::FactKind::Step,
+            Self::PartCrash => pb::FactKind::PartCrash,
+            Self::PartAnswered => pb::FactKind::PartAnswered,
+            Self::ServerLimit => pb::FactKind::ServerLimit,
+            Self::ServerBrittle => pb::FactKind::ServerBrittle,
+            Self::Stopping => pb::FactKind::Stopping,
+            Self::ServerLeaving => pb::FactKind::ServerLeaving,
+            Self::Unknown(number) => return number,
+        };
+        kind.into()
     }
 }
 
@@ -57,21 +99,8 @@
 
 impl From<&Fact> for pb::Fact {
     fn from(fact: &Fact) -> Self {
-        let kind = match fact.kind {
-            FactKind::TakenBack => pb::FactKind::TakenBack,
-            FactKind::Crash => pb::FactKind::Crash,
-            FactKind::Leaving => pb::FactKind::Leaving,
-            FactKind::Clear => pb::FactKind::Clear,
-            FactKind::Step => pb::FactKind::Step,
-            FactKind::PartCrash => pb::FactKind::PartCrash,
-            FactKind::PartAnswered => pb::FactKind::PartAnswered,
-            FactKind::ServerLimit => pb::FactKind::ServerLimit,
-            FactKind::ServerBrittle => pb::FactKind::ServerBrittle,
-            FactKind::Stopping => pb::FactKind::Stopping,
-            FactKind::ServerLeaving => pb::FactKind::ServerLeaving,
-        };
         Self {
-            kind: kind.into(),
+            kind: fact.kind.number(),
             key: fact.key.to_string(),
             value: fact.value,
             until_ms: fact.until_ms,
@@ -81,22 +110,9 @@
 }
 
 impl Fact {
-    /// Decodes a fact from a message; `None` for a kind that this version does not know.
+    /// Decodes a fact from a message; `None` if it states no kind.
     pub fn from_wire(fact: pb::Fact) -> Option<Self> {
-        let kind = match fact.kind() {
-            pb::FactKind::Unspecified => return None,
-            pb::FactKind::TakenBack => FactKind::TakenBack,
-            pb::FactKind::Crash => FactKind::Crash,
-            pb::FactKind::Leaving => FactKind::Leaving,
-            pb::FactKind::Clear => FactKind::Clear,
-            pb::FactKind::Step => FactKind::Step,
-            pb::FactKind::PartCrash => FactKind::PartCrash,
-            pb::FactKind::PartAnswered => FactKind::PartAnswered,
-            pb::FactKind::ServerLimit => FactKind::ServerLimit,
-            pb::FactKind::ServerBrittle => FactKind::ServerBrittle,
-            pb::FactKind::Stopping => FactKind::Stopping,
-            pb::FactKind::ServerLeaving => FactKind::ServerLeaving,
-        };
+        let kind = FactKind::from_number(fact.kind)?;
         let (value, until_ms) = (fact.value, fact.until_ms);
         Some(Self { kind, key: fact.key.into(), value, until_ms, note: fact.note.into() })
     }
@@ -151,7 +167,8 @@
     /// Order-independent hash of all facts.
     pub fn hash(&self) -> u64 {
         self.entries.values().fold(0, |sum, fact| {
-            let kind = [fact.kind as u8];
+            // Every build must compute the same hash for a fact, whether it knows the kind or not.
+            let kind = [fact.kind.number().wrapping_sub(1) as u8];
             sum ^ stable_hash(&[&kind, fact.key.as_bytes(), &fact.value.to_le_bytes()])
         })
     }
--- a/goldcrestward/src/process/membership/mod.rs
+++ b/goldcrestward/src/process/membership/mod.rs
@@ -13,5 +13,7 @@
 pub(crate) use protocol::{Effect, Timing};
 pub(crate) use view::View;
 
+#[cfg(test)]
+mod fact_test;
 #[cfg(test)]
 mod view_test;
--- a/goldcrestward/src/process/membership/view_test.rs
+++ b/goldcrestward/src/process/membership/view_test.rs
@@ -53,6 +53,29 @@
     learned: Vec<usize>,
     /// Splits the daemons at this number into two sides that cannot reach each other.
     partition: Option<usize>,
+    /// Daemons from this number on are of a build that does not know the kind of fact `ServerLeaving`.
+    older_from: usize,
+    /// Number of full exchanges.
+    syncs: usize,
+}
+
+/// Added to the number of a kind of fact for daemons that do not know it. The hash of a view covers the low byte.
+const UNKNOWN_KIND_OFFSET: i32 = 256;
+
+/// Returns the fact as a daemon receives it, if it is of a build that does not know the kind.
+fn as_unknown(mut fact: pb::Fact) -> pb::Fact {
+    if fact.kind() == pb::FactKind::ServerLeaving {
+        fact.kind += UNKNOWN_KIND_OFFSET;
+    }
+    fact
+}
+
+/// Reverses [`as_unknown`] in what such a daemon sends.
+fn as_known(mut fact: pb::Fact) -> pb::Fact {
+    if fact.kind == i32::from(pb::FactKind::ServerLeaving) + UNKNOWN_KIND_OFFSET {
+        fact.kind -= UNKNOWN_KIND_OFFSET;
+    }
+    fact
 }
 
 fn address(number: usize) -> SocketAddr {
@@ -90,9 +113,17 @@
             suspicions: 0,
             learned: vec![0; count],
             partition: None,
+            older_from: count,
+            syncs: 0,
         }
     }
 
+    /// Facts from daemon `from` as daemon `to` reads them.
+    fn translate(&self, facts: Vec<pb::Fact>, from: usize, to: usize) -> Vec<pb::Fact> {
+        let sent = facts.into_iter().map(|fact| if from >= self.older_from { as_known(fact) } else { fact });
+        sent.map(|fact| if to >= self.older_from { as_unknown(fact) } else { fact }).collect()
+    }
+
     fn run(&mut self, ms: u64) {
         let end = self.now + ms;
         while self.now < end {
@@ -136,7 +167,10 @@
         if !self.running[to] || !self.can_reach(number, to) {
             return;
         }
-        let (mine, theirs) = (self.views[number].export(), self.views[to].export());
+        self.syncs += 1;
+        let (mut mine, mut theirs) = (self.views[number].export(), self.views[to].export());
+        mine.facts = self.translate(mine.facts, number, to);
+        theirs.facts = self.translate(theirs.facts, to, number);
         let mut effects = Vec::new();
         self.views[to].merge(mine.members, mine.facts, self.now, self.now, &mut effects);
         let learned = self.views[number].merge_reply(theirs, self.now, self.now);
@@ -151,6 +185,7 @@
             return;
         }
         let (members, facts) = self.views[from].piggyback(to);
+        let facts = self.translate(facts, from, number);
         let view = self.views[from].hash();
         let datagram = pb::Datagram { members, facts, view, body: Some(body), ..pb::Datagram::default() };
         let at = self.now + self.random.random_range(5..80);
@@ -296,3 +331,31 @@
         assert_eq!(missing, 0, "of {side} of {count} daemons");
     }
 }
+
+/// Guards against daemons of two builds that exchange full views again and again while a fact lives whose kind only the
+/// newer one knows.
+#[test]
+fn view_fact_of_unknown_kind_is_kept_passed_on_and_ended() {
+    const LIFE_MS: u64 = 600_000;
+    for (count, newer) in [(7, 4), (7, 1), (87, 40)] {
+        let mut network = Network::new(count, 0.01);
+        network.older_from = newer;
+        network.run(10_000);
+        let now = network.now;
+        let key = format!("{:016x}", 5).into();
+        let until_ms = now + LIFE_MS;
+        let fact = Fact { kind: FactKind::ServerLeaving, key, value: now, until_ms, note: "replica".into() };
+        network.views[0].add_fact(fact, now, now);
+        network.run(20_000);
+        let (syncs, hash) = (network.syncs, network.views[0].hash());
+        let differing = network.views.iter().filter(|view| view.hash() != hash).count();
+        network.run(LIFE_MS - 30_000);
+        let repeated = network.syncs - syncs;
+        println!("{newer} of {count} newer: {differing} views differ after 20 s, {repeated} exchanges in 570 s more");
+        assert_eq!((differing, repeated), (0, 0), "{newer} of {count} newer");
+        let newcomer = network.translate(network.views[count - 1].export().facts, count - 1, 0);
+        assert_eq!(newcomer.len(), 1, "an older daemon passes the fact on to one that joins by it");
+        network.run(20_000);
+        assert!(network.views.iter().all(|view| view.facts().all().count() == 0), "{newer} of {count} newer");
+    }
+}
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -61,6 +61,8 @@
     pub peer_bytes: IntCounterVec,
     /// Peer messages that were rejected, by reason.
     pub peer_rejections: IntCounterVec,
+    /// Parts of messages from peers that a newer build knows and this one does not, by what they are.
+    pub peer_unknown: IntCounterVec,
     /// Known daemons, by membership state.
     pub members: IntGaugeVec,
     /// Revision of the configuration that this daemon applies.
@@ -148,6 +150,11 @@
             )?,
             peer_bytes: factory.counters("peer_bytes_total", "bytes between daemons", &["kind", "direction"])?,
             peer_rejections: factory.counters("peer_rejections_total", "messages of peers dropped", &["reason"])?,
+            peer_unknown: factory.counters(
+                "peer_unknown_total",
+                "parts of peers' messages not known here",
+                &["what"],
+            )?,
             members: factory.gauges("members", "daemons known by state", &["state"])?,
             config_revision: factory.gauge("config_revision", "revision of the configuration in force")?,
             config_since: factory.gauge("config_since_ms", "unix time at which the configuration came into force")?,
