Connections: an unknown request or answer of a peer fails alone

A request that only a newer build knows closed the connection between the daemons, and all requests that were waiting on it failed. An answer without a body that the reader knows did the same at the other end.

Such a request is now counted and answered without a body; an answer without a known body fails the request that it belongs to. A message that cannot be decoded still closes the connection, with a log line.

serve_unknown_request_is_passed_over: before, no answer to the unknown request nor to the next one; after, both are answered on the same connection. request_with_unknown_answer_fails_alone: before, the request failed because the connection ended; after, it is reported as one that the peer cannot serve, and the next request uses the same connection.

--- a/goldcrestward/src/connection/peer.rs
+++ b/goldcrestward/src/connection/peer.rs
@@ -52,14 +52,19 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 type Stream = Framed<ObservedStream, LengthDelimitedCodec>;
-/// Channels on which the callers await their answers, by request id.
-type PendingAnswers = HashMap<u64, oneshot::Sender<answer::Body>>;
+/// Channel to a caller that awaits an answer; `None` if the peer's answer has no body that this build knows.
+type AnswerSender = oneshot::Sender<Option<answer::Body>>;
+/// Channels to the callers, by request id.
+type PendingAnswers = HashMap<u64, AnswerSender>;
 
 /// Serves the requests of peers.
 pub(crate) trait PeerHandler: Clone + Send + Sync + 'static {
-    /// Serves one request. On `None` the answer has no body, and the peer closes the connection.
+    /// Serves one request. On `None` the answer has no body, and the request fails at the peer.
     fn handle(&self, body: request::Body) -> impl Future<Output = Option<answer::Body>> + Send;
 
+    /// Counts a request that only newer builds know. It is answered without a body.
+    fn count_unknown(&self);
+
     /// Opens a connection to a backend server, whose bytes the peer's stream then carries.
     fn open_tunnel(&self, open: pb::OpenTunnel)
     -> impl Future<Output = Result<CarriedConnection, TunnelResult>> + Send;
@@ -199,7 +204,16 @@
         tokio::select! {
             payload = stream.next() => {
                 let Some(payload) = payload else { return };
-                let Ok(pb::Request { id, body: Some(body) }) = pb::Request::decode(&payload[..]) else { return };
+                let Ok(pb::Request { id, body }) = pb::Request::decode(&payload[..]) else {
+                    return warn!("event=peer-malformed message=request bytes={}", payload.len());
+                };
+                let Some(body) = body else {
+                    handler.count_unknown();
+                    if stream.send(pb::Answer { id, body: None }.encode_to_vec()).await.is_none() {
+                        return;
+                    }
+                    continue;
+                };
                 if let request::Body::OpenTunnel(open) = body {
                     return serve_tunnel(stream, id, open, &handler, tunnels).await;
                 }
@@ -244,7 +258,7 @@
 
 struct PendingRequest {
     body: request::Body,
-    answer: oneshot::Sender<answer::Body>,
+    answer: AnswerSender,
 }
 
 /// Sends requests to peers, over connections that are opened on first use.
@@ -271,7 +285,8 @@
             received.await.ok()
         };
         match timeout(limit, exchange).await {
-            Ok(Some(body)) => Ok(body),
+            Ok(Some(Some(body))) => Ok(body),
+            Ok(Some(None)) => PeerSnafu { address, reason: "the peer cannot serve the request" }.fail(),
             Ok(None) => PeerSnafu { address, reason: "the connection ended" }.fail(),
             Err(_) => PeerSnafu { address, reason: "no answer in time" }.fail(),
         }
@@ -336,7 +351,9 @@
             payload = stream.next() => {
                 let Some(payload) = payload else { return };
                 silence.end();
-                let Ok(pb::Answer { id, body: Some(body) }) = pb::Answer::decode(&payload[..]) else { return };
+                let Ok(pb::Answer { id, body }) = pb::Answer::decode(&payload[..]) else {
+                    return warn!("event=peer-malformed message=answer peer={address} bytes={}", payload.len());
+                };
                 if let Some(answer) = pending.remove(&id) {
                     answer.send(body).ok();
                 }
--- a/goldcrestward/src/connection/peer_test.rs
+++ b/goldcrestward/src/connection/peer_test.rs
@@ -10,13 +10,14 @@
 };
 
 use prometheus::IntCounter;
+use prost::Message;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream, tcp::OwnedReadHalf, tcp::OwnedWriteHalf},
     sync::watch,
 };
 
-use super::{PeerClient, PeerHandler, serve_peers};
+use super::{AuthenticatedStream, PeerClient, PeerHandler, serve_peers};
 use crate::{
     connection::{CarriedConnection, Secrets},
     pb::{self, TunnelResult, answer, request},
@@ -47,6 +48,8 @@
         }
     }
 
+    fn count_unknown(&self) {}
+
     async fn open_tunnel(&self, _: pb::OpenTunnel) -> Result<CarriedConnection, TunnelResult> {
         Err(TunnelResult::Unknown)
     }
@@ -149,3 +152,58 @@
     let Ok(answer::Body::ConfigDelta(delta)) = answer else { panic!("no state: {answer:?}") };
     assert_eq!(delta.files[0].text.as_ref().map(String::len), Some(LARGE_BYTES));
 }
+
+/// Encoded field with a number that no message of the protocol has: a string of two bytes.
+const UNKNOWN_FIELD: [u8; 5] = [0xa2, 0x7d, 2, b'h', b'i'];
+
+/// Guards against a daemon that closes the connection, and so fails all requests on it, when a newer one sends a request
+/// that it does not know.
+#[tokio::test(flavor = "multi_thread")]
+async fn serve_unknown_request_is_passed_over() {
+    let (_, way) = start().await;
+    let secrets = Secrets::new(&["a secret of the tests".to_owned()]);
+    let socket = TcpStream::connect(way.address).await.expect("a listening peer");
+    let mut stream = AuthenticatedStream::new(socket, secrets, true).await.expect("the secret of the peer");
+    let mut unknown = pb::Request { id: 7, body: None }.encode_to_vec();
+    unknown.extend(UNKNOWN_FIELD);
+    stream.send(unknown).await.expect("an open stream");
+    stream.send(pb::Request { id: 8, body: Some(status()) }.encode_to_vec()).await.expect("an open stream");
+    let mut answers = Vec::new();
+    while let Some(payload) = stream.next().await {
+        answers.push(pb::Answer::decode(&payload[..]).expect("an answer"));
+        if answers.len() == 2 {
+            break;
+        }
+    }
+    answers.sort_by_key(|answer| answer.id);
+    let bodies: Vec<_> = answers.iter().map(|answer| (answer.id, answer.body.is_some())).collect();
+    assert_eq!(bodies, [(7, false), (8, true)]);
+}
+
+/// Guards against a daemon that closes the connection when a newer one answers with what it does not know.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_with_unknown_answer_fails_alone() {
+    let secrets = Secrets::new(&["a secret of the tests".to_owned()]);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound socket");
+    let client = PeerClient::new(secrets.clone());
+    let serve = async move {
+        let (socket, _) = listener.accept().await.expect("a connection");
+        let mut stream = AuthenticatedStream::new(socket, secrets, false).await.expect("the secret of the client");
+        let mut served = 0;
+        while let Some(payload) = stream.next().await {
+            let request = pb::Request::decode(&payload[..]).expect("a request");
+            let known = answer::Body::StatusReport(pb::StatusReport::default());
+            let body = (served > 0).then_some(known);
+            let mut answer = pb::Answer { id: request.id, body }.encode_to_vec();
+            answer.extend(UNKNOWN_FIELD);
+            stream.send(answer).await;
+            served += 1;
+        }
+    };
+    tokio::spawn(serve);
+    let error = client.request(address, status(), SLOW).await.expect_err("an answer that is not known");
+    assert!(error.to_string().contains("the peer cannot serve the request"), "{error}");
+    // The listener takes no second connection.
+    assert!(client.request(address, status(), SLOW).await.is_ok());
+}
--- a/goldcrestward/src/process/peer_service.rs
+++ b/goldcrestward/src/process/peer_service.rs
@@ -107,6 +107,10 @@
         Some(answer)
     }
 
+    fn count_unknown(&self) {
+        self.shared.metrics.peer_unknown.with_label_values(&["request"]).inc();
+    }
+
     async fn open_tunnel(&self, open: pb::OpenTunnel) -> Result<CarriedConnection, TunnelResult> {
         let gateway = self.shared.exchange.get().and_then(Exchange::gateway).ok_or(TunnelResult::Unknown)?;
         open_for_peer(&gateway, &self.shared, &open).await
