Protocol: a test compares it with that of the last landing

Nothing kept a change of proto/peer.proto from renumbering, retyping, renaming or reusing a field that daemons of the build before still send. proto/landed/peer.proto is the protocol of the last landing, and schema_only_adds_to_landed fails unless proto/peer.proto only adds to it. Messages that daemons pass on or sign by their known fields, and enums whose unknown values are taken for the first, are closed.

No descriptor library resolves offline, so a small parser in the tests reads the part of the language that the file uses, and refuses the rest.

--- a/goldcrestward/src/pb/mod.rs
+++ b/goldcrestward/src/pb/mod.rs
@@ -3,3 +3,8 @@
 mod peer;
 
 pub use peer::*;
+
+#[cfg(test)]
+mod compatibility_test;
+#[cfg(test)]
+mod schema_test;
