Protocol: examples of the landed bytes of messages and records

proto/landed/messages.txt holds the bytes of each message, each variant of a datagram, request and answer, and each kind of fact (85 lines), records.txt those of the records in the store (8 lines), as the build of the last landing writes them: its generated types are those of this one. The tests read them with this build, compare what it writes, read each with an unknown field added, and pin the hashes on which builds must agree. message_examples_cover_the_schema fails for a message or kind without an example. The types of four records become visible in the module for this.

An unknown value of an enum is read as its first value, which message_with_unknown_enum_value_is_read_as_the_first states for each.

--- a/goldcrestward/src/pb/mod.rs
+++ b/goldcrestward/src/pb/mod.rs
@@ -7,4 +7,6 @@
 #[cfg(test)]
 mod compatibility_test;
 #[cfg(test)]
+mod landed_test;
+#[cfg(test)]
 mod schema_test;
--- a/goldcrestward/src/pb/schema_test.rs
+++ b/goldcrestward/src/pb/schema_test.rs
@@ -123,6 +123,11 @@
         }
         names
     }
+
+    /// Number of values of an enum.
+    pub fn value_count(&self, name: &str) -> usize {
+        self.enums.get(name).map_or(0, BTreeMap::len)
+    }
 }
 
 impl MessageSchema {
--- a/goldcrestward/src/process/configure.rs
+++ b/goldcrestward/src/process/configure.rs
@@ -28,7 +28,7 @@
 
 /// The value of the head key. Every accepted change rewrites it, and every commit compares its revision.
 #[derive(Debug, Default, Serialize, Deserialize)]
-struct Head {
+pub(super) struct Head {
     /// Unique token of the last accepted change.
     token: String,
     /// Token of the change before it.
@@ -37,7 +37,7 @@
 
 /// The value of a file's key; a removed file has no text.
 #[derive(Debug, Serialize, Deserialize)]
-struct StoredFile {
+pub(super) struct StoredFile {
     text: Option<String>,
 }
 
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -64,3 +64,5 @@
 
 #[cfg(test)]
 mod crash_simulation_test;
+#[cfg(test)]
+mod records_test;
--- a/goldcrestward/src/process/seeds.rs
+++ b/goldcrestward/src/process/seeds.rs
@@ -24,7 +24,7 @@
 const JOIN_MISSING_INTERVAL: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(30));
 
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Seeds {
+pub(super) struct Seeds {
     addresses: Vec<SocketAddr>,
 }
 
--- a/goldcrestward/src/process/verdict_keeper.rs
+++ b/goldcrestward/src/process/verdict_keeper.rs
@@ -23,7 +23,7 @@
 const MAX_VERDICTS: usize = 64;
 
 #[derive(Debug, Serialize, Deserialize)]
-struct StoredCrash {
+pub(super) struct StoredCrash {
     run: u64,
     instance: Arc<str>,
     crashed_ms: u64,
