Upgrades: records of the store that cannot be read are logged

A rollout record, a configuration file or a list of seeds that a build could not read was taken for one that is not there, without a line in the log; after an upgrade or its withdrawal that is the first thing to look for. Each now has a line with the key and the error. What is done with it is unchanged.

--- a/goldcrestward/src/process/configure.rs
+++ b/goldcrestward/src/process/configure.rs
@@ -178,7 +178,9 @@
         let revision = rows.iter().map(|row| row.revision).max().unwrap_or_default().ordinal();
         let files = rows.into_iter().filter_map(|row| {
             let name = row.key.strip_prefix(&self.prefix)?.strip_prefix("file/")?.to_owned();
-            let file: StoredFile = serde_json::from_slice(&row.value).ok()?;
+            let file: StoredFile = serde_json::from_slice(&row.value)
+                .map_err(|error| warn!("event=entry-refused key={:?} error={:?}", row.key, error.to_string()))
+                .ok()?;
             let revision = row.revision.ordinal();
             Some(pb::ConfigFile { name, revision, text: file.text, ..pb::ConfigFile::default() })
         });
--- a/goldcrestward/src/process/rollout.rs
+++ b/goldcrestward/src/process/rollout.rs
@@ -459,7 +459,13 @@
 /// Reads the records of all rollouts with their revisions. Returns `None` if the store does not answer.
 pub(crate) async fn read_records(shared: &Shared, prefix: &str) -> Option<Vec<(RolloutRecord, Revision)>> {
     let (rows, _) = shared.kv.list(Purpose::Rollout, prefix, Revision::NONE).await.ok()?;
-    let parse = |row: crate::store::Row| Some((serde_json::from_slice(&row.value).ok()?, row.revision));
+    let parse = |row: crate::store::Row| match serde_json::from_slice(&row.value) {
+        Ok(record) => Some((record, row.revision)),
+        Err(error) => {
+            warn!("event=rollout-record-unreadable key={:?} revision={} error={error:?}", row.key, row.revision);
+            None
+        }
+    };
     Some(rows.into_iter().filter_map(parse).collect())
 }
 
--- a/goldcrestward/src/process/seeds.rs
+++ b/goldcrestward/src/process/seeds.rs
@@ -107,7 +107,11 @@
     async fn read(&self) -> Option<(Seeds, Revision)> {
         let row = self.shared.kv.get(Purpose::Seeds, &self.key).await.ok()?;
         let Some(row) = row else { return Some((Seeds::default(), Revision::NONE)) };
-        Some((serde_json::from_slice(&row.value).unwrap_or_default(), row.revision))
+        let seeds = serde_json::from_slice(&row.value).unwrap_or_else(|error| {
+            warn!("event=seeds-unreadable key={:?} error={:?} action=replaced", row.key, error.to_string());
+            Seeds::default()
+        });
+        Some((seeds, row.revision))
     }
 
     /// Replaces daemons on the list that are not alive.
