--- a/goldcrestward/src/pb/mod.rs
+++ b/goldcrestward/src/pb/mod.rs
@@ -3,3 +3,10 @@
 mod peer;
 
 pub use peer::*;
+
+#[cfg(test)]
+mod compatibility_test;
+#[cfg(test)]
+mod landed_test;
+#[cfg(test)]
+mod schema_test;
--- a/goldcrestward/src/process/configure.rs
+++ b/goldcrestward/src/process/configure.rs
@@ -28,7 +28,7 @@
 
 /// The value of the head key. Every accepted change rewrites it, and every commit compares its revision.
 #[derive(Debug, Default, Serialize, Deserialize)]
-struct Head {
+pub(super) struct Head {
     /// Unique token of the last accepted change.
     token: String,
     /// Token of the change before it.
@@ -37,7 +37,7 @@
 
 /// The value of a file's key; a removed file has no text.
 #[derive(Debug, Serialize, Deserialize)]
-struct StoredFile {
+pub(super) struct StoredFile {
     text: Option<String>,
 }
 
@@ -178,7 +178,9 @@
         let revision = rows.iter().map(|row| row.revision).max().unwrap_or_default().ordinal();
         let files = rows.into_iter().filter_map(|row| {
             let name = row.key.strip_prefix(&self.prefix)?.strip_prefix("file/")?.to_owned();
-            let file: StoredFile = serde_json::from_slice(&row.value).ok()?;
+            let file: StoredFile = serde_json::from_slice(&row.value)
+                .map_err(|error| warn!("event=entry-refused key={:?} error={:?}", row.key, error.to_string()))
+                .ok()?;
             let revision = row.revision.ordinal();
             Some(pb::ConfigFile { name, revision, text: file.text, ..pb::ConfigFile::default() })
         });
