Migration: a run that no other server has room for goes on

Callers lost streams on leaving servers. A daemon has the server stop the run and copy it to another one. If that one had no room, the server answered 503 with a handle under which the run can resume where it was; the daemon took the 503 for a call that had not been carried out, and the stopped stream was cut (or run again, where the route allows it).

The engine client now reads the answer. A run that was stopped and not copied is offered to a second server, and resumes at its source if that has no room either. It is not moved again from there, so that it isn't stopped each time. An answer without a handle says nothing new: the stream goes on as it is.

--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -249,6 +249,8 @@
             format!("no server could resume the stream after event {}: {}", field("last"), field("cause"))
         }
         "run-moved" => format!("migrated from {}, which is leaving, to {}", field("from"), field("to")),
+        "move-refused" => format!("{} had no room for the run of {}, which is leaving", field("to"), field("from")),
+        "run-stays" => format!("resumed at {}, which is leaving: {}", field("instance"), field("error")),
         "move-failed" => format!("could not be migrated from a leaving server: {}", field("error")),
         "moved-run-failed" => {
             format!("{} did not resume the migrated request: {}", field("instance"), cause(field("cause")))
--- a/goldcrestward/src/port/mod.rs
+++ b/goldcrestward/src/port/mod.rs
@@ -11,7 +11,7 @@
 
 pub use catalog::{Catalog, Entry, Instance, InstanceState, RolloutOrder, RolloutState};
 pub use duty::{Duties, DutyAnswer, Holder, PoolOrder};
-pub use engines::{Engines, MigratedKvCache};
+pub use engines::{Engines, MigratedKvCache, MigrationOutcome};
 pub use header_codec::{
     AttemptMetadata, HeaderCodec, Load, PromptPart, RequestMetadata, ResponseHead, ResponseMetadata, StatedHold,
     StatedLimit,
--- a/goldcrestward/src/process/replicas/offer.rs
+++ b/goldcrestward/src/process/replicas/offer.rs
@@ -16,6 +16,10 @@
 }
 
 impl Offer {
+    pub fn replica(&self) -> &Arc<Replica> {
+        &self.replica
+    }
+
     /// Accepts the offer: counts the request as in flight on the server.
     pub fn accept(self) -> ReplicaGuard {
         self.replica.health.hold.lock().record_sent(self.now);
--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -7,6 +7,7 @@
 mod fallback;
 mod headers;
 mod ingress;
+mod migration;
 mod model;
 mod model_body;
 mod numbered_events;
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -6,7 +6,6 @@
 };
 
 use bytes::Bytes;
-use futures_util::future::BoxFuture;
 use http::{HeaderMap, Method, Request as HttpRequest, Response as HttpResponse, header, response::Parts};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -22,7 +21,7 @@
     numbered_events::EventSequence,
     placement_request::PlacementRequest,
     proxy_body::ProxyBody,
-    proxy_outcome::{ExchangeResult, MigratedRun, ProxyFailure, ProxyResponse, ProxyStream},
+    proxy_outcome::{ExchangeResult, ProxyFailure, ProxyResponse, ProxyStream},
     refusal::{Reason, Refusal, RunState},
     run_window::{Phase, RunWindow},
 };
@@ -44,7 +43,6 @@
 const MAX_CONNECT_FAILURES: u32 = 3;
 /// Minimum time before the deadline for another attempt.
 pub(super) const MIN_RETRY_TIME: Duration = Duration::from_millis(20);
-const MIGRATION_TIMEOUT: Duration = Duration::from_millis(700);
 /// Idle time after which another server is sought for an idempotent request, as a multiple of the latency target.
 const IDLE_TIMEOUT_TARGETS: u32 = 3;
 /// Bounds of the idle timeout.
@@ -94,7 +92,7 @@
     run_state: RunState,
     usage_counted: bool,
     quota_units: f64,
-    kv_cache: Option<MigratedKvCache>,
+    pub(super) kv_cache: Option<MigratedKvCache>,
     /// The place for the next attempt, paid for from the retry budget.
     pub(super) fallback: Option<Fallback>,
     /// The connection for the next attempt, if there is one already.
@@ -331,7 +329,7 @@
             && gateway.retry_budget.lock().withdraw(&self.placement.pool, daemons, now)
     }
 
-    fn final_result(&self, failure: ProxyFailure) -> Result<ProxyResponse, Refusal> {
+    pub(super) fn final_result(&self, failure: ProxyFailure) -> Result<ProxyResponse, Refusal> {
         let refusal = |reason, message: &str| Err(Refusal { run: self.run_state, ..Refusal::not_run(reason, message) });
         match failure {
             ProxyFailure::ErrorResponse(response) => Ok(ProxyResponse::Buffered(response)),
@@ -354,7 +352,7 @@
         }
     }
 
-    async fn attempt(
+    pub(super) async fn attempt(
         &mut self,
         guard: ReplicaGuard,
         sequence: &mut EventSequence,
@@ -428,8 +426,10 @@
         if let Some(peer) = connection.via().filter(|_| is_sampled(&self.metadata.id)) {
             info!("event=relayed id={} instance={} peer={peer}", self.metadata.id, replica.id);
         }
-        // The server may have started to leave while the connection was being opened.
-        if replica.is_leaving() {
+        // The server may have started to leave while the connection was being opened. A run that it has stopped itself
+        // resumes there.
+        let is_source = self.kv_cache.as_ref().is_some_and(|kv_cache| kv_cache.source == replica.address);
+        if replica.is_leaving() && !is_source {
             return Err(ProxyFailure::ConnectFailed);
         }
         // A run that has been migrated to the server has nowhere else to go.
@@ -622,57 +622,6 @@
         Some(u8::try_from(self.placement.rank.priority.clamp(0, 3)).unwrap_or(3) + 3)
     }
 
-    /// Migrates the run to another server before its own terminates.
-    ///
-    /// # Errors
-    /// Returns the reason if the run was not migrated.
-    pub(super) fn migrate(&self, guard: &ReplicaGuard) -> BoxFuture<'static, Result<MigratedRun, String>> {
-        let gateway = self.gateway.clone();
-        let (id, source) = (self.metadata.id.clone(), guard.replica().clone());
-        let offer = self.placement.offer(&gateway, std::slice::from_ref(&source.id), 0);
-        Box::pin(async move {
-            let target = offer.map_err(|_| "no other server takes requests")?.accept();
-            let admitted = gateway.admit_to_server(&id, target.replica()).await;
-            admitted.map_err(|_| "the other server has got what it takes")?;
-            if target.replica().is_leaving() {
-                return Err("the other server is leaving too".to_owned());
-            }
-            let address = target.replica().address;
-            let migration = gateway.engines.migrate_run(source.address, &id, address);
-            let kv_cache = timeout(MIGRATION_TIMEOUT, migration).await.map_err(|_| "no answer in time")??;
-            let (from, to) = (&source.id, &target.replica().id);
-            info!("event=run-moved id={id} from={from} to={to} handle={}", kv_cache.handle);
-            Ok(MigratedRun { target, kv_cache })
-        })
-    }
-
-    /// Resumes the stream at the server that the run has been migrated to.
-    ///
-    /// # Errors
-    /// Returns a refusal if there is no response to pass on.
-    pub(super) async fn resume_migrated(
-        &mut self,
-        migrated: MigratedRun,
-        sequence: &mut EventSequence,
-    ) -> Result<ProxyResponse, Refusal> {
-        self.crash_score()?;
-        self.kv_cache = Some(migrated.kv_cache);
-        let instance = migrated.target.replica().id.clone();
-        let response = self.attempt(migrated.target, sequence).await;
-        self.kv_cache = None;
-        match response {
-            Ok(response) => Ok(response),
-            Err(failure) => {
-                let (id, label) = (&self.metadata.id, failure.label());
-                info!("event=moved-run-failed id={id} instance={instance} cause={label}");
-                if !self.may_resume("moved") {
-                    return self.final_result(failure);
-                }
-                self.attempts(sequence).await
-            }
-        }
-    }
-
     /// Whether an interrupted stream may be resumed at another server.
     pub(super) fn may_resume(&mut self, cause: &'static str) -> bool {
         let resumable = matches!(self.route.kind, RouteKind::Stream { resumable: true, .. });
--- a/goldcrestward/src/request/proxy_body.rs
+++ b/goldcrestward/src/request/proxy_body.rs
@@ -7,6 +7,7 @@
     future::Future,
     mem,
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll, ready},
     time::Instant,
 };
@@ -55,9 +56,9 @@
     Idle,
     /// Requested but not answered. The mutex is never contended; it makes the state `Sync`.
     Pending(Mutex<BoxFuture<'static, Result<MigratedRun, String>>>),
-    /// The run has stopped and its KV cache is at another server.
+    /// The run has stopped and resumes with its KV cache.
     Done(MigratedRun),
-    /// The run could not be migrated and continues where it is.
+    /// The run could not be migrated and continues where it is, or has resumed there.
     Failed,
 }
 
@@ -81,6 +82,8 @@
     last_byte_at: Instant,
     /// No search for another server starts before this time.
     search_at: Instant,
+    /// The server that the run could not be migrated from.
+    kept_at: Option<Arc<str>>,
 }
 
 impl ProxyBody {
@@ -107,7 +110,8 @@
             error_cause: None,
             search: None,
         };
-        Self { state: State::Streaming(Box::new(source)), pending_events, timer, last_byte_at, search_at: last_byte_at }
+        let state = State::Streaming(Box::new(source));
+        Self { state, pending_events, timer, last_byte_at, search_at: last_byte_at, kept_at: None }
     }
 
     /// Starts to resume the stream at another server, if that is allowed.
@@ -121,11 +125,12 @@
         // Closing the connection ends the old run, which must not overlap with its successor.
         drop((connection, body));
         if let Migration::Done(migrated) = migration {
-            call.gateway.shared.metrics.resumed.with_label_values(&["import"]).inc();
+            let way = if migrated.target.is_some() { "import" } else { "source" };
+            call.gateway.shared.metrics.resumed.with_label_values(&[way]).inc();
+            self.kept_at = migrated.target.is_none().then(|| guard.replica().id.clone());
             sequence.restart();
             let resuming = async move {
-                drop(guard);
-                let response = call.resume_migrated(migrated, &mut sequence).await;
+                let response = call.resume_migrated(migrated, guard, &mut sequence).await;
                 (call, sequence, response)
             };
             self.state = State::Resuming(Mutex::new(Box::pin(resuming)));
@@ -168,6 +173,7 @@
                 self.last_byte_at = Instant::now();
                 self.timer.as_mut().reset((self.last_byte_at + call.idle_timeout()).into());
                 let head = head.headers;
+                let is_kept = self.kept_at.take().is_some_and(|id| id == guard.replica().id);
                 self.state = State::Streaming(Box::new(StreamSource {
                     call,
                     sequence,
@@ -175,7 +181,7 @@
                     connection,
                     guard,
                     head,
-                    migration: Migration::Idle,
+                    migration: if is_kept { Migration::Failed } else { Migration::Idle },
                     error_cause: None,
                     search: None,
                 }));
--- a/goldcrestward/src/request/proxy_outcome.rs
+++ b/goldcrestward/src/request/proxy_outcome.rs
@@ -8,11 +8,11 @@
 use super::refusal::Refusal;
 use crate::{connection::BackendConnection, port::MigratedKvCache, process::ReplicaGuard};
 
-/// The destination of a migrated run.
+/// A run that has been stopped to resume on another server.
 pub(crate) struct MigratedRun {
-    /// The server that the run has been migrated to.
-    pub target: ReplicaGuard,
-    /// The run's KV cache at that server.
+    /// The server that the run has been migrated to; `None` if it resumes where it was, as no other had room.
+    pub target: Option<ReplicaGuard>,
+    /// The run's KV cache.
     pub kv_cache: MigratedKvCache,
 }
 
