Config: a daemon whose pulls from peers fail reads the store

A daemon that does not read the store itself gets changes from its peers. If its connections to them failed while their datagrams arrived, it heard its zone's relay, did not become a reader, and went on with an old configuration for as long as that lasted: withdrawn keys were accepted, new ones refused.

It now keeps the first revision that a peer has announced and that it has not got (PullLag), and reads the store once that is missing for 1 s, until it has caught up. Later announcements neither restart the time nor move the mark, and pulls that succeed clear it, so that a busy site does not read more.

--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -333,6 +333,7 @@
         last_relay_ms: AtomicU64::new(0),
         holds_duties: AtomicBool::new(false),
         kept_pulls: AtomicU32::new(0),
+        pull_lag: Mutex::default(),
         pull_permit: Arc::new(Semaphore::new(1)),
         config_changed: Notify::new(),
         announce: Notify::new(),
--- a/goldcrestward/src/process/gossip.rs
+++ b/goldcrestward/src/process/gossip.rs
@@ -143,14 +143,15 @@
         let Ok(datagram) = pb::Datagram::decode(payload) else { return self.reject("malformed") };
         let Ok(address) = datagram.address.parse::<SocketAddr>() else { return self.reject("malformed") };
         let revision = Revision::from_ordinal(datagram.config_revision);
-        let newer = revision > self.shared.config.lock().revision();
+        let own = self.shared.config.lock().revision();
         let now = self.shared.now();
         if let (Some(body), Some(exchange)) = (&datagram.body, self.shared.exchange.get()) {
             exchange.receive(&datagram.from, address, body);
         }
         let effects = self.shared.view.lock().receive(datagram, address, now, unix_ms());
         self.shared.learn_history(revision);
-        if newer {
+        if revision > own {
+            self.shared.pull_lag.lock().record(revision, own, now);
             pull_config(&self.shared, address);
         } else {
             adopt_kept(&self.shared, address, revision);
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -31,6 +31,7 @@
     replicas::{Replica, Replicas},
     run_times::RunTimes,
     settings::Settings,
+    state::PullLag,
 };
 use crate::{
     config::{ConfigReplica, Site},
@@ -99,6 +100,8 @@
     pub holds_duties: AtomicBool,
     /// How often this daemon has asked others for what they know from before a restore of the store.
     pub kept_pulls: AtomicU32,
+    /// The revision that this daemon is to get from its peers.
+    pub pull_lag: Mutex<PullLag>,
     /// Limits pulls of the configuration from peers to one at a time.
     pub pull_permit: Arc<Semaphore>,
     /// Notified when configuration files have changed.
--- a/goldcrestward/src/process/state/mod.rs
+++ b/goldcrestward/src/process/state/mod.rs
@@ -2,7 +2,9 @@
 
 mod delayed;
 mod pull;
+mod pull_lag;
 mod site_state;
 
 pub(super) use pull::{adopt_kept, pull_config, watch_instances};
+pub(super) use pull_lag::PullLag;
 pub(super) use site_state::SiteState;
--- a/goldcrestward/src/process/state/site_state.rs
+++ b/goldcrestward/src/process/state/site_state.rs
@@ -67,11 +67,19 @@
 
     /// Reads and watches the store until the task is dropped, while this daemon is a watcher.
     pub async fn watch(self) {
+        let mut last_overdue = Revision::NONE;
         loop {
-            if !self.shared.config.lock().revision().is_none() && !self.is_watcher() {
+            let is_known = !self.shared.config.lock().revision().is_none();
+            if is_known && !self.is_watcher() {
                 sleep(ROLE_INTERVAL).await;
                 continue;
             }
+            let wanted = self.shared.pull_lag.lock().wanted();
+            if self.is_behind_peers() && wanted != last_overdue {
+                last_overdue = wanted;
+                let own = self.shared.config.lock().revision();
+                info!("event=pulls-overdue revision={own} wanted={wanted}");
+            }
             if let Err(error) = self.follow().await {
                 self.record_store_error(&error);
                 let pause = RETRY_PAUSE.mul_f64(rand::rng().random_range(0.5..1.5));
@@ -120,10 +128,16 @@
     }
 
     /// Whether this daemon reads the store itself. The others rely on their peers, as long as they hear the relay of
-    /// their zone.
+    /// their zone and get from them what they announce.
     fn is_watcher(&self) -> bool {
         let since_relay = self.shared.now().saturating_sub(self.shared.last_relay_ms.load(Ordering::Relaxed));
-        since_relay > RELAY_SILENCE_MS || self.is_ranked_watcher()
+        since_relay > RELAY_SILENCE_MS || self.is_behind_peers() || self.is_ranked_watcher()
+    }
+
+    /// Whether this daemon's peers have announced a revision that it has not got from them in time.
+    fn is_behind_peers(&self) -> bool {
+        let own = self.shared.config.lock().revision();
+        self.shared.pull_lag.lock().is_overdue(own, self.shared.now())
     }
 
     /// Whether this daemon is one of those of its region that read the store while they hear each other.
