Placement: refusals name the time of servers that were tried

A request whose only server had turned it away, with a time for which it wants nothing, was sent to look for another one. As the server no longer counted, the pool seemed empty: the caller waited 150 ms and was told to come back after 1 s, in the middle of the server's time. The same happened to a request that was withdrawn, as its server refused another one while its connection was opened.

Placement now tells "no server" from "all servers that could take it have been tried and want nothing"; the refusal then comes at once, with what is left of the time. A withdrawn request has not been sent, so its server stays one that it may wait for.

--- a/goldcrestward/src/process/replicas/registry.rs
+++ b/goldcrestward/src/process/replicas/registry.rs
@@ -188,9 +188,14 @@
     pub fn place(&self, query: &PlacementQuery<'_>) -> Result<Offer, NoReplica> {
         let pools = self.pools.load();
         let pool = pools.get(query.pool).ok_or(NoReplica::None)?;
-        let is_eligible =
-            |r: &&Arc<Replica>| !r.is_leaving() && query.versions.allows(&r.version) && !query.tried.contains(&r.id);
-        let mut eligible: Vec<&Arc<Replica>> = pool.iter().filter(is_eligible).collect();
+        let is_eligible = |r: &&Arc<Replica>| !r.is_leaving() && query.versions.allows(&r.version);
+        let (tried, mut eligible): (Vec<&Arc<Replica>>, Vec<_>) =
+            pool.iter().filter(is_eligible).partition(|r| query.tried.contains(&r.id));
+        if eligible.is_empty() && tried.iter().all(|r| r.is_held(query.now)) {
+            // None of them is another server for the request, but when they want requests again is known.
+            let first_free = tried.iter().map(|r| r.blocked_ms(query)).min().ok_or(NoReplica::None)?;
+            return Err(NoReplica::Held(Duration::from_millis(first_free)));
+        }
         let first_free = eligible.iter().map(|r| (r.blocked_ms(query), r.is_held(query.now))).min();
         if let Some((wait, is_held)) = first_free.filter(|(wait, _)| *wait > 0) {
             let wait = Duration::from_millis(wait);
--- a/goldcrestward/src/process/replicas/registry_test.rs
+++ b/goldcrestward/src/process/replicas/registry_test.rs
@@ -1,9 +1,17 @@
-//! Entries that are removed and come back while their servers want nothing.
+//! Servers that want nothing: their entries that are removed and come back, and requests that they have turned away.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use super::Replicas;
-use crate::port::{Instance, InstanceState};
+use crate::{
+    port::{Instance, InstanceState},
+    process::{
+        brittle::DaemonRank,
+        placement::PromptCost,
+        replicas::{NoReplica, PlacementQuery},
+    },
+    version::VersionRule,
+};
 
 const HOLD: Duration = Duration::from_secs(5);
 
@@ -39,3 +47,38 @@
         assert!(!server.is_held(5_010), "the time does not end");
     }
 }
+
+/// Guards against requests that get no time to come back after: the servers that had turned them away, all that there
+/// were, had named one.
+#[test]
+fn place_names_the_time_of_servers_that_were_tried_and_want_nothing() {
+    let server = |id: &str| Instance { id: id.into(), ..entry(1) };
+    let cases: [(&[&str], &[&str], NoReplica); 4] = [
+        (&["a"], &["a"], NoReplica::Held(Duration::from_millis(4_900))),
+        (&["a", "b"], &["a", "b"], NoReplica::Held(Duration::from_millis(4_900))),
+        (&["a", "b"], &["b"], NoReplica::Held(Duration::from_millis(4_900))),
+        (&["a", "b", "sound"], &["a", "b", "sound"], NoReplica::None),
+    ];
+    for (servers, tried, expected) in cases {
+        let replicas = Replicas::default();
+        replicas.update(servers.iter().map(|id| server(id)).collect(), 0);
+        for (number, id) in servers.iter().filter(|id| **id != "sound").enumerate() {
+            replicas.find(id).expect("a known server").hold(HOLD * (number as u32 + 1), 0);
+        }
+        let tried: Vec<Arc<str>> = tried.iter().map(|id| Arc::from(*id)).collect();
+        let query = PlacementQuery {
+            pool: "pool",
+            prompt_cost: &PromptCost { affinity: None, prefix_ms: 0.0, suffix_ms: 0.0 },
+            versions: &VersionRule::Any,
+            tried: &tried,
+            zone: "zone",
+            region: "region",
+            crash_score: 0,
+            salt: 0,
+            daemon: DaemonRank { rank: 0, count: 1 },
+            agreed_ms: 0,
+            now: 100,
+        };
+        assert_eq!(replicas.place(&query).err(), Some(expected), "{servers:?}, tried {tried:?}");
+    }
+}
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -188,7 +188,10 @@
                     info!(
                         "event=attempt-failed id={id} instance={instance} cause={label} sends={sends} repeat={repeat}"
                     );
-                    self.tried.push(instance);
+                    // A server that wants nothing now may take the request later, and has not got it yet.
+                    if !matches!(failure, ProxyFailure::Withdrawn) {
+                        self.tried.push(instance);
+                    }
                     if !repeat {
                         return self.final_result(failure);
                     }
@@ -337,8 +340,7 @@
             _ if self.window.has_ended() => Err(self.window.give_up(self.run_state)),
             ProxyFailure::Stopped => Err(self.window.give_up(self.run_state)),
             ProxyFailure::ConnectFailed => refusal(Reason::NoReplica, "no backend server could be reached"),
-            ProxyFailure::Withdrawn => refusal(Reason::NoReplica, "the backend server takes no requests any more"),
-            ProxyFailure::NotRun => {
+            ProxyFailure::Withdrawn | ProxyFailure::NotRun => {
                 if let Some(held) = self.placement.refuse_if_held(&self.gateway) {
                     return Err(Refusal { run: self.run_state, ..held });
                 }
