Log: stopped is the last line of a daemon

What operators saw: after `stopped`, the log of a daemon went on with `carried-ended ... end=stop` of connections that its end had cut, and with `stop-cut` of answers whose callers did not read; the counts in `stopped` lacked these.

Cause: the line was written before the runtime ended the tasks that still served connections.

Evidence: carried::log_of_carrier_that_cuts_a_connection_ends_with_stopped (platform) failed, with `carried-ended` as the last line; stops::cut_answer_of_a_caller_that_does_not_read_is_logged (own interface), which now checks the last line and its count, failed with `stop-cut` as the last line. Both pass with this change.

Why this works: a stopped daemon is a value (`Stopped`) that logs the end when the runtime has shut down, for which there are the same 100 ms as before. Dropping a connection's task is what writes these lines.

--- a/goldcrestward/src/cmd/serve.rs
+++ b/goldcrestward/src/cmd/serve.rs
@@ -11,7 +11,7 @@
     error::{DaemonSnafu, Result, RuntimeSnafu, SettingsSnafu},
     logs,
     port::Ports,
-    process::{Overrides, Settings, StartingDaemon},
+    process::{Overrides, Settings, StartingDaemon, Stopped},
 };
 
 /// Builds a daemon's ports to a platform for which this crate has no adapters.
@@ -44,7 +44,8 @@
             _ => tokio::runtime::Builder::new_multi_thread(),
         };
         let runtime = builder.worker_threads(settings.workers).enable_all().build().context(RuntimeSnafu)?;
-        runtime.block_on(serve(self, settings, ports))
+        runtime.block_on(serve(self, settings, ports))?.finish(runtime);
+        Ok(())
     }
 
     fn read_settings(&self) -> Result<Settings> {
@@ -54,7 +55,7 @@
     }
 }
 
-async fn serve(args: &ServeArgs, settings: Settings, ports: Option<PortsFactory>) -> Result<()> {
+async fn serve(args: &ServeArgs, settings: Settings, ports: Option<PortsFactory>) -> Result<Stopped> {
     let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
     let mut interrupt = signal(SignalKind::interrupt()).context(RuntimeSnafu)?;
     let mut reload = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
@@ -71,8 +72,7 @@
         () = &mut shutdown => false,
     };
     if !is_configured {
-        starting.stop().await;
-        return Ok(());
+        return Ok(starting.stop().await);
     }
     let daemon = starting.serve();
     loop {
@@ -85,6 +85,5 @@
             },
         }
     }
-    daemon.stop().await;
-    Ok(())
+    Ok(daemon.stop().await)
 }
--- a/goldcrestward/src/demo/daemon.rs
+++ b/goldcrestward/src/demo/daemon.rs
@@ -45,7 +45,7 @@
     /// Stops gracefully.
     pub async fn stop(mut self) -> Result<()> {
         let (Some(daemon), Some(runtime)) = (self.daemon.take(), &self.runtime) else { return Ok(()) };
-        runtime.spawn(daemon.stop()).await.context(TaskSnafu)
+        runtime.spawn(async { daemon.stop().await.log() }).await.context(TaskSnafu)
     }
 }
 
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -50,6 +50,7 @@
     settings::Settings,
     shared::{InForce, Shared},
     state::{SiteState, watch_instances},
+    stopped::{EXIT_TIME, Stopped},
     verdict_keeper::VerdictKeeper,
 };
 use crate::{
@@ -72,8 +73,6 @@
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Time before the end of the drain by which each request has its final answer, so that it still reaches the caller.
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
-/// The part of that time in which the process exits.
-const EXIT_TIME: Duration = Duration::from_millis(100);
 /// Time on stop for the ledger to write pending records, and for operators' requests to finish, without a time limit.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -193,9 +192,9 @@
     }
 
     /// Stops gracefully. Callers may have been served already, though the daemon has never said that it is ready.
-    pub async fn stop(self) {
+    pub async fn stop(self) -> Stopped {
         let Self { parts, starting } = self;
-        parts.stop(|| starting.drain(), Duration::ZERO).await;
+        parts.stop(|| starting.drain(), Duration::ZERO).await
     }
 }
 
@@ -229,16 +228,16 @@
 
     /// Stops gracefully: accepts no new requests, lets those in flight and the connections that are carried for peers
     /// finish, and writes pending ledger records.
-    pub async fn stop(self) {
+    pub async fn stop(self) -> Stopped {
         let Self { parts, serving } = self;
         let notice = parts.shared.settings.notice;
-        parts.stop(|| serving.drain(), notice).await;
+        parts.stop(|| serving.drain(), notice).await
     }
 }
 
 impl Parts {
     /// Stops within the limit of the settings; new connections are accepted for the time of `notice`.
-    async fn stop(mut self, drain: impl FnOnce() -> Draining, notice: Duration) {
+    async fn stop(mut self, drain: impl FnOnce() -> Draining, notice: Duration) -> Stopped {
         let begun = Instant::now();
         let shared = self.shared.clone();
         let name = &shared.settings.name;
@@ -273,9 +272,7 @@
         self.gossip.leave();
         timeout(rest(), self.operators.finish()).await.ok();
         self.tasks.shutdown().await;
-        let [refused, given_up, cut] = ["refused", "given-up", "cut"]
-            .map(|outcome| shared.metrics.stop_outcomes.with_label_values(&[outcome]).get());
-        info!("event=stopped daemon={name} whole={whole} refused={refused} given_up={given_up} cut={cut}");
+        Stopped::new(name.clone(), shared.metrics.stop_outcomes.clone(), whole)
     }
 }
 
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -40,6 +40,7 @@
 mod settings;
 mod shared;
 mod state;
+mod stopped;
 mod term;
 mod usage;
 mod verdict_keeper;
@@ -61,6 +62,7 @@
 pub(crate) use run_times::RunKind;
 pub use settings::{Overrides, Settings, SettingsError};
 pub(crate) use shared::{InFlight, Shared};
+pub use stopped::Stopped;
 
 #[cfg(test)]
 mod crash_simulation_test;
--- a/goldcrestward/tests/it/stops.rs
+++ b/goldcrestward/tests/it/stops.rs
@@ -344,6 +344,8 @@
     let log = site.daemons[0].log();
     let lines: Vec<&str> = log.lines().filter(|line| line.contains("stop")).collect();
     assert!(log.contains("event=stop-cut"), "no line tells of the cut answer: {lines:#?}");
+    let last = log.lines().last().unwrap_or_default();
+    assert!(last.contains("event=stopped") && last.ends_with(" cut=1"), "the log ends with {last:?}");
 }
 
 /// Serves connections until it is dropped; answers to requests that contain `slow` pause in the middle.
