Stop: outcomes are on record before the daemon ends

What callers saw: a keyed call was answered with 200, the daemon that answered was stopped, and a retry at another daemon was refused as `earlier-may-have-run`. No call ran twice.

Cause: the daemon that runs a keyed call reports the outcome to the owner of the key's slot. It holds the answer back for 300 ms at most; after that nobody waited for the report, and the end of the process dropped it. Besides, a report that reached the daemon which takes over from a lost owner was refused five times in a row, as only a claim made that daemon take the slot.

Evidence: ledger::outcomes_are_recorded_before_a_daemon_ends_beside_a_paused_owner: 24 keys, the owner of some paused by SIGSTOP while they run, the daemon that ran them stopped, each retried at a third one. Where the paused owner does not come back, 16 of 24 retries were refused; where it goes on, none, since the report was in its socket's buffer. Now none in either case, and each key has run once.

Why this works: reports are counted, and the stop waits for them like for the daemon's other work, within `drain-seconds` if that is set. Each ends by itself after five attempts. A settlement makes the daemon that should own the slot take it, with the same fenced transaction as for a claim; what was open is then unknown, and the report that is sent again settles it. What could not be reported has a line, `settlement-lost` or `settlements-cut`.

--- a/goldcrestward/src/ledger/owner.rs
+++ b/goldcrestward/src/ledger/owner.rs
@@ -7,12 +7,14 @@
     time::{Duration, Instant},
 };
 
+use log::warn;
 use prometheus::IntCounterVec;
 use tokio::{
     sync::{mpsc, oneshot},
     task::JoinHandle,
     time::{sleep, timeout},
 };
+use tokio_util::task::TaskTracker;
 
 use super::{
     entry::{Key, SLOTS, slot_of},
@@ -73,6 +75,8 @@
     slots: Arc<Vec<mpsc::Sender<Message>>>,
     owner_of: OwnerLookup,
     peer_client: PeerClient,
+    /// Reports of how claims ended that their owners have not recorded yet.
+    settlements: TaskTracker,
 }
 
 impl Ledger {
@@ -102,7 +106,8 @@
             tokio::spawn(driver.run(messages));
             sender
         };
-        Self { slots: Arc::new((0..SLOTS).map(start).collect()), owner_of, peer_client }
+        let slots = Arc::new((0..SLOTS).map(start).collect());
+        Self { slots, owner_of, peer_client, settlements: TaskTracker::new() }
     }
 
     /// Claims the right to run a request from the daemon that owns the key's slot.
@@ -125,16 +130,32 @@
     /// Reports how a claim ended. Dropping the handle does not cancel the report.
     pub fn settle(&self, settlement: Settlement) -> JoinHandle<()> {
         let ledger = self.clone();
-        tokio::spawn(async move {
+        self.settlements.spawn(async move {
             for attempt in 1..=SETTLE_ATTEMPTS {
                 if ledger.settle_once(&settlement).await {
                     return;
                 }
                 sleep(RETRY_DELAY * attempt * attempt).await;
             }
+            // A claim that was never granted has no entry to settle.
+            if settlement.ran {
+                let (id, slot) = (&settlement.request, slot_of(&settlement.key));
+                warn!("event=settlement-lost id={id} slot={slot} attempts={SETTLE_ATTEMPTS}");
+            }
         })
     }
 
+    /// Waits until no report of how a claim ended is on its way. Each is given up after a number of attempts.
+    pub async fn settled(&self) {
+        self.settlements.close();
+        self.settlements.wait().await;
+    }
+
+    /// Number of reports of how claims ended that are on their way.
+    pub fn unsettled(&self) -> usize {
+        self.settlements.len()
+    }
+
     /// Answers a peer's claim if this daemon owns the slot.
     pub async fn claim_local(&self, slot: u32, claim: Claim) -> ClaimAnswer {
         let unavailable = ClaimAnswer { grant: Grant::Unavailable, outcome: None };
@@ -250,8 +271,11 @@
                 effects
             }
             Message::Settle(settlement, reply) => {
-                let (recorded, effects) = self.slot.settle(settlement, now_ms, unix_s);
+                let wanted = (self.owner_of)(self.slot_number).is_none();
+                let mut effects = self.slot.set_wanted(wanted, now_ms, unix_s);
+                let (recorded, settled) = self.slot.settle(settlement, now_ms, unix_s);
                 reply.send(recorded).ok();
+                effects.extend(settled);
                 effects
             }
             Message::StoreResult(result) => self.slot.on_store_result(result, now_ms, unix_s),
--- a/goldcrestward/src/ledger/slot.rs
+++ b/goldcrestward/src/ledger/slot.rs
@@ -58,6 +58,8 @@
     open_entries: Vec<Key>,
     open_bytes: usize,
     waiting: VecDeque<WaitingClaim>,
+    /// Whether a settlement has come that will be sent again, for which the slot has to be owned.
+    is_settlement_due: bool,
     dirty: Vec<Key>,
     dirty_since: Option<u64>,
     batch: Batch,
@@ -86,6 +88,7 @@
             open_entries: Vec::new(),
             open_bytes: 0,
             waiting: VecDeque::new(),
+            is_settlement_due: false,
             dirty: Vec::new(),
             dirty_since: None,
             batch: Batch::default(),
@@ -159,7 +162,9 @@
     /// Records how a claim ended; false if this daemon does not hold the claim.
     pub fn settle(&mut self, settlement: Settlement, now_ms: u64, unix_s: u64) -> (bool, Vec<Effect>) {
         if !self.is_owned() {
-            return (false, Vec::new());
+            // The owner before may be gone for good, and the settlement is what shows that the claim has run.
+            self.is_settlement_due = self.wanted;
+            return (false, self.advance(now_ms, unix_s));
         }
         let Some(entry) = self.entries.get_mut(&settlement.key) else { return (false, Vec::new()) };
         if entry.request != settlement.request || entry.state == EntryState::Done {
@@ -219,7 +224,9 @@
             return Vec::new();
         }
         match self.phase {
-            Phase::Idle if self.wanted && !self.waiting.is_empty() => self.load(Phase::Loading),
+            Phase::Idle if self.wanted && (self.is_settlement_due || !self.waiting.is_empty()) => {
+                self.load(Phase::Loading)
+            }
             Phase::Loading => self.load(Phase::Loading),
             Phase::Reconciling => self.load(Phase::Reconciling),
             Phase::Owned => self.flush(now_ms, unix_s),
@@ -229,6 +236,7 @@
 
     fn load(&mut self, phase: Phase) -> Vec<Effect> {
         self.phase = phase;
+        self.is_settlement_due = false;
         self.call_pending = true;
         vec![Effect::Load]
     }
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -253,6 +253,7 @@
             self.callers.finish().await;
             shared.tasks.close();
             shared.tasks.wait().await;
+            shared.ledger.settled().await;
             shared.carried.finish().await;
         };
         let whole = match limit {
@@ -266,6 +267,10 @@
         if left > 0 {
             warn!("event=carried-cut daemon={name} count={left}");
         }
+        let unsettled = shared.ledger.unsettled();
+        if unsettled > 0 {
+            warn!("event=settlements-cut daemon={name} count={unsettled}");
+        }
         let limit = limit.map(|limit| limit + STOP_MARGIN - EXIT_TIME);
         let rest = || limit.map_or(FLUSH_TIMEOUT, |limit| limit.saturating_sub(begun.elapsed()));
         shared.ledger.flush(rest()).await;
--- a/goldcrestward/tests/it/ledger.rs
+++ b/goldcrestward/tests/it/ledger.rs
@@ -1,14 +1,19 @@
 //! Non-idempotent requests run at most once while back ends, daemons or the platform's service fail.
 
 use rustix::process::Signal;
-use standin::{load::RequestOutcome, platform::PlatformFaults, service::ServiceFaults};
+use standin::{
+    load::{Client, RequestOutcome},
+    platform::PlatformFaults,
+    service::ServiceFaults,
+};
 use tokio::{
     io::AsyncReadExt,
     net::TcpListener,
+    task::JoinSet,
     time::{Duration, sleep},
 };
 
-use crate::support::{RawBackEnd, RawEnd, RawReply, TestSite, eventually, run_load};
+use crate::support::{KEY, RawBackEnd, RawEnd, RawReply, TestSite, eventually, run_load};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn keyed_requests_with_truncated_responses_run_once() {
@@ -119,6 +124,52 @@
     assert_eq!(count, 1, "the request was sent more than once");
 }
 
+/// Sends keyed requests to a daemon, pauses the owner of some of the keys while they run, and stops the daemon once all
+/// have been answered. Returns how a retry of each by way of a third daemon ends, and how often each has run.
+async fn retry_after_stop_beside_paused_owner(resumes: bool) -> Vec<(RequestOutcome, Option<u64>)> {
+    let mut site = TestSite::start(3, 0).await;
+    site.set_service_faults(&ServiceFaults { delay_ms: 1_000, ..ServiceFaults::default() });
+    let keys: Vec<String> = (0..24).map(|number| format!("paused-owner-{number}")).collect();
+    let target = site.daemons[0].callers;
+    let calls: JoinSet<RequestOutcome> = keys
+        .iter()
+        .cloned()
+        .map(|key| async move { Client::default().keyed(target, KEY, "/orders/confirm", &key).await })
+        .collect();
+    let running = || async { (site.executions.lock().len() == keys.len()).then_some(()) };
+    eventually("all requests run", running).await;
+    site.daemons[1].signal(Signal::STOP);
+    let answers = calls.join_all().await;
+    assert!(answers.iter().all(|answer| *answer == RequestOutcome::Complete), "{answers:?}");
+    site.daemons[0].signal(Signal::TERM);
+    let stopped = std::cell::RefCell::new(&mut site.daemons[0]);
+    let status = eventually("the daemon exits", || async { stopped.borrow_mut().exit_status() }).await;
+    assert!(status.success(), "{status}");
+    let alive = if resumes { 1.0 } else { 0.0 };
+    if resumes {
+        site.daemons[1].signal(Signal::CONT);
+    }
+    let listed = || async { (site.daemons[2].counter("members", "alive").await == alive).then_some(()) };
+    eventually("the third daemon knows which others are there", listed).await;
+    let mut retries = Vec::new();
+    for key in &keys {
+        let retry = site.confirm(2, key).await;
+        retries.push((retry, site.executions.lock().get(key).copied()));
+    }
+    retries
+}
+
+/// Guards against an outcome that only a stopped daemon knew: a caller that had its answer was told on a retry that the
+/// request may have run, as the daemon did not wait for the slow owner of the key to record it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn outcomes_are_recorded_before_a_daemon_ends_beside_a_paused_owner() {
+    let retries = tokio::join!(retry_after_stop_beside_paused_owner(true), retry_after_stop_beside_paused_owner(false));
+    for (case, retries) in [("the owner goes on", retries.0), ("the owner is gone", retries.1)] {
+        let wrong: Vec<_> = retries.iter().filter(|retry| **retry != (RequestOutcome::Complete, Some(1))).collect();
+        assert!(wrong.is_empty(), "{case}: {} of {}: {wrong:?}", wrong.len(), retries.len());
+    }
+}
+
 /// Guards against MIXED: a call whose answer was too long for the ledger was answered again by an empty 200, framed as
 /// whole.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
