Stop: bodies of model requests are refused by the same window

What operators saw: a request to a model whose caller still wrote its body at the end of a stop was refused without a `stop-refused` line, and `stop_outcomes_total` did not count it.

Cause: the route of such a request is only known from its body, so the ingress had a wait of its own for the daemon's end beside RunWindow::wait_for.

Why this works: a RunWindow may have no route yet (`route=-` in the line). Nothing is known of what such a request needs, so while its body is read the window keeps the time for a refusal to reach the caller, as before. The body is bounded by the time for bodies, the refusal and its Retry-After are those of the other requests.

--- a/goldcrestward/src/request/ingress.rs
+++ b/goldcrestward/src/request/ingress.rs
@@ -17,7 +17,7 @@
     model::ModelCall,
     plain::{PlainCall, PlainRequestHead, ReceivedBody},
     refusal::{Reason, Refusal},
-    run_window::{Phase, REFUSAL_TIME, RunWindow},
+    run_window::{Phase, RunWindow},
 };
 use crate::{
     config::{Account, Site},
@@ -95,7 +95,8 @@
         let id: Arc<str> = format!("req-{:032x}", rand::random::<u128>()).into();
         if path == "/v1/chat/completions" || path == "/v1/completions" {
             let admitted = self.admit(&account)?;
-            let body = self.while_alive(read_body(body)).await?;
+            let window = RunWindow::unrouted(self.shared.clone(), id.clone(), Instant::now() + BODY_TIMEOUT);
+            let body = window.wait_for(Phase::Body, read_body(body)).await??;
             return ModelCall::new(self.shared.clone(), &account, admitted, id, path, body)?.run().await;
         }
         let Some(route) = in_force.site.path_route(&path) else {
@@ -117,15 +118,6 @@
         PlainCall::new(self.shared.clone(), &account, admitted, route.clone(), request, body).run().await
     }
 
-    /// Reads a body whose route is only known from its content, as long as the daemon is there.
-    async fn while_alive<T>(&self, read: impl Future<Output = Result<T, Refusal>>) -> Result<T, Refusal> {
-        tokio::select! {
-            biased;
-            output = read => output,
-            () = self.shared.lifetime.shorter_than(REFUSAL_TIME) => Err(stopping()),
-        }
-    }
-
     fn admit(&self, account: &Account) -> Result<AdmissionPermit, Refusal> {
         self.shared.limits.admit(account, self.shared.daemon_count(), self.shared.now())
     }
@@ -137,15 +129,14 @@
                 let message = "this daemon has no configuration yet";
                 Err(Refusal::not_run(Reason::NoConfiguration, message).with_retry_after(Duration::from_secs(1)))
             }
-            Stage::Draining => Err(stopping()),
+            Stage::Draining => {
+                let message = "this daemon is stopping";
+                Err(Refusal::not_run(Reason::Stopping, message).with_retry_after(Duration::from_secs(1)))
+            }
         }
     }
 }
 
-fn stopping() -> Refusal {
-    Refusal::not_run(Reason::Stopping, "this daemon is stopping").with_retry_after(Duration::from_secs(1))
-}
-
 /// Checks the header size, since the HTTP library does not apply its limit to a head received in one read.
 fn check_header_size(headers: &HeaderMap) -> Result<(), Refusal> {
     let bytes: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
--- a/goldcrestward/src/request/run_window.rs
+++ b/goldcrestward/src/request/run_window.rs
@@ -18,7 +18,7 @@
 /// Time that repeatable requests are assumed to take while no run of their route is known.
 const UNKNOWN_RUN_TIME: Duration = Duration::from_secs(3);
 /// Time for the refusal of a request to reach a caller that still writes its body.
-pub(super) const REFUSAL_TIME: Duration = Duration::from_millis(500);
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
 /// `Retry-After` of what a stopping daemon refuses; the other daemons can take it at once.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -51,8 +51,8 @@
 pub(crate) struct RunWindow {
     shared: Arc<Shared>,
     id: Arc<str>,
-    route: Arc<Route>,
-    kind: RunKind,
+    /// The route and the kind of the run; `None` before the route is known.
+    routed: Option<(Arc<Route>, RunKind)>,
     deadline: Instant,
     /// Whether the answer is complete before the caller gets any of it.
     is_buffered: bool,
@@ -62,7 +62,12 @@
     pub fn new(shared: Arc<Shared>, id: Arc<str>, route: Arc<Route>, deadline: Instant) -> Self {
         let kind = RunKind::new(route.name.clone(), Some(0));
         let is_buffered = !route.kind.is_stream();
-        Self { shared, id, route, kind, deadline, is_buffered }
+        Self { shared, id, routed: Some((route, kind)), deadline, is_buffered }
+    }
+
+    /// The time of a request whose route is only known from its body.
+    pub fn unrouted(shared: Arc<Shared>, id: Arc<str>, deadline: Instant) -> Self {
+        Self { shared, id, routed: None, deadline, is_buffered: false }
     }
 
     /// Marks an answer that the caller gets as it comes.
@@ -72,7 +77,11 @@
 
     /// Sets how many tokens the answer may have; `None` if there is no limit.
     pub fn with_tokens(self, tokens: Option<u32>) -> Self {
-        Self { kind: RunKind::new(self.route.name.clone(), tokens), ..self }
+        let routed = self.routed.map(|(route, _)| {
+            let kind = RunKind::new(route.name.clone(), tokens);
+            (route, kind)
+        });
+        Self { routed, ..self }
     }
 
     /// Time until the request's deadline or the daemon's end.
@@ -87,12 +96,13 @@
     }
 
     /// Time that the request needs. Only one that can be repeated, and whose answer has not begun, may turn out to take
-    /// longer.
+    /// longer. Nothing is known of one without a route.
     pub fn needed(&self) -> Duration {
-        let may_fail = self.is_buffered && self.route.kind.is_idempotent();
+        let Some((route, kind)) = &self.routed else { return Duration::ZERO };
+        let may_fail = self.is_buffered && route.kind.is_idempotent();
         let (times, now) = (&self.shared.run_times, Instant::now());
         let left = self.deadline.saturating_duration_since(now);
-        let known = if may_fail { times.usual(&self.kind, now) } else { times.longest(&self.kind, now) };
+        let known = if may_fail { times.usual(kind, now) } else { times.longest(kind, now) };
         known.unwrap_or(if may_fail { UNKNOWN_RUN_TIME } else { left }).min(left)
     }
 
@@ -152,13 +162,14 @@
 
     /// Records how long a run took.
     pub fn record_run(&self, started: Instant) {
+        let Some((_, kind)) = &self.routed else { return };
         let now = Instant::now();
-        self.shared.run_times.record(&self.kind, now - started, now);
+        self.shared.run_times.record(kind, now - started, now);
     }
 
     /// The final answer to a request that runs, or may have run, at the end of the daemon.
     pub fn give_up(&self, run: RunState) -> Refusal {
-        let (id, route, label) = (&self.id, &self.route.name, run.label());
+        let (id, route, label) = (&self.id, self.route_label(), run.label());
         let left = self.deadline.saturating_duration_since(Instant::now()).as_millis();
         info!("event=stop-given-up id={id} route={route} run={label} left_ms={left}");
         self.shared.metrics.stop_outcomes.with_label_values(&["given-up"]).inc();
@@ -172,13 +183,17 @@
     /// Records that the answer is cut off by the end of the daemon.
     pub fn record_cut(&self, bytes: u64) {
         let left = self.deadline.saturating_duration_since(Instant::now()).as_millis();
-        info!("event=stop-cut id={} route={} bytes={bytes} left_ms={left}", self.id, self.route.name);
+        info!("event=stop-cut id={} route={} bytes={bytes} left_ms={left}", self.id, self.route_label());
         self.shared.metrics.stop_outcomes.with_label_values(&["cut"]).inc();
     }
 
+    fn route_label(&self) -> &str {
+        self.routed.as_ref().map_or("-", |(route, _)| &route.name)
+    }
+
     fn refuse(&self, needed: Duration, phase: Phase) -> Refusal {
         let left = self.shared.lifetime.time_left().unwrap_or_default().as_millis();
-        let (id, route, phase, needed) = (&self.id, &self.route.name, phase.label(), needed.as_millis());
+        let (id, route, phase, needed) = (&self.id, self.route_label(), phase.label(), needed.as_millis());
         info!("event=stop-refused id={id} route={route} needed_ms={needed} left_ms={left} phase={phase}");
         self.shared.metrics.stop_outcomes.with_label_values(&["refused"]).inc();
         let message = format!("this daemon ends in {left} ms, and the request may take {needed} ms");
--- a/goldcrestward/tests/it/stops.rs
+++ b/goldcrestward/tests/it/stops.rs
@@ -237,6 +237,10 @@
         *status != 503 || !complete || !head.contains("retry-after:") || !outcome.is_refused()
     });
     assert!(elapsed <= GRACE, "the process ended {elapsed:?} after SIGTERM");
+    // Guards against refusals that the log does not show: those of requests to models had no line.
+    let log = site.daemons[0].log();
+    let lines = log.lines().filter(|line| line.contains("event=stop-refused") && line.contains("phase=body"));
+    assert_eq!(lines.count(), outcomes.len(), "{log}");
 }
 
 /// Without a limit, a shutdown waits for every caller and cuts nothing.
