Quota: units granted to a request that has not run are returned

What callers saw: less of their quota than it allows. The units of a request stayed charged if the request was given up while the relay was being asked (a stop, or a caller that hung up), or if its caller hung up before it was sent.

Cause: the units were a number that ProxyCall::run gave back when it ended in a refusal. A future that was dropped gave nothing back, and nobody awaited the relay's answer any more.

A request that may have run keeps its charge.

Why this works: a QuotaCharge returns its units when it is dropped, unless the request may have run. A task of its own awaits the relay, so that a late grant becomes a charge that is dropped at once. The daemon's next report lowers its total, which is how refunds have reached the relay before.

Open: if the relay's answer is lost or later than the time for grants, its grant stays charged.

--- a/goldcrestward/src/process/gateway.rs
+++ b/goldcrestward/src/process/gateway.rs
@@ -8,7 +8,7 @@
 use super::{
     demand::DemandMeters,
     limit_facts::publish_limit,
-    quota::{IsolatedQuotas, QuotaBalances, QuotaLedger, Verdict},
+    quota::{IsolatedQuotas, QuotaBalances, QuotaCharge, QuotaLedger, Verdict},
     reach::ReachTable,
     replicas::Replica,
     retries::RetryBudget,
@@ -51,7 +51,7 @@
     /// Which servers this daemon reaches.
     pub reach: Mutex<ReachTable>,
     /// What this daemon knows of the account quotas, which apply across all daemons.
-    pub quota_balances: Mutex<QuotaBalances>,
+    pub quota_balances: Arc<Mutex<QuotaBalances>>,
     /// Account quotas as the relay of the availability zone knows them.
     pub quota_ledger: Mutex<QuotaLedger>,
     /// Account quotas while no relay can be reached: this daemon's part.
@@ -82,7 +82,7 @@
             engines,
             backend_connections,
             reach: Mutex::default(),
-            quota_balances: Mutex::default(),
+            quota_balances: Arc::default(),
             quota_ledger: Mutex::default(),
             isolated_quotas: Mutex::default(),
             send_limits: Mutex::new(SendLimits::new(0)),
@@ -200,12 +200,16 @@
         self.usage.lock().count_request(window, &account.name);
     }
 
-    /// Charges a request to its account's quota and returns the units charged.
+    /// Charges a request to its account's quota, if the account has one.
     ///
     /// # Errors
     /// Returns a refusal when the quota is used up.
-    pub async fn admit(&self, account: &Account, metadata: &RequestMetadata) -> Result<f64, Refusal> {
-        let Some(quota) = &account.quota else { return Ok(0.0) };
+    pub async fn admit(
+        self: &Arc<Self>,
+        account: &Arc<Account>,
+        metadata: &RequestMetadata,
+    ) -> Result<Option<QuotaCharge>, Refusal> {
+        let Some(quota) = &account.quota else { return Ok(None) };
         let units = match quota.unit {
             QuotaUnit::Requests => 1.0,
             QuotaUnit::Tokens(default) => {
@@ -221,12 +225,18 @@
             }
             verdict
         };
+        let charge = || QuotaCharge::new(self.quota_balances.clone(), account.name.clone(), units);
         let basis = match verdict {
-            Verdict::Admitted => return Ok(units),
+            Verdict::Admitted => return Ok(Some(charge())),
             Verdict::AskRelay(left, age) => format!("about {left:.0} of {:.0} were left {age} ms ago", quota.burst),
             Verdict::NoRelay => "no relay of the availability zone is heard".to_owned(),
         };
-        let decided = match self.charge_at_relay(account, units, now).await {
+        let ask = {
+            let (gateway, account) = (self.clone(), account.clone());
+            async move { gateway.charge_at_relay(&account, units, now).await }
+        };
+        let balances = self.quota_balances.clone();
+        let decided = match QuotaCharge::grant_by(balances, account.name.clone(), units, ask).await {
             Some(decided) => decided,
             None => {
                 let last_level = self.quota_balances.lock().last_level(&account.name);
@@ -234,10 +244,10 @@
                 if charged.is_ok() {
                     self.quota_balances.lock().record(&account.name, units);
                 }
-                charged
+                charged.map(|()| charge())
             }
         };
-        decided.map(|()| units).map_err(|wait| {
+        decided.map(Some).map_err(|wait| {
             let message = format!("the quota of account {} cannot bear {units:.0} units: {basis}", account.name);
             Refusal::not_run(Reason::TokenLimit, message).with_retry_after(wait)
         })
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -57,6 +57,7 @@
 pub(crate) use lifecycle::Stage;
 pub(crate) use limits::AdmissionPermit;
 pub(crate) use placement::{Placement, PromptCost};
+pub(crate) use quota::QuotaCharge;
 pub(crate) use replicas::{Blame, NoReplica, Offer, PlacementQuery, Replica, ReplicaGuard, ReplicaQuery};
 pub use retries::RetryLimit;
 pub(crate) use run_times::RunKind;
--- a/goldcrestward/src/process/quota/mod.rs
+++ b/goldcrestward/src/process/quota/mod.rs
@@ -5,9 +5,11 @@
 //! daemon asks the relay first.
 
 mod balance;
+mod charge;
 mod isolated;
 mod ledger;
 
 pub(crate) use balance::{QuotaBalances, QuotaLevel, Verdict};
+pub(crate) use charge::QuotaCharge;
 pub(crate) use isolated::IsolatedQuotas;
 pub(crate) use ledger::{QuotaLedger, QuotaTotal};
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -32,8 +32,8 @@
     logs::is_sampled,
     port::{AttemptMetadata, MigratedKvCache, RequestMetadata, ResponseHead, ResponseMetadata},
     process::{
-        AttemptOutcome, Condemned, Gateway, Replica, ReplicaGuard, part_names, record_answer, record_brittle,
-        record_leaving,
+        AttemptOutcome, Condemned, Gateway, QuotaCharge, Replica, ReplicaGuard, part_names, record_answer,
+        record_brittle, record_leaving,
     },
     version::Sample,
 };
@@ -93,7 +93,7 @@
     connect_failures: u32,
     run_state: RunState,
     usage_counted: bool,
-    quota_units: f64,
+    charge: Option<QuotaCharge>,
     kv_cache: Option<MigratedKvCache>,
     /// The place for the next attempt, paid for from the retry budget.
     pub(super) fallback: Option<Fallback>,
@@ -102,14 +102,14 @@
 }
 
 impl ProxyCall {
-    /// Creates a call that has been charged `quota_units` of its account's quota.
+    /// Creates a call that has been charged units of its account's quota, if the account has one.
     pub fn new(
         gateway: Arc<Gateway>,
         caller: AdmittedCaller,
         mut head: RequestHead,
         body: Bytes,
         placement: PlacementRequest,
-        quota_units: f64,
+        charge: Option<QuotaCharge>,
     ) -> Self {
         let AdmittedCaller { route, account, metadata } = caller;
         drop_hop_by_hop(&mut head.headers);
@@ -140,7 +140,7 @@
             connect_failures: 0,
             run_state: RunState::NotRun,
             usage_counted: false,
-            quota_units,
+            charge,
             kv_cache: None,
             fallback: None,
             connection: None,
@@ -153,11 +153,7 @@
     /// Returns a refusal if there is no response to pass on.
     pub async fn run(mut self) -> Result<Response, Refusal> {
         let mut sequence = EventSequence::new(self.metadata.resume_after);
-        let response = self.attempts(&mut sequence).await;
-        if response.is_err() && self.run_state == RunState::NotRun {
-            self.refund_quota();
-        }
-        match response? {
+        match self.attempts(&mut sequence).await? {
             ProxyResponse::Buffered(response) => Ok(*response),
             ProxyResponse::Stream(open) => {
                 let ProxyStream { head, body, connection, guard, first } = *open;
@@ -296,10 +292,10 @@
         Ok(score)
     }
 
-    fn refund_quota(&mut self) {
-        if let (true, Some(account)) = (self.quota_units > 0.0, &self.account) {
-            self.gateway.quota_balances.lock().refund(&account.name, self.quota_units);
-            self.quota_units = 0.0;
+    fn set_run_state(&mut self, run: RunState) {
+        self.run_state = run;
+        if let Some(charge) = &mut self.charge {
+            charge.set_used(run == RunState::MayHaveRun);
         }
     }
 
@@ -452,12 +448,12 @@
             self.gateway.shared.metrics.limited_sends.inc();
         }
         self.sends += 1;
-        self.run_state = RunState::MayHaveRun;
+        self.set_run_state(RunState::MayHaveRun);
         let response = match self.wait_for(guard, connection.send(request)).await {
             None => return Err(ProxyFailure::Indeterminate("silent")),
             Some(Err(SendError::MaybeSent)) => return Err(ProxyFailure::Indeterminate("cut")),
             Some(Err(SendError::NotSent)) => {
-                self.run_state = previous;
+                self.set_run_state(previous);
                 self.sends -= 1;
                 return Err(ProxyFailure::ConnectFailed);
             }
@@ -467,7 +463,7 @@
             Ok(metadata) => metadata,
             Err(failure) => {
                 if matches!(failure, ProxyFailure::NotRun) {
-                    self.run_state = previous;
+                    self.set_run_state(previous);
                 }
                 return Err(failure);
             }
@@ -487,7 +483,7 @@
             replica.record_taken(sent_at);
         }
         if metadata.not_run {
-            self.run_state = previous;
+            self.set_run_state(previous);
             if metadata.max_refusals.is_some() {
                 replica.record_refusal(self.gateway.shared.daemon_count(), self.gateway.shared.now());
             }
--- a/goldcrestward/src/request/proxy_ingress.rs
+++ b/goldcrestward/src/request/proxy_ingress.rs
@@ -115,19 +115,19 @@
         let salt = stable_hash(&[metadata.id.as_bytes()]);
         let pool = choose_pool(route, &in_force.site, salt)
             .ok_or_else(|| Refusal::not_run(Reason::NoReplica, format!("route {} leads to no pool", route.name)))?;
-        let quota_units = match account {
+        let charge = match account {
             Some(account) => {
                 let window = RunWindow::new(gateway.shared.clone(), metadata.id.clone(), route.clone(), deadline)
                     .with_tokens(Some(metadata.max_tokens()));
                 window.wait_for(Phase::Place, gateway.admit(account, metadata)).await??
             }
-            None => 0.0,
+            None => None,
         };
         let priority = account.as_ref().and_then(|account| account.priority).unwrap_or(route.priority);
         let placement = PlacementRequest::new(gateway, route, priority, pool, metadata, arrived, deadline);
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         let head = RequestHead { method: parts.method, path, headers: parts.headers };
-        Ok(ProxyCall::new(gateway.clone(), caller, head, body, placement, quota_units))
+        Ok(ProxyCall::new(gateway.clone(), caller, head, body, placement, charge))
     }
 
     async fn read_body(&self, body: Body, limits: &CallerLimits, deadline: Instant) -> Result<Bytes, Refusal> {
