--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! Handling of a request: admission, placement, attempts and the response.
 
+mod admitted_caller;
 mod attempt;
 mod bounded_body;
 mod budget;
@@ -16,7 +17,9 @@
 mod proxy_body;
 mod proxy_ingress;
 mod proxy_outcome;
+mod proxy_refusal;
 mod refusal;
+mod request_head;
 mod response_owner;
 mod run_window;
 mod token_events;
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use http::{HeaderMap, Method, Request as HttpRequest, Response as HttpResponse, header, response::Parts};
+use http::{Request as HttpRequest, Response as HttpResponse, header, response::Parts};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use log::{debug, info};
@@ -15,6 +15,7 @@
 use volo_http::{body::Body, response::Response};
 
 use super::{
+    admitted_caller::AdmittedCaller,
     bounded_body::BoundedBody,
     crash::{CrashRecords, PossibleCause, fingerprint, record_crash},
     fallback::Fallback,
@@ -24,6 +25,7 @@
     proxy_body::ProxyBody,
     proxy_outcome::{ExchangeResult, MigratedRun, ProxyFailure, ProxyResponse, ProxyStream},
     refusal::{Reason, Refusal, RunState},
+    request_head::RequestHead,
     run_window::{Phase, RunWindow},
 };
 use crate::{
@@ -50,26 +52,6 @@
 /// Bounds of the idle timeout.
 const IDLE_TIMEOUT_RANGE: (Duration, Duration) = (Duration::from_millis(700), Duration::from_millis(1_600));
 
-/// The head of a request to proxy.
-pub(crate) struct RequestHead {
-    /// The request method.
-    pub method: Method,
-    /// Path and query, as the caller sent them.
-    pub path: String,
-    /// The caller's headers.
-    pub headers: HeaderMap,
-}
-
-/// An authenticated caller, with the route and the metadata of its request.
-pub(crate) struct AdmittedCaller {
-    /// The route.
-    pub route: Arc<Route>,
-    /// The account; `None` if the route allows anonymous requests or the site has no accounts.
-    pub account: Option<Arc<Account>>,
-    /// The request's metadata.
-    pub metadata: RequestMetadata,
-}
-
 /// A proxied request and the state of its attempts.
 pub(crate) struct ProxyCall {
     pub(super) gateway: Arc<Gateway>,
@@ -91,7 +73,7 @@
     pub(super) tried: Vec<Arc<str>>,
     pub(super) sends: u32,
     connect_failures: u32,
-    run_state: RunState,
+    pub(super) run_state: RunState,
     usage_counted: bool,
     charge: Option<QuotaCharge>,
     kv_cache: Option<MigratedKvCache>,
@@ -327,29 +309,6 @@
             && gateway.retry_budget.lock().withdraw(&self.placement.pool, daemons, now)
     }
 
-    fn final_result(&self, failure: ProxyFailure) -> Result<ProxyResponse, Refusal> {
-        let refusal = |reason, message: &str| Err(Refusal { run: self.run_state, ..Refusal::not_run(reason, message) });
-        match failure {
-            ProxyFailure::ErrorResponse(response) => Ok(ProxyResponse::Buffered(response)),
-            ProxyFailure::TooLate(refusal) => Err(Refusal { run: self.run_state, ..*refusal }),
-            _ if self.window.has_ended() => Err(self.window.give_up(self.run_state)),
-            ProxyFailure::Stopped => Err(self.window.give_up(self.run_state)),
-            ProxyFailure::ConnectFailed => refusal(Reason::NoReplica, "no backend server could be reached"),
-            ProxyFailure::Withdrawn => refusal(Reason::NoReplica, "the backend server takes no requests any more"),
-            ProxyFailure::NotRun => {
-                if let Some(held) = self.placement.refuse_if_held(&self.gateway) {
-                    return Err(Refusal { run: self.run_state, ..held });
-                }
-                let overloaded = refusal(Reason::Overloaded, "the backend server had no room");
-                overloaded.map_err(|refusal| refusal.with_retry_after(Duration::from_millis(200)))
-            }
-            ProxyFailure::Indeterminate(_) if self.time_left() < MIN_RETRY_TIME => {
-                refusal(Reason::Deadline, "the request's time is over")
-            }
-            ProxyFailure::Indeterminate(_) => refusal(Reason::BackendFailed, "the backend server gave no whole answer"),
-        }
-    }
-
     async fn attempt(
         &mut self,
         guard: ReplicaGuard,
--- a/goldcrestward/src/request/proxy_ingress.rs
+++ b/goldcrestward/src/request/proxy_ingress.rs
@@ -13,9 +13,11 @@
 use volo_http::{body::Body, request::Request, response::Response};
 
 use super::{
+    admitted_caller::AdmittedCaller,
     placement_request::{PlacementRequest, choose_pool},
-    proxy::{AdmittedCaller, ProxyCall, RequestHead},
+    proxy::ProxyCall,
     refusal::{Reason, Refusal},
+    request_head::RequestHead,
     run_window::{Phase, RunWindow},
 };
 use crate::{
