Test: a settlement makes the next owner of a slot take it

The test fails if a settlement does not make the slot load (the second settlement is not recorded), and passes with it.

--- a/goldcrestward/src/ledger/slot_test.rs
+++ b/goldcrestward/src/ledger/slot_test.rs
@@ -78,6 +78,13 @@
     slot.claim(ticket, key(number), number, request, now, unix(now))
 }
 
+/// The settlement of a claim that has run and been answered.
+fn done(number: u64) -> Settlement {
+    let outcome =
+        pb::Outcome { status: 200, content_type: "text/plain".into(), body: b"done".to_vec(), body_omitted: false };
+    Settlement { key: key(number), request: "request-1".into(), ran: true, outcome: Some(outcome) }
+}
+
 #[test]
 fn claim_new_key_runs_once() {
     let (mut service, mut owner, mut now) = (Service::default(), slot("a"), 0);
@@ -104,10 +111,7 @@
     let (mut service, mut first, mut now) = (Service::default(), slot("a"), 0);
     let effects = claim(&mut first, 1, 5, now);
     service.drive(&mut first, effects, &mut now);
-    let outcome =
-        pb::Outcome { status: 200, content_type: "text/plain".into(), body: b"done".to_vec(), body_omitted: false };
-    let settlement = Settlement { key: key(5), request: "request-1".into(), ran: true, outcome: Some(outcome) };
-    let (recorded, effects) = first.settle(settlement, now, unix(now));
+    let (recorded, effects) = first.settle(done(5), now, unix(now));
     assert!(recorded);
     service.drive(&mut first, effects, &mut now);
     let mut second = slot("b");
@@ -115,6 +119,23 @@
     assert_eq!(service.drive(&mut second, effects, &mut now), [(2, Grant::Done)]);
 }
 
+/// Guards against an outcome that is lost with the owner of its slot: the next owner took the slot for claims only.
+#[test]
+fn settle_at_next_owner_is_recorded_when_sent_again() {
+    let (mut service, mut first, mut now) = (Service::default(), slot("a"), 0);
+    let effects = claim(&mut first, 1, 5, now);
+    service.drive(&mut first, effects, &mut now);
+    let mut second = slot("b");
+    let (recorded, effects) = second.settle(done(5), now, unix(now));
+    assert!(!recorded);
+    service.drive(&mut second, effects, &mut now);
+    let (recorded, effects) = second.settle(done(5), now, unix(now));
+    assert!(recorded);
+    service.drive(&mut second, effects, &mut now);
+    let effects = claim(&mut second, 2, 5, now);
+    assert_eq!(service.drive(&mut second, effects, &mut now), [(2, Grant::Done)]);
+}
+
 #[test]
 fn settle_not_run_frees_key() {
     let (mut service, mut owner, mut now) = (Service::default(), slot("a"), 0);
