--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -40,6 +40,7 @@
 mod settings;
 mod shared;
 mod state;
+mod stopped;
 mod term;
 mod usage;
 mod verdict_keeper;
@@ -56,11 +57,13 @@
 pub(crate) use lifecycle::Stage;
 pub(crate) use limits::AdmissionPermit;
 pub(crate) use placement::{Placement, PromptCost};
+pub(crate) use quota::QuotaCharge;
 pub(crate) use replicas::{Blame, NoReplica, Offer, PlacementQuery, Replica, ReplicaGuard, ReplicaQuery};
 pub use retries::RetryLimit;
 pub(crate) use run_times::RunKind;
 pub use settings::{Overrides, Settings, SettingsError};
 pub(crate) use shared::{InFlight, Shared};
+pub use stopped::Stopped;
 
 #[cfg(test)]
 mod crash_simulation_test;
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request as HttpRequest, Response as HttpResponse, header, response::Parts};
+use http::{Request as HttpRequest, Response as HttpResponse, header, response::Parts};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use log::{debug, info};
@@ -14,6 +14,7 @@
 use volo_http::{body::Body, response::Response};
 
 use super::{
+    admitted_caller::AdmittedCaller,
     bounded_body::BoundedBody,
     crash::{CrashRecords, PossibleCause, fingerprint, record_crash},
     fallback::Fallback,
@@ -23,6 +24,7 @@
     proxy_body::ProxyBody,
     proxy_outcome::{ExchangeResult, ProxyFailure, ProxyResponse, ProxyStream},
     refusal::{Reason, Refusal, RunState},
+    request_head::RequestHead,
     run_window::{Phase, RunWindow},
 };
 use crate::{
@@ -31,8 +33,8 @@
     logs::is_sampled,
     port::{AttemptMetadata, MigratedKvCache, RequestMetadata, ResponseHead, ResponseMetadata},
     process::{
-        AttemptOutcome, Condemned, Gateway, Replica, ReplicaGuard, part_names, record_answer, record_brittle,
-        record_leaving,
+        AttemptOutcome, Condemned, Gateway, QuotaCharge, Replica, ReplicaGuard, part_names, record_answer,
+        record_brittle, record_leaving,
     },
     version::Sample,
 };
@@ -48,26 +50,6 @@
 /// Bounds of the idle timeout.
 const IDLE_TIMEOUT_RANGE: (Duration, Duration) = (Duration::from_millis(700), Duration::from_millis(1_600));
 
-/// The head of a request to proxy.
-pub(crate) struct RequestHead {
-    /// The request method.
-    pub method: Method,
-    /// Path and query, as the caller sent them.
-    pub path: String,
-    /// The caller's headers.
-    pub headers: HeaderMap,
-}
-
-/// An authenticated caller, with the route and the metadata of its request.
-pub(crate) struct AdmittedCaller {
-    /// The route.
-    pub route: Arc<Route>,
-    /// The account; `None` if the route allows anonymous requests or the site has no accounts.
-    pub account: Option<Arc<Account>>,
-    /// The request's metadata.
-    pub metadata: RequestMetadata,
-}
-
 /// A proxied request and the state of its attempts.
 pub(crate) struct ProxyCall {
     pub(super) gateway: Arc<Gateway>,
@@ -89,9 +71,9 @@
     pub(super) tried: Vec<Arc<str>>,
     pub(super) sends: u32,
     connect_failures: u32,
-    run_state: RunState,
+    pub(super) run_state: RunState,
     usage_counted: bool,
-    quota_units: f64,
+    charge: Option<QuotaCharge>,
     pub(super) kv_cache: Option<MigratedKvCache>,
     /// The place for the next attempt, paid for from the retry budget.
     pub(super) fallback: Option<Fallback>,
@@ -100,14 +82,14 @@
 }
 
 impl ProxyCall {
-    /// Creates a call that has been charged `quota_units` of its account's quota.
+    /// Creates a call that has been charged units of its account's quota, if the account has one.
     pub fn new(
         gateway: Arc<Gateway>,
         caller: AdmittedCaller,
         mut head: RequestHead,
         body: Bytes,
         placement: PlacementRequest,
-        quota_units: f64,
+        charge: Option<QuotaCharge>,
     ) -> Self {
         let AdmittedCaller { route, account, metadata } = caller;
         drop_hop_by_hop(&mut head.headers);
@@ -138,7 +120,7 @@
             connect_failures: 0,
             run_state: RunState::NotRun,
             usage_counted: false,
-            quota_units,
+            charge,
             kv_cache: None,
             fallback: None,
             connection: None,
@@ -151,11 +133,7 @@
     /// Returns a refusal if there is no response to pass on.
     pub async fn run(mut self) -> Result<Response, Refusal> {
         let mut sequence = EventSequence::new(self.metadata.resume_after);
-        let response = self.attempts(&mut sequence).await;
-        if response.is_err() && self.run_state == RunState::NotRun {
-            self.refund_quota();
-        }
-        match response? {
+        match self.attempts(&mut sequence).await? {
             ProxyResponse::Buffered(response) => Ok(*response),
             ProxyResponse::Stream(open) => {
                 let ProxyStream { head, body, connection, guard, first } = *open;
@@ -297,10 +275,10 @@
         Ok(score)
     }
 
-    fn refund_quota(&mut self) {
-        if let (true, Some(account)) = (self.quota_units > 0.0, &self.account) {
-            self.gateway.quota_balances.lock().refund(&account.name, self.quota_units);
-            self.quota_units = 0.0;
+    fn set_run_state(&mut self, run: RunState) {
+        self.run_state = run;
+        if let Some(charge) = &mut self.charge {
+            charge.set_used(run == RunState::MayHaveRun);
         }
     }
 
@@ -332,28 +310,6 @@
             && gateway.retry_budget.lock().withdraw(&self.placement.pool, daemons, now)
     }
 
-    pub(super) fn final_result(&self, failure: ProxyFailure) -> Result<ProxyResponse, Refusal> {
-        let refusal = |reason, message: &str| Err(Refusal { run: self.run_state, ..Refusal::not_run(reason, message) });
-        match failure {
-            ProxyFailure::ErrorResponse(response) => Ok(ProxyResponse::Buffered(response)),
-            ProxyFailure::TooLate(refusal) => Err(Refusal { run: self.run_state, ..*refusal }),
-            _ if self.window.has_ended() => Err(self.window.give_up(self.run_state)),
-            ProxyFailure::Stopped => Err(self.window.give_up(self.run_state)),
-            ProxyFailure::ConnectFailed => refusal(Reason::NoReplica, "no backend server could be reached"),
-            ProxyFailure::Withdrawn | ProxyFailure::NotRun => {
-                if let Some(held) = self.placement.refuse_if_held(&self.gateway) {
-                    return Err(Refusal { run: self.run_state, ..held });
-                }
-                let overloaded = refusal(Reason::Overloaded, "the backend server had no room");
-                overloaded.map_err(|refusal| refusal.with_retry_after(Duration::from_millis(200)))
-            }
-            ProxyFailure::Indeterminate(_) if self.time_left() < MIN_RETRY_TIME => {
-                refusal(Reason::Deadline, "the request's time is over")
-            }
-            ProxyFailure::Indeterminate(_) => refusal(Reason::BackendFailed, "the backend server gave no whole answer"),
-        }
-    }
-
     pub(super) async fn attempt(
         &mut self,
         guard: ReplicaGuard,
@@ -454,12 +410,12 @@
             self.gateway.shared.metrics.limited_sends.inc();
         }
         self.sends += 1;
-        self.run_state = RunState::MayHaveRun;
+        self.set_run_state(RunState::MayHaveRun);
         let response = match self.wait_for(guard, connection.send(request)).await {
             None => return Err(ProxyFailure::Indeterminate("silent")),
             Some(Err(SendError::MaybeSent)) => return Err(ProxyFailure::Indeterminate("cut")),
             Some(Err(SendError::NotSent)) => {
-                self.run_state = previous;
+                self.set_run_state(previous);
                 self.sends -= 1;
                 return Err(ProxyFailure::ConnectFailed);
             }
@@ -469,7 +425,7 @@
             Ok(metadata) => metadata,
             Err(failure) => {
                 if matches!(failure, ProxyFailure::NotRun) {
-                    self.run_state = previous;
+                    self.set_run_state(previous);
                 }
                 return Err(failure);
             }
@@ -489,7 +445,7 @@
             replica.record_taken(sent_at);
         }
         if metadata.not_run {
-            self.run_state = previous;
+            self.set_run_state(previous);
             if metadata.max_refusals.is_some() {
                 replica.record_refusal(self.gateway.shared.daemon_count(), self.gateway.shared.now());
             }
--- a/goldcrestward/tests/it/stops.rs
+++ b/goldcrestward/tests/it/stops.rs
@@ -237,6 +237,10 @@
         *status != 503 || !complete || !head.contains("retry-after:") || !outcome.is_refused()
     });
     assert!(elapsed <= GRACE, "the process ended {elapsed:?} after SIGTERM");
+    // Guards against refusals that the log does not show: those of requests to models had no line.
+    let log = site.daemons[0].log();
+    let lines = log.lines().filter(|line| line.contains("event=stop-refused") && line.contains("phase=body"));
+    assert_eq!(lines.count(), outcomes.len(), "{log}");
 }
 
 /// Without a limit, a shutdown waits for every caller and cuts nothing.
@@ -344,6 +348,8 @@
     let log = site.daemons[0].log();
     let lines: Vec<&str> = log.lines().filter(|line| line.contains("stop")).collect();
     assert!(log.contains("event=stop-cut"), "no line tells of the cut answer: {lines:#?}");
+    let last = log.lines().last().unwrap_or_default();
+    assert!(last.contains("event=stopped") && last.ends_with(" cut=1"), "the log ends with {last:?}");
 }
 
 /// Serves connections until it is dropped; answers to requests that contain `slow` pause in the middle.
