Tests: answers that take longer than the timeout of their route are cut in a stop (LOST, known red)

Callers of the own interface get part of an answer: a route with timeout-seconds 1, whose answers take 2 s and more and are whole before the stop, drain-seconds 3, the end of the body 1 s after SIGTERM.

Cause, by reading: RunWindow::needed takes the smaller of the known run time and the time until the deadline, but an answer that has begun is not ended at the deadline (BoundedBody, ModelBody), only at the end of the daemon. Two limits bound the run, and the one that does not hold for the body is asked.

--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -13,4 +13,5 @@
 mod rollout;
 mod shutdown;
 mod soak;
+mod stop_limits;
 mod stops;
--- /dev/null
+++ b/goldcrestward/tests/it/stop_limits.rs
@@ -0,0 +1,148 @@
+//! Graceful shutdowns with a time limit beside other limits on the same request: its route's timeout, the time to record
+//! its outcome, the time to look whether its back end has crashed.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use rustix::process::Signal;
+use serde_json::json;
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpListener,
+    task::JoinSet,
+    time::{Instant, sleep_until},
+};
+
+use crate::support::{SlowReply, SlowRequest, TestSite, eventually, read_request};
+
+/// Time limit of the shutdown, in seconds.
+const DRAIN_SECONDS: u64 = 3;
+/// Time between the callers' heads and SIGTERM.
+const HEAD_START: Duration = Duration::from_millis(700);
+/// Time from SIGTERM to the end of the body of a late request.
+const LATE_BODY: Duration = Duration::from_secs(1);
+/// Pause of a back end in the middle of its answer, longer than its route's timeout.
+const ANSWER_PAUSE: Duration = Duration::from_secs(2);
+/// Tokens of a stream that takes longer than its route's timeout.
+const LONG_TOKENS: usize = 800;
+const WARM_UP_REQUESTS: usize = 4;
+const SHORT_TIMEOUTS: &str = "
+routes:
+  brief: { pool: orders, prefix: /brief/, timeout-seconds: 1 }
+  brief-planner: { pool: models, model: brief-planner, timeout-seconds: 1 }
+";
+
+/// Starts daemons whose only back end of plain services listens at `back_end`.
+async fn start_site(daemons: usize, engines: usize, back_end: SocketAddr) -> TestSite {
+    let mut site = TestSite::start_with_grace(daemons, engines, Some(DRAIN_SECONDS)).await;
+    site.services.iter().for_each(standin::service::Service::kill);
+    site.services.clear();
+    site.register_back_end("orders", back_end, "scripted");
+    for daemon in &site.daemons {
+        let listed = || async { daemon.get("/admin/requests").await?.to_string().contains("scripted").then_some(()) };
+        eventually("the daemon lists the back end", listed).await;
+    }
+    site
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the socket has an address");
+    (listener, address)
+}
+
+/// Answers each request on `listener` with a whole body, whose second half comes at the time that `second_half` returns.
+fn answer_in_halves(
+    listener: TcpListener,
+    second_half: impl Fn(&str) -> Instant + Send + Sync + 'static,
+) -> JoinSet<()> {
+    let second_half = Arc::new(second_half);
+    let mut tasks = JoinSet::new();
+    tasks.spawn(async move {
+        let mut connections = JoinSet::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let second_half = second_half.clone();
+            connections.spawn(async move {
+                let Some(request) = read_request(&mut stream).await else { return };
+                let at = second_half(&request);
+                let head = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 8\r\n\r\nhalf";
+                stream.write_all(head.as_bytes()).await.ok();
+                sleep_until(at).await;
+                stream.write_all(b"half").await.ok();
+            });
+        }
+    });
+    tasks
+}
+
+fn request(site: &TestSite, path: &'static str, key: &str, body_ends: Instant) -> SlowRequest {
+    let body = match path {
+        "/v1/chat/completions" => json!({
+            "model": "brief-planner", "stream": true, "max_tokens": LONG_TOKENS,
+            "messages": [{ "role": "user", "content": key }],
+        }),
+        _ => json!({ "order": key }),
+    };
+    SlowRequest {
+        target: site.daemons[0].callers,
+        path,
+        idempotency_key: Some(key.to_owned()),
+        body: body.to_string(),
+        body_ends,
+    }
+}
+
+/// Describes the replies that are not complete; `None` if all are.
+fn cut(replies: &[(String, SlowReply)], stop: Instant) -> Option<String> {
+    let after = |at: Option<Instant>| at.map(|at| at.saturating_duration_since(stop).as_millis());
+    let cut: Vec<_> = replies
+        .iter()
+        .filter(|(_, reply)| !reply.complete)
+        .map(|(name, reply)| {
+            format!("{name}: status {}, ended {:?} ms after SIGTERM", reply.status, after(reply.ended))
+        })
+        .collect();
+    (!cut.is_empty()).then(|| format!("{} of {} cut:\n{}", cut.len(), replies.len(), cut.join("\n")))
+}
+
+async fn collect(mut calls: JoinSet<(String, SlowReply)>) -> Vec<(String, SlowReply)> {
+    let mut replies = Vec::new();
+    while let Some(call) = calls.join_next().await {
+        replies.push(call.expect("the caller ends"));
+    }
+    replies
+}
+
+/// Guards against LOST: a route's timeout bounds the wait for an answer, not the answer, so that a request is begun whose
+/// answer takes longer than the timeout and is cut at the daemon's end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answers_longer_than_the_timeout_of_their_route_are_not_cut() {
+    known_red::report!();
+    let (listener, address) = listen().await;
+    let _back_end = answer_in_halves(listener, |_| Instant::now() + ANSWER_PAUSE);
+    let site = start_site(1, 1, address).await;
+    let response = site.propose(0, &[("20-short.yaml", Some(SHORT_TIMEOUTS))]).await;
+    assert_eq!(response["result"], "accepted", "{response}");
+    let paths = ["/brief/order", "/v1/chat/completions"];
+    let mut calls = JoinSet::new();
+    for (path, number) in paths.iter().flat_map(|path| (0..WARM_UP_REQUESTS).map(move |number| (*path, number))) {
+        let call = request(&site, path, &format!("warm-{number}"), Instant::now()).send();
+        calls.spawn(async move {
+            let begun = Instant::now();
+            let reply = call.await;
+            (format!("{path} {:?}", begun.elapsed()), reply)
+        });
+    }
+    for (name, reply) in collect(calls).await {
+        assert!(reply.status == 200 && reply.complete, "before the stop: {name}: {reply:?}");
+    }
+    let stop = Instant::now() + HEAD_START;
+    let mut calls = JoinSet::new();
+    for path in paths {
+        let call = request(&site, path, "late", stop + LATE_BODY).send();
+        calls.spawn(async move { (path.to_owned(), call.await) });
+    }
+    sleep_until(stop).await;
+    site.daemons[0].signal(Signal::TERM);
+    let replies = collect(calls).await;
+    assert_eq!(cut(&replies, stop), None, "{}", site.daemons[0].log());
+}
--- a/goldcrestward/tests/it/support/raw_back_end.rs
+++ b/goldcrestward/tests/it/support/raw_back_end.rs
@@ -65,7 +65,7 @@
 }
 
 /// Reads a request with its body.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub(crate) async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let (mut text, mut buffer) = (String::new(), [0; 8192]);
     loop {
         if let Some((head, body)) = text.split_once("\r\n\r\n") {
