Tests: an answer that waits for a probe of its back end is lost in a stop (LOST, known red)

Cause, by reading: Attempts::record_failure waits up to 0.7 s (record_crash) outside of RunWindow::within, in run_repeatable, run_streamed, record_unknown, ModelCall::open and run_buffered. On the proxied path the attempt is raced with the end of the daemon.

--- a/goldcrestward/tests/it/stop_limits.rs
+++ b/goldcrestward/tests/it/stop_limits.rs
@@ -14,7 +14,7 @@
 use serde_json::json;
 use tokio::{
     io::AsyncWriteExt,
-    net::TcpListener,
+    net::{TcpListener, TcpSocket, TcpStream},
     task::JoinSet,
     time::{Instant, sleep, sleep_until},
 };
@@ -197,3 +197,36 @@
     let replies = collect(calls).await;
     assert_eq!(cut(&replies, stop), None, "{}", site.daemons[0].log());
 }
+
+/// Guards against LOST: the look whether a back end has crashed delays the answer beyond the daemon's end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answer_does_not_wait_for_a_probe_of_its_back_end_beyond_the_end() {
+    known_red::report!();
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port is free");
+    let address = socket.local_addr().expect("the socket has an address");
+    let listener = socket.listen(1).expect("the port can be listened on");
+    let site = start_site(1, 0, address).await;
+    let paths = ["/orders/new", "/orders/confirm"];
+    let mut calls = JoinSet::new();
+    for path in paths {
+        let call = request(&site, path, "cut", Instant::now()).send();
+        calls.spawn(async move { (path.to_owned(), call.await) });
+    }
+    let mut connections = Vec::new();
+    while connections.len() < paths.len() {
+        let (mut stream, _) = listener.accept().await.expect("the daemon connects");
+        if read_request(&mut stream).await.is_some() {
+            connections.push(stream);
+        }
+    }
+    let stop = Instant::now();
+    site.daemons[0].signal(Signal::TERM);
+    // The back end no longer accepts connections, nor does its system refuse them.
+    let waiting: Vec<_> = (0..4).map(|_| tokio::spawn(TcpStream::connect(address))).collect();
+    sleep_until(stop + LAST_RUN - Duration::from_millis(200)).await;
+    drop(connections);
+    let replies = collect(calls).await;
+    waiting.iter().for_each(tokio::task::JoinHandle::abort);
+    assert_eq!(cut(&replies, stop), None, "{}", site.daemons[0].log());
+}
