Tests: a process outlasts its limit while the balancer is to notice its stop (known red)

Cause, by reading: Parts::stop sleeps for notice before it looks at the limit; the settings do not compare the two either.

--- a/goldcrestward/tests/it/stop_limits.rs
+++ b/goldcrestward/tests/it/stop_limits.rs
@@ -36,6 +36,10 @@
 const WARM_UP_REQUESTS: usize = 4;
 /// Keyed calls whose answers come at the same moment.
 const CALLS_PER_MOMENT: usize = 4;
+const SMALL_CONFIG: &str = "
+zones:
+  north-a: { region: north }
+";
 /// Pause of a daemon that its peers do not notice.
 const SHORT_PAUSE: Duration = Duration::from_millis(250);
 /// Time that calls take whose claims are not answered in time.
@@ -235,6 +239,27 @@
     assert_eq!(cut(&replies, stop), None, "{}", site.daemons[0].log());
 }
 
+/// Guards against a process that outlasts its limit and is killed: the time for the balancer to notice the stop is not
+/// part of the limit.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn process_ends_at_its_limit_also_while_the_balancer_is_to_notice() {
+    known_red::report!();
+    let mut site = TestSite::start_platform().await;
+    (site.drain_seconds, site.notice_ms) = (Some(2), Some(2_600));
+    site.add_daemon(0, "north").await;
+    let response = site.propose(0, &[("10-site.yaml", Some(SMALL_CONFIG))]).await;
+    assert_eq!(response["result"], "accepted", "{response}");
+    site.wait_until_serving().await;
+    let stop = Instant::now();
+    site.daemons[0].signal(Signal::TERM);
+    while site.daemons[0].exit_status().is_none() {
+        assert!(stop.elapsed() < Duration::from_secs(20), "the process does not end");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let elapsed = stop.elapsed();
+    assert!(elapsed <= Duration::from_secs(2), "the process ended {elapsed:?} after SIGTERM");
+}
+
 /// Guards against late refusals: a call that waited for the ledger was refused at the daemon's end, though it had been
 /// clear before that it could not end in time.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
--- a/goldcrestward/tests/it/support/daemon.rs
+++ b/goldcrestward/tests/it/support/daemon.rs
@@ -30,6 +30,8 @@
     pub join: Vec<SocketAddr>,
     /// Time limit of a graceful shutdown; none if absent.
     pub drain_seconds: Option<u64>,
+    /// Time for which a shutdown goes on taking connections; the default if absent.
+    pub notice_ms: Option<u64>,
 }
 
 pub(crate) struct TestDaemon {
@@ -42,6 +44,7 @@
     platform_proxy: FaultProxy,
     peer_proxy: FaultProxy,
     log: NamedTempFile,
+    _settings: Option<NamedTempFile>,
     _ports: [ReservedPort; 3],
 }
 
@@ -84,12 +87,29 @@
         if let Some(seconds) = options.drain_seconds {
             command.args(["--drain-seconds", &seconds.to_string()]);
         }
+        let settings = options.notice_ms.map(|ms| {
+            let settings = NamedTempFile::new().expect("a temporary file");
+            fs::write(settings.path(), format!("notice-ms: {ms}\n")).expect("the settings are written");
+            command.arg("--settings").arg(settings.path());
+            settings
+        });
         if std::env::var_os("GOLDCRESTWARD_TEST_LOG").is_none() {
             command.stderr(Stdio::null());
         }
         let child = command.spawn().expect("the daemon starts");
         let name = options.name.clone();
-        Self { child, name, callers, admin, advertise, platform_proxy, peer_proxy, log, _ports: ports }
+        Self {
+            child,
+            name,
+            callers,
+            admin,
+            advertise,
+            platform_proxy,
+            peer_proxy,
+            log,
+            _settings: settings,
+            _ports: ports,
+        }
     }
 
     /// Sets the faults on the daemon's connections to the platform.
--- a/goldcrestward/tests/it/support/site.rs
+++ b/goldcrestward/tests/it/support/site.rs
@@ -57,6 +57,8 @@
     pub daemons: Vec<TestDaemon>,
     /// Time limit of the daemons' graceful shutdown; none if absent.
     pub drain_seconds: Option<u64>,
+    /// Time for which the daemons' graceful shutdown goes on taking connections; the default if absent.
+    pub notice_ms: Option<u64>,
     /// Ports of the stand-ins, kept so that no other server answers at the address of a killed one.
     ports: Vec<ReservedPort>,
 }
@@ -98,6 +100,7 @@
             executions,
             daemons: Vec::new(),
             drain_seconds: None,
+            notice_ms: None,
             ports: vec![port],
         }
     }
@@ -153,6 +156,7 @@
             platform: self.platform.address(),
             join,
             drain_seconds: self.drain_seconds,
+            notice_ms: self.notice_ms,
         };
         self.daemons.push(TestDaemon::start(options).await);
     }
