--- a/goldcrestward/tests/it/stop_limits.rs
+++ b/goldcrestward/tests/it/stop_limits.rs
@@ -239,6 +239,35 @@
     assert_eq!(cut(&replies, stop), None, "{}", site.daemons[0].log());
 }
 
+/// Guards against LOST: a daemon that is paused over the end of its runs, and goes on within its time limit, closed the
+/// connections of what it had read without an answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn daemon_paused_over_its_last_answers_still_sends_them() {
+    let (listener, address) = listen().await;
+    let _back_end = tokio::spawn(async move {
+        let mut silent = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            silent.push(stream);
+        }
+    });
+    let site = start_site(1, 0, address).await;
+    let mut calls = JoinSet::new();
+    for number in 0..20 {
+        let name = format!("paused-{number}");
+        let call = request(&site, "/orders/new", &name, Instant::now()).send();
+        calls.spawn(async move { (name, call.await) });
+    }
+    sleep(HEAD_START).await;
+    let stop = Instant::now();
+    site.daemons[0].signal(Signal::TERM);
+    sleep_until(stop + LAST_RUN - Duration::from_millis(300)).await;
+    site.daemons[0].signal(Signal::STOP);
+    sleep_until(stop + LAST_RUN + Duration::from_millis(250)).await;
+    site.daemons[0].signal(Signal::CONT);
+    let replies = collect(calls).await;
+    assert_eq!(cut(&replies, stop), None, "{}", site.daemons[0].log());
+}
+
 /// Guards against a process that outlasts its limit and is killed: the time for the balancer to notice the stop is not
 /// part of the limit.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
