Tests: errors of a back end count as short runs (LOST, known red)

Callers get half an answer: four requests get 404 at once before the stop (drain-seconds 3), a fifth, whose answer takes 2 s, has its body 1 s after SIGTERM and is passed on; cut 2.50 s after SIGTERM, in one run. Without the errors no run would be known, and it would be refused as not run.

Cause, by reading: BoundedBody records the time of any answer, whatever its status. ProxyCall::attempt does the same with errors that are passed on, also on routes of streams, where such a record comes before those of larger sizes (RunTimes::read).

--- a/goldcrestward/tests/it/stop_limits.rs
+++ b/goldcrestward/tests/it/stop_limits.rs
@@ -54,7 +54,12 @@
 
 /// Starts daemons whose only back end of plain services listens at `back_end`.
 async fn start_site(daemons: usize, engines: usize, back_end: SocketAddr) -> TestSite {
-    let mut site = TestSite::start_with_grace(daemons, engines, Some(DRAIN_SECONDS)).await;
+    start_site_draining(daemons, engines, back_end, DRAIN_SECONDS).await
+}
+
+/// Like [`start_site`], with another time limit of the shutdown.
+async fn start_site_draining(daemons: usize, engines: usize, back_end: SocketAddr, drain_seconds: u64) -> TestSite {
+    let mut site = TestSite::start_with_grace(daemons, engines, Some(drain_seconds)).await;
     site.services.iter().for_each(standin::service::Service::kill);
     site.services.clear();
     site.register_back_end("orders", back_end, "scripted");
@@ -85,7 +90,8 @@
             connections.spawn(async move {
                 let Some(request) = read_request(&mut stream).await else { return };
                 let at = second_half(&request);
-                let head = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 8\r\n\r\nhalf";
+                let status = if request.contains("/unknown") { "404 Not Found" } else { "200 OK" };
+                let head = format!("HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: 8\r\n\r\nhalf");
                 stream.write_all(head.as_bytes()).await.ok();
                 sleep_until(at).await;
                 stream.write_all(b"half").await.ok();
@@ -327,3 +333,25 @@
         .collect();
     assert!(late.is_empty(), "{} of {} refused late, in ms after SIGTERM: {late:?}", late.len(), replies.len());
 }
+
+/// Guards against LOST: a back end's error, which takes no time, counted as a run, so that a request was begun which could
+/// not end before the daemon.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn errors_of_a_back_end_do_not_count_as_short_runs() {
+    known_red::report!();
+    let (listener, address) = listen().await;
+    let _back_end = answer_in_halves(listener, |request| {
+        Instant::now() + if request.contains("/unknown") { Duration::ZERO } else { ANSWER_PAUSE }
+    });
+    let site = start_site(1, 0, address).await;
+    for number in 0..WARM_UP_REQUESTS {
+        let reply = request(&site, "/orders/unknown", &format!("warm-{number}"), Instant::now()).send().await;
+        assert!(reply.status == 404 && reply.complete, "before the stop: {reply:?}");
+    }
+    let stop = Instant::now() + HEAD_START;
+    let call = tokio::spawn(request(&site, "/orders/new", "late", stop + LATE_BODY).send());
+    sleep_until(stop).await;
+    site.daemons[0].signal(Signal::TERM);
+    let replies = [("late".to_owned(), call.await.expect("the caller ends"))];
+    assert_eq!(cut(&replies, stop), None, "{}", site.daemons[0].log());
+}
