Tests: routes whose answers are empty are refused during the whole stop (known red)

Callers are refused though they could be served: the back end answers 201 with an empty body at once, four times before the stop; 10 of 10 requests whose body ends 1 s after SIGTERM are refused as not run, with drain-seconds 3: "this daemon ends in 2499 ms, and the request may take 119300 ms".

Cause, by reading: BoundedBody records a run when its body is polled to its end, and the library polls no body that says that it has ended, nor one of an answer to HEAD. For the same reason such an answer that is dropped after the end has a line stop-cut.

--- a/goldcrestward/tests/it/stop_limits.rs
+++ b/goldcrestward/tests/it/stop_limits.rs
@@ -19,7 +19,7 @@
     time::{Instant, sleep, sleep_until},
 };
 
-use crate::support::{SlowReply, SlowRequest, TestSite, eventually, read_request};
+use crate::support::{RawBackEnd, RawEnd, SlowReply, SlowRequest, TestSite, eventually, read_request};
 
 /// Time limit of the shutdown, in seconds.
 const DRAIN_SECONDS: u64 = 3;
@@ -334,6 +334,31 @@
     assert!(late.is_empty(), "{} of {} refused late, in ms after SIGTERM: {late:?}", late.len(), replies.len());
 }
 
+/// Guards against refusals of what could be served: answers without a body did not count as runs, so that their route's
+/// timeout was taken for the time that a run takes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_whose_answers_are_empty_are_served_in_a_stop() {
+    known_red::report!();
+    let back_end =
+        RawBackEnd::start(|_, _| ("HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n".into(), RawEnd::Keep)).await;
+    let site = start_site(1, 0, back_end.address).await;
+    for number in 0..WARM_UP_REQUESTS {
+        let reply = request(&site, "/orders/new", &format!("warm-{number}"), Instant::now()).send().await;
+        assert!(reply.status == 201 && reply.complete, "before the stop: {reply:?}");
+    }
+    let stop = Instant::now() + HEAD_START;
+    let mut calls = JoinSet::new();
+    for number in 0..10 {
+        let call = request(&site, "/orders/new", &format!("late-{number}"), stop + LATE_BODY).send();
+        calls.spawn(async move { (number.to_string(), call.await) });
+    }
+    sleep_until(stop).await;
+    site.daemons[0].signal(Signal::TERM);
+    let replies = collect(calls).await;
+    let refused: Vec<_> = replies.iter().filter(|(_, reply)| reply.status != 201).collect();
+    assert!(refused.is_empty(), "{} of {} not served: {refused:?}", refused.len(), replies.len());
+}
+
 /// Guards against LOST: a back end's error, which takes no time, counted as a run, so that a request was begun which could
 /// not end before the daemon.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
