--- a/goldcrestward/tests/it/stop_limits.rs
+++ b/goldcrestward/tests/it/stop_limits.rs
@@ -380,3 +380,35 @@
     let replies = [("late".to_owned(), call.await.expect("the caller ends"))];
     assert_eq!(cut(&replies, stop), None, "{}", site.daemons[0].log());
 }
+
+/// A shutdown whose limit is hardly longer than the time for the last answers still sends them, and ends in time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn shutdown_with_a_tiny_limit_answers_what_runs() {
+    let (listener, address) = listen().await;
+    let _back_end = tokio::spawn(async move {
+        let mut silent = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            silent.push(stream);
+        }
+    });
+    let mut site = start_site_draining(1, 0, address, 1).await;
+    let mut calls = JoinSet::new();
+    for (path, number) in
+        ["/orders/new", "/orders/confirm"].into_iter().flat_map(|path| (0..10).map(move |n| (path, n)))
+    {
+        let name = format!("{path}-{number}");
+        let call = request(&site, path, &name, Instant::now()).send();
+        calls.spawn(async move { (name, call.await) });
+    }
+    sleep(HEAD_START).await;
+    let stop = Instant::now();
+    site.daemons[0].signal(Signal::TERM);
+    while site.daemons[0].exit_status().is_none() {
+        assert!(stop.elapsed() < Duration::from_secs(20), "the process does not end");
+        sleep(Duration::from_millis(10)).await;
+    }
+    let elapsed = stop.elapsed();
+    let replies = collect(calls).await;
+    assert_eq!(cut(&replies, stop), None, "{}", site.daemons[0].log());
+    assert!(elapsed <= Duration::from_secs(1), "the process ended {elapsed:?} after SIGTERM");
+}
