Tests: calls refused in a stop while the ledger is silent can not be repeated (known red)

Callers of calls that may not be repeated get 503 not run, Retry-After 1, from a daemon that is being stopped while the owner of their slots is paused (drain-seconds 3).

Cause, by reading: the daemon stops waiting for the claim, and its settlement "not run" ends with its process. The owner grants the claim when it goes on, as the handler of a peer's request does not see that its connection has ended, and nobody settles it.

--- a/goldcrestward/tests/it/stop_limits.rs
+++ b/goldcrestward/tests/it/stop_limits.rs
@@ -46,6 +46,9 @@
 const LEDGER_WORK: Duration = Duration::from_secs(1);
 /// Time beyond what is known of a request by which it is refused.
 const SPARE_TIME: Duration = Duration::from_millis(300);
+/// Time for which callers repeat what was refused as not run.
+const REPEAT_TIME: Duration = Duration::from_secs(15);
+const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
 const SHORT_TIMEOUTS: &str = "
 routes:
   brief: { pool: orders, prefix: /brief/, timeout-seconds: 1 }
@@ -412,3 +415,45 @@
     assert_eq!(cut(&replies, stop), None, "{}", site.daemons[0].log());
     assert!(elapsed <= Duration::from_secs(1), "the process ended {elapsed:?} after SIGTERM");
 }
+
+/// Guards against refusals that promise too much: calls that were refused as not run in a stop, while the ledger did not
+/// answer, could never run later, as their claims were granted after all.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn calls_refused_while_the_ledger_was_silent_run_when_they_are_repeated() {
+    known_red::report!();
+    let (listener, address) = listen().await;
+    let _back_end = answer_in_halves(listener, |_| Instant::now());
+    let site = start_site(2, 0, address).await;
+    site.daemons[1].signal(Signal::STOP);
+    let mut calls = JoinSet::new();
+    for number in 0..20 {
+        let name = format!("waiting-{number}");
+        let call = request(&site, "/orders/confirm", &name, Instant::now()).send();
+        calls.spawn(async move { (name, call.await) });
+    }
+    sleep(Duration::from_millis(100)).await;
+    let stop = Instant::now();
+    site.daemons[0].signal(Signal::TERM);
+    let replies = collect(calls).await;
+    sleep_until(stop + Duration::from_secs(DRAIN_SECONDS)).await;
+    site.daemons[1].signal(Signal::CONT);
+    let refused = replies.into_iter().filter(|(_, reply)| reply.head.contains("x-run-state: not-run"));
+    let mut repeated = JoinSet::new();
+    for (name, _) in refused {
+        let call = request(&site, "/orders/confirm", &name, Instant::now());
+        let call = SlowRequest { target: site.daemons[1].callers, ..call };
+        repeated.spawn(async move {
+            let begun = Instant::now();
+            let mut reply = call.clone().send().await;
+            while reply.status != 200 && begun.elapsed() < REPEAT_TIME {
+                sleep(REPEAT_INTERVAL).await;
+                reply = call.clone().send().await;
+            }
+            (name, reply)
+        });
+    }
+    assert!(!repeated.is_empty(), "no call was refused, so the test proves nothing");
+    let replies = collect(repeated).await;
+    let failed: Vec<_> = replies.iter().filter(|(_, reply)| reply.status != 200).collect();
+    assert!(failed.is_empty(), "{} of {} did not run: {failed:?}", failed.len(), replies.len());
+}
