Stand-ins: upgrade runs two builds side by side

Nothing showed what an upgrade does to callers while daemons of two builds run beside each other, or when it is taken back: tests know only the build that they belong to.

After each replacement comes a change (a new route and a withdrawn key), among four steps one reclaim of an engine and one kill of a daemon just before the change; order and faults come from the seed. It checks what callers and servers see: changes in force within 6 s at every daemon that is ready and none lost later, answers whole, no key executed twice, no daemon ended by itself, members agreed. One line for each broken promise, and exit code 1.

The plan and the checks need no network and have tests of their own.

--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -14,3 +14,4 @@
 mod shutdown;
 mod soak;
 mod stops;
+mod upgrade;
--- a/standin/src/args.rs
+++ b/standin/src/args.rs
@@ -71,6 +71,9 @@
     /// Sends a load for a limited time and checks the responses
     #[bpaf(command)]
     Load(#[bpaf(external(load_args))] LoadArgs),
+    /// Replaces daemons of one program by another one under load, and back, and checks that no promise breaks
+    #[bpaf(command)]
+    Upgrade(#[bpaf(external(upgrade_args))] UpgradeArgs),
 }
 
 /// Registration of an instance in the platform's list.
@@ -148,6 +151,27 @@
     pub seed: u64,
 }
 
+/// The two programs of an upgrade, and the size of the site.
+#[derive(Clone, Debug, Bpaf)]
+pub struct UpgradeArgs {
+    /// Program that all daemons run at first and that they get back
+    #[bpaf(long, argument("FILE"))]
+    pub old: PathBuf,
+    /// Program that replaces it
+    #[bpaf(long, argument("FILE"))]
+    pub new: PathBuf,
+    /// Number of daemons
+    #[bpaf(long, argument("COUNT"), guard(|count| *count > 0, "at least one daemon is needed"), fallback(5))]
+    pub daemons: usize,
+    #[bpaf(external(seed))]
+    pub seed: u64,
+    /// Folder for the daemons' logs; they log nothing if absent
+    #[bpaf(long, argument("FOLDER"))]
+    pub logs: Option<PathBuf>,
+    /// Prints the report as JSON
+    pub json: bool,
+}
+
 fn listen() -> impl bpaf::Parser<SocketAddr> {
     bpaf::long("listen").help("Address to listen on").argument("IP:PORT")
 }
--- a/standin/src/cmd.rs
+++ b/standin/src/cmd.rs
@@ -12,15 +12,16 @@
 use tokio::net::UdpSocket;
 
 use crate::{
-    args::{Command, LoadArgs, Registration},
+    args::{Command, LoadArgs, Registration, UpgradeArgs},
     capacity,
     engine::{Engine, EngineOptions},
-    error::{FileSnafu, Result},
+    error::{FileSnafu, PromisesBrokenSnafu, Result},
     fault_proxy::{FaultProxy, LinkFaults},
     http::listen,
     load::{self, LoadPlan, Targets, Workload},
     platform::{Instance, InstanceState, Platform},
     service::{Executions, Service},
+    upgrade::{self, Phase, UpgradeOptions},
 };
 
 /// Runs a subcommand to its end; the servers run until the process is stopped.
@@ -61,6 +62,7 @@
         }
         Command::Capacity(args) => capacity::run(&args).await,
         Command::Load(args) => run_load(args).await,
+        Command::Upgrade(args) => run_upgrade(args).await,
     }
 }
 
@@ -105,3 +107,17 @@
     };
     writeln!(io::stdout().lock(), "{report:#}").context(FileSnafu { path: "standard output" })
 }
+
+async fn run_upgrade(args: UpgradeArgs) -> Result<()> {
+    let UpgradeArgs { old, new, daemons, seed, logs, json } = args;
+    if let Some(folder) = &logs {
+        std::fs::create_dir_all(folder).context(FileSnafu { path: folder.display().to_string() })?;
+    }
+    let phases = Phase::ALL.to_vec();
+    let report = upgrade::run(UpgradeOptions { old, new, daemons, phases, seed, logs }).await?;
+    let mut out = io::stdout().lock();
+    let written = if json { writeln!(out, "{:#}", json!(report)) } else { report.write_table(&mut out) };
+    written.context(FileSnafu { path: "standard output" })?;
+    snafu::ensure!(report.broken.is_empty(), PromisesBrokenSnafu { count: report.broken.len() });
+    Ok(())
+}
--- a/standin/src/error.rs
+++ b/standin/src/error.rs
@@ -21,4 +21,7 @@
     /// A plot could not be drawn.
     #[snafu(display("could not draw {path}: {reason}"))]
     Draw { path: String, reason: String },
+    /// An upgrade broke promises, which its report lists.
+    #[snafu(display("{count} promises were broken"))]
+    PromisesBroken { count: usize },
 }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod platform;
 pub mod reserved_port;
 pub mod service;
+pub mod upgrade;
--- a/standin/src/load/mod.rs
+++ b/standin/src/load/mod.rs
@@ -9,4 +9,4 @@
 pub use client::{Client, RequestOutcome, StreamResult};
 pub use plan::{LoadPlan, RequestKind, Targets, Workload};
 pub use report::{LoadReport, Quantiles};
-pub use run::run;
+pub use run::{run, run_until};
--- a/standin/src/load/run.rs
+++ b/standin/src/load/run.rs
@@ -29,6 +29,12 @@
 /// Sends requests at planned times, without waiting for earlier ones, and returns the report once
 /// all have ended. `progress` counts the requests that have ended.
 pub async fn run(plan: LoadPlan, progress: Arc<AtomicU64>) -> LoadReport {
+    run_until(plan, progress, std::future::pending()).await
+}
+
+/// Like [`run`], but sends no further requests once `stop` has completed.
+pub async fn run_until(plan: LoadPlan, progress: Arc<AtomicU64>, stop: impl Future<Output = ()>) -> LoadReport {
+    let mut stop = std::pin::pin!(stop);
     let mut random = SmallRng::seed_from_u64(plan.seed);
     let total = plan.streams_per_second + plan.keyed_per_second;
     let runner = Arc::new(LoadRunner { client: Client::default(), report: Mutex::new(ReportBuilder::new()), plan });
@@ -37,7 +43,10 @@
     let mut offset = Duration::ZERO;
     let mut number = 0;
     while offset < runner.plan.duration && total > 0.0 {
-        tokio::time::sleep_until((start + offset).into()).await;
+        tokio::select! {
+            () = tokio::time::sleep_until((start + offset).into()) => {}
+            () = &mut stop => break,
+        }
         let keyed = random.random_bool(runner.plan.keyed_per_second / total);
         let kind = if keyed { RequestKind::Keyed } else { RequestKind::Stream };
         let prompt = runner.plan.workload.prompt(&mut random, number);
