Load: connections that were not opened are told from requests that were not answered

The load counted both as unanswered and sent both again, so a daemon that drops requests which it has received looked like one whose listener had closed: 200 of 1,751 requests of an upgrade were sent again as "unanswered".

Requests that were not sent are "unreached" now. An upgrade counts a request that a daemon has received and not answered as a broken promise unless that daemon was killed.

--- a/standin/src/load/client.rs
+++ b/standin/src/load/client.rs
@@ -35,7 +35,9 @@
     Mismatch,
     /// The request was refused, with this reason and run state.
     Refused(String, String),
-    /// No response arrived in time.
+    /// No connection could be opened, or it closed before the request was sent.
+    Unreached,
+    /// No response arrived in time, or the connection ended without one.
     Unanswered,
 }
 
@@ -76,8 +78,9 @@
         });
         let attempt = async {
             let request = build_request(target, account_key, "/v1/chat/completions", None, body.to_string());
-            let Some((response, sender)) = self.send(target, request).await else {
-                return without_tokens(RequestOutcome::Unanswered);
+            let (response, sender) = match self.send(target, request).await {
+                Ok(answer) => answer,
+                Err(outcome) => return without_tokens(outcome),
             };
             if response.status() != StatusCode::OK {
                 return without_tokens(refusal_outcome(response).await);
@@ -102,7 +105,10 @@
         let body = json!({ "order": idempotency_key }).to_string();
         let attempt = async {
             let request = build_request(target, account_key, path, Some(idempotency_key), body);
-            let Some((response, sender)) = self.send(target, request).await else { return RequestOutcome::Unanswered };
+            let (response, sender) = match self.send(target, request).await {
+                Ok(answer) => answer,
+                Err(outcome) => return outcome,
+            };
             if response.status() != StatusCode::OK {
                 return refusal_outcome(response).await;
             }
@@ -114,14 +120,19 @@
         timeout(REQUEST_TIMEOUT, attempt).await.unwrap_or(RequestOutcome::Unanswered)
     }
 
-    async fn send(&self, target: SocketAddr, request: Request<Full<Bytes>>) -> Option<(Response<Incoming>, Sender)> {
+    async fn send(
+        &self,
+        target: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Sender), RequestOutcome> {
         let mut sender = match self.idle_connection(target).await {
             Some(sender) => sender,
-            None => connect(target).await?,
+            None => connect(target).await.ok_or(RequestOutcome::Unreached)?,
         };
-        match sender.send_request(request.clone()).await {
-            Ok(response) => Some((response, sender)),
-            Err(_) => None,
+        match sender.send_request(request).await {
+            Ok(response) => Ok((response, sender)),
+            Err(error) if error.is_canceled() => Err(RequestOutcome::Unreached),
+            Err(_) => Err(RequestOutcome::Unanswered),
         }
     }
 
--- a/standin/src/load/report.rs
+++ b/standin/src/load/report.rs
@@ -52,6 +52,9 @@
     /// Targets of streamed requests whose response was truncated or missing.
     #[serde(skip)]
     pub cut_at: Vec<SocketAddr>,
+    /// Targets of retried requests that they had received, but not answered.
+    #[serde(skip)]
+    pub unanswered_at: Vec<SocketAddr>,
     /// Idempotency keys for which every response said that the request had not run.
     #[serde(skip)]
     pub said_not_run: Vec<String>,
@@ -82,7 +85,8 @@
     /// Adds the result of a streamed request.
     pub fn add_stream(&mut self, result: &StreamResult, target: SocketAddr) {
         self.report.streams += 1;
-        if matches!(result.outcome, RequestOutcome::Truncated | RequestOutcome::Unanswered) {
+        if matches!(result.outcome, RequestOutcome::Truncated | RequestOutcome::Unanswered | RequestOutcome::Unreached)
+        {
             self.report.cut_at.push(target);
         }
         self.report.tokens += result.tokens as u64;
@@ -107,11 +111,15 @@
         }
     }
 
-    /// Adds a retry caused by `outcome`.
-    pub fn add_retry(&mut self, outcome: &RequestOutcome) {
+    /// Adds a retry caused by the `outcome` of a request to `target`.
+    pub fn add_retry(&mut self, outcome: &RequestOutcome, target: SocketAddr) {
+        if *outcome == RequestOutcome::Unanswered {
+            self.report.unanswered_at.push(target);
+        }
         let cause = match outcome {
             RequestOutcome::Refused(reason, run) => format!("{reason}/{run}"),
             RequestOutcome::Truncated => "cut".into(),
+            RequestOutcome::Unreached => "unreached".into(),
             _ => "unanswered".into(),
         };
         *self.report.retried.entry(cause).or_default() += 1;
@@ -130,7 +138,7 @@
             RequestOutcome::Complete => self.report.whole += 1,
             RequestOutcome::Truncated => self.report.cut += 1,
             RequestOutcome::Mismatch => self.report.wrong += 1,
-            RequestOutcome::Unanswered => self.report.unanswered += 1,
+            RequestOutcome::Unreached | RequestOutcome::Unanswered => self.report.unanswered += 1,
             RequestOutcome::Refused(reason, run) => {
                 *self.report.refused.entry(format!("{reason}/{run}")).or_default() += 1
             }
--- a/standin/src/load/run.rs
+++ b/standin/src/load/run.rs
@@ -75,9 +75,12 @@
             let Some(target) = self.plan.targets.pick(number + retry) else { return };
             let (key, model) = (&self.plan.key, &workload.model);
             let result = self.client.stream(target, key, model, prompt, workload.tokens, planned).await;
-            let should_retry = matches!(result.outcome, RequestOutcome::Refused(..) | RequestOutcome::Unanswered);
+            let should_retry = matches!(
+                result.outcome,
+                RequestOutcome::Refused(..) | RequestOutcome::Unreached | RequestOutcome::Unanswered
+            );
             if should_retry && retry < u64::from(self.plan.max_retries) {
-                self.report.lock().add_retry(&result.outcome);
+                self.report.lock().add_retry(&result.outcome, target);
                 tokio::time::sleep(RETRY_DELAY).await;
                 continue;
             }
@@ -97,10 +100,13 @@
             let should_retry = !is_final
                 && matches!(
                     outcome,
-                    RequestOutcome::Refused(..) | RequestOutcome::Unanswered | RequestOutcome::Truncated
+                    RequestOutcome::Refused(..)
+                        | RequestOutcome::Unreached
+                        | RequestOutcome::Unanswered
+                        | RequestOutcome::Truncated
                 );
             if should_retry && retry < u64::from(self.plan.max_retries) {
-                self.report.lock().add_retry(&outcome);
+                self.report.lock().add_retry(&outcome, target);
                 tokio::time::sleep(RETRY_DELAY).await;
                 continue;
             }
--- a/standin/src/upgrade/promises.rs
+++ b/standin/src/upgrade/promises.rs
@@ -34,13 +34,12 @@
         if report.whole == 0 {
             self.push("no request was answered");
         }
-        let mut cut: BTreeMap<SocketAddr, u64> = BTreeMap::new();
-        for target in report.cut_at.iter().filter(|target| !killed.contains(target)) {
-            *cut.entry(*target).or_default() += 1;
-        }
-        for (target, count) in cut {
+        for (target, count) in counts(&report.cut_at, killed) {
             self.push(format!("{count} streams were cut off or unanswered at {target}, which was not killed"));
         }
+        for (target, count) in counts(&report.unanswered_at, killed) {
+            self.push(format!("{count} requests were not answered by {target}, which was not killed, and sent again"));
+        }
         // Streams without a whole answer are in `cut_at`; the rest are keyed requests, which are sent again.
         let keyed = (report.cut + report.unanswered).saturating_sub(report.cut_at.len() as u64);
         if keyed > 0 {
@@ -80,3 +79,12 @@
         }
     }
 }
+
+/// How often each target is listed, without those that were killed.
+fn counts(targets: &[SocketAddr], killed: &BTreeSet<SocketAddr>) -> BTreeMap<SocketAddr, u64> {
+    let mut counts = BTreeMap::new();
+    for target in targets.iter().filter(|target| !killed.contains(target)) {
+        *counts.entry(*target).or_default() += 1;
+    }
+    counts
+}
--- a/standin/src/upgrade/promises_test.rs
+++ b/standin/src/upgrade/promises_test.rs
@@ -18,7 +18,7 @@
 #[test]
 fn check_load_names_each_broken_promise() {
     let whole = LoadReport { streams: 5, keyed: 5, whole: 10, ..LoadReport::default() };
-    let cases: [Case; 10] = [
+    let cases: [Case; 11] = [
         ("whole", whole.clone(), &[("a", 1)], &[]),
         ("none", LoadReport::default(), &[], &["no request was answered"]),
         ("cut at a killed daemon", LoadReport { cut: 1, cut_at: vec![address(1)], ..whole.clone() }, &[], &[]),
@@ -28,6 +28,12 @@
             &[],
             &["1 streams were cut off or unanswered at 127.0.0.1:2, which was not killed"],
         ),
+        (
+            "sent again",
+            LoadReport { unanswered_at: vec![address(1), address(2), address(2)], ..whole.clone() },
+            &[],
+            &["2 requests were not answered by 127.0.0.1:2, which was not killed, and sent again"],
+        ),
         ("keyed", LoadReport { unanswered: 2, ..whole.clone() }, &[], &["2 keyed requests got no whole answer"]),
         ("wrong", LoadReport { wrong: 1, ..whole.clone() }, &[], &["1 answers were not those of their requests"]),
         (
