--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -16,3 +16,4 @@
 mod soak;
 mod stop_limits;
 mod stops;
+mod upgrade;
