Config: a large state of the site is pulled in pieces

A daemon answers a pull with one frame, which holds 32 MiB. A larger state made the connection end, again and again, so that no daemon got it from a peer; each had to read the store, and none could start while the store was away.

A daemon now asks for the files in pieces of 3 MiB, in the order of their names (PullConfig.after, ConfigDelta.next). Together they count as of the revision of the first piece, which is how the pages of the store's listings are taken, so that what changes meanwhile comes with the next pull. A peer that goes over to another history of the store between two pieces ends the pull. Only one pull of several pieces runs at a time. A frame that is too large is logged.

Both fields are new and optional: a daemon of an earlier version that asks gets all files at once, as before, and one that is asked ignores the field.

pull_test.rs, over real connections, with 40 files of 1 MiB. With one piece for all: "request to the peer failed: the connection ended"; now the copy is equal, also after files were removed, changed and added between the pieces.

--- a/goldcrestward/src/config/convergence_test.rs
+++ b/goldcrestward/src/config/convergence_test.rs
@@ -10,7 +10,7 @@
 
 use super::ConfigReplica;
 use crate::{
-    pb::{ConfigDelta, ConfigFile},
+    pb::{ConfigDelta, ConfigFile, PullConfig},
     store::Revision,
 };
 
@@ -23,6 +23,10 @@
 /// Rounds after a history in which replicas read the store and pull from each other.
 const SETTLING_ROUNDS: usize = 12;
 
+fn pull(from: Revision) -> PullConfig {
+    PullConfig { from: from.ordinal(), ..PullConfig::default() }
+}
+
 #[derive(Clone)]
 struct Store {
     revision: Revision,
@@ -102,7 +106,7 @@
                 let number = random.random_range(after.number() + 1..=store.revision.number());
                 let until = Revision::new(history, number);
                 let files = store.since(after).into_iter().filter(|file| file.revision <= until.ordinal()).collect();
-                self.replica.merge(ConfigDelta { revision: until.ordinal(), files, whole: false });
+                self.replica.merge(ConfigDelta { revision: until.ordinal(), files, whole: false, next: None });
                 self.watched = Some(until);
             }
             return;
@@ -118,7 +122,7 @@
             return;
         }
         let Some(Listing { revision, files, .. }) = self.listing.take() else { return };
-        self.replica.replace(ConfigDelta { revision: revision.ordinal(), files, whole: true });
+        self.replica.replace(ConfigDelta { revision: revision.ordinal(), files, whole: true, next: None });
         self.watched = Some(revision);
     }
 
@@ -167,7 +171,7 @@
     for one in 0..daemons.len() {
         for other in 0..daemons.len() {
             let from = daemons[one].replica.revision();
-            let delta = daemons[other].replica.delta_or_snapshot(from);
+            let delta = daemons[other].replica.answer_pull(&pull(from));
             daemons[one].pull(delta);
         }
     }
@@ -199,7 +203,7 @@
                 4 => daemons[one].watched = None,
                 5..7 => {
                     let from = daemons[one].replica.revision();
-                    let delta = daemons[other].replica.delta_or_snapshot(from);
+                    let delta = daemons[other].replica.answer_pull(&pull(from));
                     daemons[one].pending_pulls.push(delta);
                 }
                 12 => copy = store.clone(),
--- a/goldcrestward/src/config/replica.rs
+++ b/goldcrestward/src/config/replica.rs
@@ -5,9 +5,12 @@
 
 use std::{
     collections::BTreeMap,
+    ops::Bound,
     sync::{Arc, OnceLock},
 };
 
+use prost::Message;
+
 use super::{
     document::Document,
     merge::{Merged, merge},
@@ -19,6 +22,8 @@
 
 /// Most removal markers kept; once there are more, only the newest half of this number is kept.
 const MAX_REMOVED_FILES: usize = 4096;
+/// Most bytes of files in one piece of an answer, unless one file alone is larger: a tenth of what a frame holds.
+const MAX_PIECE_BYTES: usize = 3 * 1024 * 1024;
 
 /// Whether a text of a file is older than another one, by what the texts themselves say: file name, text, other text.
 pub(crate) type Precedence = Arc<dyn Fn(&str, &str, &str) -> bool + Send + Sync>;
@@ -226,23 +231,35 @@
     pub fn delta(&self, from: Revision) -> pb::ConfigDelta {
         let files = self.files.iter().filter(|(_, file)| file.revision > from);
         let files = files.map(|(name, file)| file.to_message(name)).collect();
-        pb::ConfigDelta { revision: self.revision.ordinal(), files, whole: false }
+        pb::ConfigDelta { revision: self.revision.ordinal(), files, whole: false, next: None }
     }
 
-    /// Update for a replica at revision `from`: a delta, or all files if removals since `from` may be unknown here.
-    pub fn delta_or_snapshot(&self, from: Revision) -> pb::ConfigDelta {
-        if from >= self.complete_from {
-            return self.delta(from);
+    /// Answers another replica's pull: files changed or removed after its revision, or all files if removals since then
+    /// may be unknown here. A replica that takes the files in pieces gets one piece.
+    ///
+    /// The pieces of an answer may be of different revisions. Together they are an update to the revision of the first
+    /// one, with some files that are newer.
+    pub fn answer_pull(&self, pull: &pb::PullConfig) -> pb::ConfigDelta {
+        let from = Revision::from_ordinal(pull.from);
+        let whole = !pull.kept_only && from < self.complete_from;
+        let is_asked = |file: &File| match (pull.kept_only, whole) {
+            (true, _) => file.origin == FileOrigin::Kept,
+            (false, true) => file.text.is_some(),
+            (false, false) => file.revision > from,
+        };
+        let start = pull.after.as_deref().map_or(Bound::Unbounded, Bound::Excluded);
+        let files = self.files.range::<str, _>((start, Bound::Unbounded)).filter(|(_, file)| is_asked(file));
+        let mut delta = pb::ConfigDelta { revision: self.revision.ordinal(), whole, ..pb::ConfigDelta::default() };
+        let mut bytes = 0;
+        for (name, file) in files {
+            let message = file.to_message(name);
+            bytes += message.encoded_len();
+            if pull.after.is_some() && bytes > MAX_PIECE_BYTES && !delta.files.is_empty() {
+                delta.next = delta.files.last().map(|last| last.name.clone());
+                break;
+            }
+            delta.files.push(message);
         }
-        let mut delta = self.delta(Revision::NONE);
-        delta.files.retain(|file| file.text.is_some());
-        pb::ConfigDelta { whole: true, ..delta }
-    }
-
-    /// Files whose content is known from before a restore of the store.
-    pub fn kept(&self) -> pb::ConfigDelta {
-        let mut delta = self.delta(Revision::NONE);
-        delta.files.retain(|file| file.origin() == FileOrigin::Kept);
         delta
     }
 
--- a/goldcrestward/src/config/replica_test.rs
+++ b/goldcrestward/src/config/replica_test.rs
@@ -13,7 +13,7 @@
         text: text.map(Into::into),
         ..ConfigFile::default()
     };
-    ConfigDelta { revision, files: files.iter().map(file).collect(), whole: false }
+    ConfigDelta { revision, files: files.iter().map(file).collect(), whole: false, next: None }
 }
 
 #[test]
--- a/goldcrestward/src/connection/peer.rs
+++ b/goldcrestward/src/connection/peer.rs
@@ -92,8 +92,11 @@
     pub async fn send(&mut self, payload: Vec<u8>) -> Option<()> {
         let mac = self.secrets.sign(&[&self.session, &self.sent.to_le_bytes(), &payload]);
         self.sent += 1;
-        let frame = pb::Frame { payload, mac };
-        let sending = self.sink.send(Bytes::from(frame.encode_to_vec()));
+        let frame = pb::Frame { payload, mac }.encode_to_vec();
+        if frame.len() > MAX_FRAME_BYTES {
+            warn!("event=frame-too-large bytes={} max={MAX_FRAME_BYTES}", frame.len());
+        }
+        let sending = self.sink.send(Bytes::from(frame));
         timeout(SEND_TIMEOUT, sending).await.ok()?.ok()
     }
 }
--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -312,14 +312,21 @@
     /// The files are the whole configuration, not only the changed files.
     #[prost(bool, tag = "3")]
     pub whole: bool,
+    /// The name after which the next piece begins; absent in the last piece.
+    #[prost(string, optional, tag = "4")]
+    pub next: ::core::option::Option<::prost::alloc::string::String>,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PullConfig {
     #[prost(uint64, tag = "1")]
     pub from: u64,
     /// Asks only for files whose content is known from before a restore of the store.
     #[prost(bool, tag = "2")]
     pub kept_only: bool,
+    /// Asks for one piece of the files, in the order of their names: those after this name, which is empty for the first
+    /// piece. Without it, the answer contains all files.
+    #[prost(string, optional, tag = "3")]
+    pub after: ::core::option::Option<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SyncView {
--- a/goldcrestward/src/process/configure.rs
+++ b/goldcrestward/src/process/configure.rs
@@ -183,7 +183,7 @@
             Some(pb::ConfigFile { name, revision, text: file.text, ..pb::ConfigFile::default() })
         });
         let files = files.collect();
-        self.shared.merge_config(pb::ConfigDelta { revision, files, whole: false }, "service");
+        self.shared.merge_config(pb::ConfigDelta { revision, files, whole: false, next: None }, "service");
     }
 
     async fn follow(&self) {
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -335,6 +335,7 @@
         kept_pulls: AtomicU32::new(0),
         pull_lag: Mutex::default(),
         pull_permit: Arc::new(Semaphore::new(1)),
+        long_pull_permit: Semaphore::new(1),
         config_changed: Notify::new(),
         announce: Notify::new(),
         exchange: OnceLock::new(),
--- a/goldcrestward/src/process/peer_service.rs
+++ b/goldcrestward/src/process/peer_service.rs
@@ -7,7 +7,6 @@
     connection::{CarriedConnection, PeerHandler},
     ledger::{Claim, Settlement},
     pb::{self, Grant, TunnelResult, answer, request},
-    store::Revision,
 };
 
 /// Answers peers' requests from the daemon's shared state.
@@ -72,11 +71,7 @@
         let request = pb::Request { id: 0, body: Some(body) };
         self.count(kind, &request, "received");
         let answer = match request.body? {
-            request::Body::PullConfig(pull) => {
-                let config = self.shared.config.lock();
-                let from = Revision::from_ordinal(pull.from);
-                answer::Body::ConfigDelta(if pull.kept_only { config.kept() } else { config.delta_or_snapshot(from) })
-            }
+            request::Body::PullConfig(pull) => answer::Body::ConfigDelta(self.shared.config.lock().answer_pull(&pull)),
             request::Body::SyncView(view) => {
                 let own = self.shared.view.lock().export();
                 self.gossip.merge(view);
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -104,6 +104,8 @@
     pub pull_lag: Mutex<PullLag>,
     /// Limits pulls of the configuration from peers to one at a time.
     pub pull_permit: Arc<Semaphore>,
+    /// Limits pulls of which more pieces follow, which may take long, to one at a time.
+    pub long_pull_permit: Semaphore,
     /// Notified when configuration files have changed.
     pub config_changed: Notify,
     /// Notified when the configuration revision is to be announced to other daemons.
--- a/goldcrestward/src/process/state/pull.rs
+++ b/goldcrestward/src/process/state/pull.rs
@@ -7,9 +7,10 @@
 };
 
 use log::{info, warn};
-use tokio::time::timeout;
+use tokio::{sync::Semaphore, time::timeout};
 
 use crate::{
+    connection::PeerClient,
     pb::{self, answer, request},
     platform::InstanceList,
     port::InstanceState,
@@ -21,6 +22,7 @@
     util::unix_ms,
 };
 
+/// Time limit of a pull until its first piece, and of each further piece.
 const PULL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after which another peer may be asked as well, as the first one may be slow or silent.
 const PULL_HEDGE_DELAY: Duration = Duration::from_millis(300);
@@ -49,8 +51,9 @@
     let started = Instant::now();
     let from = shared.config.lock().revision().ordinal();
     let pull = async || {
-        let body = request::Body::PullConfig(pb::PullConfig { from, kept_only: false });
-        shared.peer_client.request(address, body, PULL_TIMEOUT.saturating_sub(started.elapsed())).await
+        let request = pb::PullConfig { from, kept_only: false, after: None };
+        let limit = PULL_TIMEOUT.saturating_sub(started.elapsed());
+        pull_pieces(&shared.peer_client, address, request, limit, &shared.long_pull_permit).await
     };
     let mut answer = pull().await;
     if answer.is_err() {
@@ -58,17 +61,62 @@
         answer = pull().await;
     }
     match answer {
-        Ok(answer::Body::ConfigDelta(delta)) => {
+        Ok(delta) => {
             shared.merge_config(delta, "peer");
         }
-        Ok(_) => warn!("event=pull-failed peer={address} from={from} error=\"an answer of another kind\""),
         Err(error) => {
             let ms = started.elapsed().as_millis();
-            info!("event=pull-failed peer={address} from={from} ms={ms} error={:?}", error.to_string());
+            info!("event=pull-failed peer={address} from={from} ms={ms} error={error:?}");
         }
     }
 }
 
+/// Pulls all pieces of an answer and puts them together. The first one must arrive within `limit`; others are pulled only
+/// with the permit, as another peer may be asked meanwhile.
+///
+/// # Errors
+/// Returns the reason if the peer does not send all pieces, or its state changes in a way that pieces do not show.
+async fn pull_pieces(
+    client: &PeerClient,
+    address: SocketAddr,
+    request: pb::PullConfig,
+    mut limit: Duration,
+    long_pull_permit: &Semaphore,
+) -> Result<pb::ConfigDelta, String> {
+    let mut pulled: Option<pb::ConfigDelta> = None;
+    let mut after = String::new();
+    let mut permit = None;
+    loop {
+        let body = request::Body::PullConfig(pb::PullConfig { after: Some(after.clone()), ..request });
+        let answer = client.request(address, body, limit).await.map_err(|error| error.to_string())?;
+        let answer::Body::ConfigDelta(mut piece) = answer else { return Err("an answer of another kind".to_owned()) };
+        let next = piece.next.take();
+        let delta = match pulled.take() {
+            None => piece,
+            Some(first) => append(first, piece)?,
+        };
+        let Some(next) = next else { return Ok(delta) };
+        if next <= after {
+            return Err(format!("the piece after {after:?} leads to {next:?}"));
+        }
+        if permit.is_none() {
+            permit = Some(long_pull_permit.try_acquire().map_err(|_| "another long pull is under way")?);
+        }
+        (pulled, after, limit) = (Some(delta), next, PULL_TIMEOUT);
+    }
+}
+
+/// Appends a piece of an answer to those before. Between the two the peer may have gone over to another history of the
+/// store, or have forgotten removals.
+fn append(mut first: pb::ConfigDelta, piece: pb::ConfigDelta) -> Result<pb::ConfigDelta, String> {
+    let revisions = [first.revision, piece.revision].map(Revision::from_ordinal);
+    if revisions[0].history() != revisions[1].history() || first.whole != piece.whole {
+        return Err(format!("the peer's state changed between two pieces, from {} to {}", revisions[0], revisions[1]));
+    }
+    first.files.extend(piece.files);
+    Ok(first)
+}
+
 /// Asks a peer, a few times after the start, for content that it knows from before a restore of the store: a daemon
 /// that starts after the restore knows only the copy, until operators have written their entries again.
 pub(crate) fn adopt_kept(shared: &Arc<Shared>, address: SocketAddr, peer_revision: Revision) {
@@ -81,9 +129,9 @@
     shared.kept_pulls.fetch_add(1, Ordering::Relaxed);
     let shared = shared.clone();
     tokio::spawn(async move {
-        let body = request::Body::PullConfig(pb::PullConfig { from: own.ordinal(), kept_only: true });
-        let answer = shared.peer_client.request(address, body, PULL_TIMEOUT).await;
-        if let Ok(answer::Body::ConfigDelta(delta)) = answer
+        let request = pb::PullConfig { from: own.ordinal(), kept_only: true, after: None };
+        if let Ok(delta) =
+            pull_pieces(&shared.peer_client, address, request, PULL_TIMEOUT, &shared.long_pull_permit).await
             && shared.config.lock().adopt_kept(delta)
         {
             info!("event=state-adopted from={address} revision={own}");
@@ -134,3 +182,7 @@
         shared.metrics.replicas.with_label_values(&[pool]).set(count);
     }
 }
+
+#[cfg(test)]
+#[path = "pull_test.rs"]
+mod pull_test;
--- a/goldcrestward/src/process/state/site_state.rs
+++ b/goldcrestward/src/process/state/site_state.rs
@@ -92,7 +92,7 @@
         let (rows, revision) = self.shared.kv.list(Purpose::Site, self.catalog.prefix(), Revision::NONE).await?;
         let rows = rows.into_iter().filter(|row| self.is_relevant(&row.key));
         let files = rows.map(|row| self.row_to_file(row)).collect();
-        let listing = pb::ConfigDelta { revision: revision.ordinal(), files, whole: true };
+        let listing = pb::ConfigDelta { revision: revision.ordinal(), files, whole: true, next: None };
         let known = self.shared.config.lock().revision();
         let files = listing.files.len();
         if self.shared.config.lock().replace(listing) {
@@ -112,8 +112,12 @@
             if any && watched < known {
                 warn!("event=changes-dropped revision={watched} files={} known={known}", files.len());
             }
-            let newer =
-                self.shared.config.lock().merge(pb::ConfigDelta { revision: watched.ordinal(), files, whole: false });
+            let newer = self.shared.config.lock().merge(pb::ConfigDelta {
+                revision: watched.ordinal(),
+                files,
+                whole: false,
+                next: None,
+            });
             if newer && any {
                 self.notify_changed("watch");
             }
