--- a/goldcrestward/src/pb/landed_test.rs
+++ b/goldcrestward/src/pb/landed_test.rs
@@ -144,7 +144,7 @@
 }
 
 fn config_delta() -> pb::ConfigDelta {
-    pb::ConfigDelta { revision: 1 << 40 | 13, files: vec![config_file()], whole: true }
+    pb::ConfigDelta { revision: 1 << 40 | 13, files: vec![config_file()], whole: true, next: None }
 }
 
 fn sync_view() -> pb::SyncView {
@@ -254,7 +254,7 @@
         example("Frame", pb::Frame { payload: b"payload".to_vec(), mac: vec![2; 16] }),
         example("ConfigFile", config_file()),
         example("ConfigDelta", config_delta()),
-        example("PullConfig", pb::PullConfig { from: 12, kept_only: true }),
+        example("PullConfig", pb::PullConfig { from: 12, kept_only: true, after: None }),
         example("SyncView", sync_view()),
         example("AskStatus", pb::AskStatus {}),
         example("StatusReport", status_report()),
@@ -282,7 +282,10 @@
         ),
     ];
     all.extend([
-        example_request("pull_config", request::Body::PullConfig(pb::PullConfig { from: 12, kept_only: true })),
+        example_request(
+            "pull_config",
+            request::Body::PullConfig(pb::PullConfig { from: 12, kept_only: true, after: None }),
+        ),
         example_request("sync_view", request::Body::SyncView(sync_view())),
         example_request("ask_status", request::Body::AskStatus(pb::AskStatus {})),
         example_request("claim", request::Body::Claim(claim())),
--- a/goldcrestward/src/process/state/pull_test.rs
+++ b/goldcrestward/src/process/state/pull_test.rs
@@ -35,6 +35,8 @@
         Some(answer::Body::ConfigDelta(delta))
     }
 
+    fn count_unknown(&self) {}
+
     async fn open_tunnel(&self, _: pb::OpenTunnel) -> Result<CarriedConnection, TunnelResult> {
         Err(TunnelResult::Unknown)
     }
