--- a/goldcrestward/src/process/membership/view_test.rs
+++ b/goldcrestward/src/process/membership/view_test.rs
@@ -314,7 +314,7 @@
 #[test]
 fn view_daemons_that_return_learn_what_they_missed() {
     known_red::report!();
-    for (count, side) in [(7, 1), (87, 29), (195, 65)] {
+    for (count, side) in [(7, 1), (87, 29), (195, 65), (195, 130)] {
         let mut network = Network::new(count, 0.01);
         network.run(2_000);
         network.partition = Some(side);
