Callers: a cut answer does not look whole in HTTP/1.0

A caller of HTTP/1.0 got a part of a chunked answer as 200 with a clean close, like a whole one, when the back end cut it or the daemon did in a stop: without chunks, only the end of the connection ends such an answer.

The connection now ends with a reset unless the answer is whole. The reset is set up before the first byte of an answer without a length and taken back once the answer has been written, so that it also covers a process that ends in the middle. Other answers are as before. Buffering such answers to state their length would delay streams.

--- a/goldcrestward/src/connection/activity.rs
+++ b/goldcrestward/src/connection/activity.rs
@@ -25,6 +25,8 @@
     ambiguous: AtomicBool,
     /// Whether part of the last request's body has not been read.
     unread: AtomicBool,
+    /// Whether a response ends with the connection.
+    open_ended: AtomicBool,
     /// Time in ms since `start` at which the incomplete head began, plus one; 0 if there is none.
     head_since: AtomicU64,
     head_begun: Notify,
@@ -42,6 +44,7 @@
             ended_ms: AtomicU64::new(0),
             ambiguous: AtomicBool::new(false),
             unread: AtomicBool::new(false),
+            open_ended: AtomicBool::new(false),
             head_since: AtomicU64::new(0),
             head_begun: Notify::new(),
         })
@@ -78,6 +81,16 @@
         self.unread.load(Ordering::Relaxed)
     }
 
+    /// Records that a response begins whose end is the end of the connection.
+    pub fn begin_open_ended(&self) {
+        self.open_ended.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the end of the response is the end of the connection.
+    pub fn is_open_ended(&self) -> bool {
+        self.open_ended.load(Ordering::Relaxed)
+    }
+
     /// Records that part of a head has arrived.
     pub fn begin_head(&self) {
         let now = self.start.elapsed().as_millis() as u64 + 1;
--- a/goldcrestward/src/connection/framing.rs
+++ b/goldcrestward/src/connection/framing.rs
@@ -8,8 +8,11 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll},
+    time::Duration,
 };
 
+use log::warn;
+use rustix::net::sockopt::set_socket_linger;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -27,11 +30,13 @@
     head: Vec<u8>,
     /// Whether the current head is complete.
     head_complete: bool,
+    /// Whether the connection is reset when it is dropped.
+    resets: bool,
 }
 
 impl HeadInspector {
     pub fn new(stream: TcpStream, activity: Arc<Activity>) -> Self {
-        Self { stream, activity, head: Vec::new(), head_complete: false }
+        Self { stream, activity, head: Vec::new(), head_complete: false, resets: false }
     }
 
     /// Returns the connection without inspection.
@@ -39,6 +44,30 @@
         self.stream
     }
 
+    /// Returns the connection whose responses are whole.
+    pub fn finish(mut self) -> TcpStream {
+        self.set_resets(false);
+        self.stream
+    }
+
+    /// Has the connection reset if it ends before a response without a length does, which would look whole otherwise.
+    fn begin_write(&mut self) {
+        if self.activity.is_open_ended() {
+            self.set_resets(true);
+        }
+    }
+
+    fn set_resets(&mut self, resets: bool) {
+        if self.resets == resets {
+            return;
+        }
+        self.resets = resets;
+        if let Err(error) = set_socket_linger(&self.stream, resets.then_some(Duration::ZERO)) {
+            // The caller may have closed the connection already.
+            warn!("event=linger-not-set resets={resets} error={:?}", error.to_string());
+        }
+    }
+
     fn inspect(&mut self, bytes: &[u8]) {
         if self.head_complete && !self.activity.is_running() {
             // Bytes that arrive after the end of a request begin the next head.
@@ -90,6 +119,7 @@
 
 impl AsyncWrite for HeadInspector {
     fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<std::io::Result<usize>> {
+        self.begin_write();
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -98,6 +128,7 @@
         context: &mut Context<'_>,
         slices: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
+        self.begin_write();
         Pin::new(&mut self.stream).poll_write_vectored(context, slices)
     }
 
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -7,6 +7,8 @@
 };
 
 use futures_util::future::BoxFuture;
+use http::{Version, header};
+use http_body::Body as _;
 use hyper::{body::Incoming, server::conn::http1};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use metainfo::{METAINFO, MetaInfo};
@@ -172,7 +174,7 @@
     match ended {
         Ok(()) => {
             let parts = connection.into_parts();
-            let mut stream = parts.io.into_inner().into_inner();
+            let mut stream = parts.io.into_inner().finish();
             stream.shutdown().await.ok();
             let has_next = !parts.read_buf.is_empty() || stream.try_read(&mut [0]).is_ok_and(|count| count > 0);
             if has_next || activity.has_unread_body() {
@@ -252,7 +254,16 @@
             if ambiguous {
                 request.extensions_mut().insert(AmbiguousFraming);
             }
-            Ok(guard.attach(router.call(&mut context, request).await.into_response()))
+            let version = request.version();
+            let response = router.call(&mut context, request).await.into_response();
+            if version == Version::HTTP_10 && !has_length(&response) {
+                activity.begin_open_ended();
+            }
+            Ok(guard.attach(response))
         }))
     }
 }
+
+fn has_length(response: &Response) -> bool {
+    response.headers().contains_key(header::CONTENT_LENGTH) || response.body().size_hint().exact().is_some()
+}
--- a/goldcrestward/tests/it/http_10.rs
+++ b/goldcrestward/tests/it/http_10.rs
@@ -15,13 +15,22 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// An answer that lacks its end.
 const HALF_ANSWER: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+/// Time for which a slow caller reads nothing.
+const SLOW_READ: Duration = Duration::from_millis(500);
+/// Size of an answer that is still in transit when the daemon closes its connection.
+const LARGE_ANSWER_BYTES: usize = 1024 * 1024;
 
 /// Starts a site whose back end sends half of an answer, and then ends its connection in this way.
 async fn start(end: RawEnd) -> (TestSite, RawBackEnd) {
+    start_with(HALF_ANSWER.into(), end).await
+}
+
+/// Starts a site whose back end sends this answer, and then ends its connection in this way.
+async fn start_with(answer: String, end: RawEnd) -> (TestSite, RawBackEnd) {
     let mut site = TestSite::start_with_grace(1, 0, Some(2)).await;
     site.services.iter().for_each(standin::service::Service::kill);
     site.services.clear();
-    let back_end = RawBackEnd::start(move |_, _| (HALF_ANSWER.into(), end)).await;
+    let back_end = RawBackEnd::start(move |_, _| (answer.clone().into(), end)).await;
     site.register_back_end("orders", back_end.address, "half");
     let listed = || async { site.daemons[0].get("/admin/requests").await?.to_string().contains("half").then_some(()) };
     eventually("the daemon lists the back end", listed).await;
@@ -49,7 +58,6 @@
 /// Guards against MIXED: an answer that its back end cuts off ended like a whole one for callers of HTTP/1.0.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn answer_cut_by_its_back_end_does_not_look_whole_in_http_10() {
-    known_red::report!();
     for end in [RawEnd::Close, RawEnd::Reset] {
         let (site, _back_end) = start(end).await;
         let (text, read) = read_answer(&site, |_| ()).await;
@@ -60,8 +68,20 @@
 /// Guards against MIXED: an answer that is cut in a stop ended like a whole one for callers of HTTP/1.0.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn answer_cut_by_a_stop_does_not_look_whole_in_http_10() {
-    known_red::report!();
     let (site, _back_end) = start(RawEnd::Keep).await;
     let (text, read) = read_answer(&site, |site| site.daemons[0].signal(Signal::TERM)).await;
     assert!(!looks_whole(&text, &read), "{text:?}, {read:?}\n{}", site.daemons[0].log());
 }
+
+/// Guards against resets that destroy whole answers: only one that is cut ends with a reset.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn whole_answer_without_a_length_reaches_a_slow_caller_in_http_10() {
+    let body = "x".repeat(LARGE_ANSWER_BYTES);
+    let answer =
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{LARGE_ANSWER_BYTES:x}\r\n{body}\r\n0\r\n\r\n");
+    let (site, _back_end) = start_with(answer, RawEnd::Keep).await;
+    let (text, read) = read_answer(&site, |_| std::thread::sleep(SLOW_READ)).await;
+    assert!(looks_whole(&text, &read), "{} bytes, {read:?}", text.len());
+    let received = text.split_once("\r\n\r\n").map(|(_, body)| body.len());
+    assert_eq!(received, Some(LARGE_ANSWER_BYTES));
+}
