Stops: the look for a crash ends with the daemon

Callers got no answer when their server broke off less than 0.7 s before a stopped daemon ended and took no connections any more: the refusal waited PROBE_TIMEOUT for the probe, beyond the end. The probe now ends with the runs (event=crash-probe-cut), and nothing is said of the server. The probe is in record_crash, so that the requests that are passed through have it as well.

The interface that passes requests through has no test of this.

--- a/goldcrestward/src/request/crash.rs
+++ b/goldcrestward/src/request/crash.rs
@@ -47,12 +47,25 @@
 }
 
 /// Checks, after the connection of a request broke, whether the replica has crashed, and if so ejects it.
-/// Returns whether the request is a suspect, or `None` if the replica has not crashed.
+/// Returns whether the request is a suspect, or `None` if the replica has not crashed, or the daemon ends before that is
+/// known.
 pub(crate) async fn record_crash(shared: &Shared, guard: &ReplicaGuard, request: PossibleCause<'_>) -> Option<bool> {
     let PossibleCause { id, fingerprint, parts } = request;
     let replica = guard.replica();
     guard.record_disconnect(shared.now());
-    if replica.is_leaving() || accepts_connections(replica.address).await || replica.is_leaving() {
+    if replica.is_leaving() {
+        return None;
+    }
+    // The request's answer must not wait for the probe beyond the daemon's end.
+    let accepts = tokio::select! {
+        biased;
+        accepts = accepts_connections(replica.address) => accepts,
+        () = shared.lifetime.ended() => {
+            info!("event=crash-probe-cut id={id} instance={} reason=stopping", replica.id);
+            return None;
+        }
+    };
+    if accepts || replica.is_leaving() {
         return None;
     }
     let now = shared.now();
--- a/goldcrestward/tests/it/stop_limits.rs
+++ b/goldcrestward/tests/it/stop_limits.rs
@@ -217,7 +217,6 @@
 /// Guards against LOST: the look whether a back end has crashed delays the answer beyond the daemon's end.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn answer_does_not_wait_for_a_probe_of_its_back_end_beyond_the_end() {
-    known_red::report!();
     let socket = TcpSocket::new_v4().expect("a socket");
     socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port is free");
     let address = socket.local_addr().expect("the socket has an address");
