Stops: calls that wait for the ledger are refused in time

Callers of keyed calls whose owner in the ledger was silent were told only at the end of a stopped daemon that their calls had not run, though it had been clear long before that they could not end. Phase::Claim was checked once, before the wait. The call now waits by wait_for like the other phases.

--- a/goldcrestward/src/ledger/mod.rs
+++ b/goldcrestward/src/ledger/mod.rs
@@ -14,7 +14,7 @@
 
 pub(crate) use entry::{Key, SLOTS, ledger_key};
 pub(crate) use message::Settlement;
-pub(crate) use owner::{Claim, Ledger, OwnerLookup};
+pub(crate) use owner::{Claim, ClaimAnswer, Ledger, OwnerLookup};
 
 #[cfg(test)]
 mod owner_test;
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -26,7 +26,7 @@
 use crate::{
     config::{Account, Route},
     connection::{OutboundRequest, SendError},
-    ledger::{Claim, Key, Settlement, ledger_key},
+    ledger::{Claim, ClaimAnswer, Key, Settlement, ledger_key},
     pb::{self, Grant},
     process::{AdmissionPermit, InFlight, Replica, ReplicaGuard, Shared},
     util::stable_hash,
@@ -294,21 +294,21 @@
         let window = self.attempts.window().clone();
         window.check(Phase::Claim)?;
         let claim = Claim { key, fingerprint: self.fingerprint, request: self.id.clone() };
-        let Some(claimed) = window.within(window.time_left(), self.shared.ledger.claim(claim)).await else {
-            self.settle(key, false, None);
-            return Err(match window.has_ended() {
-                true => window.give_up(RunState::NotRun),
-                false => Refusal::not_run(Reason::Deadline, "the request's time is over"),
-            });
-        };
-        let claimed = match claimed {
-            Ok(claimed) => claimed,
-            Err(error) => {
-                self.settle(key, false, None);
-                let refusal = Refusal::not_run(Reason::LedgerUnavailable, error.to_string());
-                return Err(refusal.with_retry_after(Duration::from_secs(2)));
+        let claiming = timeout(window.time_left(), self.shared.ledger.claim(claim));
+        let refusal = match window.wait_for(Phase::Claim, claiming).await {
+            Ok(Ok(Ok(claimed))) => return self.run_granted(key, claimed).await,
+            Ok(Ok(Err(error))) => {
+                Refusal::not_run(Reason::LedgerUnavailable, error.to_string()).with_retry_after(Duration::from_secs(2))
             }
+            Ok(Err(_)) if window.has_ended() => window.give_up(RunState::NotRun),
+            Ok(Err(_)) => Refusal::not_run(Reason::Deadline, "the request's time is over"),
+            Err(refusal) => refusal,
         };
+        self.settle(key, false, None);
+        Err(refusal)
+    }
+
+    async fn run_granted(&mut self, key: Key, claimed: ClaimAnswer) -> Result<Response, Refusal> {
         let grant = claimed.grant;
         self.shared.metrics.ledger_grants.with_label_values(&[grant.as_str_name()]).inc();
         if grant == Grant::Run {
--- a/goldcrestward/tests/it/stop_limits.rs
+++ b/goldcrestward/tests/it/stop_limits.rs
@@ -300,7 +300,6 @@
 /// clear before that it could not end in time.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn calls_that_wait_for_the_ledger_are_refused_once_they_cannot_end() {
-    known_red::report!();
     let (listener, address) = listen().await;
     let _back_end = answer_in_halves(listener, |_| Instant::now() + LEDGER_WORK);
     let site = start_site(2, 0, address).await;
