Stops: the time for the balancer to notice ends with the runs

A process whose notice-ms is longer than its drain-seconds outlasted them, and whoever stops it would have killed it: Parts::stop slept for the whole notice without asking the limit. The wait now ends with the runs, so that the time for last answers is left. Such settings get a warning at the start (event=notice-too-long); they are no error, as the daemon works with them and another balancer may not need the time.

--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -177,6 +177,7 @@
         tasks.spawn(listen(callers_socket, router, &callers));
 
         info!("event=started daemon={} zone={}", shared.settings.name, shared.settings.zone);
+        warn_of_cut_notice(&shared.settings);
         Ok(Self { parts: Parts { shared, gossip, secrets, tasks, callers, operators }, starting })
     }
 
@@ -241,14 +242,16 @@
         let begun = Instant::now();
         let shared = self.shared.clone();
         let name = &shared.settings.name;
-        let limit = Some(shared.settings.drain_seconds).filter(|seconds| *seconds > 0);
-        let limit = limit.map(|seconds| Duration::from_secs(seconds).saturating_sub(STOP_MARGIN));
+        let limit = stop_limit(&shared.settings);
         shared.lifetime.begin_stop(limit.map(|limit| limit.saturating_sub(LAST_ANSWERS_TIME)));
         let ends_in_ms = limit.map_or("-".to_owned(), |limit| limit.as_millis().to_string());
         info!("event=stopping daemon={name} ends_in_ms={ends_in_ms} carried={}", shared.carried.count());
         let _draining = drain();
         self.gossip.announce_stop();
-        tokio::time::sleep(notice).await;
+        tokio::select! {
+            () = tokio::time::sleep(notice) => {}
+            () = shared.lifetime.ended() => {}
+        }
         let drained = async {
             self.callers.finish().await;
             shared.tasks.close();
@@ -281,6 +284,24 @@
     }
 }
 
+/// Time within which a stop has to end but for its last steps; `None` if there is no limit.
+fn stop_limit(settings: &Settings) -> Option<Duration> {
+    let seconds = Some(settings.drain_seconds).filter(|seconds| *seconds > 0)?;
+    Some(Duration::from_secs(seconds).saturating_sub(STOP_MARGIN))
+}
+
+/// Warns if the balancer may still send requests when a stop has to end.
+fn warn_of_cut_notice(settings: &Settings) {
+    let Some(limit) = stop_limit(settings) else { return };
+    let (notice_ms, ends_in_ms) = (settings.notice.as_millis(), limit.saturating_sub(LAST_ANSWERS_TIME).as_millis());
+    if notice_ms >= ends_in_ms {
+        warn!(
+            "event=notice-too-long daemon={} notice_ms={notice_ms} drain_seconds={} ends_in_ms={ends_in_ms}",
+            settings.name, settings.drain_seconds
+        );
+    }
+}
+
 fn build(
     settings: Settings,
     client: HttpClient,
--- a/goldcrestward/tests/it/stop_limits.rs
+++ b/goldcrestward/tests/it/stop_limits.rs
@@ -279,7 +279,6 @@
 /// part of the limit.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn process_ends_at_its_limit_also_while_the_balancer_is_to_notice() {
-    known_red::report!();
     let mut site = TestSite::start_platform().await;
     (site.drain_seconds, site.notice_ms) = (Some(2), Some(2_600));
     site.add_daemon(0, "north").await;
