--- a/goldcrestward/tests/it/stop_limits.rs
+++ b/goldcrestward/tests/it/stop_limits.rs
@@ -180,7 +180,6 @@
 /// records it is silent.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn answer_does_not_wait_for_its_outcome_beyond_the_end() {
-    known_red::report!();
     let (listener, address) = listen().await;
     let stop = Instant::now() + Duration::from_secs(12);
     let moments = [2_300_u64, 2_400, 2_420, 2_440, 2_460, 2_480];
@@ -217,7 +216,6 @@
 /// Guards against LOST: the look whether a back end has crashed delays the answer beyond the daemon's end.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn answer_does_not_wait_for_a_probe_of_its_back_end_beyond_the_end() {
-    known_red::report!();
     let socket = TcpSocket::new_v4().expect("a socket");
     socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port is free");
     let address = socket.local_addr().expect("the socket has an address");
@@ -280,7 +278,6 @@
 /// part of the limit.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn process_ends_at_its_limit_also_while_the_balancer_is_to_notice() {
-    known_red::report!();
     let mut site = TestSite::start_platform().await;
     (site.drain_seconds, site.notice_ms) = (Some(2), Some(2_600));
     site.add_daemon(0, "north").await;
@@ -301,7 +298,6 @@
 /// clear before that it could not end in time.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn calls_that_wait_for_the_ledger_are_refused_once_they_cannot_end() {
-    known_red::report!();
     let (listener, address) = listen().await;
     let _back_end = answer_in_halves(listener, |_| Instant::now() + LEDGER_WORK);
     let site = start_site(2, 0, address).await;
@@ -417,7 +413,6 @@
 /// answer, could never run later, as their claims were granted after all.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn calls_refused_while_the_ledger_was_silent_run_when_they_are_repeated() {
-    known_red::report!();
     let (listener, address) = listen().await;
     let _back_end = answer_in_halves(listener, |_| Instant::now());
     let site = start_site(2, 0, address).await;
