Test: daemons whose port is still held for a moment are started again

Likely cause, by reading and not shown by a run: ReservedPort probes the port for UDP, and a process that another test forks at that moment holds a copy of the probe's socket until its exec.

--- a/goldcrestward/tests/it/support/daemon.rs
+++ b/goldcrestward/tests/it/support/daemon.rs
@@ -18,6 +18,8 @@
 
 use super::site::{SECRET, TOKEN, TOKEN_HASH};
 
+/// Part of the log of a daemon that could not bind one of its ports.
+const ADDRESS_IN_USE: &str = "Address already in use";
 /// Limits how long a failing test runs.
 const START_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -51,13 +53,17 @@
 impl TestDaemon {
     /// Starts a daemon on reserved ports and waits until it listens.
     pub async fn start(options: DaemonOptions) -> Self {
-        let mut daemon = Self::spawn(&options).await;
         let start = Instant::now();
+        let mut daemon = Self::spawn(&options).await;
         loop {
             let response = standin::http::get(daemon.admin, "/healthz", None).await;
             if response.is_ok_and(|text| text == "ok") {
                 return daemon;
             }
+            // A process that is being started beside may still hold the socket that has probed a port for UDP.
+            if daemon.exit_status().is_some() && daemon.log().contains(ADDRESS_IN_USE) {
+                daemon = Self::spawn(&options).await;
+            }
             let status = daemon.exit_status();
             assert_eq!(status, None, "{} ended at its start:\n{}", daemon.name, daemon.log());
             assert!(start.elapsed() < START_TIMEOUT, "{} does not listen:\n{}", daemon.name, daemon.log());
