Log: a configuration in force says who read it in the store and how old it is; refusals name the version

The copy of a configuration now carries who read it in the store and when (agreed time), config-in-force prints source, reader and age_ms, and config_delay_seconds counts the ages. Servers' entries do not carry it, as they are many and change with each heartbeat.

--- a/goldcrestward/src/config/replica.rs
+++ b/goldcrestward/src/config/replica.rs
@@ -36,6 +36,8 @@
     first_seen: Revision,
     /// Content before a restore that lost the file, and when it was first seen.
     lost: Option<(Arc<str>, Revision)>,
+    /// The daemon that read the file in the store, and when, as agreed Unix time in ms.
+    read: Option<(Arc<str>, u64)>,
     /// Number of the change of this replica that set the file.
     change: u64,
     document: OnceLock<Arc<Document>>,
@@ -49,6 +51,7 @@
             origin: FileOrigin::Written,
             first_seen: revision,
             lost: None,
+            read: None,
             change: 0,
             document: OnceLock::new(),
         }
@@ -58,6 +61,7 @@
         let (origin, first_seen) = (message.origin(), Revision::from_ordinal(message.first_seen));
         let mut file = Self::new(Revision::from_ordinal(message.revision), message.text.map(Into::into));
         file.origin = origin;
+        file.read = (message.read_ms > 0).then(|| (message.reader.into(), message.read_ms));
         if !first_seen.is_none() {
             file.first_seen = first_seen;
         }
@@ -72,6 +76,8 @@
             text: self.text.as_ref().map(ToString::to_string),
             origin: self.origin.into(),
             first_seen: if is_older { self.first_seen.ordinal() } else { 0 },
+            reader: self.read.as_ref().map_or_else(String::new, |(reader, _)| reader.to_string()),
+            read_ms: self.read.as_ref().map_or(0, |(_, at)| *at),
         }
     }
 
--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -302,6 +302,12 @@
     /// Revision at which the content was first seen, if it is known from before a restore; otherwise 0.
     #[prost(uint64, tag = "5")]
     pub first_seen: u64,
+    /// The daemon that read the file in the store, and when, as agreed Unix time in ms; only for files other than servers'
+    /// entries.
+    #[prost(string, tag = "6")]
+    pub reader: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "7")]
+    pub read_ms: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ConfigDelta {
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -9,6 +9,8 @@
 const REQUEST_BUCKETS_SECONDS: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.17, 0.25, 0.34, 0.5, 1.0, 2.5, 10.0, 60.0];
 /// Bucket bounds for the time between tokens, in seconds; 0.052 s is the target.
 const TOKEN_GAP_BUCKETS_SECONDS: [f64; 9] = [0.005, 0.01, 0.02, 0.03, 0.052, 0.08, 0.15, 0.5, 2.0];
+/// Bucket bounds for the time until a configuration is in force, in seconds; 2.5 s is the target.
+const CONFIG_DELAY_BUCKETS_SECONDS: [f64; 9] = [0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0];
 
 /// All metrics of a daemon.
 pub(crate) struct Metrics {
@@ -71,6 +73,8 @@
     pub config_since: IntGauge,
     /// Configurations that came into force, by source.
     pub config_changes: IntCounterVec,
+    /// Time from when a daemon read a configuration in the store until it came into force here.
+    pub config_delay: Histogram,
     /// Known replicas, by pool.
     pub replicas: IntGaugeVec,
     /// Finished rollouts, by outcome.
@@ -116,7 +120,11 @@
             )?,
             cut_answers: factory.counter("cut_answers_total", "answers that could not be ended whole")?,
             first_token: factory.histograms("first_token_seconds", "time to the first token", &["route"])?,
-            between_tokens: factory.between_tokens()?,
+            between_tokens: factory.histogram(
+                "between_tokens_seconds",
+                "time between tokens",
+                &TOKEN_GAP_BUCKETS_SECONDS,
+            )?,
             plain_seconds: factory.histograms("plain_seconds", "time of plain requests", &["route"])?,
             in_flight: factory.gauge("in_flight", "requests in flight")?,
             backend_connects: factory.counters(
@@ -159,6 +167,11 @@
             config_revision: factory.gauge("config_revision", "revision of the configuration in force")?,
             config_since: factory.gauge("config_since_ms", "unix time at which the configuration came into force")?,
             config_changes: factory.counters("config_changes_total", "configurations taken into force", &["way"])?,
+            config_delay: factory.histogram(
+                "config_delay_seconds",
+                "time from a configuration's reading in the store by any daemon until it is in force",
+                &CONFIG_DELAY_BUCKETS_SECONDS,
+            )?,
             replicas: factory.gauges("replicas", "replicas known by pool", &["pool"])?,
             rollouts: factory.counters("moves_total", "moves to new versions by outcome", &["outcome"])?,
             crashes: factory.counters("crashes_total", "requests on crashed replicas by blame", &["blame"])?,
@@ -235,9 +248,8 @@
         Ok(metric)
     }
 
-    fn between_tokens(&self) -> prometheus::Result<Histogram> {
-        let options = HistogramOpts::new("between_tokens_seconds", "time between tokens");
-        let metric = Histogram::with_opts(options.buckets(TOKEN_GAP_BUCKETS_SECONDS.to_vec()))?;
+    fn histogram(&self, name: &str, help: &str, buckets: &[f64]) -> prometheus::Result<Histogram> {
+        let metric = Histogram::with_opts(HistogramOpts::new(name, help).buckets(buckets.to_vec()))?;
         self.registry.register(Box::new(metric.clone()))?;
         Ok(metric)
     }
--- a/goldcrestward/src/process/state/site_state.rs
+++ b/goldcrestward/src/process/state/site_state.rs
@@ -174,7 +174,14 @@
             warn!("event=entry-refused key={key:?} revision={revision} bytes={} error={error:?}", value.len());
             String::new()
         });
-        pb::ConfigFile { name: key, revision: revision.ordinal(), text: Some(text), ..pb::ConfigFile::default() }
+        let mut file =
+            pb::ConfigFile { name: key, revision: revision.ordinal(), text: Some(text), ..pb::ConfigFile::default() };
+        // Servers' entries are many, and change with each heartbeat.
+        if self.catalog.instance_id(&file.name).is_none() {
+            file.reader = self.shared.settings.name.to_string();
+            file.read_ms = self.shared.agreed_ms();
+        }
+        file
     }
 
     fn changed_file(&self, change: Change) -> Option<pb::ConfigFile> {
@@ -228,7 +235,7 @@
             return;
         };
         match self.catalog.parse(&file.name, text) {
-            Ok(Entry::Site(site)) => self.apply_site(revision, *site),
+            Ok(Entry::Site(site)) => self.apply_site(revision, *site, &file),
             Ok(Entry::Instance(instance)) => {
                 let (id, pool, state) = (instance.id.clone(), instance.pool.clone(), instance.state);
                 let used = delayed.use_server(instance, origin, now);
@@ -299,7 +306,7 @@
         Site { versions, ..site }
     }
 
-    fn apply_site(&self, revision: Revision, site: Site) {
+    fn apply_site(&self, revision: Revision, site: Site, file: &pb::ConfigFile) {
         let in_force = self.shared.in_force.load();
         let (version, known) = (site.version, in_force.site.version);
         if version < known {
@@ -315,7 +322,18 @@
         self.shared.metrics.config_revision.set(revision.ordinal() as i64);
         self.shared.metrics.config_since.set(unix_ms() as i64);
         self.shared.refresh_version_choices();
-        info!("event=config-in-force revision={revision} version={version} routes={routes} accounts={accounts}");
+        // Builds up to 03a0b72 do not say who read it.
+        let reader = if file.reader.is_empty() { "-" } else { &file.reader };
+        let source = if *reader == *self.shared.settings.name { "store" } else { "peers" };
+        let age_ms = (file.read_ms > 0).then(|| self.shared.agreed_ms().saturating_sub(file.read_ms));
+        if let Some(age_ms) = age_ms {
+            self.shared.metrics.config_delay.observe(age_ms as f64 / 1e3);
+        }
+        let age_ms = age_ms.map_or_else(|| "-".to_owned(), |age_ms| age_ms.to_string());
+        info!(
+            "event=config-in-force revision={revision} version={version} routes={routes} accounts={accounts} \
+             source={source} reader={reader} age_ms={age_ms}"
+        );
     }
 }
 
--- a/goldcrestward/src/request/proxy_ingress.rs
+++ b/goldcrestward/src/request/proxy_ingress.rs
@@ -58,7 +58,8 @@
             Err((id, refusal)) => {
                 self.gateway.shared.count_refusal(&refusal);
                 let (reason, run, message) = (refusal.reason.label(), refusal.run.label(), &refusal.message);
-                info!("event=refused id={id} reason={reason} run={run} message={message:?}");
+                let config = self.gateway.shared.in_force.load().site.version;
+                info!("event=refused id={id} reason={reason} run={run} config={config} message={message:?}");
                 refusal.retry_safe_response()
             }
         };
