Store: the time limit of a call holds for each page of a listing

What callers saw: a daemon that had to read the state itself never got it (503, or an old configuration) while the pages of a listing took longer together than one call may, 1.5 s. Cause: the client's time limit held for the whole listing, which the adapter read page by page; a listing that takes longer begins anew for ever. The time of a listing grows with the site, the limit does not. Class: a time limit for one step that is put on a number of steps. Change: the port lists one page at a time, and the client, which has the limit, puts the pages together. The breaker and the counters of calls see each page.

--- a/goldcrestward/src/platform/etcd.rs
+++ b/goldcrestward/src/platform/etcd.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     connection::{HttpClient, OutboundRequest, SendError},
-    store::{Change, Changes, Error, Lease, Result, Revision, Row, StorePort, Txn, TxnOutcome, WatchPort},
+    store::{Change, Changes, Error, Lease, Page, Result, Revision, Row, StorePort, Txn, TxnOutcome, WatchPort},
 };
 
 const SERVICE: &str = "key-value service";
@@ -207,13 +207,17 @@
         Box::pin(async move { Ok(self.range(purpose, key, "", Revision::NONE).await?.0.into_iter().next()) })
     }
 
-    fn list<'a>(
+    fn list_page<'a>(
         &'a self,
         purpose: &'static str,
         prefix: &'a str,
         since: Revision,
-    ) -> BoxFuture<'a, Result<(Vec<Row>, Revision)>> {
-        Box::pin(async move { self.range(purpose, prefix, &prefix_end(prefix), since).await })
+        _after: &'a str,
+    ) -> BoxFuture<'a, Result<Page>> {
+        Box::pin(async move {
+            let (rows, revision) = self.range(purpose, prefix, &prefix_end(prefix), since).await?;
+            Ok(Page { rows, revision, next: None })
+        })
     }
 
     fn watch<'a>(
@@ -287,7 +291,7 @@
 }
 
 impl WatchPort for Watch {
-    fn next(&mut self) -> BoxFuture<'_, Result<Changes>> {
+    fn next(&mut self, _limit: Duration) -> BoxFuture<'_, Result<Changes>> {
         Box::pin(async move {
             let ended = || Error::Unanswered { service: SERVICE };
             loop {
--- a/goldcrestward/src/platform/partial_answers_test.rs
+++ b/goldcrestward/src/platform/partial_answers_test.rs
@@ -62,7 +62,7 @@
     async fn perform(self, address: SocketAddr, client: &HttpClient) -> Vec<String> {
         let store = Etcd::new(address, client.clone());
         let result = match self {
-            Self::List => store.list("test", "a", Revision::NONE).await.map(|found| format!("{found:?}")),
+            Self::List => store.list_page("test", "a", Revision::NONE, "").await.map(|found| format!("{found:?}")),
             Self::Get => store.get("test", "a").await.map(|found| format!("{found:?}")),
             Self::Watch => return watch_to_end(&store).await,
             Self::Txn => {
@@ -91,7 +91,7 @@
 async fn watch_to_end(store: &Etcd) -> Vec<String> {
     let mut found = Vec::new();
     let Ok(mut watch) = store.watch("test", "a", Revision::NONE).await else { return found };
-    while let Ok(changes) = watch.next().await {
+    while let Ok(changes) = watch.next(Duration::MAX).await {
         found.push(format!("{changes:?}"));
     }
     found
--- a/goldcrestward/src/process/configure.rs
+++ b/goldcrestward/src/process/configure.rs
@@ -192,7 +192,7 @@
         let Ok(now) = self.read().await else { return };
         let Ok(mut watch) = self.shared.kv.watch(Purpose::Config, &self.prefix, now).await else { return };
         loop {
-            match timeout(ROLE_INTERVAL, watch.next()).await {
+            match timeout(ROLE_INTERVAL, watch.next(ROLE_INTERVAL)).await {
                 Err(_) if self.is_watcher() => {}
                 Err(_) => return,
                 Ok(Ok(changes)) => self.merge_rows(changes.changes.into_iter().filter_map(put_row).collect()),
--- a/goldcrestward/src/process/state/site_state.rs
+++ b/goldcrestward/src/process/state/site_state.rs
@@ -37,6 +37,8 @@
 const ROLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without a message of a relay after which a daemon reads the store itself.
 const RELAY_SILENCE_MS: u64 = 1_500;
+/// Time for which the store holds a long poll open while nothing changes.
+const LONG_POLL_WAIT: Duration = Duration::from_secs(4);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Time after a failed call to the store in which a removed entry may come back: three heartbeats.
@@ -102,7 +104,7 @@
         let mut watch = self.shared.kv.watch(Purpose::Site, self.catalog.prefix(), revision).await?;
         loop {
             let Changes { changes, revision: watched } = tokio::select! {
-                changes = watch.next() => changes?,
+                changes = watch.next(LONG_POLL_WAIT) => changes?,
                 // Another call has been answered from a new history, in which the watch may miss changes.
                 () = self.shared.kv.history_ended(revision.history()) => return Ok(()),
             };
--- a/goldcrestward/src/store/client.rs
+++ b/goldcrestward/src/store/client.rs
@@ -12,7 +12,7 @@
 
 use super::{
     breaker::CircuitBreaker,
-    error::{BudgetSnafu, Error, Result, UnansweredSnafu},
+    error::{BudgetSnafu, Error, RestoredSnafu, Result, UnansweredSnafu},
     history::History,
     port::{Lease, Row, StorePort, Txn, TxnOutcome, WatchPort},
     revision::Revision,
@@ -121,12 +121,30 @@
         self.call("get", purpose, self.port.get(purpose.label(), key)).await
     }
 
-    /// Lists the rows with `prefix` that changed at revision `since` or later, and the revision of the service.
+    /// Lists the rows with `prefix` that changed at revision `since` or later, and the revision of the service at the
+    /// first page, so that a watch from there sees all changes made while the later pages were read. The time limit of a
+    /// call holds for each page.
     ///
     /// # Errors
-    /// Fails when the service does not answer.
+    /// Fails when the service does not answer, or is restored from a copy between two pages.
     pub async fn list(&self, purpose: Purpose, prefix: &str, since: Revision) -> Result<(Vec<Row>, Revision)> {
-        self.call("range", purpose, self.port.list(purpose.label(), prefix, since)).await
+        let mut rows = Vec::new();
+        let mut first = None;
+        let mut after = String::new();
+        loop {
+            let page = self.port.list_page(purpose.label(), prefix, since, &after);
+            let page = self.call("range", purpose, page).await?;
+            let revision = *first.get_or_insert(page.revision);
+            if revision.history() != page.revision.history() {
+                return RestoredSnafu { service: SERVICE }.fail();
+            }
+            rows.extend(page.rows);
+            match page.next {
+                Some(next) if next > after => after = next,
+                Some(_) => return UnansweredSnafu { service: SERVICE }.fail(),
+                None => return Ok((rows, revision)),
+            }
+        }
     }
 
     /// Executes a transaction.
--- a/goldcrestward/src/store/memory_store.rs
+++ b/goldcrestward/src/store/memory_store.rs
@@ -9,7 +9,7 @@
 use futures_util::future::BoxFuture;
 use parking_lot::Mutex;
 
-use super::{Lease, Result, Revision, Row, StorePort, Txn, TxnOutcome, WatchPort, error::UnreachedSnafu};
+use super::{Lease, Page, Result, Revision, Row, StorePort, Txn, TxnOutcome, WatchPort, error::UnreachedSnafu};
 
 /// Rows by key and the revision of the whole store. Watches are not supported.
 #[derive(Debug, Default)]
@@ -43,16 +43,17 @@
         Box::pin(async move { Ok(self.rows.lock().1.get(key).cloned()) })
     }
 
-    fn list<'a>(
+    fn list_page<'a>(
         &'a self,
         _purpose: &'static str,
         prefix: &'a str,
         since: Revision,
-    ) -> BoxFuture<'a, Result<(Vec<Row>, Revision)>> {
+        _after: &'a str,
+    ) -> BoxFuture<'a, Result<Page>> {
         Box::pin(async move {
             let (revision, rows) = &*self.rows.lock();
             let wanted = rows.values().filter(|row| row.key.starts_with(prefix) && row.revision >= since);
-            Ok((wanted.cloned().collect(), *revision))
+            Ok(Page { rows: wanted.cloned().collect(), revision: *revision, next: None })
         })
     }
 
--- a/goldcrestward/src/store/mod.rs
+++ b/goldcrestward/src/store/mod.rs
@@ -12,5 +12,5 @@
 #[cfg(test)]
 pub(crate) mod memory_store;
 
-pub use port::{Change, Changes, Compare, Lease, Put, Row, StorePort, Txn, TxnOutcome, WatchPort};
+pub use port::{Change, Changes, Compare, Lease, Page, Put, Row, StorePort, Txn, TxnOutcome, WatchPort};
 pub use revision::Revision;
--- a/goldcrestward/src/store/port.rs
+++ b/goldcrestward/src/store/port.rs
@@ -35,6 +35,16 @@
     pub revision: Revision,
 }
 
+/// A part of a listing.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    pub rows: Vec<Row>,
+    /// Revision of the service when it read the page.
+    pub revision: Revision,
+    /// Key after which the next page begins; `None` for the last one.
+    pub next: Option<String>,
+}
+
 /// A condition of a transaction: the key was last changed at this revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Compare {
@@ -80,11 +90,11 @@
 
 /// An open watch on a prefix.
 pub trait WatchPort: Send {
-    /// Waits for the next changes. May return without any after a while.
+    /// Waits for the next changes. May return without any, after `limit` or another time.
     ///
     /// # Errors
     /// Fails when the watch has ended; the keys must then be listed again.
-    fn next(&mut self) -> BoxFuture<'_, Result<Changes>>;
+    fn next(&mut self, limit: Duration) -> BoxFuture<'_, Result<Changes>>;
 }
 
 /// A key-value service with revisions, watches and leases.
@@ -101,13 +111,15 @@
     /// Reads one key.
     fn get<'a>(&'a self, purpose: &'static str, key: &'a str) -> BoxFuture<'a, Result<Option<Row>>>;
 
-    /// Lists the rows with `prefix` that changed at revision `since` or later, and the revision of the service.
-    fn list<'a>(
+    /// Lists the rows with `prefix` that changed at revision `since` or later: the page that begins after the key
+    /// `after`, which is empty for the first one.
+    fn list_page<'a>(
         &'a self,
         purpose: &'static str,
         prefix: &'a str,
         since: Revision,
-    ) -> BoxFuture<'a, Result<(Vec<Row>, Revision)>>;
+        after: &'a str,
+    ) -> BoxFuture<'a, Result<Page>>;
 
     /// Opens a watch on the keys with `prefix` for changes after revision `after`.
     fn watch<'a>(
