Duties: a holder whose lease is valid holds them again at once after a restore of the store

Cause: each restore made all daemons wait for a lease's time before they acquired the duties, the former holder included, and a second restore, 2.3 s after the first, began the wait anew. Change: the holder acquires the duties again in the new history while its lease is valid. Nobody else can have acquired them by then: others wait for a lease's time in the new history, which began after that lease was last renewed.

--- a/goldcrestward/src/process/duty.rs
+++ b/goldcrestward/src/process/duty.rs
@@ -192,12 +192,12 @@
             return self.give_up(&held, "the lease was not renewed in time");
         }
         if !self.is_current(&held) {
-            return self.give_up(&held, "the store was restored from a copy");
+            return self.hold_again(&held, now).await;
         }
         if held.term.is_renewal_due(now) {
             match self.gateway.shared.kv.renew(Purpose::Duty, held.term.lease).await {
                 Ok(()) if self.is_current(&held) => held.term.extend(now, self.lease_time()),
-                Ok(()) => return self.give_up(&held, "the store was restored from a copy"),
+                Ok(()) => return self.hold_again(&held, now).await,
                 Err(Error::LeaseEnded { .. }) => return self.give_up(&held, "the lease has ended"),
                 Err(error) => warn!("event=duty-renewal-failed fence={} error={error:?}", held.holder.fencing_token),
             }
@@ -261,6 +261,26 @@
         scaling.zone_prices.keys().map(zone_pool).collect()
     }
 
+    /// Acquires the duties in a later history of the store than that in which this daemon acquired them. It need not wait:
+    /// while its lease is valid no other daemon can have acquired them, as that waits for a lease's time in the new
+    /// history, which began after this lease was last renewed.
+    async fn hold_again(&mut self, held: &HeldDuties, now: u64) {
+        match self.acquire(now).await {
+            Some(again) if held.term.is_valid(boot_ms()) => {
+                let (before, fence) = (held.holder.fencing_token, again.holder.fencing_token);
+                info!("event=duty-kept before={before} fence={fence} reason=\"the store was restored from a copy\"");
+                self.unfetched_window = 0;
+                self.held = Some(again);
+            }
+            again => {
+                if let Some(HeldDuties { term, .. }) = again {
+                    self.gateway.shared.kv.revoke(Purpose::Duty, term.lease).await.ok();
+                }
+                self.give_up(held, "the store was restored from a copy");
+            }
+        }
+    }
+
     fn give_up(&mut self, held: &HeldDuties, reason: &str) {
         // This daemon must not succeed the next holder while its own calls from this term may still be in transit.
         self.gateway.shared.holds_duties.store(false, Ordering::Relaxed);
