Config: one time budget, and knowledge with an age, decide when a daemon reads the store itself (CONFIG)

Cause: a daemon that does not read the store took a sign of life for news. Hearing its relay, or as the relay any report, counted as being current, whatever that peer knew; and the waits until it read the store itself stood in a row, each sound alone: 1.5 s of silence or 1.0 s of a missing revision, 0.5 s until that was looked at, a whole listing, a breaker that all purposes shared. Class: freshness inferred from a sign of life, with time limits that are no common budget. Change: each datagram says how old its sender's knowledge of the store is, and a daemon's own knowledge has an age (state/freshness.rs). It reads the store when that is 1.3 s, or a revision that a peer announced has been missing for 0.7 s; the parts of the 2.5 s are named in one place. It reads the changes since its own revision, in one call on a connection of its own, with a second one beside it after 0.4 s, instead of a listing. The daemons that read for all (as many as before) end their polls one after the other, so that each 650 ms bring news while nothing changes: 1.5 calls a second at 6 of them, as before. Failures of other calls no longer pause these. Whoever reads is decided by age, not only by rank: if all of those are turned away, others read. Log: state-source says when and why a daemon reads or relies on its peers.

--- a/goldcrestward/src/pb/landed_test.rs
+++ b/goldcrestward/src/pb/landed_test.rs
@@ -43,6 +43,7 @@
         members: vec![member()],
         facts: vec![fact(pb::FactKind::Crash)],
         body: Some(body),
+        state_age_ms: None,
     };
     example(&format!("Datagram.{name}"), datagram)
 }
--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -229,6 +229,10 @@
     pub members: ::prost::alloc::vec::Vec<Member>,
     #[prost(message, repeated, tag = "6")]
     pub facts: ::prost::alloc::vec::Vec<Fact>,
+    /// The sender's copy of the state, at `config_revision`, held all that the store had so many ms ago; absent if the sender
+    /// does not know when.
+    #[prost(uint32, optional, tag = "15")]
+    pub state_age_ms: ::core::option::Option<u32>,
     #[prost(oneof = "datagram::Body", tags = "7, 8, 9, 10, 12, 13, 14")]
     pub body: ::core::option::Option<datagram::Body>,
 }
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -49,7 +49,7 @@
     seeds::Seeder,
     settings::Settings,
     shared::{InForce, Shared},
-    state::{SiteState, watch_instances},
+    state::{SiteState, StateReader, watch_instances},
     stopped::{EXIT_TIME, Stopped},
     verdict_keeper::VerdictKeeper,
 };
@@ -353,10 +353,9 @@
         rank: AtomicUsize::new(0),
         instances_listed: AtomicBool::new(false),
         last_store_error_ms: AtomicU64::new(0),
-        last_relay_ms: AtomicU64::new(0),
         holds_duties: AtomicBool::new(false),
         kept_pulls: AtomicU32::new(0),
-        pull_lag: Mutex::default(),
+        freshness: Mutex::default(),
         pull_permit: Arc::new(Semaphore::new(1)),
         long_pull_permit: Semaphore::new(1),
         config_changed: Notify::new(),
@@ -406,9 +405,8 @@
     let exchange = Exchange::new(&gateway);
     shared.exchange.set(exchange.clone()).ok();
     tasks.spawn(RolloutController::new(shared.clone(), Some(catalog.clone())).run());
-    let state = SiteState::new(shared.clone(), catalog);
-    tasks.spawn(state.clone().watch());
-    tasks.spawn(state.apply());
+    tasks.spawn(SiteState::new(shared.clone(), catalog.clone()).apply());
+    tasks.spawn(StateReader::new(shared.clone(), catalog).run());
     tasks.spawn(exchange.run(gossip.clone()));
     tasks.spawn(VerdictKeeper::new(shared.clone()).run());
     tasks.spawn(Duty::new(gateway.clone(), duties).run());
--- a/goldcrestward/src/process/exchange/run.rs
+++ b/goldcrestward/src/process/exchange/run.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
-    sync::{Arc, Weak, atomic::Ordering},
+    sync::{Arc, Weak},
     time::Duration,
 };
 
@@ -294,7 +294,6 @@
             state.role.record_relay(rank, is_superior, now);
             state.relay = Some(address);
         }
-        gateway.shared.last_relay_ms.store(now, Ordering::Relaxed);
         gateway.shared.clock.lock().adopt(summary.agreed_ms, boot_ms());
         let loads = loads_from(&summary.loads);
         apply_loads(gateway, &loads, now);
@@ -370,9 +369,6 @@
     ) {
         let shared = &gateway.shared;
         let own = &shared.settings.name;
-        if reach.own > 1 || reach.zones.iter().any(|(_, _, is_heard)| *is_heard) {
-            shared.last_relay_ms.store(now, Ordering::Relaxed);
-        }
         let in_force = shared.in_force.load();
         let quota_of = |name: &str| in_force.site.accounts.get(name).and_then(|account| account.quota.as_ref());
         let agreed_ms = {
--- a/goldcrestward/src/process/gossip.rs
+++ b/goldcrestward/src/process/gossip.rs
@@ -143,6 +143,7 @@
         let Ok(datagram) = pb::Datagram::decode(payload) else { return self.reject("malformed") };
         let Ok(address) = datagram.address.parse::<SocketAddr>() else { return self.reject("malformed") };
         let revision = Revision::from_ordinal(datagram.config_revision);
+        let age = datagram.state_age_ms.map(u64::from);
         let own = self.shared.config.lock().revision();
         let now = self.shared.now();
         match (&datagram.body, self.shared.exchange.get()) {
@@ -152,8 +153,8 @@
         }
         let effects = self.shared.view.lock().receive(datagram, address, now, unix_ms());
         self.shared.learn_history(revision);
+        self.shared.freshness.lock().record_peer(revision, age, own, now);
         if revision > own {
-            self.shared.pull_lag.lock().record(revision, own, now);
             pull_config(&self.shared, address);
         } else {
             adopt_kept(&self.shared, address, revision);
@@ -182,10 +183,13 @@
 
     fn seal_and_send(&self, to: SocketAddr, body: datagram::Body, members: Vec<pb::Member>, facts: Vec<pb::Fact>) {
         let kind = kind_label(&body);
+        let revision = self.shared.config.lock().revision();
+        let age = self.shared.freshness.lock().age(revision, self.shared.now());
         let payload = pb::Datagram {
             from: self.shared.settings.name.to_string(),
             address: self.shared.settings.advertise.to_string(),
-            config_revision: self.shared.config.lock().revision().ordinal(),
+            config_revision: revision.ordinal(),
+            state_age_ms: age.and_then(|age| u32::try_from(age).ok()),
             view: self.shared.view.lock().hash(),
             members,
             facts,
--- a/goldcrestward/src/process/membership/view.rs
+++ b/goldcrestward/src/process/membership/view.rs
@@ -1,7 +1,7 @@
 //! The membership protocol as a state machine without I/O: datagrams and time in, effects out.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     sync::Arc,
 };
@@ -157,14 +157,22 @@
         self.present().filter(|m| score(m) > mine).count()
     }
 
-    /// This daemon's rank, from 0, among the present daemons of its region by their hash for `key`, and the number of
-    /// regions.
-    pub fn region_rank(&self, key: &str) -> (usize, usize) {
-        let score = |m: &Member| stable_hash(&[key.as_bytes(), m.name.as_bytes()]);
-        let mine = score(&self.local);
-        let rank = self.present().filter(|m| m.region == self.local.region && score(m) > mine).count();
-        let regions: BTreeSet<_> = self.present().map(|m| &m.region).collect();
-        (rank, regions.len())
+    /// The present daemons that rank highest in their region by their hash for `key`, in the order of their names.
+    /// `per_region` says how many of each region, by the number of regions.
+    pub fn highest_of_regions(&self, key: &str, per_region: impl Fn(usize) -> usize) -> Vec<Arc<str>> {
+        let mut regions: BTreeMap<&Arc<str>, Vec<(u64, &Arc<str>)>> = BTreeMap::new();
+        for member in self.present() {
+            let score = stable_hash(&[key.as_bytes(), member.name.as_bytes()]);
+            regions.entry(&member.region).or_default().push((score, &member.name));
+        }
+        let count = per_region(regions.len());
+        let highest = regions.into_values().flat_map(|mut members| {
+            members.sort_unstable_by(|a, b| b.cmp(a));
+            members.into_iter().take(count)
+        });
+        let mut names: Vec<_> = highest.map(|(_, name)| name.clone()).collect();
+        names.sort_unstable();
+        names
     }
 
     /// Advances the protocol to `now`; `unix_ms` decides which facts have expired.
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -31,7 +31,7 @@
     replicas::{Replica, Replicas},
     run_times::RunTimes,
     settings::Settings,
-    state::PullLag,
+    state::Freshness,
 };
 use crate::{
     config::{ConfigReplica, Site},
@@ -93,15 +93,12 @@
     /// Time of the last error while reading the site's state from the platform's store, in ms since the daemon's
     /// start; 0 if there was none.
     pub last_store_error_ms: AtomicU64,
-    /// When this daemon last exchanged figures with others as a relay, or heard its zone's relay, in ms since its
-    /// start.
-    pub last_relay_ms: AtomicU64,
     /// Whether this daemon holds the duties.
     pub holds_duties: AtomicBool,
     /// How often this daemon has asked others for what they know from before a restore of the store.
     pub kept_pulls: AtomicU32,
-    /// The revision that this daemon is to get from its peers.
-    pub pull_lag: Mutex<PullLag>,
+    /// How old this daemon's knowledge of the store is.
+    pub freshness: Mutex<Freshness>,
     /// Limits pulls of the configuration from peers to one at a time.
     pub pull_permit: Arc<Semaphore>,
     /// Limits pulls of which more pieces follow, which may take long, to one at a time.
--- a/goldcrestward/src/process/state/mod.rs
+++ b/goldcrestward/src/process/state/mod.rs
@@ -1,10 +1,13 @@
 //! The site's state in the platform's store, as this daemon knows it: read, learned from peers, and applied.
 
 mod delayed;
+mod freshness;
 mod pull;
-mod pull_lag;
+mod reader;
 mod site_state;
+mod turn;
 
+pub(super) use freshness::Freshness;
 pub(super) use pull::{adopt_kept, pull_config, watch_instances};
-pub(super) use pull_lag::PullLag;
+pub(super) use reader::StateReader;
 pub(super) use site_state::SiteState;
--- a/goldcrestward/src/process/state/site_state.rs
+++ b/goldcrestward/src/process/state/site_state.rs
@@ -1,7 +1,4 @@
-//! Keeps a local copy of the site's state from the platform's store and applies its changes.
-//!
-//! A daemon that does not read the store itself gets changes from its peers, because daemons synchronize
-//! this copy with each other by revision.
+//! Applies the changes of this daemon's copy of the site's state.
 
 use std::{
     collections::BTreeMap,
@@ -11,7 +8,6 @@
 
 use log::{info, warn};
 use parking_lot::Mutex;
-use rand::Rng;
 use tokio::time::sleep;
 
 use super::delayed::Delayed;
@@ -20,35 +16,21 @@
     pb::{self, FileOrigin},
     port::{Catalog, Entry, Instance, RolloutOrder},
     process::{
-        duty::{OWN_PREFIX, is_earlier_record},
+        duty::is_earlier_record,
         shared::{InForce, Shared},
         verdict_keeper::apply_verdict,
     },
-    store::{Change, Changes, Error, Purpose, Revision, Row},
+    store::Revision,
     util::unix_ms,
     version::ordered_plan,
 };
 
-/// Number of daemons per region that read the store, so that one may fail or be turned away.
-const REGION_WATCHERS: usize = 2;
-/// Minimum number of daemons that read the store, at a site of few regions.
-const MIN_WATCHERS: usize = 4;
-/// Interval at which a daemon re-evaluates whether it reads the store.
-const ROLE_INTERVAL: Duration = Duration::from_millis(500);
-/// Time without a message of a relay after which a daemon reads the store itself.
-const RELAY_SILENCE_MS: u64 = 1_500;
-/// Time for which the store holds a long poll open while nothing changes.
-const LONG_POLL_WAIT: Duration = Duration::from_secs(4);
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Time after a failed call to the store in which a removed entry may come back: three heartbeats.
 const STORE_ERROR_WINDOW_MS: u64 = 4_000;
-/// Longest entry of a server, in bytes.
-const MAX_INSTANCE_BYTES: usize = 16 * 1024;
 /// Interval between checks for delayed changes that are due.
 const DELAYED_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Follows the site's state in the platform's store and applies it.
+/// Applies the site's state.
 #[derive(Clone)]
 pub(crate) struct SiteState {
     shared: Arc<Shared>,
@@ -67,135 +49,6 @@
         Self { shared, catalog, orders: Arc::default() }
     }
 
-    /// Reads and watches the store until the task is dropped, while this daemon is a watcher.
-    pub async fn watch(self) {
-        let mut last_overdue = Revision::NONE;
-        loop {
-            let is_known = !self.shared.config.lock().revision().is_none();
-            if is_known && !self.is_watcher() {
-                sleep(ROLE_INTERVAL).await;
-                continue;
-            }
-            let wanted = self.shared.pull_lag.lock().wanted();
-            if self.is_behind_peers() && wanted != last_overdue {
-                last_overdue = wanted;
-                let own = self.shared.config.lock().revision();
-                info!("event=pulls-overdue revision={own} wanted={wanted}");
-            }
-            if let Err(error) = self.follow().await {
-                self.record_store_error(&error);
-                let pause = RETRY_PAUSE.mul_f64(rand::rng().random_range(0.5..1.5));
-                sleep(pause).await;
-            }
-        }
-    }
-
-    async fn follow(&self) -> Result<(), Error> {
-        let (rows, revision) = self.shared.kv.list(Purpose::Site, self.catalog.prefix(), Revision::NONE).await?;
-        let rows = rows.into_iter().filter(|row| self.is_relevant(&row.key));
-        let files = rows.map(|row| self.row_to_file(row)).collect();
-        let listing = pb::ConfigDelta { revision: revision.ordinal(), files, whole: true, next: None };
-        let known = self.shared.config.lock().revision();
-        let files = listing.files.len();
-        if self.shared.config.lock().replace(listing) {
-            self.notify_changed("listing");
-        }
-        info!("event=state-listed revision={revision} files={files} known={known}");
-        let mut watch = self.shared.kv.watch(Purpose::Site, self.catalog.prefix(), revision).await?;
-        loop {
-            let Changes { changes, revision: watched } = tokio::select! {
-                changes = watch.next(LONG_POLL_WAIT) => changes?,
-                // Another call has been answered from a new history, in which the watch may miss changes.
-                () = self.shared.kv.history_ended(revision.history()) => return Ok(()),
-            };
-            let files = changes.into_iter().filter_map(|change| self.changed_file(change)).collect::<Vec<_>>();
-            let any = !files.is_empty();
-            let known = self.shared.config.lock().revision();
-            if any && watched < known {
-                warn!("event=changes-dropped revision={watched} files={} known={known}", files.len());
-            }
-            let newer = self.shared.config.lock().merge(pb::ConfigDelta {
-                revision: watched.ordinal(),
-                files,
-                whole: false,
-                next: None,
-            });
-            if newer && any {
-                self.notify_changed("watch");
-            }
-            if !self.is_watcher() {
-                return Ok(());
-            }
-        }
-    }
-
-    fn is_relevant(&self, key: &str) -> bool {
-        self.catalog.is_relevant(key) || key.starts_with(OWN_PREFIX)
-    }
-
-    /// Whether this daemon reads the store itself. The others rely on their peers, as long as they hear the relay of
-    /// their zone and get from them what they announce.
-    fn is_watcher(&self) -> bool {
-        let since_relay = self.shared.now().saturating_sub(self.shared.last_relay_ms.load(Ordering::Relaxed));
-        since_relay > RELAY_SILENCE_MS || self.is_behind_peers() || self.is_ranked_watcher()
-    }
-
-    /// Whether this daemon's peers have announced a revision that it has not got from them in time.
-    fn is_behind_peers(&self) -> bool {
-        let own = self.shared.config.lock().revision();
-        self.shared.pull_lag.lock().is_overdue(own, self.shared.now())
-    }
-
-    /// Whether this daemon is one of those of its region that read the store while they hear each other.
-    fn is_ranked_watcher(&self) -> bool {
-        let (rank, regions) = self.shared.view.lock().region_rank("site-watch");
-        rank < watchers_per_region(regions)
-    }
-
-    fn record_store_error(&self, error: &Error) {
-        if matches!(error, Error::Compacted { .. }) {
-            info!("event=store-history-lost");
-            return;
-        }
-        self.shared.last_store_error_ms.store(self.shared.now().max(1), Ordering::Relaxed);
-    }
-
-    fn notify_changed(&self, source: &str) {
-        self.shared.metrics.config_changes.with_label_values(&[source]).inc();
-        self.shared.config_changed.notify_one();
-        self.shared.announce.notify_one();
-    }
-
-    /// Converts a row. Text that no server's entry can be is propagated as empty text, which is just as unreadable:
-    /// others may write entries of any length there, and every daemon keeps them.
-    fn row_to_file(&self, row: Row) -> pb::ConfigFile {
-        let Row { key, revision, value, .. } = row;
-        let is_long = self.catalog.instance_id(&key).is_some() && value.len() > MAX_INSTANCE_BYTES;
-        let text = if is_long { Err("too long") } else { String::from_utf8(value.to_vec()).map_err(|_| "not UTF-8") };
-        let text = text.unwrap_or_else(|error| {
-            warn!("event=entry-refused key={key:?} revision={revision} bytes={} error={error:?}", value.len());
-            String::new()
-        });
-        let mut file =
-            pb::ConfigFile { name: key, revision: revision.ordinal(), text: Some(text), ..pb::ConfigFile::default() };
-        // Servers' entries are many, and change with each heartbeat.
-        if self.catalog.instance_id(&file.name).is_none() {
-            file.reader = self.shared.settings.name.to_string();
-            file.read_ms = self.shared.agreed_ms();
-        }
-        file
-    }
-
-    fn changed_file(&self, change: Change) -> Option<pb::ConfigFile> {
-        match change {
-            Change::Put(row) if self.is_relevant(&row.key) => Some(self.row_to_file(row)),
-            Change::Removed(key, revision) if self.is_relevant(&key) => {
-                Some(pb::ConfigFile { name: key, revision: revision.ordinal(), ..pb::ConfigFile::default() })
-            }
-            _ => None,
-        }
-    }
-
     /// Applies changes of the copy until the task is dropped.
     pub async fn apply(self) {
         let mut applied = 0;
@@ -338,8 +191,3 @@
         );
     }
 }
-
-/// Number of daemons of each region that read the store, at a site of so many regions.
-fn watchers_per_region(regions: usize) -> usize {
-    MIN_WATCHERS.div_ceil(regions.max(1)).max(REGION_WATCHERS)
-}
--- a/goldcrestward/src/store/client.rs
+++ b/goldcrestward/src/store/client.rs
@@ -14,14 +14,16 @@
     breaker::CircuitBreaker,
     error::{BudgetSnafu, Error, RestoredSnafu, Result, UnansweredSnafu},
     history::History,
-    port::{Lease, Row, StorePort, Txn, TxnOutcome, WatchPort},
+    port::{Changes, Lease, Row, StorePort, Txn, TxnOutcome, WatchPort},
     revision::Revision,
 };
 
 const SERVICE: &str = "key-value service";
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Longest pause after repeated failures; short compared with the time in which a change must be in force.
+/// Longest pause after repeated failures.
 const MAX_PAUSE_MS: u64 = 1_000;
+/// The same for readings of the site's state, whose time is limited, and which pause by themselves.
+const MAX_SITE_PAUSE_MS: u64 = 250;
 
 /// What a call is for, as counted in the metrics and passed to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,21 +59,23 @@
     }
 }
 
-/// Client of the key-value service; clones share the circuit breaker.
+/// Client of the key-value service; clones share the circuit breakers.
 #[derive(Clone)]
 pub(crate) struct Kv {
     port: Arc<dyn StorePort>,
     calls: IntCounterVec,
     restores: IntCounter,
     breaker: Arc<CircuitBreaker>,
+    site_breaker: Arc<CircuitBreaker>,
     history: Arc<watch::Sender<History>>,
 }
 
 impl Kv {
     /// Creates a client over `port`; `calls` counts by kind, purpose and result, `restores` counts noticed restores.
     pub fn new(port: Arc<dyn StorePort>, calls: IntCounterVec, restores: IntCounter) -> Self {
-        let breaker = Arc::new(CircuitBreaker::new(MAX_PAUSE_MS));
-        Self { port, calls, restores, breaker, history: Arc::new(watch::Sender::new(History::unknown())) }
+        let [breaker, site_breaker] =
+            [MAX_PAUSE_MS, MAX_SITE_PAUSE_MS].map(|max_pause_ms| Arc::new(CircuitBreaker::new(max_pause_ms)));
+        Self { port, calls, restores, breaker, site_breaker, history: Arc::new(watch::Sender::new(History::unknown())) }
     }
 
     /// The history of the service that is in force, as far as this daemon knows.
@@ -110,7 +114,12 @@
 
     /// Whether the last call failed.
     pub fn is_failing(&self) -> bool {
-        self.breaker.is_failing()
+        self.breaker.is_failing() || self.site_breaker.is_failing()
+    }
+
+    /// The breaker of calls for this purpose: failures of other calls must not delay readings of the site's state.
+    fn breaker(&self, purpose: Purpose) -> &CircuitBreaker {
+        if purpose == Purpose::Site { &self.site_breaker } else { &self.breaker }
     }
 
     /// Reads one key.
@@ -147,6 +156,14 @@
         }
     }
 
+    /// Reads the changes of keys with `prefix` after revision `after`, without waiting for one.
+    ///
+    /// # Errors
+    /// Fails when the service does not answer, and with [`Error::Compacted`] if the keys must be listed instead.
+    pub async fn changes(&self, purpose: Purpose, prefix: &str, after: Revision) -> Result<Changes> {
+        self.call("changes", purpose, self.port.changes(purpose.label(), prefix, after)).await
+    }
+
     /// Executes a transaction.
     ///
     /// # Errors
@@ -188,7 +205,7 @@
     }
 
     async fn call<T>(&self, kind: &str, purpose: Purpose, call: BoxFuture<'_, Result<T>>) -> Result<T> {
-        if self.breaker.is_open() {
+        if self.breaker(purpose).is_open() {
             self.calls.with_label_values(&[kind, purpose.label(), "paused"]).inc();
             return BudgetSnafu { purpose: purpose.label() }.fail();
         }
@@ -197,7 +214,7 @@
         let failed = matches!(&result, Err(Error::Unreached { .. } | Error::Unanswered { .. }));
         let label = if failed { "failed" } else { "answered" };
         self.calls.with_label_values(&[kind, purpose.label(), label]).inc();
-        match (self.breaker.record(!failed), failed) {
+        match (self.breaker(purpose).record(!failed), failed) {
             (true, true) => warn!("event=store-lost kind={kind} purpose={}", purpose.label()),
             (true, false) => info!("event=store-back kind={kind} purpose={}", purpose.label()),
             _ => {}
@@ -209,3 +226,7 @@
 async fn with_timeout<T>(call: impl Future<Output = Result<T>>) -> Result<T> {
     timeout(CALL_TIMEOUT, call).await.unwrap_or_else(|_| UnansweredSnafu { service: SERVICE }.fail())
 }
+
+#[cfg(test)]
+#[path = "client_test.rs"]
+mod client_test;
--- /dev/null
+++ b/goldcrestward/src/store/client_test.rs
@@ -0,0 +1,23 @@
+//! Tests of pauses after failed calls.
+
+use std::sync::Arc;
+
+use prometheus::{IntCounter, IntCounterVec, Opts};
+
+use super::{Kv, Purpose};
+use crate::store::{Error, Revision, memory_store::MemoryStore};
+
+/// Guards against CONFIG: calls of other purposes that failed paused the readings of the site's state as well.
+#[tokio::test]
+async fn failures_of_other_calls_do_not_pause_readings_of_the_state() {
+    let calls = IntCounterVec::new(Opts::new("calls", "calls"), &["kind", "purpose", "result"]).expect("a counter");
+    let restores = IntCounter::new("restores", "restores").expect("a counter");
+    let kv = Kv::new(Arc::new(MemoryStore::default()), calls, restores);
+    for _ in 0..5 {
+        // Watches are not supported there.
+        kv.watch(Purpose::Duty, "", Revision::NONE).await.err();
+    }
+    assert!(kv.is_paused() && kv.is_failing());
+    assert!(matches!(kv.list(Purpose::Duty, "", Revision::NONE).await, Err(Error::Budget { .. })));
+    assert_eq!(kv.list(Purpose::Site, "", Revision::NONE).await, Ok((Vec::new(), Revision::NONE)));
+}
--- a/goldcrestward/src/store/port.rs
+++ b/goldcrestward/src/store/port.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 
-use super::{error::Result, revision::Revision};
+use super::{
+    error::{CompactedSnafu, Result},
+    revision::Revision,
+};
 
 /// A key with its value and revisions.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -121,6 +124,19 @@
         after: &'a str,
     ) -> BoxFuture<'a, Result<Page>>;
 
+    /// Reads the changes of keys with `prefix` after revision `after` without waiting for one, on a connection of its own.
+    ///
+    /// # Errors
+    /// Fails with [`Error::Compacted`](super::Error::Compacted) if the keys must be listed instead.
+    fn changes<'a>(
+        &'a self,
+        _purpose: &'static str,
+        _prefix: &'a str,
+        _after: Revision,
+    ) -> BoxFuture<'a, Result<Changes>> {
+        Box::pin(async { CompactedSnafu { service: "key-value service" }.fail() })
+    }
+
     /// Opens a watch on the keys with `prefix` for changes after revision `after`.
     fn watch<'a>(
         &'a self,
