Log: lines on failed pulls are limited to one a second

While pulls failed, each datagram of a peer that was ahead brought a line: 30 in 6 s at one daemon of seven, more with more peers.

--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -31,7 +31,7 @@
     replicas::{Replica, Replicas},
     run_times::RunTimes,
     settings::Settings,
-    state::Freshness,
+    state::{Freshness, LineLimit},
 };
 use crate::{
     config::{ConfigReplica, Site},
@@ -99,6 +99,8 @@
     pub kept_pulls: AtomicU32,
     /// How old this daemon's knowledge of the store is.
     pub freshness: Mutex<Freshness>,
+    /// Limits the log lines on pulls that failed: each datagram of a peer that is ahead begins one.
+    pub pull_failures: Mutex<LineLimit>,
     /// Limits pulls of the configuration from peers to one at a time.
     pub pull_permit: Arc<Semaphore>,
     /// Limits pulls of which more pieces follow, which may take long, to one at a time.
--- a/goldcrestward/src/process/state/mod.rs
+++ b/goldcrestward/src/process/state/mod.rs
@@ -2,12 +2,14 @@
 
 mod delayed;
 mod freshness;
+mod line_limit;
 mod pull;
 mod reader;
 mod site_state;
 mod turn;
 
 pub(super) use freshness::Freshness;
+pub(super) use line_limit::LineLimit;
 pub(super) use pull::{adopt_kept, pull_config, watch_instances};
 pub(super) use reader::StateReader;
 pub(super) use site_state::SiteState;
--- a/goldcrestward/src/process/state/pull.rs
+++ b/goldcrestward/src/process/state/pull.rs
@@ -66,7 +66,9 @@
         }
         Err(error) => {
             let ms = started.elapsed().as_millis();
-            info!("event=pull-failed peer={address} from={from} ms={ms} error={error:?}");
+            if let Some(others) = shared.pull_failures.lock().record(shared.now()) {
+                info!("event=pull-failed peer={address} from={from} ms={ms} others={others} error={error:?}");
+            }
         }
     }
 }
