--- a/goldcrestward/tests/it/configuration.rs
+++ b/goldcrestward/tests/it/configuration.rs
@@ -1,9 +1,10 @@
 //! Configuration changes: validation, concurrent proposals, propagation to every daemon, and no reverts.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use serde_json::Value;
 use standin::{fault_proxy::LinkFaults, platform::PlatformFaults};
+use tokio::time::{Instant, sleep};
 
 use crate::support::{TestSite, eventually, propose};
 
@@ -155,3 +156,31 @@
         wait_for_revision(&site, highest).await;
     }
 }
+
+/// Guards against CONFIG: daemons that did not read the store relied on peers of which they heard nothing, or which had
+/// nothing new, until those counted as dead.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn change_is_in_force_in_time_on_daemons_that_hear_no_peer() {
+    /// Time within which users require a change to be in force on all daemons.
+    const LIMIT: Duration = Duration::from_secs(6);
+    /// Time for the daemons to find each other, after which those that need not read the store have stopped doing so.
+    const SETTLE_TIME: Duration = Duration::from_secs(4);
+
+    known_red::report!();
+    let site = TestSite::start(5, 0).await;
+    sleep(SETTLE_TIME).await;
+    let cut = LinkFaults { cut: true, ..LinkFaults::default() };
+    site.daemons.iter().for_each(|daemon| daemon.set_peer_faults(cut));
+    for round in 0..2 {
+        let text = format!("zones: {{ round-{round}: {{ region: north }} }}");
+        let response = site.propose(0, &[("20-zone.yaml", Some(&text))]).await;
+        let accepted = Instant::now();
+        let revision = response["revision"].as_u64().expect("the change is accepted");
+        for daemon in &site.daemons {
+            while daemon.revision().await.is_none_or(|known| known < revision) {
+                assert!(accepted.elapsed() < LIMIT, "{} is behind after {:?}", daemon.name, accepted.elapsed());
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
