Config: daemons of the own interface read the store before their knowledge is too old (CONFIG)

What callers saw: a change that was accepted was not in force after 6 s at daemons that reached the store. Change: the same core (state/freshness.rs, Place) with a budget of 6 s: 3.5 s of age, 1.5 s of a missing revision. Watchers read in slots of 1.5 s, as a watch that says nothing may be dead. Failed calls of other purposes do not pause these readings. Cost: 0.75 calls a second of the site in calm (none before), and at most some announcements a second and daemon: reckoned, not measured at 730 daemons.

--- a/goldcrestward/src/process/configure.rs
+++ b/goldcrestward/src/process/configure.rs
@@ -4,20 +4,22 @@
 
 use log::{error, info, warn};
 use serde::{Deserialize, Serialize};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
-use super::shared::{InForce, Shared};
+use super::{
+    shared::{InForce, Shared},
+    state::{Budget, Overdue, Place},
+};
 use crate::{
     config::{Document, Override, Problem, merge},
     pb,
     store::{Change as StoreChange, Compare, Error, Purpose, Put, Revision, Row, Txn},
-    util::unix_ms,
+    util::{stable_hash, unix_ms},
 };
 
+const BUDGET: Budget = Budget::CONFIG;
 /// Number of daemons that watch the key-value store; more than one, as duplicates do no harm.
 const WATCHERS: usize = 3;
-/// Interval at which a daemon re-evaluates whether it is a watcher.
-const ROLE_INTERVAL: Duration = Duration::from_secs(2);
 /// Pause between retries of a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Minimum interval between two compilations.
@@ -97,21 +99,39 @@
         Self { shared, prefix }
     }
 
-    /// Reads the store once, then watches it while this daemon is a watcher.
+    /// Reads the store once, then watches it while this daemon is a watcher, and reads it whenever others do not keep this
+    /// daemon's knowledge young.
     pub async fn watch(self) {
         while self.read().await.is_err() && self.shared.config.lock().revision().is_none() {
             sleep(RETRY_PAUSE).await;
         }
         loop {
-            if self.is_watcher() && !self.shared.kv.is_paused() {
-                self.follow().await;
-                sleep(RETRY_PAUSE).await;
+            if let Some(overdue) = self.overdue() {
+                let revision = self.shared.config.lock().revision();
+                info!("event=state-source source=catch-up why={} revision={revision}", overdue.label());
+                if self.read().await.is_err() {
+                    sleep(RETRY_PAUSE).await;
+                }
+            } else if let Some(place) = self.place() {
+                self.follow(place).await;
             } else {
-                sleep(ROLE_INTERVAL).await;
+                sleep(Duration::from_millis(BUDGET.check)).await;
             }
         }
     }
 
+    fn overdue(&self) -> Option<Overdue> {
+        let delay = stable_hash(&[b"config-reader", self.shared.settings.name.as_bytes()]) % BUDGET.spread;
+        let own = self.shared.config.lock().revision();
+        self.shared.freshness.lock().overdue(&BUDGET, own, delay, self.shared.now())
+    }
+
+    async fn until_overdue(&self) {
+        while self.overdue().is_none() {
+            sleep(Duration::from_millis(BUDGET.check)).await;
+        }
+    }
+
     /// Compiles and applies changed files until the task is dropped.
     pub async fn compile(self) {
         loop {
@@ -158,8 +178,11 @@
         self.commit(&changes, revision, merged.overrides).await
     }
 
-    fn is_watcher(&self) -> bool {
-        self.shared.view.lock().rank("config-watch") < WATCHERS
+    /// This daemon's place among those that watch the store, if it is one of them.
+    fn place(&self) -> Option<Place> {
+        let view = self.shared.view.lock();
+        let (index, count) = (view.rank("config-watch"), view.present().count().clamp(1, WATCHERS));
+        (index < count).then_some(Place { index, count })
     }
 
     fn head_key(&self) -> String {
@@ -169,11 +192,19 @@
     /// Reads files newer than this daemon's copy; returns the store's revision.
     async fn read(&self) -> Result<Revision, Error> {
         let from = self.shared.config.lock().revision();
+        let sent_at = self.shared.now();
         let (rows, now) = self.shared.kv.list(Purpose::Config, &self.prefix, from.next()).await?;
         self.merge_rows(rows);
+        self.record_reading(sent_at);
         Ok(now)
     }
 
+    /// Records that the copy held all that the store had at `at`, and tells others.
+    fn record_reading(&self, at: u64) {
+        self.shared.freshness.lock().record_reading(at);
+        self.shared.announce.notify_one();
+    }
+
     fn merge_rows(&self, rows: Vec<Row>) {
         let revision = rows.iter().map(|row| row.revision).max().unwrap_or_default().ordinal();
         let files = rows.into_iter().filter_map(|row| {
@@ -188,19 +219,28 @@
         self.shared.merge_config(pb::ConfigDelta { revision, files, whole: false, next: None }, "service");
     }
 
-    async fn follow(&self) {
-        let Ok(now) = self.read().await else { return };
-        let Ok(mut watch) = self.shared.kv.watch(Purpose::Config, &self.prefix, now).await else { return };
-        loop {
-            match timeout(ROLE_INTERVAL, watch.next(ROLE_INTERVAL)).await {
-                Err(_) if self.is_watcher() => {}
-                Err(_) => return,
-                Ok(Ok(changes)) => self.merge_rows(changes.changes.into_iter().filter_map(put_row).collect()),
-                Ok(Err(error)) => {
-                    warn!("event=config-watch-ended error={error:?}");
-                    return;
+    /// Watches the store until this daemon loses its place, the watch ends, or its knowledge gets too old. A watch without
+    /// changes looks like a dead one, so it also reads in its slots.
+    async fn follow(&self, place: Place) {
+        let followed = async {
+            let now = self.read().await?;
+            let mut watch = self.shared.kv.watch(Purpose::Config, &self.prefix, now).await?;
+            while self.place() == Some(place) {
+                let until_slot = Duration::from_millis(place.poll_ms(&BUDGET, self.shared.agreed_ms()));
+                tokio::select! {
+                    changes = watch.next(until_slot) => {
+                        self.merge_rows(changes?.changes.into_iter().filter_map(put_row).collect());
+                        self.record_reading(self.shared.now());
+                    }
+                    () = sleep(until_slot) => drop(self.read().await?),
+                    () = self.until_overdue() => break,
                 }
             }
+            Ok::<(), Error>(())
+        };
+        if let Err(error) = followed.await {
+            warn!("event=config-watch-ended error={error:?}");
+            sleep(RETRY_PAUSE).await;
         }
     }
 
--- a/goldcrestward/src/process/gossip.rs
+++ b/goldcrestward/src/process/gossip.rs
@@ -14,7 +14,7 @@
     limit_facts::learn_limit_fact,
     membership::{Effect, Fact, FactKind, State},
     shared::Shared,
-    state::{adopt_kept, pull_config},
+    state::{Budget, adopt_kept, pull_config},
 };
 use crate::{
     connection::DatagramSealer,
@@ -153,7 +153,15 @@
         }
         let effects = self.shared.view.lock().receive(datagram, address, now, unix_ms());
         self.shared.learn_history(revision);
-        self.shared.freshness.lock().record_peer(revision, age, own, now);
+        let is_news = {
+            let mut freshness = self.shared.freshness.lock();
+            freshness.record_peer(revision, age, own, now);
+            freshness.take_news(&Budget::CONFIG, own)
+        };
+        // The rounds of the exchange pass it on where there are any.
+        if is_news && self.shared.exchange.get().is_none() {
+            self.shared.announce.notify_one();
+        }
         if revision > own {
             pull_config(&self.shared, address);
         } else {
--- a/goldcrestward/src/process/state/freshness.rs
+++ b/goldcrestward/src/process/state/freshness.rs
@@ -16,7 +16,7 @@
 /// The parts of the time in which a change must be in force on a daemon that reaches the store, in ms.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Budget {
-    /// The whole time.
+    /// The whole time; what the other parts leave is for the answer of the store and for applying the change.
     pub total: u64,
     /// Age of a daemon's knowledge from which on it reads the store.
     pub max_age: u64,
@@ -39,11 +39,6 @@
     /// For the configuration of the product's own interface.
     pub const CONFIG: Self =
         Self { total: 6_000, max_age: 3_500, max_missing: 1_500, spread: 400, check: 200, hedge: 600, slot: 1_500 };
-
-    /// What is left for the answer of the store and for applying the change, if the first reading is not answered.
-    pub const fn left_for_answer(&self) -> u64 {
-        self.total - self.max_age - self.spread - self.check - self.hedge
-    }
 }
 
 /// Why a daemon reads the store although others do that for it.
@@ -74,6 +69,8 @@
     claims: VecDeque<(Revision, u64)>,
     /// A revision that a peer has announced and that this copy lacks, and since when.
     missing: Option<(Revision, u64)>,
+    /// The time as of which the copy was current when others were last told at once.
+    told: Option<u64>,
 }
 
 impl Freshness {
@@ -93,6 +90,16 @@
         self.settle(own);
     }
 
+    /// Whether this daemon's knowledge is so much younger than when it last told others that it tells them at once.
+    pub fn take_news(&mut self, budget: &Budget, own: Revision) -> bool {
+        self.settle(own);
+        let is_news = self.current_at.is_some_and(|at| self.told.is_none_or(|told| at >= told + budget.slot / 2));
+        if is_news {
+            self.told = self.current_at;
+        }
+        is_news
+    }
+
     /// Age of this daemon's knowledge; `None` if it has none.
     pub fn age(&mut self, own: Revision, now: u64) -> Option<u64> {
         self.settle(own);
--- a/goldcrestward/src/process/state/turn.rs
+++ b/goldcrestward/src/process/state/turn.rs
@@ -63,7 +63,7 @@
 
 impl Place {
     /// Time from `agreed_ms`, on the clock that the daemons agree on, until the poll ends.
-    fn poll_ms(self, budget: &Budget, agreed_ms: u64) -> u64 {
+    pub fn poll_ms(self, budget: &Budget, agreed_ms: u64) -> u64 {
         let (index, count) = (self.index as u64, self.count as u64);
         let period = (count * budget.slot).min(MAX_POLL_MS);
         let until = (index * period / count + period - agreed_ms % period) % period;
--- a/goldcrestward/src/store/client.rs
+++ b/goldcrestward/src/store/client.rs
@@ -22,8 +22,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Longest pause after repeated failures.
 const MAX_PAUSE_MS: u64 = 1_000;
-/// The same for readings of the site's state, whose time is limited, and which pause by themselves.
-const MAX_SITE_PAUSE_MS: u64 = 250;
+/// The same for readings of the site's state and configuration, whose time is limited, and which pause by themselves.
+const MAX_STATE_PAUSE_MS: u64 = 250;
 
 /// What a call is for, as counted in the metrics and passed to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,16 +66,23 @@
     calls: IntCounterVec,
     restores: IntCounter,
     breaker: Arc<CircuitBreaker>,
-    site_breaker: Arc<CircuitBreaker>,
+    state_breaker: Arc<CircuitBreaker>,
     history: Arc<watch::Sender<History>>,
 }
 
 impl Kv {
     /// Creates a client over `port`; `calls` counts by kind, purpose and result, `restores` counts noticed restores.
     pub fn new(port: Arc<dyn StorePort>, calls: IntCounterVec, restores: IntCounter) -> Self {
-        let [breaker, site_breaker] =
-            [MAX_PAUSE_MS, MAX_SITE_PAUSE_MS].map(|max_pause_ms| Arc::new(CircuitBreaker::new(max_pause_ms)));
-        Self { port, calls, restores, breaker, site_breaker, history: Arc::new(watch::Sender::new(History::unknown())) }
+        let [breaker, state_breaker] =
+            [MAX_PAUSE_MS, MAX_STATE_PAUSE_MS].map(|max_pause_ms| Arc::new(CircuitBreaker::new(max_pause_ms)));
+        Self {
+            port,
+            calls,
+            restores,
+            breaker,
+            state_breaker,
+            history: Arc::new(watch::Sender::new(History::unknown())),
+        }
     }
 
     /// The history of the service that is in force, as far as this daemon knows.
@@ -107,19 +114,14 @@
         }
     }
 
-    /// Whether calls pause now because of repeated failures.
-    pub fn is_paused(&self) -> bool {
-        self.breaker.is_open()
-    }
-
     /// Whether the last call failed.
     pub fn is_failing(&self) -> bool {
-        self.breaker.is_failing() || self.site_breaker.is_failing()
+        self.breaker.is_failing() || self.state_breaker.is_failing()
     }
 
-    /// The breaker of calls for this purpose: failures of other calls must not delay readings of the site's state.
+    /// The breaker of calls for this purpose: failures of other calls must not delay readings of the state.
     fn breaker(&self, purpose: Purpose) -> &CircuitBreaker {
-        if purpose == Purpose::Site { &self.site_breaker } else { &self.breaker }
+        if matches!(purpose, Purpose::Site | Purpose::Config) { &self.state_breaker } else { &self.breaker }
     }
 
     /// Reads one key.
