Reach: the carrier of a connection reads what its server says about leaving (DRAIN)

Cause: for the server the carrier is the sender, but it passed the answer on as bytes. It learned of it only by a fact of the daemon for which it carried, which may be gone, stopped or unheard by then; connections that were open already were never looked at again. Class: whoever acts relies on another to have read what it was told itself. Change: the carrier follows the requests and responses on the connection (httparse for the heads; lengths and chunks decide where the next one begins). A response that bears its request's id and says that its server leaves counts as one of its own: it marks the server, spreads the fact and is counted with source=carried.

--- a/goldcrestward/src/connection/carried.rs
+++ b/goldcrestward/src/connection/carried.rs
@@ -7,7 +7,10 @@
 use tokio::net::TcpStream;
 use tokio_util::task::{TaskTracker, task_tracker::TaskTrackerToken};
 
-use super::tunnel::{Progress, TunnelEnd};
+use super::{
+    carried_exchanges::ResponseObserver,
+    tunnel::{Progress, TunnelEnd},
+};
 use crate::{logs::is_sampled, pb::OpenTunnel};
 
 /// Says whether the daemon is being stopped.
@@ -81,7 +84,7 @@
     }
 
     fn is_end_logged(&self) -> bool {
-        let is_planned = matches!(self.end, Some(TunnelEnd::Server | TunnelEnd::Peer));
+        let is_planned = matches!(self.end, Some(TunnelEnd::Server | TunnelEnd::Peer | TunnelEnd::Withdrawn));
         !is_planned || self.names.is_sampled || (self.is_stopping)()
     }
 }
@@ -126,6 +129,7 @@
 pub(crate) struct CarriedConnection {
     pub socket: TcpStream,
     pub guard: CarriedGuard,
+    pub observer: Box<dyn ResponseObserver>,
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/goldcrestward/src/connection/carried_exchanges.rs
@@ -0,0 +1,108 @@
+//! The requests and responses on a connection to a backend server that is carried for a peer.
+//!
+//! The peer reads the responses, but for the server this daemon is the one that sends. Hence it must know what the server says
+//! to whoever sends, also if the peer has no time left to tell it.
+
+use std::{collections::VecDeque, mem};
+
+use http::{HeaderMap, StatusCode};
+
+use super::http_messages::{BodyEnd, HeadParser, Messages, empty_fields, header_map};
+
+/// Recognizes what a server says to whoever sends to it.
+pub(crate) trait ResponseObserver: Send + Sync {
+    /// Whether the response to a request with these headers says that the server is to get no more requests.
+    fn is_notice(&self, request: &HeaderMap, status: StatusCode, response: &HeaderMap) -> bool;
+    /// Records that a response has said so.
+    fn record_notice(&self);
+    /// Whether the server is to get no more requests by now, whoever said so.
+    fn is_withdrawn(&self) -> bool;
+}
+
+/// Follows what passes through the connection.
+pub(super) struct CarriedExchanges<'a> {
+    requests: Messages,
+    responses: Messages,
+    state: Exchanges<'a>,
+}
+
+impl<'a> CarriedExchanges<'a> {
+    pub fn new(observer: &'a dyn ResponseObserver) -> Self {
+        let state = Exchanges { observer, awaited: VecDeque::new(), is_noticed: false };
+        Self { requests: Messages::default(), responses: Messages::default(), state }
+    }
+
+    /// Reads bytes that the peer sends to the server. Returns false if they begin a request that the server is not to get.
+    pub fn send(&mut self, bytes: &[u8]) -> bool {
+        if self.is_over() {
+            return false;
+        }
+        self.requests.read(bytes, &mut RequestHeads(&mut self.state));
+        true
+    }
+
+    /// Reads bytes of the server. Returns whether they end the head of a response with a notice.
+    pub fn receive(&mut self, bytes: &[u8]) -> bool {
+        self.responses.read(bytes, &mut ResponseHeads(&mut self.state));
+        mem::take(&mut self.state.is_noticed)
+    }
+
+    /// Whether the connection carries nothing now, and must not carry more.
+    pub fn is_over(&self) -> bool {
+        let is_idle = self.state.awaited.is_empty() && self.requests.is_between() && self.responses.is_between();
+        is_idle && self.state.observer.is_withdrawn()
+    }
+}
+
+struct Exchanges<'a> {
+    observer: &'a dyn ResponseObserver,
+    /// The requests whose responses have not ended: whether only the head of the response is sent, and the headers.
+    awaited: VecDeque<(bool, HeaderMap)>,
+    is_noticed: bool,
+}
+
+struct RequestHeads<'a, 'b>(&'a mut Exchanges<'b>);
+
+impl HeadParser for RequestHeads<'_, '_> {
+    fn read_head(&mut self, head: &[u8]) -> Option<BodyEnd> {
+        let mut fields = empty_fields();
+        let mut request = httparse::Request::new(&mut fields);
+        request.parse(head).ok()?.is_complete().then_some(())?;
+        let headers = header_map(request.headers);
+        let end = BodyEnd::from_fields(&headers).unwrap_or(BodyEnd::Length(0));
+        self.0.awaited.push_back((request.method == Some("HEAD"), headers));
+        Some(end)
+    }
+
+    fn end_message(&mut self) {}
+}
+
+struct ResponseHeads<'a, 'b>(&'a mut Exchanges<'b>);
+
+impl HeadParser for ResponseHeads<'_, '_> {
+    fn read_head(&mut self, head: &[u8]) -> Option<BodyEnd> {
+        let mut fields = empty_fields();
+        let mut response = httparse::Response::new(&mut fields);
+        response.parse(head).ok()?.is_complete().then_some(())?;
+        let status = StatusCode::from_u16(response.code?).ok()?;
+        let headers = header_map(response.headers);
+        let (is_head_only, request) = self.0.awaited.front()?;
+        let is_head_only = *is_head_only || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        self.0.is_noticed |= self.0.observer.is_notice(request, status, &headers);
+        if status.is_informational() {
+            return (status != StatusCode::SWITCHING_PROTOCOLS).then_some(BodyEnd::Interim);
+        }
+        if is_head_only {
+            return Some(BodyEnd::Length(0));
+        }
+        Some(BodyEnd::from_fields(&headers).unwrap_or(BodyEnd::Connection))
+    }
+
+    fn end_message(&mut self) {
+        self.0.awaited.pop_front();
+    }
+}
+
+#[cfg(test)]
+#[path = "carried_exchanges_test.rs"]
+mod carried_exchanges_test;
--- /dev/null
+++ b/goldcrestward/src/connection/carried_exchanges_test.rs
@@ -0,0 +1,84 @@
+//! Tests of what a daemon learns from the exchanges that it carries.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use http::{HeaderMap, StatusCode};
+
+use super::{CarriedExchanges, ResponseObserver};
+
+/// A server's notice is a header `leaving` on a response with the id of its request.
+#[derive(Default)]
+struct Observer {
+    is_withdrawn: AtomicBool,
+}
+
+impl ResponseObserver for Observer {
+    fn is_notice(&self, request: &HeaderMap, _status: StatusCode, response: &HeaderMap) -> bool {
+        response.contains_key("leaving") && request.get("id") == response.get("id")
+    }
+
+    fn record_notice(&self) {}
+
+    fn is_withdrawn(&self) -> bool {
+        self.is_withdrawn.load(Ordering::Relaxed)
+    }
+}
+
+const POST: &str = "POST /x HTTP/1.1\r\nid: 1\r\ncontent-length: 2\r\n\r\nab";
+const HEAD: &str = "HEAD /x HTTP/1.1\r\nid: 1\r\n\r\n";
+
+/// A request, its response, whether that has a notice, and whether the exchange is over then.
+const CASES: [(&str, &str, bool, bool); 9] = [
+    (POST, "HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 1\r\n\r\na", false, true),
+    (POST, "HTTP/1.1 200 OK\r\nid: 1\r\nleaving: 1\r\ncontent-length: 1\r\n\r\na", true, true),
+    (POST, "HTTP/1.1 503 Full\r\nid: 1\r\nleaving: 1\r\ncontent-length: 0\r\n\r\n", true, true),
+    // The head is enough, also of a stream that goes on.
+    (POST, "HTTP/1.1 200 OK\r\nid: 1\r\nleaving: 1\r\ntransfer-encoding: chunked\r\n\r\n", true, false),
+    (POST, "HTTP/1.1 200 OK\r\nid: 1\r\nleaving: 1\r\n\r\nuntil the end", true, false),
+    (
+        POST,
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nid: 1\r\nleaving: 1\r\ncontent-length: 0\r\n\r\n",
+        true,
+        true,
+    ),
+    (POST, "HTTP/1.1 200 OK\r\nid: 2\r\nleaving: 1\r\ncontent-length: 0\r\n\r\n", false, true),
+    (HEAD, "HTTP/1.1 200 OK\r\nid: 1\r\nleaving: 1\r\ncontent-length: 9\r\n\r\n", true, true),
+    // Text of a body is no head.
+    (
+        POST,
+        "HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 45\r\n\r\nHTTP/1.1 200 OK\r\nid: 1\r\nleaving: 1\r\n\r\n1234567",
+        false,
+        true,
+    ),
+];
+
+#[test]
+fn notices_are_found_in_heads_only() {
+    for (request, response, expected, is_over) in CASES {
+        for size in 1..=response.len() {
+            let observer = Observer::default();
+            let mut exchanges = CarriedExchanges::new(&observer);
+            assert!(request.as_bytes().chunks(size).all(|piece| exchanges.send(piece)));
+            let mut is_noticed = false;
+            response.as_bytes().chunks(size).for_each(|piece| is_noticed |= exchanges.receive(piece));
+            assert_eq!(is_noticed, expected, "{response:?} in pieces of {size}");
+            observer.is_withdrawn.store(true, Ordering::Relaxed);
+            assert_eq!(exchanges.is_over(), is_over, "{response:?} in pieces of {size}");
+        }
+    }
+}
+
+/// Guards against DRAIN: a request on an open connection goes to a server that is withdrawn; and against an exchange that
+/// is cut in its middle, as the server goes on until its end.
+#[test]
+fn withdrawn_server_gets_no_further_request_and_ends_what_runs() {
+    let observer = Observer::default();
+    let mut exchanges = CarriedExchanges::new(&observer);
+    assert!(exchanges.send(&POST.as_bytes()[..10]));
+    observer.is_withdrawn.store(true, Ordering::Relaxed);
+    assert!(exchanges.send(&POST.as_bytes()[10..]) && !exchanges.is_over());
+    exchanges.receive(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\na");
+    assert!(!exchanges.is_over());
+    exchanges.receive(b"b");
+    assert!(exchanges.is_over() && !exchanges.send(POST.as_bytes()));
+}
--- a/goldcrestward/src/connection/peer.rs
+++ b/goldcrestward/src/connection/peer.rs
@@ -256,9 +256,9 @@
     let result = opened.as_ref().map_or_else(|result| *result, |_| TunnelResult::Opened);
     let body = answer::Body::TunnelAnswer(pb::TunnelAnswer { result: result.into() });
     let sent = stream.send(pb::Answer { id, body: Some(body) }.encode_to_vec()).await;
-    if let Ok(CarriedConnection { socket, mut guard }) = opened {
+    if let Ok(CarriedConnection { socket, mut guard, observer }) = opened {
         let end = match sent {
-            Some(()) => carry(stream, socket, guard.progress()).await,
+            Some(()) => carry(stream, socket, guard.progress(), Some(&*observer)).await,
             None => TunnelEnd::PeerError,
         };
         guard.set_end(end);
--- a/goldcrestward/src/connection/tunnel.rs
+++ b/goldcrestward/src/connection/tunnel.rs
@@ -1,6 +1,7 @@
 //! A connection to a backend server that a peer has opened, carried in the frames of a stream between the daemons.
 
 use std::{
+    future::pending,
     io,
     pin::Pin,
     sync::{
@@ -8,14 +9,24 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll},
+    time::Duration,
 };
 
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf, duplex};
+use parking_lot::Mutex;
+use tokio::{
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf, duplex},
+    time::sleep,
+};
 
-use super::peer::{AuthenticatedStream, FrameReceiver, FrameSender};
+use super::{
+    carried_exchanges::{CarriedExchanges, ResponseObserver},
+    peer::{AuthenticatedStream, FrameReceiver, FrameSender},
+};
 
 /// Bytes on their way in each direction.
 const BUFFER_BYTES: usize = 32 * 1024;
+/// Interval between checks whether a server is to get no more requests.
+const WITHDRAWAL_INTERVAL: Duration = Duration::from_millis(100);
 /// Largest piece in one frame.
 const PIECE_BYTES: usize = 16 * 1024;
 
@@ -31,7 +42,7 @@
         let (io, remote) = duplex(BUFFER_BYTES);
         let progress = Arc::new(Progress::default());
         let shared = progress.clone();
-        tokio::spawn(async move { carry(stream, remote, &shared).await });
+        tokio::spawn(async move { carry(stream, remote, &shared, None).await });
         Self { io, progress }
     }
 }
@@ -99,6 +110,8 @@
     Peer,
     /// The stream between the daemons broke.
     PeerError,
+    /// The server is to get no more requests.
+    Withdrawn,
 }
 
 impl TunnelEnd {
@@ -109,26 +122,49 @@
             Self::ServerError => "server-error",
             Self::Peer => "peer",
             Self::PeerError => "peer-error",
+            Self::Withdrawn => "withdrawn",
         }
     }
 }
 
 /// Carries bytes between a stream's frames and a connection until either ends. An empty frame is the end of the sender's
-/// side; a stream that ends without one has broken.
+/// side; a stream that ends without one has broken. With an `observer`, which the end
+/// has that the connection to the server belongs to, it also ends when the server is to get no more requests.
 pub(super) async fn carry(
     stream: AuthenticatedStream,
     io: impl AsyncRead + AsyncWrite + Send + 'static,
     progress: &Progress,
+    observer: Option<&dyn ResponseObserver>,
 ) -> TunnelEnd {
-    let (sender, receiver) = stream.split();
+    let exchanges = observer.map(|observer| Mutex::new(CarriedExchanges::new(observer)));
+    let exchanges = exchanges.as_ref();
+    let (mut sender, receiver) = stream.split();
     let (reader, writer) = tokio::io::split(io);
-    tokio::select! {
-        end = send_pieces(reader, sender, progress) => end,
-        end = receive_pieces(receiver, writer, progress) => end,
+    let end = tokio::select! {
+        end = send_pieces(reader, &mut sender, progress, exchanges.zip(observer)) => end,
+        end = receive_pieces(receiver, writer, progress, exchanges) => end,
+        () = until_over(exchanges) => TunnelEnd::Withdrawn,
+    };
+    if end == TunnelEnd::Withdrawn {
+        sender.send(Vec::new()).await;
+    }
+    end
+}
+
+/// Waits until the connection is idle and its server is to get no more requests.
+async fn until_over(exchanges: Option<&Mutex<CarriedExchanges<'_>>>) {
+    let Some(exchanges) = exchanges else { return pending().await };
+    while !exchanges.lock().is_over() {
+        sleep(WITHDRAWAL_INTERVAL).await;
     }
 }
 
-async fn send_pieces(mut reader: impl AsyncRead + Unpin, mut sender: FrameSender, progress: &Progress) -> TunnelEnd {
+async fn send_pieces(
+    mut reader: impl AsyncRead + Unpin,
+    sender: &mut FrameSender,
+    progress: &Progress,
+    exchanges: Option<(&Mutex<CarriedExchanges<'_>>, &dyn ResponseObserver)>,
+) -> TunnelEnd {
     let mut buffer = vec![0; PIECE_BYTES];
     loop {
         let Ok(count) = reader.read(&mut buffer).await else { return TunnelEnd::ServerError };
@@ -140,6 +176,13 @@
             return TunnelEnd::PeerError;
         }
         progress.sent.fetch_add(count as u64, Ordering::Relaxed);
+        // Only now, as the connection may be closed as soon as a response counts as ended.
+        if let Some((exchanges, observer)) = exchanges {
+            let is_noticed = exchanges.lock().receive(&buffer[..count]);
+            if is_noticed {
+                observer.record_notice();
+            }
+        }
     }
 }
 
@@ -147,6 +190,7 @@
     mut receiver: FrameReceiver,
     mut writer: impl AsyncWrite + Unpin,
     progress: &Progress,
+    exchanges: Option<&Mutex<CarriedExchanges<'_>>>,
 ) -> TunnelEnd {
     while let Some(piece) = receiver.next().await {
         if piece.is_empty() {
@@ -154,6 +198,9 @@
             writer.shutdown().await.ok();
             return TunnelEnd::Peer;
         }
+        if exchanges.is_some_and(|exchanges| !exchanges.lock().send(&piece)) {
+            return TunnelEnd::Withdrawn;
+        }
         if writer.write_all(&piece).await.is_err() {
             return TunnelEnd::ServerError;
         }
--- a/goldcrestward/src/process/leaving/facts.rs
+++ b/goldcrestward/src/process/leaving/facts.rs
@@ -19,10 +19,19 @@
 
 /// Applies an answer that says that its server is leaving.
 pub(crate) fn record_stated(gateway: &Gateway, replica: &Replica) {
+    record(gateway, replica, "answer");
+}
+
+/// Applies such an answer to a peer's request, whose connection this daemon carries. The peer may not be able to tell.
+pub(in crate::process) fn record_carried(gateway: &Gateway, replica: &Replica) {
+    record(gateway, replica, "carried");
+}
+
+fn record(gateway: &Gateway, replica: &Replica, source: &str) {
     let shared = &gateway.shared;
     let (run, now) = (replica.statement_key(), shared.now());
     let Some(news) = shared.replicas.state_leaving(run, now, now) else { return };
-    apply(gateway, &news, "answer", 0);
+    apply(gateway, &news, source, 0);
     shared.publish_fact(Fact {
         kind: FactKind::ServerLeaving,
         key: format!("{run:016x}").into(),
--- a/goldcrestward/src/process/leaving/mod.rs
+++ b/goldcrestward/src/process/leaving/mod.rs
@@ -4,6 +4,7 @@
 mod runs;
 
 pub(super) use facts::learn_leaving_fact;
+pub(super) use facts::record_carried;
 pub(crate) use facts::record_stated;
 pub(super) use runs::{LeavingRuns, LeavingSource};
 
--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -5,7 +5,10 @@
 use log::{info, warn};
 use tokio::time::timeout;
 
-use super::table::{Change, Path};
+use super::{
+    leaving_observer::LeavingObserver,
+    table::{Change, Path},
+};
 use crate::{
     connection::{BackendConnection, CarriedConnection, ConnectError, open_backend_socket},
     pb::{OpenTunnel, TunnelResult},
@@ -155,7 +158,7 @@
 /// # Errors
 /// Says why there is none.
 pub(in crate::process) async fn open_for_peer(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     shared: &Shared,
     open: &OpenTunnel,
 ) -> Result<CarriedConnection, TunnelResult> {
@@ -174,7 +177,8 @@
     let opened = opened.map_or(Err(ConnectError::Silent), |socket| socket.ok_or(ConnectError::Refused));
     gateway.record_reach(&replica, opened.as_ref().map(|_| ()).map_err(|error| *error));
     let socket = opened.map_err(|_| TunnelResult::Unreached)?;
-    Ok(CarriedConnection { socket, guard: shared.carried.begin(open) })
+    let observer = Box::new(LeavingObserver::new(gateway.clone(), replica));
+    Ok(CarriedConnection { socket, guard: shared.carried.begin(open), observer })
 }
 
 /// Whether the request on the connection ends before this daemon, which is being stopped.
