--- a/goldcrestward/src/pb/landed_test.rs
+++ b/goldcrestward/src/pb/landed_test.rs
@@ -141,8 +141,8 @@
         text: Some(String::new()),
         origin: pb::FileOrigin::Kept.into(),
         first_seen: 11,
-        reader: "daemon-2".into(),
-        read_ms: 1_700_000_000_000,
+        reader: String::new(),
+        read_ms: 0,
     }
 }
 
