--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -53,7 +53,7 @@
 
     /// Whether a daemon says that a connection which it carried was broken, or cut by its own end.
     fn is_broken_carrying(&self) -> bool {
-        let planned = ["server", "peer"];
+        let planned = ["server", "peer", "withdrawn"];
         self.event == "carried-ended" && self.fields.get("end").is_some_and(|end| !planned.contains(&end.as_str()))
     }
 
@@ -367,6 +367,7 @@
         "server-error" => "broke between this daemon and the server",
         "peer-error" => "broke between this daemon and the peer",
         "stop" => "was cut by the end of this daemon",
+        "withdrawn" => "was closed while idle, as the server is leaving,",
         other => other,
     }
 }
--- a/goldcrestward/src/cmd/explain_test.rs
+++ b/goldcrestward/src/cmd/explain_test.rs
@@ -116,6 +116,10 @@
             "for front-b was closed by the peer after 7 ms",
         ),
         ("carried-ended id=r1 peer=front-b instance=i-1 end=stop ms=7", "was cut by the end of this daemon after 7 ms"),
+        (
+            "carried-ended id=r1 peer=front-b instance=i-1 end=withdrawn ms=7",
+            "was closed while idle, as the server is leaving, after 7 ms",
+        ),
         (
             "carried-ended id=r1 peer=front-b instance=i-1 end=server-error ms=7",
             "broke between this daemon and the server",
--- a/goldcrestward/src/connection/tunnel.rs
+++ b/goldcrestward/src/connection/tunnel.rs
@@ -128,8 +128,8 @@
 }
 
 /// Carries bytes between a stream's frames and a connection until either ends. An empty frame is the end of the sender's
-/// side; a stream that ends without one has broken. With an `observer`, which the end
-/// has that the connection to the server belongs to, it also ends when the server is to get no more requests.
+/// side; a stream that ends without one has broken. The end that has the connection to the server passes an `observer`; the
+/// tunnel then also ends when the server is to get no more requests.
 pub(super) async fn carry(
     stream: AuthenticatedStream,
     io: impl AsyncRead + AsyncWrite + Send + 'static,
--- a/goldcrestward/src/process/configure.rs
+++ b/goldcrestward/src/process/configure.rs
@@ -199,7 +199,7 @@
         Ok(now)
     }
 
-    /// Records that the copy held all that the store had at `at`, and tells others.
+    /// Records that the copy held all that the store had at `at`, and announces it.
     fn record_reading(&self, at: u64) {
         self.shared.freshness.lock().record_reading(at);
         self.shared.announce.notify_one();
--- a/goldcrestward/src/process/state/freshness.rs
+++ b/goldcrestward/src/process/state/freshness.rs
@@ -69,8 +69,8 @@
     claims: VecDeque<(Revision, u64)>,
     /// A revision that a peer has announced and that this copy lacks, and since when.
     missing: Option<(Revision, u64)>,
-    /// The time as of which the copy was current when others were last told at once.
-    told: Option<u64>,
+    /// The time as of which the copy was current when that was last announced.
+    announced: Option<u64>,
 }
 
 impl Freshness {
@@ -90,12 +90,13 @@
         self.settle(own);
     }
 
-    /// Whether this daemon's knowledge is so much younger than when it last told others that it tells them at once.
+    /// Whether this daemon's knowledge is so much younger than when it was last announced that it is announced again.
     pub fn take_news(&mut self, budget: &Budget, own: Revision) -> bool {
         self.settle(own);
-        let is_news = self.current_at.is_some_and(|at| self.told.is_none_or(|told| at >= told + budget.slot / 2));
+        let is_news =
+            self.current_at.is_some_and(|at| self.announced.is_none_or(|announced| at >= announced + budget.slot / 2));
         if is_news {
-            self.told = self.current_at;
+            self.announced = self.current_at;
         }
         is_news
     }
