--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -51,6 +51,7 @@
     via: Option<Arc<str>>,
     /// Whether a request has been sent on it.
     used: bool,
+    since: Instant,
     expires: Instant,
 }
 
@@ -94,8 +95,9 @@
     pub fn take(&self, address: SocketAddr, instance: &Arc<str>, relayed: bool) -> Option<BackendConnection> {
         let key = (address, instance.clone());
         let idle = self.take_idle(&key, relayed)?;
-        let IdleConnection { sender, via, used, .. } = idle;
-        Some(BackendConnection { sender, key, via, used, connections: self.clone() })
+        let IdleConnection { sender, via, used, since, .. } = idle;
+        let idle_time = Some(since.elapsed());
+        Some(BackendConnection { sender, key, via, used, idle_time, connections: self.clone() })
     }
 
     /// Opens a connection to the instance.
@@ -114,7 +116,14 @@
         let result = opened.as_ref().map_or_else(|error| error.label(), |_| "opened");
         self.connects.with_label_values(&[result]).inc();
         let key = (address, instance.clone());
-        opened.map(|sender| BackendConnection { sender, key, via: None, used: false, connections: self.clone() })
+        opened.map(|sender| BackendConnection {
+            sender,
+            key,
+            via: None,
+            used: false,
+            idle_time: None,
+            connections: self.clone(),
+        })
     }
 
     /// Uses a connection to the instance that a peer has opened.
@@ -127,7 +136,8 @@
     ) -> Option<BackendConnection> {
         let sender = handshake(tunnel).await?;
         let key = (address, instance.clone());
-        Some(BackendConnection { sender, key, via: Some(peer), used: false, connections: self.clone() })
+        let via = Some(peer);
+        Some(BackendConnection { sender, key, via, used: false, idle_time: None, connections: self.clone() })
     }
 
     /// Closes direct idle connections to an instance.
@@ -204,6 +214,8 @@
     key: Key,
     via: Option<Arc<str>>,
     used: bool,
+    /// For how long it was idle before it was taken; `None` if it is new.
+    idle_time: Option<Duration>,
     connections: BackendConnections,
 }
 
@@ -250,13 +262,20 @@
         self.via.as_ref()
     }
 
+    /// What log lines say of the connection.
+    pub fn label(&self) -> String {
+        let idle_ms = self.idle_time.map_or_else(|| "-".to_owned(), |time| time.as_millis().to_string());
+        format!("via={} idle_ms={idle_ms}", self.via.as_deref().unwrap_or("-"))
+    }
+
     fn keep_for(self, lifetime: Duration) {
         let Some(lifetime) = lifetime.min(MAX_LIFETIME).checked_sub(IDLE_MARGIN) else { return };
-        let Self { sender, key, via, used, connections } = self;
+        let Self { sender, key, via, used, connections, .. } = self;
         if via.as_ref().is_some_and(|peer| connections.is_avoided(peer)) {
             return;
         }
-        let idle = IdleConnection { sender, via, used, expires: Instant::now() + lifetime };
+        let since = Instant::now();
+        let idle = IdleConnection { sender, via, used, since, expires: since + lifetime };
         connections.idle.lock().entry(key).or_default().push(idle);
     }
 }
--- a/goldcrestward/src/connection/peer.rs
+++ b/goldcrestward/src/connection/peer.rs
@@ -307,6 +307,7 @@
     /// Says why there is none.
     pub async fn open_tunnel(&self, address: SocketAddr, open: pb::OpenTunnel) -> Result<Tunnel, TunnelResult> {
         let lost = || TunnelResult::Unspecified;
+        let names = format!("id={} instance={} address={address}", open.request, open.instance);
         let socket = TcpStream::connect(address).await.map_err(|_| lost())?;
         let mut stream = AuthenticatedStream::new(socket, self.secrets.clone(), true).await.ok_or_else(lost)?;
         let request = pb::Request { id: 1, body: Some(request::Body::OpenTunnel(open)) };
@@ -315,7 +316,7 @@
         let answer = pb::Answer::decode(&payload[..]).map_err(|_| lost())?;
         match answer.body {
             Some(answer::Body::TunnelAnswer(answer)) if answer.result() == TunnelResult::Opened => {
-                Ok(Tunnel::new(stream))
+                Ok(Tunnel::new(stream, names))
             }
             Some(answer::Body::TunnelAnswer(answer)) => Err(answer.result()),
             _ => Err(lost()),
--- a/goldcrestward/src/connection/tunnel.rs
+++ b/goldcrestward/src/connection/tunnel.rs
@@ -9,9 +9,10 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
+use log::info;
 use parking_lot::Mutex;
 use tokio::{
     io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf, duplex},
@@ -38,11 +39,20 @@
 
 impl Tunnel {
     /// Carries a connection in the frames of a stream from now on.
-    pub(super) fn new(stream: AuthenticatedStream) -> Self {
+    ///
+    /// `names` say in log lines which connection it is.
+    pub(super) fn new(stream: AuthenticatedStream, names: String) -> Self {
         let (io, remote) = duplex(BUFFER_BYTES);
         let progress = Arc::new(Progress::default());
         let shared = progress.clone();
-        tokio::spawn(async move { carry(stream, remote, &shared, None).await });
+        tokio::spawn(async move {
+            let begun = Instant::now();
+            let end = carry(stream, remote, &shared, None).await;
+            if end == TunnelEnd::PeerError {
+                let (ms, sent, received) = (begun.elapsed().as_millis(), shared.sent(), shared.received());
+                info!("event=tunnel-broken {names} ms={ms} to_server={sent} from_server={received}");
+            }
+        });
         Self { io, progress }
     }
 }
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -79,6 +79,8 @@
     pub(super) fallback: Option<Fallback>,
     /// The connection for the next attempt, if there is one already.
     connection: Option<BackendConnection>,
+    /// What log lines say of the connection of the last attempt.
+    connection_label: String,
 }
 
 impl ProxyCall {
@@ -124,6 +126,7 @@
             kv_cache: None,
             fallback: None,
             connection: None,
+            connection_label: String::new(),
         }
     }
 
@@ -163,8 +166,9 @@
                 Err(failure) => {
                     let repeat = self.may_retry(&failure);
                     let (id, label, sends) = (&self.metadata.id, failure.label(), self.sends);
+                    let connection = &self.connection_label;
                     info!(
-                        "event=attempt-failed id={id} instance={instance} cause={label} sends={sends} repeat={repeat}"
+                        "event=attempt-failed id={id} instance={instance} cause={label} sends={sends} repeat={repeat} {connection}"
                     );
                     // A server that wants nothing now may take the request later, and has not got it yet.
                     if !matches!(failure, ProxyFailure::Withdrawn) {
@@ -372,6 +376,7 @@
         sequence: &mut EventSequence,
     ) -> Result<ExchangeResult, ProxyFailure> {
         let replica = guard.replica().clone();
+        "via=- idle_ms=-".clone_into(&mut self.connection_label);
         let acquired = match self.connection.take() {
             Some(connection) => Ok(connection),
             None => self.gateway.connect(&self.metadata.id, &replica, &self.window).await,
@@ -381,6 +386,7 @@
             info!("event=connect-failed id={id} instance={instance} why={why}");
             ProxyFailure::ConnectFailed
         })?;
+        self.connection_label = connection.label();
         if let Some(peer) = connection.via().filter(|_| is_sampled(&self.metadata.id)) {
             info!("event=relayed id={} instance={} peer={peer}", self.metadata.id, replica.id);
         }
