Connections: a response's head, interim ones included, is bounded in every client

What callers saw: with three of four servers sending `102 Processing` without end, sound requests got no answer. hyper reads interim heads in a loop inside one poll and counts neither their number nor their bytes; only the task budget of tokio, 128 reads of up to 64 KiB, ended a turn, and the next one began at once.

The stream under each HTTP connection to a server now follows the head of the response (MAX_RESPONSE_HEAD_BYTES, MAX_RESPONSE_HEADS) and fails beyond the bounds, so that the connection closes inside the read; it yields after TURN_BYTES read in a row. Used by the connections to backend servers, direct or by way of a peer, and by the HTTP client. That one was volo-http's, whose connections cannot be wrapped; it now uses hyper's with a pool of its own (64 idle connections per host, 15 s, as before). It sends no User-Agent any more, and a request that a closed idle connection gives back goes to another one. A carrier bounds the heads that it relays for a peer likewise.

Such an exchange may have run. Its cause is `head-too-long`, which counts as a failure of the server like a reset, but is not taken for a crash. `response-too-long` in the log, at most one line a second for a server, and responses_too_long_total{kind="head"}.

--- a/goldcrestward/src/cmd/client.rs
+++ b/goldcrestward/src/cmd/client.rs
@@ -50,7 +50,7 @@
     body: Option<&Value>,
 ) -> Result<(StatusCode, Value)> {
     let fail = |reason: String| Error::Request { address: admin.admin, reason };
-    let client = HttpClient::new().map_err(|e| fail(e.to_string()))?;
+    let client = HttpClient::new();
     let mut headers = HeaderMap::new();
     let token = HeaderValue::from_str(&format!("Bearer {}", admin.token));
     headers.insert(header::AUTHORIZATION, token.map_err(|_| fail("the token is not printable".into()))?);
--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -13,20 +13,12 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{Builder, SendRequest},
-};
-use hyper_util::rt::TokioIo;
+use hyper::{body::Incoming, client::conn::http1::Builder};
 use parking_lot::Mutex;
 use prometheus::IntCounterVec;
-use tokio::{
-    io::{AsyncRead, AsyncWrite},
-    net::TcpStream,
-    time::timeout,
-};
+use tokio::{net::TcpStream, time::timeout};
 
-use super::{client::SendError, tunnel::Tunnel};
+use super::{client::SendError, request_sender::RequestSender, tunnel::Tunnel};
 
 /// Time after which an idle connection is closed if the server states none.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -38,10 +30,8 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time for which no idle connection is kept by way of a peer that is being stopped.
 const AVOID_TIME: Duration = Duration::from_secs(15);
-/// Largest response head, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
 
-type Sender = SendRequest<Full<Bytes>>;
+type Sender = RequestSender<Full<Bytes>>;
 /// An address and the instance that was found there.
 type Key = (SocketAddr, Arc<str>);
 
@@ -110,7 +100,7 @@
         instance: &Arc<str>,
         limit: Duration,
     ) -> Result<BackendConnection, ConnectError> {
-        let open = async { handshake(open_backend_socket(address).await?).await };
+        let open = async { Sender::new(open_backend_socket(address).await?, Builder::new()).await };
         let opened = timeout(limit, open).await;
         let opened = opened.map_or(Err(ConnectError::Silent), |sender| sender.ok_or(ConnectError::Refused));
         let result = opened.as_ref().map_or_else(|error| error.label(), |_| "opened");
@@ -134,7 +124,7 @@
         address: SocketAddr,
         instance: &Arc<str>,
     ) -> Option<BackendConnection> {
-        let sender = handshake(tunnel).await?;
+        let sender = Sender::new(tunnel, Builder::new()).await?;
         let key = (address, instance.clone());
         let via = Some(peer);
         Some(BackendConnection { sender, key, via, used: false, idle_time: None, connections: self.clone() })
@@ -200,14 +190,6 @@
     Some(stream)
 }
 
-async fn handshake(stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static) -> Option<Sender> {
-    let builder = Builder::new().max_buf_size(MAX_HEAD_BYTES).to_owned();
-    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
-    // Errors of the connection are returned to the request that uses it.
-    tokio::spawn(async move { connection.await.ok() });
-    Some(sender)
-}
-
 /// A connection in exclusive use by one request; dropping it closes it.
 pub(crate) struct BackendConnection {
     sender: Sender,
@@ -226,12 +208,7 @@
     /// Says whether the server may have received the request.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
         self.used = true;
-        match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
-            Err(mut error) => {
-                Err(if error.take_message().is_some() { SendError::NotSent } else { SendError::MaybeSent })
-            }
-        }
+        self.sender.send(request).await.map_err(|(error, _)| error)
     }
 
     /// Releases the connection for reuse, if the response head allows it.
--- a/goldcrestward/src/connection/carried_exchanges.rs
+++ b/goldcrestward/src/connection/carried_exchanges.rs
@@ -7,7 +7,10 @@
 
 use http::{HeaderMap, StatusCode};
 
-use super::http_messages::{BodyEnd, HeadParser, Messages, empty_fields, header_map};
+use super::{
+    http_messages::{BodyEnd, HeadParser, Messages, empty_fields, header_map},
+    response_head::{MAX_RESPONSE_HEAD_BYTES, MAX_RESPONSE_HEADS},
+};
 
 /// Recognizes what a server says to whoever sends to it.
 pub(crate) trait ResponseObserver: Send + Sync {
@@ -28,7 +31,14 @@
 
 impl<'a> CarriedExchanges<'a> {
     pub fn new(observer: &'a dyn ResponseObserver) -> Self {
-        let state = Exchanges { observer, awaited: VecDeque::new(), is_noticed: false };
+        let state = Exchanges {
+            observer,
+            awaited: VecDeque::new(),
+            is_noticed: false,
+            head_bytes: 0,
+            interim_heads: 0,
+            is_head_too_long: false,
+        };
         Self { requests: Messages::default(), responses: Messages::default(), state }
     }
 
@@ -47,6 +57,12 @@
         mem::take(&mut self.state.is_noticed)
     }
 
+    /// Whether the server has sent a response head that exceeds its bounds.
+    pub fn is_head_too_long(&self) -> bool {
+        let bytes = self.state.head_bytes + self.responses.head_bytes();
+        self.state.is_head_too_long || self.responses.is_head_too_long() || bytes > MAX_RESPONSE_HEAD_BYTES
+    }
+
     /// Whether the connection carries nothing now, and must not carry more.
     pub fn is_over(&self) -> bool {
         let is_idle = self.state.awaited.is_empty() && self.requests.is_between() && self.responses.is_between();
@@ -59,6 +75,10 @@
     /// The requests whose responses have not ended: whether only the head of the response is sent, and the headers.
     awaited: VecDeque<(bool, HeaderMap)>,
     is_noticed: bool,
+    /// Bytes of the heads of the current response that have ended, and number of the interim ones.
+    head_bytes: usize,
+    interim_heads: usize,
+    is_head_too_long: bool,
 }
 
 struct RequestHeads<'a, 'b>(&'a mut Exchanges<'b>);
@@ -89,8 +109,16 @@
         let (is_head_only, request) = self.0.awaited.front()?;
         let is_head_only = *is_head_only || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         self.0.is_noticed |= self.0.observer.is_notice(request, status, &headers);
+        self.0.head_bytes += head.len();
+        self.0.is_head_too_long |= self.0.head_bytes > MAX_RESPONSE_HEAD_BYTES;
+        if status.is_informational() && status != StatusCode::SWITCHING_PROTOCOLS {
+            self.0.interim_heads += 1;
+            self.0.is_head_too_long |= self.0.interim_heads >= MAX_RESPONSE_HEADS;
+            return Some(BodyEnd::Interim);
+        }
+        (self.0.head_bytes, self.0.interim_heads) = (0, 0);
         if status.is_informational() {
-            return (status != StatusCode::SWITCHING_PROTOCOLS).then_some(BodyEnd::Interim);
+            return None;
         }
         if is_head_only {
             return Some(BodyEnd::Length(0));
--- a/goldcrestward/src/connection/carried_exchanges_test.rs
+++ b/goldcrestward/src/connection/carried_exchanges_test.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, StatusCode};
 
-use super::{CarriedExchanges, ResponseObserver};
+use super::{CarriedExchanges, MAX_RESPONSE_HEAD_BYTES, MAX_RESPONSE_HEADS, ResponseObserver};
 
 /// A server's notice is a header `leaving` on a response with the id of its request.
 #[derive(Default)]
@@ -82,3 +82,37 @@
     exchanges.receive(b"b");
     assert!(exchanges.is_over() && !exchanges.send(POST.as_bytes()));
 }
+
+#[test]
+fn heads_are_too_long_beyond_the_bounds() {
+    const INTERIM: &str = "HTTP/1.1 102 Processing\r\n\r\n";
+    const FINAL: &str = "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na";
+    let long =
+        |length: usize| format!("HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx: {}\r\n\r\n", "a".repeat(length - 43));
+    let cases = [
+        (FINAL.to_owned(), false),
+        (INTERIM.repeat(MAX_RESPONSE_HEADS - 1) + FINAL, false),
+        (INTERIM.repeat(MAX_RESPONSE_HEADS), true),
+        (long(MAX_RESPONSE_HEAD_BYTES), false),
+        (long(MAX_RESPONSE_HEAD_BYTES + 1), true),
+        (INTERIM.to_owned() + &long(MAX_RESPONSE_HEAD_BYTES - INTERIM.len()), false),
+        (INTERIM.to_owned() + &long(MAX_RESPONSE_HEAD_BYTES - INTERIM.len() + 1), true),
+    ];
+    for (response, expected) in cases {
+        for size in [1, 1000, response.len()] {
+            let observer = Observer::default();
+            let mut exchanges = CarriedExchanges::new(&observer);
+            // What one exchange had does not count for the next.
+            for round in 0..2 {
+                exchanges.send(POST.as_bytes());
+                let mut is_too_long = false;
+                for piece in response.as_bytes().chunks(size) {
+                    exchanges.receive(piece);
+                    is_too_long |= exchanges.is_head_too_long();
+                }
+                let length = response.len();
+                assert_eq!(is_too_long, expected, "{length} bytes in pieces of {size}, round {round}");
+            }
+        }
+    }
+}
--- a/goldcrestward/src/connection/client.rs
+++ b/goldcrestward/src/connection/client.rs
@@ -1,23 +1,14 @@
 //! HTTP client for back ends and the platform.
 
-use std::{error::Error, io, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
-use http::{HeaderMap, HeaderValue, Method, header};
-use motore::layer::Identity;
-use volo::loadbalance::MkLbLayer;
-use volo_http::{
-    body::Body,
-    client::{Client, ClientBuilder},
-    error::client::{ClientError, ErrorKind},
-    response::Response,
-};
+use http::{HeaderMap, HeaderValue, Method, Request, header};
+use hyper::client::conn::http1::Builder;
+use tokio::{net::TcpStream, time::timeout};
+use volo_http::{body::Body, response::Response};
 
-use super::error::{BuildSnafu, Result};
+use super::{idle_senders::IdleSenders, request_sender::RequestSender, response_head::HeadTooLong};
 
-/// Most idle connections kept per host.
-const IDLE_CONNECTIONS: usize = 64;
-/// Time after which an idle connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -28,33 +19,20 @@
     NotSent,
     /// The server may have read part or all of the request.
     MaybeSent,
+    /// The server has read at least a part of the request, and its response has no end of a head within the bounds.
+    HeadTooLong(HeadTooLong),
 }
 
-/// Disables load balancing and name resolution, as all requests go to IP addresses.
-struct NoBalance;
-
-impl MkLbLayer for NoBalance {
-    type Layer = Identity;
-
-    fn make(self) -> Identity {
-        Identity::new()
-    }
-}
-
-/// A client with a bounded pool of idle connections, and one that opens a connection for each request.
-#[derive(Clone)]
+/// A client with a bounded pool of idle connections.
+#[derive(Clone, Default)]
 pub struct HttpClient {
-    pooled: Client,
-    fresh: Client,
+    idle: IdleSenders,
 }
 
 impl HttpClient {
-    /// Builds both clients.
-    ///
-    /// # Errors
-    /// Fails when the HTTP library rejects the options.
-    pub fn new() -> Result<Self> {
-        Ok(Self { pooled: build(IDLE_CONNECTIONS)?, fresh: build(0)? })
+    /// Creates a client without connections.
+    pub fn new() -> Self {
+        Self::default()
     }
 
     /// Sends a request, on an idle connection if there is one.
@@ -62,7 +40,19 @@
     /// # Errors
     /// Says whether the request may have reached the server.
     pub async fn send(&self, request: OutboundRequest) -> Result<Response, SendError> {
-        request.send(&self.pooled).await
+        let address = request.address;
+        let mut request = request.build()?;
+        while let Some(mut sender) = self.idle.take(address) {
+            match sender.send(request).await {
+                Ok(response) => return Ok(self.keep(address, sender, response)),
+                // The server has closed the connection in the meantime.
+                Err((_, Some(unsent))) => request = unsent,
+                Err((error, None)) => return Err(error),
+            }
+        }
+        let mut sender = connect(address).await?;
+        let response = sender.send(request).await.map_err(|(error, _)| error)?;
+        Ok(self.keep(address, sender, response))
     }
 
     /// Sends a request on a new connection, so that a failure to connect proves that it was not sent.
@@ -70,13 +60,38 @@
     /// # Errors
     /// Says whether the request may have reached the server.
     pub async fn send_fresh(&self, mut request: OutboundRequest) -> Result<Response, SendError> {
-        // Without idle connections, the library still hands a connection whose response has been read to a request that
-        // is waiting for a new one.
         request.headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
-        request.send(&self.fresh).await
+        let mut sender = connect(request.address).await?;
+        let response = sender.send(request.build()?).await.map_err(|(error, _)| error)?;
+        Ok(response.map(Body::from_incoming))
+    }
+
+    /// Keeps the connection for reuse once the response has been read to its end.
+    fn keep(
+        &self,
+        address: SocketAddr,
+        mut sender: RequestSender<Body>,
+        response: http::Response<hyper::body::Incoming>,
+    ) -> Response {
+        let idle = self.idle.clone();
+        tokio::spawn(async move {
+            if sender.ready().await {
+                idle.put(address, sender);
+            }
+        });
+        response.map(Body::from_incoming)
     }
 }
 
+async fn connect(address: SocketAddr) -> Result<RequestSender<Body>, SendError> {
+    let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = opened.ok().and_then(Result::ok).ok_or(SendError::NotSent)?;
+    stream.set_nodelay(true).ok();
+    let mut builder = Builder::new();
+    builder.title_case_headers(true);
+    RequestSender::new(stream, builder).await.ok_or(SendError::NotSent)
+}
+
 /// An HTTP request to a back end or the platform.
 pub struct OutboundRequest {
     pub address: SocketAddr,
@@ -89,36 +104,17 @@
 }
 
 impl OutboundRequest {
-    async fn send(mut self, client: &Client) -> Result<Response, SendError> {
-        let uri = format!("http://{}{}", self.address, self.path);
-        if let Ok(host) = self.address.to_string().try_into() {
-            self.headers.insert(header::HOST, host);
-        }
-        let mut request = client.request(self.method, uri.as_str());
+    fn build(self) -> Result<Request<Body>, SendError> {
+        let mut request = Request::new(self.body);
+        *request.method_mut() = self.method;
+        *request.uri_mut() = self.path.parse().map_err(|_| SendError::NotSent)?;
         *request.headers_mut() = self.headers;
-        request.body(self.body).send().await.map_err(|error| send_error(&error))
+        let host = self.address.to_string().try_into().map_err(|_| SendError::NotSent)?;
+        request.headers_mut().insert(header::HOST, host);
+        Ok(request)
     }
 }
 
-/// Says whether a failed request may have been sent.
-///
-/// The HTTP library reports a failure to connect as a failed request whose direct source is the
-/// system's error; a failure on an open connection has hyper's error as its source.
-fn send_error(error: &ClientError) -> SendError {
-    let is_unopened = error.source().is_some_and(|source| source.is::<io::Error>());
-    match error.kind() {
-        ErrorKind::Builder | ErrorKind::Context | ErrorKind::Connect | ErrorKind::LoadBalance => SendError::NotSent,
-        _ if is_unopened => SendError::NotSent,
-        _ => SendError::MaybeSent,
-    }
-}
-
-fn build(max_idle: usize) -> Result<Client> {
-    let mut builder = ClientBuilder::new().mk_load_balance(NoBalance);
-    builder.set_max_idle_per_host(max_idle).set_pool_idle_timeout(IDLE_TIMEOUT).set_connect_timeout(CONNECT_TIMEOUT);
-    builder.build().map_err(|error| BuildSnafu { reason: error.to_string() }.build())
-}
-
 #[cfg(test)]
 #[path = "client_test.rs"]
 mod client_test;
--- a/goldcrestward/src/connection/client_test.rs
+++ b/goldcrestward/src/connection/client_test.rs
@@ -1,6 +1,6 @@
-//! Tests of requests that are sent on connections of their own.
+//! Tests of the HTTP client.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use http::{HeaderMap, Method};
 use http_body_util::BodyExt;
@@ -8,13 +8,41 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
     task::JoinSet,
+    time::timeout,
 };
 use volo_http::body::Body;
 
-use super::{HttpClient, OutboundRequest};
+use super::{HttpClient, OutboundRequest, SendError};
+use crate::connection::response_head::{HeadTooLong, MAX_RESPONSE_HEADS};
 
 const WORKERS: usize = 16;
 const REQUESTS: usize = 50;
+/// Time after which a call counts as stuck.
+const STUCK_TIMEOUT: Duration = Duration::from_secs(10);
+
+fn request(address: SocketAddr) -> OutboundRequest {
+    let (method, headers) = (Method::GET, HeaderMap::new());
+    OutboundRequest { address, method, path: "/".into(), headers, body: Body::empty() }
+}
+
+/// Answers each request with a beginning, and then with the rest again and again.
+async fn start_endless_server(start: &'static str, rest: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the socket has an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                if !matches!(stream.read(&mut [0; 4096]).await, Ok(1..))
+                    || stream.write_all(start.as_bytes()).await.is_err()
+                {
+                    return;
+                }
+                while stream.write_all(rest.as_bytes()).await.is_ok() {}
+            });
+        }
+    });
+    address
+}
 
 /// Answers each request with its number on its connection, from 0, and keeps the connections.
 async fn start_counting_server() -> SocketAddr {
@@ -43,16 +71,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn send_fresh_never_shares_a_connection() {
     let address = start_counting_server().await;
-    let client = HttpClient::new().expect("the options are accepted");
+    let client = HttpClient::new();
     let mut workers = JoinSet::new();
     for _ in 0..WORKERS {
         let client = client.clone();
         workers.spawn(async move {
             let mut shared = 0;
             for _ in 0..REQUESTS {
-                let (method, headers) = (Method::GET, HeaderMap::new());
-                let request = OutboundRequest { address, method, path: "/".into(), headers, body: Body::empty() };
-                let response = client.send_fresh(request).await.expect("the server answers");
+                let response = client.send_fresh(request(address)).await.expect("the server answers");
                 let body = response.into_body().collect().await.expect("the answer is whole").to_bytes();
                 shared += usize::from(&body[..] != b"0");
             }
@@ -62,3 +88,75 @@
     let shared: usize = workers.join_all().await.into_iter().sum();
     assert_eq!(shared, 0, "of {} requests came on connections that had carried others", WORKERS * REQUESTS);
 }
+
+#[tokio::test]
+async fn send_reuses_connections_whose_response_was_read() {
+    let address = start_counting_server().await;
+    let client = HttpClient::new();
+    for number in 0..5 {
+        let response = client.send(request(address)).await.expect("the server answers");
+        let body = response.into_body().collect().await.expect("the answer is whole").to_bytes();
+        assert_eq!(body, number.to_string().as_bytes());
+        // The connection is kept by a task of its own.
+        while client.idle.is_empty(address) {
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+#[tokio::test]
+async fn send_goes_on_where_an_idle_connection_was_closed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the socket has an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            if !matches!(stream.read(&mut [0; 4096]).await, Ok(1..)) {
+                continue;
+            }
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.ok();
+        }
+    });
+    let client = HttpClient::new();
+    for _ in 0..20 {
+        let sending = timeout(STUCK_TIMEOUT, client.send(request(address))).await.expect("the call ends");
+        match sending {
+            Ok(response) => drop(response.into_body().collect().await),
+            // The server may have closed the connection after the request was written.
+            Err(error) => assert_eq!(error, SendError::MaybeSent),
+        }
+    }
+}
+
+#[tokio::test]
+async fn send_gives_up_heads_without_end() {
+    let cases = [
+        ("", "HTTP/1.1 102 Processing\r\n\r\n", true),
+        ("", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", true),
+        ("HTTP/1.1 200 OK\r\n", "X-Filler: a\r\n", false),
+        ("HTTP/1.1 200 OK\r\nX-Filler: ", "0123456789abcdef", false),
+    ];
+    let client = HttpClient::new();
+    for (start, rest, is_interim) in cases {
+        let address = start_endless_server(start, rest).await;
+        for is_fresh in [false, true] {
+            let sending = async {
+                if is_fresh { client.send_fresh(request(address)).await } else { client.send(request(address)).await }
+            };
+            let error = timeout(STUCK_TIMEOUT, sending).await.expect("the call ends").expect_err("there is no answer");
+            let SendError::HeadTooLong(HeadTooLong { heads, .. }) = error else { panic!("{error:?} for {rest:?}") };
+            assert_eq!(heads, if is_interim { MAX_RESPONSE_HEADS } else { 0 }, "{rest:?}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn send_passes_over_interim_heads() {
+    let address = start_endless_server(
+        "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 102 Processing\r\n\r\n",
+    )
+    .await;
+    let response = HttpClient::new().send(request(address)).await.expect("the server answers");
+    assert_eq!(response.status(), 200);
+    assert_eq!(response.into_body().collect().await.expect("the answer is whole").to_bytes(), "ok");
+}
--- a/goldcrestward/src/connection/error.rs
+++ b/goldcrestward/src/connection/error.rs
@@ -1,4 +1,4 @@
-//! Errors of listeners, clients and connections.
+//! Errors of listeners and connections.
 
 use std::{io, net::SocketAddr};
 
@@ -6,7 +6,7 @@
 
 pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
 
-/// Reason why a listener, client or connection failed.
+/// Reason why a listener or connection failed.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum Error {
@@ -17,12 +17,6 @@
         address: SocketAddr,
         source: io::Error,
     },
-    /// The HTTP client could not be built.
-    #[snafu(display("could not build the HTTP client: {reason}"))]
-    Build {
-        /// Error of the HTTP library.
-        reason: String,
-    },
     /// A request to a peer failed.
     #[snafu(display("request to the peer at {address} failed: {reason}"))]
     Peer { address: SocketAddr, reason: &'static str },
--- a/goldcrestward/src/connection/http_messages.rs
+++ b/goldcrestward/src/connection/http_messages.rs
@@ -58,6 +58,7 @@
     part: Part,
     /// Bytes of a head or line that is not complete.
     pending: Vec<u8>,
+    is_head_too_long: bool,
 }
 
 impl Messages {
@@ -66,6 +67,16 @@
         self.part == Part::Head && self.pending.is_empty()
     }
 
+    /// Bytes of a head that is not complete.
+    pub fn head_bytes(&self) -> usize {
+        if self.part == Part::Head { self.pending.len() } else { 0 }
+    }
+
+    /// Whether a head was longer than the limit, so that what follows cannot be told apart.
+    pub fn is_head_too_long(&self) -> bool {
+        self.is_head_too_long
+    }
+
     /// Reads the next bytes.
     pub fn read(&mut self, mut bytes: &[u8], parser: &mut impl HeadParser) {
         while !bytes.is_empty() {
@@ -134,6 +145,7 @@
             }
             None if self.pending.len() < limit => &[],
             _ => {
+                self.is_head_too_long |= self.part == Part::Head;
                 (self.part, self.pending) = (Part::Rest, Vec::new());
                 &[]
             }
--- a/goldcrestward/src/connection/mod.rs
+++ b/goldcrestward/src/connection/mod.rs
@@ -8,10 +8,14 @@
 mod error;
 mod framing;
 mod http_messages;
+mod idle_senders;
 mod listener;
 mod observed_stream;
 mod peer;
+mod request_sender;
+mod response_head;
 mod seal;
+mod server_stream;
 mod tunnel;
 
 pub(crate) use activity::AmbiguousFraming;
@@ -22,6 +26,7 @@
 pub(crate) use error::Error;
 pub(crate) use listener::{CurrentCallerLimits, Drain, Listener, MAX_HEAD_BYTES, bind};
 pub(crate) use peer::{PeerClient, PeerHandler, serve_peers};
+pub use response_head::HeadTooLong;
 pub(crate) use seal::{DatagramSealer, Secrets};
 
 #[cfg(test)]
--- a/goldcrestward/src/connection/tunnel.rs
+++ b/goldcrestward/src/connection/tunnel.rs
@@ -122,6 +122,8 @@
     PeerError,
     /// The server is to get no more requests.
     Withdrawn,
+    /// The server has sent a response head that exceeds its bounds.
+    HeadTooLong,
 }
 
 impl TunnelEnd {
@@ -133,6 +135,7 @@
             Self::Peer => "peer",
             Self::PeerError => "peer-error",
             Self::Withdrawn => "withdrawn",
+            Self::HeadTooLong => "head-too-long",
         }
     }
 }
@@ -188,10 +191,16 @@
         progress.sent.fetch_add(count as u64, Ordering::Relaxed);
         // Only now, as the connection may be closed as soon as a response counts as ended.
         if let Some((exchanges, observer)) = exchanges {
-            let is_noticed = exchanges.lock().receive(&buffer[..count]);
+            let (is_noticed, is_too_long) = {
+                let mut exchanges = exchanges.lock();
+                (exchanges.receive(&buffer[..count]), exchanges.is_head_too_long())
+            };
             if is_noticed {
                 observer.record_notice();
             }
+            if is_too_long {
+                return TunnelEnd::HeadTooLong;
+            }
         }
     }
 }
--- a/goldcrestward/src/lib.rs
+++ b/goldcrestward/src/lib.rs
@@ -22,5 +22,5 @@
 mod util;
 mod version;
 
-pub use connection::{HttpClient, OutboundRequest, SendError};
+pub use connection::{HeadTooLong, HttpClient, OutboundRequest, SendError};
 pub use process::{Daemon, DaemonCounts, Error, Overrides, Result, RetryLimit, Settings, SettingsError};
--- a/goldcrestward/src/platform/etcd.rs
+++ b/goldcrestward/src/platform/etcd.rs
@@ -196,7 +196,9 @@
         let call = OutboundRequest { address, method, path: path.to_owned(), headers, body: Body::from(body) };
         match self.client.send(call).await {
             Ok(response) if response.status() == StatusCode::OK => Ok(response),
-            Ok(_) | Err(SendError::MaybeSent) => Err(Error::Unanswered { service: SERVICE }),
+            Ok(_) | Err(SendError::MaybeSent | SendError::HeadTooLong(_)) => {
+                Err(Error::Unanswered { service: SERVICE })
+            }
             Err(SendError::NotSent) => Err(Error::Unreached { service: SERVICE }),
         }
     }
--- a/goldcrestward/src/platform/partial_answers_test.rs
+++ b/goldcrestward/src/platform/partial_answers_test.rs
@@ -215,11 +215,11 @@
 }
 
 async fn check_cuts(server: &CuttingServer, call: Call, framing: Framing, end: End) {
-    let client = HttpClient::new().expect("the options are accepted");
+    let client = HttpClient::new();
     let (_, whole) = encode(call, Framing::Length);
     // A watch is open until its answer ends.
     let kept = if call == Call::Watch { End::Close } else { End::Keep };
-    let expected = server.call(call, &HttpClient::new().expect("the options are accepted"), &whole, kept).await;
+    let expected = server.call(call, &HttpClient::new(), &whole, kept).await;
     assert!(!expected.is_empty(), "{call:?}");
     let (head, bytes) = encode(call, framing);
     for cut in 0..=bytes.len() {
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -117,7 +117,7 @@
         let peers_socket = bind(settings.peers).context(ConnectionSnafu)?;
         let address = settings.peers;
         let datagrams = UdpSocket::bind(address).await.context(DatagramsSnafu { address })?;
-        let client = HttpClient::new().context(ConnectionSnafu)?;
+        let client = HttpClient::new();
         let ports = ports.map(|make| make(&settings, client.clone()));
         let store = ports.as_ref().map(|ports| ports.store.clone());
         let (starting, shared, secrets) = build(settings, client, store)?;
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -21,6 +21,8 @@
     pub refusals: IntCounterVec,
     /// Attempts after the first, by reason.
     pub retries: IntCounterVec,
+    /// Responses of servers that exceeded a bound, by what was too long.
+    pub responses_too_long: IntCounterVec,
     /// Parts of streamed answers that were dropped, by reason.
     pub dropped: IntCounterVec,
     /// Tokens forwarded to callers.
@@ -109,6 +111,11 @@
             requests: factory.counters("requests_total", "requests by route and end", &["route", "end"])?,
             refusals: factory.counters("refusals_total", "refusals by reason", &["reason", "run"])?,
             retries: factory.counters("retries_total", "attempts after the first by reason", &["reason"])?,
+            responses_too_long: factory.counters(
+                "responses_too_long_total",
+                "responses of servers that exceeded a bound",
+                &["kind"],
+            )?,
             dropped: factory.counters("dropped_total", "parts of answers dropped by reason", &["reason"])?,
             tokens: factory.counter("tokens_total", "tokens passed on")?,
             recomputed: factory.counter("recomputed_tokens_total", "tokens computed again")?,
--- a/goldcrestward/src/process/replicas/replica.rs
+++ b/goldcrestward/src/process/replicas/replica.rs
@@ -134,6 +134,11 @@
         self.health.failure_score.lock().record(outcome, now);
     }
 
+    /// Records that a response exceeded a bound. Returns how many others were not logged, if this one is to be logged.
+    pub fn record_long_response(&self, now: u64) -> Option<u64> {
+        self.health.long_responses.lock().record(now)
+    }
+
     /// Load that this daemon puts on the server.
     pub fn own_load(&self) -> PeerLoad {
         let prefill_ms = self.health.prefill_us.load(Ordering::Relaxed) as f64 / 1000.0;
--- a/goldcrestward/src/process/replicas/replica_health.rs
+++ b/goldcrestward/src/process/replicas/replica_health.rs
@@ -8,7 +8,9 @@
 use parking_lot::Mutex;
 
 use super::running_request::RunningRequest;
-use crate::process::{brittle::Room, health::FailureScore, hold::Hold, loads::LoadTracker, named_limit::NamedLimit};
+use crate::process::{
+    brittle::Room, health::FailureScore, hold::Hold, loads::LoadTracker, named_limit::NamedLimit, state::LineLimit,
+};
 
 /// Time until a leaving replica is gone, if the platform does not report it.
 const DEFAULT_LEAVING_TIME: Duration = Duration::from_millis(2_400);
@@ -36,6 +38,8 @@
     pub(super) hold: Mutex<Hold>,
     /// This daemon's part of its room while it is brittle.
     pub(super) room: Mutex<Room>,
+    /// Limits the log lines on its responses that exceed a bound.
+    pub(super) long_responses: Mutex<LineLimit>,
     /// Whether its responses have borne the ids of their requests.
     pub(super) echoes_ids: AtomicBool,
 }
--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -29,6 +29,8 @@
     ConnectFailed,
     /// The connection was closed or reset before the response was complete.
     Disconnected,
+    /// The response head exceeded its bounds, and the connection was closed.
+    HeadTooLong,
     /// The back end returned an error status that is not passed on to the caller.
     ErrorStatus,
     /// The response belongs to another request or attempt, is malformed or lacks a token.
@@ -45,6 +47,7 @@
         match self {
             Self::ConnectFailed => "unreached",
             Self::Disconnected => "cut",
+            Self::HeadTooLong => "head-too-long",
             Self::ErrorStatus => "status",
             Self::WrongResponse => "crossed",
             Self::TimedOut => "silent",
@@ -173,7 +176,9 @@
         match failure {
             Failure::Leaving => {}
             Failure::ConnectFailed => replica.eject(now),
-            Failure::WrongResponse | Failure::ErrorStatus | Failure::TimedOut => replica.update_ejection(false, now),
+            Failure::HeadTooLong | Failure::WrongResponse | Failure::ErrorStatus | Failure::TimedOut => {
+                replica.update_ejection(false, now);
+            }
             Failure::Disconnected => {
                 replica.update_ejection(false, now);
                 self.check_crash(guard).await;
--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -26,7 +26,7 @@
 use crate::{
     config::{Account, Route},
     connection::{OutboundRequest, SendError},
-    process::{AdmissionPermit, InFlight, Replica, ReplicaGuard, Shared},
+    process::{AdmissionPermit, InFlight, Replica, ReplicaGuard, Shared, record_long_head},
     util::stable_hash,
     version::Sample,
 };
@@ -311,6 +311,11 @@
                 self.attempts.mark_sent();
                 Err(Failure::Disconnected)
             }
+            Some(Err(SendError::HeadTooLong(sent))) => {
+                self.attempts.mark_sent();
+                record_long_head(&self.shared, &self.id, replica, sent);
+                Err(Failure::HeadTooLong)
+            }
             Some(Ok(response)) => {
                 self.attempts.mark_sent();
                 let owner = ResponseOwner::of(response.headers(), &self.id);
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -28,7 +28,7 @@
     connection::{OutboundRequest, SendError},
     ledger::{Claim, ClaimAnswer, Key, Settlement, ledger_key},
     pb::{self, Grant},
-    process::{AdmissionPermit, InFlight, Replica, ReplicaGuard, Shared},
+    process::{AdmissionPermit, InFlight, Replica, ReplicaGuard, Shared, record_long_head},
     util::stable_hash,
     version::Sample,
 };
@@ -365,6 +365,10 @@
                 Some(Err(SendError::MaybeSent)) => {
                     return Err(self.record_unknown(key, &guard, Failure::Disconnected).await);
                 }
+                Some(Err(SendError::HeadTooLong(sent))) => {
+                    record_long_head(&self.shared, &self.id, guard.replica(), sent);
+                    return Err(self.record_unknown(key, &guard, Failure::HeadTooLong).await);
+                }
                 None => return Err(self.record_unknown(key, &guard, Failure::TimedOut).await),
             }
         }
@@ -427,6 +431,10 @@
         None => return Err(Failure::TimedOut),
         Some(Err(SendError::NotSent)) => return Err(Failure::ConnectFailed),
         Some(Err(SendError::MaybeSent)) => return Err(Failure::Disconnected),
+        Some(Err(SendError::HeadTooLong(sent))) => {
+            record_long_head(&shared, &id, &replica, sent);
+            return Err(Failure::HeadTooLong);
+        }
         Some(Ok(response)) => response,
     };
     match ResponseOwner::of(response.headers(), &id) {
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -34,7 +34,7 @@
     port::{AttemptMetadata, MigratedKvCache, RequestMetadata, ResponseHead, ResponseMetadata},
     process::{
         AttemptOutcome, Condemned, Gateway, QuotaCharge, Replica, ReplicaGuard, part_names, record_answer,
-        record_brittle, record_leaving,
+        record_brittle, record_leaving, record_long_head,
     },
     version::Sample,
 };
@@ -420,6 +420,10 @@
         let response = match self.wait_for(guard, connection.send(request)).await {
             None => return Err(ProxyFailure::Indeterminate("silent")),
             Some(Err(SendError::MaybeSent)) => return Err(ProxyFailure::Indeterminate("cut")),
+            Some(Err(SendError::HeadTooLong(sent))) => {
+                record_long_head(&self.gateway.shared, &self.metadata.id, &replica, sent);
+                return Err(ProxyFailure::Indeterminate("head-too-long"));
+            }
             Some(Err(SendError::NotSent)) => {
                 self.set_run_state(previous);
                 self.sends -= 1;
