Own interface: where most replicas are ejected, the others get requests first while they have room

Cause: where more than 70% of a pool are ejected, ejections were ignored altogether, so that three in four attempts went to a server that had just failed, until the route had no retry left.

Now the replicas that are not ejected get requests up to their configured concurrency, and the ejected ones what is beyond it.

--- a/goldcrestward/src/process/replicas/registry.rs
+++ b/goldcrestward/src/process/replicas/registry.rs
@@ -220,9 +220,11 @@
         };
         let eligible: Vec<&Arc<Replica>> = pool.iter().filter(is_eligible).collect();
         let healthy: Vec<_> = eligible.iter().copied().filter(|r| !r.is_ejected(query.now)).collect();
-        // Ignores ejections if there are too many, so that a burst of failures cannot eject the whole pool.
+        // Beyond this share a burst of failures may have ejected sound replicas, so that the rest need not take all.
         let min_healthy = eligible.len() as f64 * (1.0 - MAX_EJECTED_SHARE);
-        let usable = if (healthy.len() as f64) < min_healthy { &eligible } else { &healthy };
+        let are_few = (healthy.len() as f64) < min_healthy;
+        let has_room = healthy.iter().any(|r| r.in_flight() < query.concurrency);
+        let usable = if are_few && !has_room { &eligible } else { &healthy };
         let local: Vec<_> = usable.iter().copied().filter(|r| *r.region == *query.region).collect();
         if !usable.is_empty() && usable.iter().all(|r| r.in_flight() >= query.concurrency * MAX_IN_FLIGHT_FACTOR) {
             return Err(NoReplica::Overloaded);
--- a/goldcrestward/src/process/replicas/registry_test.rs
+++ b/goldcrestward/src/process/replicas/registry_test.rs
@@ -8,7 +8,7 @@
     process::{
         brittle::DaemonRank,
         placement::PromptCost,
-        replicas::{NoReplica, PlacementQuery},
+        replicas::{NoReplica, PlacementQuery, ReplicaQuery},
     },
     version::VersionRule,
 };
@@ -82,3 +82,33 @@
         assert_eq!(replicas.place(&query).err(), Some(expected), "{servers:?}, tried {tried:?}");
     }
 }
+
+/// Guards against a pool most of whose servers fail, whose sound ones got no more requests than the others.
+#[test]
+fn choose_prefers_the_few_that_are_not_ejected_while_they_have_room() {
+    const CONCURRENCY: u32 = 4;
+    let servers = ["a", "b", "c", "sound"];
+    let replicas = Replicas::default();
+    replicas.update(servers.iter().map(|id| Instance { id: (*id).into(), ..entry(1) }).collect(), 0);
+    for id in &servers[..3] {
+        replicas.find(id).expect("a known server").eject(0);
+    }
+    let choose = |key| {
+        let query = ReplicaQuery {
+            pool: "pool",
+            key,
+            version: None,
+            region: "region",
+            concurrency: CONCURRENCY,
+            crash_score: 0,
+            tried: &[],
+            now: 100,
+        };
+        replicas.choose(&query).expect("there is room")
+    };
+    let guards: Vec<_> = (0..2 * CONCURRENCY).map(|key| choose(u64::from(key))).collect();
+    let chosen: Vec<_> = guards.iter().map(|guard| &*guard.replica().id).collect();
+    let (first, others) = chosen.split_at(CONCURRENCY as usize);
+    assert!(first.iter().all(|id| *id == "sound"), "{first:?}");
+    assert!(others.iter().any(|id| *id != "sound"), "{others:?}");
+}
