--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod command_line;
 mod configuration;
+mod endless;
 mod http_10;
 mod ledger;
 mod logs;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod args;
 pub mod capacity;
 pub mod cmd;
+pub mod endless;
 pub mod engine;
 pub mod error;
 pub mod fault_proxy;
