--- a/goldcrestward/src/cmd/client.rs
+++ b/goldcrestward/src/cmd/client.rs
@@ -1,9 +1,8 @@
 //! Client of a daemon's listener for operators.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
-use http_body_util::BodyExt;
 use serde_json::Value;
 use snafu::ResultExt;
 use tokio::time::timeout;
@@ -13,9 +12,12 @@
     args::AdminArgs,
     connection::{HttpClient, OutboundRequest},
     error::{Error, RequestSnafu, Result, RuntimeSnafu},
+    process::{ReadError, ResponseMemory},
 };
 
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
+/// Size limit of a response.
+const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
 
 /// Sends a request to the operators' listener and blocks until it returns the response's status and JSON body.
 pub(crate) fn request(
@@ -58,7 +60,12 @@
     let request = OutboundRequest { address: admin.admin, method, path: path.to_owned(), headers, body };
     let response = client.send(request).await.map_err(|_| fail("the connection failed".into()))?;
     let status = response.status();
-    let bytes = response.into_body().collect().await.map_err(|e| fail(e.to_string()))?.to_bytes();
+    let (memory, daemon) = (ResponseMemory::new(2 * MAX_RESPONSE_BYTES), Arc::from("daemon"));
+    let body = memory.collect_protected(response.into_body(), &daemon, MAX_RESPONSE_BYTES).await;
+    let bytes = body.map_err(|error| match error {
+        ReadError::Broken => fail("the connection broke before the end of the answer".into()),
+        ReadError::TooLong(_) => fail(format!("the answer has more than {MAX_RESPONSE_BYTES} bytes")),
+    })?;
     let value = serde_json::from_slice(&bytes).map_err(|e| fail(e.to_string()))?;
     Ok((status, value))
 }
--- a/goldcrestward/src/cmd/serve.rs
+++ b/goldcrestward/src/cmd/serve.rs
@@ -11,11 +11,11 @@
     error::{DaemonSnafu, Result, RuntimeSnafu, SettingsSnafu},
     logs,
     port::Ports,
-    process::{Overrides, Settings, StartingDaemon, Stopped},
+    process::{Overrides, ResponseMemory, Settings, StartingDaemon, Stopped},
 };
 
 /// Builds a daemon's ports to a platform for which this crate has no adapters.
-pub type PortsFactory = fn(&Settings, HttpClient) -> Ports;
+pub type PortsFactory = fn(&Settings, HttpClient, ResponseMemory) -> Ports;
 
 impl Run for ServeArgs {
     fn run(self) -> Result<()> {
--- a/goldcrestward/src/lib.rs
+++ b/goldcrestward/src/lib.rs
@@ -23,4 +23,7 @@
 mod version;
 
 pub use connection::{HttpClient, OutboundRequest, SendError};
-pub use process::{Daemon, DaemonCounts, Error, Overrides, Result, RetryLimit, Settings, SettingsError};
+pub use process::{
+    Daemon, DaemonCounts, Error, MemoryLimit, Overrides, ReadError, ResponseBuffer, ResponseMemory, Result, RetryLimit,
+    Settings, SettingsError, TooLong,
+};
--- a/goldcrestward/src/platform/etcd.rs
+++ b/goldcrestward/src/platform/etcd.rs
@@ -1,6 +1,6 @@
 //! Client of an etcd-compatible key-value service, through etcd's v3 JSON gateway.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use bytes::Bytes;
@@ -12,10 +12,15 @@
 
 use crate::{
     connection::{HttpClient, OutboundRequest, SendError},
+    process::{ReadError, ResponseBuffer, ResponseMemory},
     store::{Change, Changes, Error, Lease, Page, Result, Revision, Row, StorePort, Txn, TxnOutcome, WatchPort},
 };
 
 const SERVICE: &str = "key-value service";
+/// Size limit of a response: a listing has all entries of the site.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+/// Size limit of the changes that a watch sends at once.
+const MAX_CHANGES_BYTES: usize = 4 * 1024 * 1024;
 
 /// Returns the exclusive end of the range of all keys that begin with `prefix`.
 fn prefix_end(prefix: &str) -> String {
@@ -152,11 +157,14 @@
 pub(crate) struct Etcd {
     address: SocketAddr,
     client: HttpClient,
+    memory: ResponseMemory,
+    /// Name of the service where memory is taken for its responses.
+    name: Arc<str>,
 }
 
 impl Etcd {
-    pub fn new(address: SocketAddr, client: HttpClient) -> Self {
-        Self { address, client }
+    pub fn new(address: SocketAddr, client: HttpClient, memory: ResponseMemory) -> Self {
+        Self { address, client, memory, name: SERVICE.replace(' ', "-").into() }
     }
 
     async fn range(
@@ -181,10 +189,14 @@
         request: &Q,
     ) -> Result<R> {
         let response = self.send(path, purpose, request).await?;
-        let body = response.into_body().collect().await.ok();
-        let bytes = body.map(http_body_util::Collected::to_bytes);
-        let parsed = bytes.and_then(|b| serde_json::from_slice(&b).ok());
-        parsed.ok_or(Error::Unanswered { service: SERVICE })
+        let body = self.memory.collect_protected(response.into_body(), &self.name, MAX_RESPONSE_BYTES).await;
+        let bytes = body.map_err(|error| {
+            if let ReadError::TooLong(error) = error {
+                self.memory.record_too_long("-", &self.name, "service", &error);
+            }
+            Error::Unanswered { service: SERVICE }
+        })?;
+        serde_json::from_slice(&bytes).map_err(|_| Error::Unanswered { service: SERVICE })
     }
 
     async fn send<Q: Serialize>(&self, path: &str, purpose: &'static str, request: &Q) -> Result<Response> {
@@ -231,7 +243,9 @@
             let start_revision = (after.number() + 1).to_string();
             let create_request = WatchCreate { key: &key, range_end: &end, start_revision };
             let response = self.send("/v3/watch", purpose, &WatchRequest { create_request }).await?;
-            let watch = Watch { body: response.into_body(), buffer: Vec::new(), revision: after };
+            let buffer = self.memory.protected_buffer(&self.name, MAX_CHANGES_BYTES);
+            let (body, memory, name) = (response.into_body(), self.memory.clone(), self.name.clone());
+            let watch = Watch { body, buffer, lines: Bytes::new(), memory, name, revision: after };
             Ok(Box::new(watch) as Box<dyn WatchPort>)
         })
     }
@@ -286,17 +300,31 @@
 
 struct Watch {
     body: Body,
-    buffer: Vec<u8>,
+    /// The beginning of a line.
+    buffer: ResponseBuffer,
+    /// Received lines, the last of which may be incomplete.
+    lines: Bytes,
+    memory: ResponseMemory,
+    name: Arc<str>,
     revision: Revision,
 }
 
+impl Watch {
+    fn keep(&mut self, data: &[u8]) -> Result<()> {
+        self.buffer.append(data).map_err(|error| {
+            self.memory.record_too_long("-", &self.name, "watch", &error);
+            Error::Unanswered { service: SERVICE }
+        })
+    }
+}
+
 impl WatchPort for Watch {
     fn next(&mut self, _limit: Duration) -> BoxFuture<'_, Result<Changes>> {
         Box::pin(async move {
             let ended = || Error::Unanswered { service: SERVICE };
             loop {
-                if let Some(end) = self.buffer.iter().position(|b| *b == b'\n') {
-                    let line: Vec<u8> = self.buffer.drain(..=end).collect();
+                if let Some(end) = self.lines.iter().position(|b| *b == b'\n') {
+                    let line = self.lines.split_to(end + 1);
                     let response: WatchResponse = serde_json::from_slice(&line).map_err(|_| ended())?;
                     let changes: Vec<_> = response.result.events.into_iter().filter_map(decode_change).collect();
                     let revisions = changes.iter().map(|change| match change {
@@ -306,9 +334,14 @@
                     self.revision = revisions.max().unwrap_or_default().max(self.revision);
                     return Ok(Changes { changes, revision: self.revision });
                 }
+                let rest = std::mem::take(&mut self.lines);
+                self.keep(&rest)?;
                 let frame = self.body.frame().await.and_then(std::result::Result::ok);
                 let data = frame.and_then(|frame| frame.into_data().ok()).ok_or_else(ended)?;
-                self.buffer.extend_from_slice(&data);
+                self.keep(&data)?;
+                if data.contains(&b'\n') {
+                    self.lines = self.buffer.take().map_err(|_| ended())?;
+                }
             }
         })
     }
--- a/goldcrestward/src/platform/instances.rs
+++ b/goldcrestward/src/platform/instances.rs
@@ -3,7 +3,6 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use http::{HeaderMap, Method, StatusCode};
-use http_body_util::BodyExt;
 use serde::Deserialize;
 use tokio::time::timeout;
 use volo_http::body::Body;
@@ -11,10 +10,13 @@
 use crate::{
     connection::{HttpClient, OutboundRequest},
     port::{Instance, InstanceState},
+    process::{ReadError, ResponseMemory},
     store::{Error, Result},
 };
 
 const SERVICE: &str = "instance list";
+/// Size limit of a page.
+const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1500);
 
 #[derive(Deserialize)]
@@ -72,13 +74,16 @@
 pub(crate) struct InstanceList {
     address: SocketAddr,
     client: HttpClient,
+    memory: ResponseMemory,
+    /// Name of the list where memory is taken for its responses.
+    name: Arc<str>,
     position: u64,
 }
 
 impl InstanceList {
     /// Creates a client whose first poll fetches the list from its start.
-    pub fn new(address: SocketAddr, client: HttpClient) -> Self {
-        Self { address, client, position: 0 }
+    pub fn new(address: SocketAddr, client: HttpClient, memory: ResponseMemory) -> Self {
+        Self { address, client, memory, name: SERVICE.replace(' ', "-").into(), position: 0 }
     }
 
     /// Fetches the instances that have changed since the last successful call.
@@ -94,8 +99,11 @@
             if response.status() != StatusCode::OK {
                 return None;
             }
-            let bytes = response.into_body().collect().await.ok()?.to_bytes();
-            serde_json::from_slice::<Page>(&bytes).ok()
+            let body = self.memory.collect_protected(response.into_body(), &self.name, MAX_RESPONSE_BYTES).await;
+            if let Err(ReadError::TooLong(error)) = &body {
+                self.memory.record_too_long("-", &self.name, "service", error);
+            }
+            serde_json::from_slice::<Page>(&body.ok()?).ok()
         };
         let page = timeout(REQUEST_TIMEOUT, exchange).await.ok().flatten();
         let Some(page) = page else { return Err(Error::Unanswered { service: SERVICE }) };
--- a/goldcrestward/src/platform/partial_answers_test.rs
+++ b/goldcrestward/src/platform/partial_answers_test.rs
@@ -12,9 +12,13 @@
 use super::{Etcd, InstanceList};
 use crate::{
     connection::HttpClient,
+    process::ResponseMemory,
     store::{Compare, Error, Put, Revision, StorePort, Txn},
 };
 
+/// Memory for the answers, in bytes.
+const MEMORY_BYTES: usize = 1024 * 1024;
+
 /// A call to one of the services.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Call {
@@ -60,7 +64,7 @@
     /// # Panics
     /// Panics if the call counts as not executed, as the server has read it.
     async fn perform(self, address: SocketAddr, client: &HttpClient) -> Vec<String> {
-        let store = Etcd::new(address, client.clone());
+        let store = Etcd::new(address, client.clone(), ResponseMemory::new(MEMORY_BYTES));
         let result = match self {
             Self::List => store.list_page("test", "a", Revision::NONE, "").await.map(|found| format!("{found:?}")),
             Self::Get => store.get("test", "a").await.map(|found| format!("{found:?}")),
@@ -75,7 +79,7 @@
             Self::Renew => store.renew("test", 12).await.map(|()| "renewed".to_owned()),
             Self::Revoke => store.revoke("test", 12).await.map(|()| "revoked".to_owned()),
             Self::Instances => {
-                let mut list = InstanceList::new(address, client.clone());
+                let mut list = InstanceList::new(address, client.clone(), ResponseMemory::new(MEMORY_BYTES));
                 list.changes().await.map(|instances| format!("{instances:?}"))
             }
         };
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -44,6 +44,7 @@
     metrics::Metrics,
     peer_service::{PeerService, report_limit_demand},
     replicas::Replicas,
+    response_memory::ResponseMemory,
     rollout::RolloutController,
     run_times::RunTimes,
     seeds::Seeder,
@@ -118,9 +119,10 @@
         let address = settings.peers;
         let datagrams = UdpSocket::bind(address).await.context(DatagramsSnafu { address })?;
         let client = HttpClient::new().context(ConnectionSnafu)?;
-        let ports = ports.map(|make| make(&settings, client.clone()));
+        let response_memory = ResponseMemory::new(settings.response_bytes);
+        let ports = ports.map(|make| make(&settings, client.clone(), response_memory.clone()));
         let store = ports.as_ref().map(|ports| ports.store.clone());
-        let (starting, shared, secrets) = build(settings, client, store)?;
+        let (starting, shared, secrets) = build(settings, client, response_memory, store)?;
         let sealer = DatagramSealer::new(shared.settings.name.clone(), shared.epoch, secrets.clone());
         let gossip = Gossip::new(shared.clone(), Arc::new(datagrams), sealer);
         let configurer = Configurer::new(shared.clone());
@@ -305,12 +307,15 @@
 fn build(
     settings: Settings,
     client: HttpClient,
+    response_memory: ResponseMemory,
     store: Option<Arc<dyn StorePort>>,
 ) -> Result<(Starting, Arc<Shared>, Secrets)> {
     let metrics = Metrics::new().context(MetricsSnafu)?;
+    response_memory.measure(metrics.response_bytes.clone(), metrics.long_responses.clone());
     let secrets = Secrets::new(&settings.secrets);
     let peer_client = PeerClient::new(secrets.clone());
-    let store = store.unwrap_or_else(|| Arc::new(Etcd::new(settings.platform, client.clone())));
+    let store =
+        store.unwrap_or_else(|| Arc::new(Etcd::new(settings.platform, client.clone(), response_memory.clone())));
     let kv = Kv::new(store, metrics.kv_calls.clone(), metrics.store_restores.clone());
     let epoch = unix_ms();
     let local = Member {
@@ -340,6 +345,7 @@
         view,
         replicas: Replicas::default(),
         client,
+        response_memory,
         peer_client,
         kv,
         ledger,
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -95,6 +95,10 @@
     pub send_grants: IntCounterVec,
     /// Sets of prompt parts that are refused.
     pub condemned_parts: IntGauge,
+    /// Bytes of responses that are kept.
+    pub response_bytes: IntGauge,
+    /// Responses that were too long, by kind and limit.
+    pub long_responses: IntCounterVec,
 }
 
 impl Metrics {
@@ -198,6 +202,12 @@
                 &["by", "result"],
             )?,
             condemned_parts: factory.gauge("condemned_parts", "sets of prompt parts that are refused")?,
+            response_bytes: factory.gauge("response_bytes", "bytes of responses that are kept")?,
+            long_responses: factory.counters(
+                "long_responses_total",
+                "responses that were too long, by kind and by the limit that they did not fit in",
+                &["kind", "limit"],
+            )?,
             crash_records: factory.counter("crash_records_total", "crash records learned from other daemons")?,
             registry,
         })
--- /dev/null
+++ b/goldcrestward/src/process/response_memory/memory.rs
@@ -0,0 +1,279 @@
+//! The memory for responses that a daemon keeps, shared by all that read them.
+
+use std::{
+    collections::HashMap,
+    future::poll_fn,
+    pin::pin,
+    sync::{Arc, OnceLock},
+    task::{Context, Poll, Waker},
+    time::Instant,
+};
+
+use bytes::Bytes;
+use http_body::Body;
+use log::warn;
+use parking_lot::Mutex;
+use prometheus::{IntCounterVec, IntGauge};
+
+use super::{
+    super::state::LineLimit,
+    buffer::{ReadError, ResponseBuffer, TooLong},
+    byte_budget::{ByteBudget, HolderId, MemoryLimit, Precedence},
+};
+
+/// Smallest number of bytes that is allocated for a response.
+const MIN_CAPACITY_BYTES: usize = 512;
+/// Servers of which it is known when a line about them was logged last.
+const MAX_LOGGED_SERVERS: usize = 1_000;
+
+/// The memory for responses that a daemon keeps. All clones share it.
+#[derive(Clone)]
+pub struct ResponseMemory {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    state: Mutex<State>,
+    metrics: OnceLock<MemoryMetrics>,
+    /// Limits the log lines on each server.
+    lines: Mutex<HashMap<Arc<str>, LineLimit>>,
+    started: Instant,
+}
+
+struct MemoryMetrics {
+    /// Bytes that are kept.
+    kept: IntGauge,
+    /// Responses that were too long, by kind and limit.
+    too_long: IntCounterVec,
+}
+
+struct State {
+    budget: ByteBudget,
+    /// The bytes of incomplete responses, so that they can be freed at once when the response gives way.
+    slots: HashMap<HolderId, Slot>,
+}
+
+#[derive(Default)]
+struct Slot {
+    bytes: Vec<u8>,
+    /// Set once the response has given way.
+    given_up: Option<MemoryLimit>,
+    /// Wakes the reader when its response gives way.
+    waker: Option<Waker>,
+}
+
+impl ResponseMemory {
+    /// Creates a memory for `limit` bytes.
+    pub fn new(limit: usize) -> Self {
+        let state = Mutex::new(State { budget: ByteBudget::new(limit), slots: HashMap::new() });
+        let (metrics, lines) = (OnceLock::new(), Mutex::default());
+        Self { inner: Arc::new(Inner { state, metrics, lines, started: Instant::now() }) }
+    }
+
+    /// Sets the gauge of the bytes that are kept, and the counter of responses that were too long, by kind and limit.
+    pub(crate) fn measure(&self, kept: IntGauge, too_long: IntCounterVec) {
+        self.inner.metrics.get_or_init(|| MemoryMetrics { kept, too_long });
+    }
+
+    /// Bytes that are kept.
+    pub fn kept_bytes(&self) -> usize {
+        self.inner.state.lock().budget.total()
+    }
+
+    /// Creates an empty buffer for up to `limit` bytes of a server's response.
+    pub fn buffer(&self, server: &Arc<str>, limit: usize) -> ResponseBuffer {
+        ResponseBuffer::new(self.clone(), server.clone(), limit, Precedence::BySize)
+    }
+
+    /// Reads a body of a server's response to its end.
+    ///
+    /// # Errors
+    /// Fails if the body breaks off, has more than `limit` bytes, or gives way to the responses of other requests.
+    pub async fn collect<B: Body<Data = Bytes>>(
+        &self,
+        body: B,
+        server: &Arc<str>,
+        limit: usize,
+    ) -> Result<Bytes, ReadError> {
+        read_to_end(body, self.buffer(server, limit)).await
+    }
+
+    /// Reads a body like [`collect`](Self::collect), but gives way to no other response: for calls that the daemon itself
+    /// depends on.
+    ///
+    /// # Errors
+    /// Fails if the body breaks off, has more than `limit` bytes, or there is no room even so.
+    pub async fn collect_protected<B: Body<Data = Bytes>>(
+        &self,
+        body: B,
+        service: &Arc<str>,
+        limit: usize,
+    ) -> Result<Bytes, ReadError> {
+        read_to_end(body, self.protected_buffer(service, limit)).await
+    }
+
+    /// Creates an empty buffer that gives way to no other response.
+    pub fn protected_buffer(&self, service: &Arc<str>, limit: usize) -> ResponseBuffer {
+        ResponseBuffer::new(self.clone(), service.clone(), limit, Precedence::Always)
+    }
+
+    /// Counts a response that was too long, and logs it, at most once a second for each server. `id` is that of the
+    /// request, or `-`.
+    pub fn record_too_long(&self, id: &str, server: &Arc<str>, kind: &str, error: &TooLong) {
+        let limit = error.limit.label();
+        if let Some(metrics) = self.inner.metrics.get() {
+            metrics.too_long.with_label_values(&[kind, limit]).inc();
+        }
+        let now = u64::try_from(self.inner.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let logged = {
+            let mut lines = self.inner.lines.lock();
+            if lines.len() >= MAX_LOGGED_SERVERS && !lines.contains_key(server) {
+                lines.clear();
+            }
+            lines.entry(server.clone()).or_default().record(now)
+        };
+        if let Some(others) = logged {
+            let bytes = error.bytes;
+            warn!(
+                "event=response-too-long id={id} instance={server} kind={kind} bytes={bytes} limit={limit} others={others}"
+            );
+        }
+    }
+
+    fn show_kept(&self, state: &State) {
+        if let Some(metrics) = self.inner.metrics.get() {
+            metrics.kept.set(i64::try_from(state.budget.total()).unwrap_or(i64::MAX));
+        }
+    }
+
+    pub(super) fn open(&self, server: Arc<str>, precedence: Precedence) -> HolderId {
+        let mut state = self.inner.state.lock();
+        let id = state.budget.open(server, precedence);
+        state.slots.insert(id, Slot::default());
+        id
+    }
+
+    /// Adds bytes to an incomplete response whose capacity may reach `limit`.
+    pub(super) fn append(&self, id: HolderId, data: &[u8], limit: usize) -> Result<(), MemoryLimit> {
+        let wakers = {
+            let mut state = self.inner.state.lock();
+            let wakers = state.append(id, data, limit)?;
+            self.show_kept(&state);
+            wakers
+        };
+        wakers.into_iter().for_each(Waker::wake);
+        Ok(())
+    }
+
+    /// Lets `look` see the bytes of an incomplete response.
+    pub(super) fn look<T>(&self, id: HolderId, look: impl FnOnce(&[u8]) -> T) -> T {
+        let state = self.inner.state.lock();
+        look(state.slots.get(&id).map_or(&[], |slot| &slot.bytes))
+    }
+
+    /// Ends a response and returns its bytes, which count until the last reference to them is dropped.
+    pub(super) fn finish(&self, id: HolderId) -> Result<Bytes, MemoryLimit> {
+        let mut state = self.inner.state.lock();
+        let Some(mut slot) = state.slots.remove(&id) else { return Err(MemoryLimit::Daemon) };
+        if let Some(limit) = slot.given_up {
+            return Err(limit);
+        }
+        slot.bytes.shrink_to_fit();
+        state.budget.finish(id, slot.bytes.capacity());
+        self.show_kept(&state);
+        drop(state);
+        Ok(Bytes::from_owner(KeptBytes { bytes: slot.bytes, id, memory: self.clone() }))
+    }
+
+    pub(super) fn poll_given_up(&self, id: HolderId, context: &mut Context<'_>) -> Poll<MemoryLimit> {
+        let mut state = self.inner.state.lock();
+        let Some(slot) = state.slots.get_mut(&id) else { return Poll::Ready(MemoryLimit::Daemon) };
+        if let Some(limit) = slot.given_up {
+            return Poll::Ready(limit);
+        }
+        if !slot.waker.as_ref().is_some_and(|waker| waker.will_wake(context.waker())) {
+            slot.waker = Some(context.waker().clone());
+        }
+        Poll::Pending
+    }
+
+    pub(super) fn close(&self, id: HolderId) {
+        let mut state = self.inner.state.lock();
+        let slot = state.slots.remove(&id);
+        // The bytes are freed before they are given back.
+        drop(slot);
+        state.budget.close(id);
+        self.show_kept(&state);
+    }
+}
+
+impl State {
+    /// Returns what wakes the readers of the responses that have given way.
+    fn append(&mut self, id: HolderId, data: &[u8], limit: usize) -> Result<Vec<Waker>, MemoryLimit> {
+        let Some(slot) = self.slots.get(&id) else { return Err(MemoryLimit::Daemon) };
+        if let Some(limit) = slot.given_up {
+            return Err(limit);
+        }
+        let (length, capacity) = (slot.bytes.len(), slot.bytes.capacity());
+        let needed = length + data.len();
+        if needed > limit {
+            return Err(MemoryLimit::Response);
+        }
+        let mut wakers = Vec::new();
+        if needed > capacity {
+            let capacity = (capacity + capacity / 2).max(MIN_CAPACITY_BYTES).min(limit).max(needed);
+            for (victim, limit) in self.budget.grow(id, capacity)? {
+                let Some(given_up) = self.slots.get_mut(&victim) else { continue };
+                given_up.bytes = Vec::new();
+                given_up.given_up = Some(limit);
+                wakers.extend(given_up.waker.take());
+            }
+            let Some(slot) = self.slots.get_mut(&id) else { return Err(MemoryLimit::Daemon) };
+            slot.bytes.reserve_exact(capacity - length);
+        }
+        if let Some(slot) = self.slots.get_mut(&id) {
+            slot.bytes.extend_from_slice(data);
+        }
+        Ok(wakers)
+    }
+}
+
+/// The bytes of a whole response.
+struct KeptBytes {
+    bytes: Vec<u8>,
+    id: HolderId,
+    memory: ResponseMemory,
+}
+
+impl AsRef<[u8]> for KeptBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for KeptBytes {
+    fn drop(&mut self) {
+        self.bytes = Vec::new();
+        self.memory.close(self.id);
+    }
+}
+
+async fn read_to_end<B: Body<Data = Bytes>>(body: B, mut buffer: ResponseBuffer) -> Result<Bytes, ReadError> {
+    let mut body = pin!(body);
+    buffer.check_stated(body.size_hint().lower())?;
+    loop {
+        let next = poll_fn(|context| match buffer.poll_given_up(context) {
+            Poll::Ready(error) => Poll::Ready(Err(error)),
+            Poll::Pending => body.as_mut().poll_frame(context).map(Ok),
+        });
+        match next.await? {
+            None => return Ok(buffer.take()?),
+            Some(Err(_)) => return Err(ReadError::Broken),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    buffer.append(&data)?;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/goldcrestward/src/process/response_memory/mod.rs
@@ -0,0 +1,12 @@
+//! What the daemon keeps of the responses of others, and the limit on its sum.
+
+mod buffer;
+mod byte_budget;
+mod memory;
+
+pub use buffer::{ReadError, ResponseBuffer, TooLong};
+pub use byte_budget::MemoryLimit;
+pub use memory::ResponseMemory;
+
+#[cfg(test)]
+mod memory_test;
--- a/goldcrestward/src/process/settings.rs
+++ b/goldcrestward/src/process/settings.rs
@@ -87,6 +87,8 @@
     pub usage_delay: Option<u64>,
     /// Lifetime in ms of the lease on the duties: the time for which their holder keeps them without a renewal.
     pub lease_ms: Option<u64>,
+    /// Memory that the daemon may take in MB.
+    pub memory_mb: Option<u64>,
 }
 
 impl Overrides {
@@ -133,6 +135,7 @@
             usage_window: overrides.usage_window.or(self.usage_window),
             usage_delay: overrides.usage_delay.or(self.usage_delay),
             lease_ms: overrides.lease_ms.or(self.lease_ms),
+            memory_mb: overrides.memory_mb.or(self.memory_mb),
         }
     }
 }
@@ -184,6 +187,8 @@
     pub usage_delay: Duration,
     /// Lifetime of the lease on the duties: the time for which their holder keeps them without a renewal.
     pub lease: Duration,
+    /// Bytes of responses that the daemon keeps at most.
+    pub response_bytes: usize,
 }
 
 const DEFAULT_NOTICE_MS: u64 = 500;
@@ -193,6 +198,10 @@
 const DEFAULT_USAGE_WINDOW_SECONDS: u64 = 60;
 const DEFAULT_USAGE_DELAY_SECONDS: u64 = 60;
 const DEFAULT_LEASE_MS: u64 = 5_000;
+const DEFAULT_MEMORY_MB: u64 = 256;
+const MIN_MEMORY_MB: u64 = 64;
+/// Part of the memory for the responses that a daemon keeps; the buffers of connections and all else take the rest.
+const RESPONSE_PART: usize = 4;
 
 impl TryFrom<Overrides> for Settings {
     type Error = SettingsError;
@@ -247,6 +256,7 @@
             usage_window: seconds("usage-window", overrides.usage_window, DEFAULT_USAGE_WINDOW_SECONDS)?,
             usage_delay: seconds("usage-delay", overrides.usage_delay, DEFAULT_USAGE_DELAY_SECONDS)?,
             lease: Duration::from_millis(overrides.lease_ms.unwrap_or(DEFAULT_LEASE_MS)),
+            response_bytes: response_bytes(overrides.memory_mb.unwrap_or(DEFAULT_MEMORY_MB))?,
         })
     }
 }
@@ -259,6 +269,14 @@
     Ok(value)
 }
 
+fn response_bytes(memory_mb: u64) -> Result<usize> {
+    if memory_mb < MIN_MEMORY_MB {
+        return invalid("memory-mb", format!("must be {MIN_MEMORY_MB} or more, not {memory_mb}"));
+    }
+    let bytes = memory_mb.saturating_mul(1024 * 1024);
+    Ok(usize::try_from(bytes).unwrap_or(usize::MAX) / RESPONSE_PART)
+}
+
 fn seconds(field: &'static str, value: Option<u64>, default: u64) -> Result<Duration> {
     match value.unwrap_or(default) {
         0 => invalid(field, "must be above 0".into()),
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -29,6 +29,7 @@
     membership::{Fact, View},
     metrics::Metrics,
     replicas::{Replica, Replicas},
+    response_memory::ResponseMemory,
     run_times::RunTimes,
     settings::Settings,
     state::{Freshness, LineLimit},
@@ -67,6 +68,8 @@
     pub replicas: Replicas,
     /// HTTP client for back ends.
     pub client: HttpClient,
+    /// Memory for the responses that are kept.
+    pub response_memory: ResponseMemory,
     /// Connections to other daemons.
     pub peer_client: PeerClient,
     /// The platform's key-value store.
--- a/goldcrestward/src/process/state/pull.rs
+++ b/goldcrestward/src/process/state/pull.rs
@@ -145,7 +145,7 @@
 
 /// Polls the platform's instance list until the task is dropped.
 pub(crate) async fn watch_instances(shared: Arc<Shared>) {
-    let mut list = InstanceList::new(shared.settings.platform, shared.client.clone());
+    let mut list = InstanceList::new(shared.settings.platform, shared.client.clone(), shared.response_memory.clone());
     let mut available = true;
     loop {
         match list.changes().await {
