--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -288,6 +288,13 @@
         "server-held" => {
             format!("{} turned it away and wants nothing for {} ms", field("instance"), field("left_ms"))
         }
+        "response-too-long" => format!(
+            "{} of {} was too long to be kept, with {} bytes: {}",
+            kind_of_response(field("kind")),
+            field("instance"),
+            field("bytes"),
+            memory_limit(field("limit"))
+        ),
         "response-dropped" => {
             let owner = if field("owner") == "other" { "bears another request's id" } else { "bears no id" };
             format!("a response of {} with status {} was dropped, as it {owner}", field("instance"), field("status"))
@@ -382,6 +389,24 @@
     }
 }
 
+fn kind_of_response(label: &str) -> &str {
+    match label {
+        "body" => "the body of the response",
+        "error-body" => "the body of an error response",
+        "event" => "an event of the stream",
+        other => other,
+    }
+}
+
+fn memory_limit(label: &str) -> &str {
+    match label {
+        "response" => "more than a response may have",
+        "server" => "the responses of its server had used up their share of the memory, and it was among the longest",
+        "daemon" => "the responses of all servers had used up the memory, and it was among the longest",
+        other => other,
+    }
+}
+
 /// How far an answer had come, from the number of its last event.
 fn relay_result(label: &str) -> &str {
     match label {
@@ -404,6 +429,7 @@
         "own-failure" => "the application returned an error",
         "silent" => "it timed out without sending data",
         "cut" => "the connection broke",
+        "too-long" => "it was too long to be kept",
         "crossed" => "the response belongs to another request",
         "unsealed" => "the response does not carry the server's seal",
         "disorder" => "an event was missing or could not be parsed",
--- a/goldcrestward/src/cmd/explain_test.rs
+++ b/goldcrestward/src/cmd/explain_test.rs
@@ -221,3 +221,24 @@
         assert!(text.contains("is being stopped; it ends in 100 ms at the latest"), "{text}");
     }
 }
+
+#[test]
+fn explain_tells_which_limit_a_response_did_not_fit_in() {
+    let cases = [
+        (
+            "kind=body bytes=8388609 limit=response",
+            "the body of the response of i-1 was too long to be kept, with 8388609 bytes: more than",
+        ),
+        ("kind=error-body bytes=70000 limit=server", "the body of an error response of i-1"),
+        ("kind=event bytes=70000 limit=daemon", "the responses of all servers had used up the memory"),
+    ];
+    for (fields, expected) in cases {
+        let log = format!(
+            "time=1000 level=WARN daemon=front-a event=response-too-long id=r1 instance=i-1 {fields} others=3\n\
+             time=1001 level=INFO daemon=front-a event=attempt-failed id=r1 instance=i-1 cause=too-long repeat=false\n"
+        );
+        let text = render_log(&log, "r1");
+        assert!(text.contains(expected), "{fields}: {text}");
+        assert!(text.contains("no usable response: it was too long to be kept; not retried"), "{text}");
+    }
+}
--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -33,6 +33,8 @@
     ErrorStatus,
     /// The response belongs to another request or attempt, is malformed or lacks a token.
     WrongResponse,
+    /// The response was too long to be kept.
+    TooLong,
     /// The back end timed out.
     TimedOut,
     /// The replica is leaving, so its stream continues elsewhere.
@@ -47,6 +49,7 @@
             Self::Disconnected => "cut",
             Self::ErrorStatus => "status",
             Self::WrongResponse => "crossed",
+            Self::TooLong => "too-long",
             Self::TimedOut => "silent",
             Self::Leaving => "leaving",
         }
@@ -173,7 +176,9 @@
         match failure {
             Failure::Leaving => {}
             Failure::ConnectFailed => replica.eject(now),
-            Failure::WrongResponse | Failure::ErrorStatus | Failure::TimedOut => replica.update_ejection(false, now),
+            Failure::WrongResponse | Failure::ErrorStatus | Failure::TooLong | Failure::TimedOut => {
+                replica.update_ejection(false, now);
+            }
             Failure::Disconnected => {
                 replica.update_ejection(false, now);
                 self.check_crash(guard).await;
--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -1,15 +1,17 @@
 //! Requests to model engines. A stream whose replica fails or leaves is resumed at another replica.
 
 use std::{
+    future::poll_fn,
     net::SocketAddr,
+    pin::Pin,
     sync::Arc,
+    task::Poll,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
-use http_body::Frame;
-use http_body_util::BodyExt;
+use http_body::{Body as _, Frame};
 use serde::Deserialize;
 use serde_json::{Map, Value, json};
 use volo_http::{body::Body, error::BoxError, response::Response};
@@ -21,12 +23,12 @@
     model_body::ModelBody,
     refusal::{Reason, Refusal},
     response_owner::ResponseOwner,
-    token_events::{StreamError, TokenEventReader},
+    token_events::{MAX_KEPT_BYTES, StreamError, TokenEventReader},
 };
 use crate::{
     config::{Account, Route},
     connection::{OutboundRequest, SendError},
-    process::{AdmissionPermit, InFlight, Replica, ReplicaGuard, Shared},
+    process::{AdmissionPermit, InFlight, ReadError, Replica, ReplicaGuard, Shared, TooLong},
     util::stable_hash,
     version::Sample,
 };
@@ -273,15 +275,27 @@
         if response.status() != StatusCode::OK {
             return pass_client_error(response).map(AttemptResult::Refused);
         }
-        let mut reader = TokenEventReader::new(&self.id, self.attempts.number(), next);
+        let buffer = self.shared.response_memory.buffer(&guard.replica().id, MAX_KEPT_BYTES);
+        let mut reader = TokenEventReader::new(&self.id, self.attempts.number(), next, buffer);
         let mut body = response.into_body();
+        // Whatever is received before the first event is no progress.
+        let idle_since = Instant::now();
         loop {
-            let idle_timeout = IDLE_TIMEOUT.min(self.attempts.time_left());
-            let data = read_frame(self.attempts.window().within(idle_timeout, body.frame()).await)?;
-            let first = reader.read(&data);
+            let idle_timeout = IDLE_TIMEOUT.saturating_sub(idle_since.elapsed()).min(self.attempts.time_left());
+            let frame = poll_fn(|context| match reader.poll_given_up(context) {
+                Poll::Ready(error) => Poll::Ready(Err(error)),
+                Poll::Pending => Pin::new(&mut body).poll_frame(context).map(Ok),
+            });
+            let frame = match self.attempts.window().within(idle_timeout, frame).await.transpose() {
+                Ok(frame) => frame,
+                Err(error) => return Err(self.record_stream_error(guard, StreamError::TooLong(error))),
+            };
+            let first = reader.read(&read_frame(frame)?);
             if let Some(error) = reader.error().filter(|_| first.is_empty()) {
-                self.count_stream_error(error);
-                return Err(Failure::WrongResponse);
+                return Err(self.record_stream_error(guard, error));
+            }
+            if first.is_empty() && idle_since.elapsed() >= IDLE_TIMEOUT.min(self.attempts.time_left()) {
+                return Err(Failure::TimedOut);
             }
             if !first.is_empty() {
                 self.count_tokens(reader.next_token() - next);
@@ -338,13 +352,21 @@
         Err(Failure::WrongResponse)
     }
 
-    pub fn count_stream_error(&self, error: StreamError) {
+    /// Records why a stream cannot be continued; returns the failure of its attempt.
+    pub fn record_stream_error(&self, guard: &ReplicaGuard, error: StreamError) -> Failure {
         let label = match error {
             StreamError::Crossed => "crossed",
             StreamError::Gap => "gap",
             StreamError::Malformed => "malformed",
+            StreamError::TooLong(error) => return self.record_too_long(guard, "event", &error),
         };
         self.shared.metrics.dropped.with_label_values(&[label]).inc();
+        Failure::WrongResponse
+    }
+
+    fn record_too_long(&self, guard: &ReplicaGuard, kind: &str, error: &TooLong) -> Failure {
+        self.shared.response_memory.record_too_long(&self.id, &guard.replica().id, kind, error);
+        Failure::TooLong
     }
 
     async fn run_buffered(mut self) -> Result<Response, Refusal> {
@@ -372,12 +394,12 @@
         let response = self.send(guard.replica(), request).await?;
         let response = if response.status() == StatusCode::OK { response } else { pass_client_error(response)? };
         let (mut parts, body) = response.into_parts();
-        let limited = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES);
-        let collected = self.attempts.window().within(self.attempts.time_left(), limited.collect()).await;
-        let bytes = match collected {
+        let reading = self.shared.response_memory.collect(body, &guard.replica().id, MAX_RESPONSE_BYTES);
+        let bytes = match self.attempts.window().within(self.attempts.time_left(), reading).await {
             None => return Err(Failure::TimedOut),
-            Some(Err(_)) => return Err(Failure::Disconnected),
-            Some(Ok(body)) => body.to_bytes(),
+            Some(Err(ReadError::Broken)) => return Err(Failure::Disconnected),
+            Some(Err(ReadError::TooLong(error))) => return Err(self.record_too_long(guard, "body", &error)),
+            Some(Ok(bytes)) => bytes,
         };
         if parts.status == StatusCode::OK && serde_json::from_slice::<serde::de::IgnoredAny>(&bytes).is_err() {
             return Err(Failure::Disconnected);
--- a/goldcrestward/src/request/model_body.rs
+++ b/goldcrestward/src/request/model_body.rs
@@ -21,6 +21,7 @@
     attempt::Failure,
     model::{IDLE_TIMEOUT, ModelCall, ModelStream, OpenResult},
     refusal::Refusal,
+    token_events::StreamError,
 };
 
 type Reopened = (ModelCall, Result<OpenResult, Refusal>);
@@ -40,13 +41,15 @@
     state: State,
     idle_timer: Pin<Box<Sleep>>,
     last_token_at: Instant,
+    last_event_at: Instant,
 }
 
 impl ModelBody {
     /// Creates a body that forwards the stream that `call` has opened.
     pub fn new(call: ModelCall, open: ModelStream) -> Self {
         let state = State::Streaming(Box::new((call, open)));
-        Self { state, idle_timer: Box::pin(sleep(IDLE_TIMEOUT)), last_token_at: Instant::now() }
+        let now = Instant::now();
+        Self { state, idle_timer: Box::pin(sleep(IDLE_TIMEOUT)), last_token_at: now, last_event_at: now }
     }
 
     /// Starts to reopen the stream at another engine.
@@ -65,6 +68,7 @@
         let message = match result {
             Ok(OpenResult::Started(open)) => {
                 self.last_token_at = Instant::now();
+                self.last_event_at = self.last_token_at;
                 self.state = State::Streaming(Box::new((call, *open)));
                 return None;
             }
@@ -93,6 +97,9 @@
             call.count_tokens(tokens);
             self.last_token_at = now;
         }
+        if !out.is_empty() {
+            self.last_event_at = Instant::now();
+        }
         if open.reader.error().is_none() && open.guard.replica().is_leaving() && !open.reader.is_done() {
             self.reopen(Failure::Leaving);
         }
@@ -104,8 +111,8 @@
         let State::Streaming(parts) = &self.state else { return false };
         let (call, open) = &**parts;
         let Some(error) = open.reader.error() else { return false };
-        call.count_stream_error(error);
-        self.reopen(Failure::WrongResponse);
+        let failure = call.record_stream_error(&open.guard, error);
+        self.reopen(failure);
         true
     }
 
@@ -123,7 +130,7 @@
     /// Whether the engine has been idle for too long. The timer is reset when it fires rather than for each chunk.
     fn poll_idle(&mut self, context: &mut Context<'_>) -> bool {
         while self.idle_timer.as_mut().poll(context).is_ready() {
-            let idle = self.last_token_at.elapsed();
+            let idle = self.last_event_at.elapsed();
             if idle >= IDLE_TIMEOUT {
                 return true;
             }
@@ -162,6 +169,11 @@
                     }
                     let State::Streaming(parts) = &mut self.state else { continue };
                     let open = &mut parts.1;
+                    if let Poll::Ready(error) = open.reader.poll_given_up(context) {
+                        let failure = parts.0.record_stream_error(&parts.1.guard, StreamError::TooLong(error));
+                        self.reopen(failure);
+                        continue;
+                    }
                     let data = match Pin::new(&mut open.body).poll_frame(context) {
                         Poll::Ready(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                         Poll::Ready(None | Some(Err(_))) => {
@@ -178,6 +190,10 @@
                     if !out.is_empty() {
                         return Poll::Ready(Some(Ok(Frame::data(out))));
                     }
+                    // An engine that sends only what is no part of the answer counts as idle.
+                    if self.poll_idle(context) {
+                        self.reopen(Failure::TimedOut);
+                    }
                 }
             }
         }
--- a/goldcrestward/src/request/numbered_events.rs
+++ b/goldcrestward/src/request/numbered_events.rs
@@ -1,22 +1,37 @@
 //! Splits a stream of server-sent events into complete events and checks the sequence of their ids.
 
+use std::{
+    ops::Range,
+    sync::Arc,
+    task::{Context, Poll},
+};
+
 use bytes::{Bytes, BytesMut};
 
+use crate::process::{MemoryLimit, ResponseBuffer, ResponseMemory, TooLong};
+
+/// Size limit of an event.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// Size limit of what is kept of a stream: an event, and what has been received at once with its end.
+const MAX_KEPT_BYTES: usize = 2 * MAX_EVENT_BYTES;
 
 /// Why a stream cannot be continued.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SequenceError {
     /// An event is missing.
     Gap,
-    /// An id is not a number, or an event exceeds the size limit.
+    /// An id is not a number.
     Malformed,
+    /// An event is too long, or there is no memory for it.
+    TooLong(TooLong),
 }
 
 /// Yields the events that continue the response, across the streams of several attempts.
 #[derive(Debug)]
 pub(crate) struct EventSequence {
-    buffer: BytesMut,
+    /// The beginning of an event.
+    buffer: ResponseBuffer,
+    /// Bytes of it that have been searched for its end.
     scanned: usize,
     last: Option<u64>,
     repeated: u64,
@@ -25,12 +40,23 @@
     resumed: bool,
     /// Whether events of this attempt have been sent to the caller, in a resumed stream only those that continue it.
     begun: bool,
+    /// Number of events other than comments that have been forwarded.
+    forwarded: u64,
 }
 
 impl EventSequence {
-    /// Creates a sequence that continues after event number `last`.
-    pub fn new(last: Option<u64>) -> Self {
-        Self { buffer: BytesMut::new(), scanned: 0, last, repeated: 0, error: None, resumed: false, begun: false }
+    /// Creates a sequence that continues after event number `last`, and keeps incomplete events in `memory`.
+    pub fn new(last: Option<u64>, memory: &ResponseMemory) -> Self {
+        Self {
+            buffer: memory.buffer(&Arc::from("-"), MAX_KEPT_BYTES),
+            scanned: 0,
+            last,
+            repeated: 0,
+            error: None,
+            resumed: false,
+            begun: false,
+            forwarded: 0,
+        }
     }
 
     /// Number of the last event that was forwarded.
@@ -43,6 +69,12 @@
         self.repeated
     }
 
+    /// Number of events other than comments that have been forwarded. A stream that goes on without any more of them makes
+    /// no progress.
+    pub fn forwarded(&self) -> u64 {
+        self.forwarded
+    }
+
     /// Whether the bytes so far end within an event.
     pub fn is_partial(&self) -> bool {
         !self.buffer.is_empty()
@@ -62,6 +94,17 @@
         self.begun = false;
     }
 
+    /// Continues with the stream of `server`.
+    pub fn restart_at(&mut self, server: &Arc<str>) {
+        self.restart();
+        self.buffer.restart(server);
+    }
+
+    /// Becomes ready when the incomplete event has given way to the responses of other requests.
+    pub fn poll_given_up(&self, context: &mut Context<'_>) -> Poll<TooLong> {
+        self.buffer.poll_given_up(context)
+    }
+
     /// Whether the stream of this attempt has begun: it has continued the response if it resumes one.
     pub fn has_begun(&self) -> bool {
         self.begun
@@ -74,46 +117,68 @@
         if self.error.is_some() {
             return Bytes::new();
         }
-        self.buffer.extend_from_slice(bytes);
-        let mut out = BytesMut::new();
-        while let Some(end) = self.find_end() {
-            let event = self.buffer.split_to(end);
-            self.scanned = 0;
-            match self.check(&event) {
-                Ok(true) if out.is_empty() => out = event,
-                Ok(true) => out.extend_from_slice(&event),
+        let received = match self.join(bytes) {
+            Ok(Some(received)) => received,
+            Ok(None) => return Bytes::new(),
+            Err(error) => {
+                self.error = Some(SequenceError::TooLong(error));
+                return Bytes::new();
+            }
+        };
+        let is_kept = !bytes.is_empty() && received.as_ptr() != bytes.as_ptr();
+        let (mut start, mut forwarded) = (0, Vec::<Range<usize>>::new());
+        while let Some(end) = find_end(&received[start..]) {
+            let event = start..start + end;
+            start = event.end;
+            match self.check(&received[event.clone()]) {
+                Ok(true) => match forwarded.last_mut() {
+                    Some(last) if last.end == event.start => last.end = event.end,
+                    _ => forwarded.push(event),
+                },
                 Ok(false) => {}
                 Err(error) => {
                     self.error = Some(error);
-                    return out.freeze();
+                    return extract(&received, &forwarded, is_kept);
                 }
             }
         }
-        self.error = (self.buffer.len() > MAX_EVENT_BYTES).then_some(SequenceError::Malformed);
-        out.freeze()
+        let rest = &received[start..];
+        let kept = if rest.len() > MAX_EVENT_BYTES { Err(too_long(rest.len())) } else { self.buffer.append(rest) };
+        self.error = kept.err().map(SequenceError::TooLong);
+        self.scanned = rest.len();
+        extract(&received, &forwarded, is_kept)
     }
 
-    fn find_end(&mut self) -> Option<usize> {
+    /// Adds received bytes to the incomplete event; returns all if an event may be complete with them.
+    fn join(&mut self, bytes: &Bytes) -> Result<Option<Bytes>, TooLong> {
+        if self.buffer.is_empty() {
+            return Ok(Some(bytes.clone()));
+        }
+        self.buffer.append(bytes)?;
         let from = self.scanned.saturating_sub(3);
-        let tail = &self.buffer[from..];
-        let lf_end = tail.windows(2).position(|pair| pair == b"\n\n").map(|at| from + at + 2);
-        let crlf_end = tail.windows(4).position(|four| four == b"\r\n\r\n").map(|at| from + at + 4);
+        if self.buffer.look(|kept| kept.get(from..).and_then(find_end)).is_some() {
+            return self.buffer.take().map(Some);
+        }
         self.scanned = self.buffer.len();
-        match (lf_end, crlf_end) {
-            (Some(lf_end), Some(crlf_end)) => Some(lf_end.min(crlf_end)),
-            (lf_end, crlf_end) => lf_end.or(crlf_end),
+        if self.scanned > MAX_EVENT_BYTES {
+            self.buffer.clear();
+            return Err(too_long(self.scanned));
         }
+        Ok(None)
     }
 
     /// Returns whether to forward the event. An event without a number may be anything, so that a stream can't be
     /// resumed with one: it may be the text of an error.
     fn check(&mut self, event: &[u8]) -> Result<bool, SequenceError> {
         let Some(number) = event_number(event)? else {
-            if !self.resumed {
-                self.begun = true;
-            } else if !self.begun && !is_comment(event) {
+            if is_comment(event) {
+                return Ok(true);
+            }
+            if self.resumed && !self.begun {
                 return Err(SequenceError::Malformed);
             }
+            self.begun = true;
+            self.forwarded += 1;
             return Ok(true);
         };
         match self.last {
@@ -125,12 +190,40 @@
             _ => {
                 self.last = Some(number);
                 self.begun = true;
+                self.forwarded += 1;
                 Ok(true)
             }
         }
     }
 }
 
+/// Returns the end of the first event in `bytes`.
+fn find_end(bytes: &[u8]) -> Option<usize> {
+    let lf_end = bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
+    let crlf_end = bytes.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    match (lf_end, crlf_end) {
+        (Some(lf_end), Some(crlf_end)) => Some(lf_end.min(crlf_end)),
+        (lf_end, crlf_end) => lf_end.or(crlf_end),
+    }
+}
+
+/// Copies parts of received bytes, so that they do not hold the connection's whole buffer. One part of bytes that count as
+/// kept (`is_kept`) is not copied.
+fn extract(received: &Bytes, parts: &[Range<usize>], is_kept: bool) -> Bytes {
+    if let ([part], true) = (parts, is_kept) {
+        return received.slice(part.clone());
+    }
+    let mut out = BytesMut::with_capacity(parts.iter().map(ExactSizeIterator::len).sum());
+    for part in parts {
+        out.extend_from_slice(&received[part.clone()]);
+    }
+    out.freeze()
+}
+
+fn too_long(bytes: usize) -> TooLong {
+    TooLong { bytes, limit: MemoryLimit::Response }
+}
+
 /// Whether an event has comments only, which servers send to keep a connection open.
 fn is_comment(event: &[u8]) -> bool {
     event.split(|byte| *byte == b'\n').all(|line| line.trim_ascii().is_empty() || line.starts_with(b":"))
--- a/goldcrestward/src/request/numbered_events_test.rs
+++ b/goldcrestward/src/request/numbered_events_test.rs
@@ -3,7 +3,15 @@
 use bytes::Bytes;
 use quickcheck::quickcheck;
 
-use super::{EventSequence, SequenceError};
+use super::{EventSequence, MAX_EVENT_BYTES, SequenceError};
+use crate::process::{MemoryLimit, ResponseMemory, TooLong};
+
+/// Memory for incomplete events, in bytes.
+const MEMORY_BYTES: usize = 4 * 1024 * 1024;
+
+fn sequence() -> EventSequence {
+    EventSequence::new(None, &ResponseMemory::new(MEMORY_BYTES))
+}
 
 fn event(number: u64) -> String {
     format!("id: {number}\ndata: piece {number}\n\n")
@@ -28,7 +36,7 @@
 quickcheck! {
     fn read_any_split_yields_complete_events(count: u8, sizes: Vec<usize>) -> bool {
         let text: String = (1..=u64::from(count)).map(event).collect();
-        let mut sequence = EventSequence::new(None);
+        let mut sequence = sequence();
         let (out, error) = read(&mut sequence, &text, &sizes);
         out == text && error.is_none() && !sequence.is_partial()
     }
@@ -36,7 +44,7 @@
     fn read_after_disconnect_continues_stream(count: u8, broken: usize, overlap: u8, sizes: Vec<usize>) -> bool {
         let count = u64::from(count % 30) + 1;
         let text: String = (1..=count).map(event).collect();
-        let mut sequence = EventSequence::new(None);
+        let mut sequence = sequence();
         let (first, _) = read(&mut sequence, &text[..broken % (text.len() + 1)], &sizes);
         let last = sequence.last().unwrap_or(0);
         sequence.restart();
@@ -53,7 +61,7 @@
         let spoiled = u64::from(spoiled) % count + 1;
         let text: String = (1..=count).map(event).collect();
         let faulty = text.replacen(&format!("id: {spoiled}\n"), "id: ?\n", 1);
-        let mut sequence = EventSequence::new(None);
+        let mut sequence = sequence();
         let (first, error) = read(&mut sequence, &faulty, &sizes);
         // What comes after the error is not read, even if it would be in order.
         let late = sequence.read(&Bytes::from(event(spoiled)));
@@ -70,7 +78,7 @@
         let count = u64::from(count % 30) + 3;
         let missing = u64::from(missing) % (count - 2) + 2;
         let text: String = (1..=count).filter(|number| *number != missing).map(event).collect();
-        let (out, error) = read(&mut EventSequence::new(None), &text, &sizes);
+        let (out, error) = read(&mut sequence(), &text, &sizes);
         let before: String = (1..missing).map(event).collect();
         out == before && error == Some(SequenceError::Gap)
     }
@@ -85,8 +93,41 @@
         ("id is not a number", "id: one\ndata: x\n\n", Some(SequenceError::Malformed), None),
     ];
     for (name, text, error, last) in cases {
-        let mut sequence = EventSequence::new(None);
+        let mut sequence = sequence();
         assert_eq!(read(&mut sequence, text, &[3]).1, error, "{name}");
         assert_eq!(sequence.last(), last, "{name}");
     }
 }
+
+// Guards against a stream of comments that passes for an answer.
+#[test]
+fn read_comments_and_repeated_events_are_no_progress() {
+    let mut sequence = sequence();
+    assert_eq!(read(&mut sequence, ": wait\n\n: still wait\r\n\r\n", &[5]).1, None);
+    assert!(!sequence.has_begun());
+    assert_eq!(sequence.forwarded(), 0);
+    read(&mut sequence, &event(1), &[9]);
+    assert!(sequence.has_begun());
+    assert_eq!(sequence.forwarded(), 1);
+    let (out, error) = read(&mut sequence, &(event(1) + ": wait\n\n" + &event(1)), &[9]);
+    assert_eq!((out.as_str(), error), (": wait\n\n", None));
+    assert_eq!(sequence.forwarded(), 1);
+    read(&mut sequence, &event(2), &[9]);
+    assert_eq!(sequence.forwarded(), 2);
+}
+
+// Guards against an event without end that is kept.
+#[test]
+fn read_endless_event_is_too_long_and_frees_memory() {
+    let memory = ResponseMemory::new(MEMORY_BYTES);
+    let mut sequence = EventSequence::new(None, &memory);
+    let piece = Bytes::from_static(&[b'x'; 1_000]);
+    while sequence.error().is_none() {
+        assert!(sequence.read(&piece).is_empty());
+        assert!(memory.kept_bytes() <= 2 * MAX_EVENT_BYTES);
+    }
+    let bytes = MAX_EVENT_BYTES / 1_000 * 1_000 + 1_000;
+    let error = TooLong { bytes, limit: MemoryLimit::Response };
+    assert_eq!(sequence.error(), Some(SequenceError::TooLong(error)));
+    assert_eq!(memory.kept_bytes(), 0);
+}
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -28,7 +28,7 @@
     connection::{OutboundRequest, SendError},
     ledger::{Claim, ClaimAnswer, Key, Settlement, ledger_key},
     pb::{self, Grant},
-    process::{AdmissionPermit, InFlight, Replica, ReplicaGuard, Shared},
+    process::{AdmissionPermit, InFlight, ReadError, Replica, ReplicaGuard, Shared},
     util::stable_hash,
     version::Sample,
 };
@@ -377,12 +377,18 @@
         guard: &ReplicaGuard,
     ) -> Result<Response, Refusal> {
         let (mut parts, body) = response.into_parts();
-        let limited = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES);
-        let collected = self.attempts.window().within(self.attempts.time_left(), limited.collect()).await;
-        let Some(Ok(collected)) = collected else {
-            return Err(self.record_unknown(key, guard, Failure::Disconnected).await);
+        let (memory, instance) = (&self.shared.response_memory, &guard.replica().id);
+        let reading = memory.collect(body, instance, MAX_RESPONSE_BYTES);
+        let bytes = match self.attempts.window().within(self.attempts.time_left(), reading).await {
+            Some(Ok(bytes)) => bytes,
+            Some(Err(ReadError::TooLong(error))) => {
+                memory.record_too_long(&self.id, instance, "body", &error);
+                return Err(self.record_unknown(key, guard, Failure::TooLong).await);
+            }
+            None | Some(Err(ReadError::Broken)) => {
+                return Err(self.record_unknown(key, guard, Failure::Disconnected).await);
+            }
         };
-        let bytes = collected.to_bytes();
         let content_type = parts.headers.get(header::CONTENT_TYPE).and_then(|v| v.to_str().ok()).unwrap_or_default();
         let body_omitted = bytes.len() > MAX_OUTCOME_BYTES;
         let body = if body_omitted { Vec::new() } else { bytes.to_vec() };
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -1,14 +1,17 @@
 //! Requests that are proxied to backend servers, with retries where the route allows them.
 
 use std::{
+    future::poll_fn,
+    pin::Pin,
     sync::Arc,
+    task::Poll,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use http::{Request as HttpRequest, Response as HttpResponse, header, response::Parts};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body as _, Incoming};
 use log::{debug, info};
 use tokio::time::timeout;
 use volo_http::{body::Body, response::Response};
@@ -19,7 +22,7 @@
     crash::{CrashRecords, PossibleCause, fingerprint, record_crash},
     fallback::Fallback,
     headers::drop_hop_by_hop,
-    numbered_events::EventSequence,
+    numbered_events::{EventSequence, SequenceError},
     placement_request::PlacementRequest,
     proxy_body::ProxyBody,
     proxy_outcome::{ExchangeResult, ProxyFailure, ProxyResponse, ProxyStream},
@@ -33,14 +36,16 @@
     logs::is_sampled,
     port::{AttemptMetadata, MigratedKvCache, RequestMetadata, ResponseHead, ResponseMetadata},
     process::{
-        AttemptOutcome, Condemned, Gateway, QuotaCharge, Replica, ReplicaGuard, part_names, record_answer,
-        record_brittle, record_leaving,
+        AttemptOutcome, Condemned, Gateway, QuotaCharge, ReadError, Replica, ReplicaGuard, TooLong, part_names,
+        record_answer, record_brittle, record_leaving,
     },
     version::Sample,
 };
 
 /// Size limit of a response that is not a stream.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+/// Bytes of a response that is not used up to which its connection is kept.
+const MAX_DISCARDED_BYTES: usize = 64 * 1024;
 /// How often a request is retried after a connection failure; such attempts do not count as sends.
 const MAX_CONNECT_FAILURES: u32 = 3;
 /// Minimum time before the deadline for another attempt.
@@ -50,6 +55,16 @@
 /// Bounds of the idle timeout.
 const IDLE_TIMEOUT_RANGE: (Duration, Duration) = (Duration::from_millis(700), Duration::from_millis(1_600));
 
+/// Cause of a failure: the response was too long to be kept.
+pub(super) const TOO_LONG: &str = "too-long";
+
+/// Why a stream did not begin.
+enum FirstEventError {
+    TooLong(TooLong),
+    /// Another reason, as a label.
+    Other(&'static str),
+}
+
 /// A proxied request and the state of its attempts.
 pub(crate) struct ProxyCall {
     pub(super) gateway: Arc<Gateway>,
@@ -135,7 +150,7 @@
     /// # Errors
     /// Returns a refusal if there is no response to pass on.
     pub async fn run(mut self) -> Result<Response, Refusal> {
-        let mut sequence = EventSequence::new(self.metadata.resume_after);
+        let mut sequence = EventSequence::new(self.metadata.resume_after, &self.gateway.shared.response_memory);
         match self.attempts(&mut sequence).await? {
             ProxyResponse::Buffered(response) => Ok(*response),
             ProxyResponse::Stream(open) => {
@@ -500,15 +515,20 @@
         if head.status.is_success() && self.route.kind.is_stream() {
             return self.first_event(guard, head, body, connection, sequence).await;
         }
-        let limited = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        let collected = match timeout(self.time_left(), limited).await {
+        let failed = head.status.is_server_error();
+        let (memory, instance) = (&self.gateway.shared.response_memory, &guard.replica().id);
+        let reading = memory.collect(body, instance, MAX_RESPONSE_BYTES);
+        let collected = match timeout(self.time_left(), reading).await {
             Err(_) => return Err(ProxyFailure::Indeterminate("silent")),
-            Ok(Err(_)) => return Err(ProxyFailure::Indeterminate("cut")),
-            Ok(Ok(collected)) => collected.to_bytes(),
+            Ok(Err(ReadError::Broken)) => return Err(ProxyFailure::Indeterminate("cut")),
+            Ok(Err(ReadError::TooLong(error))) => {
+                let kind = if failed { "error-body" } else { "body" };
+                return Err(ProxyFailure::Indeterminate(self.record_too_long(guard, kind, &error)));
+            }
+            Ok(Ok(collected)) => collected,
         };
         self.count_started();
         connection.release(&head.headers);
-        let failed = head.status.is_server_error();
         let response = Response::from_parts(caller_head(head), Body::from(collected));
         if failed {
             Err(ProxyFailure::ErrorResponse(Box::new(response)))
@@ -526,36 +546,66 @@
         connection: BackendConnection,
         sequence: &mut EventSequence,
     ) -> Result<ExchangeResult, ProxyFailure> {
-        sequence.restart();
+        sequence.restart_at(&guard.replica().id);
         let first = async {
-            while let Some(frame) = body.frame().await {
+            loop {
+                let next = poll_fn(|context| match sequence.poll_given_up(context) {
+                    Poll::Ready(error) => Poll::Ready(Err(error)),
+                    Poll::Pending => Pin::new(&mut body).poll_frame(context).map(Ok),
+                });
+                let Some(frame) = next.await.map_err(FirstEventError::TooLong)? else { break };
                 let Ok(data) = frame.map_err(drop).and_then(|frame| frame.into_data().map_err(drop)) else {
-                    return Err(ProxyFailure::Indeterminate("cut"));
+                    return Err(FirstEventError::Other("cut"));
                 };
                 let events = sequence.read(&data);
                 if sequence.has_begun() {
                     return Ok(events);
                 }
-                if sequence.error().is_some() {
-                    return Err(ProxyFailure::Indeterminate("disorder"));
+                match sequence.error() {
+                    Some(SequenceError::TooLong(error)) => return Err(FirstEventError::TooLong(error)),
+                    Some(_) => return Err(FirstEventError::Other("disorder")),
+                    None => {}
                 }
             }
-            Err(ProxyFailure::Indeterminate("empty"))
+            Err(FirstEventError::Other("empty"))
         };
-        let first = self.wait_for(guard, first).await.unwrap_or(Err(ProxyFailure::Indeterminate("silent")))?;
+        let first = self.wait_for(guard, first).await.unwrap_or(Err(FirstEventError::Other("silent")));
+        let first = first.map_err(|error| {
+            let cause = match error {
+                FirstEventError::TooLong(error) => self.record_too_long(guard, "event", &error),
+                FirstEventError::Other(cause) => cause,
+            };
+            ProxyFailure::Indeterminate(cause)
+        })?;
         self.count_started();
         Ok(ExchangeResult::Stream(head, body, connection, first))
     }
 
     /// Reads a response to its end, so that the connection can be reused.
     async fn discard(&self, response: HttpResponse<Incoming>, connection: BackendConnection) {
-        let (head, body) = response.into_parts();
-        let limited = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        if matches!(timeout(MIN_RETRY_TIME, limited).await, Ok(Ok(_))) {
+        let (head, mut body) = response.into_parts();
+        let reading = async {
+            let mut length = 0;
+            while let Some(frame) = body.frame().await {
+                length += frame.ok()?.data_ref().map_or(0, Bytes::len);
+                if length > MAX_DISCARDED_BYTES {
+                    return None;
+                }
+            }
+            Some(())
+        };
+        if timeout(MIN_RETRY_TIME, reading).await.is_ok_and(|whole| whole.is_some()) {
             connection.release(&head.headers);
         }
     }
 
+    /// Records that a response was too long to be kept; returns the cause of the failure.
+    pub(super) fn record_too_long(&self, guard: &ReplicaGuard, kind: &str, error: &TooLong) -> &'static str {
+        let memory = &self.gateway.shared.response_memory;
+        memory.record_too_long(&self.metadata.id, &guard.replica().id, kind, error);
+        TOO_LONG
+    }
+
     fn build_request(&self, instance: &str, last: Option<u64>) -> HttpRequest<Full<Bytes>> {
         let mut request = HttpRequest::new(Full::new(self.body.clone()));
         *request.method_mut() = self.head.method.clone();
--- a/goldcrestward/src/request/proxy_body.rs
+++ b/goldcrestward/src/request/proxy_body.rs
@@ -24,8 +24,8 @@
 
 use super::{
     fallback::{SEARCH_INTERVAL, Search},
-    numbered_events::EventSequence,
-    proxy::ProxyCall,
+    numbered_events::{EventSequence, SequenceError},
+    proxy::{ProxyCall, TOO_LONG},
     proxy_outcome::{MigratedRun, ProxyResponse, ProxyStream},
     refusal::Refusal,
 };
@@ -79,7 +79,7 @@
     state: State,
     pending_events: Bytes,
     timer: Pin<Box<Sleep>>,
-    last_byte_at: Instant,
+    last_event_at: Instant,
     /// No search for another server starts before this time.
     search_at: Instant,
     /// The server that the run could not be migrated from.
@@ -97,8 +97,8 @@
         pending_events: Bytes,
         head: HeaderMap,
     ) -> Self {
-        let last_byte_at = Instant::now();
-        let timer = Box::pin(sleep_until((last_byte_at + call.idle_timeout()).into()));
+        let last_event_at = Instant::now();
+        let timer = Box::pin(sleep_until((last_event_at + call.idle_timeout()).into()));
         let source = StreamSource {
             call: Box::new(call),
             sequence,
@@ -111,7 +111,7 @@
             search: None,
         };
         let state = State::Streaming(Box::new(source));
-        Self { state, pending_events, timer, last_byte_at, search_at: last_byte_at, kept_at: None }
+        Self { state, pending_events, timer, last_event_at, search_at: last_event_at, kept_at: None }
     }
 
     /// Starts to resume the stream at another server, if that is allowed.
@@ -170,8 +170,8 @@
                 metrics.resumed.with_label_values(&["recompute"]).inc();
                 let ProxyStream { head, body, connection, guard, first } = *open;
                 self.pending_events = first;
-                self.last_byte_at = Instant::now();
-                self.timer.as_mut().reset((self.last_byte_at + call.idle_timeout()).into());
+                self.last_event_at = Instant::now();
+                self.timer.as_mut().reset((self.last_event_at + call.idle_timeout()).into());
                 let head = head.headers;
                 let is_kept = self.kept_at.take().is_some_and(|id| id == guard.replica().id);
                 self.state = State::Streaming(Box::new(StreamSource {
@@ -217,7 +217,7 @@
             {
                 source.search = None;
                 let StreamSource { call, guard, .. } = &mut **source;
-                if found.is_some_and(|fallback| call.accept_fallback(fallback, guard, self.last_byte_at)) {
+                if found.is_some_and(|fallback| call.accept_fallback(fallback, guard, self.last_event_at)) {
                     return true;
                 }
             }
@@ -225,7 +225,7 @@
                 return false;
             }
             let now = Instant::now();
-            let due = (self.last_byte_at + source.call.idle_timeout()).max(self.search_at);
+            let due = (self.last_event_at + source.call.idle_timeout()).max(self.search_at);
             // A run that has been migrated goes on at its new server.
             if source.call.time_to_deadline().is_zero()
                 || (now >= due && matches!(source.migration, Migration::Done(_)))
@@ -282,9 +282,19 @@
     /// Reads from the server and returns the events to forward.
     fn poll_source(&mut self, context: &mut Context<'_>) -> Poll<Result<Option<Bytes>, &'static str>> {
         let State::Streaming(source) = &mut self.state else { return Poll::Ready(Ok(None)) };
-        if let Some(error_cause) = source.error_cause.or(source.sequence.error().map(|_| "disorder")) {
+        if let Some(error_cause) = source.error_cause {
             return Poll::Ready(Err(error_cause));
         }
+        let too_long = match (source.sequence.error(), source.sequence.poll_given_up(context)) {
+            (Some(SequenceError::TooLong(error)), _) | (None, Poll::Ready(error)) => Some(error),
+            (Some(_), _) => return Poll::Ready(Err("disorder")),
+            (None, Poll::Pending) => None,
+        };
+        if let Some(error) = too_long {
+            source.call.record_too_long(&source.guard, "event", &error);
+            source.error_cause = Some(TOO_LONG);
+            return Poll::Ready(Err(TOO_LONG));
+        }
         let data = match Pin::new(&mut source.body).poll_frame(context) {
             Poll::Pending => return Poll::Pending,
             Poll::Ready(None) if source.sequence.is_partial() => return Poll::Ready(Err("cut")),
@@ -292,9 +302,13 @@
             Poll::Ready(Some(Err(_))) => return Poll::Ready(Err("cut")),
             Poll::Ready(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
         };
-        self.last_byte_at = Instant::now();
-        source.search = None;
-        Poll::Ready(Ok(Some(source.sequence.read(&data))))
+        let before = source.sequence.forwarded();
+        let events = source.sequence.read(&data);
+        if source.sequence.forwarded() > before {
+            self.last_event_at = Instant::now();
+            source.search = None;
+        }
+        Poll::Ready(Ok(Some(events)))
     }
 }
 
@@ -307,6 +321,7 @@
             if !self.pending_events.is_empty() {
                 return Poll::Ready(Some(Ok(Frame::data(mem::take(&mut self.pending_events)))));
             }
+            let last_event_at = self.last_event_at;
             let cause = match &mut self.state {
                 State::Ended => return Poll::Ready(None),
                 State::Resuming(resuming) => {
@@ -323,7 +338,11 @@
                     }
                     Poll::Ready(Ok(Some(events))) => {
                         self.pending_events = events;
-                        continue;
+                        // A server that sends only what is no part of the answer counts as silent.
+                        if self.last_event_at > last_event_at || !self.poll_silence(context) {
+                            continue;
+                        }
+                        "silent"
                     }
                     Poll::Ready(Err(cause)) => cause,
                     Poll::Pending if self.poll_silence(context) => "silent",
--- a/goldcrestward/src/request/token_events.rs
+++ b/goldcrestward/src/request/token_events.rs
@@ -1,11 +1,19 @@
 //! Reads the server-sent events of an engine's stream and checks that they belong to the attempt.
 
-use std::borrow::Cow;
+use std::{
+    borrow::Cow,
+    task::{Context, Poll},
+};
 
 use bytes::{Bytes, BytesMut};
 use serde::Deserialize;
 
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+use crate::process::{MemoryLimit, ResponseBuffer, TooLong};
+
+/// Size limit of an event.
+pub(super) const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Size limit of what is kept of a stream: an event, and what has been received at once with its end.
+pub(super) const MAX_KEPT_BYTES: usize = 2 * MAX_EVENT_BYTES;
 
 /// Why a stream cannot be continued.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -14,8 +22,10 @@
     Crossed,
     /// A token is missing.
     Gap,
-    /// An event could not be parsed, or exceeds the size limit.
+    /// An event could not be parsed.
     Malformed,
+    /// An event is too long, or there is no memory for it.
+    TooLong(TooLong),
 }
 
 #[derive(Deserialize)]
@@ -33,7 +43,9 @@
 pub(crate) struct TokenEventReader {
     request: Box<str>,
     attempt: u32,
-    buffer: BytesMut,
+    /// The beginning of an event.
+    buffer: ResponseBuffer,
+    /// Bytes of it that have been searched for its end.
     scanned: usize,
     next: u64,
     repeated: u64,
@@ -42,18 +54,10 @@
 }
 
 impl TokenEventReader {
-    /// Creates a reader for attempt number `attempt` of `request` that expects the token with index `next`.
-    pub fn new(request: &str, attempt: u32, next: u64) -> Self {
-        Self {
-            request: request.into(),
-            attempt,
-            buffer: BytesMut::new(),
-            scanned: 0,
-            next,
-            repeated: 0,
-            done: false,
-            error: None,
-        }
+    /// Creates a reader for attempt number `attempt` of `request` that expects the token with index `next` and keeps
+    /// incomplete events in `buffer`.
+    pub fn new(request: &str, attempt: u32, next: u64, buffer: ResponseBuffer) -> Self {
+        Self { request: request.into(), attempt, buffer, scanned: 0, next, repeated: 0, done: false, error: None }
     }
 
     /// Index of the next expected token.
@@ -76,6 +80,11 @@
         self.error
     }
 
+    /// Becomes ready when the incomplete event has given way to the responses of other requests.
+    pub fn poll_given_up(&self, context: &mut Context<'_>) -> Poll<TooLong> {
+        self.buffer.poll_given_up(context)
+    }
+
     /// Consumes received bytes and returns the complete events up to an error. Their tokens count as forwarded from now
     /// on, so the caller must get them, whatever [`error`](Self::error) says.
     #[must_use]
@@ -83,14 +92,20 @@
         if self.error.is_some() {
             return Bytes::new();
         }
-        self.buffer.extend_from_slice(bytes);
-        let mut out = BytesMut::new();
-        while let Some(end) = self.find_end() {
-            let event = self.buffer.split_to(end);
-            self.scanned = 0;
-            match self.check(&event) {
-                Ok(true) if out.is_empty() => out = event,
-                Ok(true) => out.extend_from_slice(&event),
+        let received = match self.join(bytes) {
+            Ok(Some(received)) => received,
+            Ok(None) => return Bytes::new(),
+            Err(error) => {
+                self.error = Some(StreamError::TooLong(error));
+                return Bytes::new();
+            }
+        };
+        let (mut start, mut out) = (0, BytesMut::new());
+        while let Some(end) = find_end(&received[start..]) {
+            let event = &received[start..start + end];
+            start += end;
+            match self.check(event) {
+                Ok(true) => out.extend_from_slice(event),
                 Ok(false) => {}
                 Err(error) => {
                     self.error = Some(error);
@@ -98,15 +113,29 @@
                 }
             }
         }
-        self.error = (self.buffer.len() > MAX_EVENT_BYTES).then_some(StreamError::Malformed);
+        let rest = &received[start..];
+        let kept = if rest.len() > MAX_EVENT_BYTES { Err(too_long(rest.len())) } else { self.buffer.append(rest) };
+        self.error = kept.err().map(StreamError::TooLong);
+        self.scanned = rest.len();
         out.freeze()
     }
 
-    fn find_end(&mut self) -> Option<usize> {
+    /// Adds received bytes to the incomplete event; returns all if an event may be complete with them.
+    fn join(&mut self, bytes: &Bytes) -> Result<Option<Bytes>, TooLong> {
+        if self.buffer.is_empty() {
+            return Ok(Some(bytes.clone()));
+        }
+        self.buffer.append(bytes)?;
         let from = self.scanned.saturating_sub(1);
-        let found = self.buffer[from..].windows(2).position(|pair| pair == b"\n\n");
+        if self.buffer.look(|kept| kept.get(from..).and_then(find_end)).is_some() {
+            return self.buffer.take().map(Some);
+        }
         self.scanned = self.buffer.len();
-        found.map(|at| from + at + 2)
+        if self.scanned > MAX_EVENT_BYTES {
+            self.buffer.clear();
+            return Err(too_long(self.scanned));
+        }
+        Ok(None)
     }
 
     /// Returns whether to forward the event.
@@ -138,3 +167,12 @@
         }
     }
 }
+
+/// Returns the end of the first event in `bytes`.
+fn find_end(bytes: &[u8]) -> Option<usize> {
+    bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2)
+}
+
+fn too_long(bytes: usize) -> TooLong {
+    TooLong { bytes, limit: MemoryLimit::Response }
+}
--- a/goldcrestward/src/request/token_events_test.rs
+++ b/goldcrestward/src/request/token_events_test.rs
@@ -3,7 +3,13 @@
 use bytes::Bytes;
 use quickcheck::quickcheck;
 
-use super::token_events::{StreamError, TokenEventReader};
+use super::token_events::{MAX_EVENT_BYTES, MAX_KEPT_BYTES, StreamError, TokenEventReader};
+use crate::process::{MemoryLimit, ResponseMemory, TooLong};
+
+fn reader(attempt: u32, next: u64) -> TokenEventReader {
+    let memory = ResponseMemory::new(4 * MAX_KEPT_BYTES);
+    TokenEventReader::new("r", attempt, next, memory.buffer(&"engine".into(), MAX_KEPT_BYTES))
+}
 
 fn event(id: &str, attempt: u32, index: usize) -> String {
     format!("data: {{\"id\":\"{id}\",\"attempt\":{attempt},\"token_index\":{index},\"choices\":[]}}\n\n")
@@ -20,7 +26,7 @@
         let mut ends: Vec<usize> = cuts.iter().map(|cut| usize::from(*cut) % (whole.len() + 1)).collect();
         ends.push(whole.len());
         ends.sort_unstable();
-        let mut reader = TokenEventReader::new("r", 1, 0);
+        let mut reader = reader(1, 0);
         let (mut out, mut from) = (Vec::new(), 0);
         for end in ends {
             out.extend_from_slice(&reader.read(&Bytes::copy_from_slice(&whole.as_bytes()[from..end])));
@@ -33,7 +39,7 @@
     }
 
     fn read_repeated_tokens_are_dropped(tokens: u8, repeats: Vec<u8>) -> bool {
-        let mut reader = TokenEventReader::new("r", 1, 0);
+        let mut reader = reader(1, 0);
         let mut out = String::new();
         for index in 0..usize::from(tokens) {
             let mut text = event("r", 1, index);
@@ -59,7 +65,7 @@
         ("no JSON", "data: {\n\n".to_owned(), StreamError::Malformed),
     ];
     for (name, text, wanted) in cases {
-        let mut reader = TokenEventReader::new("r", 1, 0);
+        let mut reader = reader(1, 0);
         let out = reader.read(&Bytes::from(text));
         assert_eq!((out.len(), reader.error()), (0, Some(wanted)), "{name}");
     }
@@ -68,7 +74,7 @@
 /// Guards against ORDER: after a spoiled last token in the first piece, the end mark made the stream look whole.
 #[test]
 fn read_after_error_yields_nothing() {
-    let mut reader = TokenEventReader::new("r", 1, 0);
+    let mut reader = reader(1, 0);
     let first = reader.read(&Bytes::from(event("r", 1, 0) + "data: {\n\n"));
     assert_eq!((&first[..], reader.error()), (event("r", 1, 0).as_bytes(), Some(StreamError::Malformed)));
     assert!(reader.read(&Bytes::from("data: [DONE]\n\n")).is_empty());
@@ -77,10 +83,23 @@
 
 #[test]
 fn read_resumed_stream_continues_from_its_token() {
-    let mut reader = TokenEventReader::new("r", 2, 7);
+    let mut reader = reader(2, 7);
     let text: String = (5..9).map(|index| event("r", 2, index)).collect();
     let out = reader.read(&Bytes::from(text));
     assert_eq!(reader.error(), None);
     assert_eq!(out, event("r", 2, 7) + &event("r", 2, 8));
     assert_eq!(reader.repeated(), 2);
 }
+
+// Guards against an event without end that is kept.
+#[test]
+fn read_endless_event_is_too_long() {
+    let mut reader = reader(1, 0);
+    let piece = Bytes::from_static(&[b'x'; 1_000]);
+    while reader.error().is_none() {
+        assert!(reader.read(&piece).is_empty());
+    }
+    let bytes = MAX_EVENT_BYTES / 1_000 * 1_000 + 1_000;
+    let error = TooLong { bytes, limit: MemoryLimit::Response };
+    assert_eq!(reader.error(), Some(StreamError::TooLong(error)));
+}
