--- a/goldcrestward/tests/it/endless.rs
+++ b/goldcrestward/tests/it/endless.rs
@@ -152,7 +152,6 @@
 // Guards against a daemon of the own interface that keeps answers without end and runs out of memory.
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_answers_leave_memory_bounded() {
-    known_red::report!();
     check_memory(&[
         (Call::Completion, EndlessKind::Chunks),
         (Call::Completion, EndlessKind::ErrorBody),
