Streams: the search for the end of an event stops at the first one

With many short events in one piece, each event made the search for the other kind of end read the whole rest of the piece: its time grew with the square of the number of events. The result is the same, as neither end can contain the other.

--- a/goldcrestward/src/request/numbered_events.rs
+++ b/goldcrestward/src/request/numbered_events.rs
@@ -200,11 +200,10 @@
 /// Returns the end of the first event in `bytes`.
 fn find_end(bytes: &[u8]) -> Option<usize> {
     let lf_end = bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
-    let crlf_end = bytes.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
-    match (lf_end, crlf_end) {
-        (Some(lf_end), Some(crlf_end)) => Some(lf_end.min(crlf_end)),
-        (lf_end, crlf_end) => lf_end.or(crlf_end),
-    }
+    // What follows the first end is searched for the next event.
+    let before = &bytes[..lf_end.unwrap_or(bytes.len())];
+    let crlf_end = before.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    crlf_end.or(lf_end)
 }
 
 /// Copies parts of received bytes, so that they do not hold the connection's whole buffer. One part of bytes that count as
