--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -28,7 +28,7 @@
 use crate::{
     config::{Account, Route},
     connection::{OutboundRequest, SendError},
-    process::{AdmissionPermit, InFlight, ReadError, Replica, ReplicaGuard, Shared, TooLong},
+    process::{AdmissionPermit, InFlight, ReadError, Replica, ReplicaGuard, Shared, TooLong, record_long_head},
     util::stable_hash,
     version::Sample,
 };
@@ -325,6 +325,11 @@
                 self.attempts.mark_sent();
                 Err(Failure::Disconnected)
             }
+            Some(Err(SendError::HeadTooLong(sent))) => {
+                self.attempts.mark_sent();
+                record_long_head(&self.shared, &self.id, replica, sent);
+                Err(Failure::HeadTooLong)
+            }
             Some(Ok(response)) => {
                 self.attempts.mark_sent();
                 let owner = ResponseOwner::of(response.headers(), &self.id);
