--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -21,8 +21,6 @@
     pub refusals: IntCounterVec,
     /// Attempts after the first, by reason.
     pub retries: IntCounterVec,
-    /// Responses of servers that exceeded a bound, by what was too long.
-    pub responses_too_long: IntCounterVec,
     /// Parts of streamed answers that were dropped, by reason.
     pub dropped: IntCounterVec,
     /// Tokens forwarded to callers.
@@ -97,6 +95,10 @@
     pub send_grants: IntCounterVec,
     /// Sets of prompt parts that are refused.
     pub condemned_parts: IntGauge,
+    /// Bytes of responses that are kept.
+    pub response_bytes: IntGauge,
+    /// Responses that were too long, by kind and limit.
+    pub long_responses: IntCounterVec,
 }
 
 impl Metrics {
@@ -111,11 +113,6 @@
             requests: factory.counters("requests_total", "requests by route and end", &["route", "end"])?,
             refusals: factory.counters("refusals_total", "refusals by reason", &["reason", "run"])?,
             retries: factory.counters("retries_total", "attempts after the first by reason", &["reason"])?,
-            responses_too_long: factory.counters(
-                "responses_too_long_total",
-                "responses of servers that exceeded a bound",
-                &["kind"],
-            )?,
             dropped: factory.counters("dropped_total", "parts of answers dropped by reason", &["reason"])?,
             tokens: factory.counter("tokens_total", "tokens passed on")?,
             recomputed: factory.counter("recomputed_tokens_total", "tokens computed again")?,
@@ -205,6 +202,12 @@
                 &["by", "result"],
             )?,
             condemned_parts: factory.gauge("condemned_parts", "sets of prompt parts that are refused")?,
+            response_bytes: factory.gauge("response_bytes", "bytes of responses that are kept")?,
+            long_responses: factory.counters(
+                "long_responses_total",
+                "responses that were too long, by kind and by the limit that they did not fit in",
+                &["kind", "limit"],
+            )?,
             crash_records: factory.counter("crash_records_total", "crash records learned from other daemons")?,
             registry,
         })
--- a/goldcrestward/src/process/response_too_long.rs
+++ b/goldcrestward/src/process/response_too_long.rs
@@ -7,8 +7,10 @@
 
 /// Records that a server has sent no final head within the bounds: in a counter, and in one line a second for a server.
 pub(crate) fn record_long_head(shared: &Shared, id: &str, replica: &Replica, sent: HeadTooLong) {
-    shared.metrics.responses_too_long.with_label_values(&["head"]).inc();
+    shared.metrics.long_responses.with_label_values(&["head", "response"]).inc();
     let Some(others) = replica.record_long_response(shared.now()) else { return };
     let (instance, HeadTooLong { bytes, heads }) = (&replica.id, sent);
-    warn!("event=response-too-long id={id} instance={instance} kind=head bytes={bytes} heads={heads} others={others}");
+    warn!(
+        "event=response-too-long id={id} instance={instance} kind=head bytes={bytes} heads={heads} limit=response others={others}"
+    );
 }
--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -35,6 +35,8 @@
     ErrorStatus,
     /// The response belongs to another request or attempt, is malformed or lacks a token.
     WrongResponse,
+    /// The response was too long to be kept.
+    TooLong,
     /// The back end timed out.
     TimedOut,
     /// The replica is leaving, so its stream continues elsewhere.
@@ -50,6 +52,7 @@
             Self::HeadTooLong => "head-too-long",
             Self::ErrorStatus => "status",
             Self::WrongResponse => "crossed",
+            Self::TooLong => "too-long",
             Self::TimedOut => "silent",
             Self::Leaving => "leaving",
         }
@@ -176,7 +179,11 @@
         match failure {
             Failure::Leaving => {}
             Failure::ConnectFailed => replica.eject(now),
-            Failure::HeadTooLong | Failure::WrongResponse | Failure::ErrorStatus | Failure::TimedOut => {
+            Failure::HeadTooLong
+            | Failure::WrongResponse
+            | Failure::ErrorStatus
+            | Failure::TooLong
+            | Failure::TimedOut => {
                 replica.update_ejection(false, now);
             }
             Failure::Disconnected => {
