--- a/goldcrestward/src/process/health.rs
+++ b/goldcrestward/src/process/health.rs
@@ -29,6 +29,7 @@
 pub(crate) struct FailureScore {
     score: f64,
     updated_at: u64,
+    answered_at: Option<u64>,
 }
 
 impl FailureScore {
@@ -36,6 +37,9 @@
     pub fn record(&mut self, outcome: AttemptOutcome, now: u64) {
         let score = self.value(now);
         self.updated_at = now;
+        if outcome != AttemptOutcome::Failure {
+            self.answered_at = Some(now);
+        }
         self.score = match outcome {
             AttemptOutcome::Success => score * SUCCESS_FACTOR,
             AttemptOutcome::ErrorResponse => score + ERROR_RESPONSE_STEP * (1.0 - score),
@@ -43,6 +47,11 @@
         };
     }
 
+    /// Whether an attempt has been answered since `at`, in ms.
+    pub fn has_answered_since(&self, at: u64) -> bool {
+        self.answered_at.is_some_and(|answered| answered >= at)
+    }
+
     /// The score at `now`, in ms, after its decay.
     pub fn value(&self, now: u64) -> f64 {
         self.score * (-(now.saturating_sub(self.updated_at) as f64) / HALF_LIFE_MS).exp2()
--- a/goldcrestward/src/process/health_test.rs
+++ b/goldcrestward/src/process/health_test.rs
@@ -24,6 +24,17 @@
     assert!(score_after(&faulty) > 0.4);
 }
 
+#[test]
+fn has_answered_since_knows_the_last_answer() {
+    let mut score = FailureScore::default();
+    assert!(!score.has_answered_since(0));
+    score.record(AttemptOutcome::Failure, 50);
+    assert!(!score.has_answered_since(0));
+    score.record(AttemptOutcome::ErrorResponse, 100);
+    score.record(AttemptOutcome::Failure, 200);
+    assert!(score.has_answered_since(100) && !score.has_answered_since(101));
+}
+
 #[test]
 fn score_decays_with_time() {
     let mut score = FailureScore::default();
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -58,7 +58,7 @@
 pub(crate) use limits::AdmissionPermit;
 pub(crate) use placement::{Placement, PromptCost};
 pub(crate) use quota::QuotaCharge;
-pub(crate) use replicas::{Blame, NoReplica, Offer, PlacementQuery, Replica, ReplicaGuard, ReplicaQuery};
+pub(crate) use replicas::{Blame, NoReplica, Offer, PlacementQuery, Replica, ReplicaGuard, ReplicaQuery, Replicas};
 pub use retries::RetryLimit;
 pub(crate) use run_times::RunKind;
 pub use settings::{Overrides, Settings, SettingsError};
--- a/goldcrestward/src/process/placement.rs
+++ b/goldcrestward/src/process/placement.rs
@@ -47,6 +47,13 @@
     }
 }
 
+impl Candidate {
+    /// Whether a further request would run at once.
+    pub fn has_free_slot(&self) -> bool {
+        self.slots == 0 || self.running < self.slots
+    }
+}
+
 derive_value_traits! {
     /// Prefill time of a request's prompt.
     pub(crate) struct PromptCost {
@@ -87,7 +94,7 @@
                 index,
                 prefill_ms,
                 first_response_ms: wait(candidate) + prefill_ms,
-                has_free_slot: has_free_slot(candidate),
+                has_free_slot: candidate.has_free_slot(),
             },
         )
     });
@@ -116,7 +123,7 @@
 /// Time until the server starts to process a further request.
 fn wait(candidate: &Candidate) -> f64 {
     let batch = BATCH_STEP_MS * f64::from(candidate.running.min(candidate.slots));
-    let slot_wait = if has_free_slot(candidate) {
+    let slot_wait = if candidate.has_free_slot() {
         0.0
     } else {
         SLOT_HOLD_MS * f64::from(candidate.running - candidate.slots + 1) / f64::from(candidate.slots)
@@ -124,10 +131,6 @@
     candidate.prefill_ms + batch + slot_wait
 }
 
-fn has_free_slot(candidate: &Candidate) -> bool {
-    candidate.slots == 0 || candidate.running < candidate.slots
-}
-
 /// A cost below a millisecond, to spread requests over equal servers.
 fn jitter(value: u64) -> f64 {
     (mix(value) >> 11) as f64 / (1u64 << 53) as f64
--- a/goldcrestward/src/process/replicas/registry.rs
+++ b/goldcrestward/src/process/replicas/registry.rs
@@ -17,7 +17,7 @@
         admission_queue::AdmissionQueues,
         hold::Hold,
         leaving::{LeavingRuns, LeavingSource},
-        placement::{mix, place},
+        placement::{Candidate, mix, place},
     },
     util::stable_hash,
 };
@@ -186,6 +186,22 @@
     /// # Errors
     /// Fails when no server is eligible.
     pub fn place(&self, query: &PlacementQuery<'_>) -> Result<Offer, NoReplica> {
+        self.place_among(query, |_| true)
+    }
+
+    /// Chooses like [`Replicas::place`] among the servers that have a free slot, however much cheaper a full one may seem.
+    ///
+    /// # Errors
+    /// Fails when no server with a free slot is eligible.
+    pub fn place_free(&self, query: &PlacementQuery<'_>) -> Result<Offer, NoReplica> {
+        self.place_among(query, Candidate::has_free_slot)
+    }
+
+    fn place_among(
+        &self,
+        query: &PlacementQuery<'_>,
+        is_wanted: impl Fn(&Candidate) -> bool,
+    ) -> Result<Offer, NoReplica> {
         let pools = self.pools.load();
         let pool = pools.get(query.pool).ok_or(NoReplica::None)?;
         let is_eligible = |r: &&Arc<Replica>| !r.is_leaving() && query.versions.allows(&r.version);
@@ -205,9 +221,10 @@
         let healthy: Vec<_> = eligible.iter().copied().filter(|r| !r.is_ejected(query.now)).collect();
         // An ejected server may have recovered, so it is better than none.
         let usable = if healthy.is_empty() { &eligible } else { &healthy };
-        let candidates: Vec<_> = usable.iter().map(|r| r.candidate(query)).collect();
+        let wanted = usable.iter().map(|r| (*r, r.candidate(query))).filter(|(_, candidate)| is_wanted(candidate));
+        let (replicas, candidates): (Vec<_>, Vec<_>) = wanted.unzip();
         let placement = place(&candidates, query.prompt_cost, query.salt).ok_or(NoReplica::None)?;
-        let replica = usable[placement.index].clone();
+        let replica = replicas[placement.index].clone();
         Ok(Offer { replica, crash_score: query.crash_score, placement, now: query.now })
     }
 
--- a/goldcrestward/src/process/replicas/registry_test.rs
+++ b/goldcrestward/src/process/replicas/registry_test.rs
@@ -7,8 +7,9 @@
     port::{Instance, InstanceState},
     process::{
         brittle::DaemonRank,
+        health::AttemptOutcome,
         placement::PromptCost,
-        replicas::{NoReplica, PlacementQuery},
+        replicas::{NoReplica, Offer, PlacementQuery},
     },
     version::VersionRule,
 };
@@ -32,6 +33,24 @@
     }
 }
 
+const NO_PROMPT: PromptCost = PromptCost { affinity: None, prefix_ms: 0.0, suffix_ms: 0.0 };
+
+fn query<'a>(tried: &'a [Arc<str>]) -> PlacementQuery<'a> {
+    PlacementQuery {
+        pool: "pool",
+        prompt_cost: &NO_PROMPT,
+        versions: &VersionRule::Any,
+        tried,
+        zone: "zone",
+        region: "region",
+        crash_score: 0,
+        salt: 0,
+        daemon: DaemonRank { rank: 0, count: 1 },
+        agreed_ms: 0,
+        now: 100,
+    }
+}
+
 /// Guards against BUDGET: a server whose entry went and came back got requests in the time for which it wanted none.
 #[test]
 fn update_keeps_the_hold_of_a_run_whose_entry_comes_back() {
@@ -66,19 +85,23 @@
             replicas.find(id).expect("a known server").hold(HOLD * (number as u32 + 1), 0);
         }
         let tried: Vec<Arc<str>> = tried.iter().map(|id| Arc::from(*id)).collect();
-        let query = PlacementQuery {
-            pool: "pool",
-            prompt_cost: &PromptCost { affinity: None, prefix_ms: 0.0, suffix_ms: 0.0 },
-            versions: &VersionRule::Any,
-            tried: &tried,
-            zone: "zone",
-            region: "region",
-            crash_score: 0,
-            salt: 0,
-            daemon: DaemonRank { rank: 0, count: 1 },
-            agreed_ms: 0,
-            now: 100,
-        };
-        assert_eq!(replicas.place(&query).err(), Some(expected), "{servers:?}, tried {tried:?}");
+        assert_eq!(replicas.place(&query(&tried)).err(), Some(expected), "{servers:?}, tried {tried:?}");
     }
 }
+
+/// Guards against refusals as busy while a server has free slots that recent failures make dearer than a full one.
+#[test]
+fn place_free_finds_the_server_that_place_passes_over() {
+    let replicas = Replicas::default();
+    replicas.update(vec![Instance { id: "full".into(), ..entry(1) }, Instance { id: "failing".into(), ..entry(1) }], 0);
+    let (full, failing) = (replicas.find("full").expect("known"), replicas.find("failing").expect("known"));
+    failing.update_failure_score(AttemptOutcome::Failure, 100);
+    let guards: Vec<_> = (0..8).map(|_| replicas.place(&query(&[])).map(Offer::accept)).collect();
+    assert!(guards.iter().all(Result::is_ok) && full.in_flight() == 8);
+    let offer = replicas.place(&query(&[])).expect("a server");
+    assert!(offer.replica().id == full.id && !offer.placement.has_free_slot);
+    let free = replicas.place_free(&query(&[])).expect("a free slot");
+    assert!(free.replica().id == failing.id && free.placement.has_free_slot);
+    let _filled: Vec<_> = (0..8).map(|_| replicas.place_free(&query(&[])).map(Offer::accept)).collect();
+    assert_eq!(replicas.place_free(&query(&[])).err(), Some(NoReplica::None));
+}
--- a/goldcrestward/src/process/replicas/replica.rs
+++ b/goldcrestward/src/process/replicas/replica.rs
@@ -134,6 +134,11 @@
         self.health.failure_score.lock().record(outcome, now);
     }
 
+    /// Whether it has answered an attempt of this daemon since `at`, in ms since the daemon's start.
+    pub fn has_answered_since(&self, at: u64) -> bool {
+        self.health.failure_score.lock().has_answered_since(at)
+    }
+
     /// Load that this daemon puts on the server.
     pub fn own_load(&self) -> PeerLoad {
         let prefill_ms = self.health.prefill_us.load(Ordering::Relaxed) as f64 / 1000.0;
--- a/goldcrestward/src/request/fallback.rs
+++ b/goldcrestward/src/request/fallback.rs
@@ -51,8 +51,7 @@
         }
         let mut excluded = self.tried.clone();
         excluded.push(silent.replica().id.clone());
-        let offer = self.placement.offer(&gateway, &excluded, self.crash_score().ok()?).ok()?;
-        let offer = Some(offer).filter(|offer| offer.placement.has_free_slot)?;
+        let offer = self.placement.free_offer(&gateway, &excluded, self.crash_score().ok()?)?;
         let (guard, id, window) = (offer.accept(), self.metadata.id.clone(), self.window.clone());
         Some(Box::pin(async move {
             gateway.admit_to_server(&id, guard.replica()).await.ok()?;
--- a/goldcrestward/src/request/placement_request.rs
+++ b/goldcrestward/src/request/placement_request.rs
@@ -12,7 +12,9 @@
     config::{Route, Site},
     logs::is_sampled,
     port::{PromptPart, RequestMetadata},
-    process::{Gateway, NoReplica, Offer, Placement, PlacementQuery, PromptCost, Rank, ReplicaGuard},
+    process::{
+        Gateway, NoReplica, Offer, Placement, PlacementQuery, PromptCost, Rank, ReplicaGuard, Replicas, RunKind,
+    },
     util::stable_hash,
 };
 
@@ -60,6 +62,8 @@
     pub decode_ms: f64,
     /// Its rank in the admission queue.
     pub rank: Rank,
+    /// The kind of its run.
+    pub run_kind: RunKind,
     /// When the route's latency target ends.
     pub target: Instant,
     /// When the request times out.
@@ -88,6 +92,7 @@
             prompt_cost: prompt_cost(metadata),
             decode_ms: decode_ms(metadata),
             rank: Rank { priority, due_ms },
+            run_kind: RunKind::new(route.name.clone(), Some(metadata.max_tokens())),
             target: arrived + route.latency_target,
             deadline,
             salt: stable_hash(&[metadata.id.as_bytes()]),
@@ -108,17 +113,32 @@
         let queue = gateway.shared.replicas.admission_queues.for_pool(&self.pool);
         let started = Instant::now();
         let queue_timeout = self.target.saturating_duration_since(started).mul_f64(QUEUE_TARGET_SHARE);
+        let rank = self.rank_at(gateway, started);
         let mut woken = false;
         loop {
-            let offer = self.offer(gateway, tried, crash_score()?);
+            let mut offer = self.offer(gateway, tried, crash_score()?);
             let (limit, obstacle) = match &offer {
-                Ok(offer) => (queue_timeout, Obstacle::Busy(offer.placement.first_response_ms)),
+                Ok(offer) => {
+                    let limit =
+                        if self.is_late(started) { self.late_timeout(gateway, started, offer) } else { queue_timeout };
+                    (limit, Obstacle::Busy(offer.placement.first_response_ms))
+                }
                 Err(NoReplica::RateLimited(wait)) => (queue_timeout, Obstacle::RateLimited(*wait)),
                 Err(NoReplica::Held(wait)) => (queue_timeout, Obstacle::Held(*wait)),
                 Err(_) => (NO_SERVER_TIMEOUT.min(queue_timeout), Obstacle::NoServer),
             };
+            let is_last_chance = started + queue_timeout <= Instant::now();
+            let mut is_left_over = false;
+            if is_last_chance
+                && offer.as_ref().is_ok_and(|offer| !offer.placement.has_free_slot)
+                && let Some(free) = self.free_offer(gateway, tried, crash_score()?)
+            {
+                // Those that wait prefer a full server to this one.
+                is_left_over = true;
+                offer = Ok(free);
+            }
             if let Some(offer) = offer.ok().filter(|offer| self.is_acceptable(offer))
-                && (woken || queue.is_next(self.rank))
+                && (woken || is_left_over || queue.is_next(rank))
             {
                 let placed = offer.placement.clone();
                 let guard = offer.accept();
@@ -135,7 +155,7 @@
             if left.is_zero() || matches!(obstacle, Obstacle::RateLimited(wait) | Obstacle::Held(wait) if wait > left) {
                 return Err(self.refuse(&obstacle));
             }
-            woken = queue.wait(self.rank, left.min(RECHECK_INTERVAL)).await;
+            woken = queue.wait(rank, left.min(RECHECK_INTERVAL)).await;
         }
     }
 
@@ -144,6 +164,21 @@
     /// # Errors
     /// Returns why there is none.
     pub fn offer(&self, gateway: &Gateway, tried: &[Arc<str>], score: u64) -> Result<Offer, NoReplica> {
+        self.query(gateway, tried, score, Replicas::place)
+    }
+
+    /// The best place at a server with a free slot.
+    pub fn free_offer(&self, gateway: &Gateway, tried: &[Arc<str>], score: u64) -> Option<Offer> {
+        self.query(gateway, tried, score, Replicas::place_free).ok()
+    }
+
+    fn query<T>(
+        &self,
+        gateway: &Gateway,
+        tried: &[Arc<str>],
+        score: u64,
+        place: impl Fn(&Replicas, &PlacementQuery<'_>) -> T,
+    ) -> T {
         let settings = &gateway.shared.settings;
         let query = PlacementQuery {
             pool: &self.pool,
@@ -158,7 +193,30 @@
             agreed_ms: gateway.shared.agreed_ms(),
             now: gateway.shared.now(),
         };
-        gateway.shared.replicas.place(&query)
+        place(&gateway.shared.replicas, &query)
+    }
+
+    fn is_late(&self, now: Instant) -> bool {
+        self.target <= now
+    }
+
+    /// Its rank in the admission queue. A request that is late already goes after those that can still be in time.
+    fn rank_at(&self, gateway: &Gateway, now: Instant) -> Rank {
+        if !self.is_late(now) {
+            return self.rank;
+        }
+        let left = self.deadline.saturating_duration_since(now);
+        Rank { due_ms: gateway.shared.now() + left.as_millis() as u64, ..self.rank }
+    }
+
+    /// How long a request that is late already may wait for a slot, so that its run still ends by its deadline.
+    fn late_timeout(&self, gateway: &Gateway, started: Instant, offer: &Offer) -> Duration {
+        let now = Instant::now();
+        let run = gateway.shared.run_times.usual(&self.run_kind, now).unwrap_or_default();
+        let wait = Duration::from_secs_f64(offer.placement.first_response_ms.max(0.0) / 1000.0);
+        let ends_in_time = now + wait + run <= self.deadline;
+        let spare = self.deadline.saturating_duration_since(started).saturating_sub(run);
+        if ends_in_time { spare } else { Duration::ZERO }
     }
 
     /// The refusal of a request while all servers of the pool have said that they want nothing.
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -319,7 +319,7 @@
         guard: ReplicaGuard,
         sequence: &mut EventSequence,
     ) -> Result<ProxyResponse, ProxyFailure> {
-        let started = Instant::now();
+        let (started, started_ms) = (Instant::now(), self.gateway.shared.now());
         if !self.is_answering {
             self.run_started = started;
         }
@@ -352,9 +352,15 @@
                         self.observe(&guard, Sample::Failed);
                         self.record_outcome(&guard, AttemptOutcome::ErrorResponse);
                     }
-                    ProxyFailure::Indeterminate(_) => {
+                    ProxyFailure::Indeterminate(cause) => {
                         self.observe(&guard, Sample::Failed);
-                        self.record_outcome(&guard, AttemptOutcome::Failure);
+                        // A server that answers others meanwhile may just need the time that such requests usually take.
+                        let is_at_work = *cause == "silent"
+                            && self.window.is_usual(started.elapsed())
+                            && guard.replica().has_answered_since(started_ms);
+                        if !is_at_work {
+                            self.record_outcome(&guard, AttemptOutcome::Failure);
+                        }
                     }
                     ProxyFailure::ConnectFailed => self.record_outcome(&guard, AttemptOutcome::Failure),
                 }
--- a/goldcrestward/src/request/run_window.rs
+++ b/goldcrestward/src/request/run_window.rs
@@ -119,6 +119,12 @@
         }
     }
 
+    /// Whether most runs of this kind take longer than `elapsed`.
+    pub fn is_usual(&self, elapsed: Duration) -> bool {
+        let Some((_, kind)) = &self.routed else { return false };
+        self.shared.run_times.usual(kind, Instant::now()).is_some_and(|usual| elapsed <= usual)
+    }
+
     fn needed_for(&self, phase: Phase) -> Duration {
         let needed = self.needed();
         if phase == Phase::Body { needed.max(REFUSAL_TIME) } else { needed }
