--- a/goldcrestward/src/process/brittle/room.rs
+++ b/goldcrestward/src/process/brittle/room.rs
@@ -5,12 +5,17 @@
 //! filled: each daemon may add its part of them to what the others know of it. The places lie in a row, and the daemons' parts
 //! cover the row in the order of their ranks, so that each place belongs to one daemon; the row is turned in each period.
 
+use super::recent_low::RecentLow;
 use crate::util::stable_hash;
 
 /// Time for which a server counts as brittle after it has last said so.
 const STATEMENT_TTL_MS: u64 = 3_000;
+/// Time after which all daemons know of a request.
+pub(super) const KNOWN_AFTER_MS: u64 = 600;
 /// Period after which the places go to other daemons.
-const PERIOD_MS: u64 = 300;
+const PERIOD_MS: u64 = 4 * KNOWN_AFTER_MS;
+/// Longest time until a daemon that has filled its part looks again, as others may have left places free.
+const RECHECK_MS: u64 = 300;
 /// Bounds of the time for which a daemon sends nothing after it was turned away.
 const BACK_OFF_MS: (u64, u64) = (250, 2_000);
 
@@ -51,13 +56,16 @@
     max_refusals: u32,
     brittle_until: u64,
     /// Requests of this daemon in flight that the others know of.
-    own_known: u32,
+    own_known: RecentLow,
     blocked_until: u64,
 }
 
 impl Room {
     /// Records that the server says that it is brittle; returns whether that is new.
     pub fn state(&mut self, max_refusals: u32, now: u64) -> bool {
+        if !self.is_brittle(now) {
+            self.own_known = RecentLow::starting(now);
+        }
         let is_new = !self.is_brittle(now) || self.max_refusals != max_refusals;
         self.max_refusals = max_refusals;
         self.brittle_until = now + STATEMENT_TTL_MS;
@@ -69,11 +77,6 @@
         now < self.brittle_until
     }
 
-    /// Records how many requests of this daemon the others know of, whenever this one learns theirs.
-    pub fn set_known(&mut self, own: u32) {
-        self.own_known = own;
-    }
-
     /// Records that the server has turned a request away. All daemons together must stay below what it bears.
     pub fn record_refusal(&mut self, daemons: usize, now: u64) {
         let pause = 1_000 * daemons as u64 / u64::from(self.max_refusals.max(1));
@@ -82,7 +85,7 @@
 
     /// Time in ms until this daemon may send another request; 0 if it may now. `server` is the hash of the server's run, and
     /// `agreed_ms` the time agreed among the daemons.
-    pub fn wait(&self, places: Places, daemon: DaemonRank, server: u64, now: u64, agreed_ms: u64) -> u64 {
+    pub fn wait(&mut self, places: Places, daemon: DaemonRank, server: u64, now: u64, agreed_ms: u64) -> u64 {
         if !self.is_brittle(now) || places.slots == 0 {
             return 0;
         }
@@ -90,15 +93,22 @@
             return self.blocked_until - now;
         }
         let Places { slots, taken, own } = places;
-        let own_known = self.own_known.min(own);
+        let own_known = self.own_known.record(own, now);
         // What this daemon has added since is part of `taken` already.
         let free = (slots + own - own_known).saturating_sub(taken);
-        let period = agreed_ms / PERIOD_MS;
-        let turn = unit(stable_hash(&[&server.to_le_bytes(), &period.to_le_bytes()]));
-        if own < own_known + daemon.part_of(free, turn) {
+        let (period, elapsed) = (agreed_ms / PERIOD_MS, agreed_ms % PERIOD_MS);
+        let part = |period: u64| {
+            let turn = unit(stable_hash(&[&server.to_le_bytes(), &period.to_le_bytes()]));
+            daemon.part_of(free, turn)
+        };
+        // The daemon that had a place before may have filled it without this one knowing yet.
+        let is_settled = elapsed >= KNOWN_AFTER_MS;
+        let part = if is_settled { part(period) } else { part(period).min(part(period.wrapping_sub(1))) };
+        if own < own_known + part {
             return 0;
         }
-        (period + 1) * PERIOD_MS - agreed_ms
+        let change = if is_settled { PERIOD_MS } else { KNOWN_AFTER_MS };
+        (change - elapsed).min(RECHECK_MS)
     }
 }
 
--- a/goldcrestward/src/process/brittle/room_test.rs
+++ b/goldcrestward/src/process/brittle/room_test.rs
@@ -10,8 +10,10 @@
 
 const STEP_MS: u64 = 5;
 const RUN_MS: u64 = 12_000;
-/// Time after which daemons know of each other's requests.
-const EXCHANGE_MS: u64 = 300;
+/// Interval at which each daemon reports to the relay, and the relay tells all of them, each at a time of its own.
+const EXCHANGE_MS: u64 = 250;
+/// Time that a message of the relay takes.
+const LATENCY_MS: u64 = 50;
 const SLOTS: u32 = 6;
 /// Refusals in a second that a server bears, and time for which it is down after it fell over.
 const MAX_REFUSALS: u32 = 5;
@@ -29,9 +31,14 @@
     refused_at: VecDeque<u64>,
     down_until: u64,
     falls: u32,
-    /// What all daemons knew of each other at the last exchange: requests by daemon.
-    known: Vec<u32>,
-    known_total: u32,
+    /// What the daemons have last reported to the relay: requests by daemon.
+    reported: Vec<u32>,
+}
+
+/// What the relay tells of all servers, and when it arrives: requests of all daemons, and by daemon.
+struct Summary {
+    arrives: u64,
+    servers: Vec<(u32, Vec<u32>)>,
 }
 
 struct Outcome {
@@ -48,24 +55,34 @@
         refused_at: VecDeque::new(),
         down_until: 0,
         falls: 0,
-        known: vec![0; daemons],
-        known_total: 0,
+        reported: vec![0; daemons],
     };
     let mut sims: Vec<SimServer> = (0..servers).map(|_| new()).collect();
     let mut rooms: Vec<Vec<Room>> = (0..daemons).map(|_| (0..servers).map(|_| Room::default()).collect()).collect();
+    let mut others_known = vec![vec![0; servers]; daemons];
+    let mut summaries: VecDeque<Summary> = VecDeque::new();
+    let phases: Vec<u64> = (0..daemons).map(|_| random.random_range(0..EXCHANGE_MS / STEP_MS) * STEP_MS).collect();
     let (mut served, mut asked) = (0, 0);
     let capacity_per_step = servers as f64 * f64::from(SLOTS) * STEP_MS as f64 / WORK_MS as f64;
     for now in (0..RUN_MS).step_by(STEP_MS as usize) {
         for sim in &mut sims {
             sim.running.retain(|(end, _)| *end > now);
         }
+        for sim in &mut sims {
+            let mut own = vec![0; daemons];
+            sim.running.iter().for_each(|(_, daemon)| own[*daemon] += 1);
+            let reporting = (0..daemons).filter(|daemon| now % EXCHANGE_MS == phases[*daemon]);
+            reporting.for_each(|daemon| sim.reported[daemon] = own[daemon]);
+        }
         if now % EXCHANGE_MS == 0 {
-            for (index, sim) in sims.iter_mut().enumerate() {
-                sim.known = vec![0; daemons];
-                sim.running.iter().for_each(|(_, daemon)| sim.known[*daemon] += 1);
-                sim.known_total = sim.running.len() as u32;
+            let servers = sims.iter().map(|sim| (sim.reported.iter().sum(), sim.reported.clone())).collect();
+            summaries.push_back(Summary { arrives: now + LATENCY_MS, servers });
+        }
+        let has_arrived = summaries.front().is_some_and(|summary| summary.arrives <= now);
+        if let Some(summary) = has_arrived.then(|| summaries.pop_front()).flatten() {
+            for (index, (total, reported)) in summary.servers.iter().enumerate() {
                 for (daemon, rooms) in rooms.iter_mut().enumerate() {
-                    rooms[index].set_known(sim.known[daemon]);
+                    others_known[daemon][index] = total - reported[daemon];
                     if careful {
                         rooms[index].state(MAX_REFUSALS, now);
                     }
@@ -87,7 +104,7 @@
             let choice = (0..servers).map(|offset| (first + offset) % servers).filter_map(|index| {
                 let sim = &sims[index];
                 let own = sim.running.iter().filter(|(_, of)| *of == daemon).count() as u32;
-                let taken = sim.known_total - sim.known[daemon] + own;
+                let taken = others_known[daemon][index] + own;
                 let places = Places { slots: SLOTS, taken, own };
                 let rank = DaemonRank { rank: daemon, count: daemons };
                 let is_free = taken < SLOTS && rooms[daemon][index].wait(places, rank, index as u64, now, now) == 0;
@@ -143,11 +160,11 @@
 fn wait_is_zero_unless_the_server_is_brittle() {
     let mut room = Room::default();
     let full = Places { slots: 6, taken: 6, own: 3 };
-    let wait = |room: &Room, now| room.wait(full, DaemonRank { rank: 3, count: 7 }, 1, now, now);
-    assert_eq!(wait(&room, 10), 0);
+    let wait = |room: &mut Room, now| room.wait(full, DaemonRank { rank: 3, count: 7 }, 1, now, now);
+    assert_eq!(wait(&mut room, 10), 0);
     assert!(room.state(5, 10) && !room.state(5, 20));
-    assert!(wait(&room, 30) > 0);
-    assert_eq!(wait(&room, 60_000), 0);
+    assert!(wait(&mut room, 30) > 0);
+    assert_eq!(wait(&mut room, 60_000), 0);
 }
 
 #[test]
--- a/goldcrestward/src/process/replicas/replica.rs
+++ b/goldcrestward/src/process/replicas/replica.rs
@@ -148,7 +148,6 @@
     /// Stores the load that all other daemons put on the server.
     pub fn set_others_load(&self, load: PeerLoad, now: u64) {
         self.health.loads.lock().set_others(load, now);
-        self.health.room.lock().set_known(self.in_flight());
     }
 
     /// Records that the server is brittle; returns whether that is new.
@@ -227,7 +226,7 @@
         let now = query.now;
         let limited = self.health.blocked_until.load(Ordering::Relaxed).saturating_sub(now);
         let limited = limited.max(self.health.hold.lock().wait(now));
-        let room = self.health.room.lock();
+        let mut room = self.health.room.lock();
         if !room.is_brittle(now) {
             return limited;
         }
