--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -60,7 +60,7 @@
 pub(crate) use limits::AdmissionPermit;
 pub(crate) use placement::{Placement, PromptCost};
 pub(crate) use quota::QuotaCharge;
-pub(crate) use replicas::{Blame, NoReplica, Offer, PlacementQuery, Replica, ReplicaGuard, ReplicaQuery};
+pub(crate) use replicas::{Blame, NoReplica, Offer, PlacementQuery, Replica, ReplicaGuard, ReplicaQuery, Replicas};
 pub use response_memory::{MemoryLimit, ReadError, ResponseBuffer, ResponseMemory, TooLong};
 pub(crate) use response_too_long::record_long_head;
 pub use retries::RetryLimit;
--- a/goldcrestward/src/process/replicas/replica.rs
+++ b/goldcrestward/src/process/replicas/replica.rs
@@ -139,6 +139,11 @@
         self.health.long_responses.lock().record(now)
     }
 
+    /// Whether it has answered an attempt of this daemon since `at`, in ms since the daemon's start.
+    pub fn has_answered_since(&self, at: u64) -> bool {
+        self.health.failure_score.lock().has_answered_since(at)
+    }
+
     /// Load that this daemon puts on the server.
     pub fn own_load(&self) -> PeerLoad {
         let prefill_ms = self.health.prefill_us.load(Ordering::Relaxed) as f64 / 1000.0;
@@ -148,7 +153,6 @@
     /// Stores the load that all other daemons put on the server.
     pub fn set_others_load(&self, load: PeerLoad, now: u64) {
         self.health.loads.lock().set_others(load, now);
-        self.health.room.lock().set_known(self.in_flight());
     }
 
     /// Records that the server is brittle; returns whether that is new.
@@ -227,7 +231,7 @@
         let now = query.now;
         let limited = self.health.blocked_until.load(Ordering::Relaxed).saturating_sub(now);
         let limited = limited.max(self.health.hold.lock().wait(now));
-        let room = self.health.room.lock();
+        let mut room = self.health.room.lock();
         if !room.is_brittle(now) {
             return limited;
         }
