--- a/goldcrestward/src/version/mod.rs
+++ b/goldcrestward/src/version/mod.rs
@@ -19,3 +19,5 @@
 mod bound_test;
 #[cfg(test)]
 mod scenario_test;
+#[cfg(test)]
+mod slow_version_test;
--- /dev/null
+++ b/goldcrestward/src/version/slow_version_test.rs
@@ -0,0 +1,172 @@
+//! Simulated ordered rollouts of a slow version at seven daemons, some of whose servers are stopped meanwhile.
+
+use std::{collections::VecDeque, time::Duration};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use super::{Decision, Outcome, Readiness, Rollout, Snapshot, Strata, Tally, ordered_plan};
+use crate::store::Revision;
+
+const DAEMONS: usize = 7;
+const ZONES: usize = 3;
+const STEP_MS: u64 = 10;
+/// Interval of the holder's decisions.
+const TICK_MS: u64 = 500;
+/// Time until a daemon knows of a decision.
+const NEWS_MS: u64 = 300;
+/// Longest time that a daemon's tallies take to the holder.
+const REPORT_MS: u64 = 100;
+const ROLLOUT_S: u64 = 15;
+/// Requests per second at all daemons.
+const RATE: f64 = 190.0;
+/// Routes: share of the requests, usual time to the first response, latency target.
+const ROUTES: [(f64, f64, f64); 3] = [(0.38, 90.0, 600.0), (0.48, 60.0, 500.0), (0.14, 40.0, 500.0)];
+/// Spread of the times, as the standard deviation of their logarithm.
+const SPREAD: f64 = 0.6;
+/// Bad answers after which a version must be rolled back within `MAX_ROLLBACK_MS`.
+const BAD_ANSWERS: u64 = 50;
+const MAX_ROLLBACK_MS: u64 = 5_000;
+const SEEDS: u64 = 25;
+
+/// A bad version, and what befalls its servers.
+#[derive(Clone, Copy, Debug)]
+struct Scenario {
+    /// Factor on the times of slow answers, and their share.
+    factor: f64,
+    slow_share: f64,
+    /// Zones in which its servers are stopped, and when.
+    stopped: (usize, u64),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    arrives: u64,
+    daemon: usize,
+    zone: usize,
+    route: usize,
+    is_new: bool,
+    is_late: bool,
+    is_bad: bool,
+}
+
+#[derive(Debug, Default)]
+struct RunResult {
+    outcome: Option<Outcome>,
+    /// Requests sent to the version too late after its bad answers.
+    exposed: u64,
+    /// Time from the 50th bad answer to the end.
+    rollback_ms: Option<u64>,
+}
+
+fn normal(random: &mut SmallRng) -> f64 {
+    (0..12).map(|_| random.random::<f64>()).sum::<f64>() - 6.0
+}
+
+fn run(scenario: Scenario, seed: u64) -> RunResult {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let plan = ordered_plan("pool".into(), "new".into(), Duration::from_secs(ROLLOUT_S), Revision::new(0, 7), 0);
+    let mut rollout = Rollout::new(plan.clone(), 0, 0);
+    let mut result = RunResult::default();
+    let mut tallies = vec![Strata::new(); DAEMONS];
+    let mut answers: Vec<Answer> = Vec::new();
+    let mut snapshots: VecDeque<(u64, Strata)> = VecDeque::new();
+    // The shares of traffic, and when the daemons know of them.
+    let mut shares = vec![(0, 0.0)];
+    let (mut bad, mut bad_since) = (0, None);
+    for now in (0..(ROLLOUT_S + 3) * 1_000).step_by(STEP_MS as usize) {
+        let share = shares.iter().rev().find(|(at, _)| *at <= now).map_or(0.0, |(_, share)| *share);
+        let (stopped_zones, stopped_at) = scenario.stopped;
+        let first_zone = if now >= stopped_at { stopped_zones } else { 0 };
+        let mean = RATE * STEP_MS as f64 / 1_000.0;
+        for _ in 0..mean.floor() as u64 + u64::from(random.random_bool(mean.fract())) {
+            let point = random.random::<f64>();
+            let route = if point < ROUTES[0].0 { 0 } else { usize::from(point >= ROUTES[0].0 + ROUTES[1].0) + 1 };
+            let daemon = random.random_range(0..DAEMONS);
+            let is_new = first_zone < ZONES && random.random_bool(share);
+            let zone = if is_new { random.random_range(first_zone..ZONES) } else { daemon % ZONES };
+            let is_bad = is_new && random.random_bool(scenario.slow_share);
+            let factor = if is_bad { scenario.factor } else { 1.0 };
+            let (_, usual, target) = ROUTES[route];
+            let took = usual * factor * (SPREAD * normal(&mut random)).exp();
+            answers.push(Answer {
+                arrives: now + took as u64,
+                daemon,
+                zone,
+                route,
+                is_new,
+                is_late: took > target,
+                is_bad,
+            });
+            result.exposed += u64::from(is_new && bad_since.is_some_and(|at| now > at + MAX_ROLLBACK_MS));
+        }
+        for answer in answers.extract_if(.., |answer| answer.arrives <= now) {
+            let key = (format!("route-{}", answer.route).into(), format!("zone-{}", answer.zone).into());
+            let pair = tallies[answer.daemon].entry(key).or_default();
+            let tally = if answer.is_new { &mut pair.new } else { &mut pair.old };
+            tally.add(Tally { count: 1, failed: 0, slow: u64::from(answer.is_late) });
+            bad += u64::from(answer.is_bad);
+            if bad >= BAD_ANSWERS {
+                bad_since.get_or_insert(now);
+            }
+        }
+        if result.outcome.is_some() || !now.is_multiple_of(TICK_MS) {
+            continue;
+        }
+        let mut strata = Strata::new();
+        for (key, pair) in tallies.iter().flatten() {
+            let sum = strata.entry(key.clone()).or_default();
+            sum.old.add(pair.old);
+            sum.new.add(pair.new);
+        }
+        snapshots.push_back((now + random.random_range(0..=REPORT_MS) + TICK_MS, strata));
+        let has_arrived = snapshots.front().is_some_and(|(at, _)| *at <= now);
+        let Some((_, strata)) = has_arrived.then(|| snapshots.pop_front()).flatten() else { continue };
+        let ready = Readiness { new: 2 * (ZONES - first_zone), old: 6 * ZONES };
+        let Some(decision) = rollout.decide(&Snapshot { now_ms: now, strata, ready }) else { continue };
+        rollout.apply(&decision, now);
+        match decision {
+            Decision::Advance(step) => shares.push((now + NEWS_MS, Rollout::share(&plan, step))),
+            Decision::End(outcome, _) => {
+                let share = if outcome == Outcome::Completed { 1.0 } else { 0.0 };
+                shares.push((now + NEWS_MS, share));
+                result.outcome = Some(outcome);
+                result.rollback_ms = bad_since.map(|at| now - at);
+            }
+        }
+    }
+    result
+}
+
+/// Checks versions that are slow by some factor, in a share of their answers, whatever becomes of their servers.
+fn check(kinds: &[(f64, f64)]) {
+    let mut failures = Vec::new();
+    for (factor, slow_share) in kinds.iter().copied() {
+        for stopped in [(0, 0), (1, 3_000), (2, 1_000), (2, 5_000)] {
+            let scenario = Scenario { factor, slow_share, stopped };
+            let results: Vec<RunResult> = (0..SEEDS).map(|seed| run(scenario, seed)).collect();
+            let exposed = results.iter().map(|result| result.exposed).max().unwrap_or_default();
+            let over = results.iter().filter(|result| result.exposed > 0).count();
+            let completed = results.iter().filter(|result| result.outcome == Some(Outcome::Completed)).count();
+            let longest = results.iter().filter_map(|result| result.rollback_ms).max();
+            let line = format!("{scenario:?}: {completed} completed, {over} of {SEEDS} exposed by {exposed} at most");
+            println!("{line}, rolled back {longest:?} ms after {BAD_ANSWERS} bad answers at most");
+            if over > 0 || completed > 0 {
+                failures.push(line);
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Guards against slow versions that go on after many bad answers while servers of theirs are stopped by an earlier order.
+#[test]
+fn versions_slower_than_the_target_are_rolled_back_soon_after_bad_answers() {
+    check(&[(8.0, 0.6), (8.0, 1.0), (16.0, 0.3)]);
+}
+
+/// Guards against versions that are several times slower than the old one, though most of their answers meet the target.
+#[test]
+fn versions_slower_within_the_target_are_rolled_back_soon_after_bad_answers() {
+    known_red::report!();
+    check(&[(4.0, 0.6)]);
+}
