--- a/goldcrestward/src/process/response_memory/byte_budget_test.rs
+++ b/goldcrestward/src/process/response_memory/byte_budget_test.rs
@@ -32,7 +32,7 @@
         match (kind % 8, id) {
             (0 | 1, _) | (_, None) => {
                 let server: Arc<str> = SERVERS[usize::from(*which) % SERVERS.len()].into();
-                let is_protected = size % 16 == 0;
+                let is_protected = size.is_multiple_of(16);
                 let precedence = if is_protected { Precedence::Always } else { Precedence::BySize };
                 let id = budget.open(server.clone(), precedence);
                 model.insert(id, Model { server, bytes: 0, is_whole: false, is_protected });
--- a/goldcrestward/tests/it/command_line.rs
+++ b/goldcrestward/tests/it/command_line.rs
@@ -69,6 +69,13 @@
         ("site: s\ncallers: nowhere\n", "settings.yaml:2", "callers"),
         ("site: s\nworkers: 1\n", "peers", "missing"),
         ("peers: 127.0.0.1:1\npeer-secrets: [short]\n", "peer-secrets", "16 bytes"),
+        ("site: s\nmemory-mb: much\n", "settings.yaml:2", "memory-mb"),
+        (
+            "site: s\nregion: r\nzone: z\ncallers: 127.0.0.1:1\npeers: 127.0.0.1:2\nplatform: 127.0.0.1:3\n\
+             peer-secrets: [sixteen-bytes-or-more]\nmemory-mb: 63\n",
+            "memory-mb",
+            "must be 64 or more, not 63",
+        ),
     ];
     for (text, location, message) in cases {
         let path = dir.path().join("settings.yaml");
--- a/goldcrestward/tests/it/endless.rs
+++ b/goldcrestward/tests/it/endless.rs
@@ -29,6 +29,8 @@
 const WORK: Duration = Duration::from_millis(20);
 /// Time within which 99 of 100 sound requests are answered, whatever the other back ends send.
 const SOUND_LATENCY: Duration = Duration::from_millis(500);
+/// Time within which a request goes on elsewhere if its engine sends only comments; an engine counts as idle after 30 s.
+const IDLE_PATIENCE: Duration = Duration::from_secs(40);
 /// Time for which a caller waits. The routes allow more.
 const PATIENCE: Duration = Duration::from_secs(8);
 
@@ -105,6 +107,17 @@
 
 /// Sends requests; returns the status of each answer, or 0, and how long it took to end.
 async fn send(site: &TestSite, call: Call, name: &str, count: usize, at_once: usize) -> Vec<(u16, Duration)> {
+    send_for(PATIENCE, site, call, name, count, at_once).await
+}
+
+async fn send_for(
+    patience: Duration,
+    site: &TestSite,
+    call: Call,
+    name: &str,
+    count: usize,
+    at_once: usize,
+) -> Vec<(u16, Duration)> {
     let (mut requests, permits) = (JoinSet::new(), Arc::new(Semaphore::new(at_once)));
     for number in 0..count {
         let (daemon, permits) = (site.daemons[0].callers, permits.clone());
@@ -112,7 +125,7 @@
         requests.spawn(async move {
             let _permit = permits.acquire().await.expect("the semaphore is open");
             let (start, mut status) = (Instant::now(), 0);
-            timeout(PATIENCE, read_status(daemon, &text, &mut status)).await.ok();
+            timeout(patience, read_status(daemon, &text, &mut status)).await.ok();
             (status, start.elapsed())
         });
     }
@@ -145,6 +158,7 @@
         send(&site, *call, &format!("{call:?}-{kind:?}"), CALLERS, CALLERS).await;
         assert_eq!(site.daemons[0].exit_status(), None, "{call:?} with {kind:?}: the daemon has ended");
         let peak = site.daemons[0].peak_memory_mb();
+        println!("{call:?} with {kind:?}: {peak} MB");
         assert!(peak <= MAX_MEMORY_MB, "{call:?} with {kind:?}: the daemon took {peak} MB of {MAX_MEMORY_MB}");
     }
 }
@@ -179,3 +193,16 @@
     assert!(times.len() >= SOUND_REQUESTS / 2, "{} of {SOUND_REQUESTS} requests were served", times.len());
     assert!(slow <= times.len() / 100, "{slow} of {} took longer than {SOUND_LATENCY:?}", times.len());
 }
+
+// Guards against comments that keep the stream of an idle engine open for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_comments_end_like_a_silent_engine() {
+    let back_ends = [
+        EndlessServer::start(|request| EndlessAnswer::Endless(EndlessKind::Comments, fields(request))),
+        EndlessServer::start(whole),
+    ];
+    let site = start_site(Call::Stream.pool(), &back_ends).await;
+    let answers = send_for(IDLE_PATIENCE, &site, Call::Stream, "comments", 8, 8).await;
+    assert!(answers.iter().all(|(status, _)| *status == 200), "{answers:?}");
+    assert!(answers.iter().any(|(_, time)| *time > PATIENCE), "no request met the engine without events: {answers:?}");
+}
--- a/standin/src/endless.rs
+++ b/standin/src/endless.rs
@@ -14,7 +14,7 @@
 /// Size of one write, in bytes.
 const WRITE_BYTES: usize = 64 * 1024;
 /// Time after which the server closes a connection on which it sends without end.
-const SEND_TIME: Duration = Duration::from_secs(20);
+const SEND_TIME: Duration = Duration::from_secs(60);
 
 /// What a server sends without end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
