Connections: the kernel closes each one that is silent for 3 s, idle or not

What callers saw: requests that may run once only, sent on a connection that had gone silent without a reset while idle, ended as 502; a request on a silent tunnel hung until its deadline, and its carrier went on with it.

Cause: options were set at two places, and only a user time-out, which acts on unacknowledged bytes only. An idle connection, and the asking end of a tunnel, which only reads, had nothing outstanding; a server's Keep-Alive kept the former for up to 60 s. Connections of the HTTP client and of callers had no option at all.

Change: `connection/socket.rs` opens and sets up all of them: keep-alive after 1 s, each 1 s, with the user time-out of 2.5 s, which on Linux also decides when probes give up. Callers' connections are probed after 5 s and have no user time-out, which would also count the time for which a caller does not read.

Why it works: 3 s of silence end a connection whatever is on it, which is less than the 4 s after which a daemon counts as undisturbed, and more than the pause of 1.3 s of a sound server, whose kernel acknowledges probes besides.

--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -16,9 +16,9 @@
 use hyper::{body::Incoming, client::conn::http1::Builder};
 use parking_lot::Mutex;
 use prometheus::IntCounterVec;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::time::timeout;
 
-use super::{client::SendError, request_sender::RequestSender, tunnel::Tunnel};
+use super::{client::SendError, request_sender::RequestSender, socket::open_socket, tunnel::Tunnel};
 
 /// Time after which an idle connection is closed if the server states none.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -26,8 +26,6 @@
 const MAX_LIFETIME: Duration = Duration::from_secs(60);
 /// Time by which a connection is retired before the server would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
-/// Time after which a connection whose sent bytes are not acknowledged is closed.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time for which no idle connection is kept by way of a peer that is being stopped.
 const AVOID_TIME: Duration = Duration::from_secs(15);
 
@@ -100,7 +98,7 @@
         instance: &Arc<str>,
         limit: Duration,
     ) -> Result<BackendConnection, ConnectError> {
-        let open = async { Sender::new(open_backend_socket(address).await?, Builder::new()).await };
+        let open = async { Sender::new(open_socket(address).await.ok()?, Builder::new()).await };
         let opened = timeout(limit, open).await;
         let opened = opened.map_or(Err(ConnectError::Silent), |sender| sender.ok_or(ConnectError::Refused));
         let result = opened.as_ref().map_or_else(|error| error.label(), |_| "opened");
@@ -181,15 +179,6 @@
     }
 }
 
-/// Opens a TCP connection to a backend server; `None` if it is refused.
-pub(crate) async fn open_backend_socket(address: SocketAddr) -> Option<TcpStream> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    stream.set_nodelay(true).ok()?;
-    // A server that loses power or its network does not respond at all; without this time-out writes would hang.
-    rustix::net::sockopt::set_tcp_user_timeout(&stream, UNACKNOWLEDGED_TIMEOUT.as_millis() as u32).ok();
-    Some(stream)
-}
-
 /// A connection in exclusive use by one request; dropping it closes it.
 pub(crate) struct BackendConnection {
     sender: Sender,
--- a/goldcrestward/src/connection/client.rs
+++ b/goldcrestward/src/connection/client.rs
@@ -4,10 +4,12 @@
 
 use http::{HeaderMap, HeaderValue, Method, Request, header};
 use hyper::client::conn::http1::Builder;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::time::timeout;
 use volo_http::{body::Body, response::Response};
 
-use super::{idle_senders::IdleSenders, request_sender::RequestSender, response_head::HeadTooLong};
+use super::{
+    idle_senders::IdleSenders, request_sender::RequestSender, response_head::HeadTooLong, socket::open_socket,
+};
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -84,9 +86,8 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<RequestSender<Body>, SendError> {
-    let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let opened = timeout(CONNECT_TIMEOUT, open_socket(address)).await;
     let stream = opened.ok().and_then(Result::ok).ok_or(SendError::NotSent)?;
-    stream.set_nodelay(true).ok();
     let mut builder = Builder::new();
     builder.title_case_headers(true);
     RequestSender::new(stream, builder).await.ok_or(SendError::NotSent)
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -34,6 +34,7 @@
     activity::{Activity, AmbiguousFraming},
     error::{ListenSnafu, Result},
     framing::HeadInspector,
+    socket::set_up_accepted,
 };
 use crate::{
     config::CallerLimits,
@@ -143,7 +144,7 @@
     activity: &Arc<Activity>,
     limits: &CurrentCallerLimits,
 ) {
-    stream.set_nodelay(true).ok();
+    set_up_accepted(&stream);
     let mut builder = http1::Builder::new();
     let CallerLimits { header_timeout, idle_timeout, header_bytes, .. } = limits();
     // The HTTP library counts idle time before a head towards this time-out, which is set once for the connection; a
--- a/goldcrestward/src/connection/mod.rs
+++ b/goldcrestward/src/connection/mod.rs
@@ -16,10 +16,11 @@
 mod response_head;
 mod seal;
 mod server_stream;
+mod socket;
 mod tunnel;
 
 pub(crate) use activity::AmbiguousFraming;
-pub(crate) use backend::{BackendConnection, BackendConnections, ConnectError, open_backend_socket};
+pub(crate) use backend::{BackendConnection, BackendConnections, ConnectError};
 pub(crate) use carried::{CarriedConnection, CarriedConnections, IsStopping};
 pub(crate) use carried_exchanges::ResponseObserver;
 pub use client::{HttpClient, OutboundRequest, SendError};
@@ -28,6 +29,7 @@
 pub(crate) use peer::{PeerClient, PeerHandler, serve_peers};
 pub use response_head::HeadTooLong;
 pub(crate) use seal::{DatagramSealer, Secrets};
+pub(crate) use socket::open_socket;
 
 #[cfg(test)]
 mod framing_test;
--- a/goldcrestward/src/connection/peer.rs
+++ b/goldcrestward/src/connection/peer.rs
@@ -23,6 +23,7 @@
     error::{PeerSnafu, Result as PeerResult},
     observed_stream::{ObservedStream, Receipts},
     seal::Secrets,
+    socket::{open_socket, set_up},
     tunnel::{Tunnel, TunnelEnd, carry},
 };
 use crate::pb::{self, TunnelResult, answer, request};
@@ -48,8 +49,6 @@
 
 /// Connections that are carried for peers at once.
 const MAX_TUNNELS: usize = 512;
-/// Time after which a connection whose sent bytes are not acknowledged is closed.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 type Stream = Framed<ObservedStream, LengthDelimitedCodec>;
 /// Channel to a caller that awaits an answer; `None` if the peer's answer has no body that this build knows.
@@ -120,8 +119,6 @@
 impl AuthenticatedStream {
     /// Performs the handshake; the initiator sends the first message.
     async fn new(socket: TcpStream, secrets: Secrets, is_initiator: bool) -> Option<Self> {
-        socket.set_nodelay(true).ok();
-        rustix::net::sockopt::set_tcp_user_timeout(&socket, UNACKNOWLEDGED_TIMEOUT.as_millis() as u32).ok();
         let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_HANDSHAKE_BYTES).new_codec();
         let mut stream = Framed::new(ObservedStream::new(socket), codec);
         let own_nonce: [u8; 16] = rand::random();
@@ -188,6 +185,7 @@
             sleep(Duration::from_millis(20)).await;
             continue;
         };
+        set_up(&socket);
         let (secrets, handler, rejected_handshakes) = (secrets.clone(), handler.clone(), rejected_handshakes.clone());
         let tunnels = tunnels.clone();
         tokio::spawn(async move {
@@ -308,7 +306,7 @@
     pub async fn open_tunnel(&self, address: SocketAddr, open: pb::OpenTunnel) -> Result<Tunnel, TunnelResult> {
         let lost = || TunnelResult::Unspecified;
         let names = format!("id={} instance={} address={address}", open.request, open.instance);
-        let socket = TcpStream::connect(address).await.map_err(|_| lost())?;
+        let socket = open_socket(address).await.map_err(|_| lost())?;
         let mut stream = AuthenticatedStream::new(socket, self.secrets.clone(), true).await.ok_or_else(lost)?;
         let request = pb::Request { id: 1, body: Some(request::Body::OpenTunnel(open)) };
         stream.send(request.encode_to_vec()).await.ok_or_else(lost)?;
@@ -338,7 +336,7 @@
 
 async fn run_connection(address: SocketAddr, secrets: Secrets, mut requests: mpsc::Receiver<PendingRequest>) {
     let open = async {
-        let socket = TcpStream::connect(address).await.ok()?;
+        let socket = open_socket(address).await.ok()?;
         AuthenticatedStream::new(socket, secrets, true).await
     };
     let Ok(Some(mut stream)) = timeout(HANDSHAKE_TIMEOUT, open).await else { return };
--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -10,7 +10,7 @@
     table::{Change, Path},
 };
 use crate::{
-    connection::{BackendConnection, CarriedConnection, ConnectError, open_backend_socket},
+    connection::{BackendConnection, CarriedConnection, ConnectError, open_socket},
     pb::{OpenTunnel, TunnelResult},
     process::{Gateway, lifecycle::Stage, membership::State, replicas::Replica, shared::Shared},
     request::RunWindow,
@@ -173,8 +173,8 @@
             return Err(TunnelResult::CutOff);
         }
     }
-    let opened = timeout(DIRECT_TIMEOUT, open_backend_socket(replica.address)).await;
-    let opened = opened.map_or(Err(ConnectError::Silent), |socket| socket.ok_or(ConnectError::Refused));
+    let opened = timeout(DIRECT_TIMEOUT, open_socket(replica.address)).await;
+    let opened = opened.map_or(Err(ConnectError::Silent), |socket| socket.map_err(|_| ConnectError::Refused));
     gateway.record_reach(&replica, opened.as_ref().map(|_| ()).map_err(|error| *error));
     let socket = opened.map_err(|_| TunnelResult::Unreached)?;
     let observer = Box::new(LeavingObserver::new(gateway.clone(), replica));
--- a/goldcrestward/src/request/crash.rs
+++ b/goldcrestward/src/request/crash.rs
@@ -10,9 +10,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use log::info;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::time::timeout;
 
 use crate::{
+    connection::open_socket,
     process::{
         Blame, ReplicaGuard, Shared, accuse_parts,
         membership::{Fact, FactKind, Facts},
@@ -33,7 +34,7 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 
 pub(crate) async fn accepts_connections(address: SocketAddr) -> bool {
-    matches!(timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await, Ok(Ok(_)))
+    matches!(timeout(PROBE_TIMEOUT, open_socket(address)).await, Ok(Ok(_)))
 }
 
 /// A request that may be the reason for a crash.
