--- a/goldcrestward/tests/it/endless.rs
+++ b/goldcrestward/tests/it/endless.rs
@@ -165,7 +165,6 @@
 // Guards against interim heads without end that take a daemon's time, so that sound requests get no answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_interim_heads_delay_no_sound_answer() {
-    known_red::report!();
     let mut back_ends: Vec<_> = (1..BACK_ENDS)
         .map(|_| EndlessServer::start(|request| EndlessAnswer::Endless(EndlessKind::InterimHeads, fields(request))))
         .collect();
