Leaving: an answer counts for the run that was asked, also if its entry comes later

Callers: a request could go to a server that had told the same daemon that it was leaving (DRAIN). Cause: a statement was recorded for the run of the entry known at the time. Fix: the time at which the request was sent is kept by id and address; a run that had started before it, by half a second at least, is the one that answered, whenever its entry comes. For a carrier it is the time at which the connection was opened.

--- a/goldcrestward/src/process/leaving/facts.rs
+++ b/goldcrestward/src/process/leaving/facts.rs
@@ -17,19 +17,21 @@
 /// Lifetime of such a fact.
 const FACT_TTL_MS: u64 = 10 * 60 * 1000;
 
-/// Applies an answer that says that its server is leaving.
-pub(crate) fn record_stated(gateway: &Gateway, replica: &Replica) {
-    record(gateway, replica, "answer");
+/// Applies an answer that says that its server is leaving, to a request that was sent at `asked_ms` on the agreed clock.
+pub(crate) fn record_stated(gateway: &Gateway, replica: &Replica, asked_ms: u64) {
+    record(gateway, replica, asked_ms, "answer");
 }
 
-/// Applies such an answer to a peer's request, whose connection this daemon carries. The peer may not be able to tell.
-pub(in crate::process) fn record_carried(gateway: &Gateway, replica: &Replica) {
-    record(gateway, replica, "carried");
+/// Applies such an answer to a peer's request, on a connection that this daemon has carried since `asked_ms`. The peer may
+/// not be able to tell.
+pub(in crate::process) fn record_carried(gateway: &Gateway, replica: &Replica, asked_ms: u64) {
+    record(gateway, replica, asked_ms, "carried");
 }
 
-fn record(gateway: &Gateway, replica: &Replica, source: &str) {
+fn record(gateway: &Gateway, replica: &Replica, asked_ms: u64, source: &str) {
     let shared = &gateway.shared;
-    let (run, now) = (replica.statement_key(), shared.now());
+    let now = shared.now();
+    let run = shared.replicas.record_leaving_answer(replica, asked_ms, now);
     let Some(news) = shared.replicas.state_leaving(run, now, now) else { return };
     apply(gateway, &news, source, 0);
     shared.publish_fact(Fact {
--- a/goldcrestward/src/process/leaving/order_test.rs
+++ b/goldcrestward/src/process/leaving/order_test.rs
@@ -139,6 +139,31 @@
     assert!(replicas.state_leaving(key(1), 2, 2).is_none(), "the statement is no news");
 }
 
+/// Guards against DRAIN: an answer of a run whose entry came later counted for the run before under the same id and address,
+/// so that the new entry made the leaving server ready.
+#[test]
+fn answer_counts_for_the_run_that_was_asked_whenever_its_entry_comes() {
+    const FIRST: u64 = 1_000_000;
+    const SECOND: u64 = 2_000_000;
+    // When the request was sent, and whether its answer is that of the second run.
+    for (asked, is_second) in [(SECOND + 1_000, true), (SECOND - 1_000, false), (FIRST + 1_000, false)] {
+        for is_known in [false, true] {
+            let replicas = Replicas::default();
+            replicas.update(vec![entry(FIRST, InstanceState::Live)], 0);
+            let first = replicas.find("server").expect("a known server");
+            if is_known {
+                replicas.update(vec![entry(SECOND, InstanceState::Live)], 1);
+            }
+            let run = replicas.record_leaving_answer(&first, asked, 2);
+            replicas.state_leaving(run, 2, 2);
+            replicas.update(vec![entry(SECOND, InstanceState::Live)], 3);
+            assert_eq!(takes_requests(&replicas), !is_second, "asked at {asked}, entry known before: {is_known}");
+            replicas.update(vec![entry(asked + 1_000_000, InstanceState::Live)], 4);
+            assert!(takes_requests(&replicas), "asked at {asked}: the run after it is not used");
+        }
+    }
+}
+
 /// Guards against an instance that gets no requests because its id and address were those of one that left.
 #[test]
 fn instance_without_a_start_time_is_forgotten_when_it_is_gone() {
--- a/goldcrestward/src/process/leaving/runs.rs
+++ b/goldcrestward/src/process/leaving/runs.rs
@@ -9,6 +9,8 @@
 
 /// Time for which a run's statements are kept after the last one. Its server has ended long before.
 const RETENTION_MS: u64 = 10 * 60 * 1000;
+/// Most by which the clocks of the daemons and of a server's host are taken to differ.
+const CLOCK_TOLERANCE_MS: u64 = 500;
 
 derive_value_traits! {
     /// Where a statement that a server is leaving comes from.
@@ -43,6 +45,16 @@
 #[derive(Debug, Default)]
 pub(crate) struct LeavingRuns {
     runs: HashMap<u64, Leaving>,
+    /// The last answers that said so, by the id and address at which they were asked for.
+    answers: HashMap<u64, Answer>,
+}
+
+/// An answer that says that its server is leaving.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    /// Unix time in ms at which its request was sent.
+    asked_unix_ms: u64,
+    recorded_at: u64,
 }
 
 impl LeavingRuns {
@@ -60,6 +72,21 @@
         is_new
     }
 
+    /// Records an answer that says so, to a request that was sent to the server at `place` at that Unix time in ms. Whose
+    /// run it is may not be known yet, as the entry of a server that has started again may come later.
+    pub fn record_answer(&mut self, place: u64, asked_unix_ms: u64, now: u64) {
+        self.answers.retain(|_, answer| now < answer.recorded_at.saturating_add(RETENTION_MS));
+        let answer = self.answers.entry(place).or_insert(Answer { asked_unix_ms, recorded_at: now });
+        answer.asked_unix_ms = answer.asked_unix_ms.max(asked_unix_ms);
+        answer.recorded_at = now;
+    }
+
+    /// Whether the run that started at `place` at that Unix time in ms has given such an answer.
+    pub fn has_answered(&self, place: u64, started_unix_ms: u64) -> bool {
+        let answer = self.answers.get(&place);
+        answer.is_some_and(|answer| answer.asked_unix_ms >= started_unix_ms.saturating_add(CLOCK_TOLERANCE_MS))
+    }
+
     /// The earliest statement that the run is leaving, and when it was made; `None` if there is none.
     pub fn first(&self, run: u64) -> Option<(LeavingSource, u64)> {
         let leaving = self.runs.get(&run)?;
--- a/goldcrestward/src/process/reach/leaving_observer.rs
+++ b/goldcrestward/src/process/reach/leaving_observer.rs
@@ -21,13 +21,16 @@
 pub(super) struct LeavingObserver {
     gateway: Arc<Gateway>,
     replica: Arc<Replica>,
+    /// When the connection was opened, on the agreed clock.
+    opened_ms: u64,
     /// When the server was first seen to be leaving.
     leaving_since: OnceLock<Instant>,
 }
 
 impl LeavingObserver {
     pub fn new(gateway: Arc<Gateway>, replica: Arc<Replica>) -> Self {
-        Self { gateway, replica, leaving_since: OnceLock::new() }
+        let opened_ms = gateway.shared.agreed_ms();
+        Self { gateway, replica, opened_ms, leaving_since: OnceLock::new() }
     }
 }
 
@@ -40,7 +43,7 @@
     }
 
     fn record_notice(&self) {
-        record_carried(&self.gateway, &self.replica);
+        record_carried(&self.gateway, &self.replica, self.opened_ms);
     }
 
     fn is_withdrawn(&self) -> bool {
--- a/goldcrestward/src/process/replicas/registry.rs
+++ b/goldcrestward/src/process/replicas/registry.rs
@@ -94,6 +94,10 @@
     fn apply_state(&self, replica: &Replica, state: InstanceState, leaves_in: Option<Duration>, now: u64) {
         let run = replica.statement_key();
         let mut runs = self.leaving_runs.lock();
+        if replica.started_unix_ms > 0 && runs.has_answered(replica.place_key(), replica.started_unix_ms) {
+            // The answer came before this entry, and counted for the run before.
+            runs.state(run, LeavingSource::Answer, now, now);
+        }
         if state == InstanceState::Leaving {
             runs.state(run, LeavingSource::Entry, now, now);
             replica.health.leave(now, leaves_in);
@@ -104,6 +108,20 @@
         }
     }
 
+    /// Records an answer of a server which says that it is leaving, to a request sent at `asked_unix_ms`. Returns the run
+    /// that has given it, by the entries known so far.
+    pub fn record_leaving_answer(&self, replica: &Replica, asked_unix_ms: u64, now: u64) -> u64 {
+        let (known, place) = (self.known.lock(), replica.place_key());
+        let mut runs = self.leaving_runs.lock();
+        runs.record_answer(place, asked_unix_ms, now);
+        let current = known.get(&replica.id).filter(|current| {
+            current.started_unix_ms > 0
+                && current.place_key() == place
+                && runs.has_answered(place, current.started_unix_ms)
+        });
+        current.map_or_else(|| replica.statement_key(), |current| current.statement_key())
+    }
+
     /// Records that a run has said at `at` that it is leaving, whether or not its entry is known. Returns `None` if that is
     /// no news.
     pub fn state_leaving(&self, run: u64, at: u64, now: u64) -> Option<LeavingNews> {
--- a/goldcrestward/src/process/replicas/replica.rs
+++ b/goldcrestward/src/process/replicas/replica.rs
@@ -64,9 +64,11 @@
 
     /// Key of what the replica says about its run. Without a time of start, only the address tells runs apart.
     pub fn statement_key(&self) -> u64 {
-        if self.started_unix_ms > 0 {
-            return self.run_hash();
-        }
+        if self.started_unix_ms > 0 { self.run_hash() } else { self.place_key() }
+    }
+
+    /// Key of all runs under its id and address.
+    pub fn place_key(&self) -> u64 {
         stable_hash(&[self.id.as_bytes(), self.address.to_string().as_bytes()])
     }
 
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -440,7 +440,7 @@
             replica.set_reported_load(load, self.gateway.shared.now());
         }
         if metadata.leaving {
-            record_leaving(&self.gateway, &replica);
+            record_leaving(&self.gateway, &replica, sent_ms);
         }
         self.gateway.apply_stated_limit(&replica, metadata.limit, sent_ms);
         if let Some(max_refusals) = metadata.max_refusals {
