Carriers: a refusal with Retry-After holds for the carrier, and connections end with its stop

Two faults of the daemon that carries connections for peers; they share the observer of carried exchanges. 1.

--- a/goldcrestward/src/connection/carried_exchanges.rs
+++ b/goldcrestward/src/connection/carried_exchanges.rs
@@ -3,20 +3,35 @@
 //! The peer reads the responses, but for the server this daemon is the one that sends. Hence it must know what the server says
 //! to whoever sends, also if the peer has no time left to tell it.
 
-use std::{collections::VecDeque, mem};
+use std::{collections::VecDeque, sync::Arc};
 
 use http::{HeaderMap, StatusCode};
 
 use super::http_messages::{BodyEnd, HeadParser, Messages, empty_fields, header_map};
+use crate::port::StatedHold;
 
 /// Recognizes what a server says to whoever sends to it.
 pub(crate) trait ResponseObserver: Send + Sync {
-    /// Whether the response to a request with these headers says that the server is to get no more requests.
-    fn is_notice(&self, request: &HeaderMap, status: StatusCode, response: &HeaderMap) -> bool;
-    /// Records that a response has said so.
-    fn record_notice(&self);
+    /// What the response to a request with these headers says to the one that sends to the server; `None` if nothing.
+    fn notice(&self, request: &HeaderMap, status: StatusCode, response: &HeaderMap) -> Option<Notice>;
+    /// Records what a response has said.
+    fn record_notice(&self, notice: Notice);
     /// Whether the server is to get no more requests by now, whoever said so.
     fn is_withdrawn(&self) -> bool;
+    /// Whether the connection is to end once it has carried something and carries nothing. What begins before that still
+    /// passes.
+    fn is_ending(&self) -> bool;
+}
+
+/// What a response says to the one that sends to its server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Notice {
+    /// Id of the request.
+    pub request: Arc<str>,
+    /// The server is leaving.
+    pub leaving: bool,
+    /// For how long the server wants nothing.
+    pub hold: StatedHold,
 }
 
 /// Follows what passes through the connection.
@@ -28,29 +43,33 @@
 
 impl<'a> CarriedExchanges<'a> {
     pub fn new(observer: &'a dyn ResponseObserver) -> Self {
-        let state = Exchanges { observer, awaited: VecDeque::new(), is_noticed: false };
+        let state = Exchanges { observer, awaited: VecDeque::new(), has_carried: false, notice: None };
         Self { requests: Messages::default(), responses: Messages::default(), state }
     }
 
     /// Reads bytes that the peer sends to the server. Returns false if they begin a request that the server is not to get.
     pub fn send(&mut self, bytes: &[u8]) -> bool {
-        if self.is_over() {
+        if self.is_idle() && self.state.observer.is_withdrawn() {
             return false;
         }
         self.requests.read(bytes, &mut RequestHeads(&mut self.state));
         true
     }
 
-    /// Reads bytes of the server. Returns whether they end the head of a response with a notice.
-    pub fn receive(&mut self, bytes: &[u8]) -> bool {
+    /// Reads bytes of the server. Returns the notice in a response whose head they end.
+    pub fn receive(&mut self, bytes: &[u8]) -> Option<Notice> {
         self.responses.read(bytes, &mut ResponseHeads(&mut self.state));
-        mem::take(&mut self.state.is_noticed)
+        self.state.notice.take()
     }
 
-    /// Whether the connection carries nothing now, and must not carry more.
+    /// Whether the connection carries nothing now, and is not to carry more.
     pub fn is_over(&self) -> bool {
-        let is_idle = self.state.awaited.is_empty() && self.requests.is_between() && self.responses.is_between();
-        is_idle && self.state.observer.is_withdrawn()
+        let Exchanges { observer, has_carried, .. } = &self.state;
+        self.is_idle() && (observer.is_withdrawn() || (*has_carried && observer.is_ending()))
+    }
+
+    fn is_idle(&self) -> bool {
+        self.state.awaited.is_empty() && self.requests.is_between() && self.responses.is_between()
     }
 }
 
@@ -58,7 +77,9 @@
     observer: &'a dyn ResponseObserver,
     /// The requests whose responses have not ended: whether only the head of the response is sent, and the headers.
     awaited: VecDeque<(bool, HeaderMap)>,
-    is_noticed: bool,
+    /// Whether a request has been sent.
+    has_carried: bool,
+    notice: Option<Notice>,
 }
 
 struct RequestHeads<'a, 'b>(&'a mut Exchanges<'b>);
@@ -70,6 +91,7 @@
         request.parse(head).ok()?.is_complete().then_some(())?;
         let headers = header_map(request.headers);
         let end = BodyEnd::from_fields(&headers).unwrap_or(BodyEnd::Length(0));
+        self.0.has_carried = true;
         self.0.awaited.push_back((request.method == Some("HEAD"), headers));
         Some(end)
     }
@@ -88,7 +110,7 @@
         let headers = header_map(response.headers);
         let (is_head_only, request) = self.0.awaited.front()?;
         let is_head_only = *is_head_only || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-        self.0.is_noticed |= self.0.observer.is_notice(request, status, &headers);
+        self.0.notice = self.0.observer.notice(request, status, &headers).or(self.0.notice.take());
         if status.is_informational() {
             return (status != StatusCode::SWITCHING_PROTOCOLS).then_some(BodyEnd::Interim);
         }
--- a/goldcrestward/src/connection/carried_exchanges_test.rs
+++ b/goldcrestward/src/connection/carried_exchanges_test.rs
@@ -1,27 +1,37 @@
 //! Tests of what a daemon learns from the exchanges that it carries.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
 
 use http::{HeaderMap, StatusCode};
 
-use super::{CarriedExchanges, ResponseObserver};
+use super::{CarriedExchanges, Notice, ResponseObserver};
+use crate::port::StatedHold;
 
 /// A server's notice is a header `leaving` on a response with the id of its request.
 #[derive(Default)]
 struct Observer {
     is_withdrawn: AtomicBool,
+    is_ending: AtomicBool,
 }
 
 impl ResponseObserver for Observer {
-    fn is_notice(&self, request: &HeaderMap, _status: StatusCode, response: &HeaderMap) -> bool {
-        response.contains_key("leaving") && request.get("id") == response.get("id")
+    fn notice(&self, request: &HeaderMap, _status: StatusCode, response: &HeaderMap) -> Option<Notice> {
+        let is_notice = response.contains_key("leaving") && request.get("id") == response.get("id");
+        is_notice.then(|| Notice { request: Arc::from("1"), leaving: true, hold: StatedHold::None })
     }
 
-    fn record_notice(&self) {}
+    fn record_notice(&self, _notice: Notice) {}
 
     fn is_withdrawn(&self) -> bool {
         self.is_withdrawn.load(Ordering::Relaxed)
     }
+
+    fn is_ending(&self) -> bool {
+        self.is_ending.load(Ordering::Relaxed)
+    }
 }
 
 const POST: &str = "POST /x HTTP/1.1\r\nid: 1\r\ncontent-length: 2\r\n\r\nab";
@@ -60,7 +70,7 @@
             let mut exchanges = CarriedExchanges::new(&observer);
             assert!(request.as_bytes().chunks(size).all(|piece| exchanges.send(piece)));
             let mut is_noticed = false;
-            response.as_bytes().chunks(size).for_each(|piece| is_noticed |= exchanges.receive(piece));
+            response.as_bytes().chunks(size).for_each(|piece| is_noticed |= exchanges.receive(piece).is_some());
             assert_eq!(is_noticed, expected, "{response:?} in pieces of {size}");
             observer.is_withdrawn.store(true, Ordering::Relaxed);
             assert_eq!(exchanges.is_over(), is_over, "{response:?} in pieces of {size}");
@@ -82,3 +92,15 @@
     exchanges.receive(b"b");
     assert!(exchanges.is_over() && !exchanges.send(POST.as_bytes()));
 }
+
+/// Guards against requests that are lost: a peer that has not heard why the connection is to end sends one before it does.
+#[test]
+fn ending_connection_carries_what_begins_before_it_is_idle() {
+    let observer = Observer::default();
+    let mut exchanges = CarriedExchanges::new(&observer);
+    observer.is_ending.store(true, Ordering::Relaxed);
+    assert!(!exchanges.is_over(), "the request for which it was opened is still to come");
+    assert!(exchanges.send(POST.as_bytes()) && !exchanges.is_over());
+    exchanges.receive(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab");
+    assert!(exchanges.is_over() && exchanges.send(POST.as_bytes()) && !exchanges.is_over());
+}
--- a/goldcrestward/src/connection/mod.rs
+++ b/goldcrestward/src/connection/mod.rs
@@ -17,7 +17,7 @@
 pub(crate) use activity::AmbiguousFraming;
 pub(crate) use backend::{BackendConnection, BackendConnections, ConnectError, open_backend_socket};
 pub(crate) use carried::{CarriedConnection, CarriedConnections, IsStopping};
-pub(crate) use carried_exchanges::ResponseObserver;
+pub(crate) use carried_exchanges::{Notice, ResponseObserver};
 pub use client::{HttpClient, OutboundRequest, SendError};
 pub(crate) use error::Error;
 pub(crate) use listener::{CurrentCallerLimits, Drain, Listener, MAX_HEAD_BYTES, bind};
--- a/goldcrestward/src/connection/tunnel.rs
+++ b/goldcrestward/src/connection/tunnel.rs
@@ -188,9 +188,13 @@
         progress.sent.fetch_add(count as u64, Ordering::Relaxed);
         // Only now, as the connection may be closed as soon as a response counts as ended.
         if let Some((exchanges, observer)) = exchanges {
-            let is_noticed = exchanges.lock().receive(&buffer[..count]);
-            if is_noticed {
-                observer.record_notice();
+            let notice = exchanges.lock().receive(&buffer[..count]);
+            if let Some(notice) = notice {
+                observer.record_notice(notice);
+            }
+            // At once, so that the peer sends no other request on it.
+            if exchanges.lock().is_over() {
+                return TunnelEnd::Withdrawn;
             }
         }
     }
--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -868,6 +868,8 @@
     Busy = 5,
     /// The receiver is being stopped.
     Stopping = 6,
+    /// The server has turned away a request from the receiver, and wants nothing from it for a time.
+    Held = 7,
 }
 impl TunnelResult {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -883,6 +885,7 @@
             Self::CutOff => "TUNNEL_RESULT_CUT_OFF",
             Self::Busy => "TUNNEL_RESULT_BUSY",
             Self::Stopping => "TUNNEL_RESULT_STOPPING",
+            Self::Held => "TUNNEL_RESULT_HELD",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -895,6 +898,7 @@
             "TUNNEL_RESULT_CUT_OFF" => Some(Self::CutOff),
             "TUNNEL_RESULT_BUSY" => Some(Self::Busy),
             "TUNNEL_RESULT_STOPPING" => Some(Self::Stopping),
+            "TUNNEL_RESULT_HELD" => Some(Self::Held),
             _ => None,
         }
     }
--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -6,7 +6,7 @@
 use tokio::time::timeout;
 
 use super::{
-    leaving_observer::LeavingObserver,
+    carried_observer::CarriedObserver,
     table::{Change, Path},
 };
 use crate::{
@@ -129,8 +129,8 @@
                 }
                 // The peer reaches other servers, so this one is down.
                 (_, TunnelResult::Unreached) => return None,
-                // It may still carry what ends sooner.
-                (_, TunnelResult::Stopping) => {}
+                // It may still carry what ends sooner, or what goes to other servers.
+                (_, TunnelResult::Stopping | TunnelResult::Held) => {}
                 _ => self.reach.lock().pause_helper(&name, self.shared.now()),
             }
         }
@@ -167,6 +167,9 @@
     }
     let replica = shared.replicas.find(&open.instance).filter(|replica| replica.run_hash() == open.run);
     let Some(replica) = replica.filter(|replica| !replica.is_leaving()) else { return Err(TunnelResult::Unknown) };
+    if replica.is_held(shared.now()) {
+        return Err(TunnelResult::Held);
+    }
     {
         let reach = gateway.reach.lock();
         if reach.is_cut_off() || reach.is_lost(&replica.id) {
@@ -177,7 +180,7 @@
     let opened = opened.map_or(Err(ConnectError::Silent), |socket| socket.ok_or(ConnectError::Refused));
     gateway.record_reach(&replica, opened.as_ref().map(|_| ()).map_err(|error| *error));
     let socket = opened.map_err(|_| TunnelResult::Unreached)?;
-    let observer = Box::new(LeavingObserver::new(gateway.clone(), replica));
+    let observer = Box::new(CarriedObserver::new(gateway.clone(), replica));
     Ok(CarriedConnection { socket, guard: shared.carried.begin(open), observer })
 }
 
@@ -197,6 +200,7 @@
         TunnelResult::CutOff => "cut-off",
         TunnelResult::Busy => "busy",
         TunnelResult::Stopping => "stopping",
+        TunnelResult::Held => "held",
         TunnelResult::Unspecified => "no-answer",
     }
 }
--- a/goldcrestward/src/process/reach/mod.rs
+++ b/goldcrestward/src/process/reach/mod.rs
@@ -1,7 +1,7 @@
 //! Which backend servers this daemon reaches by itself, and connections by way of peers to those that it does not.
 
+mod carried_observer;
 mod connect;
-mod leaving_observer;
 mod table;
 
 pub(super) use connect::open_for_peer;
