Settings: config-apply-ms, the time within which changes must be in force

Callers at a platform with a shorter time than 2,500 ms would have met configurations older than allowed (CONFIG): the budget of the state of a site was fixed.

--- a/goldcrestward/src/process/settings.rs
+++ b/goldcrestward/src/process/settings.rs
@@ -87,6 +87,8 @@
     pub usage_delay: Option<u64>,
     /// Lifetime in ms of the lease on the duties: the time for which their holder keeps them without a renewal.
     pub lease_ms: Option<u64>,
+    /// Time in ms within which a change of the platform's configuration must be in force on all daemons.
+    pub config_apply_ms: Option<u64>,
 }
 
 impl Overrides {
@@ -133,6 +135,7 @@
             usage_window: overrides.usage_window.or(self.usage_window),
             usage_delay: overrides.usage_delay.or(self.usage_delay),
             lease_ms: overrides.lease_ms.or(self.lease_ms),
+            config_apply_ms: overrides.config_apply_ms.or(self.config_apply_ms),
         }
     }
 }
@@ -184,6 +187,8 @@
     pub usage_delay: Duration,
     /// Lifetime of the lease on the duties: the time for which their holder keeps them without a renewal.
     pub lease: Duration,
+    /// Time within which a change of the platform's configuration must be in force on all daemons.
+    pub config_apply: Duration,
 }
 
 const DEFAULT_NOTICE_MS: u64 = 500;
@@ -193,6 +198,7 @@
 const DEFAULT_USAGE_WINDOW_SECONDS: u64 = 60;
 const DEFAULT_USAGE_DELAY_SECONDS: u64 = 60;
 const DEFAULT_LEASE_MS: u64 = 5_000;
+const DEFAULT_CONFIG_APPLY_MS: u64 = 2_500;
 
 impl TryFrom<Overrides> for Settings {
     type Error = SettingsError;
@@ -247,6 +253,10 @@
             usage_window: seconds("usage-window", overrides.usage_window, DEFAULT_USAGE_WINDOW_SECONDS)?,
             usage_delay: seconds("usage-delay", overrides.usage_delay, DEFAULT_USAGE_DELAY_SECONDS)?,
             lease: Duration::from_millis(overrides.lease_ms.unwrap_or(DEFAULT_LEASE_MS)),
+            config_apply: Duration::from_millis(match overrides.config_apply_ms.unwrap_or(DEFAULT_CONFIG_APPLY_MS) {
+                0 => return invalid("config-apply-ms", "must be above 0".into()),
+                ms => ms,
+            }),
         })
     }
 }
--- a/goldcrestward/src/process/state/freshness.rs
+++ b/goldcrestward/src/process/state/freshness.rs
@@ -10,6 +10,10 @@
 
 /// Time that a datagram may take, in ms. Without it, knowledge would get younger on each way from one daemon to another.
 const TRANSIT_MS: u64 = 40;
+/// Time for the store's answer and for applying a change at a site, in ms.
+const ANSWER_MS: u64 = 500;
+/// Smallest age of its knowledge at which a daemon reads the store, in ms.
+const MIN_AGE_MS: u64 = 300;
 /// Most claims of peers that are kept until this copy holds what they are about.
 const MAX_CLAIMS: usize = 64;
 
@@ -36,6 +40,23 @@
     /// For the state of a site on a platform.
     pub const SITE: Self =
         Self { total: 2_500, max_age: 1_300, max_missing: 700, spread: 200, check: 100, hedge: 400, slot: 650 };
+    /// For the state of a site whose platform wants changes in force within `total` ms. A longer time than that of
+    /// [`Budget::SITE`] is not made use of; in one too short for all parts, the store is read all the time.
+    pub fn for_site(total: u64) -> Self {
+        let site = Self::SITE;
+        if total >= site.total {
+            return site;
+        }
+        let max_age = site.max_age.saturating_sub(site.total - total).max(MIN_AGE_MS);
+        let max_missing = site.max_missing * max_age / site.max_age;
+        Self { total, max_age, max_missing, slot: max_age / 2, ..site }
+    }
+
+    /// Whether the parts fit into the whole time.
+    pub fn is_kept(&self) -> bool {
+        self.max_age + self.spread + self.check + self.hedge + ANSWER_MS <= self.total
+    }
+
     /// For the configuration of the product's own interface.
     pub const CONFIG: Self =
         Self { total: 6_000, max_age: 3_500, max_missing: 1_500, spread: 400, check: 200, hedge: 600, slot: 1_500 };
--- a/goldcrestward/src/process/state/freshness_test.rs
+++ b/goldcrestward/src/process/state/freshness_test.rs
@@ -19,6 +19,23 @@
     }
 }
 
+#[test]
+fn budget_of_a_site_keeps_to_the_stated_time() {
+    assert_eq!(Budget::for_site(2_500), Budget::SITE);
+    assert_eq!(Budget::for_site(60_000), Budget::SITE);
+    for total in [1_500, 1_800, 2_000, 2_499] {
+        let budget = Budget::for_site(total);
+        let waits = budget.max_age + budget.spread + budget.check + budget.hedge;
+        assert!(budget.is_kept() && budget.total == total && waits + 500 <= total, "{budget:?}");
+        assert!(budget.max_missing + budget.check + budget.hedge + 500 < total, "{budget:?}");
+        assert!(budget.slot * 2 <= budget.max_age, "one reading of others may be missed: {budget:?}");
+    }
+    for total in [1, 1_000] {
+        let budget = Budget::for_site(total);
+        assert!(!budget.is_kept() && budget.slot > 0 && budget.max_missing > 0, "{budget:?}");
+    }
+}
+
 #[test]
 fn overdue_before_anything_is_known() {
     assert_eq!(Freshness::default().overdue(&BUDGET, Revision::NONE, 0, 0), Some(Overdue::Age));
--- a/goldcrestward/src/process/state/reader.rs
+++ b/goldcrestward/src/process/state/reader.rs
@@ -26,7 +26,6 @@
     util::stable_hash,
 };
 
-const BUDGET: Budget = Budget::SITE;
 /// Mean pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Mean pause after repeated failures of a daemon that others read for, when no peer has announced anything: all daemons
@@ -41,6 +40,7 @@
 pub(crate) struct StateReader {
     shared: Arc<Shared>,
     catalog: Arc<dyn Catalog>,
+    budget: Budget,
     /// Time by which this daemon begins to read later than others whose knowledge is as old, in ms.
     delay_ms: u64,
     /// Whether the store has dropped the changes that lead from the copy to its state.
@@ -53,8 +53,13 @@
 
 impl StateReader {
     pub fn new(shared: Arc<Shared>, catalog: Arc<dyn Catalog>) -> Self {
-        let delay_ms = stable_hash(&[b"state-reader", shared.settings.name.as_bytes()]) % BUDGET.spread;
-        Self { shared, catalog, delay_ms, is_compacted: false, failures: 0, logged: ("", 0) }
+        let budget = Budget::for_site(u64::try_from(shared.settings.config_apply.as_millis()).unwrap_or(u64::MAX));
+        if !budget.is_kept() {
+            let total = budget.total;
+            warn!("event=config-apply-too-short config_apply_ms={total} max_age_ms={}", budget.max_age);
+        }
+        let delay_ms = stable_hash(&[b"state-reader", shared.settings.name.as_bytes()]) % budget.spread;
+        Self { shared, catalog, budget, delay_ms, is_compacted: false, failures: 0, logged: ("", 0) }
     }
 
     /// Reads the store when it is this daemon's turn, until the task is dropped.
@@ -67,7 +72,7 @@
                 Turn::Poll(ms) => self.poll(Duration::from_millis(ms)).await,
                 Turn::CatchUp(_) => self.catch_up().await,
                 Turn::Rely => {
-                    sleep(Duration::from_millis(BUDGET.check)).await;
+                    sleep(Duration::from_millis(self.budget.check)).await;
                     Ok(())
                 }
             };
@@ -95,7 +100,7 @@
         let own = self.shared.config.lock().revision();
         let is_restored = self.shared.kv.history().number.is_some_and(|known| known > own.history());
         let must_list = own.is_none() || is_restored || self.is_compacted;
-        Turn::next(&BUDGET, self.place(), self.overdue(), must_list, self.shared.agreed_ms())
+        Turn::next(&self.budget, self.place(), self.overdue(), must_list, self.shared.agreed_ms())
     }
 
     /// This daemon's place among those that read the store for all, if it is one of them.
@@ -107,12 +112,12 @@
 
     fn overdue(&self) -> Option<Overdue> {
         let own = self.shared.config.lock().revision();
-        self.shared.freshness.lock().overdue(&BUDGET, own, self.delay_ms, self.shared.now())
+        self.shared.freshness.lock().overdue(&self.budget, own, self.delay_ms, self.shared.now())
     }
 
     async fn until_overdue(&self) {
         while self.overdue().is_none() {
-            sleep(Duration::from_millis(BUDGET.check)).await;
+            sleep(Duration::from_millis(self.budget.check)).await;
         }
     }
 
@@ -175,7 +180,7 @@
         let own = self.shared.config.lock().revision();
         let sent_at = self.shared.now();
         let read = || self.shared.kv.changes(Purpose::Site, self.catalog.prefix(), own);
-        let changes = hedged(read, Duration::from_millis(BUDGET.hedge)).await?;
+        let changes = hedged(read, Duration::from_millis(self.budget.hedge)).await?;
         self.merge(changes, sent_at);
         Ok(())
     }
