Stops: a silent server is kept if a run at another one would begin too late

Callers: 502 instead of a late answer. The search for another server asked the window before the connection was opened, which may take 0.15 s and more, and the silent server was given up before it was asked again.

--- a/goldcrestward/src/request/fallback.rs
+++ b/goldcrestward/src/request/fallback.rs
@@ -61,12 +61,12 @@
         }))
     }
 
-    /// Uses the place for the next attempt, if the retry budget still allows it.
+    /// Uses the place for the next attempt, if a run can still end there and the retry budget still allows it.
     pub(super) fn accept_fallback(&mut self, fallback: Fallback, silent: &ReplicaGuard, since: Instant) -> bool {
         let gateway = &self.gateway;
         let (daemons, now) = (gateway.shared.daemon_count(), gateway.shared.now());
         let is_leaving = fallback.guard.replica().is_leaving();
-        if is_leaving || !gateway.retry_budget.lock().withdraw(&self.placement.pool, daemons, now) {
+        if is_leaving || !self.may_send() || !gateway.retry_budget.lock().withdraw(&self.placement.pool, daemons, now) {
             fallback.release();
             return false;
         }
