--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -235,7 +235,7 @@
         if let Ok(result) = timeout(HEDGE_DELAY, &mut first).await {
             return result;
         }
-        if !self.shared.route_retry_budgets.withdraw(&self.route.name) {
+        if !window.allows_run() || !self.shared.route_retry_budgets.withdraw(&self.route.name) {
             return first.await;
         }
         let Some(other) = self.attempts.choose_hedge(guard.replica()) else { return first.await };
--- a/goldcrestward/tests/it/stop_limits.rs
+++ b/goldcrestward/tests/it/stop_limits.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -13,13 +13,13 @@
 use rustix::process::Signal;
 use serde_json::json;
 use tokio::{
-    io::AsyncWriteExt,
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
     task::JoinSet,
     time::{Instant, sleep, sleep_until},
 };
 
-use crate::support::{RawBackEnd, RawEnd, SlowReply, SlowRequest, TestSite, eventually, read_request};
+use crate::support::{KEY, RawBackEnd, RawEnd, SlowReply, SlowRequest, TestSite, eventually, read_request};
 
 /// Time limit of the shutdown, in seconds.
 const DRAIN_SECONDS: u64 = 3;
@@ -449,3 +449,73 @@
     let failed: Vec<_> = replies.iter().filter(|(_, reply)| reply.status != 200).collect();
     assert!(failed.is_empty(), "{} of {} did not run: {failed:?}", failed.len(), replies.len());
 }
+
+/// Time that a lookup takes at its back end.
+const LOOKUP_WORK: Duration = Duration::from_millis(1_200);
+/// Time from SIGTERM to the end of a lookup's request, at which it can end in time, and a second one that begins when the
+/// first has been silent for a while cannot.
+const LATE_LOOKUP: Duration = Duration::from_millis(850);
+
+/// Starts a back end that is silent for the time that a lookup takes, and counts the requests for `/orders/lookup?late`.
+async fn start_silent(late: Arc<AtomicUsize>) -> (SocketAddr, JoinSet<()>) {
+    let (listener, address) = listen().await;
+    let mut tasks = JoinSet::new();
+    tasks.spawn(async move {
+        let mut connections = JoinSet::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let late = late.clone();
+            connections.spawn(async move {
+                let Some(request) = read_request(&mut stream).await else { return };
+                late.fetch_add(usize::from(request.contains("?late")), Ordering::Relaxed);
+                sleep(LOOKUP_WORK).await;
+                let answer = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\ndone";
+                stream.write_all(answer.as_bytes()).await.ok();
+            });
+        }
+    });
+    (address, tasks)
+}
+
+/// Sends a lookup whose request ends at `ends`, and returns the whole answer.
+async fn look_up(target: SocketAddr, path: &str, ends: Instant) -> String {
+    let mut stream = TcpStream::connect(target).await.expect("the daemon accepts connections");
+    let head = format!(
+        "GET {path} HTTP/1.1\r\nHost: {target}\r\nAuthorization: Bearer {KEY}\r\nConnection: close\r\n\
+         Content-Length: 1\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("the daemon reads the head");
+    sleep_until(ends).await;
+    stream.write_all(b"x").await.expect("the daemon reads the body");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.ok();
+    answer
+}
+
+/// Guards against work for nobody: a second send of a lookup began though it could not end before the daemon.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn second_send_of_a_lookup_is_not_begun_if_it_cannot_end() {
+    let late = Arc::new(AtomicUsize::new(0));
+    let (first, _first) = start_silent(late.clone()).await;
+    let (second, _second) = start_silent(late.clone()).await;
+    let site = start_site(1, 0, first).await;
+    site.register_back_end("orders", second, "second");
+    let daemon = &site.daemons[0];
+    let listed = || async { daemon.get("/admin/requests").await?.to_string().contains("second").then_some(()) };
+    eventually("the daemon lists the second back end", listed).await;
+    let mut calls = JoinSet::new();
+    for _ in 0..WARM_UP_REQUESTS {
+        let target = daemon.callers;
+        calls.spawn(async move { look_up(target, "/orders/lookup", Instant::now()).await });
+    }
+    for answer in calls.join_all().await {
+        assert!(answer.ends_with("done"), "before the stop: {answer:?}");
+    }
+    let stop = Instant::now() + HEAD_START;
+    let target = daemon.callers;
+    let call = tokio::spawn(async move { look_up(target, "/orders/lookup?late", stop + LATE_LOOKUP).await });
+    sleep_until(stop).await;
+    daemon.signal(Signal::TERM);
+    let answer = call.await.expect("the caller ends");
+    assert!(answer.ends_with("done"), "{answer:?}, {}", daemon.log());
+    assert_eq!(late.load(Ordering::Relaxed), 1, "sends of the lookup");
+}
