Logs: requests that come to the own interface during a stop have a stop-refused line

They were refused with 503 and counted, but no line named them. phase=arrival, left_ms=- without a time limit; explain tells it. stop_limits::log_tells_of_requests_that_come_during_a_stop: no line in 2 of 2 runs before, one in 2 of 2 runs after.

--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -292,6 +292,9 @@
             let owner = if field("owner") == "other" { "bears another request's id" } else { "bears no id" };
             format!("a response of {} with status {} was dropped, as it {owner}", field("instance"), field("status"))
         }
+        "stop-refused" if field("phase") == "arrival" => {
+            "refused by the stop of its daemon, which took no more requests when it came".to_owned()
+        }
         "stop-refused" => format!(
             "refused by the stop of its daemon {}: it needs {} ms, and the daemon ends in {} ms",
             phase(field("phase")),
--- a/goldcrestward/src/cmd/explain_test.rs
+++ b/goldcrestward/src/cmd/explain_test.rs
@@ -97,6 +97,10 @@
             "stop-refused id=r1 route=lunch needed_ms=9 left_ms=4 phase=claim",
             "before its idempotency key was claimed: ",
         ),
+        (
+            "stop-refused id=r1 route=- needed_ms=0 left_ms=- phase=arrival",
+            "refused by the stop of its daemon, which took no more requests when it came",
+        ),
         (
             "stop-given-up id=r1 route=lunch run=not-run left_ms=80",
             "given up at the end of its daemon, 80 ms before its own deadline; it has not run",
--- a/goldcrestward/src/request/ingress.rs
+++ b/goldcrestward/src/request/ingress.rs
@@ -86,13 +86,13 @@
     }
 
     async fn serve(&self, request: Request) -> Result<Response, Refusal> {
-        self.check_stage()?;
+        let id: Arc<str> = format!("req-{:032x}", rand::random::<u128>()).into();
+        self.check_stage(&id)?;
         check_header_size(request.headers())?;
         let in_force = self.shared.in_force.load_full();
         let account = authenticate(&in_force.site, request.headers())?;
         let (parts, body) = request.into_parts();
         let path = parts.uri.path().to_owned();
-        let id: Arc<str> = format!("req-{:032x}", rand::random::<u128>()).into();
         if path == "/v1/chat/completions" || path == "/v1/completions" {
             let admitted = self.admit(&account)?;
             let window = RunWindow::unrouted(self.shared.clone(), id.clone(), Instant::now() + BODY_TIMEOUT);
@@ -123,7 +123,7 @@
         self.shared.limits.admit(account, self.shared.daemon_count(), self.shared.now())
     }
 
-    fn check_stage(&self) -> Result<(), Refusal> {
+    fn check_stage(&self, id: &Arc<str>) -> Result<(), Refusal> {
         match self.shared.stage.get() {
             Stage::Serving => Ok(()),
             Stage::Starting => {
@@ -131,8 +131,8 @@
                 Err(Refusal::not_run(Reason::NoConfiguration, message).with_retry_after(Duration::from_secs(1)))
             }
             Stage::Draining => {
-                let message = "this daemon is stopping";
-                Err(Refusal::not_run(Reason::Stopping, message).with_retry_after(Duration::from_secs(1)))
+                let window = RunWindow::unrouted(self.shared.clone(), id.clone(), Instant::now() + BODY_TIMEOUT);
+                Err(window.refuse_arrival().with_retry_after(Duration::from_secs(1)))
             }
         }
     }
--- a/goldcrestward/src/request/run_window.rs
+++ b/goldcrestward/src/request/run_window.rs
@@ -26,6 +26,8 @@
 /// What a request was waiting for when it was refused, in log lines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
+    /// Nothing: it came when the daemon took no more requests.
+    Arrival,
     /// The rest of its body.
     Body,
     /// Its account's quota, or a place at a server.
@@ -39,6 +41,7 @@
 impl Phase {
     fn label(self) -> &'static str {
         match self {
+            Self::Arrival => "arrival",
             Self::Body => "body",
             Self::Place => "place",
             Self::Send => "send",
@@ -138,6 +141,12 @@
         if self.shared.lifetime.allows(needed) { Ok(()) } else { Err(self.refuse(needed, phase)) }
     }
 
+    /// Refuses a request that has come while the daemon takes none.
+    pub fn refuse_arrival(&self) -> Refusal {
+        self.record_refusal(Duration::ZERO, Phase::Arrival);
+        Refusal::not_run(Reason::Stopping, "this daemon is stopping")
+    }
+
     /// Waits for `step`, until the request can no longer be expected to end before the daemon.
     ///
     /// # Errors
@@ -212,11 +221,16 @@
         self.routed.as_ref().map_or("-", |(route, _)| &route.name)
     }
 
-    fn refuse(&self, needed: Duration, phase: Phase) -> Refusal {
-        let left = self.shared.lifetime.time_left().unwrap_or_default().as_millis();
+    fn record_refusal(&self, needed: Duration, phase: Phase) {
+        let left = self.shared.lifetime.time_left().map_or_else(|| "-".to_owned(), |left| left.as_millis().to_string());
         let (id, route, phase, needed) = (&self.id, self.route_label(), phase.label(), needed.as_millis());
         info!("event=stop-refused id={id} route={route} needed_ms={needed} left_ms={left} phase={phase}");
         self.shared.metrics.stop_outcomes.with_label_values(&["refused"]).inc();
+    }
+
+    fn refuse(&self, needed: Duration, phase: Phase) -> Refusal {
+        self.record_refusal(needed, phase);
+        let (left, needed) = (self.shared.lifetime.time_left().unwrap_or_default().as_millis(), needed.as_millis());
         let message = format!("this daemon ends in {left} ms, and the request may take {needed} ms");
         Refusal::not_run(Reason::Stopping, message).with_retry_after(RETRY_AFTER)
     }
--- a/goldcrestward/tests/it/stop_limits.rs
+++ b/goldcrestward/tests/it/stop_limits.rs
@@ -519,3 +519,18 @@
     assert!(answer.ends_with("done"), "{answer:?}, {}", daemon.log());
     assert_eq!(late.load(Ordering::Relaxed), 1, "sends of the lookup");
 }
+
+/// Guards against a log that does not tell why a request was refused: requests that come during a stop had no line.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn log_tells_of_requests_that_come_during_a_stop() {
+    let (listener, address) = listen().await;
+    let _back_end = answer_in_halves(listener, |_| Instant::now());
+    let site = start_site(1, 0, address).await;
+    let daemon = &site.daemons[0];
+    daemon.signal(Signal::TERM);
+    eventually("the daemon is not ready", || async { (!daemon.is_ready().await).then_some(()) }).await;
+    let reply = request(&site, "/orders/new", "late", Instant::now()).send().await;
+    assert!(reply.status == 503 && reply.head.contains("x-run-state: not-run"), "{reply:?}");
+    let told = || async { daemon.log().lines().any(|line| line.contains("event=stop-refused id=req-")).then_some(()) };
+    eventually("the log has a line of the request", told).await;
+}
