--- a/goldcrestward/src/process/duty.rs
+++ b/goldcrestward/src/process/duty.rs
@@ -273,8 +273,11 @@
                 self.held = Some(again);
             }
             again => {
-                if let Some(HeldDuties { term, .. }) = again {
-                    self.gateway.shared.kv.revoke(Purpose::Duty, term.lease).await.ok();
+                if let Some(HeldDuties { term, holder, .. }) = again
+                    && let Err(error) = self.gateway.shared.kv.revoke(Purpose::Duty, term.lease).await
+                {
+                    // The lease ends by itself.
+                    warn!("event=lease-kept fence={} lease={} error={error:?}", holder.fencing_token, term.lease);
                 }
                 self.give_up(held, "the store was restored from a copy");
             }
