--- a/goldcrestward/src/process/state/freshness_simulation_test.rs
+++ b/goldcrestward/src/process/state/freshness_simulation_test.rs
@@ -3,7 +3,11 @@
 //! Bound: the whole budget, from the store's acknowledgement to a daemon that reaches the store, or that gets datagrams and
 //! pulls from one that does. Margin stated before the first run: 100 ms.
 
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rand::{
+    Rng, SeedableRng,
+    rngs::SmallRng,
+    seq::{IndexedRandom, SliceRandom},
+};
 
 use super::{
     super::turn::{Place, Turn, readers_per_region},
@@ -88,6 +92,8 @@
 }
 
 struct Daemon {
+    /// When its process started; what was acknowledged before is no change to it.
+    started: u64,
     place: Option<Place>,
     delay: u64,
     own: u64,
@@ -150,6 +156,7 @@
         }
         readers.sort_unstable();
         let daemons = (0..count).map(|daemon| Daemon {
+            started: 0,
             place: readers
                 .iter()
                 .position(|reader| *reader == daemon)
@@ -185,6 +192,30 @@
         }
     }
 
+    /// Gives each daemon other paths, of its own, by which it reaches the store; chooses other relays and readers; and starts
+    /// one daemon in ten anew.
+    fn rearrange(&mut self, regions: usize, now: u64) {
+        let stores: Vec<_> = STORE_PATHS.into_iter().filter(|path| path.leads_to_store()).collect();
+        let Self { daemons, zones, random, .. } = self;
+        zones.iter_mut().for_each(|members| members.shuffle(random));
+        let mut readers: Vec<usize> = Vec::new();
+        for region in 0..regions {
+            let of_region: Vec<usize> = zones.iter().skip(region).step_by(regions).flatten().copied().collect();
+            readers.extend(of_region.choose_multiple(random, readers_per_region(regions)));
+        }
+        readers.sort_unstable();
+        for (index, daemon) in daemons.iter_mut().enumerate() {
+            let place = readers.iter().position(|reader| *reader == index);
+            daemon.place = place.map(|index| Place { index, count: readers.len() });
+            daemon.store = *stores.choose(random).expect("a path");
+            daemon.peers = *PEER_PATHS.choose(random).expect("a path");
+            if random.random_bool(0.1) {
+                (daemon.started, daemon.own, daemon.reached) = (now, 1, vec![(1, now)]);
+                (daemon.freshness, daemon.doing) = (Freshness::default(), Doing::Nothing);
+            }
+        }
+    }
+
     fn step(&mut self, now: u64) {
         self.receive(now);
         for index in 0..self.daemons.len() {
@@ -319,7 +350,8 @@
     fn longest_delay(&self, is_bound: impl Fn(&Daemon) -> bool) -> (u64, usize, u64) {
         let mut longest = (0, 0, 0);
         for (index, daemon) in self.daemons.iter().enumerate().filter(|(_, daemon)| is_bound(daemon)) {
-            for (number, acknowledged) in self.acknowledged.iter().enumerate().skip(1) {
+            let changes = self.acknowledged.iter().enumerate().skip(1);
+            for (number, acknowledged) in changes.filter(|(_, acknowledged)| **acknowledged >= daemon.started) {
                 let revision = number as u64 + 1;
                 let reached = daemon.reached.iter().find(|(reached, _)| *reached >= revision);
                 let delay = reached.map_or(END_MS, |(_, at)| at.saturating_sub(*acknowledged));
@@ -410,6 +442,34 @@
     }
 }
 
+/// Guards against CONFIG: daemons start, relays and readers change, and paths fail that move from daemon to daemon, different
+/// ones at once. Each daemon reaches the store in some way all the while. Bound and margin as above, stated before the run.
+#[test]
+fn changes_are_in_force_within_the_budget_while_failing_paths_move() {
+    for size in SITES {
+        for seed in 0..4 * SEEDS {
+            let interval_ms = [90, 500, 1_700, 20][(seed % SEEDS) as usize];
+            let moves_ms = [300, 700, 1_500, 3_100][(seed / SEEDS) as usize];
+            let mut site = Site::new(size, seed);
+            for now in (0..END_MS).step_by(STEP_MS as usize) {
+                if now > 0 && now.is_multiple_of(moves_ms) {
+                    site.rearrange(size.1, now);
+                }
+                if (CHANGES_MS.0..CHANGES_MS.1).contains(&now) && (now - CHANGES_MS.0).is_multiple_of(interval_ms) {
+                    site.acknowledged.push(now);
+                }
+                site.step(now);
+            }
+            let (delay, daemon, at) = site.longest_delay(|_| true);
+            println!("{size:?}, seed {seed}, moves each {moves_ms} ms: {delay} ms");
+            assert!(
+                delay + MARGIN_MS <= BUDGET.total,
+                "{delay} ms from {at} at daemon {daemon} of {size:?}, seed {seed}, moves each {moves_ms} ms"
+            );
+        }
+    }
+}
+
 /// While nothing fails and nothing changes, only the daemons in the order call the store, once a slot together; at more
 /// than six of them, as often as polls of the longest time need.
 #[test]
