--- a/goldcrestward/tests/it/stop_limits.rs
+++ b/goldcrestward/tests/it/stop_limits.rs
@@ -19,7 +19,7 @@
     time::{Instant, sleep, sleep_until},
 };
 
-use crate::support::{KEY, RawBackEnd, RawEnd, SlowReply, SlowRequest, TestSite, eventually, read_request};
+use crate::support::{KEY, RawBackEnd, RawEnd, SlowReply, SlowRequest, TestSite, eventually, read_request, run_load};
 
 /// Time limit of the shutdown, in seconds.
 const DRAIN_SECONDS: u64 = 3;
@@ -534,3 +534,30 @@
     let told = || async { daemon.log().lines().any(|line| line.contains("event=stop-refused id=req-")).then_some(()) };
     eventually("the log has a line of the request", told).await;
 }
+
+/// Guards against stops that take all of the time for the ledger to write its records, as other daemons go on claiming at
+/// the slots of the one that stops.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn stop_beside_keyed_calls_ends_once_records_are_written() {
+    known_red::report!();
+    /// Time for the balancer to notice the stop, and for outcomes to be written.
+    const MAX_STOP: Duration = Duration::from_millis(500 + 2 * 1_000);
+
+    let mut site = TestSite::start(3, 0).await;
+    let plan = site.load(0.0, 40.0, 10);
+    let targets = plan.targets.clone();
+    let load = tokio::spawn(run_load(plan));
+    sleep(Duration::from_secs(2)).await;
+    targets.remove(site.daemons[1].callers);
+    let stop = Instant::now();
+    site.daemons[1].signal(Signal::TERM);
+    while site.daemons[1].exit_status().is_none() {
+        assert!(stop.elapsed() < Duration::from_secs(20), "the process does not end");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let elapsed = stop.elapsed();
+    let report = load.await.expect("the load runs");
+    site.check_keyed(&report);
+    assert_eq!((report.cut, report.wrong, report.unanswered), (0, 0, 0), "{report:?}");
+    assert!(elapsed <= MAX_STOP, "the process ended {elapsed:?} after SIGTERM: {}", site.daemons[1].log());
+}
