--- a/goldcrestward/src/connection/carried_exchanges.rs
+++ b/goldcrestward/src/connection/carried_exchanges.rs
@@ -7,7 +7,10 @@
 
 use http::{HeaderMap, StatusCode};
 
-use super::http_messages::{BodyEnd, HeadParser, Messages, empty_fields, header_map};
+use super::{
+    http_messages::{BodyEnd, HeadParser, Messages, empty_fields, header_map},
+    response_head::{MAX_RESPONSE_HEAD_BYTES, MAX_RESPONSE_HEADS},
+};
 use crate::port::StatedHold;
 
 /// Recognizes what a server says to whoever sends to it.
@@ -43,7 +46,15 @@
 
 impl<'a> CarriedExchanges<'a> {
     pub fn new(observer: &'a dyn ResponseObserver) -> Self {
-        let state = Exchanges { observer, awaited: VecDeque::new(), has_carried: false, notice: None };
+        let state = Exchanges {
+            observer,
+            awaited: VecDeque::new(),
+            has_carried: false,
+            notice: None,
+            head_bytes: 0,
+            interim_heads: 0,
+            is_head_too_long: false,
+        };
         Self { requests: Messages::default(), responses: Messages::default(), state }
     }
 
@@ -62,6 +73,12 @@
         self.state.notice.take()
     }
 
+    /// Whether the server has sent a response head that exceeds its bounds.
+    pub fn is_head_too_long(&self) -> bool {
+        let bytes = self.state.head_bytes + self.responses.head_bytes();
+        self.state.is_head_too_long || self.responses.is_head_too_long() || bytes > MAX_RESPONSE_HEAD_BYTES
+    }
+
     /// Whether the connection carries nothing now, and is not to carry more.
     pub fn is_over(&self) -> bool {
         let Exchanges { observer, has_carried, .. } = &self.state;
@@ -80,6 +97,10 @@
     /// Whether a request has been sent.
     has_carried: bool,
     notice: Option<Notice>,
+    /// Bytes of the heads of the current response that have ended, and number of the interim ones.
+    head_bytes: usize,
+    interim_heads: usize,
+    is_head_too_long: bool,
 }
 
 struct RequestHeads<'a, 'b>(&'a mut Exchanges<'b>);
@@ -111,8 +132,16 @@
         let (is_head_only, request) = self.0.awaited.front()?;
         let is_head_only = *is_head_only || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         self.0.notice = self.0.observer.notice(request, status, &headers).or(self.0.notice.take());
+        self.0.head_bytes += head.len();
+        self.0.is_head_too_long |= self.0.head_bytes > MAX_RESPONSE_HEAD_BYTES;
+        if status.is_informational() && status != StatusCode::SWITCHING_PROTOCOLS {
+            self.0.interim_heads += 1;
+            self.0.is_head_too_long |= self.0.interim_heads >= MAX_RESPONSE_HEADS;
+            return Some(BodyEnd::Interim);
+        }
+        (self.0.head_bytes, self.0.interim_heads) = (0, 0);
         if status.is_informational() {
-            return (status != StatusCode::SWITCHING_PROTOCOLS).then_some(BodyEnd::Interim);
+            return None;
         }
         if is_head_only {
             return Some(BodyEnd::Length(0));
--- a/goldcrestward/src/process/settings.rs
+++ b/goldcrestward/src/process/settings.rs
@@ -89,6 +89,8 @@
     pub lease_ms: Option<u64>,
     /// Time in ms within which a change of the platform's configuration must be in force on all daemons.
     pub config_apply_ms: Option<u64>,
+    /// Memory that the daemon may take in MB.
+    pub memory_mb: Option<u64>,
 }
 
 impl Overrides {
@@ -136,6 +138,7 @@
             usage_delay: overrides.usage_delay.or(self.usage_delay),
             lease_ms: overrides.lease_ms.or(self.lease_ms),
             config_apply_ms: overrides.config_apply_ms.or(self.config_apply_ms),
+            memory_mb: overrides.memory_mb.or(self.memory_mb),
         }
     }
 }
@@ -189,6 +192,8 @@
     pub lease: Duration,
     /// Time within which a change of the platform's configuration must be in force on all daemons.
     pub config_apply: Duration,
+    /// Bytes of responses that the daemon keeps at most.
+    pub response_bytes: usize,
 }
 
 const DEFAULT_NOTICE_MS: u64 = 500;
@@ -199,6 +204,10 @@
 const DEFAULT_USAGE_DELAY_SECONDS: u64 = 60;
 const DEFAULT_LEASE_MS: u64 = 5_000;
 const DEFAULT_CONFIG_APPLY_MS: u64 = 2_500;
+const DEFAULT_MEMORY_MB: u64 = 256;
+const MIN_MEMORY_MB: u64 = 64;
+/// Part of the memory for the responses that a daemon keeps; the buffers of connections and all else take the rest.
+const RESPONSE_PART: usize = 4;
 
 impl TryFrom<Overrides> for Settings {
     type Error = SettingsError;
@@ -257,6 +266,7 @@
                 0 => return invalid("config-apply-ms", "must be above 0".into()),
                 ms => ms,
             }),
+            response_bytes: response_bytes(overrides.memory_mb.unwrap_or(DEFAULT_MEMORY_MB))?,
         })
     }
 }
@@ -269,6 +279,14 @@
     Ok(value)
 }
 
+fn response_bytes(memory_mb: u64) -> Result<usize> {
+    if memory_mb < MIN_MEMORY_MB {
+        return invalid("memory-mb", format!("must be {MIN_MEMORY_MB} or more, not {memory_mb}"));
+    }
+    let bytes = memory_mb.saturating_mul(1024 * 1024);
+    Ok(usize::try_from(bytes).unwrap_or(usize::MAX) / RESPONSE_PART)
+}
+
 fn seconds(field: &'static str, value: Option<u64>, default: u64) -> Result<Duration> {
     match value.unwrap_or(default) {
         0 => invalid(field, "must be above 0".into()),
--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -29,10 +29,14 @@
     ConnectFailed,
     /// The connection was closed or reset before the response was complete.
     Disconnected,
+    /// The response head exceeded its bounds, and the connection was closed.
+    HeadTooLong,
     /// The back end returned an error status that is not passed on to the caller.
     ErrorStatus,
     /// The response belongs to another request or attempt, is malformed or lacks a token.
     WrongResponse,
+    /// The response was too long to be kept.
+    TooLong,
     /// The back end timed out.
     TimedOut,
     /// The replica is leaving, so its stream continues elsewhere.
@@ -45,8 +49,10 @@
         match self {
             Self::ConnectFailed => "unreached",
             Self::Disconnected => "cut",
+            Self::HeadTooLong => "head-too-long",
             Self::ErrorStatus => "status",
             Self::WrongResponse => "crossed",
+            Self::TooLong => "too-long",
             Self::TimedOut => "silent",
             Self::Leaving => "leaving",
         }
@@ -173,7 +179,13 @@
         match failure {
             Failure::Leaving => {}
             Failure::ConnectFailed => replica.eject(now),
-            Failure::WrongResponse | Failure::ErrorStatus | Failure::TimedOut => replica.update_ejection(false, now),
+            Failure::HeadTooLong
+            | Failure::WrongResponse
+            | Failure::ErrorStatus
+            | Failure::TooLong
+            | Failure::TimedOut => {
+                replica.update_ejection(false, now);
+            }
             Failure::Disconnected => {
                 replica.update_ejection(false, now);
                 self.check_crash(guard).await;
