--- a/goldcrestward/src/connection/tunnel.rs
+++ b/goldcrestward/src/connection/tunnel.rs
@@ -191,16 +191,20 @@
         progress.sent.fetch_add(count as u64, Ordering::Relaxed);
         // Only now, as the connection may be closed as soon as a response counts as ended.
         if let Some((exchanges, observer)) = exchanges {
-            let (is_noticed, is_too_long) = {
+            let (notice, is_too_long) = {
                 let mut exchanges = exchanges.lock();
                 (exchanges.receive(&buffer[..count]), exchanges.is_head_too_long())
             };
-            if is_noticed {
-                observer.record_notice();
+            if let Some(notice) = notice {
+                observer.record_notice(notice);
             }
             if is_too_long {
                 return TunnelEnd::HeadTooLong;
             }
+            // At once, so that the peer sends no other request on it.
+            if exchanges.lock().is_over() {
+                return TunnelEnd::Withdrawn;
+            }
         }
     }
 }
