Memory: a spent budget is no failure of a server, and the daemon's own calls do not wait for callers that do not read

The shares of large responses no longer bind the daemon's own calls, and causes tell a spent budget (no-memory) from an answer that is too long. The new case of byte_budget_test fails by the old rule: 768 KiB of 1 MiB are whole, three quarters of the limit. Still open: whole answers that nobody reads keep the budget.

--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -434,6 +434,7 @@
         "silent" => "it timed out without sending data",
         "cut" => "the connection broke",
         "too-long" => "it was too long to be kept",
+        "no-memory" => "the responses of all servers left no memory for it",
         "head-too-long" => "it sent heads without an answer, so the connection was closed",
         "crossed" => "the response belongs to another request",
         "unsealed" => "the response does not carry the server's seal",
--- a/goldcrestward/src/process/response_memory/byte_budget.rs
+++ b/goldcrestward/src/process/response_memory/byte_budget.rs
@@ -43,7 +43,7 @@
     pub(crate) enum Precedence {
         /// The largest incomplete ones.
         BySize,
-        /// None of these, for calls that the daemon depends on. A server's share does not apply to them either.
+        /// None of these, for calls that the daemon depends on. What others hold of the shares does not count for them, only what they hold of the whole budget.
         Always,
     }
 }
@@ -172,20 +172,28 @@
         shortage.limit().map_or(Ok(victims), Err)
     }
 
+    /// What the daemon's own calls have beyond [`SMALL_RESPONSE_BYTES`].
+    fn protected_large(&self) -> usize {
+        let protected = self.holders.values().filter(|holder| holder.precedence == Precedence::Always);
+        protected.map(|holder| large_part(holder.bytes)).sum()
+    }
+
     fn shortage(&self, growing: &Holder, bytes: usize) -> Shortage {
         let more_large = large_part(bytes).saturating_sub(large_part(growing.bytes));
         let over =
             |held: usize, more: usize, limit: usize| if more == 0 { 0 } else { (held + more).saturating_sub(limit) };
         let server_large = self.server_large.get(&growing.server).copied().unwrap_or(0);
-        let server = match growing.precedence {
-            Precedence::BySize => over(server_large, more_large, share(self.limit, SERVER_SHARE)),
-            Precedence::Always => 0,
+        let large_share = share(self.limit, LARGE_SHARE);
+        let (server, large) = match growing.precedence {
+            Precedence::BySize => (
+                over(server_large, more_large, share(self.limit, SERVER_SHARE)),
+                over(self.large, more_large, large_share),
+            ),
+            // Whole responses may fill the shares until their callers have read them, which the daemon's own calls must not
+            // wait for.
+            Precedence::Always => (0, over(self.protected_large(), more_large, large_share)),
         };
-        Shortage {
-            server,
-            large: over(self.large, more_large, share(self.limit, LARGE_SHARE)),
-            total: over(self.total, bytes.saturating_sub(growing.bytes), self.limit),
-        }
+        Shortage { server, large, total: over(self.total, bytes.saturating_sub(growing.bytes), self.limit) }
     }
 }
 
--- a/goldcrestward/src/process/response_memory/byte_budget_test.rs
+++ b/goldcrestward/src/process/response_memory/byte_budget_test.rs
@@ -137,3 +137,18 @@
     assert_eq!(budget.grow(store, 2 * SMALL_RESPONSE_BYTES).map(|victims| victims.len()), Ok(2));
     assert_eq!(budget.grow(store, LIMIT), Err(MemoryLimit::Daemon), "a quarter is for small responses");
 }
+
+/// Guards against a daemon that cannot read the store because callers do not read their answers.
+#[test]
+fn grow_protected_response_has_room_beside_whole_ones() {
+    let mut budget = ByteBudget::new(LIMIT);
+    for server in ["a", "b", "c"] {
+        let id = open(&mut budget, server);
+        assert_eq!(budget.grow(id, LIMIT / 4), Ok(vec![]));
+        budget.finish(id, LIMIT / 4);
+    }
+    let sound = open(&mut budget, "d");
+    assert_eq!(budget.grow(sound, LIMIT / 4 + SMALL_RESPONSE_BYTES), Err(MemoryLimit::Daemon));
+    let store = budget.open("store".into(), Precedence::Always);
+    assert_eq!(budget.grow(store, LIMIT / 4), Ok(vec![]));
+}
--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     config::Route,
-    process::{NoReplica, Replica, ReplicaGuard, ReplicaQuery, Shared},
+    process::{MemoryLimit, NoReplica, Replica, ReplicaGuard, ReplicaQuery, Shared, TooLong},
 };
 
 /// How often one stream may be resumed at another replica.
@@ -37,6 +37,8 @@
     WrongResponse,
     /// The response was too long to be kept.
     TooLong,
+    /// The responses of all servers together left no room for the response, which says nothing of its server.
+    NoMemory,
     /// The back end timed out.
     TimedOut,
     /// The replica is leaving, so its stream continues elsewhere.
@@ -44,6 +46,11 @@
 }
 
 impl Failure {
+    /// The failure of a response that could not be kept.
+    pub fn of_too_long(error: &TooLong) -> Self {
+        if error.limit == MemoryLimit::Daemon { Self::NoMemory } else { Self::TooLong }
+    }
+
     /// Metric label of the failure.
     pub fn label(self) -> &'static str {
         match self {
@@ -53,6 +60,7 @@
             Self::ErrorStatus => "status",
             Self::WrongResponse => "crossed",
             Self::TooLong => "too-long",
+            Self::NoMemory => "no-memory",
             Self::TimedOut => "silent",
             Self::Leaving => "leaving",
         }
@@ -177,7 +185,7 @@
         self.tried.push(replica.id.clone());
         let now = self.shared.now();
         match failure {
-            Failure::Leaving => {}
+            Failure::Leaving | Failure::NoMemory => {}
             Failure::ConnectFailed => replica.eject(now),
             Failure::HeadTooLong
             | Failure::WrongResponse
--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -371,7 +371,7 @@
 
     fn record_too_long(&self, guard: &ReplicaGuard, kind: &str, error: &TooLong) -> Failure {
         self.shared.response_memory.record_too_long(&self.id, &guard.replica().id, kind, error);
-        Failure::TooLong
+        Failure::of_too_long(error)
     }
 
     async fn run_buffered(mut self) -> Result<Response, Refusal> {
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -387,7 +387,7 @@
             Some(Ok(bytes)) => bytes,
             Some(Err(ReadError::TooLong(error))) => {
                 memory.record_too_long(&self.id, instance, "body", &error);
-                return Err(self.record_unknown(key, guard, Failure::TooLong).await);
+                return Err(self.record_unknown(key, guard, Failure::of_too_long(&error)).await);
             }
             None | Some(Err(ReadError::Broken)) => {
                 return Err(self.record_unknown(key, guard, Failure::Disconnected).await);
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -36,8 +36,8 @@
     logs::is_sampled,
     port::{AttemptMetadata, MigratedKvCache, RequestMetadata, ResponseHead, ResponseMetadata},
     process::{
-        AttemptOutcome, Condemned, Gateway, QuotaCharge, ReadError, Replica, ReplicaGuard, TooLong, part_names,
-        record_answer, record_brittle, record_leaving, record_long_head,
+        AttemptOutcome, Condemned, Gateway, MemoryLimit, QuotaCharge, ReadError, Replica, ReplicaGuard, TooLong,
+        part_names, record_answer, record_brittle, record_leaving, record_long_head,
     },
     version::Sample,
 };
@@ -56,7 +56,9 @@
 const IDLE_TIMEOUT_RANGE: (Duration, Duration) = (Duration::from_millis(700), Duration::from_millis(1_600));
 
 /// Cause of a failure: the response was too long to be kept.
-pub(super) const TOO_LONG: &str = "too-long";
+const TOO_LONG: &str = "too-long";
+/// Cause of a failure: the responses of all servers together left no room for the response, which says nothing of its server.
+const NO_MEMORY: &str = "no-memory";
 
 /// Why a stream did not begin.
 enum FirstEventError {
@@ -275,6 +277,15 @@
         guard.replica().update_failure_score(outcome, self.gateway.shared.now());
     }
 
+    /// Records the failure of an attempt, unless the server has no part in it.
+    pub(super) fn record_failure(&self, guard: &ReplicaGuard, cause: &str) {
+        if cause == NO_MEMORY {
+            return;
+        }
+        self.observe(guard, Sample::Failed);
+        self.record_outcome(guard, AttemptOutcome::Failure);
+    }
+
     /// The score of the request's content from earlier crashes.
     ///
     /// # Errors
@@ -613,7 +624,7 @@
     pub(super) fn record_too_long(&self, guard: &ReplicaGuard, kind: &str, error: &TooLong) -> &'static str {
         let memory = &self.gateway.shared.response_memory;
         memory.record_too_long(&self.metadata.id, &guard.replica().id, kind, error);
-        TOO_LONG
+        if error.limit == MemoryLimit::Daemon { NO_MEMORY } else { TOO_LONG }
     }
 
     fn build_request(&self, instance: &str, last: Option<u64>) -> HttpRequest<Full<Bytes>> {
@@ -654,8 +665,7 @@
 
     /// Records the failure of a stream and excludes its server from further attempts.
     pub(super) async fn record_stream_failure(&mut self, guard: &ReplicaGuard, cause: &'static str) {
-        self.observe(guard, Sample::Failed);
-        self.record_outcome(guard, AttemptOutcome::Failure);
+        self.record_failure(guard, cause);
         self.tried.push(guard.replica().id.clone());
         if cause == "cut" && !self.gateway.is_cut_off() {
             record_crash(&self.gateway.shared, guard, self.possible_cause()).await;
--- a/goldcrestward/src/request/proxy_body.rs
+++ b/goldcrestward/src/request/proxy_body.rs
@@ -25,14 +25,13 @@
 use super::{
     fallback::{SEARCH_INTERVAL, Search},
     numbered_events::{EventSequence, SequenceError},
-    proxy::{ProxyCall, TOO_LONG},
+    proxy::ProxyCall,
     proxy_outcome::{MigratedRun, ProxyResponse, ProxyStream},
     refusal::Refusal,
 };
 use crate::{
     connection::BackendConnection,
     process::{AttemptOutcome, ReplicaGuard},
-    version::Sample,
 };
 
 struct StreamSource {
@@ -148,8 +147,7 @@
         );
         if !allowed {
             call.gateway.shared.metrics.cut_answers.inc();
-            call.observe(&guard, Sample::Failed);
-            call.record_outcome(&guard, AttemptOutcome::Failure);
+            call.record_failure(&guard, cause);
             return Err(format!("the stream broke off: {cause}").into());
         }
         sequence.restart();
@@ -291,9 +289,9 @@
             (None, Poll::Pending) => None,
         };
         if let Some(error) = too_long {
-            source.call.record_too_long(&source.guard, "event", &error);
-            source.error_cause = Some(TOO_LONG);
-            return Poll::Ready(Err(TOO_LONG));
+            let cause = source.call.record_too_long(&source.guard, "event", &error);
+            source.error_cause = Some(cause);
+            return Poll::Ready(Err(cause));
         }
         let data = match Pin::new(&mut source.body).poll_frame(context) {
             Poll::Pending => return Poll::Pending,
