--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -296,11 +296,10 @@
         template = open(os.path.join(ROOT, "deploy/settings.yaml")).read()
         template = re.sub(r"\{\{#seeds\}\}.*?\{\{/seeds\}\}", ",".join(f'"{seed}"' for seed in seeds), template)
         bounds = {"grace_s": 8, "budget_ratio": 0.2, "budget_extra": 54, "budget_window_s": 10, "usage_window_s": 5,
-                  "usage_late_s": 10, "lease_ms": 3000, "config_apply_ms": 2500}
+                  "usage_late_s": 10, "lease_ms": 3000}
         values = {"node": self.name, "region": self.zones[self.zone], "zone": self.zone, "listen.front": self.callers,
                   "listen.ready": self.ready, "listen.control": self.peers, "ip": self.ip,
-                  "platform.address": self.store, "cloud.address": self.cloud, "limits.memory_mb": 260,
-                  "zones|json": json.dumps(self.zones)}
+                  "platform.address": self.store, "cloud.address": self.cloud, "zones|json": json.dumps(self.zones)}
         values.update({f"bounds.{name}": value for name, value in bounds.items()})
         text = re.sub(r"\{\{([^}]*)\}\}", lambda match: str(values[match.group(1)]), template)
         return text if self.advertise is None else f"{text}\nadvertise: {self.advertise}\n"
