--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -426,7 +426,9 @@
     loop {
         tokio::time::sleep(EVICTION_INTERVAL).await;
         gateway.backend_connections.evict(|instance| gateway.shared.replicas.is_used(instance));
-        gateway.reach.lock().forget(|instance| gateway.shared.replicas.is_known(instance), gateway.shared.now());
+        let (now, is_known) = (gateway.shared.now(), |instance: &str| gateway.shared.replicas.is_known(instance));
+        gateway.reach.lock().forget(is_known, now);
+        gateway.helpers.lock().forget(is_known, now);
     }
 }
 
--- a/goldcrestward/src/process/gateway.rs
+++ b/goldcrestward/src/process/gateway.rs
@@ -4,12 +4,13 @@
 
 use log::{info, warn};
 use parking_lot::Mutex;
+use tokio::sync::Semaphore;
 
 use super::{
     demand::DemandMeters,
     limit_facts::publish_limit,
     quota::{IsolatedQuotas, QuotaBalances, QuotaCharge, QuotaLedger, Verdict},
-    reach::ReachTable,
+    reach::{Helpers, MAX_SEARCHES, ReachTable},
     replicas::Replica,
     retries::RetryBudget,
     send_limits::{IsolatedSends, SendLimits},
@@ -50,6 +51,10 @@
     pub backend_connections: BackendConnections,
     /// Which servers this daemon reaches.
     pub reach: Mutex<ReachTable>,
+    /// Which peers may open connections to those that it does not.
+    pub helpers: Mutex<Helpers>,
+    /// Limits the searches for such a peer.
+    pub(super) tunnel_searches: Semaphore,
     /// What this daemon knows of the account quotas, which apply across all daemons.
     pub quota_balances: Arc<Mutex<QuotaBalances>>,
     /// Account quotas as the relay of the availability zone knows them.
@@ -82,6 +87,8 @@
             engines,
             backend_connections,
             reach: Mutex::default(),
+            helpers: Mutex::default(),
+            tunnel_searches: Semaphore::new(MAX_SEARCHES),
             quota_balances: Arc::default(),
             quota_ledger: Mutex::default(),
             isolated_quotas: Mutex::default(),
--- a/goldcrestward/src/process/placement.rs
+++ b/goldcrestward/src/process/placement.rs
@@ -10,6 +10,8 @@
 const OTHER_REGION_MS: f64 = 60.0;
 /// Added time at a server that has only just started.
 const COLD_START_MS: f64 = 40.0;
+/// Added time at a server that only peers reach.
+const RELAY_MS: f64 = 8.0;
 /// Penalty of a server whose recent attempts have all failed; scaled by the failure score.
 const FAILURE_PENALTY_MS: f64 = 600.0;
 /// Time that each running request adds to the next step of a batch.
@@ -44,6 +46,8 @@
         pub cold: bool,
         /// Score of its recent failures, from 0 for none to 1.
         pub failure_score: f64,
+        /// Whether only peers reach it.
+        pub unreached: bool,
     }
 }
 
@@ -117,7 +121,8 @@
         Locality::OtherRegion => OTHER_REGION_MS,
     };
     let cold = if candidate.cold { COLD_START_MS } else { 0.0 };
-    wait(candidate) + prefill_ms + network + cold + FAILURE_PENALTY_MS * candidate.failure_score
+    let relay = if candidate.unreached { RELAY_MS } else { 0.0 };
+    wait(candidate) + prefill_ms + network + cold + relay + FAILURE_PENALTY_MS * candidate.failure_score
 }
 
 /// Time until the server starts to process a further request.
--- a/goldcrestward/src/process/placement_test.rs
+++ b/goldcrestward/src/process/placement_test.rs
@@ -8,7 +8,16 @@
 const SUFFIX_MS: f64 = 29.0;
 
 fn server(hash: u64, locality: Locality) -> Candidate {
-    Candidate { hash, locality, running: 0, prefill_ms: 0.0, slots: 48, cold: false, failure_score: 0.0 }
+    Candidate {
+        hash,
+        locality,
+        running: 0,
+        prefill_ms: 0.0,
+        slots: 48,
+        cold: false,
+        failure_score: 0.0,
+        unreached: false,
+    }
 }
 
 fn site() -> Vec<Candidate> {
@@ -121,3 +130,15 @@
     servers[1].prefill_ms = 60.0;
     assert_eq!(chosen(&servers, &chat, 1), 0);
 }
+
+#[test]
+fn server_that_only_peers_reach_is_used_for_its_cached_prompt_and_beside_busy_ones() {
+    let mut servers = vec![server(3, Locality::SameZone), server(0x9E37_79B9_7F4A_7C15, Locality::SameZone)];
+    let preferred = chosen(&servers, &long_prompt(1), 0);
+    servers[preferred].unreached = true;
+    assert_eq!(chosen(&servers, &long_prompt(1), 0), preferred);
+    let short = PromptCost { affinity: None, prefix_ms: 0.0, suffix_ms: 1.0 };
+    assert!((0..50).all(|salt| chosen(&servers, &short, salt) != preferred));
+    servers[1 - preferred].running = 48;
+    assert_eq!(chosen(&servers, &short, 0), preferred);
+}
--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -7,6 +7,7 @@
 
 use super::{
     carried_observer::CarriedObserver,
+    helpers::Search,
     table::{Change, Path},
 };
 use crate::{
@@ -23,8 +24,12 @@
 const RELAY_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time limit of an attempt to reach a lost server again.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for a search among the peers.
+const SEARCH_TIMEOUT: Duration = Duration::from_millis(600);
 /// Peers that are asked for one connection.
-const MAX_HELPERS: usize = 3;
+const MAX_HELPERS: usize = 8;
+/// Searches among the peers at once; further ones wait.
+pub(in crate::process) const MAX_SEARCHES: usize = 32;
 
 impl Gateway {
     /// Returns a connection to a server, idle or new: directly, or by way of a peer if this daemon does not reach it.
@@ -64,8 +69,43 @@
             Path::Relay => {}
             Path::RelayAndProbe => self.probe(replica),
         }
-        let relayed = timeout(limit, self.connect_by_peer(id, replica, window)).await;
-        relayed.ok().flatten().ok_or(failure)
+        let relayed = timeout(limit.min(SEARCH_TIMEOUT), self.connect_by_peer(id, replica, window)).await;
+        relayed.unwrap_or(Err(ConnectError::Silent)).map_err(|error| match failure {
+            ConnectError::Refused => failure,
+            ConnectError::Silent => error,
+        })
+    }
+
+    /// Records a response to a request that was sent on this connection.
+    pub fn record_path_answer(&self, replica: &Replica, via: Option<&Arc<str>>) {
+        if let Some(peer) = via {
+            return self.helpers.lock().record_answer(peer);
+        }
+        let now = self.shared.now();
+        let change = self.reach.lock().record_answer(&replica.id, now);
+        self.apply_reach_change(replica, change, None);
+    }
+
+    /// Records that a request sent at `sent_at` waits for a response on this connection, and looks whether the path has
+    /// failed.
+    pub fn suspect_path(self: &Arc<Self>, replica: &Arc<Replica>, via: Option<&Arc<str>>, sent_at: u64) {
+        let now = self.shared.now();
+        if replica.has_answered_since(sent_at) {
+            return;
+        }
+        match via {
+            Some(peer) => self.helpers.lock().record_silence(peer, now),
+            None => {
+                self.reach.lock().record_silence(&replica.id, now);
+                self.probe(replica);
+            }
+        }
+    }
+
+    /// Whether this daemon's path to a server has failed, so that failures on it say nothing about the server.
+    pub fn has_no_path(&self, replica: &Replica, via: Option<&Arc<str>>) -> bool {
+        let (reach, now) = (self.reach.lock(), self.shared.now());
+        reach.is_cut_off(now) || (via.is_none() && reach.has_no_path(&replica.id))
     }
 
     /// Checks in the background whether a server can be reached directly.
@@ -81,33 +121,48 @@
         });
     }
 
-    /// Whether this daemon's failures say nothing about the servers, as it reaches none.
-    pub fn is_cut_off(&self) -> bool {
-        self.reach.lock().is_cut_off()
+    fn record_reach(&self, replica: &Replica, result: Result<(), ConnectError>) {
+        let change = self.reach.lock().record(&replica.id, result, self.shared.now());
+        self.apply_reach_change(replica, change, result.err());
     }
 
-    fn record_reach(&self, replica: &Replica, result: Result<(), ConnectError>) {
-        let now = self.shared.now();
-        let (change, lost, cut_off) = {
-            let mut reach = self.reach.lock();
-            let change = reach.record(&replica.id, result, now);
-            (change, reach.lost(), reach.is_cut_off())
+    fn apply_reach_change(&self, replica: &Replica, change: Change, error: Option<ConnectError>) {
+        if change == Change::None {
+            return;
+        }
+        let (lost, cut_off) = {
+            let reach = self.reach.lock();
+            (reach.lost(), reach.is_cut_off(self.shared.now()))
         };
         let id = &replica.id;
-        match (change, result) {
-            (Change::Lost, Err(error)) => {
-                warn!("event=reach-lost instance={id} why={} lost={lost} cut_off={cut_off}", error.label());
-            }
-            (Change::Back, _) => info!("event=reach-back instance={id} lost={lost}"),
-            _ => {}
+        replica.set_unreached(change == Change::Lost);
+        match error.filter(|_| change == Change::Lost) {
+            Some(error) => warn!("event=reach-lost instance={id} why={} lost={lost} cut_off={cut_off}", error.label()),
+            None => info!("event=reach-back instance={id} lost={lost}"),
         }
         self.shared.metrics.unreached_servers.set(lost as i64);
     }
 
     /// Has a peer open a connection to the server, and uses that one.
-    async fn connect_by_peer(&self, id: &str, replica: &Replica, window: &RunWindow) -> Option<BackendConnection> {
+    ///
+    /// # Errors
+    /// Says whether the server refuses connections, or no peer that was asked reaches it.
+    async fn connect_by_peer(
+        &self,
+        id: &str,
+        replica: &Replica,
+        window: &RunWindow,
+    ) -> Result<BackendConnection, ConnectError> {
+        let _permit = self.tunnel_searches.acquire().await;
         let ends_within_ms = u64::try_from(window.needed().as_millis()).unwrap_or(0);
-        for (name, address) in self.helpers(id) {
+        let (peers, left_out) = self.peers_to_ask(replica);
+        let mut asked = 0;
+        for (name, address) in peers.into_iter().take(MAX_HELPERS) {
+            // Another search may have found out meanwhile.
+            if !self.helpers.lock().may_help(&name, &replica.id, self.shared.now()) {
+                continue;
+            }
+            asked += 1;
             let open = OpenTunnel {
                 instance: replica.id.to_string(),
                 run: replica.run_hash(),
@@ -123,33 +178,38 @@
             };
             self.shared.metrics.relayed_connects.with_label_values(&[label(result)]).inc();
             info!("event=relay-asked id={id} instance={} peer={name} result={}", replica.id, label(result));
-            match (opened, result) {
+            let search = self.helpers.lock().record(&name, &replica.id, result, self.shared.now());
+            match (opened, search) {
                 (Ok(Ok(tunnel)), _) => {
-                    return self.backend_connections.open_over(tunnel, name, replica.address, &replica.id).await;
+                    let connection = self.backend_connections.open_over(tunnel, name, replica.address, &replica.id);
+                    return connection.await.ok_or(ConnectError::Silent);
                 }
-                // The peer reaches other servers, so this one is down.
-                (_, TunnelResult::Unreached) => return None,
-                // It may still carry what ends sooner, or what goes to other servers.
-                (_, TunnelResult::Stopping | TunnelResult::Held) => {}
-                _ => self.reach.lock().pause_helper(&name, self.shared.now()),
+                (_, Search::End) => return Err(ConnectError::Refused),
+                (_, Search::Found | Search::GoOn) => {}
             }
         }
-        None
+        info!("event=relay-not-found id={id} instance={} asked={asked} left_out={left_out}", replica.id);
+        Err(ConnectError::Silent)
     }
 
-    /// Peers to ask, those that are not being stopped and the nearest first, in an order that differs between requests.
-    fn helpers(&self, id: &str) -> Vec<(Arc<str>, SocketAddr)> {
+    /// Peers to ask, those that are not being stopped and the nearest first, and the number of those left out as they
+    /// could not help lately. The order differs between daemons and servers, so that the load is spread and a peer that
+    /// reaches the server is asked again.
+    fn peers_to_ask(&self, replica: &Replica) -> (Vec<(Arc<str>, SocketAddr)>, usize) {
         let (settings, now) = (&self.shared.settings, self.shared.now());
         let view = self.shared.view.lock();
-        let reach = self.reach.lock();
-        let may_help = |name: &str| reach.may_help(name, now);
-        let peers = view.others().filter(|member| member.state == State::Alive && may_help(&member.name));
-        let mut peers: Vec<_> = peers.collect();
+        let alive: Vec<_> = view.others().filter(|member| member.state == State::Alive).collect();
+        let count = alive.len();
+        let helpers = self.helpers.lock();
+        let may_help = |name: &str| helpers.may_help(name, &replica.id, now);
+        let mut peers: Vec<_> = alive.into_iter().filter(|member| may_help(&member.name)).collect();
         peers.sort_by_cached_key(|member| {
-            let distance = (view.is_stopping(member), member.zone != settings.zone, member.region != settings.region);
-            (distance, stable_hash(&[id.as_bytes(), member.name.as_bytes()]))
+            let is_last = view.is_stopping(member) || helpers.is_doubted(&member.name, now);
+            let distance = (is_last, member.zone != settings.zone, member.region != settings.region);
+            (distance, stable_hash(&[settings.name.as_bytes(), replica.id.as_bytes(), member.name.as_bytes()]))
         });
-        peers.into_iter().take(MAX_HELPERS).map(|member| (member.name.clone(), member.address)).collect()
+        let left_out = count - peers.len();
+        (peers.into_iter().map(|member| (member.name.clone(), member.address)).collect(), left_out)
     }
 }
 
@@ -172,14 +232,18 @@
     }
     {
         let reach = gateway.reach.lock();
-        if reach.is_cut_off() || reach.is_lost(&replica.id) {
+        if reach.is_cut_off(shared.now()) || reach.is_lost(&replica.id) {
             return Err(TunnelResult::CutOff);
         }
     }
     let opened = timeout(DIRECT_TIMEOUT, open_socket(replica.address)).await;
     let opened = opened.map_or(Err(ConnectError::Silent), |socket| socket.map_err(|_| ConnectError::Refused));
     gateway.record_reach(&replica, opened.as_ref().map(|_| ()).map_err(|error| *error));
-    let socket = opened.map_err(|_| TunnelResult::Unreached)?;
+    // Silence is that of this daemon's path, and another may reach the server.
+    let socket = opened.map_err(|error| match error {
+        ConnectError::Refused => TunnelResult::Unreached,
+        ConnectError::Silent => TunnelResult::CutOff,
+    })?;
     let observer = Box::new(CarriedObserver::new(gateway.clone(), replica));
     Ok(CarriedConnection { socket, guard: shared.carried.begin(open), observer })
 }
--- a/goldcrestward/src/process/reach/mod.rs
+++ b/goldcrestward/src/process/reach/mod.rs
@@ -2,7 +2,9 @@
 
 mod carried_observer;
 mod connect;
+mod helpers;
 mod table;
 
-pub(super) use connect::open_for_peer;
+pub(super) use connect::{MAX_SEARCHES, open_for_peer};
+pub(crate) use helpers::Helpers;
 pub(crate) use table::ReachTable;
--- a/goldcrestward/src/process/reach/table.rs
+++ b/goldcrestward/src/process/reach/table.rs
@@ -13,10 +13,10 @@
 const LOST_AFTER: u32 = 2;
 /// Servers in a row that could not be reached, without one that could, after which the daemon counts as cut off.
 const CUT_OFF_AFTER: usize = 3;
+/// Time since the last sign of any server before which a daemon does not count as cut off.
+const CUT_OFF_SILENCE_MS: u64 = 300;
 /// Pause between two attempts to reach a lost server directly; it doubles up to the maximum.
 const PROBE_PAUSE_MS: (u64, u64) = (400, 1_600);
-/// Time for which a peer that could not help is not asked.
-const HELPER_PAUSE_MS: u64 = 1_500;
 /// Time after which what is known of a server is forgotten unless it is lost.
 const FORGET_MS: u64 = 30_000;
 
@@ -45,12 +45,14 @@
 struct Link {
     failures: u32,
     lost: bool,
+    /// Whether it was lost by silence, which says nothing about the server.
+    silent: bool,
     next_probe: u64,
     probe_pause: u64,
     updated_at: u64,
 }
 
-/// This daemon's links to backend servers, and peers that cannot help.
+/// This daemon's links to backend servers.
 #[derive(Debug, Default)]
 pub(crate) struct ReachTable {
     links: HashMap<Arc<str>, Link>,
@@ -58,14 +60,14 @@
     unreached: HashSet<Arc<str>>,
     /// Whether the last failure was silence, so that open connections are most likely silent as well.
     is_silent: bool,
-    /// Peers that could not help, until when they are not asked.
-    paused: HashMap<Arc<str>, u64>,
+    /// When a server was last reached or answered directly.
+    reached_at: Option<u64>,
 }
 
 impl ReachTable {
     /// The path to a server.
     pub fn path(&mut self, server: &Arc<str>, now: u64) -> Path {
-        let cut_off = self.is_cut_off();
+        let cut_off = self.is_cut_off(now);
         let link = self.links.entry(server.clone()).or_default();
         if cut_off && !link.lost {
             // Whatever cuts off the others cuts off this one as well; a probe finds out if it does not.
@@ -90,9 +92,11 @@
         if result.is_ok() {
             *link = Link { updated_at: now, ..Link::default() };
             self.unreached.clear();
+            self.reached_at = Some(now);
             return if was_lost { Change::Back } else { Change::None };
         }
         self.is_silent = result == Err(ConnectError::Silent);
+        link.silent = self.is_silent;
         link.failures += 1;
         link.lost |= link.failures >= LOST_AFTER;
         if link.lost && !was_lost {
@@ -104,10 +108,34 @@
         if lost_now { Change::Lost } else { Change::None }
     }
 
+    /// Records a response that came directly from a server.
+    pub fn record_answer(&mut self, server: &Arc<str>, now: u64) -> Change {
+        if self.links.contains_key(server) {
+            return self.record(server, Ok(()), now);
+        }
+        self.unreached.clear();
+        self.reached_at = Some(now);
+        Change::None
+    }
+
+    /// Records that a server has been silent on an open connection for a time in which it has answered nobody here. A new
+    /// connection that fails as well makes it lost.
+    pub fn record_silence(&mut self, server: &Arc<str>, now: u64) {
+        let link = self.links.entry(server.clone()).or_default();
+        link.failures = link.failures.max(LOST_AFTER - 1);
+        link.updated_at = now;
+    }
+
     /// Whether this daemon reaches none of the servers that it has tried lately, so that its failures say nothing about
     /// the servers.
-    pub fn is_cut_off(&self) -> bool {
-        self.unreached.len() >= CUT_OFF_AFTER
+    pub fn is_cut_off(&self, now: u64) -> bool {
+        let is_reached = self.reached_at.is_some_and(|at| now < at + CUT_OFF_SILENCE_MS);
+        self.unreached.len() >= CUT_OFF_AFTER && !is_reached
+    }
+
+    /// Whether the path to a server has failed, so that failures on it say nothing about the server.
+    pub fn has_no_path(&self, server: &str) -> bool {
+        self.links.get(server).is_some_and(|link| link.lost && link.silent)
     }
 
     /// Whether links fail by silence, so that open connections are not to be used.
@@ -125,21 +153,10 @@
         self.links.values().filter(|link| link.lost).count()
     }
 
-    /// Does not ask a peer for a time, as it could not help.
-    pub fn pause_helper(&mut self, peer: &Arc<str>, now: u64) {
-        self.paused.insert(peer.clone(), now + HELPER_PAUSE_MS);
-    }
-
-    /// Whether a peer may be asked.
-    pub fn may_help(&self, peer: &str, now: u64) -> bool {
-        self.paused.get(peer).is_none_or(|until| *until <= now)
-    }
-
     /// Forgets servers that are gone, and what is out of date.
     pub fn forget(&mut self, is_known: impl Fn(&str) -> bool, now: u64) {
         self.links.retain(|server, link| is_known(server) && (link.lost || now < link.updated_at + FORGET_MS));
         self.unreached.retain(|server| is_known(server));
-        self.paused.retain(|_, until| *until > now);
     }
 }
 
--- a/goldcrestward/src/process/reach/table_test.rs
+++ b/goldcrestward/src/process/reach/table_test.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{Change, HELPER_PAUSE_MS, PROBE_PAUSE_MS, Path, ReachTable};
+use super::{CUT_OFF_SILENCE_MS, Change, PROBE_PAUSE_MS, Path, ReachTable};
 use crate::connection::ConnectError;
 
 const SILENT: Result<(), ConnectError> = Err(ConnectError::Silent);
@@ -45,12 +45,12 @@
     for number in 0..3 {
         reach.record(&server(number), SILENT, 0);
     }
-    assert!(reach.is_cut_off());
+    assert!(reach.is_cut_off(1));
     assert_eq!(reach.path(&server(7), 1), Path::RelayAndProbe);
     assert_eq!(reach.path(&server(7), 2), Path::Relay);
     // One server that is reached shows that the daemon is not cut off.
     assert_eq!(reach.record(&server(7), Ok(()), 3), Change::Back);
-    assert!(!reach.is_cut_off());
+    assert!(!reach.is_cut_off(4));
     assert_eq!(reach.path(&server(8), 4), Path::Direct);
 }
 
@@ -61,7 +61,7 @@
         reach.record(&server(now as usize % 4), SILENT, now);
         reach.record(&server(10 + now as usize % 4), Ok(()), now);
     }
-    assert!(!reach.is_cut_off());
+    assert!(!reach.is_cut_off(50));
     assert_eq!(reach.lost(), 4);
 }
 
@@ -72,15 +72,62 @@
         reach.record(&server(number), SILENT, 0);
     }
     reach.forget(|id| id == "server-1", 1);
-    assert!(!reach.is_cut_off());
+    assert!(!reach.is_cut_off(1));
     assert_eq!((reach.is_lost("server-0"), reach.lost()), (false, 0));
 }
 
+// Guards against a daemon that gives up its good paths as three others have failed in a row.
 #[test]
-fn peer_that_could_not_help_is_asked_again_later() {
+fn servers_that_answer_on_kept_connections_show_that_the_daemon_is_not_cut_off() {
     let mut reach = ReachTable::default();
-    let peer: Arc<str> = "peer".into();
-    reach.pause_helper(&peer, 10);
-    assert!(!reach.may_help("peer", 11) && reach.may_help("other", 11));
-    assert!(reach.may_help("peer", 10 + HELPER_PAUSE_MS));
+    for now in 0..3_000 {
+        // Half of the servers answer each 20 ms, on connections that are open already; the others do not let one be opened.
+        if now % 20 == 0 {
+            reach.record_answer(&server(now as usize / 20 % 5), now);
+        }
+        if now % 10 == 5 {
+            reach.record(&server(5 + now as usize / 10 % 5), SILENT, now);
+        }
+        assert!(!reach.is_cut_off(now), "at {now}");
+    }
+    assert_eq!(reach.lost(), 5);
+    assert!((0..5).all(|number| reach.path(&server(number), 3_000) == Path::Direct));
+}
+
+#[test]
+fn daemon_without_any_answer_counts_as_cut_off_soon() {
+    let mut reach = ReachTable::default();
+    reach.record_answer(&server(0), 0);
+    (0..3).for_each(|number| assert_eq!(reach.record(&server(number), SILENT, 150), Change::None));
+    assert!(!reach.is_cut_off(CUT_OFF_SILENCE_MS - 1));
+    assert!(reach.is_cut_off(CUT_OFF_SILENCE_MS));
+}
+
+#[test]
+fn silent_server_is_lost_once_a_new_connection_fails_too() {
+    let mut reach = ReachTable::default();
+    reach.record_silence(&server(0), 0);
+    assert!(!reach.is_lost("server-0"));
+    assert_eq!(reach.record(&server(0), SILENT, 100), Change::Lost);
+    assert!(reach.has_no_path("server-0"));
+    assert_eq!(reach.record_answer(&server(0), 200), Change::Back);
+    assert!(!reach.has_no_path("server-0"));
+}
+
+#[test]
+fn silent_server_that_accepts_a_new_connection_stays() {
+    let mut reach = ReachTable::default();
+    reach.record_silence(&server(0), 0);
+    reach.record(&server(0), Ok(()), 100);
+    assert_eq!(reach.record(&server(0), SILENT, 200), Change::None);
+}
+
+// Guards against failures of a path that count for the server.
+#[test]
+fn server_that_refuses_connections_has_a_path() {
+    let mut reach = ReachTable::default();
+    for now in 0..2 {
+        reach.record(&server(0), Err(ConnectError::Refused), now);
+    }
+    assert!(reach.is_lost("server-0") && !reach.has_no_path("server-0"));
 }
--- a/goldcrestward/src/process/replicas/replica.rs
+++ b/goldcrestward/src/process/replicas/replica.rs
@@ -175,6 +175,11 @@
         self.health.loads.lock().apply_server_report(load, now);
     }
 
+    /// Records whether this daemon reaches it by itself.
+    pub fn set_unreached(&self, unreached: bool) {
+        self.health.unreached.store(unreached, Ordering::Relaxed);
+    }
+
     /// Whether its responses bear the ids of their requests.
     pub fn echoes_ids(&self) -> bool {
         self.health.echoes_ids.load(Ordering::Relaxed)
@@ -260,6 +265,7 @@
             slots: self.slots,
             cold: self.warm_at_ms > now,
             failure_score: self.health.failure_score.lock().value(now),
+            unreached: self.health.unreached.load(Ordering::Relaxed),
         }
     }
 
--- a/goldcrestward/src/process/replicas/replica_health.rs
+++ b/goldcrestward/src/process/replicas/replica_health.rs
@@ -40,6 +40,8 @@
     pub(super) room: Mutex<Room>,
     /// Limits the log lines on its responses that exceed a bound.
     pub(super) long_responses: Mutex<LineLimit>,
+    /// Whether this daemon does not reach it by itself.
+    pub(super) unreached: AtomicBool,
     /// Whether its responses have borne the ids of their requests.
     pub(super) echoes_ids: AtomicBool,
 }
--- a/goldcrestward/src/request/fallback.rs
+++ b/goldcrestward/src/request/fallback.rs
@@ -16,6 +16,10 @@
 use super::proxy::{MIN_RETRY_TIME, ProxyCall};
 use crate::{connection::BackendConnection, process::ReplicaGuard};
 
+/// Time without a response after which the path to a server is looked at.
+const SUSPECT_AFTER: Duration = Duration::from_millis(300);
+/// Interval at which a request whose path is being looked at checks whether it has failed.
+const PATH_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two searches for another server while one is silent.
 pub(super) const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -79,20 +83,26 @@
     /// Waits for a step of the exchange with a server. Returns `None` once the server has been silent for the idle
     /// timeout and there is another place for the request, or its time is over.
     pub(super) async fn wait_for<T>(&mut self, guard: &ReplicaGuard, step: impl Future<Output = T>) -> Option<T> {
-        let (mut step, started) = (pin!(step), Instant::now());
-        let mut limit = self.idle_timeout();
-        let mut is_probed = false;
+        let (mut step, started, sent_at) = (pin!(step), Instant::now(), self.gateway.shared.now());
+        let idle_timeout = self.idle_timeout();
+        let mut limit = SUSPECT_AFTER.min(idle_timeout);
+        let mut is_suspect = false;
         loop {
             if let Ok(output) = timeout(limit, &mut step).await {
                 return Some(output);
             }
-            if !is_probed {
-                self.gateway.probe(guard.replica());
-                is_probed = true;
+            if !is_suspect {
+                self.gateway.suspect_path(guard.replica(), self.via.as_ref(), sent_at);
+                is_suspect = true;
             }
             if self.time_left().is_zero() {
                 return None;
             }
+            let silent_for = started.elapsed();
+            if silent_for < idle_timeout && (self.via.is_some() || !self.has_no_path(guard)) {
+                limit = PATH_CHECK_INTERVAL.min(idle_timeout - silent_for);
+                continue;
+            }
             if let Some(search) = self.search_fallback(guard) {
                 let found = tokio::select! {
                     output = &mut step => return Some(output),
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -32,7 +32,7 @@
 };
 use crate::{
     config::{Account, Route, RouteKind},
-    connection::{BackendConnection, SendError},
+    connection::{BackendConnection, ConnectError, SendError},
     logs::is_sampled,
     port::{AttemptMetadata, MigratedKvCache, RequestMetadata, ResponseHead, ResponseMetadata},
     process::{
@@ -98,6 +98,8 @@
     connection: Option<BackendConnection>,
     /// What log lines say of the connection of the last attempt.
     connection_label: String,
+    /// The peer by way of which that connection goes; `None` if it is direct.
+    pub(super) via: Option<Arc<str>>,
 }
 
 impl ProxyCall {
@@ -144,6 +146,7 @@
             fallback: None,
             connection: None,
             connection_label: String::new(),
+            via: None,
         }
     }
 
@@ -244,7 +247,7 @@
 
     /// Records a sample as evidence on the server's version.
     pub(super) fn observe(&self, guard: &ReplicaGuard, sample: Sample) {
-        if sample != Sample::Good && self.gateway.is_cut_off() {
+        if sample != Sample::Good && self.has_no_path(guard) {
             return;
         }
         self.gateway.shared.observe(guard.replica(), &self.route.name, sample);
@@ -270,8 +273,13 @@
         record_answer(&self.gateway.shared, &self.parts);
     }
 
+    /// Whether the path of the last attempt has failed, which says nothing about its server.
+    pub(super) fn has_no_path(&self, guard: &ReplicaGuard) -> bool {
+        self.gateway.has_no_path(guard.replica(), self.via.as_ref())
+    }
+
     pub(super) fn record_outcome(&self, guard: &ReplicaGuard, outcome: AttemptOutcome) {
-        if outcome == AttemptOutcome::Failure && self.gateway.is_cut_off() {
+        if outcome == AttemptOutcome::Failure && self.has_no_path(guard) {
             return;
         }
         guard.replica().update_failure_score(outcome, self.gateway.shared.now());
@@ -326,7 +334,7 @@
         }
         let allowed = match failure {
             ProxyFailure::TooLate(_) | ProxyFailure::Stopped => return false,
-            ProxyFailure::ConnectFailed | ProxyFailure::Withdrawn => {
+            ProxyFailure::ConnectFailed | ProxyFailure::NoPath | ProxyFailure::Withdrawn => {
                 self.connect_failures += 1;
                 return self.connect_failures <= MAX_CONNECT_FAILURES;
             }
@@ -371,6 +379,7 @@
             Err(failure) => {
                 match &failure {
                     ProxyFailure::NotRun
+                    | ProxyFailure::NoPath
                     | ProxyFailure::Withdrawn
                     | ProxyFailure::TooLate(_)
                     | ProxyFailure::Stopped => {}
@@ -390,11 +399,11 @@
                     }
                     ProxyFailure::ConnectFailed => self.record_outcome(&guard, AttemptOutcome::Failure),
                 }
-                if matches!(failure, ProxyFailure::ConnectFailed) {
+                if matches!(failure, ProxyFailure::ConnectFailed | ProxyFailure::NoPath) {
                     guard.replica().eject_briefly(self.gateway.shared.now());
                 }
                 // A response without a length ends with its connection, also when the server has crashed.
-                if matches!(failure, ProxyFailure::Indeterminate("cut" | "empty")) && !self.gateway.is_cut_off() {
+                if matches!(failure, ProxyFailure::Indeterminate("cut" | "empty")) && !self.has_no_path(&guard) {
                     record_crash(&self.gateway.shared, &guard, self.possible_cause()).await;
                 }
                 Err(failure)
@@ -416,9 +425,13 @@
         let mut connection = acquired.map_err(|error| {
             let (id, instance, why) = (&self.metadata.id, &replica.id, error.label());
             info!("event=connect-failed id={id} instance={instance} why={why}");
-            ProxyFailure::ConnectFailed
+            match error {
+                ConnectError::Refused => ProxyFailure::ConnectFailed,
+                ConnectError::Silent => ProxyFailure::NoPath,
+            }
         })?;
         self.connection_label = connection.label();
+        self.via = connection.via().cloned();
         if let Some(peer) = connection.via().filter(|_| is_sampled(&self.metadata.id)) {
             info!("event=relayed id={} instance={} peer={peer}", self.metadata.id, replica.id);
         }
@@ -463,6 +476,7 @@
             }
             Some(Ok(response)) => response,
         };
+        self.gateway.record_path_answer(&replica, self.via.as_ref());
         let metadata = match self.attribute(&replica, &response, is_first) {
             Ok(metadata) => metadata,
             Err(failure) => {
@@ -667,7 +681,7 @@
     pub(super) async fn record_stream_failure(&mut self, guard: &ReplicaGuard, cause: &'static str) {
         self.record_failure(guard, cause);
         self.tried.push(guard.replica().id.clone());
-        if cause == "cut" && !self.gateway.is_cut_off() {
+        if cause == "cut" && !self.has_no_path(guard) {
             record_crash(&self.gateway.shared, guard, self.possible_cause()).await;
         }
     }
--- a/goldcrestward/src/request/proxy_outcome.rs
+++ b/goldcrestward/src/request/proxy_outcome.rs
@@ -20,6 +20,8 @@
 pub(crate) enum ProxyFailure {
     /// The connection could not be established, so nothing was sent.
     ConnectFailed,
+    /// Neither this daemon nor a peer that was asked reaches the server, so nothing was sent.
+    NoPath,
     /// The server has stopped taking requests meanwhile, so nothing was sent.
     Withdrawn,
     /// The server reports that it has not run the request.
@@ -39,6 +41,7 @@
     pub fn label(&self) -> &'static str {
         match self {
             Self::ConnectFailed => "unreached",
+            Self::NoPath => "no-path",
             Self::Withdrawn => "withdrawn",
             Self::NotRun => "not-run",
             Self::ErrorResponse(_) => "own-failure",
--- a/goldcrestward/src/request/proxy_refusal.rs
+++ b/goldcrestward/src/request/proxy_refusal.rs
@@ -17,7 +17,9 @@
             ProxyFailure::TooLate(refusal) => Err(Refusal { run: self.run_state, ..*refusal }),
             _ if self.window.has_ended() => Err(self.window.give_up(self.run_state)),
             ProxyFailure::Stopped => Err(self.window.give_up(self.run_state)),
-            ProxyFailure::ConnectFailed => refusal(Reason::NoReplica, "no backend server could be reached"),
+            ProxyFailure::ConnectFailed | ProxyFailure::NoPath => {
+                refusal(Reason::NoReplica, "no backend server could be reached")
+            }
             ProxyFailure::Withdrawn | ProxyFailure::NotRun => {
                 if let Some(held) = self.placement.refuse_if_held(&self.gateway) {
                     return Err(Refusal { run: self.run_state, ..held });
