--- a/goldcrestward/src/process/state/mod.rs
+++ b/goldcrestward/src/process/state/mod.rs
@@ -2,11 +2,14 @@
 
 mod delayed;
 mod freshness;
+mod lapsed_entries;
 mod line_limit;
 mod pull;
 mod reader;
+mod server_probe;
 mod site_state;
 mod turn;
+mod unconfirmed;
 
 pub(super) use freshness::{Budget, Freshness, Overdue};
 pub(super) use line_limit::LineLimit;
