--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -277,6 +277,12 @@
             let (peer, instance) = (field("peer"), field("instance"));
             format!("{peer} was asked to open a connection to {instance}: {}", relay_result(field("result")))
         }
+        "relay-not-found" => format!(
+            "no peer could open a connection to {}: {} asked, {} not asked as they could not help lately",
+            field("instance"),
+            field("asked"),
+            field("left_out")
+        ),
         "relayed" => {
             let peer = line.fields.get("peer").map_or("a peer", String::as_str);
             format!("sent to {} by way of {peer}", field("instance"))
@@ -415,7 +421,7 @@
 fn relay_result(label: &str) -> &str {
     match label {
         "opened" => "it did",
-        "unreached" => "the server is down for the peer as well",
+        "unreached" => "the connection was refused to the peer as well",
         "cut-off" => "the peer does not reach the server either",
         "busy" => "the peer carries as many connections as it may",
         "stopping" => "the peer is being stopped, and ends before the request does",
--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::HashMap,
+    io,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -53,6 +54,12 @@
 }
 
 impl ConnectError {
+    /// What an error says: only a refusal or a reset comes from whoever answers at the address.
+    pub fn of(error: &io::Error) -> Self {
+        let is_answer = matches!(error.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset);
+        if is_answer { Self::Refused } else { Self::Silent }
+    }
+
     /// Value in metric labels and log lines.
     pub fn label(self) -> &'static str {
         match self {
@@ -98,9 +105,11 @@
         instance: &Arc<str>,
         limit: Duration,
     ) -> Result<BackendConnection, ConnectError> {
-        let open = async { Sender::new(open_socket(address).await.ok()?, Builder::new()).await };
-        let opened = timeout(limit, open).await;
-        let opened = opened.map_or(Err(ConnectError::Silent), |sender| sender.ok_or(ConnectError::Refused));
+        let open = async {
+            let socket = open_socket(address).await.map_err(|error| ConnectError::of(&error))?;
+            Sender::new(socket, Builder::new()).await.ok_or(ConnectError::Refused)
+        };
+        let opened = timeout(limit, open).await.unwrap_or(Err(ConnectError::Silent));
         let result = opened.as_ref().map_or_else(|error| error.label(), |_| "opened");
         self.connects.with_label_values(&[result]).inc();
         let key = (address, instance.clone());
--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -1,6 +1,6 @@
 //! Opens connections to backend servers, directly or by way of a peer.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use log::{info, warn};
 use tokio::time::timeout;
@@ -28,6 +28,8 @@
 const SEARCH_TIMEOUT: Duration = Duration::from_millis(600);
 /// Peers that are asked for one connection.
 const MAX_HELPERS: usize = 8;
+/// Peers that were refused a connection after which no other is asked.
+const MIN_REFUSALS: usize = 2;
 /// Searches among the peers at once; further ones wait.
 pub(in crate::process) const MAX_SEARCHES: usize = 32;
 
@@ -45,7 +47,7 @@
         let limit = window.time_left();
         let (path, is_silent) = {
             let mut reach = self.reach.lock();
-            (reach.path(&replica.id, self.shared.now()), reach.is_silent())
+            (reach.path(&replica.id, self.shared.now()), reach.has_no_path(&replica.id))
         };
         let connections = &self.backend_connections;
         if path != Path::Direct && is_silent {
@@ -69,7 +71,9 @@
             Path::Relay => {}
             Path::RelayAndProbe => self.probe(replica),
         }
-        let relayed = timeout(limit.min(SEARCH_TIMEOUT), self.connect_by_peer(id, replica, window)).await;
+        let Ok(Ok(_permit)) = timeout(limit, self.tunnel_searches.acquire()).await else { return Err(failure) };
+        let limit = window.time_left().min(SEARCH_TIMEOUT);
+        let relayed = timeout(limit, self.connect_by_peer(id, replica, window)).await;
         relayed.unwrap_or(Err(ConnectError::Silent)).map_err(|error| match failure {
             ConnectError::Refused => failure,
             ConnectError::Silent => error,
@@ -96,8 +100,10 @@
         match via {
             Some(peer) => self.helpers.lock().record_silence(peer, now),
             None => {
-                self.reach.lock().record_silence(&replica.id, now);
-                self.probe(replica);
+                let is_due = self.reach.lock().record_silence(&replica.id, now);
+                if is_due {
+                    self.probe(replica);
+                }
             }
         }
     }
@@ -108,6 +114,11 @@
         reach.is_cut_off(now) || (via.is_none() && reach.has_no_path(&replica.id))
     }
 
+    /// Whether this daemon's own link to a server has failed, whatever the connection of a request.
+    pub fn has_lost_link(&self, replica: &Replica) -> bool {
+        self.reach.lock().has_no_path(&replica.id)
+    }
+
     /// Checks in the background whether a server can be reached directly.
     pub fn probe(self: &Arc<Self>, replica: &Arc<Replica>) {
         let (gateway, replica) = (self.clone(), replica.clone());
@@ -153,10 +164,9 @@
         replica: &Replica,
         window: &RunWindow,
     ) -> Result<BackendConnection, ConnectError> {
-        let _permit = self.tunnel_searches.acquire().await;
         let ends_within_ms = u64::try_from(window.needed().as_millis()).unwrap_or(0);
         let (peers, left_out) = self.peers_to_ask(replica);
-        let mut asked = 0;
+        let (mut asked, mut refused) = (0, 0);
         for (name, address) in peers.into_iter().take(MAX_HELPERS) {
             // Another search may have found out meanwhile.
             if !self.helpers.lock().may_help(&name, &replica.id, self.shared.now()) {
@@ -184,7 +194,13 @@
                     let connection = self.backend_connections.open_over(tunnel, name, replica.address, &replica.id);
                     return connection.await.ok_or(ConnectError::Silent);
                 }
-                (_, Search::End) => return Err(ConnectError::Refused),
+                (_, Search::Refused) => {
+                    refused += 1;
+                    // One peer alone may be mistaken.
+                    if refused >= MIN_REFUSALS {
+                        return Err(ConnectError::Refused);
+                    }
+                }
                 (_, Search::Found | Search::GoOn) => {}
             }
         }
@@ -237,7 +253,8 @@
         }
     }
     let opened = timeout(DIRECT_TIMEOUT, open_socket(replica.address)).await;
-    let opened = opened.map_or(Err(ConnectError::Silent), |socket| socket.map_err(|_| ConnectError::Refused));
+    let opened =
+        opened.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())).map_err(|error| ConnectError::of(&error));
     gateway.record_reach(&replica, opened.as_ref().map(|_| ()).map_err(|error| *error));
     // Silence is that of this daemon's path, and another may reach the server.
     let socket = opened.map_err(|error| match error {
--- a/goldcrestward/src/process/reach/helpers.rs
+++ b/goldcrestward/src/process/reach/helpers.rs
@@ -10,6 +10,8 @@
 const PEER_PAUSE_MS: u64 = 1_500;
 /// Time for which a peer is not asked for a server that it does not reach.
 const PATH_PAUSE_MS: u64 = 3_000;
+/// Time for which a peer is not asked for a server that it does not know.
+const UNKNOWN_PAUSE_MS: u64 = 400;
 /// Time for which a peer whose connection has been silent is asked after the others.
 const DOUBT_MS: u64 = 3_000;
 
@@ -20,8 +22,8 @@
     Found,
     /// Another peer may reach the server.
     GoOn,
-    /// The server cannot be reached by anyone.
-    End,
+    /// Another peer may reach the server, though something has refused the connection for it.
+    Refused,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -45,10 +47,17 @@
     pub fn record(&mut self, peer: &Arc<str>, server: &Arc<str>, result: TunnelResult, now: u64) -> Search {
         match result {
             TunnelResult::Opened => Search::Found,
-            // Something answered for the server and refused the connection, so its path is not what failed.
-            TunnelResult::Unreached => Search::End,
-            TunnelResult::CutOff | TunnelResult::Unknown => {
-                self.no_path.entry(server.clone()).or_default().insert(peer.clone(), now + PATH_PAUSE_MS);
+            TunnelResult::Unreached => {
+                self.pause_path(peer, server, now + PATH_PAUSE_MS);
+                Search::Refused
+            }
+            TunnelResult::CutOff => {
+                self.pause_path(peer, server, now + PATH_PAUSE_MS);
+                Search::GoOn
+            }
+            // It will soon know the server, or no longer be asked.
+            TunnelResult::Unknown => {
+                self.pause_path(peer, server, now + UNKNOWN_PAUSE_MS);
                 Search::GoOn
             }
             // It may still carry what ends sooner, or what goes to other servers.
@@ -94,6 +103,10 @@
         self.peers.retain(|_, state| state.paused_until.max(state.doubted_until) > now);
     }
 
+    fn pause_path(&mut self, peer: &Arc<str>, server: &Arc<str>, until: u64) {
+        self.no_path.entry(server.clone()).or_default().insert(peer.clone(), until);
+    }
+
     fn pause(&mut self, peer: &Arc<str>, now: u64) {
         self.peers.entry(peer.clone()).or_default().paused_until = now + PEER_PAUSE_MS;
     }
--- a/goldcrestward/src/process/reach/table.rs
+++ b/goldcrestward/src/process/reach/table.rs
@@ -2,10 +2,7 @@
 //!
 //! Pure state: it takes in results and the time, and says which path to take.
 
-use std::{
-    collections::{HashMap, HashSet},
-    sync::Arc,
-};
+use std::{collections::HashMap, sync::Arc};
 
 use crate::connection::ConnectError;
 
@@ -15,6 +12,10 @@
 const CUT_OFF_AFTER: usize = 3;
 /// Time since the last sign of any server before which a daemon does not count as cut off.
 const CUT_OFF_SILENCE_MS: u64 = 300;
+/// Pause between two checks of a server that is silent.
+const CHECK_PAUSE_MS: u64 = 1_000;
+/// Time for which a server that could not be reached speaks for a cut.
+const UNREACHED_TTL_MS: u64 = 3_000;
 /// Pause between two attempts to reach a lost server directly; it doubles up to the maximum.
 const PROBE_PAUSE_MS: (u64, u64) = (400, 1_600);
 /// Time after which what is known of a server is forgotten unless it is lost.
@@ -47,6 +48,8 @@
     lost: bool,
     /// Whether it was lost by silence, which says nothing about the server.
     silent: bool,
+    /// When a silence is looked at again.
+    next_check: u64,
     next_probe: u64,
     probe_pause: u64,
     updated_at: u64,
@@ -56,10 +59,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ReachTable {
     links: HashMap<Arc<str>, Link>,
-    /// Servers that could not be reached since the last one that could.
-    unreached: HashSet<Arc<str>>,
-    /// Whether the last failure was silence, so that open connections are most likely silent as well.
-    is_silent: bool,
+    /// Servers that could not be reached since the last one that could, and when.
+    unreached: HashMap<Arc<str>, u64>,
     /// When a server was last reached or answered directly.
     reached_at: Option<u64>,
 }
@@ -71,7 +72,7 @@
         let link = self.links.entry(server.clone()).or_default();
         if cut_off && !link.lost {
             // Whatever cuts off the others cuts off this one as well; a probe finds out if it does not.
-            *link = Link { lost: true, probe_pause: PROBE_PAUSE_MS.0, next_probe: now, ..*link };
+            *link = Link { lost: true, silent: true, probe_pause: PROBE_PAUSE_MS.0, next_probe: now, ..*link };
         }
         if !link.lost {
             return Path::Direct;
@@ -90,13 +91,12 @@
         let was_lost = link.lost;
         link.updated_at = now;
         if result.is_ok() {
-            *link = Link { updated_at: now, ..Link::default() };
+            *link = Link { updated_at: now, next_check: link.next_check, ..Link::default() };
             self.unreached.clear();
             self.reached_at = Some(now);
             return if was_lost { Change::Back } else { Change::None };
         }
-        self.is_silent = result == Err(ConnectError::Silent);
-        link.silent = self.is_silent;
+        link.silent = result == Err(ConnectError::Silent);
         link.failures += 1;
         link.lost |= link.failures >= LOST_AFTER;
         if link.lost && !was_lost {
@@ -104,7 +104,8 @@
             link.next_probe = now + PROBE_PAUSE_MS.0;
         }
         let lost_now = link.lost && !was_lost;
-        self.unreached.insert(server.clone());
+        // A cut may refuse connections as well as swallow them.
+        self.unreached.insert(server.clone(), now);
         if lost_now { Change::Lost } else { Change::None }
     }
 
@@ -119,18 +120,27 @@
     }
 
     /// Records that a server has been silent on an open connection for a time in which it has answered nobody here. A new
-    /// connection that fails as well makes it lost.
-    pub fn record_silence(&mut self, server: &Arc<str>, now: u64) {
+    /// connection that fails as well makes it lost. Returns whether this caller is to try one.
+    pub fn record_silence(&mut self, server: &Arc<str>, now: u64) -> bool {
         let link = self.links.entry(server.clone()).or_default();
-        link.failures = link.failures.max(LOST_AFTER - 1);
-        link.updated_at = now;
+        if link.lost || now < link.next_check {
+            return false;
+        }
+        *link = Link {
+            failures: link.failures.max(LOST_AFTER - 1),
+            updated_at: now,
+            next_check: now + CHECK_PAUSE_MS,
+            ..*link
+        };
+        true
     }
 
     /// Whether this daemon reaches none of the servers that it has tried lately, so that its failures say nothing about
     /// the servers.
     pub fn is_cut_off(&self, now: u64) -> bool {
         let is_reached = self.reached_at.is_some_and(|at| now < at + CUT_OFF_SILENCE_MS);
-        self.unreached.len() >= CUT_OFF_AFTER && !is_reached
+        let unreached = self.unreached.values().filter(|at| now < **at + UNREACHED_TTL_MS).count();
+        unreached >= CUT_OFF_AFTER && !is_reached
     }
 
     /// Whether the path to a server has failed, so that failures on it say nothing about the server.
@@ -138,11 +148,6 @@
         self.links.get(server).is_some_and(|link| link.lost && link.silent)
     }
 
-    /// Whether links fail by silence, so that open connections are not to be used.
-    pub fn is_silent(&self) -> bool {
-        self.is_silent
-    }
-
     /// Whether a server counts as unreached.
     pub fn is_lost(&self, server: &str) -> bool {
         self.links.get(server).is_some_and(|link| link.lost)
@@ -156,7 +161,7 @@
     /// Forgets servers that are gone, and what is out of date.
     pub fn forget(&mut self, is_known: impl Fn(&str) -> bool, now: u64) {
         self.links.retain(|server, link| is_known(server) && (link.lost || now < link.updated_at + FORGET_MS));
-        self.unreached.retain(|server| is_known(server));
+        self.unreached.retain(|server, at| is_known(server) && now < *at + UNREACHED_TTL_MS);
     }
 }
 
--- a/goldcrestward/src/process/reach/table_test.rs
+++ b/goldcrestward/src/process/reach/table_test.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{CUT_OFF_SILENCE_MS, Change, PROBE_PAUSE_MS, Path, ReachTable};
+use super::{CUT_OFF_SILENCE_MS, Change, PROBE_PAUSE_MS, Path, ReachTable, UNREACHED_TTL_MS};
 use crate::connection::ConnectError;
 
 const SILENT: Result<(), ConnectError> = Err(ConnectError::Silent);
@@ -131,3 +131,19 @@
     }
     assert!(reach.is_lost("server-0") && !reach.has_no_path("server-0"));
 }
+
+#[test]
+fn silence_of_long_ago_cuts_nothing_off() {
+    let mut reach = ReachTable::default();
+    (0..3).for_each(|number| assert_eq!(reach.record(&server(number), SILENT, 0), Change::None));
+    assert!(reach.is_cut_off(UNREACHED_TTL_MS - 1) && !reach.is_cut_off(UNREACHED_TTL_MS));
+}
+
+// Guards against requests on silent connections because some other server has refused one.
+#[test]
+fn refusal_of_one_server_says_nothing_of_the_silence_of_another() {
+    let mut reach = ReachTable::default();
+    (0..2).for_each(|now| assert_eq!(reach.record(&server(0), SILENT, now) == Change::Lost, now == 1));
+    reach.record(&server(1), Err(ConnectError::Refused), 2);
+    assert!(reach.has_no_path("server-0") && !reach.has_no_path("server-1"));
+}
--- a/goldcrestward/src/request/fallback.rs
+++ b/goldcrestward/src/request/fallback.rs
@@ -99,7 +99,7 @@
                 return None;
             }
             let silent_for = started.elapsed();
-            if silent_for < idle_timeout && (self.via.is_some() || !self.has_no_path(guard)) {
+            if silent_for < idle_timeout && (self.via.is_some() || !self.gateway.has_lost_link(guard.replica())) {
                 limit = PATH_CHECK_INTERVAL.min(idle_timeout - silent_for);
                 continue;
             }
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -278,6 +278,11 @@
         self.gateway.has_no_path(guard.replica(), self.via.as_ref())
     }
 
+    /// Whether this daemon can find out if the server has crashed, which it does by a connection of its own.
+    fn may_judge_crash(&self, guard: &ReplicaGuard) -> bool {
+        !self.has_no_path(guard) && !self.gateway.has_lost_link(guard.replica())
+    }
+
     pub(super) fn record_outcome(&self, guard: &ReplicaGuard, outcome: AttemptOutcome) {
         if outcome == AttemptOutcome::Failure && self.has_no_path(guard) {
             return;
@@ -403,7 +408,7 @@
                     guard.replica().eject_briefly(self.gateway.shared.now());
                 }
                 // A response without a length ends with its connection, also when the server has crashed.
-                if matches!(failure, ProxyFailure::Indeterminate("cut" | "empty")) && !self.has_no_path(&guard) {
+                if matches!(failure, ProxyFailure::Indeterminate("cut" | "empty")) && self.may_judge_crash(&guard) {
                     record_crash(&self.gateway.shared, &guard, self.possible_cause()).await;
                 }
                 Err(failure)
@@ -681,7 +686,7 @@
     pub(super) async fn record_stream_failure(&mut self, guard: &ReplicaGuard, cause: &'static str) {
         self.record_failure(guard, cause);
         self.tried.push(guard.replica().id.clone());
-        if cause == "cut" && !self.has_no_path(guard) {
+        if cause == "cut" && self.may_judge_crash(guard) {
             record_crash(&self.gateway.shared, guard, self.possible_cause()).await;
         }
     }
