Requests: an answer of the own interface ends when its server falls silent

Callers saw an answer without an end: the body that a plain service had begun and not gone on with, or a model's 4xx to a streaming request. Its place at the server, its admission and its connection were kept for as long as the caller stayed.

Cause: both were handed on as they were. The deadline bounds only the beginning of such an answer, and nothing else watched it: whoever passed bytes on took the connection's end for the only end. Class: a limit that ends with the head of an answer. The platform's path was looked at by reading: its streams end by `poll_silence` at the deadline at the latest, its other bodies are read whole by then.

Change: PassedBody breaks off after 30 s without a byte of the server, as streams of models do, closes the connection, gives the place back and counts the failure. Only the time counts in which the caller waits for more, so a slow caller loses nothing. A model's 4xx is read whole within 30 s, the deadline and the limits of a response, like that to a request that is not streamed; beyond them the request goes on at another engine.

--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -295,6 +295,10 @@
             field("bytes"),
             memory_limit(field("limit"))
         ),
+        "body-silent" => {
+            let (instance, bytes) = (field("instance"), field("bytes"));
+            format!("{instance} fell silent after {bytes} bytes of the answer, which was broken off")
+        }
         "response-dropped" => {
             let owner = if field("owner") == "other" { "bears another request's id" } else { "bears no id" };
             format!("a response of {} with status {} was dropped, as it {owner}", field("instance"), field("status"))
--- a/goldcrestward/src/cmd/explain_test.rs
+++ b/goldcrestward/src/cmd/explain_test.rs
@@ -246,3 +246,13 @@
         assert!(text.contains("no usable response: it was too long to be kept; not retried"), "{text}");
     }
 }
+
+#[test]
+fn explain_tells_why_an_answer_broke_off() {
+    let cases =
+        [("body-silent id=r1 route=lunch instance=i-1 bytes=700", "i-1 fell silent after 700 bytes of the answer")];
+    for (line, expected) in cases {
+        let text = render_log(&format!("time=1000 level=INFO daemon=front-a event={line}\n"), "r1");
+        assert!(text.contains(expected), "{line}: {text}");
+    }
+}
--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -12,6 +12,7 @@
 mod model;
 mod model_body;
 mod numbered_events;
+mod passed_body;
 mod placement_request;
 mod plain;
 mod proxy;
--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -273,7 +273,8 @@
         let request = self.build_request(guard, self.attempt_body(next));
         let response = self.send(guard.replica(), request).await?;
         if response.status() != StatusCode::OK {
-            return pass_client_error(response).map(AttemptResult::Refused);
+            let limit = IDLE_TIMEOUT.min(self.attempts.time_left());
+            return self.read_whole(guard, pass_client_error(response)?, limit).await.map(AttemptResult::Refused);
         }
         let buffer = self.shared.response_memory.buffer(&guard.replica().id, MAX_KEPT_BYTES);
         let mut reader = TokenEventReader::new(&self.id, self.attempts.number(), next, buffer);
@@ -398,9 +399,14 @@
         let request = self.build_request(guard, self.body.clone());
         let response = self.send(guard.replica(), request).await?;
         let response = if response.status() == StatusCode::OK { response } else { pass_client_error(response)? };
+        self.read_whole(guard, response, self.attempts.time_left()).await
+    }
+
+    /// Reads a response that is not passed on as it comes, for up to `limit`.
+    async fn read_whole(&self, guard: &ReplicaGuard, response: Response, limit: Duration) -> Result<Response, Failure> {
         let (mut parts, body) = response.into_parts();
         let reading = self.shared.response_memory.collect(body, &guard.replica().id, MAX_RESPONSE_BYTES);
-        let bytes = match self.attempts.window().within(self.attempts.time_left(), reading).await {
+        let bytes = match self.attempts.window().within(limit, reading).await {
             None => return Err(Failure::TimedOut),
             Some(Err(ReadError::Broken)) => return Err(Failure::Disconnected),
             Some(Err(ReadError::TooLong(error))) => return Err(self.record_too_long(guard, "body", &error)),
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -19,6 +19,7 @@
     bounded_body::BoundedBody,
     crash::fingerprint,
     headers::drop_hop_by_hop,
+    passed_body::PassedBody,
     refusal::{Reason, Refusal, RunState},
     response_owner::ResponseOwner,
     run_window::{Phase, RunWindow},
@@ -213,11 +214,8 @@
         let (mut parts, body) = response.into_parts();
         drop_hop_by_hop(&mut parts.headers);
         let (window, started) = (self.attempts.window().clone(), self.received);
-        let guards = (guard, self._admitted, self._in_flight);
-        let body = body.map_frame(move |frame| {
-            let _guards = &guards;
-            frame
-        });
+        let held = (self._admitted, self._in_flight);
+        let body = PassedBody::new(self.shared, self.id, self.route, body, guard, held);
         BoundedBody::bound(Response::from_parts(parts, Body::from_body(body)), window, Some(started))
     }
 
--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -14,6 +14,7 @@
 mod responses;
 mod rollout;
 mod shutdown;
+mod silent_bodies;
 mod soak;
 mod stop_limits;
 mod stops;
