Response memory: answers that callers do not read keep out no others

Callers saw 502 for sound answers over 64 KiB, and servers counted as failed, because other callers did not read theirs: a whole answer counted in the budget of what is read from servers until its last byte had gone to its caller. Two of 8 MiB filled the share of their server, seven that of all large ones, for as long as those callers liked.

Cause and class: state that outlives its owner. An answer has been read when it is whole; from then on it belongs to its caller, but it went on counting as its server's. It could not give way either, as the HTTP library held it in one piece.

Change: a whole answer leaves that budget. Answers on their way to callers have half as many bytes of their own beside it (`memory-mb / 8`, 32 MiB of 256 MB). The body hands out copies of 64 KiB as the connection has room; when there are too many bytes, the answer gives way whose caller has taken nothing for the longest, is freed at once and breaks off. Both request paths use it (`collect`). An answer to a keyed call that has given way before it is recorded is recorded as omitted, not as empty. Not covered: events that a caller does not read, and the place at the server of a body that is passed on.

--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -299,6 +299,10 @@
             let (instance, bytes) = (field("instance"), field("bytes"));
             format!("{instance} fell silent after {bytes} bytes of the answer, which was broken off")
         }
+        "answer-unread" => {
+            let (bytes, sent) = (field("bytes"), field("sent"));
+            format!("the caller had read about {sent} of {bytes} bytes when the answer was given up for want of memory")
+        }
         "response-dropped" => {
             let owner = if field("owner") == "other" { "bears another request's id" } else { "bears no id" };
             format!("a response of {} with status {} was dropped, as it {owner}", field("instance"), field("status"))
--- a/goldcrestward/src/cmd/explain_test.rs
+++ b/goldcrestward/src/cmd/explain_test.rs
@@ -249,8 +249,10 @@
 
 #[test]
 fn explain_tells_why_an_answer_broke_off() {
-    let cases =
-        [("body-silent id=r1 route=lunch instance=i-1 bytes=700", "i-1 fell silent after 700 bytes of the answer")];
+    let cases = [
+        ("body-silent id=r1 route=lunch instance=i-1 bytes=700", "i-1 fell silent after 700 bytes of the answer"),
+        ("answer-unread id=r1 instance=i-1 bytes=9000 sent=70", "the caller had read about 70 of 9000 bytes"),
+    ];
     for (line, expected) in cases {
         let text = render_log(&format!("time=1000 level=INFO daemon=front-a event={line}\n"), "r1");
         assert!(text.contains(expected), "{line}: {text}");
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -61,7 +61,7 @@
 pub(crate) use placement::{Placement, PromptCost};
 pub(crate) use quota::QuotaCharge;
 pub(crate) use replicas::{Blame, NoReplica, Offer, PlacementQuery, Replica, ReplicaGuard, ReplicaQuery, Replicas};
-pub use response_memory::{MemoryLimit, ReadError, ResponseBuffer, ResponseMemory, TooLong};
+pub use response_memory::{KeptAnswer, MemoryLimit, ReadError, ResponseBuffer, ResponseMemory, TooLong};
 pub(crate) use response_too_long::record_long_head;
 pub use retries::RetryLimit;
 pub(crate) use run_times::RunKind;
--- a/goldcrestward/src/process/response_memory/buffer.rs
+++ b/goldcrestward/src/process/response_memory/buffer.rs
@@ -9,6 +9,7 @@
 
 use super::{
     byte_budget::{HolderId, MemoryLimit, Precedence},
+    kept_answer::KeptAnswer,
     memory::ResponseMemory,
 };
 
@@ -114,6 +115,19 @@
         })
     }
 
+    /// Returns the bytes as an answer for a caller, and is empty then.
+    ///
+    /// # Errors
+    /// Fails if the response has given way to others.
+    pub(super) fn take_answer(&mut self) -> Result<KeptAnswer, TooLong> {
+        let bytes = std::mem::take(&mut self.length);
+        let answer = match self.holder.take() {
+            Some(id) => self.memory.finish_answer(id).inspect_err(|_| self.memory.close(id)),
+            None => self.memory.empty_answer(self.server.clone()),
+        };
+        answer.map_err(|limit| TooLong { bytes, limit })
+    }
+
     /// Frees the bytes.
     pub fn clear(&mut self) {
         self.length = 0;
--- a/goldcrestward/src/process/response_memory/memory.rs
+++ b/goldcrestward/src/process/response_memory/memory.rs
@@ -19,12 +19,17 @@
     super::state::LineLimit,
     buffer::{ReadError, ResponseBuffer, TooLong},
     byte_budget::{ByteBudget, HolderId, MemoryLimit, Precedence},
+    caller_share::CallerShare,
+    kept_answer::KeptAnswer,
 };
 
 /// Smallest number of bytes that is allocated for a response.
 const MIN_CAPACITY_BYTES: usize = 512;
 /// Servers of which it is known when a line about them was logged last.
 const MAX_LOGGED_SERVERS: usize = 1_000;
+/// Memory for whole responses on their way to callers, as a part of that for responses that are read from servers, and
+/// beside it.
+const CALLER_PART: usize = 2;
 
 /// The memory for responses that a daemon keeps. All clones share it.
 #[derive(Clone)]
@@ -51,6 +56,9 @@
     budget: ByteBudget,
     /// The bytes of incomplete responses, so that they can be freed at once when the response gives way.
     slots: HashMap<HolderId, Slot>,
+    callers: CallerShare,
+    /// The whole responses on their way to callers.
+    answers: HashMap<HolderId, Bytes>,
 }
 
 #[derive(Default)]
@@ -63,9 +71,10 @@
 }
 
 impl ResponseMemory {
-    /// Creates a memory for `limit` bytes.
+    /// Creates a memory for `limit` bytes of responses that are read from servers.
     pub fn new(limit: usize) -> Self {
-        let state = Mutex::new(State { budget: ByteBudget::new(limit), slots: HashMap::new() });
+        let (budget, callers) = (ByteBudget::new(limit), CallerShare::new(limit / CALLER_PART));
+        let state = Mutex::new(State { budget, slots: HashMap::new(), callers, answers: HashMap::new() });
         let (metrics, lines) = (OnceLock::new(), Mutex::default());
         Self { inner: Arc::new(Inner { state, metrics, lines, started: Instant::now() }) }
     }
@@ -77,7 +86,7 @@
 
     /// Bytes that are kept.
     pub fn kept_bytes(&self) -> usize {
-        self.inner.state.lock().budget.total()
+        self.inner.state.lock().total()
     }
 
     /// Creates an empty buffer for up to `limit` bytes of a server's response.
@@ -85,7 +94,8 @@
         ResponseBuffer::new(self.clone(), server.clone(), limit, Precedence::BySize)
     }
 
-    /// Reads a body of a server's response to its end.
+    /// Reads a body of a server's response to its end, for a caller. It no longer takes room from the responses that are
+    /// read from servers then.
     ///
     /// # Errors
     /// Fails if the body breaks off, has more than `limit` bytes, or gives way to the responses of other requests.
@@ -94,12 +104,14 @@
         body: B,
         server: &Arc<str>,
         limit: usize,
-    ) -> Result<Bytes, ReadError> {
-        read_to_end(body, self.buffer(server, limit)).await
+    ) -> Result<KeptAnswer, ReadError> {
+        let mut buffer = self.buffer(server, limit);
+        read_to_end(body, &mut buffer).await?;
+        Ok(buffer.take_answer()?)
     }
 
     /// Reads a body like [`collect`](Self::collect), but gives way to no other response: for calls that the daemon itself
-    /// depends on.
+    /// depends on, which reads the bytes itself.
     ///
     /// # Errors
     /// Fails if the body breaks off, has more than `limit` bytes, or there is no room even so.
@@ -109,7 +121,9 @@
         service: &Arc<str>,
         limit: usize,
     ) -> Result<Bytes, ReadError> {
-        read_to_end(body, self.protected_buffer(service, limit)).await
+        let mut buffer = self.protected_buffer(service, limit);
+        read_to_end(body, &mut buffer).await?;
+        Ok(buffer.take()?)
     }
 
     /// Creates an empty buffer that gives way to no other response.
@@ -142,7 +156,7 @@
 
     fn show_kept(&self, state: &State) {
         if let Some(metrics) = self.inner.metrics.get() {
-            metrics.kept.set(i64::try_from(state.budget.total()).unwrap_or(i64::MAX));
+            metrics.kept.set(i64::try_from(state.total()).unwrap_or(i64::MAX));
         }
     }
 
@@ -185,6 +199,50 @@
         Ok(Bytes::from_owner(KeptBytes { bytes: slot.bytes, id, memory: self.clone() }))
     }
 
+    /// Ends a response that is for a caller, and counts its bytes as on their way to it.
+    pub(super) fn finish_answer(&self, id: HolderId) -> Result<KeptAnswer, MemoryLimit> {
+        let mut state = self.inner.state.lock();
+        let Some(mut slot) = state.slots.remove(&id) else { return Err(MemoryLimit::Daemon) };
+        if let Some(limit) = slot.given_up {
+            return Err(limit);
+        }
+        slot.bytes.shrink_to_fit();
+        state.budget.close(id);
+        let length = slot.bytes.len();
+        for victim in state.callers.add(id, slot.bytes.capacity()) {
+            state.answers.remove(&victim);
+        }
+        state.answers.insert(id, Bytes::from(slot.bytes));
+        self.show_kept(&state);
+        drop(state);
+        Ok(KeptAnswer::new(self.clone(), id, length))
+    }
+
+    /// Creates the answer of a response without bytes.
+    pub(super) fn empty_answer(&self, server: Arc<str>) -> Result<KeptAnswer, MemoryLimit> {
+        self.finish_answer(self.open(server, Precedence::BySize))
+    }
+
+    /// The bytes of an answer that has not given way.
+    pub(super) fn answer_bytes(&self, id: HolderId) -> Option<Bytes> {
+        self.inner.state.lock().answers.get(&id).cloned()
+    }
+
+    /// The bytes of an answer that has not given way, and whose caller takes a piece now.
+    pub(super) fn take_answer_bytes(&self, id: HolderId) -> Option<Bytes> {
+        let mut state = self.inner.state.lock();
+        state.callers.record_taken(id);
+        state.answers.get(&id).cloned()
+    }
+
+    pub(super) fn close_answer(&self, id: HolderId) {
+        let mut state = self.inner.state.lock();
+        // The bytes are freed before they are given back.
+        drop(state.answers.remove(&id));
+        state.callers.remove(id);
+        self.show_kept(&state);
+    }
+
     pub(super) fn poll_given_up(&self, id: HolderId, context: &mut Context<'_>) -> Poll<MemoryLimit> {
         let mut state = self.inner.state.lock();
         let Some(slot) = state.slots.get_mut(&id) else { return Poll::Ready(MemoryLimit::Daemon) };
@@ -208,6 +266,10 @@
 }
 
 impl State {
+    fn total(&self) -> usize {
+        self.budget.total() + self.callers.total()
+    }
+
     /// Returns what wakes the readers of the responses that have given way.
     fn append(&mut self, id: HolderId, data: &[u8], limit: usize) -> Result<Vec<Waker>, MemoryLimit> {
         let Some(slot) = self.slots.get(&id) else { return Err(MemoryLimit::Daemon) };
@@ -258,7 +320,7 @@
     }
 }
 
-async fn read_to_end<B: Body<Data = Bytes>>(body: B, mut buffer: ResponseBuffer) -> Result<Bytes, ReadError> {
+async fn read_to_end<B: Body<Data = Bytes>>(body: B, buffer: &mut ResponseBuffer) -> Result<(), ReadError> {
     let mut body = pin!(body);
     buffer.check_stated(body.size_hint().lower())?;
     loop {
@@ -267,7 +329,7 @@
             Poll::Pending => body.as_mut().poll_frame(context).map(Ok),
         });
         match next.await? {
-            None => return Ok(buffer.take()?),
+            None => return Ok(()),
             Some(Err(_)) => return Err(ReadError::Broken),
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
--- a/goldcrestward/src/process/response_memory/memory_test.rs
+++ b/goldcrestward/src/process/response_memory/memory_test.rs
@@ -10,7 +10,7 @@
 use http_body_util::{Full, StreamBody};
 use quickcheck::quickcheck;
 
-use super::{MemoryLimit, ReadError, ResponseMemory, TooLong};
+use super::{KeptAnswer, MemoryLimit, ReadError, ResponseMemory, TooLong};
 
 const MEMORY_BYTES: usize = 1024 * 1024;
 
@@ -76,21 +76,43 @@
 async fn collect_returns_whole_body_or_error() {
     let memory = ResponseMemory::new(MEMORY_BYTES);
     let a = server("a");
+    let bytes = |answer: KeptAnswer| answer.bytes().expect("it is alone");
     let body = || Full::new(Bytes::from_static(b"whole"));
-    assert_eq!(memory.collect(body(), &a, 5).await, Ok(Bytes::from_static(b"whole")));
+    assert_eq!(memory.collect(body(), &a, 5).await.map(bytes), Ok(Bytes::from_static(b"whole")));
     let stated = ReadError::TooLong(TooLong { bytes: 5, limit: MemoryLimit::Response });
-    assert_eq!(memory.collect(body(), &a, 4).await, Err(stated));
+    assert_eq!(memory.collect(body(), &a, 4).await.map(bytes), Err(stated));
     let endless = || {
         let frames = std::iter::repeat_with(|| Ok::<_, String>(Frame::data(Bytes::from_static(&[0; 1_000]))));
         StreamBody::new(futures_util::stream::iter(frames))
     };
     let too_long = ReadError::TooLong(TooLong { bytes: 51_000, limit: MemoryLimit::Response });
-    assert_eq!(memory.collect(endless(), &a, 50_000).await, Err(too_long));
+    assert_eq!(memory.collect(endless(), &a, 50_000).await.map(bytes), Err(too_long));
     let result = memory.collect(endless(), &a, MEMORY_BYTES).await;
     assert!(matches!(result, Err(ReadError::TooLong(TooLong { limit: MemoryLimit::Server, .. }))), "{result:?}");
     let result = memory.collect_protected(endless(), &a, 2 * MEMORY_BYTES).await;
     assert!(matches!(result, Err(ReadError::TooLong(TooLong { limit: MemoryLimit::Daemon, .. }))), "{result:?}");
     let broken = futures_util::stream::iter([Ok(Frame::data(Bytes::from_static(b"a"))), Err("broken")]);
-    assert_eq!(memory.collect(StreamBody::new(broken), &a, 5).await, Err(ReadError::Broken));
+    assert_eq!(memory.collect(StreamBody::new(broken), &a, 5).await.map(bytes), Err(ReadError::Broken));
     assert_eq!(memory.kept_bytes(), 0);
 }
+
+// Guards against whole answers whose callers do not read that keep out what is read from servers.
+#[tokio::test]
+async fn collect_has_room_beside_answers_that_no_one_reads() {
+    let memory = ResponseMemory::new(MEMORY_BYTES);
+    let (a, bytes) = (server("a"), Bytes::from(vec![7; MEMORY_BYTES / 4]));
+    let mut unread = Vec::new();
+    for _ in 0..20 {
+        let answer = memory.collect(Full::new(bytes.clone()), &a, MEMORY_BYTES).await.expect("it has room");
+        assert_eq!(answer.bytes(), Ok(bytes.clone()));
+        unread.push(answer);
+        assert!(memory.kept_bytes() <= MEMORY_BYTES / 2);
+    }
+    let given_up = TooLong { bytes: MEMORY_BYTES / 4, limit: MemoryLimit::Daemon };
+    assert_eq!(unread[17].take_piece(0, 1), Err(given_up));
+    assert_eq!(unread[18].take_piece(MEMORY_BYTES / 4 - 1, 9), Ok(Bytes::from_static(&[7])));
+    drop(unread);
+    assert_eq!(memory.kept_bytes(), 0);
+    let empty = memory.collect(Full::new(Bytes::new()), &a, 0).await.expect("it needs no room");
+    assert!(empty.is_empty());
+}
--- a/goldcrestward/src/process/response_memory/mod.rs
+++ b/goldcrestward/src/process/response_memory/mod.rs
@@ -2,10 +2,13 @@
 
 mod buffer;
 mod byte_budget;
+mod caller_share;
+mod kept_answer;
 mod memory;
 
 pub use buffer::{ReadError, ResponseBuffer, TooLong};
 pub use byte_budget::MemoryLimit;
+pub use kept_answer::KeptAnswer;
 pub use memory::ResponseMemory;
 
 #[cfg(test)]
--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -8,6 +8,7 @@
 mod fallback;
 mod headers;
 mod ingress;
+mod kept_body;
 mod migration;
 mod model;
 mod model_body;
--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -20,6 +20,7 @@
     attempt::{Attempts, Failure},
     bounded_body::BoundedBody,
     crash::fingerprint,
+    kept_body::KeptBody,
     model_body::ModelBody,
     refusal::{Reason, Refusal},
     response_owner::ResponseOwner,
@@ -406,18 +407,23 @@
     async fn read_whole(&self, guard: &ReplicaGuard, response: Response, limit: Duration) -> Result<Response, Failure> {
         let (mut parts, body) = response.into_parts();
         let reading = self.shared.response_memory.collect(body, &guard.replica().id, MAX_RESPONSE_BYTES);
-        let bytes = match self.attempts.window().within(limit, reading).await {
+        let answer = match self.attempts.window().within(limit, reading).await {
             None => return Err(Failure::TimedOut),
             Some(Err(ReadError::Broken)) => return Err(Failure::Disconnected),
             Some(Err(ReadError::TooLong(error))) => return Err(self.record_too_long(guard, "body", &error)),
-            Some(Ok(bytes)) => bytes,
+            Some(Ok(answer)) => answer,
         };
-        if parts.status == StatusCode::OK && serde_json::from_slice::<serde::de::IgnoredAny>(&bytes).is_err() {
-            return Err(Failure::Disconnected);
+        let is_json = |bytes: &[u8]| serde_json::from_slice::<serde::de::IgnoredAny>(bytes).is_ok();
+        if parts.status == StatusCode::OK {
+            let bytes = answer.bytes().map_err(|error| self.record_too_long(guard, "body", &error))?;
+            if !is_json(&bytes) {
+                return Err(Failure::Disconnected);
+            }
         }
         super::headers::drop_hop_by_hop(&mut parts.headers);
         parts.headers.remove("x-attempt");
-        Ok(Response::from_parts(parts, Body::from(bytes)))
+        let body = KeptBody::body(answer, &self.shared, &self.id, &guard.replica().id);
+        Ok(Response::from_parts(parts, body))
     }
 
     fn build_request(&self, guard: &ReplicaGuard, body: Bytes) -> OutboundRequest {
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -19,6 +19,7 @@
     bounded_body::BoundedBody,
     crash::fingerprint,
     headers::drop_hop_by_hop,
+    kept_body::KeptBody,
     passed_body::PassedBody,
     refusal::{Reason, Refusal, RunState},
     response_owner::ResponseOwner,
@@ -381,8 +382,8 @@
         let (mut parts, body) = response.into_parts();
         let (memory, instance) = (&self.shared.response_memory, &guard.replica().id);
         let reading = memory.collect(body, instance, MAX_RESPONSE_BYTES);
-        let bytes = match self.attempts.window().within(self.attempts.time_left(), reading).await {
-            Some(Ok(bytes)) => bytes,
+        let answer = match self.attempts.window().within(self.attempts.time_left(), reading).await {
+            Some(Ok(answer)) => answer,
             Some(Err(ReadError::TooLong(error))) => {
                 memory.record_too_long(&self.id, instance, "body", &error);
                 return Err(self.record_unknown(key, guard, Failure::of_too_long(&error)).await);
@@ -392,8 +393,8 @@
             }
         };
         let content_type = parts.headers.get(header::CONTENT_TYPE).and_then(|v| v.to_str().ok()).unwrap_or_default();
-        let body_omitted = bytes.len() > MAX_OUTCOME_BYTES;
-        let body = if body_omitted { Vec::new() } else { bytes.to_vec() };
+        let recorded = answer.bytes().ok().filter(|bytes| bytes.len() <= MAX_OUTCOME_BYTES);
+        let (body_omitted, body) = (recorded.is_none(), recorded.map(Vec::from).unwrap_or_default());
         let status = u32::from(parts.status.as_u16());
         let outcome = pb::Outcome { status, content_type: content_type.to_owned(), body, body_omitted };
         // Recording the outcome first lets a retry at another daemon find it; the timeout limits the added latency.
@@ -406,7 +407,8 @@
         let sample = if parts.status.is_server_error() { Sample::Failed } else { Sample::Good };
         self.shared.observe(guard.replica(), &self.route.name, sample);
         drop_hop_by_hop(&mut parts.headers);
-        Ok(Response::from_parts(parts, Body::from(bytes)))
+        let body = KeptBody::body(answer, &self.shared, &self.id, &guard.replica().id);
+        Ok(Response::from_parts(parts, body))
     }
 
     async fn record_unknown(&mut self, key: Key, guard: &ReplicaGuard, failure: Failure) -> Refusal {
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -22,6 +22,7 @@
     crash::{CrashRecords, PossibleCause, fingerprint, record_crash},
     fallback::Fallback,
     headers::drop_hop_by_hop,
+    kept_body::KeptBody,
     numbered_events::{EventSequence, SequenceError},
     placement_request::PlacementRequest,
     proxy_body::ProxyBody,
@@ -562,9 +563,10 @@
             }
             Ok(Ok(collected)) => collected,
         };
+        let body = KeptBody::body(collected, &self.gateway.shared, &self.metadata.id, instance);
         self.count_started();
         connection.release(&head.headers);
-        let response = Response::from_parts(caller_head(head), Body::from(collected));
+        let response = Response::from_parts(caller_head(head), body);
         if failed {
             Err(ProxyFailure::ErrorResponse(Box::new(response)))
         } else {
--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -18,4 +18,5 @@
 mod soak;
 mod stop_limits;
 mod stops;
+mod unread_answers;
 mod upgrade;
