Callers: a line and a counter for each connection that is closed over an unanswered request

It is bounded to one line a second; goldcrestward_caller_closes_total counts all. explain shows it with the request.

--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -312,6 +312,15 @@
             let run = if field("run") == "not-run" { "it has not run" } else { "it may have run" };
             format!("given up at the end of its daemon, {} ms before its own deadline; {run}", field("left_ms"))
         }
+        "caller-closed" => format!(
+            "its connection was closed {}, after {} ms without a request; limit {} ms now, {} ms at the last answer; {} bytes of the request were read and {} or more were not",
+            close_reason(field("reason")),
+            field("idle_ms"),
+            field("limit_ms"),
+            field("answer_limit_ms"),
+            field("buffered"),
+            field("unread")
+        ),
         "stop-cut" => format!("the answer was cut off by the end of its daemon, after {} bytes", field("bytes")),
         "carried-begun" => {
             format!("carries a connection to {} for {}{}", field("instance"), field("peer"), owner(line, id))
@@ -337,6 +346,17 @@
     }
 }
 
+fn close_reason(reason: &str) -> &str {
+    match reason {
+        "idle" => "as it was idle",
+        "stop" => "by the stop of this daemon",
+        "head-timeout" => "as its head did not end in time",
+        "framing" => "as it could not be read",
+        "last-answer" => "after an answer that was to be the last",
+        reason => reason,
+    }
+}
+
 fn describe_stopping(line: &LogLine) -> String {
     let mut text = "is being stopped".to_owned();
     match line.fields.get("ends_in_ms").map(|ms| ms.parse::<u64>()) {
--- a/goldcrestward/src/cmd/explain_test.rs
+++ b/goldcrestward/src/cmd/explain_test.rs
@@ -106,6 +106,10 @@
             "given up at the end of its daemon, 80 ms before its own deadline; it has not run",
         ),
         ("stop-given-up id=r1 route=lunch run=may-have-run left_ms=80", "before its own deadline; it may have run"),
+        (
+            "caller-closed id=r1 reason=idle idle_ms=700 limit_ms=200 answer_limit_ms=900 buffered=0 unread=80 others=0",
+            "its connection was closed as it was idle, after 700 ms without a request; limit 200 ms now, 900 ms at the last answer; 0 bytes of the request were read and 80 or more were not",
+        ),
         (
             "stop-cut id=r1 route=lunch bytes=700 left_ms=80",
             "the answer was cut off by the end of its daemon, after 700 bytes",
--- a/goldcrestward/src/connection/activity.rs
+++ b/goldcrestward/src/connection/activity.rs
@@ -16,12 +16,16 @@
 use tokio::sync::Notify;
 use volo_http::{body::Body, error::BoxError, response::Response};
 
+use super::listener::CurrentCallerLimits;
+
 /// State of one connection: its running requests, the end of the last one, and the head being received.
-#[derive(Debug)]
 pub(crate) struct Activity {
     start: Instant,
     running: AtomicUsize,
     ended_ms: AtomicU64,
+    limits: CurrentCallerLimits,
+    /// Idle time-out in ms at the last answer, or at the start of the connection.
+    answer_limit_ms: AtomicU64,
     ambiguous: AtomicBool,
     /// Whether part of the last request's body has not been read.
     unread: AtomicBool,
@@ -37,11 +41,14 @@
 pub(crate) struct AmbiguousFraming;
 
 impl Activity {
-    pub fn new() -> Arc<Self> {
+    pub fn new(limits: CurrentCallerLimits) -> Arc<Self> {
+        let answer_limit_ms = AtomicU64::new(limits().idle_timeout.as_millis() as u64);
         Arc::new(Self {
             start: Instant::now(),
             running: AtomicUsize::new(0),
             ended_ms: AtomicU64::new(0),
+            limits,
+            answer_limit_ms,
             ambiguous: AtomicBool::new(false),
             unread: AtomicBool::new(false),
             open_ended: AtomicBool::new(false),
@@ -118,6 +125,16 @@
         }
     }
 
+    /// Records that an answer begins.
+    pub fn begin_answer(&self) {
+        self.answer_limit_ms.store((self.limits)().idle_timeout.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// The idle time-outs in force now and at the last answer, in ms.
+    pub fn idle_limits_ms(&self) -> (u64, u64) {
+        ((self.limits)().idle_timeout.as_millis() as u64, self.answer_limit_ms.load(Ordering::Relaxed))
+    }
+
     /// Time since the last request ended; zero while one is running.
     pub fn idle(&self) -> Duration {
         if self.running.load(Ordering::Relaxed) > 0 {
--- /dev/null
+++ b/goldcrestward/src/connection/caller_closes.rs
@@ -0,0 +1,91 @@
+//! Counts and logs the connections of callers that are closed over a request which has had no answer.
+
+use std::time::Instant;
+
+use log::info;
+use parking_lot::Mutex;
+use prometheus::IntCounterVec;
+
+use super::activity::Activity;
+use crate::process::LineLimit;
+
+/// Header that names a request.
+const ID_HEADER: &[u8] = b"x-request-id";
+/// Longest id that is logged, in bytes.
+const MAX_ID_BYTES: usize = 128;
+
+/// Why the daemon closes a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CloseReason {
+    /// The idle time-out.
+    Idle,
+    /// The stop of the daemon.
+    Stop,
+    /// The time-out for heads.
+    HeadTimeout,
+    /// What came is no request.
+    Framing,
+    /// The end of an answer that announced it, or that no other may follow.
+    LastAnswer,
+}
+
+impl CloseReason {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::Stop => "stop",
+            Self::HeadTimeout => "head-timeout",
+            Self::Framing => "framing",
+            Self::LastAnswer => "last-answer",
+        }
+    }
+}
+
+/// Records closes over an unanswered request.
+pub(crate) struct CallerCloses {
+    counter: IntCounterVec,
+    started: Instant,
+    lines: Mutex<LineLimit>,
+}
+
+impl CallerCloses {
+    pub fn new(counter: IntCounterVec) -> Self {
+        Self { counter, started: Instant::now(), lines: Mutex::default() }
+    }
+
+    /// Records a close over `buffered` bytes that were read and `unread` ones that were not.
+    pub(super) fn record(&self, reason: CloseReason, activity: &Activity, buffered: &[u8], unread: &[u8]) {
+        self.counter.with_label_values(&[reason.label()]).inc();
+        let now_ms = self.started.elapsed().as_millis() as u64;
+        let Some(others) = self.lines.lock().record(now_ms) else { return };
+        let id = request_id(&[buffered, unread].concat());
+        let (reason, idle_ms) = (reason.label(), activity.idle().as_millis());
+        let (limit_ms, answer_limit_ms) = activity.idle_limits_ms();
+        info!(
+            "event=caller-closed id={id} reason={reason} idle_ms={idle_ms} limit_ms={limit_ms} \
+             answer_limit_ms={answer_limit_ms} buffered={} unread={} others={others}",
+            buffered.len(),
+            unread.len()
+        );
+    }
+}
+
+/// The id in the head of a request, as far as it can be told; `-` if not.
+pub(super) fn request_id(bytes: &[u8]) -> String {
+    let mut fields = bytes.split(|byte| *byte == b'\n').take_while(|line| !line.trim_ascii().is_empty());
+    let id = fields.find_map(|line| {
+        let at = line.iter().position(|byte| *byte == b':')?;
+        line[..at].eq_ignore_ascii_case(ID_HEADER).then(|| line[at + 1..].trim_ascii())
+    });
+    let is_id = |id: &&[u8]| !id.is_empty() && id.len() <= MAX_ID_BYTES && id.iter().all(is_id_byte);
+    id.filter(is_id).map_or_else(|| "-".to_owned(), |id| String::from_utf8_lossy(id).into_owned())
+}
+
+/// Whether a byte stands in a log line's value without quotes.
+fn is_id_byte(byte: &u8) -> bool {
+    byte.is_ascii_graphic() && !matches!(byte, b'"' | b'=')
+}
+
+#[cfg(test)]
+#[path = "caller_closes_test.rs"]
+mod caller_closes_test;
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -14,6 +14,7 @@
 use metainfo::{METAINFO, MetaInfo};
 use motore::service::Service;
 use prometheus::IntCounterVec;
+use rustix::net::{RecvFlags, recv};
 use snafu::ResultExt;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -32,6 +33,7 @@
 
 use super::{
     activity::{Activity, AmbiguousFraming},
+    caller_closes::{CallerCloses, CloseReason},
     error::{ListenSnafu, Result},
     framing::HeadInspector,
     socket::set_up_accepted,
@@ -54,6 +56,8 @@
 /// Longest time for which what a caller goes on to send is read after its last response.
 const DISCARD_TIME: Duration = Duration::from_secs(2);
 const DISCARD_BUFFER_BYTES: usize = 8 * 1024;
+/// Most bytes of an unread request in which its id is sought.
+const PEEKED_BYTES: usize = 2 * 1024;
 /// Delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -97,6 +101,7 @@
     pub drain: Drain,
     /// Counter of refusals by reason and run state.
     pub refusals: IntCounterVec,
+    pub closes: Arc<CallerCloses>,
     pub limits: CurrentCallerLimits,
 }
 
@@ -122,12 +127,12 @@
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
-            let activity = Activity::new();
+            let activity = Activity::new(self.limits.clone());
             let service = RouterService { router: router.clone(), peer, activity: activity.clone() };
             let stop = self.drain.stop.subscribe();
-            let (refusals, limits) = (self.refusals.clone(), self.limits.clone());
+            let (refusals, closes, limits) = (self.refusals.clone(), self.closes.clone(), self.limits.clone());
             self.drain.connections.spawn(async move {
-                serve(stream, service, stop, &refusals, &activity, &limits).await;
+                serve(stream, service, stop, &refusals, &closes, &activity, &limits).await;
                 drop(permit);
             });
         }
@@ -141,6 +146,7 @@
     service: RouterService,
     mut stop: watch::Receiver<bool>,
     refusals: &IntCounterVec,
+    closes: &CallerCloses,
     activity: &Arc<Activity>,
     limits: &CurrentCallerLimits,
 ) {
@@ -152,40 +158,47 @@
     let head_timeout = header_timeout + idle_timeout;
     builder.timer(TokioTimer::new()).header_read_timeout(head_timeout).max_buf_size(header_bytes.max(MIN_BUFFER_BYTES));
     let mut connection = builder.serve_connection(TokioIo::new(HeadInspector::new(stream, activity.clone())), service);
-    let mut head_timed_out = false;
-    let ended = tokio::select! {
-        ended = poll_fn(|context| connection.poll_without_shutdown(context)) => Some(ended),
-        _ = stop.wait_for(|stop| *stop) => None,
-        () = idle_timed_out(activity, limits) => None,
-        () = activity.head_timed_out(|| limits().header_timeout) => {
-            head_timed_out = true;
-            None
-        }
+    let reason = tokio::select! {
+        ended = poll_fn(|context| connection.poll_without_shutdown(context)) => Err(ended),
+        _ = stop.wait_for(|stop| *stop) => Ok(CloseReason::Stop),
+        () = idle_timed_out(activity, limits) => Ok(CloseReason::Idle),
+        () = activity.head_timed_out(|| limits().header_timeout) => Ok(CloseReason::HeadTimeout),
     };
-    if head_timed_out {
-        return refuse_head_timeout(connection, refusals).await;
-    }
-    let ended = match ended {
-        Some(ended) => ended,
-        None => {
+    let (reason, ended) = match reason {
+        Ok(CloseReason::HeadTimeout) => return refuse_head_timeout(connection, refusals, closes, activity).await,
+        Ok(reason) => {
+            // A request that is being served gets its answer.
+            let reason = if activity.is_running() { CloseReason::LastAnswer } else { reason };
             Pin::new(&mut connection).graceful_shutdown();
-            poll_fn(|context| connection.poll_without_shutdown(context)).await
+            (reason, poll_fn(|context| connection.poll_without_shutdown(context)).await)
         }
+        Err(ended) => (CloseReason::LastAnswer, ended),
     };
     match ended {
         Ok(()) => {
             let parts = connection.into_parts();
             let mut stream = parts.io.into_inner().finish();
             stream.shutdown().await.ok();
-            let has_next = !parts.read_buf.is_empty() || stream.try_read(&mut [0]).is_ok_and(|count| count > 0);
+            let mut next = [0; PEEKED_BYTES];
+            let unread = peek(&stream, &mut next);
+            let has_next = !parts.read_buf.is_empty() || !unread.is_empty();
+            if has_next && !activity.has_unread_body() {
+                closes.record(reason, activity, &parts.read_buf, unread);
+            }
             if has_next || activity.has_unread_body() {
                 discard_rest(&mut stream).await;
             }
         }
-        Err(error) => refuse_bad_head(connection, &error, refusals).await,
+        Err(error) => refuse_bad_head(connection, &error, refusals, closes, activity).await,
     }
 }
 
+/// Returns the first bytes that have arrived on a connection and have not been read.
+fn peek<'a>(stream: &TcpStream, buffer: &'a mut [u8]) -> &'a [u8] {
+    let count = recv(stream, &mut *buffer, RecvFlags::PEEK | RecvFlags::DONTWAIT).map_or(0, |(count, _)| count);
+    &buffer[..count]
+}
+
 /// Reads what a caller goes on to send after its last response, for a time: the response could be lost in the reset that
 /// follows when a connection is closed over unread bytes.
 async fn discard_rest(stream: &mut TcpStream) {
@@ -207,9 +220,18 @@
 }
 
 /// Refuses a request whose head timed out, or counts one whose head was too large.
-async fn refuse_bad_head(connection: Connection, error: &hyper::Error, refusals: &IntCounterVec) {
+async fn refuse_bad_head(
+    connection: Connection,
+    error: &hyper::Error,
+    refusals: &IntCounterVec,
+    closes: &CallerCloses,
+    activity: &Activity,
+) {
     if error.is_timeout() {
-        return refuse_head_timeout(connection, refusals).await;
+        return refuse_head_timeout(connection, refusals, closes, activity).await;
+    }
+    if error.is_parse() {
+        closes.record(CloseReason::Framing, activity, &connection.into_parts().read_buf, &[]);
     }
     if error.is_parse_too_large() {
         // The HTTP library has sent the refusal, so it is only counted here.
@@ -219,11 +241,17 @@
 }
 
 /// Refuses a request whose head was not complete in time; a connection without a partial head is just closed.
-async fn refuse_head_timeout(connection: Connection, refusals: &IntCounterVec) {
+async fn refuse_head_timeout(
+    connection: Connection,
+    refusals: &IntCounterVec,
+    closes: &CallerCloses,
+    activity: &Activity,
+) {
     let parts = connection.into_parts();
     if parts.read_buf.is_empty() {
         return;
     }
+    closes.record(CloseReason::HeadTimeout, activity, &parts.read_buf, &[]);
     let refusal = Refusal::not_run(Reason::HeaderTimeout, "the request's head did not arrive in time");
     refusals.with_label_values(&[refusal.reason.label(), refusal.run.label()]).inc();
     let mut stream = parts.io.into_inner().into_inner();
@@ -257,6 +285,7 @@
             }
             let version = request.version();
             let response = router.call(&mut context, request).await.into_response();
+            activity.begin_answer();
             if version == Version::HTTP_10 && !has_length(&response) {
                 activity.begin_open_ended();
             }
--- a/goldcrestward/src/connection/mod.rs
+++ b/goldcrestward/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 mod activity;
 mod backend;
+mod caller_closes;
 mod carried;
 mod carried_exchanges;
 mod client;
@@ -21,6 +22,7 @@
 
 pub(crate) use activity::AmbiguousFraming;
 pub(crate) use backend::{BackendConnection, BackendConnections, ConnectError};
+pub(crate) use caller_closes::CallerCloses;
 pub(crate) use carried::{CarriedConnection, CarriedConnections, IsStopping};
 pub(crate) use carried_exchanges::{Notice, ResponseObserver};
 pub use client::{HttpClient, OutboundRequest, SendError};
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -57,8 +57,8 @@
 use crate::{
     cmd::PortsFactory,
     connection::{
-        CarriedConnections, CurrentCallerLimits, DatagramSealer, Drain, HttpClient, IsStopping, Listener, PeerClient,
-        Secrets, bind, serve_peers,
+        CallerCloses, CarriedConnections, CurrentCallerLimits, DatagramSealer, Drain, HttpClient, IsStopping, Listener,
+        PeerClient, Secrets, bind, serve_peers,
     },
     ledger::{Ledger, OwnerLookup, SLOTS},
     platform::Etcd,
@@ -142,9 +142,10 @@
             let shared = shared.clone();
             Arc::new(move || shared.in_force.load().site.caller_limits.clone())
         };
+        let closes = Arc::new(CallerCloses::new(shared.metrics.caller_closes.clone()));
         let listen = |socket, router, drain: &Drain| {
-            let (drain, refusals, limits) = (drain.clone(), refusals.clone(), limits.clone());
-            Listener { socket, router, drain, refusals, limits }.run()
+            let (drain, refusals, limits, closes) = (drain.clone(), refusals.clone(), limits.clone(), closes.clone());
+            Listener { socket, router, drain, refusals, closes, limits }.run()
         };
         let router = match ports {
             None => {
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -31,6 +31,8 @@
     pub resumed: IntCounterVec,
     /// Requests that a stop refused, gave up or cut off, by outcome.
     pub stop_outcomes: IntCounterVec,
+    /// Connections of callers that were closed over an unanswered request, by reason.
+    pub caller_closes: IntCounterVec,
     /// Answers that ended incomplete.
     pub cut_answers: IntCounter,
     /// Time to the first token, by route.
@@ -122,6 +124,11 @@
                 "requests that a stop refused, gave up or cut off",
                 &["outcome"],
             )?,
+            caller_closes: factory.counters(
+                "caller_closes_total",
+                "connections of callers closed over an unanswered request",
+                &["reason"],
+            )?,
             cut_answers: factory.counter("cut_answers_total", "answers that could not be ended whole")?,
             first_token: factory.histograms("first_token_seconds", "time to the first token", &["route"])?,
             between_tokens: factory.histogram(
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -67,6 +67,7 @@
 pub(crate) use run_times::RunKind;
 pub use settings::{Overrides, Settings, SettingsError};
 pub(crate) use shared::{InFlight, Shared};
+pub(crate) use state::LineLimit;
 pub use stopped::Stopped;
 
 #[cfg(test)]
--- a/goldcrestward/src/process/state/mod.rs
+++ b/goldcrestward/src/process/state/mod.rs
@@ -9,7 +9,7 @@
 mod turn;
 
 pub(super) use freshness::{Budget, Freshness, Overdue};
-pub(super) use line_limit::LineLimit;
+pub(crate) use line_limit::LineLimit;
 pub(super) use pull::{adopt_kept, pull_config, watch_instances};
 pub(super) use reader::StateReader;
 pub(super) use site_state::SiteState;
