Callers: an idle time-out ends no connection that its caller still reuses, and a request that meets the close is answered

Causes, each shown by a test on the code before (listener_test.rs, real sockets): - The HTTP library's time-out for heads was fixed when a connection was accepted, as header + idle time-out, and counts idle time: after a raise of the idle time-out, older connections were still closed by the former one. raised_idle_timeout_holds_for_open_connections: failed, closed after less than 2 s of a 10 s limit. - A lowered idle time-out bound connections at the next look, though callers reuse them by the one that they know. lowered_idle_timeout_binds_connections_from_their_next_answer_on: failed. - The close won over a request that had already arrived: the branches of the select were polled in random order, and a graceful shutdown of an idle connection drops what the kernel holds. What was dropped was then read and thrown away for 2 s, so that callers took it for read. request_that_arrives_at_the_idle_timeout_is_answered: 6 of 24 answered; request_that_arrives_at_the_stop_is_answered: 0 of 24. - By reading: a head whose lines end without a carriage return counted as incomplete while its request was being served.

Fix, in the listener that serves both interfaces: the library's time-out is off; Activity bounds heads and idle time. A raise holds at once, a lowered time-out from the next answer on and once callers had config-apply-ms to learn of it. Before a close for idleness or a stop the kernel is asked once more; a request that has arrived or begun to arrive is served, in a stop with Connection: close. A request that crosses the close all the same stays unread and is reset, unless an answer of the last 2 s could be lost by that.

--- a/goldcrestward/src/connection/activity.rs
+++ b/goldcrestward/src/connection/activity.rs
@@ -16,14 +16,17 @@
 use tokio::sync::Notify;
 use volo_http::{body::Body, error::BoxError, response::Response};
 
-use super::listener::CurrentCallerLimits;
+use super::limits_in_force::LimitsInForce;
+
+/// Time added to the idle time-out before a connection is closed, so that a request in transit is not cut off.
+pub(super) const IDLE_GRACE: Duration = Duration::from_millis(500);
 
 /// State of one connection: its running requests, the end of the last one, and the head being received.
 pub(crate) struct Activity {
     start: Instant,
     running: AtomicUsize,
     ended_ms: AtomicU64,
-    limits: CurrentCallerLimits,
+    limits: Arc<LimitsInForce>,
     /// Idle time-out in ms at the last answer, or at the start of the connection.
     answer_limit_ms: AtomicU64,
     ambiguous: AtomicBool,
@@ -34,6 +37,9 @@
     /// Time in ms since `start` at which the incomplete head began, plus one; 0 if there is none.
     head_since: AtomicU64,
     head_begun: Notify,
+    reads_unsignalled: AtomicBool,
+    /// Whether the connection is closed after the answers that are due.
+    closing: AtomicBool,
 }
 
 /// Marks a request with both a length and chunks, whose end different HTTP parsers find at different places.
@@ -41,8 +47,8 @@
 pub(crate) struct AmbiguousFraming;
 
 impl Activity {
-    pub fn new(limits: CurrentCallerLimits) -> Arc<Self> {
-        let answer_limit_ms = AtomicU64::new(limits().idle_timeout.as_millis() as u64);
+    pub fn new(limits: Arc<LimitsInForce>) -> Arc<Self> {
+        let answer_limit_ms = AtomicU64::new(limits.idle_timeout().as_millis() as u64);
         Arc::new(Self {
             start: Instant::now(),
             running: AtomicUsize::new(0),
@@ -54,11 +60,15 @@
             open_ended: AtomicBool::new(false),
             head_since: AtomicU64::new(0),
             head_begun: Notify::new(),
+            reads_unsignalled: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
         })
     }
 
     /// Counts a request as running until the guard is dropped.
     pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
+        // A head whose lines end without a carriage return is not recognised as complete before.
+        self.end_head();
         self.running.fetch_add(1, Ordering::Relaxed);
         RequestGuard(self.clone())
     }
@@ -111,10 +121,34 @@
         self.head_since.store(0, Ordering::Relaxed);
     }
 
+    /// Whether part of a head has arrived, and the rest is awaited.
+    pub fn is_receiving_head(&self) -> bool {
+        !self.is_running() && self.head_since.load(Ordering::Relaxed) > 0
+    }
+
+    /// Sets whether reads ask the kernel also when no arrival has been signalled yet.
+    pub fn set_reads_unsignalled(&self, reads: bool) {
+        self.reads_unsignalled.store(reads, Ordering::Relaxed);
+    }
+
+    /// Has answers say that the connection is closed after them.
+    pub fn begin_close(&self) {
+        self.closing.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the connection is closed after the answers that are due.
+    pub fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+
+    /// Whether reads ask the kernel also when no arrival has been signalled yet.
+    pub fn reads_unsignalled(&self) -> bool {
+        self.reads_unsignalled.load(Ordering::Relaxed)
+    }
+
     /// Waits until a head has been incomplete for longer than the limit in force at that time.
     pub async fn head_timed_out(&self, limit: impl Fn() -> Duration) {
         loop {
-            self.head_begun.notified().await;
             while let Some(since) = self.head_since.load(Ordering::Relaxed).checked_sub(1) {
                 let (age, limit) = (self.start.elapsed().saturating_sub(Duration::from_millis(since)), limit());
                 if age >= limit {
@@ -122,22 +156,37 @@
                 }
                 tokio::time::sleep(limit - age).await;
             }
+            self.head_begun.notified().await;
         }
     }
 
     /// Records that an answer begins.
     pub fn begin_answer(&self) {
-        self.answer_limit_ms.store((self.limits)().idle_timeout.as_millis() as u64, Ordering::Relaxed);
+        self.answer_limit_ms.store(self.limits.idle_timeout().as_millis() as u64, Ordering::Relaxed);
     }
 
     /// The idle time-outs in force now and at the last answer, in ms.
     pub fn idle_limits_ms(&self) -> (u64, u64) {
-        ((self.limits)().idle_timeout.as_millis() as u64, self.answer_limit_ms.load(Ordering::Relaxed))
+        (self.limits.idle_timeout().as_millis() as u64, self.answer_limit_ms.load(Ordering::Relaxed))
+    }
+
+    /// Waits until the connection has been idle for longer than any time-out by which its caller may go: the one at its
+    /// last answer, or one in force since.
+    pub async fn idle_timed_out(&self) {
+        loop {
+            let (limit_ms, answer_limit_ms) = self.idle_limits_ms();
+            let limit = Duration::from_millis(limit_ms.max(answer_limit_ms)) + IDLE_GRACE;
+            let idle = self.idle();
+            if idle >= limit {
+                return;
+            }
+            tokio::time::sleep(limit - idle).await;
+        }
     }
 
-    /// Time since the last request ended; zero while one is running.
+    /// Time since the last request ended; zero while one is running or arriving.
     pub fn idle(&self) -> Duration {
-        if self.running.load(Ordering::Relaxed) > 0 {
+        if self.is_running() || self.is_receiving_head() {
             return Duration::ZERO;
         }
         let ended = Duration::from_millis(self.ended_ms.load(Ordering::Relaxed));
--- a/goldcrestward/src/connection/framing.rs
+++ b/goldcrestward/src/connection/framing.rs
@@ -12,7 +12,7 @@
 };
 
 use log::warn;
-use rustix::net::sockopt::set_socket_linger;
+use rustix::net::{RecvFlags, recv, sockopt::set_socket_linger};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -68,6 +68,16 @@
         }
     }
 
+    /// Reads what the kernel has, without waiting for the runtime to signal it.
+    fn read_now(&self, buffer: &mut ReadBuf<'_>) -> Poll<std::io::Result<()>> {
+        let Ok((count, _)) = recv(&self.stream, buffer.initialize_unfilled(), RecvFlags::DONTWAIT) else {
+            // The runtime signals an error as well.
+            return Poll::Pending;
+        };
+        buffer.advance(count);
+        Poll::Ready(Ok(()))
+    }
+
     fn inspect(&mut self, bytes: &[u8]) {
         if self.head_complete && !self.activity.is_running() {
             // Bytes that arrive after the end of a request begin the next head.
@@ -109,7 +119,10 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
         let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let mut read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if read.is_pending() && self.activity.reads_unsignalled() {
+            read = self.read_now(buffer);
+        }
         if matches!(read, Poll::Ready(Ok(()))) {
             self.inspect(&buffer.filled()[before..]);
         }
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -3,14 +3,15 @@
 //! It has its own accept loop because the HTTP library's server limits a shutdown to 30 seconds.
 
 use std::{
-    cell::RefCell, convert::Infallible, future::poll_fn, io, net::SocketAddr, pin::Pin, sync::Arc, time::Duration,
+    cell::RefCell, convert::Infallible, future::poll_fn, io, net::SocketAddr, pin::Pin, sync::Arc, task::Poll,
+    time::Duration,
 };
 
 use futures_util::future::BoxFuture;
-use http::{Version, header};
+use http::{HeaderValue, Version, header};
 use http_body::Body as _;
 use hyper::{body::Incoming, server::conn::http1};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use metainfo::{METAINFO, MetaInfo};
 use motore::service::Service;
 use prometheus::IntCounterVec;
@@ -32,16 +33,14 @@
 };
 
 use super::{
-    activity::{Activity, AmbiguousFraming},
+    activity::{Activity, AmbiguousFraming, IDLE_GRACE},
     caller_closes::{CallerCloses, CloseReason},
     error::{ListenSnafu, Result},
     framing::HeadInspector,
+    limits_in_force::LimitsInForce,
     socket::set_up_accepted,
 };
-use crate::{
-    config::CallerLimits,
-    request::{Reason, Refusal},
-};
+use crate::request::{Reason, Refusal};
 
 /// Connections that may wait in the kernel to be accepted.
 const LISTEN_BACKLOG: u32 = 4096;
@@ -51,8 +50,6 @@
 pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Smallest connection buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
-/// Time added to the idle time-out before a connection is closed, so that a request in transit is not cut off.
-const IDLE_GRACE: Duration = Duration::from_millis(500);
 /// Longest time for which what a caller goes on to send is read after its last response.
 const DISCARD_TIME: Duration = Duration::from_secs(2);
 const DISCARD_BUFFER_BYTES: usize = 8 * 1024;
@@ -102,12 +99,9 @@
     /// Counter of refusals by reason and run state.
     pub refusals: IntCounterVec,
     pub closes: Arc<CallerCloses>,
-    pub limits: CurrentCallerLimits,
+    pub limits: Arc<LimitsInForce>,
 }
 
-/// Returns the caller limits in force.
-pub(crate) type CurrentCallerLimits = Arc<dyn Fn() -> CallerLimits + Send + Sync>;
-
 impl Listener {
     /// Accepts connections until the drain begins.
     pub async fn run(self) {
@@ -148,31 +142,44 @@
     refusals: &IntCounterVec,
     closes: &CallerCloses,
     activity: &Arc<Activity>,
-    limits: &CurrentCallerLimits,
+    limits: &LimitsInForce,
 ) {
     set_up_accepted(&stream);
     let mut builder = http1::Builder::new();
-    let CallerLimits { header_timeout, idle_timeout, header_bytes, .. } = limits();
-    // The HTTP library counts idle time before a head towards this time-out, which is set once for the connection; a
-    // longer idle time-out may come into force later.
-    let head_timeout = header_timeout + idle_timeout;
-    builder.timer(TokioTimer::new()).header_read_timeout(head_timeout).max_buf_size(header_bytes.max(MIN_BUFFER_BYTES));
+    // The HTTP library's time-out for heads is fixed for the connection and counts idle time, so `Activity` has its own.
+    builder.header_read_timeout(None).max_buf_size(limits.current().header_bytes.max(MIN_BUFFER_BYTES));
     let mut connection = builder.serve_connection(TokioIo::new(HeadInspector::new(stream, activity.clone())), service);
-    let reason = tokio::select! {
-        ended = poll_fn(|context| connection.poll_without_shutdown(context)) => Err(ended),
-        _ = stop.wait_for(|stop| *stop) => Ok(CloseReason::Stop),
-        () = idle_timed_out(activity, limits) => Ok(CloseReason::Idle),
-        () = activity.head_timed_out(|| limits().header_timeout) => Ok(CloseReason::HeadTimeout),
-    };
-    let (reason, ended) = match reason {
-        Ok(CloseReason::HeadTimeout) => return refuse_head_timeout(connection, refusals, closes, activity).await,
-        Ok(reason) => {
-            // A request that is being served gets its answer.
-            let reason = if activity.is_running() { CloseReason::LastAnswer } else { reason };
-            Pin::new(&mut connection).graceful_shutdown();
-            (reason, poll_fn(|context| connection.poll_without_shutdown(context)).await)
+    let (reason, ended) = loop {
+        let reason = tokio::select! {
+            biased;
+            ended = poll_fn(|context| connection.poll_without_shutdown(context)) => break (CloseReason::LastAnswer, ended),
+            () = activity.head_timed_out(|| limits.current().header_timeout) => CloseReason::HeadTimeout,
+            _ = stop.wait_for(|stop| *stop) => CloseReason::Stop,
+            () = activity.idle_timed_out() => CloseReason::Idle,
+        };
+        match reason {
+            CloseReason::HeadTimeout => return refuse_head_timeout(connection, refusals, closes, activity).await,
+            CloseReason::Stop => activity.begin_close(),
+            _ => {}
+        }
+        let arrived = tokio::select! {
+            biased;
+            ended = take_arrived(&mut connection, activity) => ended,
+            () = activity.head_timed_out(|| limits.current().header_timeout) => {
+                return refuse_head_timeout(connection, refusals, closes, activity).await;
+            }
+        };
+        if let Some(ended) = arrived {
+            break (CloseReason::LastAnswer, ended);
+        }
+        if reason == CloseReason::Idle && activity.idle() < IDLE_GRACE {
+            // A request has arrived at the last moment.
+            continue;
         }
-        Err(ended) => (CloseReason::LastAnswer, ended),
+        // A request that is being served gets its answer.
+        let reason = if activity.is_running() { CloseReason::LastAnswer } else { reason };
+        Pin::new(&mut connection).graceful_shutdown();
+        break (reason, poll_fn(|context| connection.poll_without_shutdown(context)).await);
     };
     match ended {
         Ok(()) => {
@@ -185,14 +192,29 @@
             if has_next && !activity.has_unread_body() {
                 closes.record(reason, activity, &parts.read_buf, unread);
             }
-            if has_next || activity.has_unread_body() {
+            // A request that crosses the close of an idle connection is left unread, so that the reset tells its caller.
+            let may_lose_answer = reason == CloseReason::LastAnswer || activity.idle() < DISCARD_TIME;
+            if may_lose_answer && (has_next || activity.has_unread_body()) {
                 discard_rest(&mut stream).await;
             }
         }
-        Err(error) => refuse_bad_head(connection, &error, refusals, closes, activity).await,
+        Err(error) => record_bad_head(connection, &error, refusals, closes, activity),
     }
 }
 
+/// Reads what has arrived, as far as a request that has begun to arrive is being served. Returns the result of a connection
+/// that ends meanwhile.
+async fn take_arrived(connection: &mut Connection, activity: &Activity) -> Option<hyper::Result<()>> {
+    activity.set_reads_unsignalled(true);
+    let ended = poll_fn(|context| match connection.poll_without_shutdown(context) {
+        Poll::Pending if !activity.is_receiving_head() => Poll::Ready(None),
+        polled => polled.map(Some),
+    })
+    .await;
+    activity.set_reads_unsignalled(false);
+    ended
+}
+
 /// Returns the first bytes that have arrived on a connection and have not been read.
 fn peek<'a>(stream: &TcpStream, buffer: &'a mut [u8]) -> &'a [u8] {
     let count = recv(stream, &mut *buffer, RecvFlags::PEEK | RecvFlags::DONTWAIT).map_or(0, |(count, _)| count);
@@ -207,29 +229,14 @@
     timeout(DISCARD_TIME, rest).await.ok();
 }
 
-/// Waits until the connection has been idle for longer than the limit in force at that time.
-async fn idle_timed_out(activity: &Activity, limits: &CurrentCallerLimits) {
-    loop {
-        let limit = limits().idle_timeout + IDLE_GRACE;
-        let idle = activity.idle();
-        if idle >= limit {
-            return;
-        }
-        tokio::time::sleep(limit - idle).await;
-    }
-}
-
-/// Refuses a request whose head timed out, or counts one whose head was too large.
-async fn refuse_bad_head(
+/// Records a request whose head cannot be read, and counts one whose head was too large as refused.
+fn record_bad_head(
     connection: Connection,
     error: &hyper::Error,
     refusals: &IntCounterVec,
     closes: &CallerCloses,
     activity: &Activity,
 ) {
-    if error.is_timeout() {
-        return refuse_head_timeout(connection, refusals, closes, activity).await;
-    }
     if error.is_parse() {
         closes.record(CloseReason::Framing, activity, &connection.into_parts().read_buf, &[]);
     }
@@ -284,7 +291,10 @@
                 request.extensions_mut().insert(AmbiguousFraming);
             }
             let version = request.version();
-            let response = router.call(&mut context, request).await.into_response();
+            let mut response = router.call(&mut context, request).await.into_response();
+            if activity.is_closing() {
+                response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
             activity.begin_answer();
             if version == Version::HTTP_10 && !has_length(&response) {
                 activity.begin_open_ended();
@@ -297,3 +307,7 @@
 fn has_length(response: &Response) -> bool {
     response.headers().contains_key(header::CONTENT_LENGTH) || response.body().size_hint().exact().is_some()
 }
+
+#[cfg(test)]
+#[path = "listener_test.rs"]
+mod listener_test;
--- /dev/null
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -0,0 +1,231 @@
+//! Tests of when the listener closes the connections of callers, over real sockets.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream as StdTcpStream},
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+use prometheus::{IntCounterVec, Opts};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+use volo_http::{
+    request::Request,
+    server::{Router, route::any},
+};
+
+use super::{CallerCloses, Drain, IDLE_GRACE, LimitsInForce, Listener, bind};
+use crate::config::CallerLimits;
+
+const ANSWER: &str = "done";
+const REQUEST: &[u8] = b"GET /order HTTP/1.1\r\nHost: site\r\nX-Request-Id: crossing\r\n\r\n";
+/// Connections on which a request arrives at the moment of the close.
+const CONNECTIONS: usize = 24;
+const HEADER_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time within which an answer comes.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A listener whose limits can be changed.
+struct Site {
+    address: SocketAddr,
+    drain: Drain,
+    limits: Arc<Mutex<CallerLimits>>,
+    closes: IntCounterVec,
+}
+
+impl Site {
+    fn start(idle_timeout: Duration) -> Self {
+        let drain = Drain::new();
+        let limits = CallerLimits { header_timeout: HEADER_TIMEOUT, idle_timeout, ..CallerLimits::default() };
+        let limits = Arc::new(Mutex::new(limits));
+        let socket = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port is free");
+        let address = socket.local_addr().expect("the socket is bound");
+        let refusals = IntCounterVec::new(Opts::new("refusals", "refusals"), &["reason", "run"]).expect("a valid name");
+        let closes = IntCounterVec::new(Opts::new("closes", "closes"), &["reason"]).expect("a valid name");
+        let current = limits.clone();
+        let listener = Listener {
+            socket,
+            router: Router::new().fallback_service(any(answer)),
+            drain: drain.clone(),
+            refusals,
+            closes: Arc::new(CallerCloses::new(closes.clone())),
+            limits: Arc::new(LimitsInForce::new(move || current.lock().clone(), Duration::ZERO)),
+        };
+        tokio::spawn(listener.run());
+        Self { address, drain, limits, closes }
+    }
+
+    fn set_idle_timeout(&self, idle_timeout: Duration) {
+        self.limits.lock().idle_timeout = idle_timeout;
+    }
+
+    async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.address).await.expect("the listener accepts")
+    }
+}
+
+/// Answers at once, or after the time-out for heads.
+async fn answer(request: Request) -> &'static str {
+    if request.uri().path() == "/slow" {
+        sleep(5 * HEADER_TIMEOUT).await;
+    }
+    ANSWER
+}
+
+/// Sends a request and returns what comes until the answer is whole or the connection ends.
+async fn exchange(stream: &mut TcpStream) -> String {
+    stream.write_all(REQUEST).await.ok();
+    read_answer(stream).await
+}
+
+async fn read_answer(stream: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    let mut buffer = [0; 1024];
+    while !text.ends_with(ANSWER.as_bytes()) {
+        match timeout(ANSWER_TIMEOUT, stream.read(&mut buffer)).await {
+            Ok(Ok(count)) if count > 0 => text.extend_from_slice(&buffer[..count]),
+            _ => break,
+        }
+    }
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+async fn wait_closed(stream: &mut TcpStream) -> bool {
+    matches!(timeout(ANSWER_TIMEOUT, stream.read(&mut [0])).await, Ok(Ok(0) | Err(_)))
+}
+
+/// Guards against LOST: the HTTP library's time-out for heads, fixed when a connection is accepted, also counted idle time.
+#[tokio::test(flavor = "multi_thread")]
+async fn raised_idle_timeout_holds_for_open_connections() {
+    let site = Site::start(Duration::from_millis(300));
+    let mut stream = site.connect().await;
+    assert!(exchange(&mut stream).await.ends_with(ANSWER));
+    site.set_idle_timeout(Duration::from_secs(10));
+    assert!(exchange(&mut stream).await.ends_with(ANSWER));
+    sleep(Duration::from_secs(2)).await;
+    assert!(exchange(&mut stream).await.ends_with(ANSWER), "the connection was closed by the time-out at its start");
+}
+
+/// Guards against LOST: a lowered idle time-out closed connections that callers reuse by the time-out that they know.
+#[tokio::test(flavor = "multi_thread")]
+async fn lowered_idle_timeout_binds_connections_from_their_next_answer_on() {
+    const FORMER: Duration = Duration::from_secs(4);
+
+    let site = Site::start(FORMER);
+    let mut stream = site.connect().await;
+    assert!(exchange(&mut stream).await.ends_with(ANSWER));
+    sleep(FORMER / 2).await;
+    assert!(exchange(&mut stream).await.ends_with(ANSWER));
+    site.set_idle_timeout(Duration::from_millis(100));
+    sleep(FORMER * 4 / 5).await;
+    assert!(exchange(&mut stream).await.ends_with(ANSWER), "the connection was closed by a time-out that came later");
+    assert!(wait_closed(&mut stream).await, "the lowered time-out never holds");
+}
+
+/// Opens connections that have carried a request.
+async fn open_kept(site: &Site) -> Vec<StdTcpStream> {
+    let mut streams = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let mut stream = site.connect().await;
+        assert!(exchange(&mut stream).await.ends_with(ANSWER));
+        let stream = stream.into_std().expect("a socket");
+        stream.set_nonblocking(false).expect("a blocking socket");
+        streams.push(stream);
+    }
+    streams
+}
+
+/// Returns how many of the requests sent on the connections are answered.
+async fn count_answers(streams: Vec<StdTcpStream>) -> usize {
+    let read = move || {
+        let answered = |stream: &mut StdTcpStream| {
+            let mut buffer = [0; 1024];
+            stream.set_read_timeout(Some(ANSWER_TIMEOUT)).expect("a time-out");
+            stream.read(&mut buffer).is_ok_and(|count| count > 0)
+        };
+        streams.into_iter().map(|mut stream| answered(&mut stream)).filter(|answered| *answered).count()
+    };
+    tokio::task::spawn_blocking(read).await.expect("the reader ends")
+}
+
+/// Guards against LOST: a request that had arrived when the idle time-out fired was dropped unread.
+#[tokio::test]
+async fn request_that_arrives_at_the_idle_timeout_is_answered() {
+    const IDLE: Duration = Duration::from_millis(500);
+
+    let site = Site::start(IDLE);
+    let mut streams = open_kept(&site).await;
+    let first_due = Instant::now() + IDLE + IDLE_GRACE - Duration::from_millis(300);
+    // Nothing runs on this thread from now until all time-outs are due.
+    thread::sleep(first_due.saturating_duration_since(Instant::now()));
+    for stream in &mut streams {
+        stream.write_all(REQUEST).expect("the connection is open");
+    }
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(count_answers(streams).await, CONNECTIONS);
+}
+
+/// Guards against LOST: a request that had arrived when the stop closed the idle connections was dropped unread.
+#[tokio::test]
+async fn request_that_arrives_at_the_stop_is_answered() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut streams = open_kept(&site).await;
+    let drain = site.drain.clone();
+    let stop = tokio::spawn(async move {
+        for stream in &mut streams {
+            stream.write_all(REQUEST).expect("the connection is open");
+        }
+        drain.stop.send_replace(true);
+        streams
+    });
+    let streams = stop.await.expect("the task ends");
+    assert_eq!(count_answers(streams).await, CONNECTIONS);
+}
+
+/// Guards against LOST: the rest of a head was still on its way when the stop closed the connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_whose_head_arrives_during_the_stop_is_answered() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    assert!(exchange(&mut stream).await.ends_with(ANSWER));
+    let (first, rest) = REQUEST.split_at(REQUEST.len() / 2);
+    stream.write_all(first).await.expect("the connection is open");
+    sleep(HEADER_TIMEOUT / 4).await;
+    site.drain.stop.send_replace(true);
+    sleep(HEADER_TIMEOUT / 4).await;
+    stream.write_all(rest).await.expect("the connection is open");
+    let text = read_answer(&mut stream).await;
+    assert!(text.ends_with(ANSWER) && text.to_lowercase().contains("connection: close"), "{text}");
+}
+
+/// A head that never ends delays a stop for no longer than its time-out, and is refused and counted.
+#[tokio::test(flavor = "multi_thread")]
+async fn head_that_does_not_end_is_refused_during_the_stop() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    stream.write_all(&REQUEST[..REQUEST.len() - 1]).await.expect("the connection is open");
+    sleep(HEADER_TIMEOUT / 4).await;
+    let stop = timeout(ANSWER_TIMEOUT, site.drain.finish());
+    assert!(stop.await.is_ok(), "the stop does not end");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.expect("an answer");
+    assert!(text.starts_with("HTTP/1.1 408"), "{text}");
+    assert_eq!(site.closes.with_label_values(&["head-timeout"]).get(), 1);
+}
+
+/// Guards against LOST: a head whose lines end without a carriage return, which the HTTP library accepts, timed out while its
+/// request was being served.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_with_bare_line_feeds_is_answered_after_the_time_for_heads() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    stream.write_all(b"GET /slow HTTP/1.1\nHost: site\n\n").await.expect("the connection is open");
+    let text = read_answer(&mut stream).await;
+    assert!(text.ends_with(ANSWER), "{text:?}");
+}
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -57,7 +57,7 @@
 use crate::{
     cmd::PortsFactory,
     connection::{
-        CallerCloses, CarriedConnections, CurrentCallerLimits, DatagramSealer, Drain, HttpClient, IsStopping, Listener,
+        CallerCloses, CarriedConnections, DatagramSealer, Drain, HttpClient, IsStopping, LimitsInForce, Listener,
         PeerClient, Secrets, bind, serve_peers,
     },
     ledger::{Ledger, OwnerLookup, SLOTS},
@@ -138,9 +138,9 @@
         let operators = Drain::new();
         let callers = Drain::new();
         let refusals = shared.metrics.refusals.clone();
-        let limits: CurrentCallerLimits = {
-            let shared = shared.clone();
-            Arc::new(move || shared.in_force.load().site.caller_limits.clone())
+        let limits = {
+            let (shared, lag) = (shared.clone(), shared.settings.config_apply);
+            Arc::new(LimitsInForce::new(move || shared.in_force.load().site.caller_limits.clone(), lag))
         };
         let closes = Arc::new(CallerCloses::new(shared.metrics.caller_closes.clone()));
         let listen = |socket, router, drain: &Drain| {
