--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -359,6 +359,7 @@
         daemons: AtomicUsize::new(1),
         rank: AtomicUsize::new(0),
         instances_listed: AtomicBool::new(false),
+        lapses_undecided: AtomicBool::new(false),
         last_store_error_ms: AtomicU64::new(0),
         holds_duties: AtomicBool::new(false),
         kept_pulls: AtomicU32::new(0),
@@ -427,7 +428,9 @@
     loop {
         tokio::time::sleep(EVICTION_INTERVAL).await;
         gateway.backend_connections.evict(|instance| gateway.shared.replicas.is_used(instance));
-        gateway.reach.lock().forget(|instance| gateway.shared.replicas.is_known(instance), gateway.shared.now());
+        let (now, is_known) = (gateway.shared.now(), |instance: &str| gateway.shared.replicas.is_known(instance));
+        gateway.reach.lock().forget(is_known, now);
+        gateway.helpers.lock().forget(is_known, now);
     }
 }
 
--- a/goldcrestward/src/process/replicas/replica_health.rs
+++ b/goldcrestward/src/process/replicas/replica_health.rs
@@ -40,11 +40,20 @@
     pub(super) room: Mutex<Room>,
     /// Limits the log lines on its responses that exceed a bound.
     pub(super) long_responses: Mutex<LineLimit>,
+    /// Whether this daemon does not reach it by itself.
+    pub(super) unreached: AtomicBool,
     /// Whether its responses have borne the ids of their requests.
     pub(super) echoes_ids: AtomicBool,
 }
 
 impl ReplicaHealth {
+    /// Takes back that the server is leaving.
+    pub fn stay(&self) {
+        self.leaving.store(false, Ordering::Relaxed);
+        self.leaves_at.store(0, Ordering::Relaxed);
+        self.assumed_end.store(0, Ordering::Relaxed);
+    }
+
     /// Marks the server as leaving; the first end that becomes known stays.
     pub fn leave(&self, now: u64, leaves_in: Option<Duration>) {
         self.leaving.store(true, Ordering::Relaxed);
