--- a/goldcrestward/src/ledger/owner.rs
+++ b/goldcrestward/src/ledger/owner.rs
@@ -64,6 +64,7 @@
     Settle(Settlement, oneshot::Sender<bool>),
     StoreResult(StoreResult),
     IsFlushed(oneshot::Sender<bool>),
+    Close,
 }
 
 /// Looks up the daemon that should own a slot; `None` is this daemon.
@@ -174,6 +175,17 @@
         answer.await.unwrap_or(false)
     }
 
+    /// Gives all slots up for good, so that other daemons can take them, and waits like [`Ledger::flush`].
+    pub async fn close(&self, limit: Duration) {
+        let close_all = async {
+            for sender in self.slots.iter() {
+                sender.send(Message::Close).await.ok();
+            }
+            self.flush(limit).await;
+        };
+        timeout(limit, close_all).await.ok();
+    }
+
     /// Waits, at most for `limit`, until every slot has written its changes and answered its claims.
     pub async fn flush(&self, limit: Duration) {
         let flush_all = async {
@@ -285,6 +297,7 @@
                 self.committed = self.slot.committing();
                 self.slot.on_store_result(result, now_ms, unix_s)
             }
+            Message::Close => self.slot.close(now_ms, unix_s),
             Message::IsFlushed(reply) => {
                 reply.send(self.slot.is_flushed()).ok();
                 Vec::new()
--- a/goldcrestward/src/ledger/search_test.rs
+++ b/goldcrestward/src/ledger/search_test.rs
@@ -35,6 +35,7 @@
     losses: u32,
     restarts: u32,
     ticks: u32,
+    closes: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -60,6 +61,8 @@
     Arrive(usize),
     /// The daemon is killed and restarts.
     Restart(usize),
+    /// The daemon gives its slot up, as it stops.
+    Close(usize),
     /// The clock advances by `STEP_MS`.
     Tick,
 }
@@ -101,6 +104,9 @@
             if self.budget.restarts > 0 {
                 actions.push(Action::Restart(n));
             }
+            if self.budget.closes > 0 {
+                actions.push(Action::Close(n));
+            }
         }
         if self.budget.ticks > 0 {
             actions.push(Action::Tick);
@@ -147,6 +153,11 @@
                 delayed.extend(old.pending_call.take().filter(|call| *call != Effect::Load));
                 *old = Daemon { delayed, ..daemon(n, old.starts + 1, inject_fault) };
             }
+            Action::Close(n) => {
+                self.budget.closes -= 1;
+                let effects = self.daemons[n].slot.close(self.now, unix);
+                self.execute(n, effects);
+            }
             Action::Tick => {
                 self.budget.ticks -= 1;
                 self.now += STEP_MS;
@@ -216,7 +227,17 @@
 
 #[test]
 fn slot_never_dispatches_twice() {
-    let budget = Budget { claims: 3, losses: 2, restarts: 1, ticks: 2 };
+    let budget = Budget { claims: 3, losses: 2, restarts: 1, ticks: 2, closes: 0 };
+    let search = Search::run(false, budget);
+    println!("visited {} states, {} with a dispatch", search.seen.len(), search.states_with_dispatch);
+    assert_eq!(search.violation.map(|path| format!("{path:?}")), None);
+    assert!(search.states_with_dispatch > 0, "no state has a dispatch, so the search proves nothing");
+}
+
+/// Guards against a second run after a daemon that stops has given its slot up while claims and commits are pending.
+#[test]
+fn slot_given_up_never_dispatches_twice() {
+    let budget = Budget { claims: 3, losses: 1, restarts: 0, ticks: 2, closes: 1 };
     let search = Search::run(false, budget);
     println!("visited {} states, {} with a dispatch", search.seen.len(), search.states_with_dispatch);
     assert_eq!(search.violation.map(|path| format!("{path:?}")), None);
@@ -225,7 +246,7 @@
 
 #[test]
 fn slot_injected_early_dispatch_is_found() {
-    let budget = Budget { claims: 2, losses: 1, restarts: 1, ticks: 1 };
+    let budget = Budget { claims: 2, losses: 1, restarts: 1, ticks: 1, closes: 0 };
     let search = Search::run(true, budget);
     assert!(search.violation.is_some(), "the search missed a dispatch before the commit");
 }
--- a/goldcrestward/src/ledger/slot.rs
+++ b/goldcrestward/src/ledger/slot.rs
@@ -18,15 +18,13 @@
     entry::{Entry, EntryState, Key},
     message::{Effect, Settlement, StoreResult, Ticket},
     rows::{find_head, head_put, parse_segment},
-    state::{Batch, Phase, Segment, WaitingClaim},
+    state::{Batch, OpenSegment, Phase, Segment, WaitingClaim},
 };
 use crate::{
     pb::{self, Grant},
     store::{Compare, Error, Put, Revision, Row, TxnOutcome},
 };
 
-/// Size of the open segment from which the next write begins a new one.
-const SEGMENT_ROLL_BYTES: usize = 32 * 1024;
 /// Segments of a slot at which new keys are refused.
 const MAX_SEGMENTS: usize = 256;
 /// Time for which a key is kept after its last change.
@@ -41,22 +39,22 @@
 const MAX_FAILURES: u32 = 3;
 
 /// One slot at one daemon.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Slot {
     prefix: String,
     owner_id: String,
     address: String,
     phase: Phase,
     wanted: bool,
+    /// Whether the slot is being given up for good.
+    is_closing: bool,
     call_pending: bool,
     head_revision: Revision,
     fencing_token: u64,
     commit_sequence: u64,
     entries: HashMap<Key, Entry>,
     segments: BTreeMap<u32, Segment>,
-    open_segment: u32,
-    open_entries: Vec<Key>,
-    open_bytes: usize,
+    open: OpenSegment,
     waiting: VecDeque<WaitingClaim>,
     /// Whether a settlement has come that will be sent again, for which the slot has to be owned.
     is_settlement_due: bool,
@@ -72,31 +70,7 @@
 impl Slot {
     /// Creates the slot `number` of a site. `owner_id` must be unique to this process and never reused.
     pub fn new(site: &str, number: u32, owner_id: String, address: String) -> Self {
-        Self {
-            prefix: format!("/goldcrestward/{site}/ledger/{number}/"),
-            owner_id,
-            address,
-            phase: Phase::Idle,
-            wanted: false,
-            call_pending: false,
-            head_revision: Revision::NONE,
-            fencing_token: 0,
-            commit_sequence: 0,
-            entries: HashMap::new(),
-            segments: BTreeMap::new(),
-            open_segment: 0,
-            open_entries: Vec::new(),
-            open_bytes: 0,
-            waiting: VecDeque::new(),
-            is_settlement_due: false,
-            dirty: Vec::new(),
-            dirty_since: None,
-            batch: Batch::default(),
-            commit_limiter: CommitLimiter::default(),
-            not_before_ms: 0,
-            failures: 0,
-            dispatch_before_commit: false,
-        }
+        Self { prefix: format!("/goldcrestward/{site}/ledger/{number}/"), owner_id, address, ..Self::default() }
     }
 
     /// Injects a fault that the state-space search must find: requests are granted before the commit.
@@ -115,9 +89,23 @@
         matches!(self.phase, Phase::Owned | Phase::Committing | Phase::Reconciling)
     }
 
-    /// Whether no call is pending, no claim waits for an answer and no change waits to be written.
+    /// Whether no call is pending, no claim waits for an answer and no change waits to be written, and a slot that is
+    /// being closed has been given up.
     pub fn is_flushed(&self) -> bool {
-        !self.call_pending && self.waiting.is_empty() && self.dirty.is_empty() && self.phase != Phase::Reconciling
+        !(self.has_pending() || (self.is_closing && self.is_owned()))
+    }
+
+    fn has_pending(&self) -> bool {
+        self.call_pending || !self.waiting.is_empty() || !self.dirty.is_empty() || self.phase == Phase::Reconciling
+    }
+
+    /// Begins to give the slot up for good: what is pending is written at once, and nothing new is claimed, or others
+    /// could keep the slot from ever being flushed.
+    pub fn close(&mut self, now_ms: u64, unix_s: u64) -> Vec<Effect> {
+        self.is_closing = true;
+        let mut effects = self.set_wanted(false, now_ms, unix_s);
+        effects.extend(self.advance(now_ms, unix_s));
+        effects
     }
 
     /// The claims that the pending commit grants.
@@ -127,8 +115,8 @@
 
     /// Sets whether this daemon should own the slot by the current membership.
     pub fn set_wanted(&mut self, wanted: bool, now_ms: u64, unix_s: u64) -> Vec<Effect> {
-        self.wanted = wanted;
-        if wanted {
+        self.wanted = wanted && !self.is_closing;
+        if self.wanted {
             return self.advance(now_ms, unix_s);
         }
         if self.is_owned() || self.call_pending {
@@ -157,6 +145,9 @@
         {
             return vec![Effect::Reply(ticket, grant, outcome)];
         }
+        if self.is_closing {
+            return vec![Effect::Reply(ticket, Grant::NotOwner, None)];
+        }
         if self.waiting.len() >= MAX_WAITING_CLAIMS {
             return vec![Effect::Reply(ticket, Grant::Unavailable, None)];
         }
@@ -251,6 +242,7 @@
             }
             Phase::Loading => self.load(Phase::Loading),
             Phase::Reconciling => self.load(Phase::Reconciling),
+            Phase::Owned if self.is_closing && !self.has_pending() => self.lose_ownership(),
             Phase::Owned => self.flush(now_ms, unix_s),
             Phase::Idle | Phase::Acquiring | Phase::Committing => Vec::new(),
         }
@@ -313,19 +305,18 @@
             }
             self.segments.insert(number, Segment { revision: row.revision, last_updated_at });
         }
-        self.open_segment = self.segments.keys().next_back().map_or(0, |last| last + 1);
-        self.open_entries.clear();
-        self.open_bytes = 0;
+        self.open = OpenSegment::begin(self.segments.keys().next_back().map_or(0, |last| last + 1));
     }
 
     fn flush(&mut self, now_ms: u64, unix_s: u64) -> Vec<Effect> {
         let mut effects = Vec::new();
-        let overdue = self.dirty_since.is_some_and(|since| now_ms.saturating_sub(since) >= SETTLE_DELAY_MS);
+        let is_due = |since| self.is_closing || now_ms.saturating_sub(since) >= SETTLE_DELAY_MS;
+        let overdue = self.dirty_since.is_some_and(is_due);
         let due = !self.waiting.is_empty() || overdue;
         if !due || !self.commit_limiter.allows() {
             return effects;
         }
-        self.roll_segment();
+        self.open.roll();
         self.batch = Batch::default();
         while let Some(claim) = self.waiting.pop_front() {
             self.admit(claim, unix_s, &mut effects);
@@ -334,7 +325,7 @@
             self.append(key);
         }
         self.dirty_since = None;
-        if self.open_entries.is_empty() {
+        if self.open.keys.is_empty() {
             return effects;
         }
         self.commit_limiter.record();
@@ -371,38 +362,26 @@
 
     fn append(&mut self, key: Key) {
         let Some(entry) = self.entries.get(&key) else { return };
-        self.open_bytes += entry.size();
-        if !self.open_entries.contains(&key) {
-            self.open_entries.push(key);
-        }
-    }
-
-    /// Begins a new segment once the open one has reached its size limit.
-    fn roll_segment(&mut self) {
-        if self.open_bytes >= SEGMENT_ROLL_BYTES {
-            self.open_segment += 1;
-            self.open_entries.clear();
-            self.open_bytes = 0;
-        }
+        self.open.add(key, entry.size());
     }
 
     fn expired_segments(&self, unix_s: u64) -> Vec<u32> {
         let is_expired = |s: &Segment| s.last_updated_at + RETENTION_S <= unix_s;
-        self.segments.iter().filter(|(n, s)| **n != self.open_segment && is_expired(s)).map(|(n, _)| *n).collect()
+        self.segments.iter().filter(|(n, s)| **n != self.open.number && is_expired(s)).map(|(n, _)| *n).collect()
     }
 
     fn start_commit(&mut self) -> Effect {
         self.phase = Phase::Committing;
         self.call_pending = true;
         self.commit_sequence += 1;
-        let entries = self.open_entries.iter().filter_map(|key| self.entries.get(key));
+        let entries = self.open.keys.iter().filter_map(|key| self.entries.get(key));
         let segment = pb::LedgerSegment {
             fence: self.fencing_token,
             commit: self.commit_sequence,
             entries: entries.map(Into::into).collect(),
         };
-        let key = self.segment_key(self.open_segment);
-        let revision = self.segments.get(&self.open_segment).map_or(Revision::NONE, |s| s.revision);
+        let key = self.segment_key(self.open.number);
+        let revision = self.segments.get(&self.open.number).map_or(Revision::NONE, |s| s.revision);
         let head = Compare { key: format!("{}head", self.prefix), revision: self.head_revision };
         let compares = vec![head, Compare { key: key.clone(), revision }];
         let removes = self.batch.removes.iter().map(|n| self.segment_key(*n)).collect();
@@ -436,8 +415,8 @@
 
     fn on_commit_succeeded(&mut self, revision: Revision) -> Vec<Effect> {
         self.phase = Phase::Owned;
-        let last_updated_at = self.open_entries.iter().filter_map(|k| self.entries.get(k)).map(|e| e.updated_at).max();
-        self.segments.insert(self.open_segment, Segment { revision, last_updated_at: last_updated_at.unwrap_or(0) });
+        let last_updated_at = self.open.keys.iter().filter_map(|k| self.entries.get(k)).map(|e| e.updated_at).max();
+        self.segments.insert(self.open.number, Segment { revision, last_updated_at: last_updated_at.unwrap_or(0) });
         let batch = std::mem::take(&mut self.batch);
         for number in batch.removes {
             self.segments.remove(&number);
@@ -450,7 +429,7 @@
         if head.is_none_or(|(head, _)| head.owner != self.owner_id || head.fence != self.fencing_token) {
             return self.lose_ownership();
         }
-        let key = self.segment_key(self.open_segment);
+        let key = self.segment_key(self.open.number);
         let stored = rows.iter().find(|row| row.key == key);
         let segment = stored.and_then(|row| pb::LedgerSegment::decode(&row.value[..]).ok());
         let is_stored = segment.is_some_and(|s| s.fence == self.fencing_token && s.commit == self.commit_sequence);
--- a/goldcrestward/src/ledger/slot_test.rs
+++ b/goldcrestward/src/ledger/slot_test.rs
@@ -136,6 +136,41 @@
     assert_eq!(service.drive(&mut second, effects, &mut now), [(2, Grant::Done)]);
 }
 
+/// Guards against stops that take all of their time, as claims of other daemons kept the slots of the one that stops from
+/// being flushed.
+#[test]
+fn close_writes_outcomes_and_grants_nothing_new() {
+    let (mut service, mut owner, mut now) = (Service::default(), slot("a"), 0);
+    let effects = claim(&mut owner, 1, 1, now);
+    assert_eq!(service.drive(&mut owner, effects, &mut now), [(1, Grant::Run)]);
+    assert_eq!(owner.settle(done(1), now, unix(now)), (true, Vec::new()));
+    let commit = owner.close(now, unix(now));
+    assert!(matches!(commit[..], [Effect::Txn(..)]), "the outcome is not written at once: {commit:?}");
+    assert_eq!(claim(&mut owner, 2, 2, now), [Effect::Reply(2, Grant::NotOwner, None)]);
+    assert_eq!(claim(&mut owner, 3, 1, now), [Effect::Reply(3, Grant::Done, done(1).outcome)]);
+    assert!(!owner.is_flushed(), "the commit is pending");
+    for call in commit {
+        assert_eq!(owner.on_store_result(service.serve(&call), now, unix(now)), []);
+    }
+    assert!(owner.is_flushed() && !owner.is_owned());
+    owner.set_wanted(true, now, unix(now));
+    assert_eq!(claim(&mut owner, 4, 1, now), [Effect::Reply(4, Grant::NotOwner, None)]);
+    assert_eq!(owner.settle(done(1), now, unix(now)), (false, Vec::new()));
+    let mut next = slot("b");
+    let effects = claim(&mut next, 5, 1, now);
+    assert_eq!(service.drive(&mut next, effects, &mut now), [(5, Grant::Done)]);
+}
+
+/// Guards against claims that nobody answers as their slot is given up before it has been taken.
+#[test]
+fn close_answers_waiting_claims() {
+    let (mut service, mut owner, mut now) = (Service::default(), slot("a"), 0);
+    let mut effects = claim(&mut owner, 1, 1, now);
+    effects.extend(owner.close(now, unix(now)));
+    assert_eq!(service.drive(&mut owner, effects, &mut now), [(1, Grant::Run)]);
+    assert!(owner.is_flushed() && !owner.is_owned());
+}
+
 #[test]
 fn settle_not_run_frees_key() {
     let (mut service, mut owner, mut now) = (Service::default(), slot("a"), 0);
--- a/goldcrestward/src/ledger/state.rs
+++ b/goldcrestward/src/ledger/state.rs
@@ -15,9 +15,10 @@
 }
 
 /// State of a slot at this daemon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) enum Phase {
     /// Owned by another daemon or by none.
+    #[default]
     Idle,
     /// Reading the slot, or waiting to read it again.
     Loading,
@@ -31,6 +32,39 @@
     Reconciling,
 }
 
+/// Size of the open segment from which the next write begins a new one.
+const SEGMENT_ROLL_BYTES: usize = 32 * 1024;
+
+/// The segment that is still written.
+#[derive(Clone, Debug, Default)]
+pub(super) struct OpenSegment {
+    pub number: u32,
+    pub keys: Vec<Key>,
+    bytes: usize,
+}
+
+impl OpenSegment {
+    /// Begins an empty segment.
+    pub fn begin(number: u32) -> Self {
+        Self { number, ..Self::default() }
+    }
+
+    /// Begins a new segment if this one has reached its size limit.
+    pub fn roll(&mut self) {
+        if self.bytes >= SEGMENT_ROLL_BYTES {
+            *self = Self::begin(self.number + 1);
+        }
+    }
+
+    /// Adds a state of an entry that takes `bytes`.
+    pub fn add(&mut self, key: Key, bytes: usize) {
+        self.bytes += bytes;
+        if !self.keys.contains(&key) {
+            self.keys.push(key);
+        }
+    }
+}
+
 /// A segment as it was last stored.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Segment {
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -268,6 +268,10 @@
                 true
             }
         };
+        let log_step = |step: &str| {
+            info!("event=stop-step daemon={name} step={step} after_ms={}", begun.elapsed().as_millis());
+        };
+        log_step("drained");
         let left = shared.carried.count();
         if left > 0 {
             warn!("event=carried-cut daemon={name} count={left}");
@@ -278,9 +282,11 @@
         }
         let limit = limit.map(|limit| limit + STOP_MARGIN - EXIT_TIME);
         let rest = || limit.map_or(FLUSH_TIMEOUT, |limit| limit.saturating_sub(begun.elapsed()));
-        shared.ledger.flush(rest()).await;
+        shared.ledger.close(rest()).await;
+        log_step("ledger");
         self.gossip.leave();
         timeout(rest(), self.operators.finish()).await.ok();
+        log_step("operators");
         self.tasks.shutdown().await;
         Stopped::new(name.clone(), shared.metrics.stop_outcomes.clone(), whole)
     }
