--- a/goldcrestward/src/process/state/lapsed_entries.rs
+++ b/goldcrestward/src/process/state/lapsed_entries.rs
@@ -115,7 +115,7 @@
 
     fn is_probe_due(&self, signs: Signs, probe_after: u64, now: u64) -> bool {
         let is_in_doubt = self.seen_at(signs).is_none_or(|seen_at| {
-            now >= seen_at + probe_after || signs.failed_at.is_some_and(|failed_at| failed_at > seen_at)
+            now >= seen_at + probe_after || signs.failed_at.is_some_and(|failed_at| failed_at >= seen_at)
         });
         now >= self.next_probe && is_in_doubt
     }
@@ -173,11 +173,11 @@
         self.lapses.contains_key(id)
     }
 
-    /// Records whether a server could be reached.
-    pub fn record_probe(&mut self, id: &str, reached: bool, now: u64) {
+    /// Records whether a server could be reached by a probe that began at `began`: what has failed since counts more.
+    pub fn record_probe(&mut self, id: &str, reached: bool, began: u64, now: u64) {
         let Some(lapse) = self.lapses.get_mut(id) else { return };
         if reached {
-            (lapse.probed_ok_at, lapse.failed_probes, lapse.probe_pause) = (Some(now), 0, PROBE_PAUSE_MS.0);
+            (lapse.probed_ok_at, lapse.failed_probes, lapse.probe_pause) = (Some(began), 0, PROBE_PAUSE_MS.0);
         } else {
             lapse.probe_failed_at = Some(now);
             lapse.failed_probes += 1;
--- a/goldcrestward/src/process/state/lapsed_entries_simulation_test.rs
+++ b/goldcrestward/src/process/state/lapsed_entries_simulation_test.rs
@@ -136,7 +136,7 @@
                 let reaches = |server: usize| !is_cut || paths[index][server];
                 daemon.apply_entries(&servers, now);
                 for (server, reached) in std::mem::take(&mut daemon.probes) {
-                    daemon.lapsed.record_probe(&servers[server].id, reached, now);
+                    daemon.lapsed.record_probe(&servers[server].id, reached, now - STEP_MS, now);
                 }
                 let signs = &daemon.signs;
                 let steps = daemon.lapsed.step(count, |id| signs[numbers[id]], now);
--- a/goldcrestward/src/process/state/lapsed_entries_test.rs
+++ b/goldcrestward/src/process/state/lapsed_entries_test.rs
@@ -71,7 +71,7 @@
     let expected = [Step::Keep(id(0)), Step::Keep(id(1)), Step::Keep(id(2)), Step::TakeOut(id(3)), Step::Probe(id(3))];
     assert_eq!(steps, expected);
     assert!(!lapsed.is_undecided(11_000));
-    lapsed.record_probe("server-3", true, 11_050);
+    lapsed.record_probe("server-3", true, 11_050, 11_050);
     assert_eq!(lapsed.step(DAEMONS, signs, 11_050), [Step::Keep(id(3))]);
 }
 
@@ -107,14 +107,14 @@
         ..Signs::default()
     };
     assert_eq!(lapsed.step(DAEMONS, signs, 11_000), [Step::Probe(id(0))]);
-    lapsed.record_probe("server-0", false, 11_100);
+    lapsed.record_probe("server-0", false, 11_100, 11_100);
     assert_eq!(lapsed.step(DAEMONS, signs, 11_100), [], "the peers that were asked may have no path");
     let steps = lapsed.step(DAEMONS, signs, 11_400);
     assert!(steps.contains(&Step::Probe(id(0))), "{steps:?}");
-    lapsed.record_probe("server-0", false, 11_500);
+    lapsed.record_probe("server-0", false, 11_500, 11_500);
     assert_eq!(lapsed.step(DAEMONS, signs, 11_500), [Step::TakeOut(id(0))]);
     // It answers others that reach it, and comes back; one that does not is forgotten.
-    lapsed.record_probe("server-0", true, 11_900);
+    lapsed.record_probe("server-0", true, 11_900, 11_900);
     assert!(lapsed.step(DAEMONS, signs, 11_900).contains(&Step::Keep(id(0))));
     let steps = lapsed.step(DAEMONS, signs, 11_900 + FORGET_MS);
     assert!(steps.contains(&Step::Forget(id(0), "no-answer")), "{steps:?}");
@@ -186,3 +186,14 @@
     assert_eq!(lapsed.step(DAEMONS, answers(14_000), 14_000), []);
     assert_eq!(in_use(&lapsed), 4);
 }
+
+#[test]
+fn probe_that_began_before_a_failure_does_not_hide_it() {
+    let mut lapsed = site(4);
+    vanish(&mut lapsed, 0..4, 10_000);
+    lapsed.step(DAEMONS, answers(10_000), 10_000);
+    let signs = |_: &str| Signs { answered_at: Some(10_000), failed_at: Some(10_600), ..Signs::default() };
+    assert_eq!(lapsed.step(DAEMONS, signs, 10_500).len(), 4);
+    lapsed.record_probe("server-0", true, 10_500, 10_700);
+    assert!(lapsed.step(DAEMONS, signs, 10_900).contains(&Step::Probe(id(0))));
+}
--- a/goldcrestward/src/process/state/unconfirmed.rs
+++ b/goldcrestward/src/process/state/unconfirmed.rs
@@ -34,8 +34,8 @@
     results_in: UnboundedSender<ProbeResult>,
 }
 
-/// A server, whether it was reached, and the peer by way of which.
-type ProbeResult = (Arc<str>, bool, Option<Arc<str>>);
+/// A server, whether it was reached, the peer by way of which, and when the probe began.
+type ProbeResult = (Arc<str>, bool, Option<Arc<str>>, u64);
 
 impl Unconfirmed {
     pub fn new(shared: Arc<Shared>) -> Self {
@@ -56,8 +56,8 @@
         }
     }
 
-    fn record(&mut self, (id, reached, helper): ProbeResult, now: u64) {
-        self.lapsed.record_probe(&id, reached, now);
+    fn record(&mut self, (id, reached, helper, began): ProbeResult, now: u64) {
+        self.lapsed.record_probe(&id, reached, began, now);
         if let Some(helper) = helper {
             self.helpers.insert(id, helper);
         }
@@ -131,7 +131,7 @@
                 let helper = self.helpers.get(&id).cloned();
                 tokio::spawn(async move {
                     let (reached, helper) = reach(&shared, &replica, helper.as_deref()).await;
-                    results.send((id, reached, helper)).ok();
+                    results.send((id, reached, helper, now)).ok();
                 });
             }
         }
