Carried connections: a carrier that ends one says what it has passed on

Callers of requests that may run once only saw 502 for requests that no server got: a carrier ended an idle connection (its server wanted nothing for a time or was leaving, the carrier was being stopped, or the server had closed it) while a peer was sending on it, and the peer could not tell what of it had passed.

Cause: the end of a tunnel, an empty frame, said nothing of the bytes in the other direction. Class: the end of a connection is taken for the loss of what is on its way.

The carrier now counts what it gives to the server, before it writes it, states the sum in a frame after the empty one, and reads on for up to 1 s, so that no reset takes the statement away. A request that begins after these bytes counts as not sent. Earlier builds drop the stream at the empty frame and never read the new one; they send none, and a request that meets their end counts as before.

Before: tunnel_test, request_on_tunnel_that_ends_meanwhile_is_not_sent: MaybeSent in 9 of 9 cases (withdrawn, ending, closed by its server; no body, 100 bytes, 1 MiB), one request at the server; request_that_its_carrier_does_not_pass_on_is_not_sent: MaybeSent.

--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -18,7 +18,12 @@
 use prometheus::IntCounterVec;
 use tokio::time::timeout;
 
-use super::{client::SendError, request_sender::RequestSender, socket::open_socket, tunnel::Tunnel};
+use super::{
+    client::SendError,
+    request_sender::RequestSender,
+    socket::open_socket,
+    tunnel::{Progress, Tunnel},
+};
 
 /// Time after which an idle connection is closed if the server states none.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -33,10 +38,17 @@
 /// An address and the instance that was found there.
 type Key = (SocketAddr, Arc<str>);
 
+/// The way of a connection that a peer carries.
+struct Via {
+    peer: Arc<str>,
+    /// What has passed through its tunnel.
+    progress: Arc<Progress>,
+}
+
 struct IdleConnection {
     sender: Sender,
     /// The peer by way of which it goes; `None` if it is direct.
-    via: Option<Arc<str>>,
+    via: Option<Via>,
     /// Whether a request has been sent on it.
     used: bool,
     since: Instant,
@@ -122,9 +134,9 @@
         address: SocketAddr,
         instance: &Arc<str>,
     ) -> Option<BackendConnection> {
+        let via = Some(Via { peer, progress: tunnel.progress() });
         let sender = Sender::new(tunnel, Builder::new()).await?;
         let key = (address, instance.clone());
-        let via = Some(peer);
         Some(BackendConnection { sender, key, via, used: false, idle_time: None, connections: self.clone() })
     }
 
@@ -149,7 +161,7 @@
             avoided.insert(peer.clone(), now + AVOID_TIME);
         }
         for idle in self.idle.lock().values_mut() {
-            idle.retain(|connection| connection.via.as_ref() != Some(peer));
+            idle.retain(|connection| connection.via.as_ref().is_none_or(|via| via.peer != *peer));
         }
     }
 
@@ -183,7 +195,7 @@
 pub(crate) struct BackendConnection {
     sender: Sender,
     key: Key,
-    via: Option<Arc<str>>,
+    via: Option<Via>,
     used: bool,
     /// For how long it was idle before it was taken; `None` if it is new.
     idle_time: Option<Duration>,
@@ -197,7 +209,12 @@
     /// Says whether the server may have received the request.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
         self.used = true;
-        self.sender.send(request).await.map_err(|(error, _)| error)
+        let Some(Via { progress, .. }) = &self.via else {
+            return self.sender.send(request).await.map_err(|(error, _)| error);
+        };
+        let before = progress.written();
+        let sent = self.sender.send(request).await;
+        sent.map_err(|(error, _)| if progress.is_unsent_after(before) { SendError::NotSent } else { error })
     }
 
     /// Releases the connection for reuse, if the response head allows it.
@@ -225,19 +242,19 @@
 
     /// The peer by way of which it goes; `None` if it is direct.
     pub fn via(&self) -> Option<&Arc<str>> {
-        self.via.as_ref()
+        self.via.as_ref().map(|via| &via.peer)
     }
 
     /// What log lines say of the connection.
     pub fn label(&self) -> String {
         let idle_ms = self.idle_time.map_or_else(|| "-".to_owned(), |time| time.as_millis().to_string());
-        format!("via={} idle_ms={idle_ms}", self.via.as_deref().unwrap_or("-"))
+        format!("via={} idle_ms={idle_ms}", self.via().map_or("-", |peer| peer))
     }
 
     fn keep_for(self, lifetime: Duration) {
         let Some(lifetime) = lifetime.min(MAX_LIFETIME).checked_sub(IDLE_MARGIN) else { return };
         let Self { sender, key, via, used, connections, .. } = self;
-        if via.as_ref().is_some_and(|peer| connections.is_avoided(peer)) {
+        if via.as_ref().is_some_and(|via| connections.is_avoided(&via.peer)) {
             return;
         }
         let since = Instant::now();
--- a/goldcrestward/src/connection/mod.rs
+++ b/goldcrestward/src/connection/mod.rs
@@ -35,3 +35,5 @@
 mod framing_test;
 #[cfg(test)]
 mod seal_test;
+#[cfg(test)]
+mod tunnel_test;
--- a/goldcrestward/src/connection/tunnel.rs
+++ b/goldcrestward/src/connection/tunnel.rs
@@ -5,7 +5,7 @@
     io,
     pin::Pin,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll},
@@ -16,7 +16,7 @@
 use parking_lot::Mutex;
 use tokio::{
     io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf, duplex},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use super::{
@@ -28,6 +28,11 @@
 const BUFFER_BYTES: usize = 32 * 1024;
 /// Interval between checks whether a server is to get no more requests.
 const WITHDRAWAL_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for the carrier's statement to follow the end of its side; it is sent at once.
+const STATEMENT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which a carrier that has ended a connection still reads what the peer sends: closing the stream with unread
+/// bytes would reset it, and the peer might not see the end.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest piece in one frame.
 const PIECE_BYTES: usize = 16 * 1024;
 
@@ -55,6 +60,11 @@
         });
         Self { io, progress }
     }
+
+    /// What passes through the tunnel.
+    pub(super) fn progress(&self) -> Arc<Progress> {
+        self.progress.clone()
+    }
 }
 
 impl AsyncRead for Tunnel {
@@ -76,7 +86,11 @@
 
 impl AsyncWrite for Tunnel {
     fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(context, bytes)
+        let written = Pin::new(&mut self.io).poll_write(context, bytes);
+        if let Poll::Ready(Ok(count)) = written {
+            self.progress.written.fetch_add(count as u64, Ordering::Release);
+        }
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -95,6 +109,10 @@
     ended: AtomicBool,
     received: AtomicU64,
     sent: AtomicU64,
+    /// Bytes that the user of the tunnel has written.
+    written: AtomicU64,
+    /// Of these, how many may have reached the server, if the peer has ended the connection and has stated it.
+    passed_on: OnceLock<u64>,
 }
 
 impl Progress {
@@ -107,6 +125,16 @@
     pub fn sent(&self) -> u64 {
         self.sent.load(Ordering::Relaxed)
     }
+
+    /// Bytes that the user of the tunnel has written.
+    pub fn written(&self) -> u64 {
+        self.written.load(Ordering::Acquire)
+    }
+
+    /// Whether it is certain that the server gets nothing of what was written after the first `count` bytes.
+    pub fn is_unsent_after(&self, count: u64) -> bool {
+        self.passed_on.get().is_some_and(|passed_on| *passed_on <= count)
+    }
 }
 
 /// What has ended a tunnel.
@@ -142,7 +170,8 @@
 
 /// Carries bytes between a stream's frames and a connection until either ends. An empty frame is the end of the sender's
 /// side; a stream that ends without one has broken. The end that has the connection to the server passes an `observer`; the
-/// tunnel then also ends when the server is to get no more requests.
+/// tunnel then also ends when the server is to get no more requests. After its empty frame, this end states how many of the
+/// peer's bytes may have reached the server, so that the peer knows whether a request that was on its way has.
 pub(super) async fn carry(
     stream: AuthenticatedStream,
     io: impl AsyncRead + AsyncWrite + Send + 'static,
@@ -151,16 +180,21 @@
 ) -> TunnelEnd {
     let exchanges = observer.map(|observer| Mutex::new(CarriedExchanges::new(observer)));
     let exchanges = exchanges.as_ref();
-    let (mut sender, receiver) = stream.split();
+    let (mut sender, mut receiver) = stream.split();
     let (reader, writer) = tokio::io::split(io);
     let end = tokio::select! {
         end = send_pieces(reader, &mut sender, progress, exchanges.zip(observer)) => end,
-        end = receive_pieces(receiver, writer, progress, exchanges) => end,
+        end = receive_pieces(&mut receiver, writer, progress, exchanges) => end,
         () = until_over(exchanges) => TunnelEnd::Withdrawn,
     };
     if end == TunnelEnd::Withdrawn {
         sender.send(Vec::new()).await;
     }
+    if exchanges.is_some() && matches!(end, TunnelEnd::Withdrawn | TunnelEnd::Server) {
+        sender.send(progress.received().to_le_bytes().to_vec()).await;
+        let peer_closed = async { while receiver.next().await.is_some_and(|piece| !piece.is_empty()) {} };
+        timeout(LINGER_TIMEOUT, peer_closed).await.ok();
+    }
     end
 }
 
@@ -210,13 +244,20 @@
 }
 
 async fn receive_pieces(
-    mut receiver: FrameReceiver,
+    receiver: &mut FrameReceiver,
     mut writer: impl AsyncWrite + Unpin,
     progress: &Progress,
     exchanges: Option<&Mutex<CarriedExchanges<'_>>>,
 ) -> TunnelEnd {
     while let Some(piece) = receiver.next().await {
         if piece.is_empty() {
+            if exchanges.is_none() {
+                // Peers of earlier versions state nothing.
+                let statement = timeout(STATEMENT_TIMEOUT, receiver.next()).await.ok().flatten();
+                if let Some(count) = statement.and_then(|bytes| bytes.first_chunk().copied()) {
+                    progress.passed_on.set(u64::from_le_bytes(count)).ok();
+                }
+            }
             progress.ended.store(true, Ordering::Release);
             writer.shutdown().await.ok();
             return TunnelEnd::Peer;
@@ -224,10 +265,11 @@
         if exchanges.is_some_and(|exchanges| !exchanges.lock().send(&piece)) {
             return TunnelEnd::Withdrawn;
         }
+        // Before they are written, as a write that is cut short may have reached the server.
+        progress.received.fetch_add(piece.len() as u64, Ordering::Relaxed);
         if writer.write_all(&piece).await.is_err() {
             return TunnelEnd::ServerError;
         }
-        progress.received.fetch_add(piece.len() as u64, Ordering::Relaxed);
     }
     TunnelEnd::PeerError
 }
