HTTP client: connections with another's answer are closed, and Keep-Alive is heeded

On the own interface, each request after a doubled answer got the answer of the one before (dropped as crossed, so that the caller waited for a retry or got a refusal), and uploads were cut on connections that their server had meanwhile closed.

Cause: the client kept every connection whose response had been read, whoever's it was, for 15 s. Class: the rule when a connection may be used again stood at one of two clients.

Callers that can tell whose answer it is say so (send_owned): plain services and models by the id, models also by the attempt's number.

Before, with send_owned a stub that calls send: of 8 requests to a server that doubles one answer per connection, the last 6 got the one before; a connection stated as kept for 1 s was used after 0.7 s. Not tested by processes; how often a store's connection is opened anew is not measured.

--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -11,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, header};
+use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1::Builder};
 use parking_lot::Mutex;
@@ -20,17 +20,12 @@
 
 use super::{
     client::SendError,
+    idle_lifetime::{idle_lifetime, unused_lifetime},
     request_sender::RequestSender,
     socket::open_socket,
     tunnel::{Progress, Tunnel},
 };
 
-/// Time after which an idle connection is closed if the server states none.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-/// Longest time for which an idle connection is kept, whatever the server states.
-const MAX_LIFETIME: Duration = Duration::from_secs(60);
-/// Time by which a connection is retired before the server would close it.
-const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Time for which no idle connection is kept by way of a peer that is being stopped.
 const AVOID_TIME: Duration = Duration::from_secs(15);
 
@@ -219,20 +214,14 @@
 
     /// Releases the connection for reuse, if the response head allows it.
     pub fn release(self, head: &HeaderMap) {
-        let has_token = |name, token: &str| {
-            let values = head.get_all(name).iter().filter_map(|v| v.to_str().ok());
-            values.flat_map(|v| v.split(',')).any(|v| v.trim().eq_ignore_ascii_case(token))
-        };
-        if has_token(header::CONNECTION, "close") {
-            return;
+        if let Some(lifetime) = idle_lifetime(head) {
+            self.keep_for(lifetime);
         }
-        let stated = head.get("keep-alive").and_then(|v| v.to_str().ok()).and_then(stated_timeout);
-        self.keep_for(stated.unwrap_or(IDLE_TIMEOUT));
     }
 
     /// Keeps a new connection for the next request.
     pub fn keep(self) {
-        self.keep_for(IDLE_TIMEOUT);
+        self.keep_for(unused_lifetime());
     }
 
     /// Whether no request has been sent on it, so that the first response on it is that of the next request.
@@ -252,7 +241,6 @@
     }
 
     fn keep_for(self, lifetime: Duration) {
-        let Some(lifetime) = lifetime.min(MAX_LIFETIME).checked_sub(IDLE_MARGIN) else { return };
         let Self { sender, key, via, used, connections, .. } = self;
         if via.as_ref().is_some_and(|via| connections.is_avoided(&via.peer)) {
             return;
@@ -262,10 +250,3 @@
         connections.idle.lock().entry(key).or_default().push(idle);
     }
 }
-
-/// The `timeout` parameter of a `Keep-Alive` header.
-fn stated_timeout(value: &str) -> Option<Duration> {
-    let mut fields = value.split(',').filter_map(|field| field.trim().split_once('='));
-    let (_, seconds) = fields.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"))?;
-    Some(Duration::from_secs(seconds.trim().parse().ok()?))
-}
--- a/goldcrestward/src/connection/client.rs
+++ b/goldcrestward/src/connection/client.rs
@@ -8,7 +8,8 @@
 use volo_http::{body::Body, response::Response};
 
 use super::{
-    idle_senders::IdleSenders, request_sender::RequestSender, response_head::HeadTooLong, socket::open_socket,
+    idle_lifetime::idle_lifetime, idle_senders::IdleSenders, request_sender::RequestSender, response_head::HeadTooLong,
+    socket::open_socket,
 };
 
 /// Time limit for opening a connection.
@@ -42,11 +43,24 @@
     /// # Errors
     /// Says whether the request may have reached the server.
     pub async fn send(&self, request: OutboundRequest) -> Result<Response, SendError> {
+        self.send_owned(request, |_| true).await
+    }
+
+    /// Sends a request, on an idle connection if there is one. The connection is used again only if the head of the
+    /// response is the request's own: after a copy of another's answer, each later answer would be late by one.
+    ///
+    /// # Errors
+    /// Says whether the request may have reached the server.
+    pub(crate) async fn send_owned(
+        &self,
+        request: OutboundRequest,
+        is_own: impl Fn(&HeaderMap) -> bool,
+    ) -> Result<Response, SendError> {
         let address = request.address;
         let mut request = request.build()?;
         while let Some(mut sender) = self.idle.take(address) {
             match sender.send(request).await {
-                Ok(response) => return Ok(self.keep(address, sender, response)),
+                Ok(response) => return Ok(self.keep(address, sender, response, is_own)),
                 // The server has closed the connection in the meantime.
                 Err((_, Some(unsent))) => request = unsent,
                 Err((error, None)) => return Err(error),
@@ -54,7 +68,7 @@
         }
         let mut sender = connect(address).await?;
         let response = sender.send(request).await.map_err(|(error, _)| error)?;
-        Ok(self.keep(address, sender, response))
+        Ok(self.keep(address, sender, response, is_own))
     }
 
     /// Sends a request on a new connection, so that a failure to connect proves that it was not sent.
@@ -68,19 +82,23 @@
         Ok(response.map(Body::from_incoming))
     }
 
-    /// Keeps the connection for reuse once the response has been read to its end.
+    /// Keeps the connection for reuse once the response has been read to its end, if its head allows it.
     fn keep(
         &self,
         address: SocketAddr,
         mut sender: RequestSender<Body>,
         response: http::Response<hyper::body::Incoming>,
+        is_own: impl Fn(&HeaderMap) -> bool,
     ) -> Response {
-        let idle = self.idle.clone();
-        tokio::spawn(async move {
-            if sender.ready().await {
-                idle.put(address, sender);
-            }
-        });
+        let head = response.headers();
+        if let Some(lifetime) = idle_lifetime(head).filter(|_| is_own(head)) {
+            let idle = self.idle.clone();
+            tokio::spawn(async move {
+                if sender.ready().await {
+                    idle.put(address, sender, lifetime);
+                }
+            });
+        }
         response.map(Body::from_incoming)
     }
 }
--- a/goldcrestward/src/connection/client_test.rs
+++ b/goldcrestward/src/connection/client_test.rs
@@ -160,3 +160,89 @@
     assert_eq!(response.status(), 200);
     assert_eq!(response.into_body().collect().await.expect("the answer is whole").to_bytes(), "ok");
 }
+
+/// Answers each request of a connection with its number there, but the second with the answer to the first once more: all
+/// later answers are late by one.
+async fn start_doubling_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the socket has an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                for number in [0].into_iter().chain(0..) {
+                    let Ok(1..) = stream.read(&mut [0; 4096]).await else { return };
+                    let answer = format!("HTTP/1.1 200 OK\r\nX-Number: {number}\r\nContent-Length: 0\r\n\r\n");
+                    if stream.write_all(answer.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against MIXED: a connection on which an answer had come twice was used again, so that each later request on it got
+/// the answer of the one before.
+#[tokio::test]
+async fn send_owned_drops_connections_with_answers_of_others() {
+    let address = start_doubling_server().await;
+    let client = HttpClient::new();
+    let mut numbers = Vec::new();
+    let mut expected = 0;
+    for _ in 0..8 {
+        let is_own = move |head: &HeaderMap| head.get("x-number").is_some_and(|n| n == expected.to_string().as_str());
+        let response = client.send_owned(request(address), is_own).await.expect("the server answers");
+        let number: usize = response.headers()["x-number"].to_str().expect("a text").parse().expect("a number");
+        response.into_body().collect().await.expect("the answer is whole");
+        numbers.push((expected, number));
+        // After an answer that is not its own, a request needs a new connection.
+        expected = if number == expected { expected + 1 } else { 0 };
+        for _ in 0..100 {
+            tokio::task::yield_now().await;
+        }
+    }
+    let own = [(0, 0), (1, 0)];
+    assert_eq!(numbers, own.repeat(4), "the expected number of each answer on its connection, and the one that came");
+}
+
+/// Guards against uploads that are cut: a connection was used after the time for which its server keeps it.
+#[tokio::test]
+async fn send_heeds_how_long_the_server_keeps_connections() {
+    // Lines of the answer, time between two requests in ms, and whether the connection is used again.
+    let cases = [
+        ("", 0, true),
+        ("Keep-Alive: timeout=5\r\n", 0, true),
+        ("Keep-Alive: max=9, timeout=1\r\n", 700, false),
+        ("Keep-Alive: timeout=0\r\n", 0, false),
+        ("Connection: close\r\n", 0, false),
+    ];
+    for (lines, pause_ms, is_reused) in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("the socket has an address");
+        tokio::spawn(async move {
+            for connection in 0.. {
+                let Ok((mut stream, _)) = listener.accept().await else { return };
+                tokio::spawn(async move {
+                    let answer =
+                        format!("HTTP/1.1 200 OK\r\n{lines}X-Connection: {connection}\r\nContent-Length: 0\r\n\r\n");
+                    while let Ok(1..) = stream.read(&mut [0; 4096]).await {
+                        stream.write_all(answer.as_bytes()).await.ok();
+                    }
+                });
+            }
+        });
+        let client = HttpClient::new();
+        let mut connections = Vec::new();
+        for _ in 0..2 {
+            let response = client.send(request(address)).await.expect("the server answers");
+            connections.push(response.headers()["x-connection"].clone());
+            response.into_body().collect().await.expect("the answer is whole");
+            for _ in 0..100 {
+                tokio::task::yield_now().await;
+            }
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        }
+        assert_eq!(connections[0] == connections[1], is_reused, "{lines:?}");
+    }
+}
--- a/goldcrestward/src/connection/idle_senders.rs
+++ b/goldcrestward/src/connection/idle_senders.rs
@@ -14,8 +14,8 @@
 
 /// Most idle connections kept per host.
 const MAX_PER_HOST: usize = 64;
-/// Time after which an idle connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Interval between searches for connections that have expired.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(15);
 
 struct IdleSender {
     sender: RequestSender<Body>,
@@ -51,11 +51,11 @@
         self.0.lock().idle.get(&address).is_none_or(Vec::is_empty)
     }
 
-    /// Adds a connection whose last response has been read to the end.
-    pub fn put(&self, address: SocketAddr, sender: RequestSender<Body>) {
+    /// Keeps a connection for a time whose last response has been read to the end.
+    pub fn put(&self, address: SocketAddr, sender: RequestSender<Body>, lifetime: Duration) {
         let now = Instant::now();
         let mut hosts = self.0.lock();
-        if hosts.swept.is_none_or(|swept| now >= swept + IDLE_TIMEOUT) {
+        if hosts.swept.is_none_or(|swept| now >= swept + SWEEP_INTERVAL) {
             hosts.swept = Some(now);
             hosts.idle.retain(|_, idle| {
                 idle.retain(|idle| idle.expires > now && !idle.sender.is_closed());
@@ -64,7 +64,7 @@
         }
         let idle = hosts.idle.entry(address).or_default();
         if idle.len() < MAX_PER_HOST {
-            idle.push(IdleSender { sender, expires: now + IDLE_TIMEOUT });
+            idle.push(IdleSender { sender, expires: now + lifetime });
         }
     }
 }
--- a/goldcrestward/src/connection/mod.rs
+++ b/goldcrestward/src/connection/mod.rs
@@ -8,6 +8,7 @@
 mod error;
 mod framing;
 mod http_messages;
+mod idle_lifetime;
 mod idle_senders;
 mod listener;
 mod observed_stream;
--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -313,7 +313,10 @@
         let limit = IDLE_TIMEOUT.min(self.attempts.time_left());
         let is_shared = replica.echoes_ids();
         let client = &self.shared.client;
-        let sending = async { if is_shared { client.send(request).await } else { client.send_fresh(request).await } };
+        let is_own = |head: &HeaderMap| self.is_own_response(head, is_shared);
+        let sending = async {
+            if is_shared { client.send_owned(request, is_own).await } else { client.send_fresh(request).await }
+        };
         let result = self.attempts.window().within(limit, sending).await;
         match result {
             None => {
@@ -339,18 +342,21 @@
         }
     }
 
-    /// Rejects a response that has the id of another request or the number of another attempt, and one without an id on
-    /// a connection that may have carried other requests (`is_shared`).
-    fn check_response_id(&self, response: Response, is_shared: bool) -> Result<Response, Failure> {
-        let owner = ResponseOwner::of(response.headers(), &self.id);
-        let number = self.attempts.number().to_string();
-        let attempt = response.headers().get("x-attempt");
-        let is_own = match owner {
+    /// Whether a response has neither the id of another request nor the number of another attempt, and has an id if its
+    /// connection may have carried other requests (`is_shared`).
+    fn is_own_response(&self, head: &HeaderMap, is_shared: bool) -> bool {
+        let is_own = match ResponseOwner::of(head, &self.id) {
             ResponseOwner::Request => true,
             ResponseOwner::Unknown => !is_shared,
             ResponseOwner::Other => false,
         };
-        if is_own && attempt.is_none_or(|value| value.as_bytes() == number.as_bytes()) {
+        let number = self.attempts.number().to_string();
+        is_own && head.get("x-attempt").is_none_or(|value| value.as_bytes() == number.as_bytes())
+    }
+
+    /// Rejects a response that is not the attempt's own.
+    fn check_response_id(&self, response: Response, is_shared: bool) -> Result<Response, Failure> {
+        if self.is_own_response(response.headers(), is_shared) {
             return Ok(response);
         }
         self.shared.metrics.dropped.with_label_values(&["crossed"]).inc();
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -431,8 +431,10 @@
 async fn send(call: OutboundCall, window: &RunWindow) -> Result<Response, Failure> {
     let OutboundCall { shared, replica, id, request } = call;
     let echoes_ids = replica.echoes_ids();
+    let is_own = |head: &HeaderMap| ResponseOwner::of(head, &id) == ResponseOwner::Request;
+    let client = &shared.client;
     let sending =
-        async { if echoes_ids { shared.client.send(request).await } else { shared.client.send_fresh(request).await } };
+        async { if echoes_ids { client.send_owned(request, is_own).await } else { client.send_fresh(request).await } };
     let response = match window.within(window.time_left(), sending).await {
         None => return Err(Failure::TimedOut),
         Some(Err(SendError::NotSent)) => return Err(Failure::ConnectFailed),
