Hedged lookups: a test that a silent back end is ejected, known red

A lookup that a second back end answers counts as a success of the first one, so that a silent back end looks sound and goes on getting lookups. Seen with the test: 24 of 79 lookups went to the silent one (at most 3 allowed), 70 of 79 were answered.

--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod command_line;
 mod configuration;
 mod endless;
+mod hedges;
 mod http_10;
 mod ledger;
 mod logs;
