Proxied requests: an idle connection that was closed is no failure of its server

Callers got 503, not run, from a sound server: a request that met the end of an idle connection, of which nothing was sent, counted as a failure to connect, for which its server was ejected and its score went down.

Cause: the result "not sent" did not say whether the connection was new. Class: the end of an old connection is taken for a statement on the server. The own interface's client goes on with the next connection already.

An exchange that nothing was sent of, on a connection that had been idle, is made again on the next connection; each round uses up an idle one, and a new one that fails so counts as before. The log has idle-connection-closed.

Direct connections take the same way, but are not tested by themselves.

--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -229,6 +229,11 @@
         !self.used
     }
 
+    /// Whether it was idle before it was taken, so that the server may have closed it meanwhile.
+    pub fn was_idle(&self) -> bool {
+        self.idle_time.is_some()
+    }
+
     /// The peer by way of which it goes; `None` if it is direct.
     pub fn via(&self) -> Option<&Arc<str>> {
         self.via.as_ref().map(|via| &via.peer)
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -407,6 +407,20 @@
         guard: &ReplicaGuard,
         sequence: &mut EventSequence,
     ) -> Result<ExchangeResult, ProxyFailure> {
+        loop {
+            if let Some(result) = self.exchange_on_connection(guard, sequence).await? {
+                return Ok(result);
+            }
+        }
+    }
+
+    /// Returns `None` if nothing was sent, as an idle connection had been closed: that says nothing about the server, and
+    /// the next connection is another one.
+    async fn exchange_on_connection(
+        &mut self,
+        guard: &ReplicaGuard,
+        sequence: &mut EventSequence,
+    ) -> Result<Option<ExchangeResult>, ProxyFailure> {
         let replica = guard.replica().clone();
         "via=- idle_ms=-".clone_into(&mut self.connection_label);
         let acquired = match self.connection.take() {
@@ -459,6 +473,11 @@
             Some(Err(SendError::NotSent)) => {
                 self.set_run_state(previous);
                 self.sends -= 1;
+                if connection.was_idle() {
+                    let (id, label) = (&self.metadata.id, &self.connection_label);
+                    info!("event=idle-connection-closed id={id} instance={} {label}", replica.id);
+                    return Ok(None);
+                }
                 return Err(ProxyFailure::ConnectFailed);
             }
             Some(Ok(response)) => response,
@@ -496,7 +515,7 @@
             }
             return Err(ProxyFailure::NotRun);
         }
-        self.read(guard, response, connection, metadata.sealed && metadata.unencoded, sequence).await
+        self.read(guard, response, connection, metadata.sealed && metadata.unencoded, sequence).await.map(Some)
     }
 
     /// Returns what the response says if it is the attempt's own. Only such a response lets its connection be used
