--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -277,6 +277,12 @@
             let (peer, instance) = (field("peer"), field("instance"));
             format!("{peer} was asked to open a connection to {instance}: {}", relay_result(field("result")))
         }
+        "relay-not-found" => format!(
+            "no peer could open a connection to {}: {} asked, {} not asked as they could not help lately",
+            field("instance"),
+            field("asked"),
+            field("left_out")
+        ),
         "relayed" => {
             let peer = line.fields.get("peer").map_or("a peer", String::as_str);
             format!("sent to {} by way of {peer}", field("instance"))
@@ -295,6 +301,14 @@
             field("bytes"),
             memory_limit(field("limit"))
         ),
+        "body-silent" => {
+            let (instance, bytes) = (field("instance"), field("bytes"));
+            format!("{instance} fell silent after {bytes} bytes of the answer, which was broken off")
+        }
+        "answer-unread" => {
+            let (bytes, sent) = (field("bytes"), field("sent"));
+            format!("the caller had read about {sent} of {bytes} bytes when the answer was given up for want of memory")
+        }
         "response-dropped" => {
             let owner = if field("owner") == "other" { "bears another request's id" } else { "bears no id" };
             format!("a response of {} with status {} was dropped, as it {owner}", field("instance"), field("status"))
@@ -312,6 +326,15 @@
             let run = if field("run") == "not-run" { "it has not run" } else { "it may have run" };
             format!("given up at the end of its daemon, {} ms before its own deadline; {run}", field("left_ms"))
         }
+        "caller-closed" => format!(
+            "its connection was closed {}, after {} ms without a request; limit {} ms now, {} ms at the last answer; {} bytes of the request were read and {} or more were not",
+            close_reason(field("reason")),
+            field("idle_ms"),
+            field("limit_ms"),
+            field("answer_limit_ms"),
+            field("buffered"),
+            field("unread")
+        ),
         "stop-cut" => format!("the answer was cut off by the end of its daemon, after {} bytes", field("bytes")),
         "carried-begun" => {
             format!("carries a connection to {} for {}{}", field("instance"), field("peer"), owner(line, id))
@@ -337,6 +360,17 @@
     }
 }
 
+fn close_reason(reason: &str) -> &str {
+    match reason {
+        "idle" => "as it was idle",
+        "stop" => "by the stop of this daemon",
+        "head-timeout" => "as its head did not end in time",
+        "framing" => "as it could not be read",
+        "last-answer" => "after an answer that was to be the last",
+        reason => reason,
+    }
+}
+
 fn describe_stopping(line: &LogLine) -> String {
     let mut text = "is being stopped".to_owned();
     match line.fields.get("ends_in_ms").map(|ms| ms.parse::<u64>()) {
@@ -415,7 +449,7 @@
 fn relay_result(label: &str) -> &str {
     match label {
         "opened" => "it did",
-        "unreached" => "the server is down for the peer as well",
+        "unreached" => "the connection was refused to the peer as well",
         "cut-off" => "the peer does not reach the server either",
         "busy" => "the peer carries as many connections as it may",
         "stopping" => "the peer is being stopped, and ends before the request does",
--- a/goldcrestward/src/cmd/explain_test.rs
+++ b/goldcrestward/src/cmd/explain_test.rs
@@ -106,6 +106,10 @@
             "given up at the end of its daemon, 80 ms before its own deadline; it has not run",
         ),
         ("stop-given-up id=r1 route=lunch run=may-have-run left_ms=80", "before its own deadline; it may have run"),
+        (
+            "caller-closed id=r1 reason=idle idle_ms=700 limit_ms=200 answer_limit_ms=900 buffered=0 unread=80 others=0",
+            "its connection was closed as it was idle, after 700 ms without a request; limit 200 ms now, 900 ms at the last answer; 0 bytes of the request were read and 80 or more were not",
+        ),
         (
             "stop-cut id=r1 route=lunch bytes=700 left_ms=80",
             "the answer was cut off by the end of its daemon, after 700 bytes",
@@ -246,3 +250,15 @@
         assert!(text.contains("no usable response: it was too long to be kept; not retried"), "{text}");
     }
 }
+
+#[test]
+fn explain_tells_why_an_answer_broke_off() {
+    let cases = [
+        ("body-silent id=r1 route=lunch instance=i-1 bytes=700", "i-1 fell silent after 700 bytes of the answer"),
+        ("answer-unread id=r1 instance=i-1 bytes=9000 sent=70", "the caller had read about 70 of 9000 bytes"),
+    ];
+    for (line, expected) in cases {
+        let text = render_log(&format!("time=1000 level=INFO daemon=front-a event={line}\n"), "r1");
+        assert!(text.contains(expected), "{line}: {text}");
+    }
+}
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -3,17 +3,19 @@
 //! It has its own accept loop because the HTTP library's server limits a shutdown to 30 seconds.
 
 use std::{
-    cell::RefCell, convert::Infallible, future::poll_fn, io, net::SocketAddr, pin::Pin, sync::Arc, time::Duration,
+    cell::RefCell, convert::Infallible, future::poll_fn, io, net::SocketAddr, pin::Pin, sync::Arc, task::Poll,
+    time::Duration,
 };
 
 use futures_util::future::BoxFuture;
-use http::{Version, header};
+use http::{HeaderValue, Version, header};
 use http_body::Body as _;
 use hyper::{body::Incoming, server::conn::http1};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use metainfo::{METAINFO, MetaInfo};
 use motore::service::Service;
 use prometheus::IntCounterVec;
+use rustix::net::{RecvFlags, recv};
 use snafu::ResultExt;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -31,15 +33,14 @@
 };
 
 use super::{
-    activity::{Activity, AmbiguousFraming},
+    activity::{Activity, AmbiguousFraming, IDLE_GRACE},
+    caller_closes::{CallerCloses, CloseReason},
     error::{ListenSnafu, Result},
     framing::HeadInspector,
+    limits_in_force::LimitsInForce,
     socket::set_up_accepted,
 };
-use crate::{
-    config::CallerLimits,
-    request::{Reason, Refusal},
-};
+use crate::request::{Reason, Refusal};
 
 /// Connections that may wait in the kernel to be accepted.
 const LISTEN_BACKLOG: u32 = 4096;
@@ -49,11 +50,11 @@
 pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Smallest connection buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
-/// Time added to the idle time-out before a connection is closed, so that a request in transit is not cut off.
-const IDLE_GRACE: Duration = Duration::from_millis(500);
 /// Longest time for which what a caller goes on to send is read after its last response.
 const DISCARD_TIME: Duration = Duration::from_secs(2);
 const DISCARD_BUFFER_BYTES: usize = 8 * 1024;
+/// Most bytes of an unread request in which its id is sought.
+const PEEKED_BYTES: usize = 2 * 1024;
 /// Delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -97,12 +98,10 @@
     pub drain: Drain,
     /// Counter of refusals by reason and run state.
     pub refusals: IntCounterVec,
-    pub limits: CurrentCallerLimits,
+    pub closes: Arc<CallerCloses>,
+    pub limits: Arc<LimitsInForce>,
 }
 
-/// Returns the caller limits in force.
-pub(crate) type CurrentCallerLimits = Arc<dyn Fn() -> CallerLimits + Send + Sync>;
-
 impl Listener {
     /// Accepts connections until the drain begins.
     pub async fn run(self) {
@@ -122,12 +121,12 @@
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
-            let activity = Activity::new();
+            let activity = Activity::new(self.limits.clone());
             let service = RouterService { router: router.clone(), peer, activity: activity.clone() };
             let stop = self.drain.stop.subscribe();
-            let (refusals, limits) = (self.refusals.clone(), self.limits.clone());
+            let (refusals, closes, limits) = (self.refusals.clone(), self.closes.clone(), self.limits.clone());
             self.drain.connections.spawn(async move {
-                serve(stream, service, stop, &refusals, &activity, &limits).await;
+                serve(stream, service, stop, &refusals, &closes, &activity, &limits).await;
                 drop(permit);
             });
         }
@@ -141,51 +140,87 @@
     service: RouterService,
     mut stop: watch::Receiver<bool>,
     refusals: &IntCounterVec,
+    closes: &CallerCloses,
     activity: &Arc<Activity>,
-    limits: &CurrentCallerLimits,
+    limits: &LimitsInForce,
 ) {
     set_up_accepted(&stream);
     let mut builder = http1::Builder::new();
-    let CallerLimits { header_timeout, idle_timeout, header_bytes, .. } = limits();
-    // The HTTP library counts idle time before a head towards this time-out, which is set once for the connection; a
-    // longer idle time-out may come into force later.
-    let head_timeout = header_timeout + idle_timeout;
-    builder.timer(TokioTimer::new()).header_read_timeout(head_timeout).max_buf_size(header_bytes.max(MIN_BUFFER_BYTES));
+    // The HTTP library's time-out for heads is fixed for the connection and counts idle time, so `Activity` has its own.
+    builder.header_read_timeout(None).max_buf_size(limits.current().header_bytes.max(MIN_BUFFER_BYTES));
     let mut connection = builder.serve_connection(TokioIo::new(HeadInspector::new(stream, activity.clone())), service);
-    let mut head_timed_out = false;
-    let ended = tokio::select! {
-        ended = poll_fn(|context| connection.poll_without_shutdown(context)) => Some(ended),
-        _ = stop.wait_for(|stop| *stop) => None,
-        () = idle_timed_out(activity, limits) => None,
-        () = activity.head_timed_out(|| limits().header_timeout) => {
-            head_timed_out = true;
-            None
+    let (reason, ended) = loop {
+        let reason = tokio::select! {
+            biased;
+            ended = poll_fn(|context| connection.poll_without_shutdown(context)) => break (CloseReason::LastAnswer, ended),
+            () = activity.head_timed_out(|| limits.current().header_timeout) => CloseReason::HeadTimeout,
+            _ = stop.wait_for(|stop| *stop) => CloseReason::Stop,
+            () = activity.idle_timed_out() => CloseReason::Idle,
+        };
+        match reason {
+            CloseReason::HeadTimeout => return refuse_head_timeout(connection, refusals, closes, activity).await,
+            CloseReason::Stop => activity.begin_close(),
+            _ => {}
         }
-    };
-    if head_timed_out {
-        return refuse_head_timeout(connection, refusals).await;
-    }
-    let ended = match ended {
-        Some(ended) => ended,
-        None => {
-            Pin::new(&mut connection).graceful_shutdown();
-            poll_fn(|context| connection.poll_without_shutdown(context)).await
+        let arrived = tokio::select! {
+            biased;
+            ended = take_arrived(&mut connection, activity) => ended,
+            () = activity.head_timed_out(|| limits.current().header_timeout) => {
+                return refuse_head_timeout(connection, refusals, closes, activity).await;
+            }
+        };
+        if let Some(ended) = arrived {
+            break (CloseReason::LastAnswer, ended);
+        }
+        if reason == CloseReason::Idle && activity.idle() < IDLE_GRACE {
+            // A request has arrived at the last moment.
+            continue;
         }
+        // A request that is being served gets its answer.
+        let reason = if activity.is_running() { CloseReason::LastAnswer } else { reason };
+        Pin::new(&mut connection).graceful_shutdown();
+        break (reason, poll_fn(|context| connection.poll_without_shutdown(context)).await);
     };
     match ended {
         Ok(()) => {
             let parts = connection.into_parts();
             let mut stream = parts.io.into_inner().finish();
             stream.shutdown().await.ok();
-            let has_next = !parts.read_buf.is_empty() || stream.try_read(&mut [0]).is_ok_and(|count| count > 0);
-            if has_next || activity.has_unread_body() {
+            let mut next = [0; PEEKED_BYTES];
+            let unread = peek(&stream, &mut next);
+            let has_next = !parts.read_buf.is_empty() || !unread.is_empty();
+            if has_next && !activity.has_unread_body() {
+                closes.record(reason, activity, &parts.read_buf, unread);
+            }
+            // A request that crosses the close of an idle connection is left unread, so that the reset tells its caller.
+            let may_lose_answer = reason == CloseReason::LastAnswer || activity.idle() < DISCARD_TIME;
+            if may_lose_answer && (has_next || activity.has_unread_body()) {
                 discard_rest(&mut stream).await;
             }
         }
-        Err(error) => refuse_bad_head(connection, &error, refusals).await,
+        Err(error) => record_bad_head(connection, &error, refusals, closes, activity),
     }
 }
 
+/// Reads what has arrived, as far as a request that has begun to arrive is being served. Returns the result of a connection
+/// that ends meanwhile.
+async fn take_arrived(connection: &mut Connection, activity: &Activity) -> Option<hyper::Result<()>> {
+    activity.set_reads_unsignalled(true);
+    let ended = poll_fn(|context| match connection.poll_without_shutdown(context) {
+        Poll::Pending if !activity.is_receiving_head() => Poll::Ready(None),
+        polled => polled.map(Some),
+    })
+    .await;
+    activity.set_reads_unsignalled(false);
+    ended
+}
+
+/// Returns the first bytes that have arrived on a connection and have not been read.
+fn peek<'a>(stream: &TcpStream, buffer: &'a mut [u8]) -> &'a [u8] {
+    let count = recv(stream, &mut *buffer, RecvFlags::PEEK | RecvFlags::DONTWAIT).map_or(0, |(count, _)| count);
+    &buffer[..count]
+}
+
 /// Reads what a caller goes on to send after its last response, for a time: the response could be lost in the reset that
 /// follows when a connection is closed over unread bytes.
 async fn discard_rest(stream: &mut TcpStream) {
@@ -194,22 +229,16 @@
     timeout(DISCARD_TIME, rest).await.ok();
 }
 
-/// Waits until the connection has been idle for longer than the limit in force at that time.
-async fn idle_timed_out(activity: &Activity, limits: &CurrentCallerLimits) {
-    loop {
-        let limit = limits().idle_timeout + IDLE_GRACE;
-        let idle = activity.idle();
-        if idle >= limit {
-            return;
-        }
-        tokio::time::sleep(limit - idle).await;
-    }
-}
-
-/// Refuses a request whose head timed out, or counts one whose head was too large.
-async fn refuse_bad_head(connection: Connection, error: &hyper::Error, refusals: &IntCounterVec) {
-    if error.is_timeout() {
-        return refuse_head_timeout(connection, refusals).await;
+/// Records a request whose head cannot be read, and counts one whose head was too large as refused.
+fn record_bad_head(
+    connection: Connection,
+    error: &hyper::Error,
+    refusals: &IntCounterVec,
+    closes: &CallerCloses,
+    activity: &Activity,
+) {
+    if error.is_parse() {
+        closes.record(CloseReason::Framing, activity, &connection.into_parts().read_buf, &[]);
     }
     if error.is_parse_too_large() {
         // The HTTP library has sent the refusal, so it is only counted here.
@@ -219,11 +248,17 @@
 }
 
 /// Refuses a request whose head was not complete in time; a connection without a partial head is just closed.
-async fn refuse_head_timeout(connection: Connection, refusals: &IntCounterVec) {
+async fn refuse_head_timeout(
+    connection: Connection,
+    refusals: &IntCounterVec,
+    closes: &CallerCloses,
+    activity: &Activity,
+) {
     let parts = connection.into_parts();
     if parts.read_buf.is_empty() {
         return;
     }
+    closes.record(CloseReason::HeadTimeout, activity, &parts.read_buf, &[]);
     let refusal = Refusal::not_run(Reason::HeaderTimeout, "the request's head did not arrive in time");
     refusals.with_label_values(&[refusal.reason.label(), refusal.run.label()]).inc();
     let mut stream = parts.io.into_inner().into_inner();
@@ -256,7 +291,11 @@
                 request.extensions_mut().insert(AmbiguousFraming);
             }
             let version = request.version();
-            let response = router.call(&mut context, request).await.into_response();
+            let mut response = router.call(&mut context, request).await.into_response();
+            if activity.is_closing() {
+                response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+            activity.begin_answer();
             if version == Version::HTTP_10 && !has_length(&response) {
                 activity.begin_open_ended();
             }
@@ -268,3 +307,7 @@
 fn has_length(response: &Response) -> bool {
     response.headers().contains_key(header::CONTENT_LENGTH) || response.body().size_hint().exact().is_some()
 }
+
+#[cfg(test)]
+#[path = "listener_test.rs"]
+mod listener_test;
--- a/goldcrestward/src/connection/mod.rs
+++ b/goldcrestward/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 mod activity;
 mod backend;
+mod caller_closes;
 mod carried;
 mod carried_exchanges;
 mod client;
@@ -10,6 +11,7 @@
 mod http_messages;
 mod idle_lifetime;
 mod idle_senders;
+mod limits_in_force;
 mod listener;
 mod observed_stream;
 mod peer;
@@ -22,11 +24,13 @@
 
 pub(crate) use activity::AmbiguousFraming;
 pub(crate) use backend::{BackendConnection, BackendConnections, ConnectError};
+pub(crate) use caller_closes::CallerCloses;
 pub(crate) use carried::{CarriedConnection, CarriedConnections, IsStopping};
 pub(crate) use carried_exchanges::{Notice, ResponseObserver};
 pub use client::{HttpClient, OutboundRequest, SendError};
 pub(crate) use error::Error;
-pub(crate) use listener::{CurrentCallerLimits, Drain, Listener, MAX_HEAD_BYTES, bind};
+pub(crate) use limits_in_force::LimitsInForce;
+pub(crate) use listener::{Drain, Listener, MAX_HEAD_BYTES, bind};
 pub(crate) use peer::{PeerClient, PeerHandler, serve_peers};
 pub use response_head::HeadTooLong;
 pub(crate) use seal::{DatagramSealer, Secrets};
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -57,8 +57,8 @@
 use crate::{
     cmd::PortsFactory,
     connection::{
-        CarriedConnections, CurrentCallerLimits, DatagramSealer, Drain, HttpClient, IsStopping, Listener, PeerClient,
-        Secrets, bind, serve_peers,
+        CallerCloses, CarriedConnections, DatagramSealer, Drain, HttpClient, IsStopping, LimitsInForce, Listener,
+        PeerClient, Secrets, bind, serve_peers,
     },
     ledger::{Ledger, OwnerLookup, SLOTS},
     platform::Etcd,
@@ -138,13 +138,14 @@
         let operators = Drain::new();
         let callers = Drain::new();
         let refusals = shared.metrics.refusals.clone();
-        let limits: CurrentCallerLimits = {
-            let shared = shared.clone();
-            Arc::new(move || shared.in_force.load().site.caller_limits.clone())
+        let limits = {
+            let (shared, lag) = (shared.clone(), shared.settings.config_apply);
+            Arc::new(LimitsInForce::new(move || shared.in_force.load().site.caller_limits.clone(), lag))
         };
+        let closes = Arc::new(CallerCloses::new(shared.metrics.caller_closes.clone()));
         let listen = |socket, router, drain: &Drain| {
-            let (drain, refusals, limits) = (drain.clone(), refusals.clone(), limits.clone());
-            Listener { socket, router, drain, refusals, limits }.run()
+            let (drain, refusals, limits, closes) = (drain.clone(), refusals.clone(), limits.clone(), closes.clone());
+            Listener { socket, router, drain, refusals, closes, limits }.run()
         };
         let router = match ports {
             None => {
@@ -358,6 +359,7 @@
         daemons: AtomicUsize::new(1),
         rank: AtomicUsize::new(0),
         instances_listed: AtomicBool::new(false),
+        lapses_undecided: AtomicBool::new(false),
         last_store_error_ms: AtomicU64::new(0),
         holds_duties: AtomicBool::new(false),
         kept_pulls: AtomicU32::new(0),
@@ -426,7 +428,9 @@
     loop {
         tokio::time::sleep(EVICTION_INTERVAL).await;
         gateway.backend_connections.evict(|instance| gateway.shared.replicas.is_used(instance));
-        gateway.reach.lock().forget(|instance| gateway.shared.replicas.is_known(instance), gateway.shared.now());
+        let (now, is_known) = (gateway.shared.now(), |instance: &str| gateway.shared.replicas.is_known(instance));
+        gateway.reach.lock().forget(is_known, now);
+        gateway.helpers.lock().forget(is_known, now);
     }
 }
 
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -31,6 +31,8 @@
     pub resumed: IntCounterVec,
     /// Requests that a stop refused, gave up or cut off, by outcome.
     pub stop_outcomes: IntCounterVec,
+    /// Connections of callers that were closed over an unanswered request, by reason.
+    pub caller_closes: IntCounterVec,
     /// Answers that ended incomplete.
     pub cut_answers: IntCounter,
     /// Time to the first token, by route.
@@ -49,6 +51,10 @@
     pub carried: IntGauge,
     /// Servers that this daemon does not reach.
     pub unreached_servers: IntGauge,
+    /// Servers in use without an entry.
+    pub unconfirmed_servers: IntGauge,
+    /// Peers that were asked whether they reach a server without an entry, by result.
+    pub server_probes: IntCounterVec,
     /// Calls to the key-value store, by kind, purpose and result.
     pub kv_calls: IntCounterVec,
     /// Restores of the key-value store from a copy that this daemon has noticed.
@@ -122,6 +128,11 @@
                 "requests that a stop refused, gave up or cut off",
                 &["outcome"],
             )?,
+            caller_closes: factory.counters(
+                "caller_closes_total",
+                "connections of callers closed over an unanswered request",
+                &["reason"],
+            )?,
             cut_answers: factory.counter("cut_answers_total", "answers that could not be ended whole")?,
             first_token: factory.histograms("first_token_seconds", "time to the first token", &["route"])?,
             between_tokens: factory.histogram(
@@ -144,6 +155,12 @@
             carried: factory
                 .gauge("carried_connections", "connections to backend servers that are carried for peers")?,
             unreached_servers: factory.gauge("unreached_servers", "backend servers that this daemon does not reach")?,
+            unconfirmed_servers: factory.gauge("unconfirmed_servers", "backend servers in use without an entry")?,
+            server_probes: factory.counters(
+                "server_probes_total",
+                "peers that were asked whether they reach a server without an entry",
+                &["result"],
+            )?,
             kv_calls: factory.counters(
                 "kv_calls_total",
                 "calls to the key-value service",
--- a/goldcrestward/src/process/reach/table.rs
+++ b/goldcrestward/src/process/reach/table.rs
@@ -2,10 +2,7 @@
 //!
 //! Pure state: it takes in results and the time, and says which path to take.
 
-use std::{
-    collections::{HashMap, HashSet},
-    sync::Arc,
-};
+use std::{collections::HashMap, sync::Arc};
 
 use crate::connection::ConnectError;
 
@@ -13,10 +10,14 @@
 const LOST_AFTER: u32 = 2;
 /// Servers in a row that could not be reached, without one that could, after which the daemon counts as cut off.
 const CUT_OFF_AFTER: usize = 3;
+/// Time since the last sign of any server before which a daemon does not count as cut off.
+const CUT_OFF_SILENCE_MS: u64 = 300;
+/// Pause between two checks of a server that is silent.
+const CHECK_PAUSE_MS: u64 = 1_000;
+/// Time for which a server that could not be reached speaks for a cut.
+const UNREACHED_TTL_MS: u64 = 3_000;
 /// Pause between two attempts to reach a lost server directly; it doubles up to the maximum.
 const PROBE_PAUSE_MS: (u64, u64) = (400, 1_600);
-/// Time for which a peer that could not help is not asked.
-const HELPER_PAUSE_MS: u64 = 1_500;
 /// Time after which what is known of a server is forgotten unless it is lost.
 const FORGET_MS: u64 = 30_000;
 
@@ -45,31 +46,33 @@
 struct Link {
     failures: u32,
     lost: bool,
+    /// Whether it was lost by silence, which says nothing about the server.
+    silent: bool,
+    /// When a silence is looked at again.
+    next_check: u64,
     next_probe: u64,
     probe_pause: u64,
     updated_at: u64,
 }
 
-/// This daemon's links to backend servers, and peers that cannot help.
+/// This daemon's links to backend servers.
 #[derive(Debug, Default)]
 pub(crate) struct ReachTable {
     links: HashMap<Arc<str>, Link>,
-    /// Servers that could not be reached since the last one that could.
-    unreached: HashSet<Arc<str>>,
-    /// Whether the last failure was silence, so that open connections are most likely silent as well.
-    is_silent: bool,
-    /// Peers that could not help, until when they are not asked.
-    paused: HashMap<Arc<str>, u64>,
+    /// Servers that could not be reached since the last one that could, and when.
+    unreached: HashMap<Arc<str>, u64>,
+    /// When a server was last reached or answered directly.
+    reached_at: Option<u64>,
 }
 
 impl ReachTable {
     /// The path to a server.
     pub fn path(&mut self, server: &Arc<str>, now: u64) -> Path {
-        let cut_off = self.is_cut_off();
+        let cut_off = self.is_cut_off(now);
         let link = self.links.entry(server.clone()).or_default();
         if cut_off && !link.lost {
             // Whatever cuts off the others cuts off this one as well; a probe finds out if it does not.
-            *link = Link { lost: true, probe_pause: PROBE_PAUSE_MS.0, next_probe: now, ..*link };
+            *link = Link { lost: true, silent: true, probe_pause: PROBE_PAUSE_MS.0, next_probe: now, ..*link };
         }
         if !link.lost {
             return Path::Direct;
@@ -88,11 +91,12 @@
         let was_lost = link.lost;
         link.updated_at = now;
         if result.is_ok() {
-            *link = Link { updated_at: now, ..Link::default() };
+            *link = Link { updated_at: now, next_check: link.next_check, ..Link::default() };
             self.unreached.clear();
+            self.reached_at = Some(now);
             return if was_lost { Change::Back } else { Change::None };
         }
-        self.is_silent = result == Err(ConnectError::Silent);
+        link.silent = result == Err(ConnectError::Silent);
         link.failures += 1;
         link.lost |= link.failures >= LOST_AFTER;
         if link.lost && !was_lost {
@@ -100,19 +104,48 @@
             link.next_probe = now + PROBE_PAUSE_MS.0;
         }
         let lost_now = link.lost && !was_lost;
-        self.unreached.insert(server.clone());
+        // A cut may refuse connections as well as swallow them.
+        self.unreached.insert(server.clone(), now);
         if lost_now { Change::Lost } else { Change::None }
     }
 
+    /// Records a response that came directly from a server.
+    pub fn record_answer(&mut self, server: &Arc<str>, now: u64) -> Change {
+        if self.links.contains_key(server) {
+            return self.record(server, Ok(()), now);
+        }
+        self.unreached.clear();
+        self.reached_at = Some(now);
+        Change::None
+    }
+
+    /// Records that a server has been silent on an open connection for a time in which it has answered nobody here. A new
+    /// connection that fails as well makes it lost. Returns whether this caller is to try one.
+    pub fn record_silence(&mut self, server: &Arc<str>, now: u64) -> bool {
+        let link = self.links.entry(server.clone()).or_default();
+        if link.lost || now < link.next_check {
+            return false;
+        }
+        *link = Link {
+            failures: link.failures.max(LOST_AFTER - 1),
+            updated_at: now,
+            next_check: now + CHECK_PAUSE_MS,
+            ..*link
+        };
+        true
+    }
+
     /// Whether this daemon reaches none of the servers that it has tried lately, so that its failures say nothing about
     /// the servers.
-    pub fn is_cut_off(&self) -> bool {
-        self.unreached.len() >= CUT_OFF_AFTER
+    pub fn is_cut_off(&self, now: u64) -> bool {
+        let is_reached = self.reached_at.is_some_and(|at| now < at + CUT_OFF_SILENCE_MS);
+        let unreached = self.unreached.values().filter(|at| now < **at + UNREACHED_TTL_MS).count();
+        unreached >= CUT_OFF_AFTER && !is_reached
     }
 
-    /// Whether links fail by silence, so that open connections are not to be used.
-    pub fn is_silent(&self) -> bool {
-        self.is_silent
+    /// Whether the path to a server has failed, so that failures on it say nothing about the server.
+    pub fn has_no_path(&self, server: &str) -> bool {
+        self.links.get(server).is_some_and(|link| link.lost && link.silent)
     }
 
     /// Whether a server counts as unreached.
@@ -125,21 +158,10 @@
         self.links.values().filter(|link| link.lost).count()
     }
 
-    /// Does not ask a peer for a time, as it could not help.
-    pub fn pause_helper(&mut self, peer: &Arc<str>, now: u64) {
-        self.paused.insert(peer.clone(), now + HELPER_PAUSE_MS);
-    }
-
-    /// Whether a peer may be asked.
-    pub fn may_help(&self, peer: &str, now: u64) -> bool {
-        self.paused.get(peer).is_none_or(|until| *until <= now)
-    }
-
     /// Forgets servers that are gone, and what is out of date.
     pub fn forget(&mut self, is_known: impl Fn(&str) -> bool, now: u64) {
         self.links.retain(|server, link| is_known(server) && (link.lost || now < link.updated_at + FORGET_MS));
-        self.unreached.retain(|server| is_known(server));
-        self.paused.retain(|_, until| *until > now);
+        self.unreached.retain(|server, at| is_known(server) && now < *at + UNREACHED_TTL_MS);
     }
 }
 
--- a/goldcrestward/src/process/replicas/replica.rs
+++ b/goldcrestward/src/process/replicas/replica.rs
@@ -146,6 +146,11 @@
         self.health.failure_score.lock().has_answered_since(at)
     }
 
+    /// When it last answered an attempt of this daemon, and when one last failed, in ms since the daemon's start.
+    pub fn last_outcomes(&self) -> (Option<u64>, Option<u64>) {
+        self.health.failure_score.lock().last_outcomes()
+    }
+
     /// Load that this daemon puts on the server.
     pub fn own_load(&self) -> PeerLoad {
         let prefill_ms = self.health.prefill_us.load(Ordering::Relaxed) as f64 / 1000.0;
@@ -175,6 +180,11 @@
         self.health.loads.lock().apply_server_report(load, now);
     }
 
+    /// Records whether this daemon reaches it by itself.
+    pub fn set_unreached(&self, unreached: bool) {
+        self.health.unreached.store(unreached, Ordering::Relaxed);
+    }
+
     /// Whether its responses bear the ids of their requests.
     pub fn echoes_ids(&self) -> bool {
         self.health.echoes_ids.load(Ordering::Relaxed)
@@ -260,6 +270,7 @@
             slots: self.slots,
             cold: self.warm_at_ms > now,
             failure_score: self.health.failure_score.lock().value(now),
+            unreached: self.health.unreached.load(Ordering::Relaxed),
         }
     }
 
--- a/goldcrestward/src/process/state/mod.rs
+++ b/goldcrestward/src/process/state/mod.rs
@@ -2,14 +2,17 @@
 
 mod delayed;
 mod freshness;
+mod lapsed_entries;
 mod line_limit;
 mod pull;
 mod reader;
+mod server_probe;
 mod site_state;
 mod turn;
+mod unconfirmed;
 
 pub(super) use freshness::{Budget, Freshness, Overdue};
-pub(super) use line_limit::LineLimit;
+pub(crate) use line_limit::LineLimit;
 pub(super) use pull::{adopt_kept, pull_config, watch_instances};
 pub(super) use reader::StateReader;
 pub(super) use site_state::SiteState;
