--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -12,21 +12,21 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, header};
+use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1::Builder};
 use parking_lot::Mutex;
 use prometheus::IntCounterVec;
 use tokio::time::timeout;
 
-use super::{client::SendError, request_sender::RequestSender, socket::open_socket, tunnel::Tunnel};
+use super::{
+    client::SendError,
+    idle_lifetime::{idle_lifetime, unused_lifetime},
+    request_sender::RequestSender,
+    socket::open_socket,
+    tunnel::{Progress, Tunnel},
+};
 
-/// Time after which an idle connection is closed if the server states none.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-/// Longest time for which an idle connection is kept, whatever the server states.
-const MAX_LIFETIME: Duration = Duration::from_secs(60);
-/// Time by which a connection is retired before the server would close it.
-const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Time for which no idle connection is kept by way of a peer that is being stopped.
 const AVOID_TIME: Duration = Duration::from_secs(15);
 
@@ -34,10 +34,17 @@
 /// An address and the instance that was found there.
 type Key = (SocketAddr, Arc<str>);
 
+/// The way of a connection that a peer carries.
+struct Via {
+    peer: Arc<str>,
+    /// What has passed through its tunnel.
+    progress: Arc<Progress>,
+}
+
 struct IdleConnection {
     sender: Sender,
     /// The peer by way of which it goes; `None` if it is direct.
-    via: Option<Arc<str>>,
+    via: Option<Via>,
     /// Whether a request has been sent on it.
     used: bool,
     since: Instant,
@@ -131,9 +138,9 @@
         address: SocketAddr,
         instance: &Arc<str>,
     ) -> Option<BackendConnection> {
+        let via = Some(Via { peer, progress: tunnel.progress() });
         let sender = Sender::new(tunnel, Builder::new()).await?;
         let key = (address, instance.clone());
-        let via = Some(peer);
         Some(BackendConnection { sender, key, via, used: false, idle_time: None, connections: self.clone() })
     }
 
@@ -158,7 +165,7 @@
             avoided.insert(peer.clone(), now + AVOID_TIME);
         }
         for idle in self.idle.lock().values_mut() {
-            idle.retain(|connection| connection.via.as_ref() != Some(peer));
+            idle.retain(|connection| connection.via.as_ref().is_none_or(|via| via.peer != *peer));
         }
     }
 
@@ -192,7 +199,7 @@
 pub(crate) struct BackendConnection {
     sender: Sender,
     key: Key,
-    via: Option<Arc<str>>,
+    via: Option<Via>,
     used: bool,
     /// For how long it was idle before it was taken; `None` if it is new.
     idle_time: Option<Duration>,
@@ -206,25 +213,24 @@
     /// Says whether the server may have received the request.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
         self.used = true;
-        self.sender.send(request).await.map_err(|(error, _)| error)
+        let Some(Via { progress, .. }) = &self.via else {
+            return self.sender.send(request).await.map_err(|(error, _)| error);
+        };
+        let before = progress.written();
+        let sent = self.sender.send(request).await;
+        sent.map_err(|(error, _)| if progress.is_unsent_after(before) { SendError::NotSent } else { error })
     }
 
     /// Releases the connection for reuse, if the response head allows it.
     pub fn release(self, head: &HeaderMap) {
-        let has_token = |name, token: &str| {
-            let values = head.get_all(name).iter().filter_map(|v| v.to_str().ok());
-            values.flat_map(|v| v.split(',')).any(|v| v.trim().eq_ignore_ascii_case(token))
-        };
-        if has_token(header::CONNECTION, "close") {
-            return;
+        if let Some(lifetime) = idle_lifetime(head) {
+            self.keep_for(lifetime);
         }
-        let stated = head.get("keep-alive").and_then(|v| v.to_str().ok()).and_then(stated_timeout);
-        self.keep_for(stated.unwrap_or(IDLE_TIMEOUT));
     }
 
     /// Keeps a new connection for the next request.
     pub fn keep(self) {
-        self.keep_for(IDLE_TIMEOUT);
+        self.keep_for(unused_lifetime());
     }
 
     /// Whether no request has been sent on it, so that the first response on it is that of the next request.
@@ -232,21 +238,25 @@
         !self.used
     }
 
+    /// Whether it was idle before it was taken, so that the server may have closed it meanwhile.
+    pub fn was_idle(&self) -> bool {
+        self.idle_time.is_some()
+    }
+
     /// The peer by way of which it goes; `None` if it is direct.
     pub fn via(&self) -> Option<&Arc<str>> {
-        self.via.as_ref()
+        self.via.as_ref().map(|via| &via.peer)
     }
 
     /// What log lines say of the connection.
     pub fn label(&self) -> String {
         let idle_ms = self.idle_time.map_or_else(|| "-".to_owned(), |time| time.as_millis().to_string());
-        format!("via={} idle_ms={idle_ms}", self.via.as_deref().unwrap_or("-"))
+        format!("via={} idle_ms={idle_ms}", self.via().map_or("-", |peer| peer))
     }
 
     fn keep_for(self, lifetime: Duration) {
-        let Some(lifetime) = lifetime.min(MAX_LIFETIME).checked_sub(IDLE_MARGIN) else { return };
         let Self { sender, key, via, used, connections, .. } = self;
-        if via.as_ref().is_some_and(|peer| connections.is_avoided(peer)) {
+        if via.as_ref().is_some_and(|via| connections.is_avoided(&via.peer)) {
             return;
         }
         let since = Instant::now();
@@ -254,10 +264,3 @@
         connections.idle.lock().entry(key).or_default().push(idle);
     }
 }
-
-/// The `timeout` parameter of a `Keep-Alive` header.
-fn stated_timeout(value: &str) -> Option<Duration> {
-    let mut fields = value.split(',').filter_map(|field| field.trim().split_once('='));
-    let (_, seconds) = fields.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"))?;
-    Some(Duration::from_secs(seconds.trim().parse().ok()?))
-}
--- a/goldcrestward/src/connection/mod.rs
+++ b/goldcrestward/src/connection/mod.rs
@@ -9,6 +9,7 @@
 mod error;
 mod framing;
 mod http_messages;
+mod idle_lifetime;
 mod idle_senders;
 mod limits_in_force;
 mod listener;
@@ -39,3 +40,5 @@
 mod framing_test;
 #[cfg(test)]
 mod seal_test;
+#[cfg(test)]
+mod tunnel_test;
