Carried connections: one that its carrier ends is no failure of its server

Found by the review: since a request on a new carried connection that its carrier has ended counts as not sent, and booked a failure to connect to the server. The path is what ended. By reading; no test of its own.

--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -497,7 +497,9 @@
                     info!("event=idle-connection-closed id={id} instance={} {label}", replica.id);
                     return Ok(None);
                 }
-                return Err(ProxyFailure::ConnectFailed);
+                // The end of a connection by way of a peer may be the carrier's own.
+                let is_direct = self.via.is_none();
+                return Err(if is_direct { ProxyFailure::ConnectFailed } else { ProxyFailure::NoPath });
             }
             Some(Ok(response)) => response,
         };
