--- a/goldcrestward/src/ledger/owner.rs
+++ b/goldcrestward/src/ledger/owner.rs
@@ -12,7 +12,7 @@
 use tokio::{
     sync::{mpsc, oneshot},
     task::JoinHandle,
-    time::{sleep, timeout},
+    time::{sleep, sleep_until, timeout},
 };
 use tokio_util::task::TaskTracker;
 
@@ -252,6 +252,8 @@
 
 impl Driver {
     async fn run(mut self, mut messages: mpsc::Receiver<Message>) {
+        // Messages do not put it off.
+        let mut next_tick = Instant::now();
         loop {
             let is_flushed = self.slot.is_flushed();
             tokio::select! {
@@ -259,7 +261,8 @@
                     Some(message) => self.handle(message),
                     None => return,
                 },
-                () = sleep(TICK), if !is_flushed => {
+                () = sleep_until(next_tick.into()), if !is_flushed => {
+                    next_tick = Instant::now() + TICK;
                     let (now_ms, unix_s) = self.now();
                     let effects = self.slot.tick(now_ms, unix_s);
                     self.perform(effects);
