--- a/goldcrestward/src/process/state/lapsed_entries_simulation_test.rs
+++ b/goldcrestward/src/process/state/lapsed_entries_simulation_test.rs
@@ -105,12 +105,11 @@
         let Self { daemons: count, servers, cut, seed } = self;
         let name = format!("{count} daemons, {} servers, cut {cut}, seed {seed}", servers.len());
         let mut paths: Vec<Vec<bool>> = vec![vec![true; servers.len()]; count];
-        for server in 0..servers.len() {
+        let cut_off = (count as f64 * cut).round() as usize;
+        for (number, _) in servers.iter().enumerate() {
             let mut order: Vec<usize> = (0..count).collect();
             order.shuffle(&mut random);
-            for daemon in order.into_iter().take((count as f64 * cut).round() as usize) {
-                paths[daemon][server] = false;
-            }
+            order.into_iter().take(cut_off).for_each(|daemon| paths[daemon][number] = false);
         }
         let mut daemons: Vec<SimDaemon> = (0..count)
             .map(|_| SimDaemon {
