--- a/goldcrestward/src/process/state/lapsed_entries.rs
+++ b/goldcrestward/src/process/state/lapsed_entries.rs
@@ -17,8 +17,9 @@
 const MASS_SHARE: f64 = 0.25;
 /// Fewest entries that vanish together for which the store is at fault.
 const MIN_MASS: usize = 3;
-/// Time in which entries vanish together: three heartbeats.
-const WINDOW_MS: u64 = 4_000;
+/// Time in which entries vanish together: the spread of one heartbeat, and the delay of a watch. One that vanishes later is
+/// that of a server that leaves.
+const WINDOW_MS: u64 = 2_000;
 /// Age up to which an answer from before its entry vanished shows that a server is there. A server that has crashed has
 /// given none for three heartbeats.
 const FRESH_ANSWER_MS: u64 = 1_000;
--- a/goldcrestward/src/process/state/lapsed_entries_simulation_test.rs
+++ b/goldcrestward/src/process/state/lapsed_entries_simulation_test.rs
@@ -288,7 +288,9 @@
 #[test]
 fn servers_that_leave_alone_are_not_used() {
     run_all(&[0.0, 0.5], 0.0, |servers, _| {
-        for (number, at) in [(0, LAPSE_MS + 6_000), (1, LAPSE_MS + 11_000)] {
+        // The first two leave shortly before and after the entries of others lapse.
+        let times = [LAPSE_MS - 2_200, LAPSE_MS + HEARTBEAT_MS + 2_200, LAPSE_MS + 6_000, LAPSE_MS + 11_000];
+        for (number, at) in times.into_iter().enumerate() {
             servers[number].vanishes = Some(at);
             servers[number].ends = Some(at + 6_000);
         }
