--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -365,7 +365,6 @@
         daemons: AtomicUsize::new(1),
         rank: AtomicUsize::new(0),
         instances_listed: AtomicBool::new(false),
-        lapses_undecided: AtomicBool::new(false),
         last_store_error_ms: AtomicU64::new(0),
         holds_duties: AtomicBool::new(false),
         kept_pulls: AtomicU32::new(0),
--- a/goldcrestward/src/process/duty.rs
+++ b/goldcrestward/src/process/duty.rs
@@ -205,9 +205,7 @@
         if !self.report_usage(&mut held).await {
             return self.give_up(&held, "another holder has a higher fencing number");
         }
-        let is_undecided = self.gateway.shared.lapses_undecided.load(Ordering::Relaxed);
-        let is_due = now >= self.last_scaled_ms + SCALE_INTERVAL_MS;
-        if is_due && !is_undecided && self.gateway.shared.now() >= SCALING_WARM_UP_MS {
+        if now >= self.last_scaled_ms + SCALE_INTERVAL_MS && self.gateway.shared.now() >= SCALING_WARM_UP_MS {
             self.last_scaled_ms = now;
             self.scale_pools(&held).await;
         }
--- a/goldcrestward/src/process/health.rs
+++ b/goldcrestward/src/process/health.rs
@@ -30,7 +30,6 @@
     score: f64,
     updated_at: u64,
     answered_at: Option<u64>,
-    failed_at: Option<u64>,
 }
 
 impl FailureScore {
@@ -38,8 +37,9 @@
     pub fn record(&mut self, outcome: AttemptOutcome, now: u64) {
         let score = self.value(now);
         self.updated_at = now;
-        let last = if outcome == AttemptOutcome::Failure { &mut self.failed_at } else { &mut self.answered_at };
-        *last = Some(now);
+        if outcome != AttemptOutcome::Failure {
+            self.answered_at = Some(now);
+        }
         self.score = match outcome {
             AttemptOutcome::Success => score * SUCCESS_FACTOR,
             AttemptOutcome::ErrorResponse => score + ERROR_RESPONSE_STEP * (1.0 - score),
@@ -52,11 +52,6 @@
         self.answered_at.is_some_and(|answered| answered >= at)
     }
 
-    /// When the last attempt that was answered ended, and the last one that failed, in ms.
-    pub fn last_outcomes(&self) -> (Option<u64>, Option<u64>) {
-        (self.answered_at, self.failed_at)
-    }
-
     /// The score at `now`, in ms, after its decay.
     pub fn value(&self, now: u64) -> f64 {
         self.score * (-(now.saturating_sub(self.updated_at) as f64) / HALF_LIFE_MS).exp2()
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -51,10 +51,6 @@
     pub carried: IntGauge,
     /// Servers that this daemon does not reach.
     pub unreached_servers: IntGauge,
-    /// Servers in use without an entry.
-    pub unconfirmed_servers: IntGauge,
-    /// Peers that were asked whether they reach a server without an entry, by result.
-    pub server_probes: IntCounterVec,
     /// Calls to the key-value store, by kind, purpose and result.
     pub kv_calls: IntCounterVec,
     /// Restores of the key-value store from a copy that this daemon has noticed.
@@ -155,12 +151,6 @@
             carried: factory
                 .gauge("carried_connections", "connections to backend servers that are carried for peers")?,
             unreached_servers: factory.gauge("unreached_servers", "backend servers that this daemon does not reach")?,
-            unconfirmed_servers: factory.gauge("unconfirmed_servers", "backend servers in use without an entry")?,
-            server_probes: factory.counters(
-                "server_probes_total",
-                "peers that were asked whether they reach a server without an entry",
-                &["result"],
-            )?,
             kv_calls: factory.counters(
                 "kv_calls_total",
                 "calls to the key-value service",
--- a/goldcrestward/src/process/replicas/replica.rs
+++ b/goldcrestward/src/process/replicas/replica.rs
@@ -146,11 +146,6 @@
         self.health.failure_score.lock().has_answered_since(at)
     }
 
-    /// When it last answered an attempt of this daemon, and when one last failed, in ms since the daemon's start.
-    pub fn last_outcomes(&self) -> (Option<u64>, Option<u64>) {
-        self.health.failure_score.lock().last_outcomes()
-    }
-
     /// Load that this daemon puts on the server.
     pub fn own_load(&self) -> PeerLoad {
         let prefill_ms = self.health.prefill_us.load(Ordering::Relaxed) as f64 / 1000.0;
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -93,8 +93,6 @@
     pub rank: AtomicUsize,
     /// Whether the platform's list of instances has been read.
     pub instances_listed: AtomicBool,
-    /// Whether it is open how many servers are gone whose entries have vanished, so that none is ordered in their place.
-    pub lapses_undecided: AtomicBool,
     /// Time of the last error while reading the site's state from the platform's store, in ms since the daemon's
     /// start; 0 if there was none.
     pub last_store_error_ms: AtomicU64,
--- a/goldcrestward/src/process/state/mod.rs
+++ b/goldcrestward/src/process/state/mod.rs
@@ -2,14 +2,11 @@
 
 mod delayed;
 mod freshness;
-mod lapsed_entries;
 mod line_limit;
 mod pull;
 mod reader;
-mod server_probe;
 mod site_state;
 mod turn;
-mod unconfirmed;
 
 pub(super) use freshness::{Budget, Freshness, Overdue};
 pub(crate) use line_limit::LineLimit;
--- a/goldcrestward/src/process/state/site_state.rs
+++ b/goldcrestward/src/process/state/site_state.rs
@@ -10,7 +10,7 @@
 use parking_lot::Mutex;
 use tokio::time::sleep;
 
-use super::{delayed::Delayed, unconfirmed::Unconfirmed};
+use super::delayed::Delayed;
 use crate::{
     config::{Site, VersionPlan},
     pb::{self, FileOrigin},
@@ -53,37 +53,28 @@
     pub async fn apply(self) {
         let mut applied = 0;
         let mut delayed = Delayed::default();
-        let mut unconfirmed = Unconfirmed::new(self.shared.clone());
         loop {
             tokio::select! {
                 () = self.shared.config_changed.notified() => {}
-                () = unconfirmed.next_probe() => {}
-                () = sleep(DELAYED_CHECK_INTERVAL), if !delayed.is_empty() || !unconfirmed.is_empty() => {}
+                () = sleep(DELAYED_CHECK_INTERVAL), if !delayed.is_empty() => {}
             }
             let (files, changes) = self.shared.config.lock().changes_since(applied);
             applied = changes;
             let mut instances = Vec::new();
             for file in files {
-                self.apply_file(file, &mut instances, &mut delayed, &mut unconfirmed);
+                self.apply_file(file, &mut instances, &mut delayed);
             }
             let now = self.shared.now();
             let due = delayed.take_due(now);
-            due.returned.iter().for_each(|instance| unconfirmed.list(instance));
             instances.extend(due.returned);
             self.shared.replicas.update(instances, now);
             self.shared.instances_listed.store(true, Ordering::Relaxed);
-            unconfirmed.apply(&due.removed, now);
+            due.removed.iter().for_each(|id| self.shared.replicas.remove(id, now));
             due.withdrawn.iter().for_each(|key| self.withdraw_order(key));
         }
     }
 
-    fn apply_file(
-        &self,
-        file: pb::ConfigFile,
-        instances: &mut Vec<Instance>,
-        delayed: &mut Delayed,
-        unconfirmed: &mut Unconfirmed,
-    ) {
+    fn apply_file(&self, file: pb::ConfigFile, instances: &mut Vec<Instance>, delayed: &mut Delayed) {
         let id: Option<Arc<str>> = self.catalog.instance_id(&file.name).map(Into::into);
         let (origin, now) = (file.origin(), self.shared.now());
         let revision = Revision::from_ordinal(file.revision);
@@ -104,7 +95,6 @@
                 let (id, pool, state) = (instance.id.clone(), instance.pool.clone(), instance.state);
                 let used = delayed.use_server(instance, origin, now);
                 let held_back = used.is_none();
-                used.iter().for_each(|used| unconfirmed.list(used));
                 if origin != FileOrigin::Kept {
                     info!(
                         "event=instance-changed instance={id} pool={pool} state={state:?} revision={revision} held_back={held_back}"
@@ -123,7 +113,6 @@
                 warn!("event=entry-refused key={:?} revision={revision} error={error:?}", file.name);
                 // The instance that an unreadable entry names must not be used, whatever the entry said before.
                 if let Some(id) = id {
-                    unconfirmed.refuse(&id);
                     delayed.remove(id, FileOrigin::Written, false, now);
                 }
             }
