Callers: a line and a counter for closes that no answer announced, and for connections that could not be accepted

caller-close-unannounced (reason, idle_ms, unread_body) and unannounced_closes_total{reason}: the caller has not closed its side, and its last answer did not say that the connection ends. accept-failed and failed_accepts_total.

--- a/goldcrestward/src/connection/activity.rs
+++ b/goldcrestward/src/connection/activity.rs
@@ -40,6 +40,10 @@
     reads_unsignalled: AtomicBool,
     /// Whether the connection is closed after the answers that are due.
     closing: AtomicBool,
+    /// Whether the last answer lets its caller send another request on the connection.
+    invites_next: AtomicBool,
+    /// Whether the caller has closed its side.
+    caller_closed: AtomicBool,
 }
 
 /// Marks a request with both a length and chunks, whose end different HTTP parsers find at different places.
@@ -62,6 +66,8 @@
             head_begun: Notify::new(),
             reads_unsignalled: AtomicBool::new(false),
             closing: AtomicBool::new(false),
+            invites_next: AtomicBool::new(false),
+            caller_closed: AtomicBool::new(false),
         })
     }
 
@@ -160,9 +166,20 @@
         }
     }
 
-    /// Records that an answer begins.
-    pub fn begin_answer(&self) {
+    /// Records that an answer begins, and whether it lets the caller send another request on the connection.
+    pub fn begin_answer(&self, invites_next: bool) {
         self.answer_limit_ms.store(self.limits.idle_timeout().as_millis() as u64, Ordering::Relaxed);
+        self.invites_next.store(invites_next, Ordering::Relaxed);
+    }
+
+    /// Records that the caller has closed its side of the connection.
+    pub fn end_caller(&self) {
+        self.caller_closed.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the caller may send a request: its last answer allows another one, and it has not closed its side.
+    pub fn awaits_next(&self) -> bool {
+        self.invites_next.load(Ordering::Relaxed) && !self.caller_closed.load(Ordering::Relaxed)
     }
 
     /// The idle time-outs in force now and at the last answer, in ms.
--- a/goldcrestward/src/connection/caller_closes.rs
+++ b/goldcrestward/src/connection/caller_closes.rs
@@ -1,10 +1,11 @@
-//! Counts and logs the connections of callers that are closed over a request which has had no answer.
+//! Counts and logs the connections of callers that are closed over a request which has had no answer, or over one that
+//! may be on its way.
 
-use std::time::Instant;
+use std::{io, time::Instant};
 
-use log::info;
+use log::{info, warn};
 use parking_lot::Mutex;
-use prometheus::IntCounterVec;
+use prometheus::{IntCounter, IntCounterVec};
 
 use super::activity::Activity;
 use crate::process::LineLimit;
@@ -41,16 +42,49 @@
     }
 }
 
-/// Records closes over an unanswered request.
+/// Records closes over a request that has had no answer.
 pub(crate) struct CallerCloses {
     counter: IntCounterVec,
+    unannounced: IntCounterVec,
+    failed_accepts: IntCounter,
     started: Instant,
     lines: Mutex<LineLimit>,
+    unannounced_lines: Mutex<LineLimit>,
+    accept_lines: Mutex<LineLimit>,
 }
 
 impl CallerCloses {
-    pub fn new(counter: IntCounterVec) -> Self {
-        Self { counter, started: Instant::now(), lines: Mutex::default() }
+    /// Creates a record with counters, by reason, of closes over a request that has arrived and of those that may cross
+    /// one, and of connections that could not be accepted at once.
+    pub fn new(counter: IntCounterVec, unannounced: IntCounterVec, failed_accepts: IntCounter) -> Self {
+        Self {
+            counter,
+            unannounced,
+            failed_accepts,
+            started: Instant::now(),
+            lines: Mutex::default(),
+            unannounced_lines: Mutex::default(),
+            accept_lines: Mutex::default(),
+        }
+    }
+
+    /// Records the close of a connection that its caller may still use, as nothing has told it of the close.
+    pub(super) fn record_unannounced(&self, reason: CloseReason, activity: &Activity) {
+        self.unannounced.with_label_values(&[reason.label()]).inc();
+        let now_ms = self.started.elapsed().as_millis() as u64;
+        let Some(others) = self.unannounced_lines.lock().record(now_ms) else { return };
+        let (reason, idle_ms, unread_body) = (reason.label(), activity.idle().as_millis(), activity.has_unread_body());
+        info!(
+            "event=caller-close-unannounced reason={reason} idle_ms={idle_ms} unread_body={unread_body} others={others}"
+        );
+    }
+
+    /// Records that a connection could not be accepted, as when file descriptors have run out: it waits meanwhile.
+    pub(super) fn record_failed_accept(&self, error: &io::Error) {
+        self.failed_accepts.inc();
+        let now_ms = self.started.elapsed().as_millis() as u64;
+        let Some(others) = self.accept_lines.lock().record(now_ms) else { return };
+        warn!("event=accept-failed error={:?} others={others}", error.to_string());
     }
 
     /// Records a close over `buffered` bytes that were read and `unread` ones that were not.
--- a/goldcrestward/src/connection/framing.rs
+++ b/goldcrestward/src/connection/framing.rs
@@ -124,7 +124,11 @@
             read = self.read_now(buffer);
         }
         if matches!(read, Poll::Ready(Ok(()))) {
-            self.inspect(&buffer.filled()[before..]);
+            let bytes = &buffer.filled()[before..];
+            if bytes.is_empty() {
+                self.activity.end_caller();
+            }
+            self.inspect(bytes);
         }
         read
     }
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -117,9 +117,13 @@
                 accepted = self.socket.accept() => accepted,
                 _ = stopped.wait_for(|stop| *stop) => return,
             };
-            let Ok((stream, peer)) = accepted else {
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
+            let (stream, peer) = match accepted {
+                Ok(accepted) => accepted,
+                Err(error) => {
+                    self.closes.record_failed_accept(&error);
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                    continue;
+                }
             };
             let activity = Activity::new(self.limits.clone());
             let service = RouterService { router: router.clone(), peer, activity: activity.clone() };
@@ -191,6 +195,8 @@
             let has_next = !parts.read_buf.is_empty() || !unread.is_empty();
             if has_next && !activity.has_unread_body() {
                 closes.record(reason, activity, &parts.read_buf, unread);
+            } else if reason != CloseReason::Idle && activity.awaits_next() {
+                closes.record_unannounced(reason, activity);
             }
             // A request that crosses the close of an idle connection is left unread, so that the reset tells its caller.
             let may_lose_answer = reason == CloseReason::LastAnswer || activity.idle() < DISCARD_TIME;
@@ -295,7 +301,7 @@
             if activity.is_closing() {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
-            activity.begin_answer();
+            activity.begin_answer(!says_close(&response));
             if version == Version::HTTP_10 && !has_length(&response) {
                 activity.begin_open_ended();
             }
@@ -304,6 +310,13 @@
     }
 }
 
+/// Whether a response tells the caller that its connection is closed after it.
+fn says_close(response: &Response) -> bool {
+    let values = response.headers().get_all(header::CONNECTION).iter();
+    let mut options = values.filter_map(|value| value.to_str().ok()).flat_map(|value| value.split(','));
+    options.any(|option| option.trim().eq_ignore_ascii_case("close"))
+}
+
 fn has_length(response: &Response) -> bool {
     response.headers().contains_key(header::CONTENT_LENGTH) || response.body().size_hint().exact().is_some()
 }
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -1,6 +1,7 @@
 //! Tests of when the listener closes the connections of callers, over real sockets.
 
 use std::{
+    convert::Infallible,
     io::{Read, Write},
     net::{SocketAddr, TcpStream as StdTcpStream},
     sync::Arc,
@@ -8,15 +9,20 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
+use http_body::Frame;
+use http_body_util::StreamBody;
 use parking_lot::Mutex;
-use prometheus::{IntCounterVec, Opts};
+use prometheus::{IntCounter, IntCounterVec, Opts};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     time::{sleep, timeout},
 };
 use volo_http::{
+    body::Body,
     request::Request,
+    response::Response,
     server::{Router, route::any},
 };
 
@@ -37,6 +43,7 @@
     drain: Drain,
     limits: Arc<Mutex<CallerLimits>>,
     closes: IntCounterVec,
+    unannounced: IntCounterVec,
 }
 
 impl Site {
@@ -47,18 +54,20 @@
         let socket = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port is free");
         let address = socket.local_addr().expect("the socket is bound");
         let refusals = IntCounterVec::new(Opts::new("refusals", "refusals"), &["reason", "run"]).expect("a valid name");
-        let closes = IntCounterVec::new(Opts::new("closes", "closes"), &["reason"]).expect("a valid name");
+        let counters = |name| IntCounterVec::new(Opts::new(name, name), &["reason"]).expect("a valid name");
+        let (closes, unannounced) = (counters("closes"), counters("unannounced"));
+        let failed_accepts = IntCounter::new("failed_accepts", "failed accepts").expect("a valid name");
         let current = limits.clone();
         let listener = Listener {
             socket,
             router: Router::new().fallback_service(any(answer)),
             drain: drain.clone(),
             refusals,
-            closes: Arc::new(CallerCloses::new(closes.clone())),
+            closes: Arc::new(CallerCloses::new(closes.clone(), unannounced.clone(), failed_accepts)),
             limits: Arc::new(LimitsInForce::new(move || current.lock().clone(), Duration::ZERO)),
         };
         tokio::spawn(listener.run());
-        Self { address, drain, limits, closes }
+        Self { address, drain, limits, closes, unannounced }
     }
 
     fn set_idle_timeout(&self, idle_timeout: Duration) {
@@ -70,12 +79,25 @@
     }
 }
 
-/// Answers at once, or after the time-out for heads.
-async fn answer(request: Request) -> &'static str {
-    if request.uri().path() == "/slow" {
-        sleep(5 * HEADER_TIMEOUT).await;
+/// Answers without reading the body: at once, after the time-out for heads, when a body has had the time to arrive, or
+/// with a stream of two parts.
+async fn answer(request: Request) -> Response {
+    match request.uri().path() {
+        "/slow" => sleep(5 * HEADER_TIMEOUT).await,
+        "/late" => sleep(HEADER_TIMEOUT / 2).await,
+        "/stream" => {
+            let parts = futures_util::stream::unfold(["first", ANSWER].into_iter(), |mut parts| async {
+                let part = parts.next()?;
+                if part == ANSWER {
+                    sleep(HEADER_TIMEOUT).await;
+                }
+                Some((Ok::<_, Infallible>(Frame::data(Bytes::from_static(part.as_bytes()))), parts))
+            });
+            return Response::new(Body::from_body(StreamBody::new(parts)));
+        }
+        _ => {}
     }
-    ANSWER
+    Response::new(Body::from(ANSWER))
 }
 
 /// Sends a request and returns what comes until the answer is whole or the connection ends.
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -142,7 +142,11 @@
             let (shared, lag) = (shared.clone(), shared.settings.config_apply);
             Arc::new(LimitsInForce::new(move || shared.in_force.load().site.caller_limits.clone(), lag))
         };
-        let closes = Arc::new(CallerCloses::new(shared.metrics.caller_closes.clone()));
+        let closes = {
+            let Metrics { caller_closes, unannounced_closes, failed_accepts, .. } = &shared.metrics;
+            CallerCloses::new(caller_closes.clone(), unannounced_closes.clone(), failed_accepts.clone())
+        };
+        let closes = Arc::new(closes);
         let listen = |socket, router, drain: &Drain| {
             let (drain, refusals, limits, closes) = (drain.clone(), refusals.clone(), limits.clone(), closes.clone());
             Listener { socket, router, drain, refusals, closes, limits }.run()
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -33,6 +33,10 @@
     pub stop_outcomes: IntCounterVec,
     /// Connections of callers that were closed over an unanswered request, by reason.
     pub caller_closes: IntCounterVec,
+    /// Connections of callers that were closed although their callers may have sent another request, by reason.
+    pub unannounced_closes: IntCounterVec,
+    /// Connections of callers that could not be accepted at once.
+    pub failed_accepts: IntCounter,
     /// Answers that ended incomplete.
     pub cut_answers: IntCounter,
     /// Time to the first token, by route.
@@ -129,6 +133,13 @@
                 "connections of callers closed over an unanswered request",
                 &["reason"],
             )?,
+            unannounced_closes: factory.counters(
+                "unannounced_closes_total",
+                "connections of callers closed with no answer that said so",
+                &["reason"],
+            )?,
+            failed_accepts: factory
+                .counter("failed_accepts_total", "connections that could not be accepted at once")?,
             cut_answers: factory.counter("cut_answers_total", "answers that could not be ended whole")?,
             first_token: factory.histograms("first_token_seconds", "time to the first token", &["route"])?,
             between_tokens: factory.histogram(
