--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -251,3 +251,82 @@
     let text = read_answer(&mut stream).await;
     assert!(text.ends_with(ANSWER), "{text:?}");
 }
+
+/// Sends the head and the first half of a long body, and returns the answer, which does not wait for the rest.
+async fn exchange_with_partial_body(stream: &mut TcpStream, body_bytes: usize) -> String {
+    let head = format!("POST /order HTTP/1.1\r\nHost: site\r\nContent-Length: {body_bytes}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("the connection is open");
+    stream.write_all(&vec![b'x'; body_bytes / 2]).await.expect("the connection is open");
+    read_answer(stream).await
+}
+
+/// Guards against LOST: an answer that came before its request's body had been read was the last one of its connection and
+/// did not say so, so that the next request was dropped with neither an answer nor a line.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_before_the_end_of_a_body_says_that_the_connection_ends() {
+    known_red::report!();
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    let text = exchange_with_partial_body(&mut stream, 2_000).await.to_lowercase();
+    assert!(text.starts_with("http/1.1 200") && text.contains("connection: close"), "{text}");
+    assert_eq!(site.unannounced.with_label_values(&["last-answer"]).get(), 0);
+}
+
+/// A refusal costs its caller no connection where the body has arrived.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_ignores_an_arrived_body_keeps_the_connection() {
+    known_red::report!();
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    for body_bytes in [10, 1_000, 100_000] {
+        let head = format!("POST /late HTTP/1.1\r\nHost: site\r\nContent-Length: {body_bytes}\r\n\r\n");
+        stream.write_all(&[head.as_bytes(), &vec![b'x'; body_bytes]].concat()).await.expect("the connection is open");
+        let text = read_answer(&mut stream).await.to_lowercase();
+        assert!(text.starts_with("http/1.1 200") && !text.contains("connection: close"), "{body_bytes}: {text}");
+    }
+    assert!(exchange(&mut stream).await.ends_with(ANSWER), "the connection was closed");
+}
+
+/// Guards against LOST: connections that the kernel had accepted and the daemon had not were reset at the stop.
+#[tokio::test]
+async fn connections_that_wait_to_be_accepted_at_the_stop_are_answered() {
+    known_red::report!();
+    let site = Site::start(Duration::from_secs(10));
+    assert!(exchange(&mut site.connect().await).await.ends_with(ANSWER));
+    // The listener runs on this thread, so that it accepts nothing before the stop.
+    let mut streams: Vec<_> =
+        (0..CONNECTIONS).map(|_| StdTcpStream::connect(site.address).expect("the listener's queue has room")).collect();
+    for stream in &mut streams {
+        stream.write_all(REQUEST).expect("the connection is open");
+    }
+    site.drain.stop.send_replace(true);
+    assert_eq!(count_answers(streams).await, CONNECTIONS);
+}
+
+/// Guards against LOST: a connection whose answer had begun before the stop, and so could not announce it, was closed
+/// behind that answer over the request that followed.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_behind_an_answer_that_began_before_the_stop_is_answered() {
+    known_red::report!();
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    stream.write_all(b"GET /stream HTTP/1.1\r\nHost: site\r\n\r\n").await.expect("the connection is open");
+    let mut text = Vec::new();
+    while !text.ends_with(b"first\r\n") {
+        let mut buffer = [0; 1024];
+        let count = stream.read(&mut buffer).await.expect("the stream goes on");
+        assert!(count > 0, "{}", String::from_utf8_lossy(&text));
+        text.extend_from_slice(&buffer[..count]);
+    }
+    site.drain.stop.send_replace(true);
+    while !text.ends_with(b"\r\n0\r\n\r\n") {
+        let mut buffer = [0; 1024];
+        let count = stream.read(&mut buffer).await.expect("the stream goes on");
+        assert!(count > 0, "{}", String::from_utf8_lossy(&text));
+        text.extend_from_slice(&buffer[..count]);
+    }
+    assert!(!String::from_utf8_lossy(&text).to_lowercase().contains("connection: close"));
+    sleep(Duration::from_millis(5)).await;
+    let text = exchange(&mut stream).await.to_lowercase();
+    assert!(text.ends_with(ANSWER) && text.contains("connection: close"), "{text:?}");
+}
