Callers: an answer behind which the connection is closed says so (LOST)

Cause: a request that is refused by its head (401, 404, in a stop, with no configuration) is answered before its body has come. The HTTP library then reads once more and, if the body is not complete by that, closes the connection behind the answer, which had said nothing of it. The caller goes on using the connection; its next request was read and thrown away with the rest of the body for up to 2 s, so that the caller could not take it for unread, and has_unread_body kept it out of caller-closed. Class: an end that is decided in one layer and announced in another. Both request paths act alike, as they share the listener.

Fix: what the handler has left of the body is read as far as it has arrived, up to 256 KiB; if that was all of it the connection is kept, and otherwise the answer says Connection: close. The decision is made where the answer's head is.

--- a/goldcrestward/src/connection/activity.rs
+++ b/goldcrestward/src/connection/activity.rs
@@ -16,7 +16,7 @@
 use tokio::sync::Notify;
 use volo_http::{body::Body, error::BoxError, response::Response};
 
-use super::limits_in_force::LimitsInForce;
+use super::{limits_in_force::LimitsInForce, unread_body::UnreadBody};
 
 /// Time added to the idle time-out before a connection is closed, so that a request in transit is not cut off.
 pub(super) const IDLE_GRACE: Duration = Duration::from_millis(500);
@@ -93,10 +93,15 @@
         self.ambiguous.load(Ordering::Relaxed)
     }
 
-    /// Tracks whether the body of a request is read to its end.
-    pub fn track_body(self: &Arc<Self>, body: Incoming) -> RequestBody {
+    /// Tracks whether the body of a request is read to its end. What is not read is left in `rest`.
+    pub fn track_body(self: &Arc<Self>, body: Incoming, rest: &UnreadBody) -> RequestBody {
         self.unread.store(!body.is_end_stream(), Ordering::Relaxed);
-        RequestBody { body, activity: self.clone() }
+        RequestBody { body: Some(body), activity: self.clone(), rest: rest.clone() }
+    }
+
+    /// Records that the last request's body has been read to its end.
+    pub fn end_body(&self) {
+        self.unread.store(false, Ordering::Relaxed);
     }
 
     /// Whether the last request was answered before its body had been read to the end.
@@ -253,10 +258,20 @@
     }
 }
 
-/// The body of a caller's request, which notes that it has been read to its end.
+/// The body of a caller's request, which notes that it has been read to its end and is left to its connection if not.
 pub(crate) struct RequestBody {
-    body: Incoming,
+    /// `None` once it is dropped.
+    body: Option<Incoming>,
     activity: Arc<Activity>,
+    rest: UnreadBody,
+}
+
+impl Drop for RequestBody {
+    fn drop(&mut self) {
+        if self.activity.has_unread_body() {
+            self.rest.put(self.body.take());
+        }
+    }
 }
 
 impl HttpBody for RequestBody {
@@ -267,18 +282,19 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let polled = Pin::new(&mut self.body).poll_frame(context);
-        if matches!(polled, Poll::Ready(None)) || self.body.is_end_stream() {
-            self.activity.unread.store(false, Ordering::Relaxed);
+        let Some(body) = &mut self.body else { return Poll::Ready(None) };
+        let polled = Pin::new(body).poll_frame(context);
+        if matches!(polled, Poll::Ready(None)) || self.is_end_stream() {
+            self.activity.end_body();
         }
         polled
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.body.as_ref().is_none_or(HttpBody::is_end_stream)
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        self.body.as_ref().map_or_else(|| SizeHint::with_exact(0), HttpBody::size_hint)
     }
 }
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -39,6 +39,7 @@
     framing::HeadInspector,
     limits_in_force::LimitsInForce,
     socket::set_up_accepted,
+    unread_body::UnreadBody,
 };
 use crate::request::{Reason, Refusal};
 
@@ -292,13 +293,19 @@
         let ambiguous = self.activity.is_ambiguous();
         Box::pin(METAINFO.scope(RefCell::new(MetaInfo::default()), async move {
             let mut context = ServerContext::new(peer);
-            let mut request: Request = request.map(|body| volo_http::body::Body::from_body(activity.track_body(body)));
+            let rest = UnreadBody::default();
+            let track = |body| volo_http::body::Body::from_body(activity.track_body(body, &rest));
+            let mut request: Request = request.map(track);
             if ambiguous {
                 request.extensions_mut().insert(AmbiguousFraming);
             }
             let version = request.version();
             let mut response = router.call(&mut context, request).await.into_response();
-            if activity.is_closing() {
+            // The HTTP library closes the connection after an answer to a request whose body has not been read to its end.
+            if activity.has_unread_body() && rest.discard_arrived().await {
+                activity.end_body();
+            }
+            if activity.has_unread_body() || activity.is_closing() {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             activity.begin_answer(!says_close(&response));
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -264,7 +264,6 @@
 /// did not say so, so that the next request was dropped with neither an answer nor a line.
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_before_the_end_of_a_body_says_that_the_connection_ends() {
-    known_red::report!();
     let site = Site::start(Duration::from_secs(10));
     let mut stream = site.connect().await;
     let text = exchange_with_partial_body(&mut stream, 2_000).await.to_lowercase();
@@ -275,7 +274,6 @@
 /// A refusal costs its caller no connection where the body has arrived.
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_that_ignores_an_arrived_body_keeps_the_connection() {
-    known_red::report!();
     let site = Site::start(Duration::from_secs(10));
     let mut stream = site.connect().await;
     for body_bytes in [10, 1_000, 100_000] {
--- a/goldcrestward/src/connection/mod.rs
+++ b/goldcrestward/src/connection/mod.rs
@@ -21,6 +21,7 @@
 mod server_stream;
 mod socket;
 mod tunnel;
+mod unread_body;
 
 pub(crate) use activity::AmbiguousFraming;
 pub(crate) use backend::{BackendConnection, BackendConnections, ConnectError};
