--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -12,6 +12,7 @@
 use http_body::Body as _;
 use hyper::{body::Incoming, server::conn::http1};
 use hyper_util::rt::TokioIo;
+use log::warn;
 use metainfo::{METAINFO, MetaInfo};
 use motore::service::Service;
 use prometheus::IntCounterVec;
@@ -20,7 +21,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
-    sync::{Semaphore, watch},
+    sync::{OwnedSemaphorePermit, Semaphore, watch},
     time::timeout,
 };
 use tokio_util::task::TaskTracker;
@@ -106,38 +107,67 @@
 impl Listener {
     /// Accepts connections until the drain begins.
     pub async fn run(self) {
-        let router = Arc::new(self.router);
+        let Self { socket, router, drain, refusals, closes, limits } = self;
+        let router = Arc::new(router);
+        let spawn = |stream, peer, permit: Option<OwnedSemaphorePermit>| {
+            let activity = Activity::new(limits.clone());
+            let service = RouterService { router: router.clone(), peer, activity: activity.clone() };
+            let (stop, refusals) = (drain.stop.subscribe(), refusals.clone());
+            let (closes, limits) = (closes.clone(), limits.clone());
+            drain.connections.spawn(async move {
+                serve(stream, service, stop, &refusals, &closes, &activity, &limits).await;
+                drop(permit);
+            });
+        };
         let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-        let mut stopped = self.drain.stop.subscribe();
+        let mut stopped = drain.stop.subscribe();
         loop {
             let permit = tokio::select! {
-                permit = permits.clone().acquire_owned() => permit,
-                _ = stopped.wait_for(|stop| *stop) => return,
+                permit = permits.clone().acquire_owned() => permit.ok(),
+                _ = stopped.wait_for(|stop| *stop) => break,
             };
             let accepted = tokio::select! {
-                accepted = self.socket.accept() => accepted,
-                _ = stopped.wait_for(|stop| *stop) => return,
+                accepted = socket.accept() => accepted,
+                _ = stopped.wait_for(|stop| *stop) => break,
             };
-            let (stream, peer) = match accepted {
-                Ok(accepted) => accepted,
+            match accepted {
+                Ok((stream, peer)) => spawn(stream, peer, permit),
                 Err(error) => {
-                    self.closes.record_failed_accept(&error);
+                    closes.record_failed_accept(&error);
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                    continue;
                 }
-            };
-            let activity = Activity::new(self.limits.clone());
-            let service = RouterService { router: router.clone(), peer, activity: activity.clone() };
-            let stop = self.drain.stop.subscribe();
-            let (refusals, closes, limits) = (self.refusals.clone(), self.closes.clone(), self.limits.clone());
-            self.drain.connections.spawn(async move {
-                serve(stream, service, stop, &refusals, &closes, &activity, &limits).await;
-                drop(permit);
-            });
+            }
+        }
+        // What the kernel has accepted is reset when the socket is closed.
+        for (stream, peer) in take_queued(socket) {
+            spawn(stream, peer, None);
         }
     }
 }
 
+/// Returns the connections that wait to be accepted. The kernel is asked, as the runtime may not have signalled them yet.
+fn take_queued(socket: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
+    let take = || {
+        let socket = socket.into_std()?;
+        let mut taken = Vec::new();
+        loop {
+            match socket.accept() {
+                Ok((stream, peer)) => {
+                    stream.set_nonblocking(true)?;
+                    taken.push((TcpStream::from_std(stream)?, peer));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(taken),
+                Err(error) => return Err(error),
+            }
+        }
+    };
+    let taken: io::Result<Vec<_>> = take();
+    taken.unwrap_or_else(|error| {
+        warn!("event=queue-not-accepted error={:?}", error.to_string());
+        Vec::new()
+    })
+}
+
 type Connection = http1::Connection<TokioIo<HeadInspector>, RouterService>;
 
 async fn serve(
