--- a/goldcrestward/src/connection/activity.rs
+++ b/goldcrestward/src/connection/activity.rs
@@ -16,7 +16,11 @@
 use tokio::sync::Notify;
 use volo_http::{body::Body, error::BoxError, response::Response};
 
-use super::{limits_in_force::LimitsInForce, unread_body::UnreadBody};
+use super::{
+    limits_in_force::LimitsInForce,
+    running_requests::{RunningRequest, RunningRequests},
+    unread_body::UnreadBody,
+};
 
 /// Time added to the idle time-out before a connection is closed, so that a request in transit is not cut off.
 pub(super) const IDLE_GRACE: Duration = Duration::from_millis(500);
@@ -25,6 +29,8 @@
 pub(crate) struct Activity {
     start: Instant,
     running: AtomicUsize,
+    /// Where running requests are counted for the stop; `None` if the stop does not wait for them.
+    counted_in: Option<RunningRequests>,
     ended_ms: AtomicU64,
     limits: Arc<LimitsInForce>,
     /// Idle time-out in ms at the last answer, or at the start of the connection.
@@ -38,8 +44,6 @@
     head_since: AtomicU64,
     head_begun: Notify,
     reads_unsignalled: AtomicBool,
-    /// Whether the connection is closed after the answers that are due.
-    closing: AtomicBool,
     /// Whether the last answer lets its caller send another request on the connection.
     invites_next: AtomicBool,
     /// Whether the caller has closed its side.
@@ -51,11 +55,12 @@
 pub(crate) struct AmbiguousFraming;
 
 impl Activity {
-    pub fn new(limits: Arc<LimitsInForce>) -> Arc<Self> {
+    pub fn new(limits: Arc<LimitsInForce>, counted_in: Option<RunningRequests>) -> Arc<Self> {
         let answer_limit_ms = AtomicU64::new(limits.idle_timeout().as_millis() as u64);
         Arc::new(Self {
             start: Instant::now(),
             running: AtomicUsize::new(0),
+            counted_in,
             ended_ms: AtomicU64::new(0),
             limits,
             answer_limit_ms,
@@ -65,7 +70,6 @@
             head_since: AtomicU64::new(0),
             head_begun: Notify::new(),
             reads_unsignalled: AtomicBool::new(false),
-            closing: AtomicBool::new(false),
             invites_next: AtomicBool::new(false),
             caller_closed: AtomicBool::new(false),
         })
@@ -76,7 +80,7 @@
         // A head whose lines end without a carriage return is not recognised as complete before.
         self.end_head();
         self.running.fetch_add(1, Ordering::Relaxed);
-        RequestGuard(self.clone())
+        RequestGuard { activity: self.clone(), _counted: self.counted_in.as_ref().map(RunningRequests::begin) }
     }
 
     pub fn is_running(&self) -> bool {
@@ -142,16 +146,6 @@
         self.reads_unsignalled.store(reads, Ordering::Relaxed);
     }
 
-    /// Has answers say that the connection is closed after them.
-    pub fn begin_close(&self) {
-        self.closing.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether the connection is closed after the answers that are due.
-    pub fn is_closing(&self) -> bool {
-        self.closing.load(Ordering::Relaxed)
-    }
-
     /// Whether reads ask the kernel also when no arrival has been signalled yet.
     pub fn reads_unsignalled(&self) -> bool {
         self.reads_unsignalled.load(Ordering::Relaxed)
@@ -182,9 +176,14 @@
         self.caller_closed.store(true, Ordering::Relaxed);
     }
 
+    /// Whether the caller has closed its side of the connection.
+    pub fn is_left(&self) -> bool {
+        self.caller_closed.load(Ordering::Relaxed)
+    }
+
     /// Whether the caller may send a request: its last answer allows another one, and it has not closed its side.
     pub fn awaits_next(&self) -> bool {
-        self.invites_next.load(Ordering::Relaxed) && !self.caller_closed.load(Ordering::Relaxed)
+        self.invites_next.load(Ordering::Relaxed) && !self.is_left()
     }
 
     /// The idle time-outs in force now and at the last answer, in ms.
@@ -206,9 +205,9 @@
         }
     }
 
-    /// Waits until the connection has been idle for some time.
+    /// Waits until the connection has been idle for some time, or a request is running.
     pub async fn idle_for(&self, time: Duration) {
-        while let Some(left) = time.checked_sub(self.idle()).filter(|left| !left.is_zero()) {
+        while let Some(left) = time.checked_sub(self.idle()).filter(|left| !left.is_zero() && !self.is_running()) {
             tokio::time::sleep(left).await;
         }
     }
@@ -224,7 +223,10 @@
 }
 
 /// Counts a request as running until it is dropped.
-pub(crate) struct RequestGuard(Arc<Activity>);
+pub(crate) struct RequestGuard {
+    activity: Arc<Activity>,
+    _counted: Option<RunningRequest>,
+}
 
 impl RequestGuard {
     /// Attaches the guard to the response body, so that the request counts as running until the body is sent.
@@ -236,9 +238,9 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        let now = self.0.start.elapsed().as_millis() as u64;
-        self.0.ended_ms.store(now, Ordering::Relaxed);
-        self.0.running.fetch_sub(1, Ordering::Relaxed);
+        let now = self.activity.start.elapsed().as_millis() as u64;
+        self.activity.ended_ms.store(now, Ordering::Relaxed);
+        self.activity.running.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
--- a/goldcrestward/src/connection/caller_closes.rs
+++ b/goldcrestward/src/connection/caller_closes.rs
@@ -79,6 +79,17 @@
         );
     }
 
+    /// Records that a connection has ended with an error while a request of it was being served.
+    pub(super) fn record_broken(&self, error: &hyper::Error, activity: &Activity) {
+        if !activity.is_running() || activity.is_left() {
+            return;
+        }
+        self.counter.with_label_values(&["broken"]).inc();
+        let now_ms = self.started.elapsed().as_millis() as u64;
+        let Some(others) = self.lines.lock().record(now_ms) else { return };
+        info!("event=caller-broken error={:?} others={others}", error.to_string());
+    }
+
     /// Records that a connection could not be accepted, as when file descriptors have run out: it waits meanwhile.
     pub(super) fn record_failed_accept(&self, error: &io::Error) {
         self.failed_accepts.inc();
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -8,7 +8,7 @@
 };
 
 use futures_util::future::BoxFuture;
-use http::{HeaderValue, Version, header};
+use http::{HeaderMap, HeaderValue, Version, header};
 use http_body::Body as _;
 use hyper::{body::Incoming, server::conn::http1};
 use hyper_util::rt::TokioIo;
@@ -39,6 +39,7 @@
     error::{ListenSnafu, Result},
     framing::HeadInspector,
     limits_in_force::LimitsInForce,
+    running_requests::RunningRequests,
     socket::set_up_accepted,
     unread_body::UnreadBody,
 };
@@ -57,6 +58,10 @@
 const DISCARD_BUFFER_BYTES: usize = 8 * 1024;
 /// Most bytes of an unread request in which its id is sought.
 const PEEKED_BYTES: usize = 2 * 1024;
+/// Time for the request that follows an answer to arrive.
+const NEXT_REQUEST_TIME: Duration = Duration::from_millis(200);
+/// Time for the first request on a connection that is accepted at the end of a stop to be read.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(50);
 /// Delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -76,9 +81,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
     Open,
-    /// Connections end once their callers are done with them.
+    /// Requests that come are served, and their answers end their connections.
     Draining,
-    /// Connections end with the request that is running.
+    /// No connection is accepted, and each one ends with the request that is running.
     Ending,
 }
 
@@ -87,24 +92,27 @@
 pub(crate) struct Drain {
     stop: Arc<watch::Sender<Stage>>,
     connections: TaskTracker,
+    /// The requests on connections that were accepted before the stop.
+    running: RunningRequests,
 }
 
 impl Drain {
     pub fn new() -> Self {
-        Self { stop: Arc::new(watch::channel(Stage::Open).0), connections: TaskTracker::new() }
+        let stop = Arc::new(watch::channel(Stage::Open).0);
+        Self { stop, connections: TaskTracker::new(), running: RunningRequests::default() }
     }
 
-    /// Stops accepting connections, lets each open one complete its request, and waits for all of them. Once `end` has come,
-    /// no connection waits for another request.
+    /// Takes new requests as long as those that came before the stop are running, or until `end`, then closes the listeners
+    /// and the idle connections, and waits for the other ones to complete their requests.
     pub async fn finish(&self, end: impl Future<Output = ()>) {
         self.stop.send_replace(Stage::Draining);
-        self.connections.close();
         tokio::select! {
             biased;
-            () = self.connections.wait() => return,
             () = end => {}
+            () = self.running.none_for(NEXT_REQUEST_TIME) => {}
         }
         self.stop.send_replace(Stage::Ending);
+        self.connections.close();
         self.connections.wait().await;
     }
 }
@@ -122,14 +130,19 @@
 }
 
 impl Listener {
-    /// Accepts connections until the drain begins.
+    /// Accepts connections until the drain ends.
     pub async fn run(self) {
         let Self { socket, router, drain, refusals, closes, limits } = self;
+        // The end of the drain waits until the queue has been taken over.
+        let _token = drain.connections.token();
         let router = Arc::new(router);
         let spawn = |stream, peer, permit: Option<OwnedSemaphorePermit>| {
-            let activity = Activity::new(limits.clone());
-            let service = RouterService { router: router.clone(), peer, activity: activity.clone() };
-            let (stop, refusals) = (drain.stop.subscribe(), refusals.clone());
+            let counted_in = (*drain.stop.borrow() == Stage::Open).then(|| drain.running.clone());
+            let activity = Activity::new(limits.clone(), counted_in);
+            let stop = drain.stop.subscribe();
+            let service =
+                RouterService { router: router.clone(), peer, activity: activity.clone(), stop: stop.clone() };
+            let refusals = refusals.clone();
             let (closes, limits) = (closes.clone(), limits.clone());
             drain.connections.spawn(async move {
                 serve(stream, service, stop, &refusals, &closes, &activity, &limits).await;
@@ -141,11 +154,11 @@
         loop {
             let permit = tokio::select! {
                 permit = permits.clone().acquire_owned() => permit.ok(),
-                _ = stopped.wait_for(|stage| *stage != Stage::Open) => break,
+                _ = stopped.wait_for(|stage| *stage == Stage::Ending) => break,
             };
             let accepted = tokio::select! {
                 accepted = socket.accept() => accepted,
-                _ = stopped.wait_for(|stage| *stage != Stage::Open) => break,
+                _ = stopped.wait_for(|stage| *stage == Stage::Ending) => break,
             };
             match accepted {
                 Ok((stream, peer)) => spawn(stream, peer, permit),
@@ -222,7 +235,7 @@
         if let Some(ended) = arrived {
             break (CloseReason::LastAnswer, ended);
         }
-        if activity.idle() < IDLE_GRACE && *stop.borrow() != Stage::Ending {
+        if reason == CloseReason::Idle && activity.idle() < IDLE_GRACE {
             // A request has arrived at the last moment.
             continue;
         }
@@ -249,19 +262,17 @@
                 discard_rest(&mut stream).await;
             }
         }
-        Err(error) => record_bad_head(connection, &error, refusals, closes, activity),
+        Err(error) => {
+            closes.record_broken(&error, activity);
+            record_bad_head(connection, &error, refusals, closes, activity);
+        }
     }
 }
 
-/// Waits until a stop closes the connection: when its caller has had the time to send what follows an answer that did not
-/// announce the close, or a first request.
+/// Waits until the stop closes the connection, which a new one has some time to use first.
 async fn stop_due(stop: &mut watch::Receiver<Stage>, activity: &Activity) {
-    stop.wait_for(|stage| *stage != Stage::Open).await.ok();
-    activity.begin_close();
-    tokio::select! {
-        _ = stop.wait_for(|stage| *stage == Stage::Ending) => {}
-        () = activity.idle_for(IDLE_GRACE) => {}
-    }
+    stop.wait_for(|stage| *stage == Stage::Ending).await.ok();
+    activity.idle_for(FIRST_REQUEST_TIME).await;
 }
 
 /// Reads what has arrived, as far as a request that has begun to arrive is being served. Returns the result of a connection
@@ -333,6 +344,8 @@
     router: Arc<Router>,
     peer: SocketAddr,
     activity: Arc<Activity>,
+    /// From the beginning of the stop on, answers say that they are the last.
+    stop: watch::Receiver<Stage>,
 }
 
 impl hyper::service::Service<http::Request<Incoming>> for RouterService {
@@ -344,7 +357,7 @@
         let router = self.router.clone();
         let peer = Address::from(self.peer);
         let guard = self.activity.begin_request();
-        let activity = self.activity.clone();
+        let (activity, stop) = (self.activity.clone(), self.stop.clone());
         let ambiguous = self.activity.is_ambiguous();
         Box::pin(METAINFO.scope(RefCell::new(MetaInfo::default()), async move {
             let mut context = ServerContext::new(peer);
@@ -355,15 +368,17 @@
                 request.extensions_mut().insert(AmbiguousFraming);
             }
             let version = request.version();
+            // The caller sends nothing after a request by which it has announced the end itself.
+            let is_callers_last = version == Version::HTTP_10 || says_close(request.headers());
             let mut response = router.call(&mut context, request).await.into_response();
             // The HTTP library closes the connection after an answer to a request whose body has not been read to its end.
             if activity.has_unread_body() && rest.discard_arrived().await {
                 activity.end_body();
             }
-            if activity.has_unread_body() || activity.is_closing() {
+            if activity.has_unread_body() || *stop.borrow() != Stage::Open {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
-            activity.begin_answer(!says_close(&response));
+            activity.begin_answer(!is_callers_last && !says_close(response.headers()));
             if version == Version::HTTP_10 && !has_length(&response) {
                 activity.begin_open_ended();
             }
@@ -372,9 +387,9 @@
     }
 }
 
-/// Whether a response tells the caller that its connection is closed after it.
-fn says_close(response: &Response) -> bool {
-    let values = response.headers().get_all(header::CONNECTION).iter();
+/// Whether a message says that its connection is closed after it.
+fn says_close(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter();
     let mut options = values.filter_map(|value| value.to_str().ok()).flat_map(|value| value.split(','));
     options.any(|option| option.trim().eq_ignore_ascii_case("close"))
 }
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -204,7 +204,7 @@
         for stream in &mut streams {
             stream.write_all(REQUEST).expect("the connection is open");
         }
-        drain.stop.send_replace(Stage::Draining);
+        drain.stop.send_replace(Stage::Ending);
         streams
     });
     let streams = stop.await.expect("the task ends");
@@ -297,10 +297,43 @@
     for stream in &mut streams {
         stream.write_all(REQUEST).expect("the connection is open");
     }
-    site.drain.stop.send_replace(Stage::Draining);
+    site.drain.stop.send_replace(Stage::Ending);
     assert_eq!(count_answers(streams).await, CONNECTIONS);
 }
 
+/// Guards against callers that find no listener while a daemon that is being stopped could serve them.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_are_taken_as_long_as_earlier_requests_run() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut running = site.connect().await;
+    running.write_all(b"GET /slow HTTP/1.1\r\nHost: site\r\n\r\n").await.expect("the connection is open");
+    sleep(HEADER_TIMEOUT / 4).await;
+    let drain = site.drain.clone();
+    let stop = tokio::spawn(async move { drain.finish(pending()).await });
+    sleep(HEADER_TIMEOUT).await;
+    let text = exchange(&mut site.connect().await).await.to_lowercase();
+    assert!(text.ends_with(ANSWER) && text.contains("connection: close"), "{text:?}");
+    assert!(read_answer(&mut running).await.ends_with(ANSWER));
+    timeout(ANSWER_TIMEOUT, stop).await.expect("the stop ends").expect("the task ends");
+    assert!(TcpStream::connect(site.address).await.is_err(), "the listener is still open");
+}
+
+/// Callers that go on connecting do not delay a stop.
+#[tokio::test(flavor = "multi_thread")]
+async fn later_requests_do_not_delay_a_stop() {
+    let site = Site::start(Duration::from_secs(10));
+    let address = site.address;
+    let callers = tokio::spawn(async move {
+        while let Ok(mut stream) = TcpStream::connect(address).await {
+            exchange(&mut stream).await;
+        }
+    });
+    sleep(HEADER_TIMEOUT / 4).await;
+    let stop = timeout(ANSWER_TIMEOUT, site.drain.finish(pending()));
+    assert!(stop.await.is_ok(), "the stop does not end");
+    timeout(ANSWER_TIMEOUT, callers).await.expect("the listener is closed").expect("the task ends");
+}
+
 /// Guards against LOST: a connection whose answer had begun before the stop, and so could not announce it, was closed
 /// behind that answer over the request that followed.
 #[tokio::test(flavor = "multi_thread")]
--- a/goldcrestward/src/connection/mod.rs
+++ b/goldcrestward/src/connection/mod.rs
@@ -17,6 +17,7 @@
 mod peer;
 mod request_sender;
 mod response_head;
+mod running_requests;
 mod seal;
 mod server_stream;
 mod socket;
