--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -65,6 +65,20 @@
             Self::Leaving => "leaving",
         }
     }
+
+    /// Records the failure in the replica's health.
+    pub fn record_at(self, replica: &Replica, now: u64) {
+        match self {
+            Self::Leaving | Self::NoMemory => {}
+            Self::ConnectFailed => replica.eject(now),
+            Self::HeadTooLong
+            | Self::WrongResponse
+            | Self::ErrorStatus
+            | Self::TooLong
+            | Self::TimedOut
+            | Self::Disconnected => replica.update_ejection(false, now),
+        }
+    }
 }
 
 /// The attempts of one request.
@@ -183,21 +197,9 @@
         let replica = guard.replica();
         self.last_failure = Some(failure);
         self.tried.push(replica.id.clone());
-        let now = self.shared.now();
-        match failure {
-            Failure::Leaving | Failure::NoMemory => {}
-            Failure::ConnectFailed => replica.eject(now),
-            Failure::HeadTooLong
-            | Failure::WrongResponse
-            | Failure::ErrorStatus
-            | Failure::TooLong
-            | Failure::TimedOut => {
-                replica.update_ejection(false, now);
-            }
-            Failure::Disconnected => {
-                replica.update_ejection(false, now);
-                self.check_crash(guard).await;
-            }
+        failure.record_at(replica, self.shared.now());
+        if failure == Failure::Disconnected {
+            self.check_crash(guard).await;
         }
     }
 
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -21,6 +21,7 @@
     headers::drop_hop_by_hop,
     kept_body::KeptBody,
     passed_body::PassedBody,
+    pending_answer::{OvertakenRequest, PendingAnswer},
     refusal::{Reason, Refusal, RunState},
     response_owner::ResponseOwner,
     run_window::{Phase, RunWindow},
@@ -71,6 +72,9 @@
     request: OutboundRequest,
 }
 
+/// A response, with the place at the replica that gives it.
+type Answered = (Response, ReplicaGuard);
+
 /// The head of a request to a plain service.
 pub(crate) struct PlainRequestHead {
     /// The request's id.
@@ -168,17 +172,9 @@
         let hedged = self.route.lookup && (self.method == Method::GET || self.method == Method::HEAD);
         loop {
             let guard = self.attempts.next_attempt(false).await?;
-            let result = if hedged { self.send_hedged(&guard).await } else { self.send(&guard).await };
-            match result {
-                Ok(response) => {
-                    self.attempts.record_success(guard.replica());
-                    self.shared.observe(guard.replica(), &self.route.name, Sample::Good);
-                    return Ok(self.pass_through(response, guard));
-                }
-                Err(failure) => {
-                    self.shared.observe(guard.replica(), &self.route.name, Sample::Failed);
-                    self.attempts.record_failure(&guard, failure).await;
-                }
+            let answered = if hedged { self.send_hedged(guard).await } else { self.send_to(guard).await };
+            if let Some((response, guard)) = answered {
+                return Ok(self.pass_through(response, guard));
             }
         }
     }
@@ -191,22 +187,11 @@
         let body = Body::from_stream(start.chain(rest.into_data_stream().map(|piece| piece.map(Frame::data))));
         let request = OutboundRequest { body, ..self.build_request(&guard) };
         self.attempts.mark_sent();
-        match send(self.outbound(&guard, request), self.attempts.window()).await {
-            Ok(response) => {
-                self.attempts.record_success(guard.replica());
-                self.shared.observe(guard.replica(), &self.route.name, Sample::Good);
-                Ok(self.pass_through(response, guard))
-            }
-            Err(failure) => {
-                self.shared.observe(guard.replica(), &self.route.name, Sample::Failed);
-                self.attempts.record_failure(&guard, failure).await;
-                match self.attempts.window().has_ended() {
-                    true => Err(self.attempts.window().give_up(RunState::MayHaveRun)),
-                    false => {
-                        Err(self.attempts.refuse(Reason::BackendFailed, "the back end did not take the whole body"))
-                    }
-                }
-            }
+        let result = send(self.outbound(&guard, request), self.attempts.window().clone()).await;
+        match self.record(result, guard).await {
+            Some((response, guard)) => Ok(self.pass_through(response, guard)),
+            None if self.attempts.window().has_ended() => Err(self.attempts.window().give_up(RunState::MayHaveRun)),
+            None => Err(self.attempts.refuse(Reason::BackendFailed, "the back end did not take the whole body")),
         }
     }
 
@@ -220,36 +205,67 @@
         BoundedBody::bound(Response::from_parts(parts, Body::from_body(body)), window, Some(started))
     }
 
-    async fn send(&mut self, guard: &ReplicaGuard) -> Result<Response, Failure> {
+    async fn send_to(&mut self, guard: ReplicaGuard) -> Option<Answered> {
         self.attempts.mark_sent();
-        send(self.outbound(guard, self.build_request(guard)), self.attempts.window()).await
+        let PendingAnswer { guard, answer, .. } = self.begin(guard);
+        let result = answer.await;
+        self.record(result, guard).await
     }
 
     /// Sends a lookup to a second replica too if the first is slow and the retry budget allows it.
-    async fn send_hedged(&mut self, guard: &ReplicaGuard) -> Result<Response, Failure> {
+    async fn send_hedged(&mut self, guard: ReplicaGuard) -> Option<Answered> {
         self.attempts.mark_sent();
-        let window = self.attempts.window().clone();
-        let first = send(self.outbound(guard, self.build_request(guard)), &window);
-        tokio::pin!(first);
-        if let Ok(result) = timeout(HEDGE_DELAY, &mut first).await {
-            return result;
+        let mut first = self.begin(guard);
+        if let Ok(result) = timeout(HEDGE_DELAY, &mut first.answer).await {
+            return self.record(result, first.guard).await;
+        }
+        let Some(mut second) = self.begin_second(&first) else {
+            let result = first.answer.await;
+            return self.record(result, first.guard).await;
+        };
+        let (result, ended, other) = tokio::select! {
+            result = &mut first.answer => (result, first, second),
+            result = &mut second.answer => (result, second, first),
+        };
+        if result.is_err() {
+            let (_, result) = tokio::join!(self.record(result, ended.guard), other.answer);
+            return self.record(result, other.guard).await;
         }
-        if !window.allows_run() || !self.shared.route_retry_budgets.withdraw(&self.route.name) {
-            return first.await;
+        let (shared, route, id) = (self.shared.clone(), self.route.clone(), self.id.clone());
+        let (fingerprint, window) = (self.fingerprint, self.attempts.window().clone());
+        OvertakenRequest { shared, route, id, fingerprint, window }.follow(other);
+        self.record(result, ended.guard).await
+    }
+
+    fn begin_second(&self, first: &PendingAnswer) -> Option<PendingAnswer> {
+        let budgets = &self.shared.route_retry_budgets;
+        if !self.attempts.window().allows_run() || !budgets.withdraw(&self.route.name) {
+            return None;
         }
-        let Some(other) = self.attempts.choose_hedge(guard.replica()) else { return first.await };
+        let guard = self.attempts.choose_hedge(first.guard.replica())?;
         self.shared.metrics.retries.with_label_values(&["hedged"]).inc();
-        let second = send(self.outbound(&other, self.build_request(&other)), &window);
-        tokio::pin!(second);
-        tokio::select! {
-            result = &mut first => match result {
-                Ok(response) => Ok(response),
-                Err(_) => second.await,
-            },
-            result = &mut second => match result {
-                Ok(response) => Ok(response),
-                Err(_) => first.await,
-            },
+        Some(self.begin(guard))
+    }
+
+    fn begin(&self, guard: ReplicaGuard) -> PendingAnswer {
+        let call = self.outbound(&guard, self.build_request(&guard));
+        let answer = Box::pin(send(call, self.attempts.window().clone()));
+        PendingAnswer { guard, answer, sent_at: Instant::now() }
+    }
+
+    /// Records what came of a request to one replica; returns the response if there is one.
+    async fn record(&mut self, result: Result<Response, Failure>, guard: ReplicaGuard) -> Option<Answered> {
+        match result {
+            Ok(response) => {
+                self.attempts.record_success(guard.replica());
+                self.shared.observe(guard.replica(), &self.route.name, Sample::Good);
+                Some((response, guard))
+            }
+            Err(failure) => {
+                self.shared.observe(guard.replica(), &self.route.name, Sample::Failed);
+                self.attempts.record_failure(&guard, failure).await;
+                None
+            }
         }
     }
 
@@ -428,7 +444,7 @@
 
 /// Sends a request, on an open connection only if the replica's responses bear the ids of their requests: a copy of an
 /// earlier response could otherwise not be told from the request's own.
-async fn send(call: OutboundCall, window: &RunWindow) -> Result<Response, Failure> {
+async fn send(call: OutboundCall, window: RunWindow) -> Result<Response, Failure> {
     let OutboundCall { shared, replica, id, request } = call;
     let echoes_ids = replica.echoes_ids();
     let is_own = |head: &HeaderMap| ResponseOwner::of(head, &id) == ResponseOwner::Request;
--- a/goldcrestward/tests/it/support/site.rs
+++ b/goldcrestward/tests/it/support/site.rs
@@ -139,6 +139,15 @@
         self.platform.put_instance(Instance { id: id.into(), ..row });
     }
 
+    /// Ends the plain services, and takes them out of the platform's list of instances.
+    pub fn remove_services(&mut self) {
+        for (number, service) in self.services.drain(..).enumerate() {
+            service.kill();
+            let row = instance("orders", "orders-1", "north", service.address(), InstanceState::Gone);
+            self.platform.put_instance(Instance { id: format!("orders-{number}"), ..row });
+        }
+    }
+
     /// Listens on a port that stays reserved as long as the site exists.
     fn listen(&mut self) -> (TcpListener, SocketAddr) {
         let port = ReservedPort::new().expect("a port is free");
