--- a/goldcrestward/tests/it/stop_limits.rs
+++ b/goldcrestward/tests/it/stop_limits.rs
@@ -539,7 +539,6 @@
 /// the slots of the one that stops.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn stop_beside_keyed_calls_ends_once_records_are_written() {
-    known_red::report!();
     /// Time for the balancer to notice the stop, and for outcomes to be written.
     const MAX_STOP: Duration = Duration::from_millis(500 + 2 * 1_000);
 
