--- a/goldcrestward/src/version/slow_version_test.rs
+++ b/goldcrestward/src/version/slow_version_test.rs
@@ -28,7 +28,15 @@
 const MAX_ROLLBACK_MS: u64 = 5_000;
 const SEEDS: u64 = 25;
 
-/// A bad version, and what befalls its servers.
+/// Share of the requests whose prompt no server of the version in use has cached.
+const UNCACHED_SHARE: f64 = 0.15;
+/// Time constant with which a new version's servers cache the prompts of the traffic that they get.
+const CACHING_MS: f64 = 4_000.0;
+const GOOD_SEEDS: u64 = 100;
+/// Least share of the good versions that must be completed.
+const MIN_COMPLETED_SHARE: f64 = 0.99;
+
+/// A version, and what befalls its servers.
 #[derive(Clone, Copy, Debug)]
 struct Scenario {
     /// Factor on the times of slow answers, and their share.
@@ -36,6 +44,10 @@
     slow_share: f64,
     /// Zones in which its servers are stopped, and when.
     stopped: (usize, u64),
+    /// Servers in each zone; the old version has 6.
+    servers: usize,
+    /// Factor on the times of answers to prompts that are not cached.
+    uncached_factor: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -73,8 +85,15 @@
     // The shares of traffic, and when the daemons know of them.
     let mut shares = vec![(0, 0.0)];
     let (mut bad, mut bad_since) = (0, None);
+    // Share of the new version's traffic for which it has not had the time to cache prompts.
+    let (mut unseen, mut earlier_share) = (0.0, 0.0);
     for now in (0..(ROLLOUT_S + 3) * 1_000).step_by(STEP_MS as usize) {
         let share = shares.iter().rev().find(|(at, _)| *at <= now).map_or(0.0, |(_, share)| *share);
+        if share > earlier_share {
+            unseen = (unseen * earlier_share + share - earlier_share) / share;
+            earlier_share = share;
+        }
+        unseen *= (-(STEP_MS as f64) / CACHING_MS).exp();
         let (stopped_zones, stopped_at) = scenario.stopped;
         let first_zone = if now >= stopped_at { stopped_zones } else { 0 };
         let mean = RATE * STEP_MS as f64 / 1_000.0;
@@ -86,6 +105,9 @@
             let zone = if is_new { random.random_range(first_zone..ZONES) } else { daemon % ZONES };
             let is_bad = is_new && random.random_bool(scenario.slow_share);
             let factor = if is_bad { scenario.factor } else { 1.0 };
+            let uncached_share = if is_new { UNCACHED_SHARE + (1.0 - UNCACHED_SHARE) * unseen } else { UNCACHED_SHARE };
+            let is_uncached = scenario.uncached_factor > 1.0 && random.random_bool(uncached_share);
+            let factor = if is_uncached { factor * scenario.uncached_factor } else { factor };
             let (_, usual, target) = ROUTES[route];
             let took = usual * factor * (SPREAD * normal(&mut random)).exp();
             answers.push(Answer {
@@ -121,7 +143,7 @@
         snapshots.push_back((now + random.random_range(0..=REPORT_MS) + TICK_MS, strata));
         let has_arrived = snapshots.front().is_some_and(|(at, _)| *at <= now);
         let Some((_, strata)) = has_arrived.then(|| snapshots.pop_front()).flatten() else { continue };
-        let ready = Readiness { new: 2 * (ZONES - first_zone), old: 6 * ZONES };
+        let ready = Readiness { new: scenario.servers * (ZONES - first_zone), old: 6 * ZONES };
         let Some(decision) = rollout.decide(&Snapshot { now_ms: now, strata, ready }) else { continue };
         rollout.apply(&decision, now);
         match decision {
@@ -142,7 +164,7 @@
     let mut failures = Vec::new();
     for (factor, slow_share) in kinds.iter().copied() {
         for stopped in [(0, 0), (1, 3_000), (2, 1_000), (2, 5_000)] {
-            let scenario = Scenario { factor, slow_share, stopped };
+            let scenario = Scenario { factor, slow_share, stopped, servers: 2, uncached_factor: 1.0 };
             let results: Vec<RunResult> = (0..SEEDS).map(|seed| run(scenario, seed)).collect();
             let exposed = results.iter().map(|result| result.exposed).max().unwrap_or_default();
             let over = results.iter().filter(|result| result.exposed > 0).count();
@@ -170,3 +192,15 @@
     known_red::report!();
     check(&[(4.0, 0.6)]);
 }
+
+/// Guards against good versions that are rolled back because their servers have few prompts cached at first.
+#[test]
+fn good_versions_without_cached_prompts_are_completed() {
+    for uncached_factor in [1.0, 2.0] {
+        let scenario = Scenario { factor: 1.0, slow_share: 0.0, stopped: (0, 0), servers: 6, uncached_factor };
+        let results: Vec<RunResult> = (0..GOOD_SEEDS).map(|seed| run(scenario, seed)).collect();
+        let completed = results.iter().filter(|result| result.outcome == Some(Outcome::Completed)).count();
+        println!("{scenario:?}: {completed} of {GOOD_SEEDS} completed");
+        assert!(completed as f64 >= MIN_COMPLETED_SHARE * GOOD_SEEDS as f64, "{scenario:?}: {completed} completed");
+    }
+}
