--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -44,7 +44,7 @@
     metrics::Metrics,
     peer_service::{PeerService, report_limit_demand},
     replicas::Replicas,
-    response_memory::ResponseMemory,
+    response_memory::{RequestBodies, ResponseMemory},
     rollout::RolloutController,
     run_times::RunTimes,
     seeds::Seeder,
@@ -323,6 +323,8 @@
 ) -> Result<(Starting, Arc<Shared>, Secrets)> {
     let metrics = Metrics::new().context(MetricsSnafu)?;
     response_memory.measure(metrics.response_bytes.clone(), metrics.long_responses.clone());
+    let (body_bytes, given_up) = (metrics.request_body_bytes.clone(), metrics.given_up_bodies.clone());
+    let request_bodies = RequestBodies::new(settings.request_bytes, body_bytes, given_up);
     let secrets = Secrets::new(&settings.secrets);
     let peer_client = PeerClient::new(secrets.clone());
     let store =
@@ -357,6 +359,7 @@
         replicas: Replicas::default(),
         client,
         response_memory,
+        request_bodies,
         peer_client,
         kv,
         ledger,
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -105,6 +105,10 @@
     pub response_bytes: IntGauge,
     /// Responses that were too long, by kind and limit.
     pub long_responses: IntCounterVec,
+    /// Bytes of the bodies of requests that are kept.
+    pub request_body_bytes: IntGauge,
+    /// Bodies of requests that were given up for want of memory, by kind and limit.
+    pub given_up_bodies: IntCounterVec,
 }
 
 impl Metrics {
@@ -226,6 +230,12 @@
                 "responses that were too long, by kind and by the limit that they did not fit in",
                 &["kind", "limit"],
             )?,
+            request_body_bytes: factory.gauge("request_body_bytes", "bytes of the bodies of requests that are kept")?,
+            given_up_bodies: factory.counters(
+                "given_up_bodies_total",
+                "bodies of requests that were given up for want of memory, by kind and limit",
+                &["kind", "limit"],
+            )?,
             crash_records: factory.counter("crash_records_total", "crash records learned from other daemons")?,
             registry,
         })
--- a/goldcrestward/src/process/response_memory/byte_budget.rs
+++ b/goldcrestward/src/process/response_memory/byte_budget.rs
@@ -68,6 +68,8 @@
 #[derive(Debug)]
 pub(crate) struct ByteBudget {
     limit: usize,
+    /// What the responses of one server may have beyond [`SMALL_RESPONSE_BYTES`].
+    server_limit: usize,
     holders: HashMap<HolderId, Holder>,
     next: HolderId,
     total: usize,
@@ -87,7 +89,18 @@
 impl ByteBudget {
     /// Creates a budget of `limit` bytes.
     pub fn new(limit: usize) -> Self {
-        Self { limit, holders: HashMap::new(), next: 0, total: 0, large: 0, server_large: HashMap::new() }
+        let server_limit = share(limit, SERVER_SHARE);
+        Self { limit, server_limit, holders: HashMap::new(), next: 0, total: 0, large: 0, server_large: HashMap::new() }
+    }
+
+    /// Creates a budget of `limit` bytes in which no server has a share of its own.
+    pub fn undivided(limit: usize) -> Self {
+        Self { server_limit: usize::MAX, ..Self::new(limit) }
+    }
+
+    /// The most that one response can hold.
+    pub fn largest(&self) -> usize {
+        (share(self.limit, LARGE_SHARE) + SMALL_RESPONSE_BYTES).min(self.limit)
     }
 
     /// Bytes held by all responses.
@@ -185,10 +198,9 @@
         let server_large = self.server_large.get(&growing.server).copied().unwrap_or(0);
         let large_share = share(self.limit, LARGE_SHARE);
         let (server, large) = match growing.precedence {
-            Precedence::BySize => (
-                over(server_large, more_large, share(self.limit, SERVER_SHARE)),
-                over(self.large, more_large, large_share),
-            ),
+            Precedence::BySize => {
+                (over(server_large, more_large, self.server_limit), over(self.large, more_large, large_share))
+            }
             // Whole responses may fill the shares until their callers have read them, which the daemon's own calls must not
             // wait for.
             Precedence::Always => (0, over(self.protected_large(), more_large, large_share)),
--- a/goldcrestward/src/process/response_memory/memory.rs
+++ b/goldcrestward/src/process/response_memory/memory.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     future::poll_fn,
-    pin::pin,
+    pin::{Pin, pin},
     sync::{Arc, OnceLock},
     task::{Context, Poll, Waker},
     time::Instant,
@@ -73,7 +73,15 @@
 impl ResponseMemory {
     /// Creates a memory for `limit` bytes of responses that are read from servers.
     pub fn new(limit: usize) -> Self {
-        let (budget, callers) = (ByteBudget::new(limit), CallerShare::new(limit / CALLER_PART));
+        Self::with_budget(ByteBudget::new(limit), CallerShare::new(limit / CALLER_PART))
+    }
+
+    /// Creates a memory for `limit` bytes that all senders share alike.
+    pub(super) fn undivided(limit: usize) -> Self {
+        Self::with_budget(ByteBudget::undivided(limit), CallerShare::new(0))
+    }
+
+    fn with_budget(budget: ByteBudget, callers: CallerShare) -> Self {
         let state = Mutex::new(State { budget, slots: HashMap::new(), callers, answers: HashMap::new() });
         let (metrics, lines) = (OnceLock::new(), Mutex::default());
         Self { inner: Arc::new(Inner { state, metrics, lines, started: Instant::now() }) }
@@ -89,6 +97,11 @@
         self.inner.state.lock().total()
     }
 
+    /// The most that one response can hold.
+    pub(super) fn largest(&self) -> usize {
+        self.inner.state.lock().budget.largest()
+    }
+
     /// Creates an empty buffer for up to `limit` bytes of a server's response.
     pub fn buffer(&self, server: &Arc<str>, limit: usize) -> ResponseBuffer {
         ResponseBuffer::new(self.clone(), server.clone(), limit, Precedence::BySize)
@@ -110,6 +123,18 @@
         Ok(buffer.take_answer()?)
     }
 
+    /// Reads a body like [`collect`](Self::collect), for the daemon itself.
+    pub(super) async fn collect_shared<B: Body<Data = Bytes>>(
+        &self,
+        body: B,
+        server: &Arc<str>,
+        limit: usize,
+    ) -> Result<Bytes, ReadError> {
+        let mut buffer = self.buffer(server, limit);
+        read_to_end(body, &mut buffer).await?;
+        Ok(buffer.take()?)
+    }
+
     /// Reads a body like [`collect`](Self::collect), but gives way to no other response: for calls that the daemon itself
     /// depends on, which reads the bytes itself.
     ///
@@ -134,26 +159,28 @@
     /// Counts a response that was too long, and logs it, at most once a second for each server. `id` is that of the
     /// request, or `-`.
     pub fn record_too_long(&self, id: &str, server: &Arc<str>, kind: &str, error: &TooLong) {
-        let limit = error.limit.label();
-        if let Some(metrics) = self.inner.metrics.get() {
-            metrics.too_long.with_label_values(&[kind, limit]).inc();
-        }
-        let now = u64::try_from(self.inner.started.elapsed().as_millis()).unwrap_or(u64::MAX);
-        let logged = {
-            let mut lines = self.inner.lines.lock();
-            if lines.len() >= MAX_LOGGED_SERVERS && !lines.contains_key(server) {
-                lines.clear();
-            }
-            lines.entry(server.clone()).or_default().record(now)
-        };
-        if let Some(others) = logged {
-            let bytes = error.bytes;
+        if let Some(others) = self.count_too_long(server, kind, error) {
+            let (bytes, limit) = (error.bytes, error.limit.label());
             warn!(
                 "event=response-too-long id={id} instance={server} kind={kind} bytes={bytes} limit={limit} others={others}"
             );
         }
     }
 
+    /// Counts what was too long. Returns how many others were not logged since the last line on its server, if this one is
+    /// to be logged.
+    pub(super) fn count_too_long(&self, server: &Arc<str>, kind: &str, error: &TooLong) -> Option<u64> {
+        if let Some(metrics) = self.inner.metrics.get() {
+            metrics.too_long.with_label_values(&[kind, error.limit.label()]).inc();
+        }
+        let now = u64::try_from(self.inner.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let mut lines = self.inner.lines.lock();
+        if lines.len() >= MAX_LOGGED_SERVERS && !lines.contains_key(server) {
+            lines.clear();
+        }
+        lines.entry(server.clone()).or_default().record(now)
+    }
+
     fn show_kept(&self, state: &State) {
         if let Some(metrics) = self.inner.metrics.get() {
             metrics.kept.set(i64::try_from(state.total()).unwrap_or(i64::MAX));
@@ -321,15 +348,25 @@
 }
 
 async fn read_to_end<B: Body<Data = Bytes>>(body: B, buffer: &mut ResponseBuffer) -> Result<(), ReadError> {
-    let mut body = pin!(body);
+    let body = pin!(body);
     buffer.check_stated(body.size_hint().lower())?;
-    loop {
+    read_up_to(usize::MAX, body, buffer).await?;
+    Ok(())
+}
+
+/// Reads frames until there are `enough` bytes, or the body has ended. Returns whether it has.
+pub(super) async fn read_up_to<B: Body<Data = Bytes>>(
+    enough: usize,
+    mut body: Pin<&mut B>,
+    buffer: &mut ResponseBuffer,
+) -> Result<bool, ReadError> {
+    while buffer.len() < enough {
         let next = poll_fn(|context| match buffer.poll_given_up(context) {
             Poll::Ready(error) => Poll::Ready(Err(error)),
             Poll::Pending => body.as_mut().poll_frame(context).map(Ok),
         });
         match next.await? {
-            None => return Ok(()),
+            None => return Ok(true),
             Some(Err(_)) => return Err(ReadError::Broken),
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
@@ -338,4 +375,5 @@
             }
         }
     }
+    Ok(false)
 }
--- a/goldcrestward/src/process/settings.rs
+++ b/goldcrestward/src/process/settings.rs
@@ -194,6 +194,8 @@
     pub config_apply: Duration,
     /// Bytes of responses that the daemon keeps at most.
     pub response_bytes: usize,
+    /// Bytes of the bodies of requests that the daemon keeps at most.
+    pub request_bytes: usize,
 }
 
 const DEFAULT_NOTICE_MS: u64 = 500;
@@ -208,6 +210,8 @@
 const MIN_MEMORY_MB: u64 = 64;
 /// Part of the memory for the responses that a daemon keeps; the buffers of connections and all else take the rest.
 const RESPONSE_PART: usize = 4;
+/// Part of the memory for the bodies of callers' requests.
+const REQUEST_PART: usize = 4;
 
 impl TryFrom<Overrides> for Settings {
     type Error = SettingsError;
@@ -230,6 +234,7 @@
         if workers == 0 {
             return invalid("workers", "must be above 0".into());
         }
+        let memory = memory_bytes(overrides.memory_mb.unwrap_or(DEFAULT_MEMORY_MB))?;
         Ok(Self {
             site: identifier("site", overrides.site)?,
             name: match overrides.name {
@@ -266,7 +271,8 @@
                 0 => return invalid("config-apply-ms", "must be above 0".into()),
                 ms => ms,
             }),
-            response_bytes: response_bytes(overrides.memory_mb.unwrap_or(DEFAULT_MEMORY_MB))?,
+            response_bytes: memory / RESPONSE_PART,
+            request_bytes: memory / REQUEST_PART,
         })
     }
 }
@@ -279,12 +285,12 @@
     Ok(value)
 }
 
-fn response_bytes(memory_mb: u64) -> Result<usize> {
+fn memory_bytes(memory_mb: u64) -> Result<usize> {
     if memory_mb < MIN_MEMORY_MB {
         return invalid("memory-mb", format!("must be {MIN_MEMORY_MB} or more, not {memory_mb}"));
     }
     let bytes = memory_mb.saturating_mul(1024 * 1024);
-    Ok(usize::try_from(bytes).unwrap_or(usize::MAX) / RESPONSE_PART)
+    Ok(usize::try_from(bytes).unwrap_or(usize::MAX))
 }
 
 fn seconds(field: &'static str, value: Option<u64>, default: u64) -> Result<Duration> {
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -29,7 +29,7 @@
     membership::{Fact, View},
     metrics::Metrics,
     replicas::{Replica, Replicas},
-    response_memory::ResponseMemory,
+    response_memory::{RequestBodies, ResponseMemory},
     run_times::RunTimes,
     settings::Settings,
     state::{Freshness, LineLimit},
@@ -70,6 +70,8 @@
     pub client: HttpClient,
     /// Memory for the responses that are kept.
     pub response_memory: ResponseMemory,
+    /// Memory for the bodies of requests that are kept.
+    pub request_bodies: RequestBodies,
     /// Connections to other daemons.
     pub peer_client: PeerClient,
     /// The platform's key-value store.
--- a/goldcrestward/src/request/ingress.rs
+++ b/goldcrestward/src/request/ingress.rs
@@ -5,14 +5,12 @@
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, StatusCode, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use serde_json::json;
-use tokio::time::timeout;
 use volo_http::{body::Body, request::Request, response::Response};
 
 use super::{
+    caller_body::CallerBody,
     headers::bearer,
     model::ModelCall,
     plain::{PlainCall, PlainRequestHead, ReceivedBody},
@@ -96,7 +94,7 @@
         if path == "/v1/chat/completions" || path == "/v1/completions" {
             let admitted = self.admit(&account)?;
             let window = RunWindow::unrouted(self.shared.clone(), id.clone(), Instant::now() + BODY_TIMEOUT);
-            let body = window.wait_for(Phase::Body, read_body(body)).await??;
+            let body = window.wait_for(Phase::Body, self.caller_body(&id).read(body, BODY_BYTES)).await??;
             return ModelCall::new(self.shared.clone(), &account, admitted, id, path, body)?.run().await;
         }
         let Some(route) = in_force.site.path_route(&path) else {
@@ -112,13 +110,22 @@
             RunWindow::new(self.shared.clone(), id.clone(), route.clone(), Instant::now() + route.timeout).unbuffered();
         let window = if route.repeatable { window.passed_on() } else { window };
         let body = window.wait_for(Phase::Body, async {
-            if route.repeatable { read_start(body).await } else { read_body(body).await.map(ReceivedBody::complete) }
+            let caller = self.caller_body(&id);
+            if route.repeatable {
+                read_start(&caller, body).await
+            } else {
+                caller.read(body, BODY_BYTES).await.map(ReceivedBody::complete)
+            }
         });
         let body = body.await??;
         let request = PlainRequestHead { id, method: parts.method, path, headers: parts.headers };
         PlainCall::new(self.shared.clone(), &account, admitted, route.clone(), request, body).run().await
     }
 
+    fn caller_body<'a>(&'a self, id: &'a str) -> CallerBody<'a> {
+        CallerBody { shared: &self.shared, id, time: BODY_TIMEOUT }
+    }
+
     fn admit(&self, account: &Account) -> Result<AdmissionPermit, Refusal> {
         self.shared.limits.admit(account, self.shared.daemon_count(), self.shared.now())
     }
@@ -155,33 +162,7 @@
 }
 
 /// Buffers the start of a body for retries. The rest of a longer one is streamed to the back end.
-async fn read_start(mut body: Body) -> Result<ReceivedBody, Refusal> {
-    let start = async {
-        let mut start = BytesMut::new();
-        while start.len() < RETRY_BUFFER_BYTES {
-            match body.frame().await {
-                None => return Ok((start, true)),
-                Some(Ok(frame)) => start.extend_from_slice(&frame.into_data().unwrap_or_default()),
-                Some(Err(_)) => return Err(()),
-            }
-        }
-        Ok((start, false))
-    };
-    match timeout(BODY_TIMEOUT, start).await {
-        Err(_) => Err(Refusal::not_run(Reason::BodyTimeout, "the body did not arrive in time")),
-        Ok(Err(())) => Err(Refusal::not_run(Reason::BadRequest, "the body could not be read")),
-        Ok(Ok((start, true))) => Ok(ReceivedBody::complete(start.freeze())),
-        Ok(Ok((start, false))) => Ok(ReceivedBody { start: start.freeze(), rest: Some(body) }),
-    }
-}
-
-async fn read_body(body: Body) -> Result<Bytes, Refusal> {
-    match timeout(BODY_TIMEOUT, Limited::new(body, BODY_BYTES).collect()).await {
-        Err(_) => Err(Refusal::not_run(Reason::BodyTimeout, "the body did not arrive in time")),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(Refusal::not_run(Reason::BodyTooLarge, format!("the body has more than {BODY_BYTES} bytes")))
-        }
-        Ok(Err(_)) => Err(Refusal::not_run(Reason::BadRequest, "the body could not be read")),
-    }
+async fn read_start(caller: &CallerBody<'_>, mut body: Body) -> Result<ReceivedBody, Refusal> {
+    let (start, has_ended) = caller.read_start(&mut body, RETRY_BUFFER_BYTES).await?;
+    Ok(ReceivedBody { start, rest: (!has_ended).then_some(body) })
 }
--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod bounded_body;
 mod budget;
+mod caller_body;
 mod crash;
 mod fallback;
 mod headers;
--- a/goldcrestward/src/request/proxy_ingress.rs
+++ b/goldcrestward/src/request/proxy_ingress.rs
@@ -7,13 +7,12 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, header, request::Parts};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use log::info;
-use tokio::time::timeout;
 use volo_http::{body::Body, request::Request, response::Response};
 
 use super::{
     admitted_caller::AdmittedCaller,
+    caller_body::CallerBody,
     placement_request::{PlacementRequest, choose_pool},
     proxy::ProxyCall,
     refusal::{Reason, Refusal},
@@ -21,7 +20,7 @@
     run_window::{Phase, RunWindow},
 };
 use crate::{
-    config::{CallerLimits, Site},
+    config::Site,
     connection::AmbiguousFraming,
     logs::is_sampled,
     port::RequestMetadata,
@@ -86,7 +85,10 @@
         let deadline = arrived + caller.metadata.timeout.unwrap_or(caller.route.timeout).min(caller.route.timeout);
         let window = RunWindow::new(self.gateway.shared.clone(), id.clone(), caller.route.clone(), deadline)
             .with_tokens(Some(caller.metadata.max_tokens()));
-        let body = window.wait_for(Phase::Body, self.read_body(body, &in_force.site.caller_limits, deadline)).await;
+        let time = deadline.saturating_duration_since(Instant::now());
+        let caller_body = CallerBody { shared: &self.gateway.shared, id: &id, time };
+        let limit = in_force.site.caller_limits.body_bytes.min(BODY_BYTES);
+        let body = window.wait_for(Phase::Body, caller_body.read(body, limit)).await;
         let body = body.and_then(|body| body).map_err(|refusal| refuse(&id, refusal))?;
         let call = self.prepare_call(caller, parts, body, arrived, deadline).await;
         let call = call.map_err(|refusal| refuse(&id, refusal))?;
@@ -132,19 +134,6 @@
         let head = RequestHead { method: parts.method, path, headers: parts.headers };
         Ok(ProxyCall::new(gateway.clone(), caller, head, body, placement, charge))
     }
-
-    async fn read_body(&self, body: Body, limits: &CallerLimits, deadline: Instant) -> Result<Bytes, Refusal> {
-        let left = deadline.saturating_duration_since(Instant::now());
-        let bytes = limits.body_bytes.min(BODY_BYTES);
-        match timeout(left, Limited::new(body, bytes).collect()).await {
-            Err(_) => Err(Refusal::not_run(Reason::BodyTimeout, "the body did not arrive in time")),
-            Ok(Ok(collected)) => Ok(collected.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                Err(Refusal::not_run(Reason::BodyTooLarge, format!("the body has more than {bytes} bytes")))
-            }
-            Ok(Err(_)) => Err(Refusal::not_run(Reason::BadRequest, "the body could not be read")),
-        }
-    }
 }
 
 /// Rejects a request with both `Content-Length` and `Transfer-Encoding`, which parsers interpret differently.
--- a/goldcrestward/src/request/refusal.rs
+++ b/goldcrestward/src/request/refusal.rs
@@ -77,6 +77,8 @@
         Deadline,
         /// Back ends failed and no further retry is allowed.
         BackendFailed,
+        /// The daemon has no memory for the body.
+        NoMemory,
         /// The daemon is shutting down.
         Stopping,
         /// The daemon has no configuration yet.
@@ -111,6 +113,7 @@
             Self::CrashesBackends => "crashes-back-ends",
             Self::Deadline => "deadline",
             Self::BackendFailed => "back-end-failed",
+            Self::NoMemory => "no-memory",
             Self::Stopping => "stopping",
             Self::NoConfiguration => "no-configuration",
         }
@@ -134,6 +137,7 @@
             | Self::LedgerUnavailable
             | Self::NoReplica
             | Self::Overloaded
+            | Self::NoMemory
             | Self::Stopping
             | Self::NoConfiguration => StatusCode::SERVICE_UNAVAILABLE,
         }
--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+mod bodies;
 mod callers;
 mod command_line;
 mod configuration;
