Carriers: a response that can't be read ends with the peer's next request (DRAIN)

What callers saw: by reading, no report. A carrier that could not tell the bytes of a carried connection apart held it for busy for ever: it was not closed as idle when its server was withdrawn, and the peer's further requests were passed on.

Cause: docs/incidents/config-drain.md took the carrier's parser for the peer's. It is not: the HTTP library takes heads whose lines end with LF alone and chunk extensions of up to 16 KiB, of which the carrier's took neither (1 KiB). Class: two readers of the same bytes with different bounds.

No run with real processes.

Change: both are read. For whatever else can't be: the peer sends a request once it has read the response before, so the response is over then; if the server is withdrawn, the request is not passed on. An unreadable connection on which the peer sends nothing more is still closed by the peer only. The limit on a chunk's line is the library's own.

--- a/goldcrestward/src/connection/carried_exchanges.rs
+++ b/goldcrestward/src/connection/carried_exchanges.rs
@@ -60,6 +60,11 @@
 
     /// Reads bytes that the peer sends to the server. Returns false if they begin a request that the server is not to get.
     pub fn send(&mut self, bytes: &[u8]) -> bool {
+        // The peer has read the response before by now, so it is over although this daemon could not read it.
+        if self.requests.is_between() && self.responses.is_rest() {
+            self.responses = Messages::default();
+            self.state.awaited.clear();
+        }
         if self.is_idle() && self.state.observer.is_withdrawn() {
             return false;
         }
--- a/goldcrestward/src/connection/carried_exchanges_test.rs
+++ b/goldcrestward/src/connection/carried_exchanges_test.rs
@@ -105,6 +105,30 @@
     assert!(exchanges.is_over() && exchanges.send(POST.as_bytes()) && !exchanges.is_over());
 }
 
+// Guards against DRAIN: a connection whose response could not be read counts as in use for ever, so that a withdrawn server
+// gets more requests on it and it is not closed. The peer sends a request once it has read the response before.
+#[test]
+fn unreadable_response_is_over_when_the_next_request_begins() {
+    for response in ["HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n", "\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"] {
+        let observer = Observer::default();
+        let mut exchanges = CarriedExchanges::new(&observer);
+        assert!(exchanges.send(POST.as_bytes()));
+        exchanges.receive(response.as_bytes());
+        observer.is_withdrawn.store(true, Ordering::Relaxed);
+        assert!(!exchanges.is_over(), "{response:?}: it may go on");
+        assert!(!exchanges.send(POST.as_bytes()), "{response:?}: the server is withdrawn");
+
+        let observer = Observer::default();
+        let mut exchanges = CarriedExchanges::new(&observer);
+        assert!(exchanges.send(POST.as_bytes()));
+        exchanges.receive(response.as_bytes());
+        assert!(exchanges.send(POST.as_bytes()));
+        exchanges.receive(b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na");
+        observer.is_ending.store(true, Ordering::Relaxed);
+        assert!(exchanges.is_over(), "{response:?}: the exchange after it has ended");
+    }
+}
+
 #[test]
 fn heads_are_too_long_beyond_the_bounds() {
     const INTERIM: &str = "HTTP/1.1 102 Processing\r\n\r\n";
--- a/goldcrestward/src/connection/http_messages.rs
+++ b/goldcrestward/src/connection/http_messages.rs
@@ -6,8 +6,11 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Most fields of a head.
 const MAX_FIELDS: usize = 128;
-/// Longest line with the length of a chunk, in bytes.
-const MAX_CHUNK_LINE_BYTES: usize = 1024;
+/// Longest line with the length of a chunk, in bytes: the HTTP library's limit on extensions, and the length.
+const MAX_CHUNK_LINE_BYTES: usize = 16 * 1024 + 32;
+/// Ends of a head. The HTTP library takes lines that end with LF alone.
+const HEAD_ENDS: &[&[u8]] = &[b"\n\r\n", b"\n\n"];
+const LINE_END: &[&[u8]] = &[b"\r\n"];
 
 /// How the end of a message's body is marked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,6 +70,11 @@
         self.part == Part::Head && self.pending.is_empty()
     }
 
+    /// Whether what follows cannot be told apart, or belongs to a body that ends with the connection.
+    pub fn is_rest(&self) -> bool {
+        self.part == Part::Rest
+    }
+
     /// Bytes of a head that is not complete.
     pub fn head_bytes(&self) -> usize {
         if self.part == Part::Head { self.pending.len() } else { 0 }
@@ -82,7 +90,7 @@
         while !bytes.is_empty() {
             bytes = match self.part {
                 Part::Rest => return,
-                Part::Head => self.read_line(bytes, MAX_HEAD_BYTES, b"\r\n\r\n", |head| match parser.read_head(head) {
+                Part::Head => self.read_line(bytes, MAX_HEAD_BYTES, HEAD_ENDS, |head| match parser.read_head(head) {
                     Some(BodyEnd::Length(0)) => {
                         parser.end_message();
                         Part::Head
@@ -93,14 +101,14 @@
                     Some(BodyEnd::Connection) | None => Part::Rest,
                 }),
                 Part::ChunkLine => {
-                    self.read_line(bytes, MAX_CHUNK_LINE_BYTES, b"\r\n", |line| match chunk_length(line) {
+                    self.read_line(bytes, MAX_CHUNK_LINE_BYTES, LINE_END, |line| match chunk_length(line) {
                         Some(0) => Part::Trailer,
                         // The end of the line after the chunk belongs to it.
                         Some(length) => Part::Chunk(length.saturating_add(2)),
                         None => Part::Rest,
                     })
                 }
-                Part::Trailer => self.read_line(bytes, MAX_HEAD_BYTES, b"\r\n", |line| {
+                Part::Trailer => self.read_line(bytes, MAX_HEAD_BYTES, LINE_END, |line| {
                     if line != b"\r\n" {
                         return Part::Trailer;
                     }
@@ -124,20 +132,24 @@
         }
     }
 
-    /// Reads up to `end`, and takes what follows from the text up to there. Returns the bytes that are left.
+    /// Reads up to the first of `ends`, and takes what follows from the text up to there. Returns the bytes that are left.
     fn read_line<'a>(
         &mut self,
         bytes: &'a [u8],
         limit: usize,
-        end: &[u8],
+        ends: &[&[u8]],
         next: impl FnOnce(&[u8]) -> Part,
     ) -> &'a [u8] {
         let known = self.pending.len();
         self.pending.extend_from_slice(bytes);
         // The end may have begun in the bytes before.
-        let from = known.saturating_sub(end.len() - 1);
-        let found = self.pending[from..].windows(end.len()).position(|window| window == end);
-        match found.map(|position| from + position + end.len()) {
+        let longest = ends.iter().map(|end| end.len()).max().unwrap_or(1);
+        let from = known.saturating_sub(longest - 1);
+        let find = |end: &&[u8]| {
+            let position = self.pending[from..].windows(end.len()).position(|window| window == *end)?;
+            Some(from + position + end.len())
+        };
+        match ends.iter().filter_map(find).min() {
             Some(length) if length <= limit => {
                 self.part = next(&self.pending[..length]);
                 self.pending.clear();
--- a/goldcrestward/src/connection/http_messages_test.rs
+++ b/goldcrestward/src/connection/http_messages_test.rs
@@ -27,9 +27,10 @@
 }
 
 /// Messages, their first lines, how many of them end, and whether the last byte is the end of one.
-const CASES: [(&str, &[&str], usize, bool); 9] = [
+const CASES: [(&str, &[&str], usize, bool); 10] = [
     ("length 0\r\nA: b\r\n\r\nlength 2\r\n\r\nab", &["length 0", "length 2"], 2, true),
     ("length 3\r\n\r\nab", &["length 3"], 0, false),
+    ("length 0\nA: b\n\nlength 2\nA: b\r\n\nab", &["length 0", "length 2"], 2, true),
     ("interim x\r\n\r\nlength 1\r\n\r\na", &["interim x", "length 1"], 1, true),
     (
         "chunks x\r\n\r\n3;a=b\r\nabc\r\n0A\r\n0123456789\r\n0\r\n\r\nlength 0\r\n\r\n",
@@ -58,6 +59,15 @@
     }
 }
 
+// Guards against a carried connection that is never idle: the peer's parser reads chunk extensions that this one does not.
+#[test]
+fn read_finds_messages_behind_long_chunk_extensions() {
+    let text = format!("chunks x\r\n\r\n1;{}\r\na\r\n0\r\n\r\n", "e".repeat(8 * 1024));
+    let (mut messages, mut recorder) = (Messages::default(), Recorder::default());
+    text.as_bytes().chunks(1000).for_each(|piece| messages.read(piece, &mut recorder));
+    assert_eq!((recorder.ended, messages.is_between()), (1, true));
+}
+
 #[test]
 fn read_gives_up_heads_without_end() {
     let (mut messages, mut recorder) = (Messages::default(), Recorder::default());
