--- a/goldcrestward/src/process/response_memory/request_bodies.rs
+++ b/goldcrestward/src/process/response_memory/request_bodies.rs
@@ -63,3 +63,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "request_bodies_test.rs"]
+mod request_bodies_test;
