--- a/goldcrestward/src/config/merge.rs
+++ b/goldcrestward/src/config/merge.rs
@@ -163,6 +163,7 @@
                 replicas: spec.replicas.as_ref().map_or(0, |r| r.value),
                 concurrency: spec.concurrency.as_ref().map_or(DEFAULT_CONCURRENCY, |c| c.value),
                 max_connections: DEFAULT_MAX_CONNECTIONS,
+                health_path: None,
                 engine: None,
                 scaling: None,
             };
--- a/goldcrestward/src/config/site.rs
+++ b/goldcrestward/src/config/site.rs
@@ -97,6 +97,8 @@
         pub concurrency: u32,
         /// Connections that each server accepts from all daemons together.
         pub max_connections: u32,
+        /// Path at which its servers say whether they are leaving, if they do.
+        pub health_path: Option<Arc<str>>,
         /// Capacity of each of the pool's model engines.
         pub engine: Option<EngineCapacity>,
         /// Size limits and prices; `None` if the pool is not scaled.
--- a/goldcrestward/src/port/engines.rs
+++ b/goldcrestward/src/port/engines.rs
@@ -34,4 +34,10 @@
         id: &'a str,
         target: SocketAddr,
     ) -> BoxFuture<'a, Result<MigrationOutcome, String>>;
+
+    /// Asks the server `id` at `path` whether it is leaving. Returns whether it says that it is not; `false` without an answer
+    /// of its own.
+    fn says_ready<'a>(&'a self, _server: SocketAddr, _id: &'a str, _path: &'a str) -> BoxFuture<'a, bool> {
+        Box::pin(async { false })
+    }
 }
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -55,6 +55,10 @@
     pub carried: IntGauge,
     /// Servers that this daemon does not reach.
     pub unreached_servers: IntGauge,
+    /// Servers in use without an entry.
+    pub unconfirmed_servers: IntGauge,
+    /// Servers without an entry that were asked whether they are leaving, by answer.
+    pub server_questions: IntCounterVec,
     /// Calls to the key-value store, by kind, purpose and result.
     pub kv_calls: IntCounterVec,
     /// Restores of the key-value store from a copy that this daemon has noticed.
@@ -162,6 +166,12 @@
             carried: factory
                 .gauge("carried_connections", "connections to backend servers that are carried for peers")?,
             unreached_servers: factory.gauge("unreached_servers", "backend servers that this daemon does not reach")?,
+            unconfirmed_servers: factory.gauge("unconfirmed_servers", "backend servers in use without an entry")?,
+            server_questions: factory.counters(
+                "server_questions_total",
+                "servers without an entry that were asked whether they are leaving",
+                &["answer"],
+            )?,
             kv_calls: factory.counters(
                 "kv_calls_total",
                 "calls to the key-value service",
--- a/goldcrestward/src/process/replicas/registry.rs
+++ b/goldcrestward/src/process/replicas/registry.rs
@@ -150,6 +150,33 @@
         self.pools.store(Arc::new(pools));
     }
 
+    /// Uses a server again that has been removed, unless it has said that it leaves or another one has its name. Returns
+    /// whether it is used.
+    pub fn put_back(&self, pool: &Arc<str>, replica: &Arc<Replica>) -> bool {
+        let mut known = self.known.lock();
+        if known.contains_key(&replica.id) || self.has_stated_leaving(replica) {
+            return false;
+        }
+        replica.health.stay();
+        known.insert(replica.id.clone(), replica.clone());
+        let mut pools = Pools::clone(&self.pools.load());
+        pools.entry(pool.clone()).or_default().push(replica.clone());
+        self.pools.store(Arc::new(pools));
+        self.admission_queues.wake_next_in_each();
+        true
+    }
+
+    /// Whether a server's run has said that it leaves.
+    pub fn has_stated_leaving(&self, replica: &Replica) -> bool {
+        self.leaving_runs.lock().first(replica.statement_key()).is_some()
+    }
+
+    /// The pool of a server.
+    pub fn pool_of(&self, id: &str) -> Option<Arc<str>> {
+        let pools = self.pools.load();
+        pools.iter().find(|(_, pool)| pool.iter().any(|r| *r.id == *id)).map(|(name, _)| name.clone())
+    }
+
     /// Keeps what a run has said about itself, as its entry may come back. Without a start time, the next entry with the name
     /// and address may be that of another run.
     fn end_statements(&self, replica: &Replica, now: u64) {
--- a/goldcrestward/src/process/replicas/replica_health.rs
+++ b/goldcrestward/src/process/replicas/replica_health.rs
@@ -47,6 +47,13 @@
 }
 
 impl ReplicaHealth {
+    /// Takes back that the server is leaving.
+    pub fn stay(&self) {
+        self.leaving.store(false, Ordering::Relaxed);
+        self.leaves_at.store(0, Ordering::Relaxed);
+        self.assumed_end.store(0, Ordering::Relaxed);
+    }
+
     /// Marks the server as leaving; the first end that becomes known stays.
     pub fn leave(&self, now: u64, leaves_in: Option<Duration>) {
         self.leaving.store(true, Ordering::Relaxed);
--- a/goldcrestward/src/process/state/mod.rs
+++ b/goldcrestward/src/process/state/mod.rs
@@ -2,11 +2,13 @@
 
 mod delayed;
 mod freshness;
+mod lapsed_entries;
 mod line_limit;
 mod pull;
 mod reader;
 mod site_state;
 mod turn;
+mod unconfirmed;
 
 pub(super) use freshness::{Budget, Freshness, Overdue};
 pub(crate) use line_limit::LineLimit;
--- a/goldcrestward/src/process/state/site_state.rs
+++ b/goldcrestward/src/process/state/site_state.rs
@@ -10,7 +10,7 @@
 use parking_lot::Mutex;
 use tokio::time::sleep;
 
-use super::delayed::Delayed;
+use super::{delayed::Delayed, unconfirmed::Unconfirmed};
 use crate::{
     config::{Site, VersionPlan},
     pb::{self, FileOrigin},
@@ -53,28 +53,37 @@
     pub async fn apply(self) {
         let mut applied = 0;
         let mut delayed = Delayed::default();
+        let mut unconfirmed = Unconfirmed::new(self.shared.clone());
         loop {
             tokio::select! {
                 () = self.shared.config_changed.notified() => {}
-                () = sleep(DELAYED_CHECK_INTERVAL), if !delayed.is_empty() => {}
+                () = unconfirmed.next_answer() => {}
+                () = sleep(DELAYED_CHECK_INTERVAL), if !delayed.is_empty() || !unconfirmed.is_empty() => {}
             }
             let (files, changes) = self.shared.config.lock().changes_since(applied);
             applied = changes;
             let mut instances = Vec::new();
             for file in files {
-                self.apply_file(file, &mut instances, &mut delayed);
+                self.apply_file(file, &mut instances, &mut delayed, &mut unconfirmed);
             }
             let now = self.shared.now();
             let due = delayed.take_due(now);
+            due.returned.iter().for_each(|instance| unconfirmed.list(instance));
             instances.extend(due.returned);
             self.shared.replicas.update(instances, now);
             self.shared.instances_listed.store(true, Ordering::Relaxed);
-            due.removed.iter().for_each(|id| self.shared.replicas.remove(id, now));
+            unconfirmed.apply(&due.removed, now);
             due.withdrawn.iter().for_each(|key| self.withdraw_order(key));
         }
     }
 
-    fn apply_file(&self, file: pb::ConfigFile, instances: &mut Vec<Instance>, delayed: &mut Delayed) {
+    fn apply_file(
+        &self,
+        file: pb::ConfigFile,
+        instances: &mut Vec<Instance>,
+        delayed: &mut Delayed,
+        unconfirmed: &mut Unconfirmed,
+    ) {
         let id: Option<Arc<str>> = self.catalog.instance_id(&file.name).map(Into::into);
         let (origin, now) = (file.origin(), self.shared.now());
         let revision = Revision::from_ordinal(file.revision);
@@ -82,6 +91,9 @@
             match id {
                 Some(id) => {
                     let grace = delayed.remove(id.clone(), origin, self.had_recent_store_error(), now);
+                    if grace > 0 {
+                        unconfirmed.settle(&id);
+                    }
                     info!("event=instance-removed instance={id} revision={revision} grace_ms={grace}");
                 }
                 None if delayed.keeps_order(&file.name, origin, now) => {}
@@ -95,6 +107,7 @@
                 let (id, pool, state) = (instance.id.clone(), instance.pool.clone(), instance.state);
                 let used = delayed.use_server(instance, origin, now);
                 let held_back = used.is_none();
+                used.iter().for_each(|used| unconfirmed.list(used));
                 if origin != FileOrigin::Kept {
                     info!(
                         "event=instance-changed instance={id} pool={pool} state={state:?} revision={revision} held_back={held_back}"
@@ -113,6 +126,7 @@
                 warn!("event=entry-refused key={:?} revision={revision} error={error:?}", file.name);
                 // The instance that an unreadable entry names must not be used, whatever the entry said before.
                 if let Some(id) = id {
+                    unconfirmed.settle(&id);
                     delayed.remove(id, FileOrigin::Written, false, now);
                 }
             }
