--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -93,10 +93,32 @@
     }
 
     /// Takes an idle connection to the instance. Without `relayed`, only a direct one; those by way of a peer are
-    /// closed.
-    pub fn take(&self, address: SocketAddr, instance: &Arc<str>, relayed: bool) -> Option<BackendConnection> {
+    /// closed. One by way of a peer that `is_doubted` is left.
+    pub fn take(
+        &self,
+        address: SocketAddr,
+        instance: &Arc<str>,
+        relayed: bool,
+        is_doubted: impl Fn(&str) -> bool,
+    ) -> Option<BackendConnection> {
+        let is_wanted = |via: Option<&Via>| via.is_none_or(|via| !is_doubted(&via.peer));
+        self.take_idle(address, instance, relayed, is_wanted)
+    }
+
+    /// Takes an idle connection to the instance by way of a peer.
+    pub fn take_via(&self, address: SocketAddr, instance: &Arc<str>, peer: &str) -> Option<BackendConnection> {
+        self.take_idle(address, instance, true, |via| via.is_some_and(|via| *via.peer == *peer))
+    }
+
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        instance: &Arc<str>,
+        relayed: bool,
+        is_wanted: impl Fn(Option<&Via>) -> bool,
+    ) -> Option<BackendConnection> {
         let key = (address, instance.clone());
-        let idle = self.take_idle(&key, relayed)?;
+        let idle = self.pop_idle(&key, relayed, is_wanted)?;
         let IdleConnection { sender, via, used, since, .. } = idle;
         let idle_time = Some(since.elapsed());
         Some(BackendConnection { sender, key, via, used, idle_time, connections: self.clone() })
@@ -182,7 +204,7 @@
         });
     }
 
-    fn take_idle(&self, key: &Key, relayed: bool) -> Option<IdleConnection> {
+    fn pop_idle(&self, key: &Key, relayed: bool, is_wanted: impl Fn(Option<&Via>) -> bool) -> Option<IdleConnection> {
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(key)?;
         let now = Instant::now();
@@ -190,7 +212,7 @@
         if !relayed {
             connections.retain(|connection| connection.via.is_none());
         }
-        let index = connections.iter().rposition(|connection| connection.sender.is_ready())?;
+        let index = connections.iter().rposition(|idle| idle.sender.is_ready() && is_wanted(idle.via.as_ref()))?;
         Some(connections.remove(index))
     }
 }
--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -1,6 +1,6 @@
 //! Opens connections to backend servers, directly or by way of a peer.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::VecDeque, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use log::{info, warn};
 use tokio::time::timeout;
@@ -13,7 +13,13 @@
 use crate::{
     connection::{BackendConnection, CarriedConnection, ConnectError, open_socket},
     pb::{OpenTunnel, TunnelResult},
-    process::{Gateway, lifecycle::Stage, membership::State, replicas::Replica, shared::Shared},
+    process::{
+        Gateway,
+        lifecycle::Stage,
+        membership::{Member, State},
+        replicas::Replica,
+        shared::Shared,
+    },
     request::RunWindow,
     util::stable_hash,
 };
@@ -47,14 +53,20 @@
         let limit = window.time_left();
         let (path, is_silent) = {
             let mut reach = self.reach.lock();
-            (reach.path(&replica.id, self.shared.now()), reach.has_no_path(&replica.id))
+            let path = reach.path(&replica.id, self.shared.now());
+            (path, reach.has_no_path(&replica.id))
         };
         let connections = &self.backend_connections;
         if path != Path::Direct && is_silent {
             connections.close_idle(replica.address, &replica.id);
         }
-        if let Some(idle) = connections.take(replica.address, &replica.id, path != Path::Direct) {
-            return Ok(idle);
+        let may_try = window.may_repeat();
+        {
+            let helpers = self.helpers.lock();
+            let is_doubted = |peer: &str| helpers.is_on_trial(peer);
+            if let Some(idle) = connections.take(replica.address, &replica.id, path != Path::Direct, is_doubted) {
+                return Ok(idle);
+            }
         }
         let mut failure = ConnectError::Silent;
         match path {
@@ -73,7 +85,7 @@
         }
         let Ok(Ok(_permit)) = timeout(limit, self.tunnel_searches.acquire()).await else { return Err(failure) };
         let limit = window.time_left().min(SEARCH_TIMEOUT);
-        let relayed = timeout(limit, self.connect_by_peer(id, replica, window)).await;
+        let relayed = timeout(limit, self.connect_by_peer(id, replica, window.needed(), may_try)).await;
         relayed.unwrap_or(Err(ConnectError::Silent)).map_err(|error| match failure {
             ConnectError::Refused => failure,
             ConnectError::Silent => error,
@@ -82,23 +94,39 @@
 
     /// Records a response to a request that was sent on this connection.
     pub fn record_path_answer(&self, replica: &Replica, via: Option<&Arc<str>>) {
+        let now = self.shared.now();
         if let Some(peer) = via {
-            return self.helpers.lock().record_answer(peer);
+            return self.helpers.lock().record_answer(peer, now);
         }
-        let now = self.shared.now();
         let change = self.reach.lock().record_answer(&replica.id, now);
         self.apply_reach_change(replica, change, None);
     }
 
+    /// Records that a connection ended without an answer to the request that was to be sent, or was sent, on it.
+    pub fn record_path_end(&self, via: Option<&Arc<str>>) {
+        if let Some(peer) = via {
+            self.helpers.lock().record_silence(peer, self.shared.now());
+        }
+    }
+
+    /// Whether nothing has been answered by way of a peer since it was doubted.
+    pub fn is_on_trial(&self, peer: &str) -> bool {
+        self.helpers.lock().is_on_trial(peer)
+    }
+
     /// Records that a request sent at `sent_at` waits for a response on this connection, and looks whether the path has
     /// failed.
     pub fn suspect_path(self: &Arc<Self>, replica: &Arc<Replica>, via: Option<&Arc<str>>, sent_at: u64) {
         let now = self.shared.now();
-        if replica.has_answered_since(sent_at) {
-            return;
-        }
         match via {
-            Some(peer) => self.helpers.lock().record_silence(peer, now),
+            // What the server answers on other ways says nothing about the peer.
+            Some(peer) => {
+                let mut helpers = self.helpers.lock();
+                if !helpers.has_answered_since(peer, sent_at) {
+                    helpers.record_silence(peer, now);
+                }
+            }
+            None if replica.has_answered_since(sent_at) => {}
             None => {
                 let is_due = self.reach.lock().record_silence(&replica.id, now);
                 if is_due {
@@ -162,15 +190,29 @@
         &self,
         id: &str,
         replica: &Replica,
-        window: &RunWindow,
+        needed: Duration,
+        may_try: bool,
     ) -> Result<BackendConnection, ConnectError> {
-        let ends_within_ms = u64::try_from(window.needed().as_millis()).unwrap_or(0);
-        let (peers, left_out) = self.peers_to_ask(replica);
+        let ends_within_ms = u64::try_from(needed.as_millis()).unwrap_or(0);
+        let (mut peers, left_out) = self.peers_to_ask(replica, may_try);
         let (mut asked, mut refused) = (0, 0);
-        for (name, address) in peers.into_iter().take(MAX_HELPERS) {
-            // Another search may have found out meanwhile.
-            if !self.helpers.lock().may_help(&name, &replica.id, self.shared.now()) {
-                continue;
+        while let Some((name, address, is_last)) = peers.pop_front().filter(|_| asked < MAX_HELPERS) {
+            {
+                let (mut helpers, now) = (self.helpers.lock(), self.shared.now());
+                // Another search may have found out meanwhile.
+                if !helpers.may_help(&name, &replica.id, now) {
+                    continue;
+                }
+                if !is_last && helpers.is_doubted(&name, now) {
+                    peers.push_back((name, address, true));
+                    continue;
+                }
+                if may_try {
+                    helpers.begin(&name, now);
+                }
+            }
+            if is_last && let Some(idle) = self.backend_connections.take_via(replica.address, &replica.id, &name) {
+                return Ok(idle);
             }
             asked += 1;
             let open = OpenTunnel {
@@ -208,10 +250,11 @@
         Err(ConnectError::Silent)
     }
 
-    /// Peers to ask, those that are not being stopped and the nearest first, and the number of those left out as they
-    /// could not help lately. The order differs between daemons and servers, so that the load is spread and a peer that
-    /// reaches the server is asked again.
-    fn peers_to_ask(&self, replica: &Replica) -> (Vec<(Arc<str>, SocketAddr)>, usize) {
+    /// Peers to ask, those that are neither being stopped nor doubted and the nearest first, with whether each is asked last;
+    /// and the number of those left out as they could not help lately. The order differs between daemons and servers, so
+    /// that the load is spread and a peer that reaches the server is asked again. Only a request that may be repeated
+    /// (`may_try`) finds out whether a peer is still to be doubted.
+    fn peers_to_ask(&self, replica: &Replica, may_try: bool) -> (VecDeque<(Arc<str>, SocketAddr, bool)>, usize) {
         let (settings, now) = (&self.shared.settings, self.shared.now());
         let view = self.shared.view.lock();
         let alive: Vec<_> = view.others().filter(|member| member.state == State::Alive).collect();
@@ -219,13 +262,16 @@
         let helpers = self.helpers.lock();
         let may_help = |name: &str| helpers.may_help(name, &replica.id, now);
         let mut peers: Vec<_> = alive.into_iter().filter(|member| may_help(&member.name)).collect();
+        let is_last = |member: &Member| {
+            let is_doubted = helpers.is_doubted(&member.name, now) || (!may_try && helpers.is_on_trial(&member.name));
+            is_doubted || view.is_stopping(member)
+        };
         peers.sort_by_cached_key(|member| {
-            let is_last = view.is_stopping(member) || helpers.is_doubted(&member.name, now);
-            let distance = (is_last, member.zone != settings.zone, member.region != settings.region);
+            let distance = (is_last(member), member.zone != settings.zone, member.region != settings.region);
             (distance, stable_hash(&[settings.name.as_bytes(), replica.id.as_bytes(), member.name.as_bytes()]))
         });
         let left_out = count - peers.len();
-        (peers.into_iter().map(|member| (member.name.clone(), member.address)).collect(), left_out)
+        (peers.into_iter().map(|member| (member.name.clone(), member.address, is_last(member))).collect(), left_out)
     }
 }
 
--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -14,6 +14,7 @@
 mod model_body;
 mod numbered_events;
 mod passed_body;
+mod path_watch;
 mod placement_request;
 mod plain;
 mod proxy;
