--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -102,6 +102,15 @@
         self.apply_reach_change(replica, change, None);
     }
 
+    /// Records a piece of a response on this connection.
+    pub fn record_path_piece(&self, via: Option<&Arc<str>>) {
+        let now = self.shared.now();
+        match via {
+            Some(peer) => self.helpers.lock().record_answer(peer, now),
+            None => self.reach.lock().record_piece(now),
+        }
+    }
+
     /// Records that a connection ended without an answer to the request that was to be sent, or was sent, on it.
     pub fn record_path_end(&self, via: Option<&Arc<str>>) {
         if let Some(peer) = via {
--- a/goldcrestward/src/process/reach/table_test.rs
+++ b/goldcrestward/src/process/reach/table_test.rs
@@ -147,3 +147,16 @@
     reach.record(&server(1), Err(ConnectError::Refused), 2);
     assert!(reach.has_no_path("server-0") && !reach.has_no_path("server-1"));
 }
+
+// Guards against a daemon that counts as cut off while streams flow to it, as only heads were signs of reach.
+#[test]
+fn pieces_of_a_stream_show_that_the_daemon_is_not_cut_off() {
+    let mut reach = ReachTable::default();
+    (0..2).for_each(|now| assert_eq!(reach.record(&server(0), SILENT, now) == Change::Lost, now == 1));
+    (1..3).for_each(|number| assert_eq!(reach.record(&server(number), SILENT, 1), Change::None));
+    assert!(reach.is_cut_off(2));
+    reach.record_piece(2);
+    assert!(!reach.is_cut_off(2 + CUT_OFF_SILENCE_MS - 1) && reach.is_cut_off(2 + CUT_OFF_SILENCE_MS));
+    // It came on an open connection, and says nothing about new ones.
+    assert!(reach.is_lost("server-0"));
+}
--- a/goldcrestward/src/request/proxy_body.rs
+++ b/goldcrestward/src/request/proxy_body.rs
@@ -9,7 +9,7 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -35,6 +35,9 @@
     process::{AttemptOutcome, ReplicaGuard},
 };
 
+/// Interval at which events are recorded as signs that the path works.
+const SIGN_INTERVAL: Duration = Duration::from_millis(100);
+
 struct StreamSource {
     call: Box<ProxyCall>,
     sequence: EventSequence,
@@ -80,6 +83,8 @@
     pending_events: Bytes,
     timer: Pin<Box<Sleep>>,
     last_event_at: Instant,
+    /// When an event was last recorded as a sign that the path works.
+    sign_at: Instant,
     /// Whether the path has been looked at since the last event.
     is_suspect: bool,
     /// No search for another server starts before this time.
@@ -113,7 +118,16 @@
             search: None,
         };
         let state = State::Streaming(Box::new(source));
-        Self { state, pending_events, timer, last_event_at, is_suspect: false, search_at: last_event_at, kept_at: None }
+        Self {
+            state,
+            pending_events,
+            timer,
+            last_event_at,
+            sign_at: last_event_at,
+            is_suspect: false,
+            search_at: last_event_at,
+            kept_at: None,
+        }
     }
 
     /// Starts to resume the stream at another server, if that is allowed.
@@ -319,6 +333,10 @@
             self.last_event_at = Instant::now();
             self.is_suspect = false;
             source.search = None;
+            if self.last_event_at - self.sign_at >= SIGN_INTERVAL {
+                self.sign_at = self.last_event_at;
+                source.call.gateway.record_path_piece(source.connection.via());
+            }
         }
         Poll::Ready(Ok(Some(events)))
     }
