--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -29,9 +29,9 @@
 /// Time for a peer to open a connection, the way there and its own attempt included.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time limit of an attempt to reach a lost server again.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for a search among the peers.
-const SEARCH_TIMEOUT: Duration = Duration::from_millis(600);
+pub(super) const SEARCH_TIMEOUT: Duration = Duration::from_millis(600);
 /// Peers that are asked for one connection.
 const MAX_HELPERS: usize = 8;
 /// Peers that were refused a connection after which no other is asked.
@@ -169,7 +169,7 @@
         });
     }
 
-    fn record_reach(&self, replica: &Replica, result: Result<(), ConnectError>) {
+    pub(super) fn record_reach(&self, replica: &Replica, result: Result<(), ConnectError>) {
         let change = self.reach.lock().record(&replica.id, result, self.shared.now());
         self.apply_reach_change(replica, change, result.err());
     }
@@ -195,7 +195,7 @@
     ///
     /// # Errors
     /// Says whether the server refuses connections, or no peer that was asked reaches it.
-    async fn connect_by_peer(
+    pub(super) async fn connect_by_peer(
         &self,
         id: &str,
         replica: &Replica,
--- a/goldcrestward/src/process/replicas/replica.rs
+++ b/goldcrestward/src/process/replicas/replica.rs
@@ -111,6 +111,15 @@
         self.health.ejected_until.store(now + BRIEF_EJECT_MS, Ordering::Relaxed);
     }
 
+    /// Leaves the replica out while a path to it is looked for; returns whether that has just begun.
+    pub fn begin_search(&self) -> bool {
+        !self.health.sought.swap(true, Ordering::Relaxed)
+    }
+
+    pub fn end_search(&self) {
+        self.health.sought.store(false, Ordering::Relaxed);
+    }
+
     /// Compares a request with the others that the replica was running when it crashed.
     pub fn blame(&self, guard: &ReplicaGuard, now: u64) -> Blame {
         let running = self.health.running.lock();
@@ -270,6 +279,6 @@
     }
 
     pub(super) fn is_ejected(&self, now: u64) -> bool {
-        self.health.ejected_until.load(Ordering::Relaxed) > now
+        self.health.sought.load(Ordering::Relaxed) || self.health.ejected_until.load(Ordering::Relaxed) > now
     }
 }
--- a/goldcrestward/src/request/path_watch.rs
+++ b/goldcrestward/src/request/path_watch.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::proxy::ProxyCall;
+use super::{proxy::ProxyCall, proxy_outcome::ProxyFailure};
 use crate::process::ReplicaGuard;
 
 /// Time without a response after which the path to a server is looked at.
@@ -32,4 +32,13 @@
     pub(super) fn may_judge_crash(&self, guard: &ReplicaGuard) -> bool {
         !self.has_no_path(guard) && !self.gateway.has_lost_link(guard.replica())
     }
+
+    /// Leaves a server out that could not be connected to.
+    pub(super) fn leave_out(&self, guard: &ReplicaGuard, failure: &ProxyFailure) {
+        match failure {
+            ProxyFailure::ConnectFailed => guard.replica().eject_briefly(self.gateway.shared.now()),
+            ProxyFailure::NoPath => self.gateway.seek_path(guard.replica()),
+            _ => {}
+        }
+    }
 }
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -395,9 +395,7 @@
                     }
                     ProxyFailure::ConnectFailed => self.record_outcome(&guard, AttemptOutcome::Failure),
                 }
-                if matches!(failure, ProxyFailure::ConnectFailed | ProxyFailure::NoPath) {
-                    guard.replica().eject_briefly(self.gateway.shared.now());
-                }
+                self.leave_out(&guard, &failure);
                 // A response without a length ends with its connection, also when the server has crashed.
                 if matches!(failure, ProxyFailure::Indeterminate("cut" | "empty")) && self.may_judge_crash(&guard) {
                     record_crash(&self.gateway.shared, &guard, self.possible_cause()).await;
