--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -53,7 +53,13 @@
         let limit = window.time_left();
         let (path, is_silent) = {
             let mut reach = self.reach.lock();
-            let path = reach.path(&replica.id, self.shared.now());
+            let now = self.shared.now();
+            let path = reach.path(&replica.id, now);
+            if path != Path::Direct && replica.set_unreached(true) {
+                let (id, lost, cut_off) = (&replica.id, reach.lost(), reach.is_cut_off(now));
+                warn!("event=reach-lost instance={id} why=assumed lost={lost} cut_off={cut_off}");
+                self.shared.metrics.unreached_servers.set(lost as i64);
+            }
             (path, reach.has_no_path(&replica.id))
         };
         let connections = &self.backend_connections;
--- a/goldcrestward/src/process/replicas/replica.rs
+++ b/goldcrestward/src/process/replicas/replica.rs
@@ -184,9 +184,9 @@
         self.health.loads.lock().apply_server_report(load, now);
     }
 
-    /// Records whether this daemon reaches it by itself.
-    pub fn set_unreached(&self, unreached: bool) {
-        self.health.unreached.store(unreached, Ordering::Relaxed);
+    /// Records whether this daemon reaches it by itself; returns whether that is new.
+    pub fn set_unreached(&self, unreached: bool) -> bool {
+        self.health.unreached.swap(unreached, Ordering::Relaxed) != unreached
     }
 
     /// Whether its responses bear the ids of their requests.
