--- a/goldcrestward/src/process/reach/table_test.rs
+++ b/goldcrestward/src/process/reach/table_test.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{CUT_OFF_SILENCE_MS, Change, PROBE_PAUSE_MS, Path, ReachTable, UNREACHED_TTL_MS};
+use super::{CHECK_PAUSE_MS, CUT_OFF_SILENCE_MS, Change, PROBE_PAUSE_MS, Path, ReachTable, UNREACHED_TTL_MS};
 use crate::connection::ConnectError;
 
 const SILENT: Result<(), ConnectError> = Err(ConnectError::Silent);
@@ -160,3 +160,13 @@
     // It came on an open connection, and says nothing about new ones.
     assert!(reach.is_lost("server-0"));
 }
+
+// Guards against a silence that nobody looks at, and against a new connection for each request that waits.
+#[test]
+fn silence_of_a_server_is_looked_at_by_one_caller_a_second() {
+    let mut reach = ReachTable::default();
+    let looks: Vec<u64> = (0..3_000).filter(|now| reach.record_silence(&server(0), *now)).collect();
+    assert_eq!(looks, [0, CHECK_PAUSE_MS, 2 * CHECK_PAUSE_MS]);
+    (3_000..3_002).for_each(|now| assert_eq!(reach.record(&server(0), SILENT, now) == Change::Lost, now == 3_000));
+    assert!(!reach.record_silence(&server(0), 9_000), "a lost server is probed already");
+}
