--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -15,6 +15,7 @@
 mod model_body;
 mod numbered_events;
 mod passed_body;
+mod path_watch;
 mod pending_answer;
 mod placement_request;
 mod plain;
