--- a/goldcrestward/src/connection/activity.rs
+++ b/goldcrestward/src/connection/activity.rs
@@ -16,21 +16,12 @@
 use tokio::sync::Notify;
 use volo_http::{body::Body, error::BoxError, response::Response};
 
-use super::{
-    limits_in_force::LimitsInForce,
-    running_requests::{RunningRequest, RunningRequests},
-    unread_body::UnreadBody,
-};
-
-/// Time added to the idle time-out before a connection is closed, so that a request in transit is not cut off.
-pub(super) const IDLE_GRACE: Duration = Duration::from_millis(500);
+use super::{limits_in_force::LimitsInForce, running_requests::RunningRequest, unread_body::UnreadBody};
 
 /// State of one connection: its running requests, the end of the last one, and the head being received.
 pub(crate) struct Activity {
     start: Instant,
     running: AtomicUsize,
-    /// Where running requests are counted for the stop; `None` if the stop does not wait for them.
-    counted_in: Option<RunningRequests>,
     ended_ms: AtomicU64,
     limits: Arc<LimitsInForce>,
     /// Idle time-out in ms at the last answer, or at the start of the connection.
@@ -55,12 +46,11 @@
 pub(crate) struct AmbiguousFraming;
 
 impl Activity {
-    pub fn new(limits: Arc<LimitsInForce>, counted_in: Option<RunningRequests>) -> Arc<Self> {
+    pub fn new(limits: Arc<LimitsInForce>) -> Arc<Self> {
         let answer_limit_ms = AtomicU64::new(limits.idle_timeout().as_millis() as u64);
         Arc::new(Self {
             start: Instant::now(),
             running: AtomicUsize::new(0),
-            counted_in,
             ended_ms: AtomicU64::new(0),
             limits,
             answer_limit_ms,
@@ -75,12 +65,12 @@
         })
     }
 
-    /// Counts a request as running until the guard is dropped.
-    pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
+    /// Counts a request as running until the guard is dropped, which holds `counted` as long.
+    pub fn begin_request(self: &Arc<Self>, counted: Option<RunningRequest>) -> RequestGuard {
         // A head whose lines end without a carriage return is not recognised as complete before.
         self.end_head();
         self.running.fetch_add(1, Ordering::Relaxed);
-        RequestGuard { activity: self.clone(), _counted: self.counted_in.as_ref().map(RunningRequests::begin) }
+        RequestGuard { activity: self.clone(), _counted: counted }
     }
 
     pub fn is_running(&self) -> bool {
@@ -196,7 +186,7 @@
     pub async fn idle_timed_out(&self) {
         loop {
             let (limit_ms, answer_limit_ms) = self.idle_limits_ms();
-            let limit = Duration::from_millis(limit_ms.max(answer_limit_ms)) + IDLE_GRACE;
+            let limit = Duration::from_millis(limit_ms.max(answer_limit_ms)) + self.limits.idle_grace();
             let idle = self.idle();
             if idle >= limit {
                 return;
--- a/goldcrestward/src/connection/limits_in_force.rs
+++ b/goldcrestward/src/connection/limits_in_force.rs
@@ -6,10 +6,13 @@
 
 use crate::config::CallerLimits;
 
+/// Shortest time after the idle time-out for which a connection stays open, so that a request in transit is not cut off.
+const MIN_IDLE_GRACE: Duration = Duration::from_millis(500);
+
 /// The limits of callers as the configuration in force has them.
 pub(crate) struct LimitsInForce {
     read: Box<dyn Fn() -> CallerLimits + Send + Sync>,
-    /// Time within which callers learn of a change.
+    /// Time within which callers and the daemon learn of a change, in whatever order.
     lag: Duration,
     idle: Mutex<IdleTimeouts>,
 }
@@ -24,6 +27,12 @@
         (self.read)()
     }
 
+    /// Time after the idle time-out for which a connection stays open. Callers may know of a raised time-out before the
+    /// daemon does.
+    pub fn idle_grace(&self) -> Duration {
+        self.lag.max(MIN_IDLE_GRACE)
+    }
+
     /// The longest idle time-out by which a caller may go.
     pub fn idle_timeout(&self) -> Duration {
         let current = self.current().idle_timeout;
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -34,7 +34,7 @@
 };
 
 use super::{
-    activity::{Activity, AmbiguousFraming, IDLE_GRACE},
+    activity::{Activity, AmbiguousFraming},
     caller_closes::{CallerCloses, CloseReason},
     error::{ListenSnafu, Result},
     framing::HeadInspector,
@@ -92,7 +92,7 @@
 pub(crate) struct Drain {
     stop: Arc<watch::Sender<Stage>>,
     connections: TaskTracker,
-    /// The requests on connections that were accepted before the stop.
+    /// The requests that began before the stop.
     running: RunningRequests,
 }
 
@@ -137,11 +137,15 @@
         let _token = drain.connections.token();
         let router = Arc::new(router);
         let spawn = |stream, peer, permit: Option<OwnedSemaphorePermit>| {
-            let counted_in = (*drain.stop.borrow() == Stage::Open).then(|| drain.running.clone());
-            let activity = Activity::new(limits.clone(), counted_in);
+            let activity = Activity::new(limits.clone());
             let stop = drain.stop.subscribe();
-            let service =
-                RouterService { router: router.clone(), peer, activity: activity.clone(), stop: stop.clone() };
+            let service = RouterService {
+                router: router.clone(),
+                peer,
+                activity: activity.clone(),
+                stop: stop.clone(),
+                running: drain.running.clone(),
+            };
             let refusals = refusals.clone();
             let (closes, limits) = (closes.clone(), limits.clone());
             drain.connections.spawn(async move {
@@ -177,25 +181,22 @@
 
 /// Returns the connections that wait to be accepted. The kernel is asked, as the runtime may not have signalled them yet.
 fn take_queued(socket: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
+    let mut taken = Vec::new();
     let take = || {
         let socket = socket.into_std()?;
-        let mut taken = Vec::new();
         loop {
-            match socket.accept() {
-                Ok((stream, peer)) => {
-                    stream.set_nonblocking(true)?;
-                    taken.push((TcpStream::from_std(stream)?, peer));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(taken),
-                Err(error) => return Err(error),
-            }
+            let (stream, peer) = socket.accept()?;
+            stream.set_nonblocking(true)?;
+            taken.push((TcpStream::from_std(stream)?, peer));
         }
     };
-    let taken: io::Result<Vec<_>> = take();
-    taken.unwrap_or_else(|error| {
-        warn!("event=queue-not-accepted error={:?}", error.to_string());
-        Vec::new()
-    })
+    let result: io::Result<Infallible> = take();
+    if let Err(error) = result
+        && error.kind() != io::ErrorKind::WouldBlock
+    {
+        warn!("event=queue-not-accepted taken={} error={:?}", taken.len(), error.to_string());
+    }
+    taken
 }
 
 type Connection = http1::Connection<TokioIo<HeadInspector>, RouterService>;
@@ -235,7 +236,7 @@
         if let Some(ended) = arrived {
             break (CloseReason::LastAnswer, ended);
         }
-        if reason == CloseReason::Idle && activity.idle() < IDLE_GRACE {
+        if reason == CloseReason::Idle && activity.idle() < limits.idle_grace() {
             // A request has arrived at the last moment.
             continue;
         }
@@ -258,7 +259,8 @@
                 closes.record_unannounced(reason, activity);
             }
             // A request that crosses the close of an idle connection is left unread, so that the reset tells its caller.
-            if reason == CloseReason::LastAnswer && (has_next || activity.has_unread_body()) {
+            if reason == CloseReason::LastAnswer && !activity.awaits_next() && (has_next || activity.has_unread_body())
+            {
                 discard_rest(&mut stream).await;
             }
         }
@@ -346,6 +348,7 @@
     activity: Arc<Activity>,
     /// From the beginning of the stop on, answers say that they are the last.
     stop: watch::Receiver<Stage>,
+    running: RunningRequests,
 }
 
 impl hyper::service::Service<http::Request<Incoming>> for RouterService {
@@ -356,7 +359,8 @@
     fn call(&self, request: http::Request<Incoming>) -> Self::Future {
         let router = self.router.clone();
         let peer = Address::from(self.peer);
-        let guard = self.activity.begin_request();
+        let counted = (*self.stop.borrow() == Stage::Open).then(|| self.running.begin());
+        let guard = self.activity.begin_request(counted);
         let (activity, stop) = (self.activity.clone(), self.stop.clone());
         let ambiguous = self.activity.is_ambiguous();
         Box::pin(METAINFO.scope(RefCell::new(MetaInfo::default()), async move {
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -27,7 +27,7 @@
     server::{Router, route::any},
 };
 
-use super::{CallerCloses, Drain, IDLE_GRACE, LimitsInForce, Listener, Stage, bind};
+use super::{CallerCloses, Drain, LimitsInForce, Listener, Stage, bind};
 use crate::config::CallerLimits;
 
 const ANSWER: &str = "done";
@@ -35,6 +35,8 @@
 /// Connections on which a request arrives at the moment of the close.
 const CONNECTIONS: usize = 24;
 const HEADER_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time after the idle time-out for which connections stay open.
+const IDLE_GRACE: Duration = Duration::from_millis(500);
 /// Time within which an answer comes.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -49,6 +51,11 @@
 
 impl Site {
     fn start(idle_timeout: Duration) -> Self {
+        Self::start_with_lag(idle_timeout, Duration::ZERO)
+    }
+
+    /// Starts a listener whose callers learn of a change up to `lag` earlier or later than it does.
+    fn start_with_lag(idle_timeout: Duration, lag: Duration) -> Self {
         let drain = Drain::new();
         let limits = CallerLimits { header_timeout: HEADER_TIMEOUT, idle_timeout, ..CallerLimits::default() };
         let limits = Arc::new(Mutex::new(limits));
@@ -65,7 +72,7 @@
             drain: drain.clone(),
             refusals,
             closes: Arc::new(CallerCloses::new(closes.clone(), unannounced.clone(), failed_accepts)),
-            limits: Arc::new(LimitsInForce::new(move || current.lock().clone(), Duration::ZERO)),
+            limits: Arc::new(LimitsInForce::new(move || current.lock().clone(), lag)),
         };
         tokio::spawn(listener.run());
         Self { address, drain, limits, closes, unannounced }
@@ -268,6 +275,8 @@
     let site = Site::start(Duration::from_secs(10));
     let mut stream = site.connect().await;
     let text = exchange_with_partial_body(&mut stream, 2_000).await.to_lowercase();
+    stream.shutdown().await.expect("the connection is open");
+    assert!(wait_closed(&mut stream).await, "the connection stays open");
     assert!(text.starts_with("http/1.1 200") && text.contains("connection: close"), "{text}");
     assert_eq!(site.unannounced.with_label_values(&["last-answer"]).get(), 0);
 }
@@ -334,6 +343,43 @@
     timeout(ANSWER_TIMEOUT, callers).await.expect("the listener is closed").expect("the task ends");
 }
 
+/// Callers that go on using their kept connections do not delay a stop.
+#[tokio::test(flavor = "multi_thread")]
+async fn later_requests_on_kept_connections_do_not_delay_a_stop() {
+    const INTERVAL: Duration = Duration::from_millis(100);
+
+    let site = Site::start(Duration::from_secs(60));
+    let mut streams = Vec::new();
+    for _ in 0..50 {
+        let mut stream = site.connect().await;
+        assert!(exchange(&mut stream).await.ends_with(ANSWER));
+        streams.push(stream);
+    }
+    let callers = tokio::spawn(async move {
+        for mut stream in streams {
+            exchange(&mut stream).await;
+            sleep(INTERVAL).await;
+        }
+    });
+    let stop = timeout(20 * INTERVAL, site.drain.finish(pending()));
+    assert!(stop.await.is_ok(), "the stop waits for requests that came after its beginning");
+    callers.abort();
+}
+
+/// Guards against LOST: a connection was closed by a time-out that its caller already knew to be raised.
+#[tokio::test(flavor = "multi_thread")]
+async fn raised_idle_timeout_that_the_caller_knows_first_closes_nothing() {
+    const LAG: Duration = Duration::from_secs(2);
+
+    let site = Site::start_with_lag(Duration::from_millis(300), LAG);
+    let mut stream = site.connect().await;
+    assert!(exchange(&mut stream).await.ends_with(ANSWER));
+    sleep(LAG - Duration::from_millis(300)).await;
+    site.set_idle_timeout(Duration::from_secs(10));
+    sleep(Duration::from_secs(1)).await;
+    assert!(exchange(&mut stream).await.ends_with(ANSWER), "closed by the former time-out");
+}
+
 /// Guards against LOST: a connection whose answer had begun before the stop, and so could not announce it, was closed
 /// behind that answer over the request that followed.
 #[tokio::test(flavor = "multi_thread")]
