--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -93,32 +93,10 @@
     }
 
     /// Takes an idle connection to the instance. Without `relayed`, only a direct one; those by way of a peer are
-    /// closed. One by way of a peer that `is_doubted` is left.
-    pub fn take(
-        &self,
-        address: SocketAddr,
-        instance: &Arc<str>,
-        relayed: bool,
-        is_doubted: impl Fn(&str) -> bool,
-    ) -> Option<BackendConnection> {
-        let is_wanted = |via: Option<&Via>| via.is_none_or(|via| !is_doubted(&via.peer));
-        self.take_idle(address, instance, relayed, is_wanted)
-    }
-
-    /// Takes an idle connection to the instance by way of a peer.
-    pub fn take_via(&self, address: SocketAddr, instance: &Arc<str>, peer: &str) -> Option<BackendConnection> {
-        self.take_idle(address, instance, true, |via| via.is_some_and(|via| *via.peer == *peer))
-    }
-
-    fn take_idle(
-        &self,
-        address: SocketAddr,
-        instance: &Arc<str>,
-        relayed: bool,
-        is_wanted: impl Fn(Option<&Via>) -> bool,
-    ) -> Option<BackendConnection> {
+    /// closed.
+    pub fn take(&self, address: SocketAddr, instance: &Arc<str>, relayed: bool) -> Option<BackendConnection> {
         let key = (address, instance.clone());
-        let idle = self.pop_idle(&key, relayed, is_wanted)?;
+        let idle = self.take_idle(&key, relayed)?;
         let IdleConnection { sender, via, used, since, .. } = idle;
         let idle_time = Some(since.elapsed());
         Some(BackendConnection { sender, key, via, used, idle_time, connections: self.clone() })
@@ -204,7 +182,7 @@
         });
     }
 
-    fn pop_idle(&self, key: &Key, relayed: bool, is_wanted: impl Fn(Option<&Via>) -> bool) -> Option<IdleConnection> {
+    fn take_idle(&self, key: &Key, relayed: bool) -> Option<IdleConnection> {
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(key)?;
         let now = Instant::now();
@@ -212,7 +190,7 @@
         if !relayed {
             connections.retain(|connection| connection.via.is_none());
         }
-        let index = connections.iter().rposition(|idle| idle.sender.is_ready() && is_wanted(idle.via.as_ref()))?;
+        let index = connections.iter().rposition(|connection| connection.sender.is_ready())?;
         Some(connections.remove(index))
     }
 }
--- a/goldcrestward/src/connection/tunnel_test.rs
+++ b/goldcrestward/src/connection/tunnel_test.rs
@@ -135,7 +135,7 @@
         connection.release(&head.headers);
         let taking = async {
             loop {
-                match connections.take(self.server, &instance, true, |_| false) {
+                match connections.take(self.server, &instance, true) {
                     Some(connection) => return connection,
                     // It is ready a little after the end of the answer.
                     None => sleep(Duration::from_millis(1)).await,
--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -1,6 +1,6 @@
 //! Opens connections to backend servers, directly or by way of a peer.
 
-use std::{collections::VecDeque, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use log::{info, warn};
 use tokio::time::timeout;
@@ -13,13 +13,7 @@
 use crate::{
     connection::{BackendConnection, CarriedConnection, ConnectError, open_socket},
     pb::{OpenTunnel, TunnelResult},
-    process::{
-        Gateway,
-        lifecycle::Stage,
-        membership::{Member, State},
-        replicas::Replica,
-        shared::Shared,
-    },
+    process::{Gateway, lifecycle::Stage, membership::State, replicas::Replica, shared::Shared},
     request::RunWindow,
     util::stable_hash,
 };
@@ -29,9 +23,9 @@
 /// Time for a peer to open a connection, the way there and its own attempt included.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time limit of an attempt to reach a lost server again.
-pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for a search among the peers.
-pub(super) const SEARCH_TIMEOUT: Duration = Duration::from_millis(600);
+const SEARCH_TIMEOUT: Duration = Duration::from_millis(600);
 /// Peers that are asked for one connection.
 const MAX_HELPERS: usize = 8;
 /// Peers that were refused a connection after which no other is asked.
@@ -53,26 +47,14 @@
         let limit = window.time_left();
         let (path, is_silent) = {
             let mut reach = self.reach.lock();
-            let now = self.shared.now();
-            let path = reach.path(&replica.id, now);
-            if path != Path::Direct && replica.set_unreached(true) {
-                let (id, lost, cut_off) = (&replica.id, reach.lost(), reach.is_cut_off(now));
-                warn!("event=reach-lost instance={id} why=assumed lost={lost} cut_off={cut_off}");
-                self.shared.metrics.unreached_servers.set(lost as i64);
-            }
-            (path, reach.has_no_path(&replica.id))
+            (reach.path(&replica.id, self.shared.now()), reach.has_no_path(&replica.id))
         };
         let connections = &self.backend_connections;
         if path != Path::Direct && is_silent {
             connections.close_idle(replica.address, &replica.id);
         }
-        let may_try = window.may_repeat();
-        {
-            let helpers = self.helpers.lock();
-            let is_doubted = |peer: &str| helpers.is_on_trial(peer);
-            if let Some(idle) = connections.take(replica.address, &replica.id, path != Path::Direct, is_doubted) {
-                return Ok(idle);
-            }
+        if let Some(idle) = connections.take(replica.address, &replica.id, path != Path::Direct) {
+            return Ok(idle);
         }
         let mut failure = ConnectError::Silent;
         match path {
@@ -91,7 +73,7 @@
         }
         let Ok(Ok(_permit)) = timeout(limit, self.tunnel_searches.acquire()).await else { return Err(failure) };
         let limit = window.time_left().min(SEARCH_TIMEOUT);
-        let relayed = timeout(limit, self.connect_by_peer(id, replica, window.needed(), may_try)).await;
+        let relayed = timeout(limit, self.connect_by_peer(id, replica, window)).await;
         relayed.unwrap_or(Err(ConnectError::Silent)).map_err(|error| match failure {
             ConnectError::Refused => failure,
             ConnectError::Silent => error,
@@ -100,48 +82,23 @@
 
     /// Records a response to a request that was sent on this connection.
     pub fn record_path_answer(&self, replica: &Replica, via: Option<&Arc<str>>) {
-        let now = self.shared.now();
         if let Some(peer) = via {
-            return self.helpers.lock().record_answer(peer, now);
+            return self.helpers.lock().record_answer(peer);
         }
+        let now = self.shared.now();
         let change = self.reach.lock().record_answer(&replica.id, now);
         self.apply_reach_change(replica, change, None);
     }
 
-    /// Records a piece of a response on this connection.
-    pub fn record_path_piece(&self, via: Option<&Arc<str>>) {
-        let now = self.shared.now();
-        match via {
-            Some(peer) => self.helpers.lock().record_answer(peer, now),
-            None => self.reach.lock().record_piece(now),
-        }
-    }
-
-    /// Records that a connection ended without an answer to the request that was to be sent, or was sent, on it.
-    pub fn record_path_end(&self, via: Option<&Arc<str>>) {
-        if let Some(peer) = via {
-            self.helpers.lock().record_silence(peer, self.shared.now());
-        }
-    }
-
-    /// Whether nothing has been answered by way of a peer since it was doubted.
-    pub fn is_on_trial(&self, peer: &str) -> bool {
-        self.helpers.lock().is_on_trial(peer)
-    }
-
     /// Records that a request sent at `sent_at` waits for a response on this connection, and looks whether the path has
     /// failed.
     pub fn suspect_path(self: &Arc<Self>, replica: &Arc<Replica>, via: Option<&Arc<str>>, sent_at: u64) {
         let now = self.shared.now();
+        if replica.has_answered_since(sent_at) {
+            return;
+        }
         match via {
-            // What the server answers on other ways says nothing about the peer.
-            Some(peer) => {
-                let mut helpers = self.helpers.lock();
-                if !helpers.has_answered_since(peer, sent_at) {
-                    helpers.record_silence(peer, now);
-                }
-            }
-            None if replica.has_answered_since(sent_at) => {}
+            Some(peer) => self.helpers.lock().record_silence(peer, now),
             None => {
                 let is_due = self.reach.lock().record_silence(&replica.id, now);
                 if is_due {
@@ -175,7 +132,7 @@
         });
     }
 
-    pub(super) fn record_reach(&self, replica: &Replica, result: Result<(), ConnectError>) {
+    fn record_reach(&self, replica: &Replica, result: Result<(), ConnectError>) {
         let change = self.reach.lock().record(&replica.id, result, self.shared.now());
         self.apply_reach_change(replica, change, result.err());
     }
@@ -201,33 +158,19 @@
     ///
     /// # Errors
     /// Says whether the server refuses connections, or no peer that was asked reaches it.
-    pub(super) async fn connect_by_peer(
+    async fn connect_by_peer(
         &self,
         id: &str,
         replica: &Replica,
-        needed: Duration,
-        may_try: bool,
+        window: &RunWindow,
     ) -> Result<BackendConnection, ConnectError> {
-        let ends_within_ms = u64::try_from(needed.as_millis()).unwrap_or(0);
-        let (mut peers, left_out) = self.peers_to_ask(replica, may_try);
+        let ends_within_ms = u64::try_from(window.needed().as_millis()).unwrap_or(0);
+        let (peers, left_out) = self.peers_to_ask(replica);
         let (mut asked, mut refused) = (0, 0);
-        while let Some((name, address, is_last)) = peers.pop_front().filter(|_| asked < MAX_HELPERS) {
-            {
-                let (mut helpers, now) = (self.helpers.lock(), self.shared.now());
-                // Another search may have found out meanwhile.
-                if !helpers.may_help(&name, &replica.id, now) {
-                    continue;
-                }
-                if !is_last && helpers.is_doubted(&name, now) {
-                    peers.push_back((name, address, true));
-                    continue;
-                }
-                if may_try {
-                    helpers.begin(&name, now);
-                }
-            }
-            if is_last && let Some(idle) = self.backend_connections.take_via(replica.address, &replica.id, &name) {
-                return Ok(idle);
+        for (name, address) in peers.into_iter().take(MAX_HELPERS) {
+            // Another search may have found out meanwhile.
+            if !self.helpers.lock().may_help(&name, &replica.id, self.shared.now()) {
+                continue;
             }
             asked += 1;
             let open = OpenTunnel {
@@ -265,11 +208,10 @@
         Err(ConnectError::Silent)
     }
 
-    /// Peers to ask, those that are neither being stopped nor doubted and the nearest first, with whether each is asked last;
-    /// and the number of those left out as they could not help lately. The order differs between daemons and servers, so
-    /// that the load is spread and a peer that reaches the server is asked again. Only a request that may be repeated
-    /// (`may_try`) finds out whether a peer is still to be doubted.
-    fn peers_to_ask(&self, replica: &Replica, may_try: bool) -> (VecDeque<(Arc<str>, SocketAddr, bool)>, usize) {
+    /// Peers to ask, those that are not being stopped and the nearest first, and the number of those left out as they
+    /// could not help lately. The order differs between daemons and servers, so that the load is spread and a peer that
+    /// reaches the server is asked again.
+    fn peers_to_ask(&self, replica: &Replica) -> (Vec<(Arc<str>, SocketAddr)>, usize) {
         let (settings, now) = (&self.shared.settings, self.shared.now());
         let view = self.shared.view.lock();
         let alive: Vec<_> = view.others().filter(|member| member.state == State::Alive).collect();
@@ -277,16 +219,13 @@
         let helpers = self.helpers.lock();
         let may_help = |name: &str| helpers.may_help(name, &replica.id, now);
         let mut peers: Vec<_> = alive.into_iter().filter(|member| may_help(&member.name)).collect();
-        let is_last = |member: &Member| {
-            let is_doubted = helpers.is_doubted(&member.name, now) || (!may_try && helpers.is_on_trial(&member.name));
-            is_doubted || view.is_stopping(member)
-        };
         peers.sort_by_cached_key(|member| {
-            let distance = (is_last(member), member.zone != settings.zone, member.region != settings.region);
+            let is_last = view.is_stopping(member) || helpers.is_doubted(&member.name, now);
+            let distance = (is_last, member.zone != settings.zone, member.region != settings.region);
             (distance, stable_hash(&[settings.name.as_bytes(), replica.id.as_bytes(), member.name.as_bytes()]))
         });
         let left_out = count - peers.len();
-        (peers.into_iter().map(|member| (member.name.clone(), member.address, is_last(member))).collect(), left_out)
+        (peers.into_iter().map(|member| (member.name.clone(), member.address)).collect(), left_out)
     }
 }
 
--- a/goldcrestward/src/process/reach/helpers.rs
+++ b/goldcrestward/src/process/reach/helpers.rs
@@ -12,10 +12,8 @@
 const PATH_PAUSE_MS: u64 = 3_000;
 /// Time for which a peer is not asked for a server that it does not know.
 const UNKNOWN_PAUSE_MS: u64 = 400;
-/// Time for which a peer on whose connections nothing is answered is asked after the others; it doubles up to the maximum.
-const DOUBT_MS: (u64, u64) = (3_000, 48_000);
-/// Time after which a doubt that nothing has renewed is forgotten.
-const FORGET_DOUBT_MS: u64 = 60_000;
+/// Time for which a peer whose connection has been silent is asked after the others.
+const DOUBT_MS: u64 = 3_000;
 
 /// What to do after a peer's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,19 +32,6 @@
     paused_until: u64,
     /// Until when it is asked after the others.
     doubted_until: u64,
-    /// Time of the last doubt; 0 if it has answered since.
-    doubt: u64,
-    /// When a response came by way of it.
-    answered_at: Option<u64>,
-}
-
-impl Peer {
-    fn doubt(&mut self, now: u64) {
-        if now >= self.doubted_until {
-            self.doubt = (self.doubt * 2).clamp(DOUBT_MS.0, DOUBT_MS.1);
-            self.doubted_until = now + self.doubt;
-        }
-    }
 }
 
 /// What this daemon knows of its peers as ways to servers.
@@ -77,48 +62,26 @@
             }
             // It may still carry what ends sooner, or what goes to other servers.
             TunnelResult::Stopping | TunnelResult::Held => Search::GoOn,
-            TunnelResult::Busy => {
-                self.pause(peer, now);
-                Search::GoOn
-            }
-            TunnelResult::Unspecified => {
+            TunnelResult::Busy | TunnelResult::Unspecified => {
                 self.pause(peer, now);
-                self.record_silence(peer, now);
                 Search::GoOn
             }
         }
     }
 
-    /// Records that a connection by way of a peer was silent although a request waits on it, or ended without an answer. Its
-    /// server may have a part in it, so the peer is still asked where no other helps.
+    /// Records that a connection by way of a peer has been silent although a request waits on it. Its server may just need
+    /// the time, so the peer is still asked where no other helps.
     pub fn record_silence(&mut self, peer: &Arc<str>, now: u64) {
-        self.peers.entry(peer.clone()).or_default().doubt(now);
+        self.peers.entry(peer.clone()).or_default().doubted_until = now + DOUBT_MS;
     }
 
-    /// Records a response, or a piece of one, by way of a peer.
-    pub fn record_answer(&mut self, peer: &Arc<str>, now: u64) {
-        let state = self.peers.entry(peer.clone()).or_default();
-        (state.doubted_until, state.doubt, state.answered_at) = (0, 0, Some(now));
-    }
-
-    /// Records that a peer is asked. If it has been doubted and has not answered since, one request finds out whether it
-    /// still has to be.
-    pub fn begin(&mut self, peer: &str, now: u64) {
-        if let Some(state) = self.peers.get_mut(peer).filter(|state| state.doubt > 0) {
-            state.doubt(now);
+    /// Records a response by way of a peer.
+    pub fn record_answer(&mut self, peer: &str) {
+        if let Some(state) = self.peers.get_mut(peer) {
+            state.doubted_until = 0;
         }
     }
 
-    /// Whether a response has come by way of a peer since `at`.
-    pub fn has_answered_since(&self, peer: &str, at: u64) -> bool {
-        self.peers.get(peer).and_then(|state| state.answered_at).is_some_and(|answered| answered >= at)
-    }
-
-    /// Whether nothing has been answered by way of a peer since it was doubted.
-    pub fn is_on_trial(&self, peer: &str) -> bool {
-        self.peers.get(peer).is_some_and(|state| state.doubt > 0)
-    }
-
     /// Whether a peer is to be asked after the others.
     pub fn is_doubted(&self, peer: &str, now: u64) -> bool {
         self.peers.get(peer).is_some_and(|state| state.doubted_until > now)
@@ -137,10 +100,7 @@
             peers.retain(|_, until| *until > now);
             !peers.is_empty() && is_known(server)
         });
-        self.peers.retain(|_, state| {
-            let last = state.paused_until.max(state.doubted_until).max(state.answered_at.unwrap_or(0));
-            now < last + FORGET_DOUBT_MS
-        });
+        self.peers.retain(|_, state| state.paused_until.max(state.doubted_until) > now);
     }
 
     fn pause_path(&mut self, peer: &Arc<str>, server: &Arc<str>, until: u64) {
--- a/goldcrestward/src/process/reach/helpers_test.rs
+++ b/goldcrestward/src/process/reach/helpers_test.rs
@@ -63,7 +63,7 @@
     assert!(helpers.is_doubted("liar", 11) && !helpers.is_doubted("other", 11));
     // It may be the only one that reaches a server, which just needs the time.
     assert!(helpers.may_help("liar", "server", 11));
-    helpers.record_answer(&name("liar"), 12);
+    helpers.record_answer("liar");
     assert!(!helpers.is_doubted("liar", 12));
 }
 
@@ -74,30 +74,3 @@
     helpers.forget(|_| false, 1);
     assert!(helpers.may_help("peer", "server", 2));
 }
-
-// Guards against a peer that lies and is trusted again each three seconds, by all requests at once.
-#[test]
-fn doubted_peer_is_tried_by_one_request_at_a_time_and_ever_more_rarely() {
-    let mut helpers = Helpers::default();
-    let (liar, mut trials) = (name("liar"), Vec::new());
-    helpers.record_silence(&liar, 0);
-    for now in 0..200_000 {
-        if !helpers.is_doubted("liar", now) {
-            assert!(helpers.is_on_trial("liar"), "trusted at {now} without an answer");
-            helpers.begin("liar", now);
-            trials.push(now);
-        }
-    }
-    assert_eq!(trials, [3_000, 9_000, 21_000, 45_000, 93_000, 141_000, 189_000]);
-    helpers.record_answer(&liar, 200_000);
-    helpers.begin("liar", 200_000);
-    assert!(!helpers.is_doubted("liar", 200_001) && !helpers.is_on_trial("liar"));
-}
-
-// Guards against a peer that never answers to requests for connections and that each search waits for.
-#[test]
-fn record_peer_that_does_not_answer_is_doubted() {
-    let mut helpers = Helpers::default();
-    helpers.record(&name("peer"), &name("server"), TunnelResult::Unspecified, 0);
-    assert!(helpers.is_doubted("peer", PEER_PAUSE_MS));
-}
--- a/goldcrestward/src/process/reach/mod.rs
+++ b/goldcrestward/src/process/reach/mod.rs
@@ -3,7 +3,6 @@
 mod carried_observer;
 mod connect;
 mod helpers;
-mod seek;
 mod table;
 
 pub(super) use connect::{MAX_SEARCHES, open_for_peer};
--- a/goldcrestward/src/process/reach/table.rs
+++ b/goldcrestward/src/process/reach/table.rs
@@ -119,12 +119,6 @@
         Change::None
     }
 
-    /// Records a piece of a response that came directly from a server: the daemon is not cut off. It says nothing about new
-    /// connections, as an open one may live on while they fail.
-    pub fn record_piece(&mut self, now: u64) {
-        self.reached_at = Some(now);
-    }
-
     /// Records that a server has been silent on an open connection for a time in which it has answered nobody here. A new
     /// connection that fails as well makes it lost. Returns whether this caller is to try one.
     pub fn record_silence(&mut self, server: &Arc<str>, now: u64) -> bool {
--- a/goldcrestward/src/process/reach/table_test.rs
+++ b/goldcrestward/src/process/reach/table_test.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{CHECK_PAUSE_MS, CUT_OFF_SILENCE_MS, Change, PROBE_PAUSE_MS, Path, ReachTable, UNREACHED_TTL_MS};
+use super::{CUT_OFF_SILENCE_MS, Change, PROBE_PAUSE_MS, Path, ReachTable, UNREACHED_TTL_MS};
 use crate::connection::ConnectError;
 
 const SILENT: Result<(), ConnectError> = Err(ConnectError::Silent);
@@ -147,26 +147,3 @@
     reach.record(&server(1), Err(ConnectError::Refused), 2);
     assert!(reach.has_no_path("server-0") && !reach.has_no_path("server-1"));
 }
-
-// Guards against a daemon that counts as cut off while streams flow to it, as only heads were signs of reach.
-#[test]
-fn pieces_of_a_stream_show_that_the_daemon_is_not_cut_off() {
-    let mut reach = ReachTable::default();
-    (0..2).for_each(|now| assert_eq!(reach.record(&server(0), SILENT, now) == Change::Lost, now == 1));
-    (1..3).for_each(|number| assert_eq!(reach.record(&server(number), SILENT, 1), Change::None));
-    assert!(reach.is_cut_off(2));
-    reach.record_piece(2);
-    assert!(!reach.is_cut_off(2 + CUT_OFF_SILENCE_MS - 1) && reach.is_cut_off(2 + CUT_OFF_SILENCE_MS));
-    // It came on an open connection, and says nothing about new ones.
-    assert!(reach.is_lost("server-0"));
-}
-
-// Guards against a silence that nobody looks at, and against a new connection for each request that waits.
-#[test]
-fn silence_of_a_server_is_looked_at_by_one_caller_a_second() {
-    let mut reach = ReachTable::default();
-    let looks: Vec<u64> = (0..3_000).filter(|now| reach.record_silence(&server(0), *now)).collect();
-    assert_eq!(looks, [0, CHECK_PAUSE_MS, 2 * CHECK_PAUSE_MS]);
-    (3_000..3_002).for_each(|now| assert_eq!(reach.record(&server(0), SILENT, now) == Change::Lost, now == 3_000));
-    assert!(!reach.record_silence(&server(0), 9_000), "a lost server is probed already");
-}
--- a/goldcrestward/src/process/replicas/replica.rs
+++ b/goldcrestward/src/process/replicas/replica.rs
@@ -111,15 +111,6 @@
         self.health.ejected_until.store(now + BRIEF_EJECT_MS, Ordering::Relaxed);
     }
 
-    /// Leaves the replica out while a path to it is looked for; returns whether that has just begun.
-    pub fn begin_search(&self) -> bool {
-        !self.health.sought.swap(true, Ordering::Relaxed)
-    }
-
-    pub fn end_search(&self) {
-        self.health.sought.store(false, Ordering::Relaxed);
-    }
-
     /// Compares a request with the others that the replica was running when it crashed.
     pub fn blame(&self, guard: &ReplicaGuard, now: u64) -> Blame {
         let running = self.health.running.lock();
@@ -184,9 +175,9 @@
         self.health.loads.lock().apply_server_report(load, now);
     }
 
-    /// Records whether this daemon reaches it by itself; returns whether that is new.
-    pub fn set_unreached(&self, unreached: bool) -> bool {
-        self.health.unreached.swap(unreached, Ordering::Relaxed) != unreached
+    /// Records whether this daemon reaches it by itself.
+    pub fn set_unreached(&self, unreached: bool) {
+        self.health.unreached.store(unreached, Ordering::Relaxed);
     }
 
     /// Whether its responses bear the ids of their requests.
@@ -279,6 +270,6 @@
     }
 
     pub(super) fn is_ejected(&self, now: u64) -> bool {
-        self.health.sought.load(Ordering::Relaxed) || self.health.ejected_until.load(Ordering::Relaxed) > now
+        self.health.ejected_until.load(Ordering::Relaxed) > now
     }
 }
--- a/goldcrestward/src/process/replicas/replica_health.rs
+++ b/goldcrestward/src/process/replicas/replica_health.rs
@@ -42,8 +42,6 @@
     pub(super) long_responses: Mutex<LineLimit>,
     /// Whether this daemon does not reach it by itself.
     pub(super) unreached: AtomicBool,
-    /// Whether nobody reaches it, and a path is looked for.
-    pub(super) sought: AtomicBool,
     /// Whether its responses have borne the ids of their requests.
     pub(super) echoes_ids: AtomicBool,
 }
--- a/goldcrestward/src/request/fallback.rs
+++ b/goldcrestward/src/request/fallback.rs
@@ -13,12 +13,13 @@
 use log::info;
 use tokio::time::timeout;
 
-use super::{
-    path_watch::{PATH_CHECK_INTERVAL, SUSPECT_AFTER},
-    proxy::{MIN_RETRY_TIME, ProxyCall},
-};
+use super::proxy::{MIN_RETRY_TIME, ProxyCall};
 use crate::{connection::BackendConnection, process::ReplicaGuard};
 
+/// Time without a response after which the path to a server is looked at.
+const SUSPECT_AFTER: Duration = Duration::from_millis(300);
+/// Interval at which a request whose path is being looked at checks whether it has failed.
+const PATH_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two searches for another server while one is silent.
 pub(super) const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -83,7 +84,8 @@
     /// timeout and there is another place for the request, or its time is over.
     pub(super) async fn wait_for<T>(&mut self, guard: &ReplicaGuard, step: impl Future<Output = T>) -> Option<T> {
         let (mut step, started, sent_at) = (pin!(step), Instant::now(), self.gateway.shared.now());
-        let mut limit = SUSPECT_AFTER.min(self.idle_timeout());
+        let idle_timeout = self.idle_timeout();
+        let mut limit = SUSPECT_AFTER.min(idle_timeout);
         let mut is_suspect = false;
         loop {
             if let Ok(output) = timeout(limit, &mut step).await {
@@ -96,10 +98,9 @@
             if self.time_left().is_zero() {
                 return None;
             }
-            let silence_limit = self.silence_limit(guard);
-            let left = silence_limit.saturating_sub(started.elapsed());
-            if !left.is_zero() {
-                limit = PATH_CHECK_INTERVAL.min(left);
+            let silent_for = started.elapsed();
+            if silent_for < idle_timeout && (self.via.is_some() || !self.gateway.has_lost_link(guard.replica())) {
+                limit = PATH_CHECK_INTERVAL.min(idle_timeout - silent_for);
                 continue;
             }
             if let Some(search) = self.search_fallback(guard) {
--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -15,7 +15,6 @@
 mod model_body;
 mod numbered_events;
 mod passed_body;
-mod path_watch;
 mod pending_answer;
 mod placement_request;
 mod plain;
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -274,6 +274,16 @@
         record_answer(&self.gateway.shared, &self.parts);
     }
 
+    /// Whether the path of the last attempt has failed, which says nothing about its server.
+    pub(super) fn has_no_path(&self, guard: &ReplicaGuard) -> bool {
+        self.gateway.has_no_path(guard.replica(), self.via.as_ref())
+    }
+
+    /// Whether this daemon can find out if the server has crashed, which it does by a connection of its own.
+    fn may_judge_crash(&self, guard: &ReplicaGuard) -> bool {
+        !self.has_no_path(guard) && !self.gateway.has_lost_link(guard.replica())
+    }
+
     pub(super) fn record_outcome(&self, guard: &ReplicaGuard, outcome: AttemptOutcome) {
         if outcome == AttemptOutcome::Failure && self.has_no_path(guard) {
             return;
@@ -395,7 +405,9 @@
                     }
                     ProxyFailure::ConnectFailed => self.record_outcome(&guard, AttemptOutcome::Failure),
                 }
-                self.leave_out(&guard, &failure);
+                if matches!(failure, ProxyFailure::ConnectFailed | ProxyFailure::NoPath) {
+                    guard.replica().eject_briefly(self.gateway.shared.now());
+                }
                 // A response without a length ends with its connection, also when the server has crashed.
                 if matches!(failure, ProxyFailure::Indeterminate("cut" | "empty")) && self.may_judge_crash(&guard) {
                     record_crash(&self.gateway.shared, &guard, self.possible_cause()).await;
@@ -472,10 +484,7 @@
         self.set_run_state(RunState::MayHaveRun);
         let response = match self.wait_for(guard, connection.send(request)).await {
             None => return Err(ProxyFailure::Indeterminate("silent")),
-            Some(Err(SendError::MaybeSent)) => {
-                self.gateway.record_path_end(self.via.as_ref());
-                return Err(ProxyFailure::Indeterminate("cut"));
-            }
+            Some(Err(SendError::MaybeSent)) => return Err(ProxyFailure::Indeterminate("cut")),
             Some(Err(SendError::HeadTooLong(sent))) => {
                 record_long_head(&self.gateway.shared, &self.metadata.id, &replica, sent);
                 return Err(ProxyFailure::Indeterminate("head-too-long"));
@@ -488,7 +497,6 @@
                     info!("event=idle-connection-closed id={id} instance={} {label}", replica.id);
                     return Ok(None);
                 }
-                self.gateway.record_path_end(self.via.as_ref());
                 // The end of a connection by way of a peer may be the carrier's own.
                 let is_direct = self.via.is_none();
                 return Err(if is_direct { ProxyFailure::ConnectFailed } else { ProxyFailure::NoPath });
--- a/goldcrestward/src/request/proxy_body.rs
+++ b/goldcrestward/src/request/proxy_body.rs
@@ -9,7 +9,7 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 use bytes::Bytes;
@@ -25,7 +25,6 @@
 use super::{
     fallback::{SEARCH_INTERVAL, Search},
     numbered_events::{EventSequence, SequenceError},
-    path_watch::{PATH_CHECK_INTERVAL, SUSPECT_AFTER},
     proxy::ProxyCall,
     proxy_outcome::{MigratedRun, ProxyResponse, ProxyStream},
     refusal::Refusal,
@@ -35,9 +34,6 @@
     process::{AttemptOutcome, ReplicaGuard},
 };
 
-/// Interval at which events are recorded as signs that the path works.
-const SIGN_INTERVAL: Duration = Duration::from_millis(100);
-
 struct StreamSource {
     call: Box<ProxyCall>,
     sequence: EventSequence,
@@ -83,10 +79,6 @@
     pending_events: Bytes,
     timer: Pin<Box<Sleep>>,
     last_event_at: Instant,
-    /// When an event was last recorded as a sign that the path works.
-    sign_at: Instant,
-    /// Whether the path has been looked at since the last event.
-    is_suspect: bool,
     /// No search for another server starts before this time.
     search_at: Instant,
     /// The server that the run could not be migrated from.
@@ -105,7 +97,7 @@
         head: HeaderMap,
     ) -> Self {
         let last_event_at = Instant::now();
-        let timer = Box::pin(sleep_until((last_event_at + SUSPECT_AFTER.min(call.idle_timeout())).into()));
+        let timer = Box::pin(sleep_until((last_event_at + call.idle_timeout()).into()));
         let source = StreamSource {
             call: Box::new(call),
             sequence,
@@ -118,16 +110,7 @@
             search: None,
         };
         let state = State::Streaming(Box::new(source));
-        Self {
-            state,
-            pending_events,
-            timer,
-            last_event_at,
-            sign_at: last_event_at,
-            is_suspect: false,
-            search_at: last_event_at,
-            kept_at: None,
-        }
+        Self { state, pending_events, timer, last_event_at, search_at: last_event_at, kept_at: None }
     }
 
     /// Starts to resume the stream at another server, if that is allowed.
@@ -186,8 +169,7 @@
                 let ProxyStream { head, body, connection, guard, first } = *open;
                 self.pending_events = first;
                 self.last_event_at = Instant::now();
-                self.is_suspect = false;
-                self.timer.as_mut().reset((self.last_event_at + SUSPECT_AFTER.min(call.idle_timeout())).into());
+                self.timer.as_mut().reset((self.last_event_at + call.idle_timeout()).into());
                 let head = head.headers;
                 let is_kept = self.kept_at.take().is_some_and(|id| id == guard.replica().id);
                 self.state = State::Streaming(Box::new(StreamSource {
@@ -241,14 +223,7 @@
                 return false;
             }
             let now = Instant::now();
-            let silent_for = now - self.last_event_at;
-            if silent_for >= SUSPECT_AFTER && !self.is_suspect {
-                let StreamSource { call, guard, connection, .. } = &**source;
-                let since = call.gateway.shared.now().saturating_sub(silent_for.as_millis() as u64);
-                call.gateway.suspect_path(guard.replica(), connection.via(), since);
-                self.is_suspect = true;
-            }
-            let due = (self.last_event_at + source.call.silence_limit(&source.guard)).max(self.search_at);
+            let due = (self.last_event_at + source.call.idle_timeout()).max(self.search_at);
             // A run that has been migrated goes on at its new server.
             if source.call.time_to_deadline().is_zero()
                 || (now >= due && matches!(source.migration, Migration::Done(_)))
@@ -256,9 +231,7 @@
                 return true;
             }
             let wake_at = if now < due {
-                let check_at =
-                    if self.is_suspect { now + PATH_CHECK_INTERVAL } else { self.last_event_at + SUSPECT_AFTER };
-                due.min(check_at)
+                due
             } else {
                 if source.search.is_none() {
                     source.search = source.call.search_fallback(&source.guard).map(Mutex::new);
@@ -331,12 +304,7 @@
         let events = source.sequence.read(&data);
         if source.sequence.forwarded() > before {
             self.last_event_at = Instant::now();
-            self.is_suspect = false;
             source.search = None;
-            if self.last_event_at - self.sign_at >= SIGN_INTERVAL {
-                self.sign_at = self.last_event_at;
-                source.call.gateway.record_path_piece(source.connection.via());
-            }
         }
         Poll::Ready(Ok(Some(events)))
     }
--- a/goldcrestward/src/request/run_window.rs
+++ b/goldcrestward/src/request/run_window.rs
@@ -122,11 +122,6 @@
         }
     }
 
-    /// Whether the request may be repeated.
-    pub fn may_repeat(&self) -> bool {
-        self.routed.as_ref().is_some_and(|(route, _)| route.kind.is_idempotent())
-    }
-
     /// Whether most runs of this kind take longer than `elapsed`.
     pub fn is_usual(&self, elapsed: Duration) -> bool {
         let Some((_, kind)) = &self.routed else { return false };
