--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -47,7 +47,7 @@
 
     /// The daemon whose stop bears on the request: its own, or a peer that carried it.
     fn stopped_daemon(&self) -> Option<&str> {
-        let is_stop = matches!(self.event.as_str(), "stop-refused" | "stop-given-up" | "stop-cut");
+        let is_stop = matches!(self.event.as_str(), "stop-refused" | "stop-taken" | "stop-given-up" | "stop-cut");
         if is_stop { Some(&self.daemon) } else { self.carrier() }
     }
 
@@ -322,6 +322,13 @@
             field("needed_ms"),
             field("left_ms")
         ),
+        "stop-taken" => format!(
+            "sent to a server {} ms after the stop of its daemon had begun, {} ms before the daemon's end: it was expected to need {} ms, {}",
+            field("since_ms"),
+            field("left_ms"),
+            field("needed_ms"),
+            basis(field("by"), field("runs"))
+        ),
         "stop-given-up" => {
             let run = if field("run") == "not-run" { "it has not run" } else { "it may have run" };
             format!("given up at the end of its daemon, {} ms before its own deadline; {run}", field("left_ms"))
@@ -417,6 +424,16 @@
     }
 }
 
+fn basis(label: &str, runs: &str) -> String {
+    match label {
+        "longest" => format!("the longest of {runs} recent runs and a reserve"),
+        "usual" => format!("as nine in ten of {runs} recent runs"),
+        "deadline" => "its deadline".to_owned(),
+        "assumed" => "as no run is known".to_owned(),
+        other => other.to_owned(),
+    }
+}
+
 fn phase(label: &str) -> &str {
     match label {
         "body" => "while its body was read",
--- a/goldcrestward/src/cmd/explain_test.rs
+++ b/goldcrestward/src/cmd/explain_test.rs
@@ -101,6 +101,16 @@
             "stop-refused id=r1 route=- needed_ms=0 left_ms=- phase=arrival",
             "refused by the stop of its daemon, which took no more requests when it came",
         ),
+        (
+            "stop-taken id=r1 route=lunch since_ms=3100 needed_ms=900 left_ms=4400 by=longest runs=12",
+            "sent to a server 3100 ms after the stop of its daemon had begun, 4400 ms before the daemon's end: it was expected to need 900 ms, the longest of 12 recent runs and a reserve",
+        ),
+        (
+            "stop-taken id=r1 route=lunch since_ms=90 needed_ms=20 left_ms=80 by=usual runs=40",
+            "need 20 ms, as nine in ten of 40 recent runs",
+        ),
+        ("stop-taken id=r1 route=lunch since_ms=9 needed_ms=8 left_ms=9 by=deadline runs=0", ", its deadline"),
+        ("stop-taken id=r1 route=lunch since_ms=9 needed_ms=8 left_ms=9 by=assumed runs=0", ", as no run is known"),
         (
             "stop-given-up id=r1 route=lunch run=not-run left_ms=80",
             "given up at the end of its daemon, 80 ms before its own deadline; it has not run",
--- a/goldcrestward/src/connection/caller_closes.rs
+++ b/goldcrestward/src/connection/caller_closes.rs
@@ -47,6 +47,7 @@
     counter: IntCounterVec,
     unannounced: IntCounterVec,
     failed_accepts: IntCounter,
+    late_arrivals: IntCounterVec,
     started: Instant,
     lines: Mutex<LineLimit>,
     unannounced_lines: Mutex<LineLimit>,
@@ -55,12 +56,18 @@
 
 impl CallerCloses {
     /// Creates a record with counters, by reason, of closes over a request that has arrived and of those that may cross
-    /// one, and of connections that could not be accepted at once.
-    pub fn new(counter: IntCounterVec, unannounced: IntCounterVec, failed_accepts: IntCounter) -> Self {
+    /// one, of connections that could not be accepted at once, and of requests that come after the notice of a stop.
+    pub fn new(
+        counter: IntCounterVec,
+        unannounced: IntCounterVec,
+        failed_accepts: IntCounter,
+        late_arrivals: IntCounterVec,
+    ) -> Self {
         Self {
             counter,
             unannounced,
             failed_accepts,
+            late_arrivals,
             started: Instant::now(),
             lines: Mutex::default(),
             unannounced_lines: Mutex::default(),
@@ -90,6 +97,11 @@
         info!("event=caller-broken error={:?} others={others}", error.to_string());
     }
 
+    /// Records a request that came after the notice of a stop, on a connection that is new since or older.
+    pub(super) fn record_late_arrival(&self, is_new: bool) {
+        self.late_arrivals.with_label_values(&[if is_new { "new" } else { "kept" }]).inc();
+    }
+
     /// Records that a connection could not be accepted, as when file descriptors have run out: it waits meanwhile.
     pub(super) fn record_failed_accept(&self, error: &io::Error) {
         self.failed_accepts.inc();
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -144,6 +144,8 @@
                 peer,
                 activity: activity.clone(),
                 stop: stop.clone(),
+                is_new: *stop.borrow() != Stage::Open,
+                closes: closes.clone(),
                 running: drain.running.clone(),
             };
             let refusals = refusals.clone();
@@ -348,6 +350,9 @@
     activity: Arc<Activity>,
     /// From the beginning of the stop on, answers say that they are the last.
     stop: watch::Receiver<Stage>,
+    /// Whether the connection was accepted after the notice of the stop.
+    is_new: bool,
+    closes: Arc<CallerCloses>,
     running: RunningRequests,
 }
 
@@ -359,7 +364,11 @@
     fn call(&self, request: http::Request<Incoming>) -> Self::Future {
         let router = self.router.clone();
         let peer = Address::from(self.peer);
-        let counted = (*self.stop.borrow() == Stage::Open).then(|| self.running.begin());
+        let is_open = *self.stop.borrow() == Stage::Open;
+        if !is_open {
+            self.closes.record_late_arrival(self.is_new);
+        }
+        let counted = is_open.then(|| self.running.begin());
         let guard = self.activity.begin_request(counted);
         let (activity, stop) = (self.activity.clone(), self.stop.clone());
         let ambiguous = self.activity.is_ambiguous();
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -64,6 +64,7 @@
         let refusals = IntCounterVec::new(Opts::new("refusals", "refusals"), &["reason", "run"]).expect("a valid name");
         let counters = |name| IntCounterVec::new(Opts::new(name, name), &["reason"]).expect("a valid name");
         let (closes, unannounced) = (counters("closes"), counters("unannounced"));
+        let late_arrivals = counters("late_arrivals");
         let failed_accepts = IntCounter::new("failed_accepts", "failed accepts").expect("a valid name");
         let current = limits.clone();
         let listener = Listener {
@@ -71,7 +72,7 @@
             router: Router::new().fallback_service(any(answer)),
             drain: drain.clone(),
             refusals,
-            closes: Arc::new(CallerCloses::new(closes.clone(), unannounced.clone(), failed_accepts)),
+            closes: Arc::new(CallerCloses::new(closes.clone(), unannounced.clone(), failed_accepts, late_arrivals)),
             limits: Arc::new(LimitsInForce::new(move || current.lock().clone(), lag)),
         };
         tokio::spawn(listener.run());
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -41,6 +41,7 @@
     gossip::Gossip,
     lifecycle::{Draining, Serving, Stage, Starting},
     lifetime::Lifetime,
+    line_budget::LineBudget,
     membership::{Member, State, Timing, View},
     metrics::Metrics,
     peer_service::{PeerService, report_limit_demand},
@@ -77,6 +78,8 @@
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
 /// Time on stop for the ledger to write pending records, and for operators' requests to finish, without a time limit.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
+/// Most lines on requests that are sent to servers during the stop.
+const MAX_STOP_LINES: u32 = 1_000;
 
 /// A daemon that serves. Dropping it aborts its tasks; [`Daemon::stop`] stops it gracefully.
 pub struct Daemon {
@@ -144,8 +147,13 @@
             Arc::new(LimitsInForce::new(move || shared.in_force.load().site.caller_limits.clone(), lag))
         };
         let closes = {
-            let Metrics { caller_closes, unannounced_closes, failed_accepts, .. } = &shared.metrics;
-            CallerCloses::new(caller_closes.clone(), unannounced_closes.clone(), failed_accepts.clone())
+            let Metrics { caller_closes, unannounced_closes, failed_accepts, late_arrivals, .. } = &shared.metrics;
+            CallerCloses::new(
+                caller_closes.clone(),
+                unannounced_closes.clone(),
+                failed_accepts.clone(),
+                late_arrivals.clone(),
+            )
         };
         let closes = Arc::new(closes);
         let listen = |socket, router, drain: &Drain| {
@@ -294,7 +302,8 @@
         timeout(rest(), self.operators.finish(ready(()))).await.ok();
         log_step("operators");
         self.tasks.shutdown().await;
-        Stopped::new(name.clone(), shared.metrics.stop_outcomes.clone(), whole)
+        let Metrics { stop_outcomes, late_arrivals, .. } = &shared.metrics;
+        Stopped::new(name.clone(), stop_outcomes.clone(), late_arrivals.clone(), whole)
     }
 }
 
@@ -387,6 +396,7 @@
         stage,
         carried,
         lifetime: Lifetime::default(),
+        stop_lines: LineBudget::new(MAX_STOP_LINES),
         run_times: RunTimes::default(),
         tasks: TaskTracker::new(),
         start: Instant::now(),
--- a/goldcrestward/src/process/lifetime.rs
+++ b/goldcrestward/src/process/lifetime.rs
@@ -15,18 +15,30 @@
 
 #[derive(Default)]
 struct Inner {
-    /// Set when the stop begins; `None` if the stop has no time limit.
-    end: OnceLock<Option<Instant>>,
+    stop: OnceLock<Stop>,
     stopping: CancellationToken,
 }
 
+#[derive(Clone, Copy)]
+struct Stop {
+    begun: Instant,
+    /// `None` if the stop has no time limit.
+    end: Option<Instant>,
+}
+
 impl Lifetime {
     /// Begins the stop, which ends after `limit` at the latest. Only the first call has an effect.
     pub fn begin_stop(&self, limit: Option<Duration>) {
-        self.0.end.get_or_init(|| limit.map(|limit| Instant::now() + limit));
+        let begun = Instant::now();
+        self.0.stop.get_or_init(|| Stop { begun, end: limit.map(|limit| begun + limit) });
         self.0.stopping.cancel();
     }
 
+    /// Time since the beginning of the stop; `None` before it.
+    pub fn stopping_since(&self) -> Option<Duration> {
+        self.0.stop.get().map(|stop| stop.begun.elapsed())
+    }
+
     /// Time until the end; `None` while none is set.
     pub fn time_left(&self) -> Option<Duration> {
         self.end().map(|end| end.saturating_duration_since(Instant::now()))
@@ -62,7 +74,7 @@
     }
 
     fn end(&self) -> Option<Instant> {
-        self.0.end.get().copied().flatten()
+        self.0.stop.get().and_then(|stop| stop.end)
     }
 }
 
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -35,6 +35,7 @@
     pub caller_closes: IntCounterVec,
     /// Connections of callers that were closed although their callers may have sent another request, by reason.
     pub unannounced_closes: IntCounterVec,
+    pub late_arrivals: IntCounterVec,
     /// Connections of callers that could not be accepted at once.
     pub failed_accepts: IntCounter,
     /// Answers that ended incomplete.
@@ -146,6 +147,11 @@
                 "connections of callers closed with no answer that said so",
                 &["reason"],
             )?,
+            late_arrivals: factory.counters(
+                "late_arrivals_total",
+                "requests that came after the notice of a stop, by whether their connection is older than its end",
+                &["connection"],
+            )?,
             failed_accepts: factory
                 .counter("failed_accepts_total", "connections that could not be accepted at once")?,
             cut_answers: factory.counter("cut_answers_total", "answers that could not be ended whole")?,
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -21,6 +21,7 @@
 mod lifetime;
 mod limit_facts;
 mod limits;
+mod line_budget;
 mod loads;
 pub(crate) mod membership;
 mod metrics;
--- a/goldcrestward/src/process/run_times.rs
+++ b/goldcrestward/src/process/run_times.rs
@@ -72,8 +72,13 @@
         self.read(kind, now, |runs| runs.read(|histogram| histogram.value_at_quantile(USUAL_SHARE)))
     }
 
+    /// Number of recent runs from which the times of a kind are known.
+    pub fn count(&self, kind: &RunKind, now: Instant) -> u64 {
+        self.read(kind, now, RecentRuns::count).unwrap_or(0)
+    }
+
     /// Reads the times of the next larger kind if there are none of this one.
-    fn read(&self, kind: &RunKind, now: Instant, read: impl Fn(&RecentRuns) -> Duration) -> Option<Duration> {
+    fn read<T>(&self, kind: &RunKind, now: Instant, read: impl Fn(&RecentRuns) -> T) -> Option<T> {
         let mut by_kind = self.by_kind.lock();
         let larger = by_kind.range_mut(kind..).take_while(|(known, _)| known.route == kind.route);
         let mut known = larger.filter_map(|(_, runs)| {
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -26,6 +26,7 @@
     lifecycle::StageView,
     lifetime::Lifetime,
     limits::AccountLimits,
+    line_budget::LineBudget,
     membership::{Fact, View},
     metrics::Metrics,
     replicas::{Replica, Replicas},
@@ -124,6 +125,8 @@
     pub carried: CarriedConnections,
     /// When this daemon ends.
     pub lifetime: Lifetime,
+    /// Lines on requests that are sent to servers during the stop.
+    pub stop_lines: LineBudget,
     /// How long the requests of each route take.
     pub run_times: RunTimes,
     /// Tasks that finish requests whose callers have disconnected.
--- a/goldcrestward/src/process/stopped.rs
+++ b/goldcrestward/src/process/stopped.rs
@@ -14,13 +14,14 @@
 pub struct Stopped {
     name: Arc<str>,
     outcomes: IntCounterVec,
+    arrivals: IntCounterVec,
     whole: bool,
 }
 
 impl Stopped {
     /// Says with `whole` whether everything had ended by itself.
-    pub(super) fn new(name: Arc<str>, outcomes: IntCounterVec, whole: bool) -> Self {
-        Self { name, outcomes, whole }
+    pub(super) fn new(name: Arc<str>, outcomes: IntCounterVec, arrivals: IntCounterVec, whole: bool) -> Self {
+        Self { name, outcomes, arrivals, whole }
     }
 
     /// Ends the tasks that are left, which log and count what they cut, and logs the end of the daemon after them.
@@ -31,9 +32,12 @@
 
     /// Logs the end of the daemon.
     pub(crate) fn log(self) {
-        let Self { name, outcomes, whole } = self;
+        let Self { name, outcomes, arrivals, whole } = self;
         let [refused, given_up, cut] =
             ["refused", "given-up", "cut"].map(|outcome| outcomes.with_label_values(&[outcome]).get());
-        info!("event=stopped daemon={name} whole={whole} refused={refused} given_up={given_up} cut={cut}");
+        let [kept, new] = ["kept", "new"].map(|connection| arrivals.with_label_values(&[connection]).get());
+        info!(
+            "event=stopped daemon={name} whole={whole} late_kept={kept} late_new={new} refused={refused} given_up={given_up} cut={cut}"
+        );
     }
 }
--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -228,6 +228,7 @@
         }
         if !resuming {
             self.window.check(Phase::Send).map_err(|refusal| Refusal { run: self.run_state, ..refusal })?;
+            self.window.record_taken();
         }
         if self.time_left().is_zero() {
             return Err(self.refuse(Reason::Deadline, "the request's time is over"));
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -473,6 +473,9 @@
                 checked.map_or_else(|refusal| ProxyFailure::TooLate(Box::new(refusal)), |()| ProxyFailure::Withdrawn)
             );
         }
+        if !self.is_answering {
+            self.window.record_taken();
+        }
         let is_first = connection.is_unused();
         let request = self.build_request(&replica.id, sequence.last());
         let previous = self.run_state;
--- a/goldcrestward/src/request/run_window.rs
+++ b/goldcrestward/src/request/run_window.rs
@@ -50,6 +50,30 @@
     }
 }
 
+/// What the time that a request needs is known from, in log lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Basis {
+    /// The longest of the recent runs of its kind.
+    Longest,
+    /// The time within which most of them ended.
+    Usual,
+    /// No run of its kind, nor one of a larger size, is known.
+    Assumed,
+    /// Its deadline, which ends it sooner than the runs that are known.
+    Deadline,
+}
+
+impl Basis {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Longest => "longest",
+            Self::Usual => "usual",
+            Self::Assumed => "assumed",
+            Self::Deadline => "deadline",
+        }
+    }
+}
+
 /// The time that one request has. Work that can't be expected to end in it is not begun.
 #[derive(Clone)]
 pub(crate) struct RunWindow {
@@ -109,16 +133,22 @@
     /// Time that the request needs. Only one that can be repeated, and whose answer has not begun, may turn out to take
     /// longer. Nothing is known of one without a route.
     pub fn needed(&self) -> Duration {
-        let Some((route, kind)) = &self.routed else { return Duration::ZERO };
+        self.estimate().0
+    }
+
+    /// The time that the request needs, and what it is known from.
+    fn estimate(&self) -> (Duration, Basis) {
+        let Some((route, kind)) = &self.routed else { return (Duration::ZERO, Basis::Assumed) };
         let may_fail = self.is_buffered && route.kind.is_idempotent();
         let (times, now) = (&self.shared.run_times, Instant::now());
         let left = self.deadline.saturating_duration_since(now);
-        let known = if may_fail { times.usual(kind, now) } else { times.longest(kind, now) };
+        let (known, basis) =
+            if may_fail { (times.usual(kind, now), Basis::Usual) } else { (times.longest(kind, now), Basis::Longest) };
         match known {
-            Some(known) if self.outlasts_deadline => known,
-            Some(known) => known.min(left),
-            None if may_fail => UNKNOWN_RUN_TIME.min(left),
-            None => left,
+            Some(known) if self.outlasts_deadline || known <= left => (known, basis),
+            Some(_) => (left, Basis::Deadline),
+            None if may_fail => (UNKNOWN_RUN_TIME.min(left), Basis::Assumed),
+            None => (left, Basis::Deadline),
         }
     }
 
@@ -227,6 +257,23 @@
         self.routed.as_ref().map_or("-", |(route, _)| &route.name)
     }
 
+    /// Records that the request is sent to a server, if the daemon is being stopped: which estimate allows it to run.
+    pub fn record_taken(&self) {
+        let lifetime = &self.shared.lifetime;
+        let (Some(left), Some(since)) = (lifetime.time_left(), lifetime.stopping_since()) else { return };
+        if !self.shared.stop_lines.take() {
+            return;
+        }
+        let (needed, basis) = self.estimate();
+        let runs = self.routed.as_ref().map_or(0, |(_, kind)| self.shared.run_times.count(kind, Instant::now()));
+        let (id, route, since, needed, left) =
+            (&self.id, self.route_label(), since.as_millis(), needed.as_millis(), left.as_millis());
+        let basis = basis.label();
+        info!(
+            "event=stop-taken id={id} route={route} since_ms={since} needed_ms={needed} left_ms={left} by={basis} runs={runs}"
+        );
+    }
+
     fn record_refusal(&self, needed: Duration, phase: Phase) {
         let left = self.shared.lifetime.time_left().map_or_else(|| "-".to_owned(), |left| left.as_millis().to_string());
         let (id, route, phase, needed) = (&self.id, self.route_label(), phase.label(), needed.as_millis());
