--- a/goldcrestward/tests/it/stops.rs
+++ b/goldcrestward/tests/it/stops.rs
@@ -7,7 +7,7 @@
 
 use rustix::process::Signal;
 use serde_json::json;
-use standin::service::ServiceFaults;
+use standin::{engine::EngineFaults, service::ServiceFaults};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -243,6 +243,25 @@
     assert_eq!(lines.count(), outcomes.len(), "{log}");
 }
 
+/// Times after SIGTERM at which the bodies end of requests that come late in the shutdown, in ms.
+const LATE_BODIES: [u64; 4] = [3_100, 3_400, 4_000, 5_000];
+/// How much slower the engines get after the warm-up.
+const SLOWED: f64 = 200.0;
+
+/// Guards against LOST: streams were begun late in a limited shutdown as those before it had been short, and cut at its end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn streams_that_may_outlast_the_daemon_are_refused_late_in_a_limited_shutdown() {
+    known_red::report!();
+    let mut site = start(Some(DRAIN_SECONDS), Duration::from_millis(15)).await;
+    site.set_engine_faults(&EngineFaults { slow: SLOWED, ..EngineFaults::default() });
+    let (outcomes, elapsed) = stop_beside_requests(&mut site, &LATE_BODIES).await;
+    let (streams, calls): (Vec<_>, Vec<_>) =
+        outcomes.into_iter().partition(|outcome| matches!(outcome.kind, Kind::Stream(_)));
+    expect_none("not refused", &streams, |outcome| !outcome.reply.complete || !outcome.is_refused());
+    expect_none("cut", &calls, |outcome| !outcome.reply.complete);
+    assert!(elapsed <= GRACE, "the process ended {elapsed:?} after SIGTERM");
+}
+
 /// Without a limit, a shutdown waits for every caller and cuts nothing.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn shutdown_without_a_limit_answers_everything() {
