--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -81,7 +81,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
     Open,
-    /// Requests that come are served, and their answers end their connections.
+    /// Requests that come are served, and their answers end their connections. So does the idle time of earlier ones.
     Draining,
     /// No connection is accepted, and each one ends with the request that is running.
     Ending,
@@ -103,7 +103,7 @@
     }
 
     /// Takes new requests as long as those that came before the stop are running, or until `end`, then closes the listeners
-    /// and the idle connections, and waits for the other ones to complete their requests.
+    /// and the idle connections, those from before the stop at once, and waits for the other ones to complete their requests.
     pub async fn finish(&self, end: impl Future<Output = ()>) {
         self.stop.send_replace(Stage::Draining);
         tokio::select! {
@@ -213,6 +213,7 @@
     limits: &LimitsInForce,
 ) {
     set_up_accepted(&stream);
+    let is_new = service.is_new;
     let mut builder = http1::Builder::new();
     // The HTTP library's time-out for heads is fixed for the connection and counts idle time, so `Activity` has its own.
     builder.header_read_timeout(None).max_buf_size(limits.current().header_bytes.max(MIN_BUFFER_BYTES));
@@ -222,7 +223,7 @@
             biased;
             ended = poll_fn(|context| connection.poll_without_shutdown(context)) => break (CloseReason::LastAnswer, ended),
             () = activity.head_timed_out(|| limits.current().header_timeout) => CloseReason::HeadTimeout,
-            () = stop_due(&mut stop, activity) => CloseReason::Stop,
+            () = stop_due(&mut stop, activity, is_new) => CloseReason::Stop,
             () = activity.idle_timed_out() => CloseReason::Idle,
         };
         if reason == CloseReason::HeadTimeout {
@@ -273,8 +274,16 @@
     }
 }
 
-/// Waits until the stop closes the connection, which a new one has some time to use first.
-async fn stop_due(stop: &mut watch::Receiver<Stage>, activity: &Activity) {
+/// Waits until the stop closes the connection. One that is idle from before the stop is closed at its beginning, so that
+/// its caller connects to another daemon. A new one has some time to be used first, also at the end.
+async fn stop_due(stop: &mut watch::Receiver<Stage>, activity: &Activity, is_new: bool) {
+    if !is_new {
+        stop.wait_for(|stage| *stage != Stage::Open).await.ok();
+        tokio::select! {
+            () = activity.unused_for(NEXT_REQUEST_TIME) => return,
+            _ = stop.wait_for(|stage| *stage == Stage::Ending) => {}
+        }
+    }
     stop.wait_for(|stage| *stage == Stage::Ending).await.ok();
     activity.idle_for(FIRST_REQUEST_TIME).await;
 }
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -27,7 +27,7 @@
     server::{Router, route::any},
 };
 
-use super::{CallerCloses, Drain, LimitsInForce, Listener, Stage, bind};
+use super::{CallerCloses, Drain, LimitsInForce, Listener, NEXT_REQUEST_TIME, Stage, bind};
 use crate::config::CallerLimits;
 
 const ANSWER: &str = "done";
@@ -407,3 +407,23 @@
     let text = exchange(&mut stream).await.to_lowercase();
     assert!(text.ends_with(ANSWER) && text.contains("connection: close"), "{text:?}");
 }
+
+/// Guards against refusals: callers went on using idle connections to a daemon that was being stopped, which refused them, and
+/// did not connect to another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_are_closed_while_earlier_requests_run() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut idle = site.connect().await;
+    assert!(exchange(&mut idle).await.ends_with(ANSWER));
+    let mut running = site.connect().await;
+    running.write_all(b"GET /slow HTTP/1.1\r\nHost: site\r\n\r\n").await.expect("the connection is open");
+    sleep(2 * NEXT_REQUEST_TIME).await;
+    let drain = site.drain.clone();
+    let stop = tokio::spawn(async move { drain.finish(pending()).await });
+    let closed = timeout(2 * HEADER_TIMEOUT, wait_closed(&mut idle)).await;
+    assert!(closed.is_ok_and(|closed| closed), "the idle connection is open");
+    let text = exchange(&mut site.connect().await).await;
+    assert!(text.ends_with(ANSWER), "a new connection is served: {text:?}");
+    assert!(read_answer(&mut running).await.ends_with(ANSWER));
+    timeout(ANSWER_TIMEOUT, stop).await.expect("the stop ends").expect("the task ends");
+}
