--- a/goldcrestward/src/process/lifetime.rs
+++ b/goldcrestward/src/process/lifetime.rs
@@ -34,17 +34,51 @@
 
 #[derive(Default)]
 struct Inner {
-    stop: OnceLock<Stop>,
+    stop: OnceLock<StopClock>,
     stopping: CancellationToken,
 }
 
-#[derive(Clone, Copy)]
-struct Stop {
+/// A stop that has begun, and what it still allows to begin.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StopClock {
     begun: Instant,
     /// `None` if the stop has no time limit.
     end: Option<Instant>,
 }
 
+impl StopClock {
+    pub fn new(begun: Instant, limit: Option<Duration>) -> Self {
+        Self { begun, end: limit.map(|limit| begun + limit) }
+    }
+
+    /// Time until the end; `None` if none is set.
+    pub fn time_left(&self, now: Instant) -> Option<Duration> {
+        self.end.map(|end| end.saturating_duration_since(now))
+    }
+
+    /// Whether work that begins now ends in time: as far as is known, or for certain once the stop has gone on for a time.
+    pub fn allows(&self, work: WorkTime, now: Instant) -> bool {
+        let Some(left) = self.time_left(now) else { return true };
+        left > work.expected && (!self.needs_certainty(now) || self.is_certain(work, now))
+    }
+
+    /// Whether estimates no longer decide what is begun.
+    fn needs_certainty(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.begun) >= ESTIMATE_TIME
+    }
+
+    /// Whether work that begins now has ended before the daemon whatever happens.
+    fn is_certain(&self, work: WorkTime, now: Instant) -> bool {
+        self.time_left(now).is_none_or(|left| work.at_most.is_some_and(|at_most| at_most <= left))
+    }
+
+    /// When work is no longer allowed, if it takes as long as from now on; `None` if it always is.
+    fn last_start(&self, work: WorkTime, now: Instant) -> Option<Instant> {
+        let by_estimate = self.end?.checked_sub(work.expected).unwrap_or(now);
+        Some(if self.is_certain(work, now) { by_estimate } else { by_estimate.min(self.begun + ESTIMATE_TIME) })
+    }
+}
+
 impl Lifetime {
     /// Begins the stop, which ends after `limit` at the latest. Only the first call has an effect.
     pub fn begin_stop(&self, limit: Option<Duration>) {
@@ -52,7 +86,7 @@
     }
 
     fn begin_stop_at(&self, begun: Instant, limit: Option<Duration>) {
-        self.0.stop.get_or_init(|| Stop { begun, end: limit.map(|limit| begun + limit) });
+        self.0.stop.get_or_init(|| StopClock::new(begun, limit));
         self.0.stopping.cancel();
     }
 
@@ -63,22 +97,22 @@
 
     /// Time until the end; `None` while none is set.
     pub fn time_left(&self) -> Option<Duration> {
-        self.end().map(|end| end.saturating_duration_since(Instant::now()))
+        self.0.stop.get()?.time_left(Instant::now())
     }
 
     /// Whether work that begins now ends in time: as far as is known, or for certain once the stop has gone on for a time.
     pub fn allows(&self, work: WorkTime) -> bool {
-        self.time_left().is_none_or(|left| left > work.expected && (!self.needs_certainty() || self.is_certain(work)))
+        self.0.stop.get().is_none_or(|stop| stop.allows(work, Instant::now()))
     }
 
     /// Whether estimates no longer decide what is begun.
     pub fn needs_certainty(&self) -> bool {
-        self.stopping_since().is_some_and(|since| since >= ESTIMATE_TIME)
+        self.0.stop.get().is_some_and(|stop| stop.needs_certainty(Instant::now()))
     }
 
     /// Whether work that begins now has ended before the daemon whatever happens.
     pub fn is_certain(&self, work: WorkTime) -> bool {
-        self.time_left().is_none_or(|left| work.at_most.is_some_and(|at_most| at_most <= left))
+        self.0.stop.get().is_none_or(|stop| stop.is_certain(work, Instant::now()))
     }
 
     /// Whether the end has come.
@@ -94,20 +128,17 @@
     /// Waits until work that would begin then is no longer allowed, if it takes as long as from now on.
     pub async fn too_late_for(&self, work: WorkTime) {
         self.stopping().await;
-        let Some(Stop { begun, end: Some(end) }) = self.0.stop.get().copied() else { return pending().await };
-        let by_estimate = end.checked_sub(work.expected).unwrap_or_else(Instant::now);
-        let last = if self.is_certain(work) { by_estimate } else { by_estimate.min(begun + ESTIMATE_TIME) };
-        sleep_until(last.into()).await;
+        let last = self.0.stop.get().and_then(|stop| stop.last_start(work, Instant::now()));
+        match last {
+            Some(last) => sleep_until(last.into()).await,
+            None => pending().await,
+        }
     }
 
     /// Waits for the end.
     pub async fn ended(&self) {
         self.too_late_for(WorkTime::interruptible(Duration::ZERO)).await;
     }
-
-    fn end(&self) -> Option<Instant> {
-        self.0.stop.get().and_then(|stop| stop.end)
-    }
 }
 
 #[cfg(test)]
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -36,6 +36,7 @@
 mod retries;
 mod rollout;
 mod rollout_record;
+mod run_forecast;
 mod run_times;
 mod scaler;
 mod seeds;
@@ -66,6 +67,7 @@
 pub use response_memory::{KeptAnswer, MemoryLimit, ReadError, ResponseBuffer, ResponseMemory, TooLong};
 pub(crate) use response_too_long::record_long_head;
 pub use retries::RetryLimit;
+pub(crate) use run_forecast::{Basis, RunForecast};
 pub(crate) use run_times::RunKind;
 pub use settings::{Overrides, Settings, SettingsError};
 pub(crate) use shared::{InFlight, Shared};
--- a/goldcrestward/src/request/run_window.rs
+++ b/goldcrestward/src/request/run_window.rs
@@ -13,11 +13,9 @@
 use super::refusal::{Reason, Refusal, RunState};
 use crate::{
     config::Route,
-    process::{RunKind, Shared, WorkTime},
+    process::{Basis, RunForecast, RunKind, Shared, WorkTime},
 };
 
-/// Time that repeatable requests are assumed to take while no run of their route is known.
-const UNKNOWN_RUN_TIME: Duration = Duration::from_secs(3);
 /// Time for the refusal of a request to reach a caller that still writes its body.
 const REFUSAL_TIME: Duration = Duration::from_millis(500);
 /// `Retry-After` of what a stopping daemon refuses; the other daemons can take it at once.
@@ -50,81 +48,57 @@
     }
 }
 
-/// What the time that a request needs is known from, in log lines.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Basis {
-    /// The longest of the recent runs of its kind.
-    Longest,
-    /// The time within which most of them ended.
-    Usual,
-    /// No run of its kind, nor one of a larger size, is known.
-    Assumed,
-    /// Its deadline: the runs that are known take longer, or it has to end for certain.
-    Deadline,
-    /// Nothing: it has to end for certain, and may go on beyond its deadline.
-    Unbounded,
-}
-
-impl Basis {
-    fn label(self) -> &'static str {
-        match self {
-            Self::Longest => "longest",
-            Self::Usual => "usual",
-            Self::Assumed => "assumed",
-            Self::Deadline => "deadline",
-            Self::Unbounded => "unbounded",
-        }
-    }
-}
-
 /// The time that one request has. Work that can't be expected to end in it is not begun.
 #[derive(Clone)]
 pub(crate) struct RunWindow {
     shared: Arc<Shared>,
     id: Arc<str>,
-    /// The route and the kind of the run; `None` before the route is known.
-    routed: Option<(Arc<Route>, RunKind)>,
-    deadline: Instant,
-    /// Whether the answer is complete before the caller gets any of it.
-    is_buffered: bool,
-    /// Whether the answer may go on beyond the deadline.
-    outlasts_deadline: bool,
+    /// `None` before the route is known.
+    route: Option<Arc<Route>>,
+    run: RunForecast,
 }
 
 impl RunWindow {
     pub fn new(shared: Arc<Shared>, id: Arc<str>, route: Arc<Route>, deadline: Instant) -> Self {
-        let kind = RunKind::new(route.name.clone(), Some(0));
-        let is_buffered = !route.kind.is_stream();
-        Self { shared, id, routed: Some((route, kind)), deadline, is_buffered, outlasts_deadline: false }
+        let run = RunForecast {
+            kind: Some(RunKind::new(route.name.clone(), Some(0))),
+            deadline,
+            is_idempotent: route.kind.is_idempotent(),
+            is_buffered: !route.kind.is_stream(),
+            outlasts_deadline: false,
+        };
+        Self { shared, id, route: Some(route), run }
     }
 
     /// The time of a request whose route is only known from its body.
     pub fn unrouted(shared: Arc<Shared>, id: Arc<str>, deadline: Instant) -> Self {
-        Self { shared, id, routed: None, deadline, is_buffered: false, outlasts_deadline: false }
+        let run =
+            RunForecast { kind: None, deadline, is_idempotent: false, is_buffered: false, outlasts_deadline: false };
+        Self { shared, id, route: None, run }
     }
 
     /// Marks an answer that the caller gets as it comes.
     pub fn unbuffered(self) -> Self {
-        Self { is_buffered: false, ..self }
+        let run = RunForecast { is_buffered: false, ..self.run };
+        Self { run, ..self }
     }
 
     /// Marks an answer that the caller gets as it comes, and that only has to begin by the deadline.
     pub fn passed_on(self) -> Self {
-        Self { is_buffered: false, outlasts_deadline: true, ..self }
+        let run = RunForecast { is_buffered: false, outlasts_deadline: true, ..self.run };
+        Self { run, ..self }
     }
 
     /// Sets how many tokens the answer may have; `None` if there is no limit.
     pub fn with_tokens(self, tokens: Option<u32>) -> Self {
-        let routed = self.routed.map(|(route, _)| {
-            let kind = RunKind::new(route.name.clone(), tokens);
-            (route, kind)
-        });
-        Self { routed, ..self }
+        let kind = self.route.as_ref().map(|route| RunKind::new(route.name.clone(), tokens));
+        let run = RunForecast { kind, ..self.run };
+        Self { run, ..self }
     }
 
     /// Time until the request's deadline or the daemon's end.
     pub fn time_left(&self) -> Duration {
-        let left = self.deadline.saturating_duration_since(Instant::now());
+        let left = self.run.time_left(Instant::now());
         self.shared.lifetime.time_left().map_or(left, |end| left.min(end))
     }
 
@@ -141,39 +115,17 @@
 
     /// The time that the request needs, and what it is known from.
     fn estimate(&self) -> (Duration, Basis) {
-        let Some((_, kind)) = &self.routed else { return (Duration::ZERO, Basis::Assumed) };
-        let may_fail = self.may_fail();
-        let (times, now) = (&self.shared.run_times, Instant::now());
-        let left = self.deadline.saturating_duration_since(now);
-        let (known, basis) =
-            if may_fail { (times.usual(kind, now), Basis::Usual) } else { (times.longest(kind, now), Basis::Longest) };
-        match known {
-            Some(known) if self.outlasts_deadline || known <= left => (known, basis),
-            Some(_) => (left, Basis::Deadline),
-            None if may_fail => (UNKNOWN_RUN_TIME.min(left), Basis::Assumed),
-            None => (left, Basis::Deadline),
-        }
-    }
-
-    /// Whether the request may be given up at any time, as it can be repeated and its answer has not begun. So may one
-    /// that waits for its route.
-    fn may_fail(&self) -> bool {
-        self.routed.as_ref().is_none_or(|(route, _)| self.is_buffered && route.kind.is_idempotent())
+        self.run.needed(&self.shared.run_times, Instant::now())
     }
 
     /// How long a run takes that begins now.
     pub fn work_time(&self) -> WorkTime {
-        let expected = self.needed();
-        if self.may_fail() {
-            return WorkTime::interruptible(expected);
-        }
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        WorkTime { expected, at_most: (!self.outlasts_deadline).then_some(left) }
+        self.run.work_time(&self.shared.run_times, Instant::now())
     }
 
     /// Whether most runs of this kind take longer than `elapsed`.
     pub fn is_usual(&self, elapsed: Duration) -> bool {
-        let Some((_, kind)) = &self.routed else { return false };
+        let Some(kind) = &self.run.kind else { return false };
         self.shared.run_times.usual(kind, Instant::now()).is_some_and(|usual| elapsed <= usual)
     }
 
@@ -250,7 +202,7 @@
 
     /// Records how long a run took.
     pub fn record_run(&self, started: Instant) {
-        let Some((_, kind)) = &self.routed else { return };
+        let Some(kind) = &self.run.kind else { return };
         let now = Instant::now();
         self.shared.run_times.record(kind, now - started, now);
     }
@@ -258,7 +210,7 @@
     /// The final answer to a request that runs, or may have run, at the end of the daemon.
     pub fn give_up(&self, run: RunState) -> Refusal {
         let (id, route, label) = (&self.id, self.route_label(), run.label());
-        let left = self.deadline.saturating_duration_since(Instant::now()).as_millis();
+        let left = self.run.time_left(Instant::now()).as_millis();
         info!("event=stop-given-up id={id} route={route} run={label} left_ms={left}");
         self.shared.metrics.stop_outcomes.with_label_values(&["given-up"]).inc();
         let refusal = Refusal::not_run(Reason::Stopping, "this daemon ends before the request");
@@ -270,13 +222,13 @@
 
     /// Records that the answer is cut off by the end of the daemon.
     pub fn record_cut(&self, bytes: u64) {
-        let left = self.deadline.saturating_duration_since(Instant::now()).as_millis();
+        let left = self.run.time_left(Instant::now()).as_millis();
         info!("event=stop-cut id={} route={} bytes={bytes} left_ms={left}", self.id, self.route_label());
         self.shared.metrics.stop_outcomes.with_label_values(&["cut"]).inc();
     }
 
     fn route_label(&self) -> &str {
-        self.routed.as_ref().map_or("-", |(route, _)| &route.name)
+        self.route.as_ref().map_or("-", |route| &route.name)
     }
 
     /// Records that the request is sent to a server, if the daemon is being stopped: which estimate allows it to run.
@@ -287,7 +239,7 @@
             return;
         }
         let (needed, basis) = self.estimate();
-        let runs = self.routed.as_ref().map_or(0, |(_, kind)| self.shared.run_times.count(kind, Instant::now()));
+        let runs = self.run.kind.as_ref().map_or(0, |kind| self.shared.run_times.count(kind, Instant::now()));
         let (id, route, since, needed, left) =
             (&self.id, self.route_label(), since.as_millis(), needed.as_millis(), left.as_millis());
         let basis = basis.label();
