--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -78,3 +78,5 @@
 mod crash_simulation_test;
 #[cfg(test)]
 mod records_test;
+#[cfg(test)]
+mod stop_simulation_test;
