--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -228,9 +228,12 @@
         }
     }
 
-    /// Keeps a new connection for the next request.
+    /// Keeps a new connection for the next request. One by way of a peer is closed, as it was opened with the time of the
+    /// request that has not used it.
     pub fn keep(self) {
-        self.keep_for(unused_lifetime());
+        if self.via.is_none() {
+            self.keep_for(unused_lifetime());
+        }
     }
 
     /// Whether no request has been sent on it, so that the first response on it is that of the next request.
--- a/goldcrestward/src/connection/carried_exchanges.rs
+++ b/goldcrestward/src/connection/carried_exchanges.rs
@@ -21,6 +21,8 @@
     fn record_notice(&self, notice: Notice);
     /// Whether the server is to get no more requests by now, whoever said so.
     fn is_withdrawn(&self) -> bool;
+    /// Whether a request may begin now: the first one, whose time the peer has stated, or a later one.
+    fn may_begin(&self, is_first: bool) -> bool;
     /// Whether the connection is to end once it has carried something and carries nothing. What begins before that still
     /// passes.
     fn is_ending(&self) -> bool;
@@ -65,7 +67,10 @@
             self.responses = Messages::default();
             self.state.awaited.clear();
         }
-        if self.is_idle() && self.state.observer.is_withdrawn() {
+        let Exchanges { observer, has_carried, .. } = &self.state;
+        let is_withdrawn = self.is_idle() && observer.is_withdrawn();
+        let is_too_late = self.requests.is_between() && !observer.may_begin(!has_carried);
+        if is_withdrawn || is_too_late {
             return false;
         }
         self.requests.read(bytes, &mut RequestHeads(&mut self.state));
--- a/goldcrestward/src/connection/carried_exchanges_test.rs
+++ b/goldcrestward/src/connection/carried_exchanges_test.rs
@@ -15,6 +15,9 @@
 struct Observer {
     is_withdrawn: AtomicBool,
     is_ending: AtomicBool,
+    /// Whether only the first request is certain to end, and whether none is.
+    is_late: AtomicBool,
+    is_too_late: AtomicBool,
 }
 
 impl ResponseObserver for Observer {
@@ -29,6 +32,10 @@
         self.is_withdrawn.load(Ordering::Relaxed)
     }
 
+    fn may_begin(&self, is_first: bool) -> bool {
+        !self.is_too_late.load(Ordering::Relaxed) && (is_first || !self.is_late.load(Ordering::Relaxed))
+    }
+
     fn is_ending(&self) -> bool {
         self.is_ending.load(Ordering::Relaxed)
     }
@@ -105,6 +112,24 @@
     assert!(exchanges.is_over() && exchanges.send(POST.as_bytes()) && !exchanges.is_over());
 }
 
+/// Guards against LOST: a request of which nothing is known was begun late in the stop of the carrier, on a connection that had
+/// been opened for another one.
+#[test]
+fn request_that_may_outlast_the_carrier_does_not_begin() {
+    let observer = Observer::default();
+    observer.is_too_late.store(true, Ordering::Relaxed);
+    assert!(!CarriedExchanges::new(&observer).send(&POST.as_bytes()[..10]), "the first one came too late");
+    observer.is_too_late.store(false, Ordering::Relaxed);
+    observer.is_late.store(true, Ordering::Relaxed);
+    let mut exchanges = CarriedExchanges::new(&observer);
+    assert!(exchanges.send(&POST.as_bytes()[..10]), "the first one is certain to end");
+    observer.is_too_late.store(true, Ordering::Relaxed);
+    assert!(exchanges.send(&POST.as_bytes()[10..]), "it has begun");
+    observer.is_too_late.store(false, Ordering::Relaxed);
+    exchanges.receive(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab");
+    assert!(!exchanges.is_over() && !exchanges.send(&POST.as_bytes()[..1]), "a later one");
+}
+
 // Guards against DRAIN: a connection whose response could not be read counts as in use for ever, so that a withdrawn server
 // gets more requests on it and it is not closed. The peer sends a request once it has read the response before.
 #[test]
--- a/goldcrestward/src/connection/tunnel_test.rs
+++ b/goldcrestward/src/connection/tunnel_test.rs
@@ -40,6 +40,8 @@
 enum End {
     /// Its server is to get no more requests.
     Withdrawn,
+    /// The carrier ends before a further request is certain to.
+    Late,
     /// The carrier ends it once it is idle.
     Ending,
     /// The server has closed it.
@@ -49,6 +51,7 @@
 #[derive(Default)]
 struct State {
     withdrawn: AtomicBool,
+    late: AtomicBool,
     ending: AtomicBool,
     /// Requests that a server has got.
     requests: AtomicUsize,
@@ -67,6 +70,10 @@
         self.0.withdrawn.load(Ordering::Relaxed)
     }
 
+    fn may_begin(&self, is_first: bool) -> bool {
+        is_first || !self.0.late.load(Ordering::Relaxed)
+    }
+
     fn is_ending(&self) -> bool {
         self.0.ending.load(Ordering::Relaxed)
     }
@@ -120,15 +127,21 @@
         Self { address, server, state, held, closing }
     }
 
-    /// Opens a connection to the server and has a request answered on it.
-    async fn used_connection(&self) -> BackendConnection {
+    /// Opens a connection to the server.
+    async fn open(&self) -> (BackendConnections, BackendConnection) {
         let connects = IntCounterVec::new(Opts::new("connects", "connects"), &["result"]).expect("a counter");
         let connections = BackendConnections::new(connects);
         let open = pb::OpenTunnel { instance: "server".into(), ..pb::OpenTunnel::default() };
         let tunnel = PeerClient::new(secrets()).open_tunnel(self.address, open).await.expect("a tunnel");
         let instance = Arc::from("server");
         let opened = connections.open_over(tunnel, "carrier".into(), self.server, &instance).await;
-        let mut connection = opened.expect("a connection");
+        (connections, opened.expect("a connection"))
+    }
+
+    /// Opens a connection to the server and has a request answered on it.
+    async fn used_connection(&self) -> BackendConnection {
+        let instance = Arc::from("server");
+        let (connections, mut connection) = self.open().await;
         let response = connection.send(post(0)).await.expect("the server answers");
         let (head, body) = response.into_parts();
         body.collect().await.expect("the answer is whole");
@@ -148,6 +161,7 @@
     fn end(&self, end: End) {
         match end {
             End::Withdrawn => self.state.withdrawn.store(true, Ordering::Relaxed),
+            End::Late => self.state.late.store(true, Ordering::Relaxed),
             End::Ending => self.state.ending.store(true, Ordering::Relaxed),
             End::Closed => drop(self.closing.send_replace(true)),
         }
@@ -245,15 +259,26 @@
 /// Guards against LOST: a carrier that was not to pass a request on did not say so.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_its_carrier_does_not_pass_on_is_not_sent() {
-    for length in [0, 100, LONG_BODY_BYTES] {
+    let lengths = [0, 100, LONG_BODY_BYTES];
+    for (end, length) in [End::Withdrawn, End::Late].into_iter().flat_map(|end| lengths.map(|length| (end, length))) {
         let carrier = Carrier::start(usize::MAX).await;
         let mut connection = carrier.used_connection().await;
-        carrier.end(End::Withdrawn);
+        carrier.end(end);
         let sent = timeout(STUCK_TIMEOUT, connection.send(post(length))).await.expect("the call ends");
-        assert_eq!((sent.map(drop), carrier.requests()), (Err(SendError::NotSent), 1), "{length} bytes");
+        assert_eq!((sent.map(drop), carrier.requests()), (Err(SendError::NotSent), 1), "{end:?}, {length} bytes");
     }
 }
 
+/// Guards against LOST: a connection that a stopping carrier had opened for one request was kept unused, and carried another
+/// one whose time the carrier did not know.
+#[tokio::test(flavor = "multi_thread")]
+async fn unused_connection_by_way_of_a_peer_is_not_kept() {
+    let carrier = Carrier::start(usize::MAX).await;
+    let (connections, connection) = carrier.open().await;
+    connection.keep();
+    assert!(connections.take(carrier.server, &Arc::from("server"), true).is_none());
+}
+
 /// Guards against REFUSED and TWICE: what has reached a server must not count as not sent.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_reached_its_server_may_have_been_sent() {
--- a/goldcrestward/src/pb/landed_test.rs
+++ b/goldcrestward/src/pb/landed_test.rs
@@ -193,7 +193,7 @@
 
 fn open_tunnel() -> pb::OpenTunnel {
     let (instance, request, from) = ("i1".into(), "r1".into(), "daemon-1".into());
-    pb::OpenTunnel { instance, run: 6, ends_within_ms: 4_000, request, from }
+    pb::OpenTunnel { instance, run: 6, ends_within_ms: 4_000, request, from, at_most_ms: 0 }
 }
 
 fn tunnel_answer() -> pb::TunnelAnswer {
--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -503,8 +503,8 @@
     /// Hash of the replica's run.
     #[prost(fixed64, tag = "2")]
     pub run: u64,
-    /// Time in ms within which the request on the connection ends; 0 if unknown. A daemon that is being stopped carries
-    /// only what ends before it does.
+    /// Time in ms within which the first request on the connection is expected to end; 0 if unknown. A daemon that is being
+    /// stopped carries only what ends before it does.
     #[prost(uint64, tag = "3")]
     pub ends_within_ms: u64,
     /// Request for which the connection is opened; empty from earlier versions.
@@ -513,6 +513,10 @@
     /// Daemon that has the request; empty from earlier versions.
     #[prost(string, tag = "5")]
     pub from: ::prost::alloc::string::String,
+    /// Time in ms after which the first request on the connection has ended, or can be given up with a complete answer; 0 if
+    /// nothing bounds it, and from earlier versions. Late in its stop, a daemon carries only what has ended before it does.
+    #[prost(uint64, tag = "6")]
+    pub at_most_ms: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TunnelAnswer {
--- a/goldcrestward/src/process/lifetime.rs
+++ b/goldcrestward/src/process/lifetime.rs
@@ -26,6 +26,17 @@
     pub fn interruptible(expected: Duration) -> Self {
         Self { expected, at_most: Some(expected) }
     }
+
+    /// Something of which nothing is known.
+    pub fn unknown() -> Self {
+        Self { expected: Duration::ZERO, at_most: None }
+    }
+
+    /// What is left of it after some time.
+    pub fn after(self, elapsed: Duration) -> Self {
+        let left = |time: Duration| time.saturating_sub(elapsed);
+        Self { expected: left(self.expected), at_most: self.at_most.map(left) }
+    }
 }
 
 /// When the daemon ends. Whatever sends a request, goes on with one or waits asks it, as none may outlast the daemon.
--- a/goldcrestward/src/process/lifetime_test.rs
+++ b/goldcrestward/src/process/lifetime_test.rs
@@ -111,3 +111,10 @@
     assert!(!is_too_late(ESTIMATE_TIME - SHORT, Some(SHORT)).await, "it is certain to end");
     assert!(!is_too_late(Duration::ZERO, None).await, "estimates decide for a time");
 }
+
+#[test]
+fn work_after_some_time_takes_less() {
+    let work = WorkTime { expected: SHORT, at_most: Some(LONG) }.after(2 * SHORT);
+    assert_eq!(work, WorkTime { expected: Duration::ZERO, at_most: Some(LONG - 2 * SHORT) });
+    assert_eq!(WorkTime::unknown().after(SHORT), WorkTime::unknown());
+}
--- a/goldcrestward/src/process/reach/carried_observer.rs
+++ b/goldcrestward/src/process/reach/carried_observer.rs
@@ -11,7 +11,7 @@
 use crate::{
     connection::{Notice, ResponseObserver},
     port::{ResponseHead, StatedHold},
-    process::{gateway::Gateway, leaving::record_carried, lifecycle::Stage, replicas::Replica},
+    process::{WorkTime, gateway::Gateway, leaving::record_carried, lifecycle::Stage, replicas::Replica},
 };
 
 /// Time for which requests on open connections still go to a server that is leaving: peers that know of it close theirs
@@ -26,8 +26,12 @@
 pub(super) struct CarriedObserver {
     gateway: Arc<Gateway>,
     replica: Arc<Replica>,
-    /// When the connection was opened, on the agreed clock.
+    /// When the connection was opened.
+    opened: Instant,
+    /// The same on the agreed clock.
     opened_ms: u64,
+    /// How long the first request takes, from then on.
+    work: WorkTime,
     /// Whether it was opened for a request that ends before this daemon, which was being stopped.
     is_opened_in_stop: bool,
     /// When the server was first seen to be leaving.
@@ -39,13 +43,15 @@
 }
 
 impl CarriedObserver {
-    pub fn new(gateway: Arc<Gateway>, replica: Arc<Replica>) -> Self {
+    pub fn new(gateway: Arc<Gateway>, replica: Arc<Replica>, work: Option<WorkTime>) -> Self {
         let opened_ms = gateway.shared.agreed_ms();
         let is_opened_in_stop = gateway.shared.stage.get() == Stage::Draining;
         Self {
             gateway,
             replica,
+            opened: Instant::now(),
             opened_ms,
+            work: work.unwrap_or_else(WorkTime::unknown),
             is_opened_in_stop,
             leaving_since: OnceLock::new(),
             stopping_since: OnceLock::new(),
@@ -84,6 +90,11 @@
         is_left || self.held_since().is_some_and(|since| since.elapsed() >= HOLD_GRACE)
     }
 
+    fn may_begin(&self, is_first: bool) -> bool {
+        let work = if is_first { self.work.after(self.opened.elapsed()) } else { WorkTime::unknown() };
+        self.gateway.shared.lifetime.allows(work)
+    }
+
     fn is_ending(&self) -> bool {
         // One opened in the stop was asked for with the time of a single request.
         let is_stopping = self.gateway.shared.stage.get() == Stage::Draining;
--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -164,7 +164,7 @@
         replica: &Replica,
         window: &RunWindow,
     ) -> Result<BackendConnection, ConnectError> {
-        let ends_within_ms = u64::try_from(window.needed().as_millis()).unwrap_or(0);
+        let work = window.work_time();
         let (peers, left_out) = self.peers_to_ask(replica);
         let (mut asked, mut refused) = (0, 0);
         for (name, address) in peers.into_iter().take(MAX_HELPERS) {
@@ -176,9 +176,10 @@
             let open = OpenTunnel {
                 instance: replica.id.to_string(),
                 run: replica.run_hash(),
-                ends_within_ms,
+                ends_within_ms: work_ms(work.expected),
                 request: id.to_owned(),
                 from: self.shared.settings.name.to_string(),
+                at_most_ms: work.at_most.map_or(0, work_ms),
             };
             let opened = timeout(RELAY_TIMEOUT, self.shared.peer_client.open_tunnel(address, open)).await;
             let result = match &opened {
@@ -238,7 +239,8 @@
     shared: &Shared,
     open: &OpenTunnel,
 ) -> Result<CarriedConnection, TunnelResult> {
-    if shared.stage.get() == Stage::Draining && !ends_in_time(shared, open) {
+    let work = stated_work(open);
+    if shared.stage.get() == Stage::Draining && !ends_in_time(shared, work) {
         return Err(TunnelResult::Stopping);
     }
     let replica = shared.replicas.find(&open.instance).filter(|replica| replica.run_hash() == open.run);
@@ -261,16 +263,26 @@
         ConnectError::Refused => TunnelResult::Unreached,
         ConnectError::Silent => TunnelResult::CutOff,
     })?;
-    let observer = Box::new(CarriedObserver::new(gateway.clone(), replica));
+    let observer = Box::new(CarriedObserver::new(gateway.clone(), replica, work));
     Ok(CarriedConnection { socket, guard: shared.carried.begin(open), observer })
 }
 
-/// Whether the request on the connection ends before this daemon, which is being stopped.
-fn ends_in_time(shared: &Shared, open: &OpenTunnel) -> bool {
+/// How long the first request on the connection takes; `None` if the peer does not say.
+fn stated_work(open: &OpenTunnel) -> Option<WorkTime> {
+    let time = |ms: u64| (ms > 0).then(|| Duration::from_millis(ms));
+    Some(WorkTime { expected: time(open.ends_within_ms)?, at_most: time(open.at_most_ms) })
+}
+
+/// Whether work ends before this daemon, which is being stopped.
+fn ends_in_time(shared: &Shared, work: Option<WorkTime>) -> bool {
     // Without a limit, a stop that takes new connections might never end.
     let has_limit = shared.lifetime.time_left().is_some();
-    let ends_within = Duration::from_millis(open.ends_within_ms);
-    has_limit && !ends_within.is_zero() && shared.lifetime.allows(WorkTime::interruptible(ends_within))
+    has_limit && work.is_some_and(|work| shared.lifetime.allows(work))
+}
+
+/// A time in a message, in whole ms and not shorter than it is.
+fn work_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX)
 }
 
 /// Value in metric labels and log lines.
@@ -286,3 +298,7 @@
         TunnelResult::Unspecified => "no-answer",
     }
 }
+
+#[cfg(test)]
+#[path = "connect_test.rs"]
+mod connect_test;
