--- a/goldcrestward/src/connection/framing.rs
+++ b/goldcrestward/src/connection/framing.rs
@@ -157,7 +157,8 @@
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    /// Leaves the socket open for the listener, to which the HTTP library returns it once all bytes are written.
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 }
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -220,7 +220,7 @@
     let (reason, ended) = loop {
         let reason = tokio::select! {
             biased;
-            ended = poll_fn(|context| connection.poll_without_shutdown(context)) => break (CloseReason::LastAnswer, ended),
+            ended = &mut connection => break (CloseReason::LastAnswer, ended),
             () = activity.head_timed_out(|| limits.current().header_timeout) => CloseReason::HeadTimeout,
             () = stop_due(&mut stop, activity) => CloseReason::Stop,
             () = activity.idle_timed_out() => CloseReason::Idle,
@@ -245,7 +245,7 @@
         // A request that is being served gets its answer.
         let reason = if activity.is_running() { CloseReason::LastAnswer } else { reason };
         Pin::new(&mut connection).graceful_shutdown();
-        break (reason, poll_fn(|context| connection.poll_without_shutdown(context)).await);
+        break (reason, (&mut connection).await);
     };
     match ended {
         Ok(()) => {
@@ -283,7 +283,7 @@
 /// that ends meanwhile.
 async fn take_arrived(connection: &mut Connection, activity: &Activity) -> Option<hyper::Result<()>> {
     activity.set_reads_unsignalled(true);
-    let ended = poll_fn(|context| match connection.poll_without_shutdown(context) {
+    let ended = poll_fn(|context| match Pin::new(&mut *connection).poll(context) {
         Poll::Pending if !activity.is_receiving_head() => Poll::Ready(None),
         polled => polled.map(Some),
     })
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use http_body::Frame;
-use http_body_util::StreamBody;
+use http_body_util::{BodyExt as _, StreamBody};
 use parking_lot::Mutex;
 use prometheus::{IntCounter, IntCounterVec, Opts};
 use tokio::{
@@ -37,6 +37,8 @@
 const HEADER_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after the idle time-out for which connections stay open.
 const IDLE_GRACE: Duration = Duration::from_millis(500);
+/// Size of an answer that exceeds what sockets hold, in bytes.
+const LARGE_BYTES: usize = 32 * 1024 * 1024;
 /// Time within which an answer comes.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -88,10 +90,19 @@
     }
 }
 
-/// Answers without reading the body: at once, after the time-out for heads, when a body has had the time to arrive, or
-/// with a stream of two parts.
+/// Answers after reading the body, or without reading it: at once, after the time-out for heads, when a body has had the
+/// time to arrive, with a stream of two parts, with one that breaks, or with more than sockets hold.
 async fn answer(request: Request) -> Response {
     match request.uri().path() {
+        "/read" => {
+            let mut body = request.into_body();
+            while body.frame().await.is_some() {}
+        }
+        "/large" => return Response::new(Body::from([vec![b'x'; LARGE_BYTES], ANSWER.into()].concat())),
+        "/broken" => {
+            let parts = [Ok(Frame::data(Bytes::from_static(b"first"))), Err(std::io::Error::other("broken"))];
+            return Response::new(Body::from_body(StreamBody::new(futures_util::stream::iter(parts))));
+        }
         "/slow" => sleep(5 * HEADER_TIMEOUT).await,
         "/late" => sleep(HEADER_TIMEOUT / 2).await,
         "/stream" => {
@@ -407,3 +418,16 @@
     let text = exchange(&mut stream).await.to_lowercase();
     assert!(text.ends_with(ANSWER) && text.contains("connection: close"), "{text:?}");
 }
+
+/// Guards against answers cut at what the socket's buffer holds: the HTTP library ended before it had sent an answer to a
+/// request whose body was still arriving.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_answer_before_the_end_of_a_body_is_whole() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    let head = "POST /large HTTP/1.1\r\nHost: site\r\nContent-Length: 2000\r\n\r\nhalf";
+    stream.write_all(head.as_bytes()).await.expect("the connection is open");
+    sleep(HEADER_TIMEOUT).await;
+    let text = read_answer(&mut stream).await;
+    assert!(text.ends_with(ANSWER), "cut after {} bytes", text.len());
+}
