--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -268,7 +268,9 @@
         }
         Err(error) => {
             closes.record_broken(&error, activity);
-            record_bad_head(connection, &error, refusals, closes, activity);
+            if error.is_parse() {
+                end_refused_head(connection, &error, refusals, closes, activity).await;
+            }
         }
     }
 }
@@ -306,22 +308,28 @@
     timeout(DISCARD_TIME, rest).await.ok();
 }
 
-/// Records a request whose head cannot be read, and counts one whose head was too large as refused.
-fn record_bad_head(
+/// Ends a connection on which a head came that cannot be read, which the HTTP library has refused. Counts one that was too
+/// large as a refused request.
+async fn end_refused_head(
     connection: Connection,
     error: &hyper::Error,
     refusals: &IntCounterVec,
     closes: &CallerCloses,
     activity: &Activity,
 ) {
-    if error.is_parse() {
-        closes.record(CloseReason::Framing, activity, &connection.into_parts().read_buf, &[]);
-    }
+    let parts = connection.into_parts();
+    closes.record(CloseReason::Framing, activity, &parts.read_buf, &[]);
     if error.is_parse_too_large() {
-        // The HTTP library has sent the refusal, so it is only counted here.
         let refusal = Refusal::not_run(Reason::HeaderTooLarge, "the request's head is too large");
         refusals.with_label_values(&[refusal.reason.label(), refusal.run.label()]).inc();
     }
+    end_refused(parts.io.into_inner().into_inner()).await;
+}
+
+/// Closes a connection behind a refusal that says so.
+async fn end_refused(mut stream: TcpStream) {
+    stream.shutdown().await.ok();
+    discard_rest(&mut stream).await;
 }
 
 /// Refuses a request whose head was not complete in time; a connection without a partial head is just closed.
@@ -340,7 +348,7 @@
     refusals.with_label_values(&[refusal.reason.label(), refusal.run.label()]).inc();
     let mut stream = parts.io.into_inner().into_inner();
     stream.write_all(refusal.to_http_text().as_bytes()).await.ok();
-    stream.shutdown().await.ok();
+    end_refused(stream).await;
 }
 
 /// Passes the requests of a connection to the router.
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -431,3 +431,40 @@
     let text = read_answer(&mut stream).await;
     assert!(text.ends_with(ANSWER), "cut after {} bytes", text.len());
 }
+
+/// Reads until the connection ends, and returns what came and whether the end was orderly.
+async fn read_to_end(stream: &mut TcpStream) -> (String, bool) {
+    let mut text = Vec::new();
+    let ended = timeout(ANSWER_TIMEOUT, stream.read_to_end(&mut text)).await;
+    (String::from_utf8_lossy(&text).into_owned(), matches!(ended, Ok(Ok(_))))
+}
+
+/// Guards against refusals lost in a reset: the connection was closed at once, over what the caller went on to send.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_of_a_head_is_followed_by_no_reset() {
+    let site = Site::start(Duration::from_secs(10));
+    let large = format!("GET / HTTP/1.1\r\nx-long: {}\r\n\r\n", "x".repeat(1_000_000));
+    let malformed = format!("{}\r\n\r\n{}", "x".repeat(1_000), "x".repeat(1_000_000));
+    for (request, status) in [(large, "431"), (malformed, "400")] {
+        let mut stream = site.connect().await;
+        let written = stream.write_all(request.as_bytes()).await;
+        let (text, is_orderly) = read_to_end(&mut stream).await;
+        assert!(text.starts_with(&format!("HTTP/1.1 {status}")), "{status}: {text:?}");
+        assert!(written.is_ok() && is_orderly, "{status}: written {written:?}, end in order: {is_orderly}");
+    }
+}
+
+/// Guards against a 408 lost in a reset: the connection was closed at once although its caller was sending.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_is_sending_its_head_sees_that_it_timed_out() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    stream.write_all(b"GET / HTTP/1.1\r\nx-slow: ").await.expect("the connection is open");
+    for _ in 0..40 {
+        let written = stream.write_all(b"x").await;
+        assert!(written.is_ok(), "{written:?}");
+        sleep(HEADER_TIMEOUT / 20).await;
+    }
+    let (text, is_orderly) = read_to_end(&mut stream).await;
+    assert!(text.starts_with("HTTP/1.1 408") && is_orderly, "{text:?}, end in order: {is_orderly}");
+}
