--- a/goldcrestward/src/connection/activity.rs
+++ b/goldcrestward/src/connection/activity.rs
@@ -67,7 +67,7 @@
 
     /// Counts a request as running until the guard is dropped, which holds `counted` as long.
     pub fn begin_request(self: &Arc<Self>, counted: Option<RunningRequest>) -> RequestGuard {
-        // A head whose lines end without a carriage return is not recognised as complete before.
+        // A head that is too long to be examined is not recognised as complete before.
         self.end_head();
         self.running.fetch_add(1, Ordering::Relaxed);
         RequestGuard { activity: self.clone(), _counted: counted }
--- a/goldcrestward/src/connection/framing.rs
+++ b/goldcrestward/src/connection/framing.rs
@@ -79,28 +79,47 @@
     }
 
     fn inspect(&mut self, bytes: &[u8]) {
-        if self.head_complete && !self.activity.is_running() {
+        if self.activity.is_running() {
+            // What comes while a request is running belongs to its body.
+            self.head_complete = true;
+            return;
+        }
+        if self.head_complete {
             // Bytes that arrive after the end of a request begin the next head.
             self.head.clear();
             self.head_complete = false;
         }
-        if self.head_complete || self.head.len() > MAX_HEAD_BYTES {
+        if self.head.len() > MAX_HEAD_BYTES {
             return;
         }
+        let blank = if self.head.is_empty() { leading_line_ends(bytes) } else { 0 };
+        let bytes = &bytes[blank..];
         if bytes.is_empty() {
             return;
         }
-        let from = self.head.len().saturating_sub(3);
+        let from = self.head.len();
         self.head.extend_from_slice(bytes);
-        let Some(end) = self.head[from..].windows(4).position(|four| four == b"\r\n\r\n") else {
+        let Some(end) = head_end(&self.head, from) else {
             return self.activity.begin_head();
         };
         self.activity.end_head();
         self.head_complete = true;
-        self.activity.set_ambiguous(is_ambiguous(&self.head[..from + end]));
+        self.activity.set_ambiguous(is_ambiguous(&self.head[..end]));
     }
 }
 
+/// Number of bytes of empty lines before a head, which the HTTP library skips.
+fn leading_line_ends(bytes: &[u8]) -> usize {
+    bytes.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count()
+}
+
+/// Position after the empty line that ends a head, which is sought from `from` on. Lines may end without a carriage return,
+/// as the HTTP library accepts that.
+pub(crate) fn head_end(head: &[u8], from: usize) -> Option<usize> {
+    let ends = |at: &usize| head[..*at].ends_with(b"\n\n") || head[..*at].ends_with(b"\n\r\n");
+    (from + 1..=head.len()).find(ends)
+}
+
 /// Whether a head has both a `Content-Length` and a `Transfer-Encoding` header.
 pub(crate) fn is_ambiguous(head: &[u8]) -> bool {
     let names = head.split(|byte| *byte == b'\n').filter_map(|line| line.split(|byte| *byte == b':').next());
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -332,7 +332,7 @@
     discard_rest(&mut stream).await;
 }
 
-/// Refuses a request whose head was not complete in time; a connection without a partial head is just closed.
+/// Refuses a request whose head was not complete in time.
 async fn refuse_head_timeout(
     connection: Connection,
     refusals: &IntCounterVec,
@@ -340,9 +340,6 @@
     activity: &Activity,
 ) {
     let parts = connection.into_parts();
-    if parts.read_buf.is_empty() {
-        return;
-    }
     closes.record(CloseReason::HeadTimeout, activity, &parts.read_buf, &[]);
     let refusal = Refusal::not_run(Reason::HeaderTimeout, "the request's head did not arrive in time");
     refusals.with_label_values(&[refusal.reason.label(), refusal.run.label()]).inc();
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -27,7 +27,7 @@
     server::{Router, route::any},
 };
 
-use super::{CallerCloses, Drain, LimitsInForce, Listener, Stage, bind};
+use super::{AmbiguousFraming, CallerCloses, Drain, LimitsInForce, Listener, Stage, bind};
 use crate::config::CallerLimits;
 
 const ANSWER: &str = "done";
@@ -98,6 +98,10 @@
             let mut body = request.into_body();
             while body.frame().await.is_some() {}
         }
+        "/framing" => {
+            let is_ambiguous = request.extensions().get::<AmbiguousFraming>().is_some();
+            return Response::new(Body::from(format!("ambiguous: {is_ambiguous}, {ANSWER}")));
+        }
         "/large" => return Response::new(Body::from([vec![b'x'; LARGE_BYTES], ANSWER.into()].concat())),
         "/broken" => {
             let parts = [Ok(Frame::data(Bytes::from_static(b"first"))), Err(std::io::Error::other("broken"))];
@@ -468,3 +472,34 @@
     let (text, is_orderly) = read_to_end(&mut stream).await;
     assert!(text.starts_with("HTTP/1.1 408") && is_orderly, "{text:?}, end in order: {is_orderly}");
 }
+
+/// Guards against LOST: the body of a request whose head ends with a bare line feed counted as a head, whose time-out closed
+/// the connection without a line while the request was running.
+#[tokio::test(flavor = "multi_thread")]
+async fn body_behind_a_head_with_bare_line_feeds_is_no_head() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    let head = b"POST /slow HTTP/1.1\nHost: site\nContent-Length: 10\n\n";
+    stream.write_all(head).await.expect("the connection is open");
+    sleep(HEADER_TIMEOUT / 4).await;
+    stream.write_all(b"first").await.expect("the connection is open");
+    let text = read_answer(&mut stream).await;
+    assert!(text.ends_with(ANSWER), "{text:?}");
+}
+
+/// Guards against request smuggling: a head with bare line feeds, or behind an empty line, was not examined for both a length
+/// and chunks.
+#[tokio::test(flavor = "multi_thread")]
+async fn ambiguous_framing_is_detected_in_any_head_that_is_accepted() {
+    const FIELDS: &str = "Host: site\nContent-Length: 3\nTransfer-Encoding: chunked";
+
+    let site = Site::start(Duration::from_secs(10));
+    for (before, line_end) in [("", "\r\n"), ("", "\n"), ("\r\n", "\r\n"), ("\r\n\r\n", "\r\n"), ("\n\n", "\n")] {
+        let head =
+            format!("{before}POST /framing HTTP/1.1\n{FIELDS}\n\n").replace("\r\n", "\n").replace('\n', line_end);
+        let mut stream = site.connect().await;
+        stream.write_all(format!("{head}0\r\n\r\n").as_bytes()).await.expect("the connection is open");
+        let text = read_answer(&mut stream).await;
+        assert!(text.ends_with("ambiguous: true, done"), "{head:?}: {text:?}");
+    }
+}
