--- a/goldcrestward/src/connection/activity.rs
+++ b/goldcrestward/src/connection/activity.rs
@@ -39,6 +39,8 @@
     invites_next: AtomicBool,
     /// Whether the caller has closed its side.
     caller_closed: AtomicBool,
+    /// Whether the HTTP library holds bytes of an answer that the kernel has not taken.
+    undelivered: AtomicBool,
 }
 
 /// Marks a request with both a length and chunks, whose end different HTTP parsers find at different places.
@@ -62,6 +64,7 @@
             reads_unsignalled: AtomicBool::new(false),
             invites_next: AtomicBool::new(false),
             caller_closed: AtomicBool::new(false),
+            undelivered: AtomicBool::new(false),
         })
     }
 
@@ -77,6 +80,27 @@
         self.running.load(Ordering::Relaxed) > 0
     }
 
+    /// Whether a request is running, or its answer has not been written to its end.
+    pub fn is_busy(&self) -> bool {
+        self.is_running() || self.undelivered.load(Ordering::Relaxed)
+    }
+
+    /// Records that part of an answer is handed to the HTTP library.
+    fn begin_delivery(&self) {
+        self.undelivered.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that the kernel has taken all that was handed to the HTTP library.
+    pub fn end_delivery(&self) {
+        if self.undelivered.swap(false, Ordering::Relaxed) {
+            self.begin_idle();
+        }
+    }
+
+    fn begin_idle(&self) {
+        self.ended_ms.store(self.start.elapsed().as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// Records whether the framing of the last head is ambiguous.
     pub fn set_ambiguous(&self, ambiguous: bool) {
         self.ambiguous.store(ambiguous, Ordering::Relaxed);
@@ -195,16 +219,16 @@
         }
     }
 
-    /// Waits until the connection has been idle for some time, or a request is running.
+    /// Waits until the connection has been idle for some time, or is busy.
     pub async fn idle_for(&self, time: Duration) {
-        while let Some(left) = time.checked_sub(self.idle()).filter(|left| !left.is_zero() && !self.is_running()) {
+        while let Some(left) = time.checked_sub(self.idle()).filter(|left| !left.is_zero() && !self.is_busy()) {
             tokio::time::sleep(left).await;
         }
     }
 
-    /// Time since the last request ended; zero while one is running or arriving.
+    /// Time since the last answer was written; zero while one is awaited or written, or a request is arriving.
     pub fn idle(&self) -> Duration {
-        if self.is_running() || self.is_receiving_head() {
+        if self.is_busy() || self.is_receiving_head() {
             return Duration::ZERO;
         }
         let ended = Duration::from_millis(self.ended_ms.load(Ordering::Relaxed));
@@ -219,17 +243,18 @@
 }
 
 impl RequestGuard {
-    /// Attaches the guard to the response body, so that the request counts as running until the body is sent.
+    /// Attaches the guard to the response body, so that the request counts as running until the HTTP library has taken all of
+    /// the body.
     pub fn attach(self, response: Response) -> Response {
+        self.activity.begin_delivery();
         let (parts, body) = response.into_parts();
-        Response::from_parts(parts, Body::from_body(GuardedBody { body, _guard: self }))
+        Response::from_parts(parts, Body::from_body(GuardedBody { body, guard: self }))
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        let now = self.activity.start.elapsed().as_millis() as u64;
-        self.activity.ended_ms.store(now, Ordering::Relaxed);
+        self.activity.begin_idle();
         self.activity.running.fetch_sub(1, Ordering::Relaxed);
     }
 }
@@ -237,7 +262,7 @@
 /// A body that holds the guard of its request.
 struct GuardedBody {
     body: Body,
-    _guard: RequestGuard,
+    guard: RequestGuard,
 }
 
 impl HttpBody for GuardedBody {
@@ -245,7 +270,11 @@
     type Error = BoxError;
 
     fn poll_frame(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        if polled.is_ready() {
+            self.guard.activity.begin_delivery();
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/goldcrestward/src/connection/framing.rs
+++ b/goldcrestward/src/connection/framing.rs
@@ -172,7 +172,9 @@
         self.stream.is_write_vectored()
     }
 
+    /// The HTTP library flushes the connection once it has written all that it holds.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        self.activity.end_delivery();
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -243,7 +243,7 @@
             continue;
         }
         // A request that is being served gets its answer.
-        let reason = if activity.is_running() { CloseReason::LastAnswer } else { reason };
+        let reason = if activity.is_busy() { CloseReason::LastAnswer } else { reason };
         Pin::new(&mut connection).graceful_shutdown();
         break (reason, (&mut connection).await);
     };
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -503,3 +503,18 @@
         assert!(text.ends_with("ambiguous: true, done"), "{head:?}: {text:?}");
     }
 }
+
+/// Guards against LOST: the idle time counted from when the last part of an answer was handed to the HTTP library, so that
+/// the connection of a caller that took longer to read it was closed behind it.
+#[tokio::test(flavor = "multi_thread")]
+async fn connection_is_idle_from_the_delivery_of_its_answer_on() {
+    let site = Site::start(Duration::from_millis(300));
+    let mut stream = site.connect().await;
+    stream.write_all(b"GET /large HTTP/1.1\r\nHost: site\r\n\r\n").await.expect("the connection is open");
+    sleep(3 * IDLE_GRACE).await;
+    let text = read_answer(&mut stream).await;
+    assert!(text.ends_with(ANSWER), "cut after {} bytes", text.len());
+    sleep(Duration::from_millis(100)).await;
+    let text = exchange(&mut stream).await;
+    assert!(text.ends_with(ANSWER), "the connection was closed: {text:?}");
+}
