--- a/goldcrestward/src/connection/activity.rs
+++ b/goldcrestward/src/connection/activity.rs
@@ -41,6 +41,8 @@
     caller_closed: AtomicBool,
     /// Whether the HTTP library holds bytes of an answer that the kernel has not taken.
     undelivered: AtomicBool,
+    /// Whether an answer has ended with an error.
+    answer_failed: AtomicBool,
 }
 
 /// Marks a request with both a length and chunks, whose end different HTTP parsers find at different places.
@@ -65,6 +67,7 @@
             invites_next: AtomicBool::new(false),
             caller_closed: AtomicBool::new(false),
             undelivered: AtomicBool::new(false),
+            answer_failed: AtomicBool::new(false),
         })
     }
 
@@ -85,6 +88,11 @@
         self.is_running() || self.undelivered.load(Ordering::Relaxed)
     }
 
+    /// Whether the connection ends without the whole of an answer: a request is running, or its answer has failed.
+    pub fn lacks_answer(&self) -> bool {
+        self.is_running() || self.answer_failed.load(Ordering::Relaxed)
+    }
+
     /// Records that part of an answer is handed to the HTTP library.
     fn begin_delivery(&self) {
         self.undelivered.store(true, Ordering::Relaxed);
@@ -274,6 +282,9 @@
         if polled.is_ready() {
             self.guard.activity.begin_delivery();
         }
+        if matches!(polled, Poll::Ready(Some(Err(_)))) {
+            self.guard.activity.answer_failed.store(true, Ordering::Relaxed);
+        }
         polled
     }
 
--- a/goldcrestward/src/connection/caller_closes.rs
+++ b/goldcrestward/src/connection/caller_closes.rs
@@ -86,9 +86,9 @@
         );
     }
 
-    /// Records that a connection has ended with an error while a request of it was being served.
+    /// Records that a connection has ended with an error before an answer was whole.
     pub(super) fn record_broken(&self, error: &hyper::Error, activity: &Activity) {
-        if !activity.is_running() || activity.is_left() {
+        if !activity.lacks_answer() || activity.is_left() {
             return;
         }
         self.counter.with_label_values(&["broken"]).inc();
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -504,6 +504,16 @@
     }
 }
 
+/// Guards against LOST: a connection that ended with an error in an answer was in no count, as its request no longer ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_breaks_is_counted() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    stream.write_all(b"GET /broken HTTP/1.1\r\nHost: site\r\n\r\n").await.expect("the connection is open");
+    read_to_end(&mut stream).await;
+    assert_eq!(site.closes.with_label_values(&["broken"]).get(), 1);
+}
+
 /// Guards against LOST: the idle time counted from when the last part of an answer was handed to the HTTP library, so that
 /// the connection of a caller that took longer to read it was closed behind it.
 #[tokio::test(flavor = "multi_thread")]
