--- a/goldcrestward/src/connection/activity.rs
+++ b/goldcrestward/src/connection/activity.rs
@@ -6,11 +6,12 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
+use futures_util::task::AtomicWaker;
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use hyper::body::Incoming;
 use tokio::sync::Notify;
@@ -41,6 +42,7 @@
     caller_closed: AtomicBool,
     /// Whether the HTTP library holds bytes of an answer that the kernel has not taken.
     undelivered: AtomicBool,
+    delivered: AtomicWaker,
     /// Whether an answer has ended with an error.
     answer_failed: AtomicBool,
 }
@@ -67,6 +69,7 @@
             invites_next: AtomicBool::new(false),
             caller_closed: AtomicBool::new(false),
             undelivered: AtomicBool::new(false),
+            delivered: AtomicWaker::new(),
             answer_failed: AtomicBool::new(false),
         })
     }
@@ -102,9 +105,16 @@
     pub fn end_delivery(&self) {
         if self.undelivered.swap(false, Ordering::Relaxed) {
             self.begin_idle();
+            self.delivered.wake();
         }
     }
 
+    /// Waits until the kernel has taken all that was handed to the HTTP library.
+    fn poll_delivered(&self, context: &Context<'_>) -> Poll<()> {
+        self.delivered.register(context.waker());
+        if self.undelivered.load(Ordering::Relaxed) { Poll::Pending } else { Poll::Ready(()) }
+    }
+
     fn begin_idle(&self) {
         self.ended_ms.store(self.start.elapsed().as_millis() as u64, Ordering::Relaxed);
     }
@@ -256,7 +266,7 @@
     pub fn attach(self, response: Response) -> Response {
         self.activity.begin_delivery();
         let (parts, body) = response.into_parts();
-        Response::from_parts(parts, Body::from_body(GuardedBody { body, guard: self }))
+        Response::from_parts(parts, Body::from_body(GuardedBody { body, error: None, guard: self }))
     }
 }
 
@@ -267,9 +277,11 @@
     }
 }
 
-/// A body that holds the guard of its request.
+/// A body that holds the guard of its request. What came before an error is written first, as the HTTP library drops what it
+/// holds when it gets one.
 struct GuardedBody {
     body: Body,
+    error: Option<BoxError>,
     guard: RequestGuard,
 }
 
@@ -278,18 +290,24 @@
     type Error = BoxError;
 
     fn poll_frame(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        let polled = Pin::new(&mut self.body).poll_frame(context);
-        if polled.is_ready() {
-            self.guard.activity.begin_delivery();
-        }
-        if matches!(polled, Poll::Ready(Some(Err(_)))) {
-            self.guard.activity.answer_failed.store(true, Ordering::Relaxed);
+        if self.error.is_none() {
+            match ready!(Pin::new(&mut self.body).poll_frame(context)) {
+                Some(Err(error)) => {
+                    self.guard.activity.answer_failed.store(true, Ordering::Relaxed);
+                    self.error = Some(error);
+                }
+                polled => {
+                    self.guard.activity.begin_delivery();
+                    return Poll::Ready(polled);
+                }
+            }
         }
-        polled
+        ready!(self.guard.activity.poll_delivered(context));
+        Poll::Ready(self.error.take().map(Err))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.error.is_none() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -514,6 +514,16 @@
     assert_eq!(site.closes.with_label_values(&["broken"]).get(), 1);
 }
 
+/// Guards against LOST: what had been handed to the HTTP library was lost with the error that followed at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn part_before_an_error_is_delivered() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    stream.write_all(b"GET /broken HTTP/1.1\r\nHost: site\r\n\r\n").await.expect("the connection is open");
+    let (text, _) = read_to_end(&mut stream).await;
+    assert!(text.starts_with("HTTP/1.1 200") && text.ends_with("first\r\n"), "{text:?}");
+}
+
 /// Guards against LOST: the idle time counted from when the last part of an answer was handed to the HTTP library, so that
 /// the connection of a caller that took longer to read it was closed behind it.
 #[tokio::test(flavor = "multi_thread")]
