--- a/goldcrestward/src/connection/activity.rs
+++ b/goldcrestward/src/connection/activity.rs
@@ -129,10 +129,11 @@
         self.ambiguous.load(Ordering::Relaxed)
     }
 
-    /// Tracks whether the body of a request is read to its end. What is not read is left in `rest`.
-    pub fn track_body(self: &Arc<Self>, body: Incoming, rest: &UnreadBody) -> RequestBody {
+    /// Tracks whether the body of a request is read to its end. What is not read is left in `rest`, unless it is `withheld` by
+    /// the caller until it is asked for.
+    pub fn track_body(self: &Arc<Self>, body: Incoming, withheld: bool, rest: &UnreadBody) -> RequestBody {
         self.unread.store(!body.is_end_stream(), Ordering::Relaxed);
-        RequestBody { body: Some(body), activity: self.clone(), rest: rest.clone() }
+        RequestBody { body: Some(body), withheld, activity: self.clone(), rest: rest.clone() }
     }
 
     /// Records that the last request's body has been read to its end.
@@ -319,13 +320,15 @@
 pub(crate) struct RequestBody {
     /// `None` once it is dropped.
     body: Option<Incoming>,
+    /// Whether the caller waits for 100 (Continue), which the HTTP library sends when the body is polled.
+    withheld: bool,
     activity: Arc<Activity>,
     rest: UnreadBody,
 }
 
 impl Drop for RequestBody {
     fn drop(&mut self) {
-        if self.activity.has_unread_body() {
+        if self.activity.has_unread_body() && !self.withheld {
             self.rest.put(self.body.take());
         }
     }
@@ -339,6 +342,7 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        self.withheld = false;
         let Some(body) = &mut self.body else { return Poll::Ready(None) };
         let polled = Pin::new(body).poll_frame(context);
         if matches!(polled, Poll::Ready(None)) || self.is_end_stream() {
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -380,7 +380,8 @@
         Box::pin(METAINFO.scope(RefCell::new(MetaInfo::default()), async move {
             let mut context = ServerContext::new(peer);
             let rest = UnreadBody::default();
-            let track = |body| volo_http::body::Body::from_body(activity.track_body(body, &rest));
+            let withheld = expects_continue(request.headers());
+            let track = |body| volo_http::body::Body::from_body(activity.track_body(body, withheld, &rest));
             let mut request: Request = request.map(track);
             if ambiguous {
                 request.extensions_mut().insert(AmbiguousFraming);
@@ -412,6 +413,11 @@
     options.any(|option| option.trim().eq_ignore_ascii_case("close"))
 }
 
+/// Whether the caller of a request sends its body only when asked.
+fn expects_continue(headers: &HeaderMap) -> bool {
+    headers.get(header::EXPECT).is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"))
+}
+
 fn has_length(response: &Response) -> bool {
     response.headers().contains_key(header::CONTENT_LENGTH) || response.body().size_hint().exact().is_some()
 }
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -538,3 +538,24 @@
     let text = exchange(&mut stream).await;
     assert!(text.ends_with(ANSWER), "the connection was closed: {text:?}");
 }
+
+/// Guards against bodies that are sent for nothing: a request that was refused by its head got 100 first.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_is_answered_by_its_head_is_not_asked_for_its_body() {
+    let site = Site::start(Duration::from_secs(10));
+    let head =
+        |path| format!("POST {path} HTTP/1.1\r\nHost: site\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n");
+    let mut stream = site.connect().await;
+    stream.write_all(head("/order").as_bytes()).await.expect("the connection is open");
+    let text = read_answer(&mut stream).await.to_lowercase();
+    assert!(text.starts_with("http/1.1 200") && text.contains("connection: close"), "{text:?}");
+
+    let mut stream = site.connect().await;
+    stream.write_all(head("/read").as_bytes()).await.expect("the connection is open");
+    let mut buffer = [0; 1024];
+    let count = stream.read(&mut buffer).await.expect("the connection is open");
+    assert_eq!(&buffer[..count], b"HTTP/1.1 100 Continue\r\n\r\n");
+    stream.write_all(b"12345").await.expect("the connection is open");
+    let text = read_answer(&mut stream).await.to_lowercase();
+    assert!(text.starts_with("http/1.1 200") && !text.contains("connection: close"), "{text:?}");
+}
