--- a/goldcrestward/src/connection/activity.rs
+++ b/goldcrestward/src/connection/activity.rs
@@ -318,7 +318,7 @@
 
 /// The body of a caller's request, which notes that it has been read to its end and is left to its connection if not.
 pub(crate) struct RequestBody {
-    /// `None` once it is dropped.
+    /// `None` once it has failed or is dropped.
     body: Option<Incoming>,
     /// Whether the caller waits for 100 (Continue), which the HTTP library sends when the body is polled.
     withheld: bool,
@@ -345,7 +345,10 @@
         self.withheld = false;
         let Some(body) = &mut self.body else { return Poll::Ready(None) };
         let polled = Pin::new(body).poll_frame(context);
-        if matches!(polled, Poll::Ready(None)) || self.is_end_stream() {
+        if matches!(polled, Poll::Ready(Some(Err(_)))) {
+            // The library says next that the body has ended, although its rest is unread.
+            self.body = None;
+        } else if matches!(polled, Poll::Ready(None)) || self.is_end_stream() {
             self.activity.end_body();
         }
         polled
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -559,3 +559,15 @@
     let text = read_answer(&mut stream).await.to_lowercase();
     assert!(text.starts_with("http/1.1 200") && !text.contains("connection: close"), "{text:?}");
 }
+
+/// Guards against LOST: a body that broke while it was read counted as read to its end, so that its answer did not say that
+/// the connection ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_to_a_body_that_breaks_says_that_the_connection_ends() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    let request = b"POST /read HTTP/1.1\r\nHost: site\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\nzz\r\n";
+    stream.write_all(request).await.expect("the connection is open");
+    let text = read_answer(&mut stream).await.to_lowercase();
+    assert!(text.starts_with("http/1.1 200") && text.contains("connection: close"), "{text:?}");
+}
