--- a/goldcrestward/src/connection/activity.rs
+++ b/goldcrestward/src/connection/activity.rs
@@ -28,6 +28,8 @@
     /// Idle time-out in ms at the last answer, or at the start of the connection.
     answer_limit_ms: AtomicU64,
     ambiguous: AtomicBool,
+    /// Size of the last head in bytes.
+    head_bytes: AtomicUsize,
     /// Whether part of the last request's body has not been read.
     unread: AtomicBool,
     /// Whether a response ends with the connection.
@@ -61,6 +63,7 @@
             limits,
             answer_limit_ms,
             ambiguous: AtomicBool::new(false),
+            head_bytes: AtomicUsize::new(0),
             unread: AtomicBool::new(false),
             open_ended: AtomicBool::new(false),
             head_since: AtomicU64::new(0),
@@ -129,6 +132,16 @@
         self.ambiguous.load(Ordering::Relaxed)
     }
 
+    /// Records the size of the last head.
+    pub fn set_head_bytes(&self, bytes: usize) {
+        self.head_bytes.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Whether the last head exceeds the limit in force.
+    pub fn is_head_too_large(&self) -> bool {
+        self.head_bytes.load(Ordering::Relaxed) > self.limits.current().header_bytes
+    }
+
     /// Tracks whether the body of a request is read to its end. What is not read is left in `rest`, unless it is `withheld` by
     /// the caller until it is asked for.
     pub fn track_body(self: &Arc<Self>, body: Incoming, withheld: bool, rest: &UnreadBody) -> RequestBody {
--- a/goldcrestward/src/connection/framing.rs
+++ b/goldcrestward/src/connection/framing.rs
@@ -20,9 +20,6 @@
 
 use super::activity::Activity;
 
-/// Bytes of a head that are examined; the HTTP library refuses longer heads.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-
 /// A caller's connection whose request heads are examined as they are read.
 pub(crate) struct HeadInspector {
     stream: TcpStream,
@@ -89,9 +86,6 @@
             self.head.clear();
             self.head_complete = false;
         }
-        if self.head.len() > MAX_HEAD_BYTES {
-            return;
-        }
         let blank = if self.head.is_empty() { leading_line_ends(bytes) } else { 0 };
         let bytes = &bytes[blank..];
         if bytes.is_empty() {
@@ -104,6 +98,7 @@
         };
         self.activity.end_head();
         self.head_complete = true;
+        self.activity.set_head_bytes(end);
         self.activity.set_ambiguous(is_ambiguous(&self.head[..end]));
     }
 }
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -51,8 +51,6 @@
 const MAX_CONNECTIONS: usize = 20_000;
 /// Largest request head, in bytes.
 pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
-/// Smallest connection buffer that the HTTP library accepts, in bytes.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Longest time for which what a caller goes on to send is read after its last response.
 const DISCARD_TIME: Duration = Duration::from_secs(2);
 const DISCARD_BUFFER_BYTES: usize = 8 * 1024;
@@ -146,6 +144,7 @@
                 stop: stop.clone(),
                 is_new: *stop.borrow() != Stage::Open,
                 closes: closes.clone(),
+                refusals: refusals.clone(),
                 running: drain.running.clone(),
             };
             let refusals = refusals.clone();
@@ -214,8 +213,9 @@
 ) {
     set_up_accepted(&stream);
     let mut builder = http1::Builder::new();
-    // The HTTP library's time-out for heads is fixed for the connection and counts idle time, so `Activity` has its own.
-    builder.header_read_timeout(None).max_buf_size(limits.current().header_bytes.max(MIN_BUFFER_BYTES));
+    // The HTTP library's limits on heads are fixed for the connection, and its time-out counts idle time, so `Activity` has its
+    // own. A largest head that is raised over this buffer holds for new connections only.
+    builder.header_read_timeout(None).max_buf_size(limits.current().header_bytes.max(MAX_HEAD_BYTES));
     let mut connection = builder.serve_connection(TokioIo::new(HeadInspector::new(stream, activity.clone())), service);
     let (reason, ended) = loop {
         let reason = tokio::select! {
@@ -320,12 +320,18 @@
     let parts = connection.into_parts();
     closes.record(CloseReason::Framing, activity, &parts.read_buf, &[]);
     if error.is_parse_too_large() {
-        let refusal = Refusal::not_run(Reason::HeaderTooLarge, "the request's head is too large");
-        refusals.with_label_values(&[refusal.reason.label(), refusal.run.label()]).inc();
+        refuse_large_head(refusals);
     }
     end_refused(parts.io.into_inner().into_inner()).await;
 }
 
+/// Counts a request whose head is too large, and returns its refusal.
+fn refuse_large_head(refusals: &IntCounterVec) -> Refusal {
+    let refusal = Refusal::not_run(Reason::HeaderTooLarge, "the request's head is too large");
+    refusals.with_label_values(&[refusal.reason.label(), refusal.run.label()]).inc();
+    refusal
+}
+
 /// Closes a connection behind a refusal that says so.
 async fn end_refused(mut stream: TcpStream) {
     stream.shutdown().await.ok();
@@ -358,6 +364,7 @@
     /// Whether the connection was accepted after the notice of the stop.
     is_new: bool,
     closes: Arc<CallerCloses>,
+    refusals: IntCounterVec,
     running: RunningRequests,
 }
 
@@ -377,6 +384,10 @@
         let guard = self.activity.begin_request(counted);
         let (activity, stop) = (self.activity.clone(), self.stop.clone());
         let ambiguous = self.activity.is_ambiguous();
+        let refusal = self.activity.is_head_too_large().then(|| {
+            self.closes.record(CloseReason::Framing, &self.activity, &[], &[]);
+            refuse_large_head(&self.refusals)
+        });
         Box::pin(METAINFO.scope(RefCell::new(MetaInfo::default()), async move {
             let mut context = ServerContext::new(peer);
             let rest = UnreadBody::default();
@@ -389,12 +400,18 @@
             let version = request.version();
             // The caller sends nothing after a request by which it has announced the end itself.
             let is_callers_last = version == Version::HTTP_10 || says_close(request.headers());
-            let mut response = router.call(&mut context, request).await.into_response();
+            let mut response = match &refusal {
+                Some(refusal) => {
+                    drop(request);
+                    refusal.response()
+                }
+                None => router.call(&mut context, request).await.into_response(),
+            };
             // The HTTP library closes the connection after an answer to a request whose body has not been read to its end.
             if activity.has_unread_body() && rest.discard_arrived().await {
                 activity.end_body();
             }
-            if activity.has_unread_body() || *stop.borrow() != Stage::Open {
+            if activity.has_unread_body() || refusal.is_some() || *stop.borrow() != Stage::Open {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             activity.begin_answer(!is_callers_last && !says_close(response.headers()));
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -49,6 +49,7 @@
     limits: Arc<Mutex<CallerLimits>>,
     closes: IntCounterVec,
     unannounced: IntCounterVec,
+    refusals: IntCounterVec,
 }
 
 impl Site {
@@ -73,12 +74,12 @@
             socket,
             router: Router::new().fallback_service(any(answer)),
             drain: drain.clone(),
-            refusals,
+            refusals: refusals.clone(),
             closes: Arc::new(CallerCloses::new(closes.clone(), unannounced.clone(), failed_accepts, late_arrivals)),
             limits: Arc::new(LimitsInForce::new(move || current.lock().clone(), lag)),
         };
         tokio::spawn(listener.run());
-        Self { address, drain, limits, closes, unannounced }
+        Self { address, drain, limits, closes, unannounced, refusals }
     }
 
     fn set_idle_timeout(&self, idle_timeout: Duration) {
@@ -473,6 +474,30 @@
     assert!(text.starts_with("HTTP/1.1 408") && is_orderly, "{text:?}, end in order: {is_orderly}");
 }
 
+/// Guards against a largest head that was fixed when the connection was accepted.
+#[tokio::test(flavor = "multi_thread")]
+async fn largest_head_that_is_changed_holds_for_open_connections() {
+    const SMALL: usize = 16 * 1024;
+
+    let site = Site::start(Duration::from_secs(10));
+    let large = format!("GET / HTTP/1.1\r\nHost: site\r\nx-long: {}\r\n\r\n", "x".repeat(2 * SMALL));
+    for (former, bytes, status) in [(SMALL, 4 * SMALL, "200"), (4 * SMALL, SMALL, "431")] {
+        for chunk_bytes in [large.len(), 1_000, large.len() - 1] {
+            site.limits.lock().header_bytes = former;
+            let mut stream = site.connect().await;
+            assert!(exchange(&mut stream).await.ends_with(ANSWER));
+            site.limits.lock().header_bytes = bytes;
+            for chunk in large.as_bytes().chunks(chunk_bytes) {
+                stream.write_all(chunk).await.expect("the connection is open");
+                sleep(Duration::from_millis(1)).await;
+            }
+            let text = read_answer(&mut stream).await;
+            assert!(text.starts_with(&format!("HTTP/1.1 {status}")), "{bytes}, {chunk_bytes} at once: {text:?}");
+        }
+    }
+    assert_eq!(site.refusals.with_label_values(&["header-too-large", "not-run"]).get(), 3);
+}
+
 /// Guards against LOST: the body of a request whose head ends with a bare line feed counted as a head, whose time-out closed
 /// the connection without a line while the request was running.
 #[tokio::test(flavor = "multi_thread")]
