--- a/goldcrestward/src/connection/activity.rs
+++ b/goldcrestward/src/connection/activity.rs
@@ -197,11 +197,14 @@
         self.reads_unsignalled.load(Ordering::Relaxed)
     }
 
-    /// Waits until a head has been incomplete for longer than the limit in force at that time.
+    /// Waits until a head has been incomplete for longer than the limit in force at that time, not counting the time in which
+    /// the answer before it was being written.
     pub async fn head_timed_out(&self, limit: impl Fn() -> Duration) {
         loop {
-            while let Some(since) = self.head_since.load(Ordering::Relaxed).checked_sub(1) {
-                let (age, limit) = (self.start.elapsed().saturating_sub(Duration::from_millis(since)), limit());
+            while let Some(begun_ms) = self.head_since.load(Ordering::Relaxed).checked_sub(1) {
+                let since = Duration::from_millis(begun_ms.max(self.ended_ms.load(Ordering::Relaxed)));
+                let age = if self.is_busy() { Duration::ZERO } else { self.start.elapsed().saturating_sub(since) };
+                let limit = limit();
                 if age >= limit {
                     return;
                 }
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -529,6 +529,23 @@
     }
 }
 
+/// Guards against answers that are cut by the time-out for heads: it counted while the answer before the head was being written.
+#[tokio::test(flavor = "multi_thread")]
+async fn head_behind_an_answer_that_is_being_written_does_not_time_out() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    stream.write_all(b"GET /large HTTP/1.1\r\nHost: site\r\n\r\n").await.expect("the connection is open");
+    sleep(HEADER_TIMEOUT / 4).await;
+    let (first, rest) = REQUEST.split_at(REQUEST.len() / 2);
+    stream.write_all(first).await.expect("the connection is open");
+    sleep(3 * HEADER_TIMEOUT).await;
+    let text = read_answer(&mut stream).await;
+    assert!(text.ends_with(ANSWER), "cut after {} bytes", text.len());
+    stream.write_all(rest).await.expect("the connection is open");
+    let text = read_answer(&mut stream).await;
+    assert!(text.starts_with("HTTP/1.1 200") && text.ends_with(ANSWER), "{text:?}");
+}
+
 /// Guards against LOST: a connection that ended with an error in an answer was in no count, as its request no longer ran.
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_that_breaks_is_counted() {
