--- a/goldcrestward/src/connection/activity.rs
+++ b/goldcrestward/src/connection/activity.rs
@@ -6,11 +6,12 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
+use futures_util::task::AtomicWaker;
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use hyper::body::Incoming;
 use tokio::sync::Notify;
@@ -27,6 +28,8 @@
     /// Idle time-out in ms at the last answer, or at the start of the connection.
     answer_limit_ms: AtomicU64,
     ambiguous: AtomicBool,
+    /// Size of the last head in bytes.
+    head_bytes: AtomicUsize,
     /// Whether part of the last request's body has not been read.
     unread: AtomicBool,
     /// Whether a response ends with the connection.
@@ -39,6 +42,11 @@
     invites_next: AtomicBool,
     /// Whether the caller has closed its side.
     caller_closed: AtomicBool,
+    /// Whether the HTTP library holds bytes of an answer that the kernel has not taken.
+    undelivered: AtomicBool,
+    delivered: AtomicWaker,
+    /// Whether an answer has ended with an error.
+    answer_failed: AtomicBool,
 }
 
 /// Marks a request with both a length and chunks, whose end different HTTP parsers find at different places.
@@ -55,6 +63,7 @@
             limits,
             answer_limit_ms,
             ambiguous: AtomicBool::new(false),
+            head_bytes: AtomicUsize::new(0),
             unread: AtomicBool::new(false),
             open_ended: AtomicBool::new(false),
             head_since: AtomicU64::new(0),
@@ -62,12 +71,15 @@
             reads_unsignalled: AtomicBool::new(false),
             invites_next: AtomicBool::new(false),
             caller_closed: AtomicBool::new(false),
+            undelivered: AtomicBool::new(false),
+            delivered: AtomicWaker::new(),
+            answer_failed: AtomicBool::new(false),
         })
     }
 
     /// Counts a request as running until the guard is dropped, which holds `counted` as long.
     pub fn begin_request(self: &Arc<Self>, counted: Option<RunningRequest>) -> RequestGuard {
-        // A head whose lines end without a carriage return is not recognised as complete before.
+        // A head that is too long to be examined is not recognised as complete before.
         self.end_head();
         self.running.fetch_add(1, Ordering::Relaxed);
         RequestGuard { activity: self.clone(), _counted: counted }
@@ -77,6 +89,39 @@
         self.running.load(Ordering::Relaxed) > 0
     }
 
+    /// Whether a request is running, or its answer has not been written to its end.
+    pub fn is_busy(&self) -> bool {
+        self.is_running() || self.undelivered.load(Ordering::Relaxed)
+    }
+
+    /// Whether the connection ends without the whole of an answer: a request is running, or its answer has failed.
+    pub fn lacks_answer(&self) -> bool {
+        self.is_running() || self.answer_failed.load(Ordering::Relaxed)
+    }
+
+    /// Records that part of an answer is handed to the HTTP library.
+    fn begin_delivery(&self) {
+        self.undelivered.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that the kernel has taken all that was handed to the HTTP library.
+    pub fn end_delivery(&self) {
+        if self.undelivered.swap(false, Ordering::Relaxed) {
+            self.begin_idle();
+            self.delivered.wake();
+        }
+    }
+
+    /// Waits until the kernel has taken all that was handed to the HTTP library.
+    fn poll_delivered(&self, context: &Context<'_>) -> Poll<()> {
+        self.delivered.register(context.waker());
+        if self.undelivered.load(Ordering::Relaxed) { Poll::Pending } else { Poll::Ready(()) }
+    }
+
+    fn begin_idle(&self) {
+        self.ended_ms.store(self.start.elapsed().as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// Records whether the framing of the last head is ambiguous.
     pub fn set_ambiguous(&self, ambiguous: bool) {
         self.ambiguous.store(ambiguous, Ordering::Relaxed);
@@ -87,10 +132,21 @@
         self.ambiguous.load(Ordering::Relaxed)
     }
 
-    /// Tracks whether the body of a request is read to its end. What is not read is left in `rest`.
-    pub fn track_body(self: &Arc<Self>, body: Incoming, rest: &UnreadBody) -> RequestBody {
+    /// Records the size of the last head.
+    pub fn set_head_bytes(&self, bytes: usize) {
+        self.head_bytes.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Whether the last head exceeds the limit in force.
+    pub fn is_head_too_large(&self) -> bool {
+        self.head_bytes.load(Ordering::Relaxed) > self.limits.current().header_bytes
+    }
+
+    /// Tracks whether the body of a request is read to its end. What is not read is left in `rest`, unless it is `withheld` by
+    /// the caller until it is asked for.
+    pub fn track_body(self: &Arc<Self>, body: Incoming, withheld: bool, rest: &UnreadBody) -> RequestBody {
         self.unread.store(!body.is_end_stream(), Ordering::Relaxed);
-        RequestBody { body: Some(body), activity: self.clone(), rest: rest.clone() }
+        RequestBody { body: Some(body), withheld, activity: self.clone(), rest: rest.clone() }
     }
 
     /// Records that the last request's body has been read to its end.
@@ -141,11 +197,14 @@
         self.reads_unsignalled.load(Ordering::Relaxed)
     }
 
-    /// Waits until a head has been incomplete for longer than the limit in force at that time.
+    /// Waits until a head has been incomplete for longer than the limit in force at that time, not counting the time in which
+    /// the answer before it was being written.
     pub async fn head_timed_out(&self, limit: impl Fn() -> Duration) {
         loop {
-            while let Some(since) = self.head_since.load(Ordering::Relaxed).checked_sub(1) {
-                let (age, limit) = (self.start.elapsed().saturating_sub(Duration::from_millis(since)), limit());
+            while let Some(begun_ms) = self.head_since.load(Ordering::Relaxed).checked_sub(1) {
+                let since = Duration::from_millis(begun_ms.max(self.ended_ms.load(Ordering::Relaxed)));
+                let age = if self.is_busy() { Duration::ZERO } else { self.start.elapsed().saturating_sub(since) };
+                let limit = limit();
                 if age >= limit {
                     return;
                 }
@@ -202,16 +261,16 @@
         }
     }
 
-    /// Waits until the connection has been idle for some time, or a request is running.
+    /// Waits until the connection has been idle for some time, or is busy.
     pub async fn idle_for(&self, time: Duration) {
-        while let Some(left) = time.checked_sub(self.idle()).filter(|left| !left.is_zero() && !self.is_running()) {
+        while let Some(left) = time.checked_sub(self.idle()).filter(|left| !left.is_zero() && !self.is_busy()) {
             tokio::time::sleep(left).await;
         }
     }
 
-    /// Time since the last request ended; zero while one is running or arriving.
+    /// Time since the last answer was written; zero while one is awaited or written, or a request is arriving.
     pub fn idle(&self) -> Duration {
-        if self.is_running() || self.is_receiving_head() {
+        if self.is_busy() || self.is_receiving_head() {
             return Duration::ZERO;
         }
         let ended = Duration::from_millis(self.ended_ms.load(Ordering::Relaxed));
@@ -226,25 +285,28 @@
 }
 
 impl RequestGuard {
-    /// Attaches the guard to the response body, so that the request counts as running until the body is sent.
+    /// Attaches the guard to the response body, so that the request counts as running until the HTTP library has taken all of
+    /// the body.
     pub fn attach(self, response: Response) -> Response {
+        self.activity.begin_delivery();
         let (parts, body) = response.into_parts();
-        Response::from_parts(parts, Body::from_body(GuardedBody { body, _guard: self }))
+        Response::from_parts(parts, Body::from_body(GuardedBody { body, error: None, guard: self }))
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        let now = self.activity.start.elapsed().as_millis() as u64;
-        self.activity.ended_ms.store(now, Ordering::Relaxed);
+        self.activity.begin_idle();
         self.activity.running.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
-/// A body that holds the guard of its request.
+/// A body that holds the guard of its request. What came before an error is written first, as the HTTP library drops what it
+/// holds when it gets one.
 struct GuardedBody {
     body: Body,
-    _guard: RequestGuard,
+    error: Option<BoxError>,
+    guard: RequestGuard,
 }
 
 impl HttpBody for GuardedBody {
@@ -252,11 +314,24 @@
     type Error = BoxError;
 
     fn poll_frame(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        if self.error.is_none() {
+            match ready!(Pin::new(&mut self.body).poll_frame(context)) {
+                Some(Err(error)) => {
+                    self.guard.activity.answer_failed.store(true, Ordering::Relaxed);
+                    self.error = Some(error);
+                }
+                polled => {
+                    self.guard.activity.begin_delivery();
+                    return Poll::Ready(polled);
+                }
+            }
+        }
+        ready!(self.guard.activity.poll_delivered(context));
+        Poll::Ready(self.error.take().map(Err))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.error.is_none() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -266,15 +341,17 @@
 
 /// The body of a caller's request, which notes that it has been read to its end and is left to its connection if not.
 pub(crate) struct RequestBody {
-    /// `None` once it is dropped.
+    /// `None` once it has failed or is dropped.
     body: Option<Incoming>,
+    /// Whether the caller waits for 100 (Continue), which the HTTP library sends when the body is polled.
+    withheld: bool,
     activity: Arc<Activity>,
     rest: UnreadBody,
 }
 
 impl Drop for RequestBody {
     fn drop(&mut self) {
-        if self.activity.has_unread_body() {
+        if self.activity.has_unread_body() && !self.withheld {
             self.rest.put(self.body.take());
         }
     }
@@ -288,9 +365,13 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        self.withheld = false;
         let Some(body) = &mut self.body else { return Poll::Ready(None) };
         let polled = Pin::new(body).poll_frame(context);
-        if matches!(polled, Poll::Ready(None)) || self.is_end_stream() {
+        if matches!(polled, Poll::Ready(Some(Err(_)))) {
+            // The library says next that the body has ended, although its rest is unread.
+            self.body = None;
+        } else if matches!(polled, Poll::Ready(None)) || self.is_end_stream() {
             self.activity.end_body();
         }
         polled
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -51,8 +51,6 @@
 const MAX_CONNECTIONS: usize = 20_000;
 /// Largest request head, in bytes.
 pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
-/// Smallest connection buffer that the HTTP library accepts, in bytes.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Longest time for which what a caller goes on to send is read after its last response.
 const DISCARD_TIME: Duration = Duration::from_secs(2);
 const DISCARD_BUFFER_BYTES: usize = 8 * 1024;
@@ -146,6 +144,7 @@
                 stop: stop.clone(),
                 is_new: *stop.borrow() != Stage::Open,
                 closes: closes.clone(),
+                refusals: refusals.clone(),
                 running: drain.running.clone(),
             };
             let refusals = refusals.clone();
@@ -215,13 +214,14 @@
     set_up_accepted(&stream);
     let is_new = service.is_new;
     let mut builder = http1::Builder::new();
-    // The HTTP library's time-out for heads is fixed for the connection and counts idle time, so `Activity` has its own.
-    builder.header_read_timeout(None).max_buf_size(limits.current().header_bytes.max(MIN_BUFFER_BYTES));
+    // The HTTP library's limits on heads are fixed for the connection, and its time-out counts idle time, so `Activity` has its
+    // own. A largest head that is raised over this buffer holds for new connections only.
+    builder.header_read_timeout(None).max_buf_size(limits.current().header_bytes.max(MAX_HEAD_BYTES));
     let mut connection = builder.serve_connection(TokioIo::new(HeadInspector::new(stream, activity.clone())), service);
     let (reason, ended) = loop {
         let reason = tokio::select! {
             biased;
-            ended = poll_fn(|context| connection.poll_without_shutdown(context)) => break (CloseReason::LastAnswer, ended),
+            ended = &mut connection => break (CloseReason::LastAnswer, ended),
             () = activity.head_timed_out(|| limits.current().header_timeout) => CloseReason::HeadTimeout,
             () = stop_due(&mut stop, activity, is_new) => CloseReason::Stop,
             () = activity.idle_timed_out() => CloseReason::Idle,
@@ -244,9 +244,9 @@
             continue;
         }
         // A request that is being served gets its answer.
-        let reason = if activity.is_running() { CloseReason::LastAnswer } else { reason };
+        let reason = if activity.is_busy() { CloseReason::LastAnswer } else { reason };
         Pin::new(&mut connection).graceful_shutdown();
-        break (reason, poll_fn(|context| connection.poll_without_shutdown(context)).await);
+        break (reason, (&mut connection).await);
     };
     match ended {
         Ok(()) => {
@@ -269,7 +269,9 @@
         }
         Err(error) => {
             closes.record_broken(&error, activity);
-            record_bad_head(connection, &error, refusals, closes, activity);
+            if error.is_parse() {
+                end_refused_head(connection, &error, refusals, closes, activity).await;
+            }
         }
     }
 }
@@ -292,7 +294,7 @@
 /// that ends meanwhile.
 async fn take_arrived(connection: &mut Connection, activity: &Activity) -> Option<hyper::Result<()>> {
     activity.set_reads_unsignalled(true);
-    let ended = poll_fn(|context| match connection.poll_without_shutdown(context) {
+    let ended = poll_fn(|context| match Pin::new(&mut *connection).poll(context) {
         Poll::Pending if !activity.is_receiving_head() => Poll::Ready(None),
         polled => polled.map(Some),
     })
@@ -315,25 +317,37 @@
     timeout(DISCARD_TIME, rest).await.ok();
 }
 
-/// Records a request whose head cannot be read, and counts one whose head was too large as refused.
-fn record_bad_head(
+/// Ends a connection on which a head came that cannot be read, which the HTTP library has refused. Counts one that was too
+/// large as a refused request.
+async fn end_refused_head(
     connection: Connection,
     error: &hyper::Error,
     refusals: &IntCounterVec,
     closes: &CallerCloses,
     activity: &Activity,
 ) {
-    if error.is_parse() {
-        closes.record(CloseReason::Framing, activity, &connection.into_parts().read_buf, &[]);
-    }
+    let parts = connection.into_parts();
+    closes.record(CloseReason::Framing, activity, &parts.read_buf, &[]);
     if error.is_parse_too_large() {
-        // The HTTP library has sent the refusal, so it is only counted here.
-        let refusal = Refusal::not_run(Reason::HeaderTooLarge, "the request's head is too large");
-        refusals.with_label_values(&[refusal.reason.label(), refusal.run.label()]).inc();
+        refuse_large_head(refusals);
     }
+    end_refused(parts.io.into_inner().into_inner()).await;
+}
+
+/// Counts a request whose head is too large, and returns its refusal.
+fn refuse_large_head(refusals: &IntCounterVec) -> Refusal {
+    let refusal = Refusal::not_run(Reason::HeaderTooLarge, "the request's head is too large");
+    refusals.with_label_values(&[refusal.reason.label(), refusal.run.label()]).inc();
+    refusal
 }
 
-/// Refuses a request whose head was not complete in time; a connection without a partial head is just closed.
+/// Closes a connection behind a refusal that says so.
+async fn end_refused(mut stream: TcpStream) {
+    stream.shutdown().await.ok();
+    discard_rest(&mut stream).await;
+}
+
+/// Refuses a request whose head was not complete in time.
 async fn refuse_head_timeout(
     connection: Connection,
     refusals: &IntCounterVec,
@@ -341,15 +355,12 @@
     activity: &Activity,
 ) {
     let parts = connection.into_parts();
-    if parts.read_buf.is_empty() {
-        return;
-    }
     closes.record(CloseReason::HeadTimeout, activity, &parts.read_buf, &[]);
     let refusal = Refusal::not_run(Reason::HeaderTimeout, "the request's head did not arrive in time");
     refusals.with_label_values(&[refusal.reason.label(), refusal.run.label()]).inc();
     let mut stream = parts.io.into_inner().into_inner();
     stream.write_all(refusal.to_http_text().as_bytes()).await.ok();
-    stream.shutdown().await.ok();
+    end_refused(stream).await;
 }
 
 /// Passes the requests of a connection to the router.
@@ -362,6 +373,7 @@
     /// Whether the connection was accepted after the notice of the stop.
     is_new: bool,
     closes: Arc<CallerCloses>,
+    refusals: IntCounterVec,
     running: RunningRequests,
 }
 
@@ -381,10 +393,15 @@
         let guard = self.activity.begin_request(counted);
         let (activity, stop) = (self.activity.clone(), self.stop.clone());
         let ambiguous = self.activity.is_ambiguous();
+        let refusal = self.activity.is_head_too_large().then(|| {
+            self.closes.record(CloseReason::Framing, &self.activity, &[], &[]);
+            refuse_large_head(&self.refusals)
+        });
         Box::pin(METAINFO.scope(RefCell::new(MetaInfo::default()), async move {
             let mut context = ServerContext::new(peer);
             let rest = UnreadBody::default();
-            let track = |body| volo_http::body::Body::from_body(activity.track_body(body, &rest));
+            let withheld = expects_continue(request.headers());
+            let track = |body| volo_http::body::Body::from_body(activity.track_body(body, withheld, &rest));
             let mut request: Request = request.map(track);
             if ambiguous {
                 request.extensions_mut().insert(AmbiguousFraming);
@@ -392,12 +409,18 @@
             let version = request.version();
             // The caller sends nothing after a request by which it has announced the end itself.
             let is_callers_last = version == Version::HTTP_10 || says_close(request.headers());
-            let mut response = router.call(&mut context, request).await.into_response();
+            let mut response = match &refusal {
+                Some(refusal) => {
+                    drop(request);
+                    refusal.response()
+                }
+                None => router.call(&mut context, request).await.into_response(),
+            };
             // The HTTP library closes the connection after an answer to a request whose body has not been read to its end.
             if activity.has_unread_body() && rest.discard_arrived().await {
                 activity.end_body();
             }
-            if activity.has_unread_body() || *stop.borrow() != Stage::Open {
+            if activity.has_unread_body() || refusal.is_some() || *stop.borrow() != Stage::Open {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             activity.begin_answer(!is_callers_last && !says_close(response.headers()));
@@ -416,6 +439,11 @@
     options.any(|option| option.trim().eq_ignore_ascii_case("close"))
 }
 
+/// Whether the caller of a request sends its body only when asked.
+fn expects_continue(headers: &HeaderMap) -> bool {
+    headers.get(header::EXPECT).is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"))
+}
+
 fn has_length(response: &Response) -> bool {
     response.headers().contains_key(header::CONTENT_LENGTH) || response.body().size_hint().exact().is_some()
 }
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use http_body::Frame;
-use http_body_util::StreamBody;
+use http_body_util::{BodyExt as _, StreamBody};
 use parking_lot::Mutex;
 use prometheus::{IntCounter, IntCounterVec, Opts};
 use tokio::{
@@ -27,7 +27,7 @@
     server::{Router, route::any},
 };
 
-use super::{CallerCloses, Drain, LimitsInForce, Listener, NEXT_REQUEST_TIME, Stage, bind};
+use super::{AmbiguousFraming, CallerCloses, Drain, LimitsInForce, Listener, NEXT_REQUEST_TIME, Stage, bind};
 use crate::config::CallerLimits;
 
 const ANSWER: &str = "done";
@@ -37,6 +37,8 @@
 const HEADER_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after the idle time-out for which connections stay open.
 const IDLE_GRACE: Duration = Duration::from_millis(500);
+/// Size of an answer that exceeds what sockets hold, in bytes.
+const LARGE_BYTES: usize = 32 * 1024 * 1024;
 /// Time within which an answer comes.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -47,6 +49,7 @@
     limits: Arc<Mutex<CallerLimits>>,
     closes: IntCounterVec,
     unannounced: IntCounterVec,
+    refusals: IntCounterVec,
 }
 
 impl Site {
@@ -71,12 +74,12 @@
             socket,
             router: Router::new().fallback_service(any(answer)),
             drain: drain.clone(),
-            refusals,
+            refusals: refusals.clone(),
             closes: Arc::new(CallerCloses::new(closes.clone(), unannounced.clone(), failed_accepts, late_arrivals)),
             limits: Arc::new(LimitsInForce::new(move || current.lock().clone(), lag)),
         };
         tokio::spawn(listener.run());
-        Self { address, drain, limits, closes, unannounced }
+        Self { address, drain, limits, closes, unannounced, refusals }
     }
 
     fn set_idle_timeout(&self, idle_timeout: Duration) {
@@ -88,10 +91,23 @@
     }
 }
 
-/// Answers without reading the body: at once, after the time-out for heads, when a body has had the time to arrive, or
-/// with a stream of two parts.
+/// Answers after reading the body, or without reading it: at once, after the time-out for heads, when a body has had the
+/// time to arrive, with a stream of two parts, with one that breaks, or with more than sockets hold.
 async fn answer(request: Request) -> Response {
     match request.uri().path() {
+        "/read" => {
+            let mut body = request.into_body();
+            while body.frame().await.is_some() {}
+        }
+        "/framing" => {
+            let is_ambiguous = request.extensions().get::<AmbiguousFraming>().is_some();
+            return Response::new(Body::from(format!("ambiguous: {is_ambiguous}, {ANSWER}")));
+        }
+        "/large" => return Response::new(Body::from([vec![b'x'; LARGE_BYTES], ANSWER.into()].concat())),
+        "/broken" => {
+            let parts = [Ok(Frame::data(Bytes::from_static(b"first"))), Err(std::io::Error::other("broken"))];
+            return Response::new(Body::from_body(StreamBody::new(futures_util::stream::iter(parts))));
+        }
         "/slow" => sleep(5 * HEADER_TIMEOUT).await,
         "/late" => sleep(HEADER_TIMEOUT / 2).await,
         "/stream" => {
@@ -427,3 +443,193 @@
     assert!(read_answer(&mut running).await.ends_with(ANSWER));
     timeout(ANSWER_TIMEOUT, stop).await.expect("the stop ends").expect("the task ends");
 }
+
+/// Guards against answers cut at what the socket's buffer holds: the HTTP library ended before it had sent an answer to a
+/// request whose body was still arriving.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_answer_before_the_end_of_a_body_is_whole() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    let head = "POST /large HTTP/1.1\r\nHost: site\r\nContent-Length: 2000\r\n\r\nhalf";
+    stream.write_all(head.as_bytes()).await.expect("the connection is open");
+    sleep(HEADER_TIMEOUT).await;
+    let text = read_answer(&mut stream).await;
+    assert!(text.ends_with(ANSWER), "cut after {} bytes", text.len());
+}
+
+/// Reads until the connection ends, and returns what came and whether the end was orderly.
+async fn read_to_end(stream: &mut TcpStream) -> (String, bool) {
+    let mut text = Vec::new();
+    let ended = timeout(ANSWER_TIMEOUT, stream.read_to_end(&mut text)).await;
+    (String::from_utf8_lossy(&text).into_owned(), matches!(ended, Ok(Ok(_))))
+}
+
+/// Guards against refusals lost in a reset: the connection was closed at once, over what the caller went on to send.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_of_a_head_is_followed_by_no_reset() {
+    let site = Site::start(Duration::from_secs(10));
+    let large = format!("GET / HTTP/1.1\r\nx-long: {}\r\n\r\n", "x".repeat(1_000_000));
+    let malformed = format!("{}\r\n\r\n{}", "x".repeat(1_000), "x".repeat(1_000_000));
+    for (request, status) in [(large, "431"), (malformed, "400")] {
+        let mut stream = site.connect().await;
+        let written = stream.write_all(request.as_bytes()).await;
+        let (text, is_orderly) = read_to_end(&mut stream).await;
+        assert!(text.starts_with(&format!("HTTP/1.1 {status}")), "{status}: {text:?}");
+        assert!(written.is_ok() && is_orderly, "{status}: written {written:?}, end in order: {is_orderly}");
+    }
+}
+
+/// Guards against a 408 lost in a reset: the connection was closed at once although its caller was sending.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_is_sending_its_head_sees_that_it_timed_out() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    stream.write_all(b"GET / HTTP/1.1\r\nx-slow: ").await.expect("the connection is open");
+    for _ in 0..40 {
+        let written = stream.write_all(b"x").await;
+        assert!(written.is_ok(), "{written:?}");
+        sleep(HEADER_TIMEOUT / 20).await;
+    }
+    let (text, is_orderly) = read_to_end(&mut stream).await;
+    assert!(text.starts_with("HTTP/1.1 408") && is_orderly, "{text:?}, end in order: {is_orderly}");
+}
+
+/// Guards against a largest head that was fixed when the connection was accepted.
+#[tokio::test(flavor = "multi_thread")]
+async fn largest_head_that_is_changed_holds_for_open_connections() {
+    const SMALL: usize = 16 * 1024;
+
+    let site = Site::start(Duration::from_secs(10));
+    let large = format!("GET / HTTP/1.1\r\nHost: site\r\nx-long: {}\r\n\r\n", "x".repeat(2 * SMALL));
+    for (former, bytes, status) in [(SMALL, 4 * SMALL, "200"), (4 * SMALL, SMALL, "431")] {
+        for chunk_bytes in [large.len(), 1_000, large.len() - 1] {
+            site.limits.lock().header_bytes = former;
+            let mut stream = site.connect().await;
+            assert!(exchange(&mut stream).await.ends_with(ANSWER));
+            site.limits.lock().header_bytes = bytes;
+            for chunk in large.as_bytes().chunks(chunk_bytes) {
+                stream.write_all(chunk).await.expect("the connection is open");
+                sleep(Duration::from_millis(1)).await;
+            }
+            let text = read_answer(&mut stream).await;
+            assert!(text.starts_with(&format!("HTTP/1.1 {status}")), "{bytes}, {chunk_bytes} at once: {text:?}");
+        }
+    }
+    assert_eq!(site.refusals.with_label_values(&["header-too-large", "not-run"]).get(), 3);
+}
+
+/// Guards against LOST: the body of a request whose head ends with a bare line feed counted as a head, whose time-out closed
+/// the connection without a line while the request was running.
+#[tokio::test(flavor = "multi_thread")]
+async fn body_behind_a_head_with_bare_line_feeds_is_no_head() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    let head = b"POST /slow HTTP/1.1\nHost: site\nContent-Length: 10\n\n";
+    stream.write_all(head).await.expect("the connection is open");
+    sleep(HEADER_TIMEOUT / 4).await;
+    stream.write_all(b"first").await.expect("the connection is open");
+    let text = read_answer(&mut stream).await;
+    assert!(text.ends_with(ANSWER), "{text:?}");
+}
+
+/// Guards against request smuggling: a head with bare line feeds, or behind an empty line, was not examined for both a length
+/// and chunks.
+#[tokio::test(flavor = "multi_thread")]
+async fn ambiguous_framing_is_detected_in_any_head_that_is_accepted() {
+    const FIELDS: &str = "Host: site\nContent-Length: 3\nTransfer-Encoding: chunked";
+
+    let site = Site::start(Duration::from_secs(10));
+    for (before, line_end) in [("", "\r\n"), ("", "\n"), ("\r\n", "\r\n"), ("\r\n\r\n", "\r\n"), ("\n\n", "\n")] {
+        let head =
+            format!("{before}POST /framing HTTP/1.1\n{FIELDS}\n\n").replace("\r\n", "\n").replace('\n', line_end);
+        let mut stream = site.connect().await;
+        stream.write_all(format!("{head}0\r\n\r\n").as_bytes()).await.expect("the connection is open");
+        let text = read_answer(&mut stream).await;
+        assert!(text.ends_with("ambiguous: true, done"), "{head:?}: {text:?}");
+    }
+}
+
+/// Guards against answers that are cut by the time-out for heads: it counted while the answer before the head was being written.
+#[tokio::test(flavor = "multi_thread")]
+async fn head_behind_an_answer_that_is_being_written_does_not_time_out() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    stream.write_all(b"GET /large HTTP/1.1\r\nHost: site\r\n\r\n").await.expect("the connection is open");
+    sleep(HEADER_TIMEOUT / 4).await;
+    let (first, rest) = REQUEST.split_at(REQUEST.len() / 2);
+    stream.write_all(first).await.expect("the connection is open");
+    sleep(3 * HEADER_TIMEOUT).await;
+    let text = read_answer(&mut stream).await;
+    assert!(text.ends_with(ANSWER), "cut after {} bytes", text.len());
+    stream.write_all(rest).await.expect("the connection is open");
+    let text = read_answer(&mut stream).await;
+    assert!(text.starts_with("HTTP/1.1 200") && text.ends_with(ANSWER), "{text:?}");
+}
+
+/// Guards against LOST: a connection that ended with an error in an answer was in no count, as its request no longer ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_breaks_is_counted() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    stream.write_all(b"GET /broken HTTP/1.1\r\nHost: site\r\n\r\n").await.expect("the connection is open");
+    read_to_end(&mut stream).await;
+    assert_eq!(site.closes.with_label_values(&["broken"]).get(), 1);
+}
+
+/// Guards against LOST: what had been handed to the HTTP library was lost with the error that followed at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn part_before_an_error_is_delivered() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    stream.write_all(b"GET /broken HTTP/1.1\r\nHost: site\r\n\r\n").await.expect("the connection is open");
+    let (text, _) = read_to_end(&mut stream).await;
+    assert!(text.starts_with("HTTP/1.1 200") && text.ends_with("first\r\n"), "{text:?}");
+}
+
+/// Guards against LOST: the idle time counted from when the last part of an answer was handed to the HTTP library, so that
+/// the connection of a caller that took longer to read it was closed behind it.
+#[tokio::test(flavor = "multi_thread")]
+async fn connection_is_idle_from_the_delivery_of_its_answer_on() {
+    let site = Site::start(Duration::from_millis(300));
+    let mut stream = site.connect().await;
+    stream.write_all(b"GET /large HTTP/1.1\r\nHost: site\r\n\r\n").await.expect("the connection is open");
+    sleep(3 * IDLE_GRACE).await;
+    let text = read_answer(&mut stream).await;
+    assert!(text.ends_with(ANSWER), "cut after {} bytes", text.len());
+    sleep(Duration::from_millis(100)).await;
+    let text = exchange(&mut stream).await;
+    assert!(text.ends_with(ANSWER), "the connection was closed: {text:?}");
+}
+
+/// Guards against bodies that are sent for nothing: a request that was refused by its head got 100 first.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_is_answered_by_its_head_is_not_asked_for_its_body() {
+    let site = Site::start(Duration::from_secs(10));
+    let head =
+        |path| format!("POST {path} HTTP/1.1\r\nHost: site\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n");
+    let mut stream = site.connect().await;
+    stream.write_all(head("/order").as_bytes()).await.expect("the connection is open");
+    let text = read_answer(&mut stream).await.to_lowercase();
+    assert!(text.starts_with("http/1.1 200") && text.contains("connection: close"), "{text:?}");
+
+    let mut stream = site.connect().await;
+    stream.write_all(head("/read").as_bytes()).await.expect("the connection is open");
+    let mut buffer = [0; 1024];
+    let count = stream.read(&mut buffer).await.expect("the connection is open");
+    assert_eq!(&buffer[..count], b"HTTP/1.1 100 Continue\r\n\r\n");
+    stream.write_all(b"12345").await.expect("the connection is open");
+    let text = read_answer(&mut stream).await.to_lowercase();
+    assert!(text.starts_with("http/1.1 200") && !text.contains("connection: close"), "{text:?}");
+}
+
+/// Guards against LOST: a body that broke while it was read counted as read to its end, so that its answer did not say that
+/// the connection ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_to_a_body_that_breaks_says_that_the_connection_ends() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    let request = b"POST /read HTTP/1.1\r\nHost: site\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\nzz\r\n";
+    stream.write_all(request).await.expect("the connection is open");
+    let text = read_answer(&mut stream).await.to_lowercase();
+    assert!(text.starts_with("http/1.1 200") && text.contains("connection: close"), "{text:?}");
+}
