--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -301,6 +301,10 @@
         self.gossip.leave();
         timeout(rest(), self.operators.finish(ready(()))).await.ok();
         log_step("operators");
+        // A lease that is kept leaves the duties without a holder until it ends.
+        shared.duty_task.close();
+        timeout(rest(), shared.duty_task.wait()).await.ok();
+        log_step("duties");
         self.tasks.shutdown().await;
         let Metrics { stop_outcomes, late_arrivals, .. } = &shared.metrics;
         Stopped::new(name.clone(), stop_outcomes.clone(), late_arrivals.clone(), whole)
@@ -399,6 +403,7 @@
         stop_lines: LineBudget::new(MAX_STOP_LINES),
         run_times: RunTimes::default(),
         tasks: TaskTracker::new(),
+        duty_task: TaskTracker::new(),
         start: Instant::now(),
         epoch,
     });
@@ -441,7 +446,7 @@
     tasks.spawn(StateReader::new(shared.clone(), catalog).run());
     tasks.spawn(exchange.run(gossip.clone()));
     tasks.spawn(VerdictKeeper::new(shared.clone()).run());
-    tasks.spawn(Duty::new(gateway.clone(), duties).run());
+    tasks.spawn(shared.duty_task.track_future(Duty::new(gateway.clone(), duties).run()));
     tasks.spawn(evict_idle_connections(gateway.clone()));
     let ingress = ProxyIngress::new(gateway);
     Router::new().fallback_service(any(move |request: Request| ingress.clone().handle(request)))
--- a/goldcrestward/src/process/duty.rs
+++ b/goldcrestward/src/process/duty.rs
@@ -93,7 +93,7 @@
     pub async fn run(mut self) {
         loop {
             sleep(TICK).await;
-            if self.gateway.shared.stage.get() == Stage::Draining {
+            if self.is_stopping() {
                 return self.release().await;
             }
             match self.held.take() {
@@ -103,6 +103,10 @@
         }
     }
 
+    fn is_stopping(&self) -> bool {
+        self.gateway.shared.stage.get() == Stage::Draining
+    }
+
     fn key(&self, name: &str) -> String {
         format!("{OWN_PREFIX}{}/{name}", self.gateway.shared.settings.site)
     }
@@ -223,7 +227,7 @@
             }
             let zones = self.zone_pools(&pool.name, scaling);
             for order in self.scaler.decide(&pool.name, scaling, &zones, boot_ms()) {
-                if !Self::is_valid(held) {
+                if !Self::is_valid(held) || self.is_stopping() {
                     return;
                 }
                 let answer = self.duties.order_pool(&held.holder, &order).await;
@@ -301,6 +305,9 @@
             return true;
         }
         for _ in 0..MAX_USAGE_STEPS {
+            if self.is_stopping() {
+                return true;
+            }
             let step = held.term.usage_step(
                 self.gateway.shared.agreed_ms(),
                 self.usage_schedule(),
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -131,6 +131,8 @@
     pub run_times: RunTimes,
     /// Tasks that finish requests whose callers have disconnected.
     pub tasks: TaskTracker,
+    /// The task that carries out the duties, which ends once they are released.
+    pub duty_task: TaskTracker,
     pub start: Instant,
     /// Unix time of the daemon's start in ms, which tells restarts under the same name apart.
     pub epoch: u64,
