--- a/goldcrestward/src/request/proxy_body.rs
+++ b/goldcrestward/src/request/proxy_body.rs
@@ -9,7 +9,7 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -34,6 +34,9 @@
     process::{AttemptOutcome, ReplicaGuard},
 };
 
+/// Longest time until a stream notices that its server is leaving, as that wakes no stream.
+const LEAVING_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 struct StreamSource {
     call: Box<ProxyCall>,
     sequence: EventSequence,
@@ -97,7 +100,7 @@
         head: HeaderMap,
     ) -> Self {
         let last_event_at = Instant::now();
-        let timer = Box::pin(sleep_until((last_event_at + call.idle_timeout()).into()));
+        let timer = Box::pin(sleep_until((last_event_at + LEAVING_CHECK_INTERVAL).into()));
         let source = StreamSource {
             call: Box::new(call),
             sequence,
@@ -169,7 +172,7 @@
                 let ProxyStream { head, body, connection, guard, first } = *open;
                 self.pending_events = first;
                 self.last_event_at = Instant::now();
-                self.timer.as_mut().reset((self.last_event_at + call.idle_timeout()).into());
+                self.timer.as_mut().reset((self.last_event_at + LEAVING_CHECK_INTERVAL).into());
                 let head = head.headers;
                 let is_kept = self.kept_at.take().is_some_and(|id| id == guard.replica().id);
                 self.state = State::Streaming(Box::new(StreamSource {
@@ -239,7 +242,8 @@
                 self.search_at = now + SEARCH_INTERVAL;
                 self.search_at
             };
-            self.timer.as_mut().reset(wake_at.min(now + source.call.time_to_deadline()).into());
+            let latest = now + source.call.time_to_deadline().min(LEAVING_CHECK_INTERVAL);
+            self.timer.as_mut().reset(wake_at.min(latest).into());
         }
     }
 
