--- a/goldcrestward/src/process/state/freshness.rs
+++ b/goldcrestward/src/process/state/freshness.rs
@@ -86,6 +86,8 @@
 pub(crate) struct Freshness {
     /// The copy is current as of this time; `None` before it has been shown once.
     current_at: Option<u64>,
+    /// The value of `current_at` before it rose last. What this copy has learned since was written later.
+    current_before: Option<u64>,
     /// What peers have stated: a copy that holds this revision is current as of this time. Both rise.
     claims: VecDeque<(Revision, u64)>,
     /// A revision that a peer has announced and that this copy lacks, and since when.
@@ -97,7 +99,7 @@
 impl Freshness {
     /// Records that the store had nothing newer than this copy at `at`.
     pub fn record_reading(&mut self, at: u64) {
-        self.current_at = self.current_at.max(Some(at));
+        self.raise(at);
     }
 
     /// Records what a peer says: the revision of its copy, and the age of its knowledge in ms unless it is unknown.
@@ -128,6 +130,11 @@
         self.current_at.map(|at| now.saturating_sub(at))
     }
 
+    /// Longest time for which what this copy has learned last may have stood in the store; `None` if that is unknown.
+    pub fn age_of_news(&self, now: u64) -> Option<u64> {
+        self.current_before.map(|at| now.saturating_sub(at))
+    }
+
     /// Whether this daemon has to read the store, if it begins `delay` ms later than others.
     pub fn overdue(&mut self, budget: &Budget, own: Revision, delay: u64, now: u64) -> Option<Overdue> {
         self.settle(own);
@@ -154,12 +161,22 @@
         }
     }
 
+    fn raise(&mut self, at: u64) {
+        if self.current_at < Some(at) {
+            self.current_before = self.current_at.replace(at);
+        }
+    }
+
     /// Takes what is known now that the copy has reached `own`.
     fn settle(&mut self, own: Revision) {
+        let mut latest = None;
         while let Some((_, at)) = self.claims.front().copied().filter(|(revision, _)| *revision <= own) {
-            self.current_at = self.current_at.max(Some(at));
+            latest = latest.max(Some(at));
             self.claims.pop_front();
         }
+        if let Some(at) = latest {
+            self.raise(at);
+        }
         self.missing.take_if(|(wanted, _)| *wanted <= own);
     }
 }
--- a/goldcrestward/src/process/state/freshness_test.rs
+++ b/goldcrestward/src/process/state/freshness_test.rs
@@ -135,3 +135,20 @@
     assert_eq!(freshness.age(Revision::new(0, 95), 500), None);
     assert_eq!(freshness.age(Revision::new(1, 2), 600), Some(100 + TRANSIT_MS));
 }
+
+/// Guards against LOST: an entry that says how long its server stays was taken to be as old as its reading, after an outage of
+/// the store.
+#[test]
+fn age_of_news_counts_from_the_reading_before() {
+    let mut freshness = Freshness::default();
+    freshness.record_reading(100);
+    assert_eq!(freshness.age_of_news(150), None, "nothing tells when the first listing's entries were written");
+    freshness.record_reading(4_000);
+    freshness.record_reading(3_000);
+    assert_eq!(freshness.age_of_news(4_010), Some(3_910));
+    // The copy reaches what two claims are about at once, so that its news are older than the first.
+    freshness.record_peer(revision(1), Some(0), Revision::NONE, 5_000);
+    freshness.record_peer(revision(2), Some(0), Revision::NONE, 6_000);
+    assert_eq!(freshness.age(revision(2), 7_000), Some(1_000 + TRANSIT_MS));
+    assert_eq!(freshness.age_of_news(7_000), Some(3_000));
+}
--- a/goldcrestward/src/process/state/site_state.rs
+++ b/goldcrestward/src/process/state/site_state.rs
@@ -104,6 +104,8 @@
         match self.catalog.parse(&file.name, text) {
             Ok(Entry::Site(site)) => self.apply_site(revision, *site, &file),
             Ok(Entry::Instance(instance)) => {
+                let leaves_in = instance.leaves_in.map(|leaves_in| self.least_time_left(leaves_in, now));
+                let instance = Instance { leaves_in, ..instance };
                 let (id, pool, state) = (instance.id.clone(), instance.pool.clone(), instance.state);
                 let used = delayed.use_server(instance, origin, now);
                 let held_back = used.is_none();
@@ -133,6 +135,14 @@
         }
     }
 
+    /// Shortest time that a server may stay whose entry says for how long it stays. The entry may have stood in the store for
+    /// long if this daemon's knowledge was old before it.
+    fn least_time_left(&self, leaves_in: Duration, now: u64) -> Duration {
+        let age = self.shared.freshness.lock().age_of_news(now).map(Duration::from_millis);
+        let late = age.filter(|age| *age > self.shared.settings.config_apply);
+        leaves_in.saturating_sub(late.unwrap_or_default())
+    }
+
     fn had_recent_store_error(&self) -> bool {
         let last_error = self.shared.last_store_error_ms.load(Ordering::Relaxed);
         self.shared.kv.is_failing() || (last_error > 0 && self.shared.now() < last_error + STORE_ERROR_WINDOW_MS)
