--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -381,11 +381,13 @@
                 request.extensions_mut().insert(AmbiguousFraming);
             }
             let version = request.version();
+            let expects_continue = request.headers().contains_key(header::EXPECT);
             // The caller sends nothing after a request by which it has announced the end itself.
             let is_callers_last = version == Version::HTTP_10 || says_close(request.headers());
             let mut response = router.call(&mut context, request).await.into_response();
             // The HTTP library closes the connection after an answer to a request whose body has not been read to its end.
-            if activity.has_unread_body() && rest.discard_arrived().await {
+            // To read the body of a caller that waits for leave to send it would give that leave.
+            if activity.has_unread_body() && !expects_continue && rest.discard_arrived().await {
                 activity.end_body();
             }
             if activity.has_unread_body() || *stop.borrow() != Stage::Open {
