--- a/goldcrestward/src/request/ingress.rs
+++ b/goldcrestward/src/request/ingress.rs
@@ -44,13 +44,18 @@
 
     /// Handles one request.
     pub async fn handle(self, request: Request) -> Response {
-        match self.serve(request).await {
+        let mut response = match self.serve(request).await {
             Ok(response) => response,
             Err(refusal) => {
                 self.shared.count_refusal(&refusal);
                 refusal.response()
             }
+        };
+        // The caller's next request on the connection would only be refused.
+        if self.shared.stage.get() == Stage::Draining {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
+        response
     }
 
     /// Readiness check: 200 while serving, otherwise 503; the body is the stage.
--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod endless;
 mod hedges;
 mod http_10;
+mod late_stops;
 mod ledger;
 mod logs;
 mod membership;
