--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -294,6 +294,9 @@
         "server-held" => {
             format!("{} turned it away and wants nothing for {} ms", field("instance"), field("left_ms"))
         }
+        "refused-unheard" => {
+            format!("{} turned it away after {} ms, when the caller had gone", field("instance"), field("took_ms"))
+        }
         "response-too-long" => format!(
             "{} of {} was too long to be kept, with {} bytes: {}",
             kind_of_response(field("kind")),
--- a/goldcrestward/src/process/gateway.rs
+++ b/goldcrestward/src/process/gateway.rs
@@ -32,6 +32,9 @@
 /// Longest time for which a replica is not offered, as its limit may be raised meanwhile.
 const MAX_BLOCK_MS: u64 = 2_000;
 
+/// Response heads at once that are read although their callers have gone; each has 64 KiB at most.
+const MAX_UNHEARD_HEADS: usize = 32;
+
 /// Requests sent to a pool.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct SentWork {
@@ -55,6 +58,8 @@
     pub helpers: Mutex<Helpers>,
     /// Limits the searches for such a peer.
     pub(super) tunnel_searches: Semaphore,
+    /// Limits the response heads that are read although their callers have gone.
+    pub unheard_heads: Arc<Semaphore>,
     /// What this daemon knows of the account quotas, which apply across all daemons.
     pub quota_balances: Arc<Mutex<QuotaBalances>>,
     /// Account quotas as the relay of the availability zone knows them.
@@ -89,6 +94,7 @@
             reach: Mutex::default(),
             helpers: Mutex::default(),
             tunnel_searches: Semaphore::new(MAX_SEARCHES),
+            unheard_heads: Arc::new(Semaphore::new(MAX_UNHEARD_HEADS)),
             quota_balances: Arc::default(),
             quota_ledger: Mutex::default(),
             isolated_quotas: Mutex::default(),
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -100,6 +100,8 @@
     pub leaving_statements: IntCounterVec,
     /// Refusals in which servers named a time for which they want nothing, by whether it was believed.
     pub holds: IntCounterVec,
+    /// Requests whose callers went before the head of the response had come, by what came of it.
+    pub unheard_heads: IntCounterVec,
     /// Requests sent to replicas that had named a rate limit.
     pub limited_sends: IntCounter,
     /// Requests charged to the rate limits of replicas, by who decided and the result.
@@ -232,6 +234,11 @@
                 "refusals in which servers named a time for which they want nothing, by result",
                 &["result"],
             )?,
+            unheard_heads: factory.counters(
+                "unheard_heads_total",
+                "requests whose callers went soon after they were sent, by what came of the response head",
+                &["result"],
+            )?,
             limited_sends: factory
                 .counter("limited_sends_total", "requests sent to replicas that had named a rate limit")?,
             send_grants: factory.counters(
--- a/goldcrestward/src/process/replicas/replica_guard.rs
+++ b/goldcrestward/src/process/replicas/replica_guard.rs
@@ -31,6 +31,11 @@
         Self { replica, number, prefill_us: AtomicU64::new(prefill_us) }
     }
 
+    /// Keeps the place of a request that the replica has got, beyond the guard of its attempt.
+    pub fn for_sent(replica: Arc<Replica>) -> Self {
+        Self::new(replica, 0, 0.0)
+    }
+
     pub fn replica(&self) -> &Arc<Replica> {
         &self.replica
     }
--- /dev/null
+++ b/goldcrestward/src/request/awaited_head.rs
@@ -0,0 +1,107 @@
+//! The head of a response, which is read for a moment longer when its caller has gone.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http::{Request as HttpRequest, Response as HttpResponse};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use log::info;
+use tokio::{runtime::Handle, time::timeout};
+
+use super::{run_window::RunWindow, sent_attempt::SentAttempt};
+use crate::{
+    connection::{BackendConnection, SendError},
+    process::ReplicaGuard,
+};
+
+/// Time from the sending of a request in which a server that refuses it says so.
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
+/// Time for which a head is read once its caller has gone. Servers must not be at work half a second after that, and
+/// learn of it by way of a peer in another region at times.
+const UNHEARD_TIME: Duration = Duration::from_millis(200);
+
+type Exchange = BoxFuture<'static, (BackendConnection, Result<HttpResponse<Incoming>, SendError>)>;
+
+/// Sends a request and awaits the head of its response.
+///
+/// If it is dropped while it waits, the caller has gone. What a refusal says of its server concerns later requests too, so
+/// the head of a request that was sent recently is read for a moment longer, and then the connection is closed.
+pub(super) struct AwaitedHead {
+    attempt: Arc<SentAttempt>,
+    window: RunWindow,
+    /// `None` once it has ended or been given up.
+    exchange: Option<Exchange>,
+}
+
+impl AwaitedHead {
+    pub fn new(
+        attempt: SentAttempt,
+        window: RunWindow,
+        mut connection: BackendConnection,
+        request: HttpRequest<Full<Bytes>>,
+    ) -> Self {
+        let exchange: Exchange = Box::pin(async move {
+            let response = connection.send(request).await;
+            (connection, response)
+        });
+        Self { attempt: Arc::new(attempt), window, exchange: Some(exchange) }
+    }
+
+    pub fn attempt(&self) -> &SentAttempt {
+        &self.attempt
+    }
+
+    /// Waits for the head. It may be awaited again if this is dropped; `None` if it has ended before.
+    pub async fn receive(&mut self) -> Option<(BackendConnection, Result<HttpResponse<Incoming>, SendError>)> {
+        let output = self.exchange.as_mut()?.await;
+        self.exchange = None;
+        Some(output)
+    }
+
+    /// Closes the connection, as the request goes on elsewhere or its time is over.
+    pub fn give_up(&mut self) {
+        self.exchange = None;
+    }
+}
+
+impl Drop for AwaitedHead {
+    fn drop(&mut self) {
+        let Some(exchange) = self.exchange.take() else { return };
+        if self.window.has_ended() || self.attempt.sent.elapsed() >= REFUSAL_TIME {
+            return;
+        }
+        let gateway = &self.attempt.gateway;
+        let (Ok(permit), Ok(runtime)) = (gateway.unheard_heads.clone().try_acquire_owned(), Handle::try_current())
+        else {
+            gateway.shared.metrics.unheard_heads.with_label_values(&["unread"]).inc();
+            return;
+        };
+        // The server is still at work.
+        let place = ReplicaGuard::for_sent(self.attempt.replica.clone());
+        let attempt = self.attempt.clone();
+        runtime.spawn(async move {
+            read_unheard(&attempt, exchange).await;
+            drop((place, permit));
+        });
+    }
+}
+
+/// Reads a head whose caller has gone, for what it says of its server.
+async fn read_unheard(attempt: &SentAttempt, exchange: Exchange) {
+    let result = match timeout(UNHEARD_TIME, exchange).await {
+        Err(_) => "none",
+        Ok((_, Err(_))) => "broken",
+        Ok((_, Ok(response))) => match attempt.read_head(&response) {
+            Ok(metadata) if metadata.not_run => "refused",
+            Ok(_) => "answered",
+            Err(_) => "crossed",
+        },
+    };
+    attempt.gateway.shared.metrics.unheard_heads.with_label_values(&[result]).inc();
+    if result == "refused" {
+        let (id, instance, took_ms) = (&attempt.id, &attempt.replica.id, attempt.sent.elapsed().as_millis());
+        info!("event=refused-unheard id={id} instance={instance} took_ms={took_ms}");
+    }
+}
--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod admitted_caller;
 mod attempt;
+mod awaited_head;
 mod bounded_body;
 mod budget;
 mod caller_body;
@@ -27,6 +28,7 @@
 mod request_head;
 mod response_owner;
 mod run_window;
+mod sent_attempt;
 mod token_events;
 
 pub(crate) use budget::RouteRetryBudgets;
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -18,6 +18,7 @@
 
 use super::{
     admitted_caller::AdmittedCaller,
+    awaited_head::AwaitedHead,
     bounded_body::BoundedBody,
     crash::{CrashRecords, PossibleCause, fingerprint, record_crash},
     fallback::Fallback,
@@ -30,15 +31,16 @@
     refusal::{Reason, Refusal, RunState},
     request_head::RequestHead,
     run_window::{Phase, RunWindow},
+    sent_attempt::SentAttempt,
 };
 use crate::{
     config::{Account, Route, RouteKind},
     connection::{BackendConnection, ConnectError, SendError},
     logs::is_sampled,
-    port::{AttemptMetadata, MigratedKvCache, RequestMetadata, ResponseHead, ResponseMetadata},
+    port::{AttemptMetadata, MigratedKvCache, RequestMetadata},
     process::{
-        AttemptOutcome, Condemned, Gateway, MemoryLimit, QuotaCharge, ReadError, Replica, ReplicaGuard, TooLong,
-        part_names, record_answer, record_brittle, record_leaving, record_long_head,
+        AttemptOutcome, Condemned, Gateway, MemoryLimit, QuotaCharge, ReadError, ReplicaGuard, TooLong, part_names,
+        record_answer, record_long_head,
     },
     version::Sample,
 };
@@ -442,7 +444,7 @@
             Some(connection) => Ok(connection),
             None => self.gateway.connect(&self.metadata.id, &replica, &self.window).await,
         };
-        let mut connection = acquired.map_err(|error| {
+        let connection = acquired.map_err(|error| {
             let (id, instance, why) = (&self.metadata.id, &replica.id, error.label());
             info!("event=connect-failed id={id} instance={instance} why={why}");
             match error {
@@ -476,23 +478,35 @@
         if !self.is_answering {
             self.window.record_taken();
         }
-        let is_first = connection.is_unused();
+        let attempt = SentAttempt {
+            gateway: self.gateway.clone(),
+            id: self.metadata.id.clone(),
+            pool: self.placement.pool.clone(),
+            replica: replica.clone(),
+            is_first: connection.is_unused(),
+            sent: Instant::now(),
+            sent_at,
+            sent_ms: self.gateway.shared.agreed_ms(),
+        };
         let request = self.build_request(&replica.id, sequence.last());
         let previous = self.run_state;
-        let sent_ms = self.gateway.shared.agreed_ms();
         if replica.limit().per_second.is_some() {
             self.gateway.shared.metrics.limited_sends.inc();
         }
         self.sends += 1;
         self.set_run_state(RunState::MayHaveRun);
-        let response = match self.wait_for(guard, connection.send(request)).await {
-            None => return Err(ProxyFailure::Indeterminate("silent")),
-            Some(Err(SendError::MaybeSent)) => return Err(ProxyFailure::Indeterminate("cut")),
-            Some(Err(SendError::HeadTooLong(sent))) => {
+        let mut head = AwaitedHead::new(attempt, self.window.clone(), connection, request);
+        let Some((connection, response)) = self.wait_for(guard, head.receive()).await.flatten() else {
+            head.give_up();
+            return Err(ProxyFailure::Indeterminate("silent"));
+        };
+        let response = match response {
+            Err(SendError::MaybeSent) => return Err(ProxyFailure::Indeterminate("cut")),
+            Err(SendError::HeadTooLong(sent)) => {
                 record_long_head(&self.gateway.shared, &self.metadata.id, &replica, sent);
                 return Err(ProxyFailure::Indeterminate("head-too-long"));
             }
-            Some(Err(SendError::NotSent)) => {
+            Err(SendError::NotSent) => {
                 self.set_run_state(previous);
                 self.sends -= 1;
                 if connection.was_idle() {
@@ -504,37 +518,16 @@
                 let is_direct = self.via.is_none();
                 return Err(if is_direct { ProxyFailure::ConnectFailed } else { ProxyFailure::NoPath });
             }
-            Some(Ok(response)) => response,
+            Ok(response) => response,
         };
         self.gateway.record_path_answer(&replica, self.via.as_ref());
-        let metadata = match self.attribute(&replica, &response, is_first) {
-            Ok(metadata) => metadata,
-            Err(failure) => {
-                if matches!(failure, ProxyFailure::NotRun) {
-                    self.set_run_state(previous);
-                }
-                return Err(failure);
+        let metadata = head.attempt().read_head(&response).inspect_err(|failure| {
+            if matches!(failure, ProxyFailure::NotRun) {
+                self.set_run_state(previous);
             }
-        };
-        if let Some(load) = metadata.load {
-            replica.set_reported_load(load, self.gateway.shared.now());
-        }
-        if metadata.leaving {
-            record_leaving(&self.gateway, &replica, sent_ms);
-        }
-        self.gateway.apply_stated_limit(&replica, metadata.limit, sent_ms);
-        if let Some(max_refusals) = metadata.max_refusals {
-            record_brittle(&self.gateway.shared, &self.placement.pool, max_refusals);
-        }
-        self.gateway.apply_stated_hold(&self.metadata.id, &replica, metadata.hold);
-        if !metadata.not_run {
-            replica.record_taken(sent_at);
-        }
+        })?;
         if metadata.not_run {
             self.set_run_state(previous);
-            if metadata.max_refusals.is_some() {
-                replica.record_refusal(self.gateway.shared.daemon_count(), self.gateway.shared.now());
-            }
             if !metadata.misdirected {
                 self.discard(response, connection).await;
             }
@@ -543,28 +536,6 @@
         self.read(guard, response, connection, metadata.sealed && metadata.unencoded, sequence).await.map(Some)
     }
 
-    /// Returns what the response says if it is the attempt's own. Only such a response lets its connection be used
-    /// again, so that a copy of an earlier response on a used connection bears that request's id. Hence a response
-    /// without an id is believed only if it is the first on its connection (`is_first`).
-    fn attribute(
-        &self,
-        replica: &Replica,
-        response: &HttpResponse<Incoming>,
-        is_first: bool,
-    ) -> Result<ResponseMetadata, ProxyFailure> {
-        let head = self.gateway.header_codec.decode_response(response.status(), response.headers(), &self.metadata.id);
-        let owner = match head {
-            ResponseHead::Own(metadata) => return Ok(metadata),
-            ResponseHead::Unidentified { not_run: true } if is_first => return Err(ProxyFailure::NotRun),
-            ResponseHead::Unidentified { .. } => "unknown",
-            ResponseHead::Foreign => "other",
-        };
-        self.gateway.shared.metrics.dropped.with_label_values(&["crossed"]).inc();
-        let (id, instance, status) = (&self.metadata.id, &replica.id, response.status().as_u16());
-        info!("event=response-dropped id={id} instance={instance} status={status} owner={owner} first={is_first}");
-        Err(ProxyFailure::Indeterminate("crossed"))
-    }
-
     async fn read(
         &mut self,
         guard: &ReplicaGuard,
