--- a/goldcrestward/src/connection/client.rs
+++ b/goldcrestward/src/connection/client.rs
@@ -43,11 +43,12 @@
     /// # Errors
     /// Says whether the request may have reached the server.
     pub async fn send(&self, request: OutboundRequest) -> Result<Response, SendError> {
-        self.send_owned(request, |_| true).await
+        self.send_owned(request, |_| true, || true).await
     }
 
     /// Sends a request, on an idle connection if there is one. The connection is used again only if the head of the
-    /// response is the request's own: after a copy of another's answer, each later answer would be late by one.
+    /// response is the request's own: after a copy of another's answer, each later answer would be late by one. What
+    /// `may_send` refuses once there is a connection is not sent.
     ///
     /// # Errors
     /// Says whether the request may have reached the server.
@@ -55,10 +56,11 @@
         &self,
         request: OutboundRequest,
         is_own: impl Fn(&HeaderMap) -> bool,
+        may_send: impl Fn() -> bool,
     ) -> Result<Response, SendError> {
         let address = request.address;
         let mut request = request.build()?;
-        while let Some(mut sender) = self.idle.take(address) {
+        while let Some(mut sender) = self.idle.take(address).filter(|_| may_send()) {
             match sender.send(request).await {
                 Ok(response) => return Ok(self.keep(address, sender, response, is_own)),
                 // The server has closed the connection in the meantime.
@@ -67,6 +69,9 @@
             }
         }
         let mut sender = connect(address).await?;
+        if !may_send() {
+            return Err(SendError::NotSent);
+        }
         let response = sender.send(request).await.map_err(|(error, _)| error)?;
         Ok(self.keep(address, sender, response, is_own))
     }
@@ -75,9 +80,24 @@
     ///
     /// # Errors
     /// Says whether the request may have reached the server.
-    pub async fn send_fresh(&self, mut request: OutboundRequest) -> Result<Response, SendError> {
+    pub async fn send_fresh(&self, request: OutboundRequest) -> Result<Response, SendError> {
+        self.send_fresh_if(request, || true).await
+    }
+
+    /// Like [`HttpClient::send_fresh`], but what `may_send` refuses once the connection is open is not sent.
+    ///
+    /// # Errors
+    /// Says whether the request may have reached the server.
+    pub(crate) async fn send_fresh_if(
+        &self,
+        mut request: OutboundRequest,
+        may_send: impl Fn() -> bool,
+    ) -> Result<Response, SendError> {
         request.headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
         let mut sender = connect(request.address).await?;
+        if !may_send() {
+            return Err(SendError::NotSent);
+        }
         let response = sender.send(request.build()?).await.map_err(|(error, _)| error)?;
         Ok(response.map(Body::from_incoming))
     }
--- a/goldcrestward/src/connection/client_test.rs
+++ b/goldcrestward/src/connection/client_test.rs
@@ -192,7 +192,7 @@
     let mut expected = 0;
     for _ in 0..8 {
         let is_own = move |head: &HeaderMap| head.get("x-number").is_some_and(|n| n == expected.to_string().as_str());
-        let response = client.send_owned(request(address), is_own).await.expect("the server answers");
+        let response = client.send_owned(request(address), is_own, || true).await.expect("the server answers");
         let number: usize = response.headers()["x-number"].to_str().expect("a text").parse().expect("a number");
         response.into_body().collect().await.expect("the answer is whole");
         numbers.push((expected, number));
@@ -246,3 +246,22 @@
         assert_eq!(connections[0] == connections[1], is_reused, "{lines:?}");
     }
 }
+
+/// Guards against LOST: a request was allowed before its connection was opened, which took until the daemon's end was near.
+#[tokio::test]
+async fn request_that_is_too_late_once_connected_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the socket has an address");
+    let client = HttpClient::new();
+    for is_fresh in [true, false] {
+        let sent = match is_fresh {
+            true => client.send_fresh_if(request(address), || false).await,
+            false => client.send_owned(request(address), |_| true, || false).await,
+        };
+        assert!(matches!(sent, Err(SendError::NotSent)), "fresh {is_fresh}");
+        let (mut stream, _) = listener.accept().await.expect("the client connects");
+        let mut received = Vec::new();
+        timeout(STUCK_TIMEOUT, stream.read_to_end(&mut received)).await.expect("the connection ends").ok();
+        assert!(received.is_empty(), "fresh {is_fresh}: {:?}", String::from_utf8_lossy(&received));
+    }
+}
--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -177,6 +177,11 @@
             self.version = self.shared.base_version(&self.route.pool);
         }
         let guard = self.choose().await?;
+        if !resuming {
+            // The choice may have waited for a replica.
+            self.check_time()?;
+            self.window.record_taken();
+        }
         if self.number > 0 {
             let label = self.last_failure.map_or("first", Failure::label);
             self.shared.metrics.retries.with_label_values(&[label]).inc();
@@ -222,13 +227,16 @@
         }
     }
 
+    fn check_time(&self) -> Result<(), Refusal> {
+        self.window.check(Phase::Send).map_err(|refusal| Refusal { run: self.run_state, ..refusal })
+    }
+
     fn check_allowed(&mut self, resuming: bool) -> Result<(), Refusal> {
         if self.window.has_ended() {
             return Err(self.window.give_up(self.run_state));
         }
         if !resuming {
-            self.window.check(Phase::Send).map_err(|refusal| Refusal { run: self.run_state, ..refusal })?;
-            self.window.record_taken();
+            self.check_time()?;
         }
         if self.time_left().is_zero() {
             return Err(self.refuse(Reason::Deadline, "the request's time is over"));
--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -272,7 +272,7 @@
 
     async fn try_open(&mut self, guard: &ReplicaGuard, next: u64) -> Result<AttemptResult, Failure> {
         let request = self.build_request(guard, self.attempt_body(next));
-        let response = self.send(guard.replica(), request).await?;
+        let response = self.send(guard.replica(), request, next > 0).await?;
         if response.status() != StatusCode::OK {
             let limit = IDLE_TIMEOUT.min(self.attempts.time_left());
             return self.read_whole(guard, pass_client_error(response)?, limit).await.map(AttemptResult::Refused);
@@ -311,13 +311,19 @@
         }
     }
 
-    async fn send(&mut self, replica: &Replica, request: OutboundRequest) -> Result<Response, Failure> {
+    /// Sends an attempt. One that resumes an answer is sent whatever time is left.
+    async fn send(&mut self, replica: &Replica, request: OutboundRequest, resumes: bool) -> Result<Response, Failure> {
         let limit = IDLE_TIMEOUT.min(self.attempts.time_left());
         let is_shared = replica.echoes_ids();
         let client = &self.shared.client;
         let is_own = |head: &HeaderMap| self.is_own_response(head, is_shared);
+        let window = self.attempts.window();
+        let may_send = || resumes || window.allows_run();
         let sending = async {
-            if is_shared { client.send_owned(request, is_own).await } else { client.send_fresh(request).await }
+            match is_shared {
+                true => client.send_owned(request, is_own, may_send).await,
+                false => client.send_fresh_if(request, may_send).await,
+            }
         };
         let result = self.attempts.window().within(limit, sending).await;
         match result {
@@ -404,7 +410,7 @@
 
     async fn try_buffered(&mut self, guard: &ReplicaGuard) -> Result<Response, Failure> {
         let request = self.build_request(guard, self.body.clone());
-        let response = self.send(guard.replica(), request).await?;
+        let response = self.send(guard.replica(), request, false).await?;
         let response = if response.status() == StatusCode::OK { response } else { pass_client_error(response)? };
         self.read_whole(guard, response, self.attempts.time_left()).await
     }
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -368,7 +368,8 @@
                     return Err(refusal);
                 }
             };
-            let sending = self.shared.client.send_fresh(self.build_request(&guard));
+            let window = self.attempts.window();
+            let sending = self.shared.client.send_fresh_if(self.build_request(&guard), || window.allows_run());
             match self.attempts.window().within(self.attempts.time_left(), sending).await {
                 Some(Err(SendError::NotSent)) => self.attempts.record_failure(&guard, Failure::ConnectFailed).await,
                 // The connection has carried nothing else, so a response without an id is the request's own.
@@ -449,8 +450,13 @@
     let echoes_ids = replica.echoes_ids();
     let is_own = |head: &HeaderMap| ResponseOwner::of(head, &id) == ResponseOwner::Request;
     let client = &shared.client;
-    let sending =
-        async { if echoes_ids { client.send_owned(request, is_own).await } else { client.send_fresh(request).await } };
+    let may_send = || window.allows_run();
+    let sending = async {
+        match echoes_ids {
+            true => client.send_owned(request, is_own, may_send).await,
+            false => client.send_fresh_if(request, may_send).await,
+        }
+    };
     let response = match window.within(window.time_left(), sending).await {
         None => return Err(Failure::TimedOut),
         Some(Err(SendError::NotSent)) => return Err(Failure::ConnectFailed),
