--- a/goldcrestward/src/connection/peer.rs
+++ b/goldcrestward/src/connection/peer.rs
@@ -103,6 +103,11 @@
         let sending = self.sink.send(Bytes::from(frame));
         timeout(SEND_TIMEOUT, sending).await.ok()?.ok()
     }
+
+    /// Ends this side of the stream. The other side can still be read.
+    pub async fn close(&mut self) {
+        timeout(SEND_TIMEOUT, self.sink.close()).await.ok();
+    }
 }
 
 impl FrameReceiver {
--- a/goldcrestward/src/connection/tunnel.rs
+++ b/goldcrestward/src/connection/tunnel.rs
@@ -109,6 +109,8 @@
     ended: AtomicBool,
     received: AtomicU64,
     sent: AtomicU64,
+    /// Whether the server takes no more bytes. What it sent before can still be read.
+    unwritable: AtomicBool,
     /// Bytes that the user of the tunnel has written.
     written: AtomicU64,
     /// Of these, how many may have reached the server, if the peer has ended the connection and has stated it.
@@ -192,6 +194,10 @@
     }
     if exchanges.is_some() && matches!(end, TunnelEnd::Withdrawn | TunnelEnd::Server) {
         sender.send(progress.received().to_le_bytes().to_vec()).await;
+    }
+    if exchanges.is_some() && matches!(end, TunnelEnd::Withdrawn | TunnelEnd::Server | TunnelEnd::ServerError) {
+        // Without an empty frame before it, the end says that the connection to the server broke.
+        sender.close().await;
         let peer_closed = async { while receiver.next().await.is_some_and(|piece| !piece.is_empty()) {} };
         timeout(LINGER_TIMEOUT, peer_closed).await.ok();
     }
@@ -215,6 +221,10 @@
     let mut buffer = vec![0; PIECE_BYTES];
     loop {
         let Ok(count) = reader.read(&mut buffer).await else { return TunnelEnd::ServerError };
+        // After a reset that a write has met, reading ends without an error.
+        if count == 0 && progress.unwritable.load(Ordering::Acquire) {
+            return TunnelEnd::ServerError;
+        }
         let sent = sender.send(buffer[..count].to_vec()).await;
         if count == 0 {
             return TunnelEnd::Server;
@@ -262,13 +272,16 @@
             writer.shutdown().await.ok();
             return TunnelEnd::Peer;
         }
+        if progress.unwritable.load(Ordering::Acquire) {
+            continue;
+        }
         if exchanges.is_some_and(|exchanges| !exchanges.lock().send(&piece)) {
             return TunnelEnd::Withdrawn;
         }
         // Before they are written, as a write that is cut short may have reached the server.
         progress.received.fetch_add(piece.len() as u64, Ordering::Relaxed);
         if writer.write_all(&piece).await.is_err() {
-            return TunnelEnd::ServerError;
+            progress.unwritable.store(true, Ordering::Release);
         }
     }
     TunnelEnd::PeerError
--- a/goldcrestward/src/connection/tunnel_test.rs
+++ b/goldcrestward/src/connection/tunnel_test.rs
@@ -34,6 +34,10 @@
 const STUCK_TIMEOUT: Duration = Duration::from_secs(10);
 /// Length of a body that exceeds what a tunnel takes at once, in bytes.
 const LONG_BODY_BYTES: usize = 1024 * 1024;
+/// Answer to a request whose body has not been read.
+const EARLY_ANSWER: &[u8] = b"HTTP/1.1 413 Payload Too Large\r\nConnection: close\r\nContent-Length: 5\r\n\r\nlarge";
+/// Requests that are answered early.
+const EARLY_REQUESTS: usize = 20;
 
 /// Why a connection ends that has carried a request and is idle.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -114,9 +118,14 @@
 impl Carrier {
     /// Starts both; the server answers requests until it has `answers` of them, and closes the connection of the next.
     async fn start(answers: usize) -> Self {
-        let state = Arc::<State>::default();
-        let (held, closing) = (watch::Sender::new(false), watch::Sender::new(false));
+        let (state, closing) = (Arc::<State>::default(), watch::Sender::new(false));
         let server = start_server(answers, state.clone(), closing.subscribe()).await;
+        Self::start_before(server, state, closing).await
+    }
+
+    /// Starts the carrier of connections to `server`.
+    async fn start_before(server: SocketAddr, state: Arc<State>, closing: watch::Sender<bool>) -> Self {
+        let held = watch::Sender::new(false);
         let count = IntGauge::new("carried", "carried").expect("a gauge");
         let carried = CarriedConnections::new(count, Arc::new(|| false));
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
@@ -206,6 +215,22 @@
     address
 }
 
+/// Starts a server that answers after the first bytes of a request and closes the connection over the rest.
+async fn start_early_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound socket");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buffer = vec![0; 1024];
+                stream.read(&mut buffer).await.ok();
+                stream.write_all(EARLY_ANSWER).await.ok();
+            });
+        }
+    });
+    address
+}
+
 /// Starts a way to the carrier that passes nothing back while it is held.
 async fn start_way(to: SocketAddr, held: watch::Receiver<bool>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
@@ -289,3 +314,24 @@
         assert_eq!((sent.map(drop), carrier.requests()), (Err(SendError::MaybeSent), 2), "{length} bytes");
     }
 }
+
+/// Guards against LOST: a carrier that could not pass on the rest of a request gave up the answer that its server had sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_before_the_end_of_a_carried_request_is_passed_on() {
+    let server = start_early_server().await;
+    let carrier = Carrier::start_before(server, Arc::default(), watch::Sender::new(false)).await;
+    let mut lost = Vec::new();
+    for number in 0..EARLY_REQUESTS {
+        let (_connections, mut connection) = carrier.open().await;
+        let sending = async {
+            let (head, body) = connection.send(post(LONG_BODY_BYTES)).await?.into_parts();
+            let body = body.collect().await.map_err(|_| SendError::MaybeSent)?;
+            Ok((head.status, body.to_bytes()))
+        };
+        let result: Result<_, SendError> = timeout(STUCK_TIMEOUT, sending).await.expect("the call ends");
+        if result.as_ref().ok() != Some(&(StatusCode::PAYLOAD_TOO_LARGE, Bytes::from_static(b"large"))) {
+            lost.push((number, result));
+        }
+    }
+    assert!(lost.is_empty(), "of {EARLY_REQUESTS}: {lost:?}");
+}
