--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -291,6 +291,18 @@
             let (instance, to) = (field("instance"), field("to"));
             format!("{instance} had been silent for {} ms; the request goes on at {to}", field("silent_ms"))
         }
+        "held-answer-passed" => format!(
+            "got the error of {} with status {}, as no repeat was answered: {}",
+            field("instance"),
+            field("status"),
+            cause(field("why"))
+        ),
+        "held-answer-lost" => format!(
+            "the error of {} with status {} was given up for want of memory, and no repeat was answered: {}",
+            field("instance"),
+            field("status"),
+            cause(field("why"))
+        ),
         "server-held" => {
             format!("{} turned it away and wants nothing for {} ms", field("instance"), field("left_ms"))
         }
@@ -496,6 +508,7 @@
         "no-memory" => "the responses of all servers left no memory for it",
         "head-too-long" => "it sent heads without an answer, so the connection was closed",
         "crossed" => "the response belongs to another request",
+        "over-budget" => "the retry budget was used up before it was sent",
         "unsealed" => "the response does not carry the server's seal",
         "disorder" => "an event was missing or could not be parsed",
         "empty" => "the stream ended without an event",
--- a/goldcrestward/src/cmd/explain_test.rs
+++ b/goldcrestward/src/cmd/explain_test.rs
@@ -270,6 +270,14 @@
     let cases = [
         ("body-silent id=r1 route=lunch instance=i-1 bytes=700", "i-1 fell silent after 700 bytes of the answer"),
         ("answer-unread id=r1 instance=i-1 bytes=9000 sent=70", "the caller had read about 70 of 9000 bytes"),
+        (
+            "held-answer-passed id=r1 instance=i-1 status=500 why=overloaded",
+            "got the error of i-1 with status 500, as no repeat was answered: overloaded",
+        ),
+        (
+            "held-answer-lost id=r1 instance=i-1 status=500 why=cut",
+            "given up for want of memory, and no repeat was answered: the connection broke",
+        ),
     ];
     for (line, expected) in cases {
         let text = render_log(&format!("time=1000 level=INFO daemon=front-a event={line}\n"), "r1");
--- a/goldcrestward/src/request/fallback.rs
+++ b/goldcrestward/src/request/fallback.rs
@@ -49,8 +49,7 @@
         if !has_attempt || self.time_left() < MIN_RETRY_TIME || self.is_suspect() {
             return None;
         }
-        let (daemons, now) = (gateway.shared.daemon_count(), gateway.shared.now());
-        if !gateway.retry_budget.lock().allows(&self.placement.pool, daemons, now) {
+        if !self.allows_retry() {
             return None;
         }
         let mut excluded = self.tried.clone();
@@ -66,10 +65,8 @@
 
     /// Uses the place for the next attempt, if a run can still end there and the retry budget still allows it.
     pub(super) fn accept_fallback(&mut self, fallback: Fallback, silent: &ReplicaGuard, since: Instant) -> bool {
-        let gateway = &self.gateway;
-        let (daemons, now) = (gateway.shared.daemon_count(), gateway.shared.now());
         let is_leaving = fallback.guard.replica().is_leaving();
-        if is_leaving || !self.may_send() || !gateway.retry_budget.lock().withdraw(&self.placement.pool, daemons, now) {
+        if is_leaving || !self.may_send() || !self.withdraw_retry() {
             fallback.release();
             return false;
         }
--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -9,6 +9,7 @@
 mod crash;
 mod fallback;
 mod headers;
+mod held_answer;
 mod ingress;
 mod kept_body;
 mod migration;
--- a/goldcrestward/src/request/placement_request.rs
+++ b/goldcrestward/src/request/placement_request.rs
@@ -7,7 +7,10 @@
 
 use log::info;
 
-use super::refusal::{Reason, Refusal};
+use super::{
+    proxy::MIN_RETRY_TIME,
+    refusal::{Reason, Refusal, RunState},
+};
 use crate::{
     config::{Route, Site},
     logs::is_sampled,
@@ -100,7 +103,8 @@
         }
     }
 
-    /// Waits in the pool's admission queue for a place. `crash_score` is asked again while the request waits.
+    /// Waits in the pool's admission queue for a place. `crash_score` is asked again while the request waits. One that may
+    /// have run waits as long as it can still be answered, since its caller may not be able to send it again.
     ///
     /// # Errors
     /// Returns a refusal if there is none in time, or that of `crash_score`.
@@ -108,24 +112,30 @@
         &self,
         gateway: &Gateway,
         tried: &[Arc<str>],
+        run: RunState,
         crash_score: impl Fn() -> Result<u64, Refusal>,
     ) -> Result<ReplicaGuard, Refusal> {
         let queue = gateway.shared.replicas.admission_queues.for_pool(&self.pool);
         let started = Instant::now();
         let queue_timeout = self.target.saturating_duration_since(started).mul_f64(QUEUE_TARGET_SHARE);
+        let has_run = run == RunState::MayHaveRun;
+        let blocked_timeout = if has_run { queue_timeout.max(self.spare(gateway, started)) } else { queue_timeout };
         let rank = self.rank_at(gateway, started);
         let mut woken = false;
         loop {
             let mut offer = self.offer(gateway, tried, crash_score()?);
             let (limit, obstacle) = match &offer {
                 Ok(offer) => {
-                    let limit =
-                        if self.is_late(started) { self.late_timeout(gateway, started, offer) } else { queue_timeout };
+                    let limit = if has_run || self.is_late(started) {
+                        self.late_timeout(gateway, started, offer).max(queue_timeout)
+                    } else {
+                        queue_timeout
+                    };
                     (limit, Obstacle::Busy(offer.placement.first_response_ms))
                 }
-                Err(NoReplica::RateLimited(wait)) => (queue_timeout, Obstacle::RateLimited(*wait)),
-                Err(NoReplica::Held(wait)) => (queue_timeout, Obstacle::Held(*wait)),
-                Err(_) => (NO_SERVER_TIMEOUT.min(queue_timeout), Obstacle::NoServer),
+                Err(NoReplica::RateLimited(wait)) => (blocked_timeout, Obstacle::RateLimited(*wait)),
+                Err(NoReplica::Held(wait)) => (blocked_timeout, Obstacle::Held(*wait)),
+                Err(_) => (NO_SERVER_TIMEOUT.min(blocked_timeout), Obstacle::NoServer),
             };
             let is_last_chance = started + queue_timeout <= Instant::now();
             let mut is_left_over = false;
@@ -209,14 +219,19 @@
         Rank { due_ms: gateway.shared.now() + left.as_millis() as u64, ..self.rank }
     }
 
-    /// How long a request that is late already may wait for a slot, so that its run still ends by its deadline.
+    /// Time from `started` that a request may wait so that its run still ends by its deadline.
+    fn spare(&self, gateway: &Gateway, started: Instant) -> Duration {
+        let run = gateway.shared.run_times.usual(&self.run_kind, Instant::now()).unwrap_or_default();
+        self.deadline.saturating_duration_since(started).saturating_sub(run.max(MIN_RETRY_TIME))
+    }
+
+    /// How long a request that is late or may have run may wait for a slot, so that its run still ends by its deadline.
     fn late_timeout(&self, gateway: &Gateway, started: Instant, offer: &Offer) -> Duration {
         let now = Instant::now();
         let run = gateway.shared.run_times.usual(&self.run_kind, now).unwrap_or_default();
         let wait = Duration::from_secs_f64(offer.placement.first_response_ms.max(0.0) / 1000.0);
         let ends_in_time = now + wait + run <= self.deadline;
-        let spare = self.deadline.saturating_duration_since(started).saturating_sub(run);
-        if ends_in_time { spare } else { Duration::ZERO }
+        if ends_in_time { self.spare(gateway, started) } else { Duration::ZERO }
     }
 
     /// The refusal of a request while all servers of the pool have said that they want nothing.
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -23,7 +23,7 @@
     crash::{CrashRecords, PossibleCause, fingerprint, record_crash},
     fallback::Fallback,
     headers::drop_hop_by_hop,
-    kept_body::KeptBody,
+    held_answer::HeldAnswer,
     numbered_events::{EventSequence, SequenceError},
     placement_request::PlacementRequest,
     proxy_body::ProxyBody,
@@ -95,6 +95,12 @@
     usage_counted: bool,
     charge: Option<QuotaCharge>,
     pub(super) kv_cache: Option<MigratedKvCache>,
+    /// The last server's whole answer, an error, until a repeat is answered.
+    pub(super) held: Option<Box<HeldAnswer>>,
+    /// Why the next attempt is made, until it is sent.
+    retry_cause: Option<&'static str>,
+    /// Whether the next attempt is still to be paid for from the retry budget, when it is sent.
+    owes_retry: bool,
     /// The place for the next attempt, paid for from the retry budget.
     pub(super) fallback: Option<Fallback>,
     /// The connection for the next attempt, if there is one already.
@@ -146,6 +152,9 @@
             usage_counted: false,
             charge,
             kv_cache: None,
+            held: None,
+            retry_cause: None,
+            owes_retry: false,
             fallback: None,
             connection: None,
             connection_label: String::new(),
@@ -176,7 +185,10 @@
     /// Makes attempts until one returns a response. A stream is resumed after the last event of `sequence`.
     pub(super) async fn attempts(&mut self, sequence: &mut EventSequence) -> Result<ProxyResponse, Refusal> {
         loop {
-            let guard = self.next_place().await?;
+            let guard = match self.next_place().await {
+                Ok(guard) => guard,
+                Err(refusal) => return self.pass_held(refusal.reason.label()).ok_or(refusal),
+            };
             let instance = guard.replica().id.clone();
             let window = self.window.clone();
             let result = tokio::select! {
@@ -185,7 +197,10 @@
                 result = self.attempt(guard, sequence) => result,
             };
             match result {
-                Ok(response) => return Ok(response),
+                Ok(response) => {
+                    self.held = None;
+                    return Ok(response);
+                }
                 Err(failure) => {
                     let repeat = self.may_retry(&failure);
                     let (id, label, sends) = (&self.metadata.id, failure.label(), self.sends);
@@ -200,7 +215,13 @@
                     if !repeat {
                         return self.final_result(failure);
                     }
-                    self.gateway.shared.metrics.retries.with_label_values(&[label]).inc();
+                    self.retry_cause = Some(label);
+                    // A stream that has begun cannot be answered with an error any more.
+                    if let ProxyFailure::ErrorResponse(answer) = failure
+                        && !self.is_answering
+                    {
+                        self.held = Some(answer);
+                    }
                 }
             }
         }
@@ -212,7 +233,7 @@
             self.connection = Some(connection);
             return Ok(guard);
         }
-        let acquired = self.placement.acquire(&self.gateway, &self.tried, || self.crash_score());
+        let acquired = self.placement.acquire(&self.gateway, &self.tried, self.run_state, || self.crash_score());
         let acquired = match self.is_answering {
             true => acquired.await,
             false => self.window.wait_for(Phase::Place, acquired).await.and_then(|acquired| acquired),
@@ -341,7 +362,7 @@
             return false;
         }
         let allowed = match failure {
-            ProxyFailure::TooLate(_) | ProxyFailure::Stopped => return false,
+            ProxyFailure::TooLate(_) | ProxyFailure::OverBudget | ProxyFailure::Stopped => return false,
             ProxyFailure::ConnectFailed | ProxyFailure::NoPath | ProxyFailure::Withdrawn => {
                 self.connect_failures += 1;
                 return self.connect_failures <= MAX_CONNECT_FAILURES;
@@ -349,11 +370,25 @@
             ProxyFailure::NotRun => true,
             ProxyFailure::ErrorResponse(_) | ProxyFailure::Indeterminate(_) => self.route.kind.is_idempotent(),
         };
+        let may_retry = allowed && self.sends < self.route.attempt_limit && self.allows_retry();
+        self.owes_retry |= may_retry;
+        may_retry
+    }
+
+    /// Whether a retry is left in the budget.
+    pub(super) fn allows_retry(&self) -> bool {
+        let gateway = &self.gateway;
+        let (daemons, now) = (gateway.shared.daemon_count(), gateway.shared.now());
+        gateway.retry_budget.lock().allows(&self.placement.pool, daemons, now)
+    }
+
+    /// Pays for the next attempt from the retry budget; false if nothing is left.
+    pub(super) fn withdraw_retry(&mut self) -> bool {
         let gateway = &self.gateway;
         let (daemons, now) = (gateway.shared.daemon_count(), gateway.shared.now());
-        allowed
-            && self.sends < self.route.attempt_limit
-            && gateway.retry_budget.lock().withdraw(&self.placement.pool, daemons, now)
+        let is_paid = gateway.retry_budget.lock().withdraw(&self.placement.pool, daemons, now);
+        self.owes_retry &= !is_paid;
+        is_paid
     }
 
     pub(super) async fn attempt(
@@ -390,6 +425,7 @@
                     | ProxyFailure::NoPath
                     | ProxyFailure::Withdrawn
                     | ProxyFailure::TooLate(_)
+                    | ProxyFailure::OverBudget
                     | ProxyFailure::Stopped => {}
                     ProxyFailure::ErrorResponse(_) => {
                         self.observe(&guard, Sample::Failed);
@@ -475,6 +511,12 @@
                 checked.map_or_else(|refusal| ProxyFailure::TooLate(Box::new(refusal)), |()| ProxyFailure::Withdrawn)
             );
         }
+        if self.owes_retry && !self.withdraw_retry() {
+            if connection.is_unused() {
+                connection.keep();
+            }
+            return Err(ProxyFailure::OverBudget);
+        }
         if !self.is_answering {
             self.window.record_taken();
         }
@@ -493,6 +535,9 @@
         if replica.limit().per_second.is_some() {
             self.gateway.shared.metrics.limited_sends.inc();
         }
+        if let Some(cause) = self.retry_cause.take() {
+            self.gateway.shared.metrics.retries.with_label_values(&[cause]).inc();
+        }
         self.sends += 1;
         self.set_run_state(RunState::MayHaveRun);
         let mut head = AwaitedHead::new(attempt, self.window.clone(), connection, request);
@@ -563,15 +608,14 @@
             }
             Ok(Ok(collected)) => collected,
         };
-        let body = KeptBody::body(collected, &self.gateway.shared, &self.metadata.id, instance);
+        let instance = instance.clone();
         self.count_started();
         connection.release(&head.headers);
-        let response = Response::from_parts(caller_head(head), body);
+        let answer = HeldAnswer::new(caller_head(head), collected, instance);
         if failed {
-            Err(ProxyFailure::ErrorResponse(Box::new(response)))
-        } else {
-            Ok(ExchangeResult::Buffered(response))
+            return Err(ProxyFailure::ErrorResponse(Box::new(answer)));
         }
+        Ok(ExchangeResult::Buffered(answer.into_response(&self.gateway.shared, &self.metadata.id)))
     }
 
     /// Waits for the first event, since until then the request can still be retried at another server.
--- a/goldcrestward/src/request/proxy_outcome.rs
+++ b/goldcrestward/src/request/proxy_outcome.rs
@@ -5,7 +5,7 @@
 use hyper::body::Incoming;
 use volo_http::response::Response;
 
-use super::refusal::Refusal;
+use super::{held_answer::HeldAnswer, refusal::Refusal};
 use crate::{connection::BackendConnection, port::MigratedKvCache, process::ReplicaGuard};
 
 /// A run that has been stopped to resume on another server.
@@ -27,11 +27,13 @@
     /// The server reports that it has not run the request.
     NotRun,
     /// The server returned a sealed 5xx response.
-    ErrorResponse(Box<Response>),
+    ErrorResponse(Box<HeldAnswer>),
     /// No trustworthy response was received, for the given reason; the request may have run.
     Indeterminate(&'static str),
     /// Nothing was sent, as the daemon is being stopped and would have ended first.
     TooLate(Box<Refusal>),
+    /// Nothing was sent, as the retry budget has been used up meanwhile.
+    OverBudget,
     /// The daemon ended first.
     Stopped,
 }
@@ -47,6 +49,7 @@
             Self::ErrorResponse(_) => "own-failure",
             Self::Indeterminate(reason) => reason,
             Self::TooLate(_) => "too-late",
+            Self::OverBudget => "over-budget",
             Self::Stopped => "stopped",
         }
     }
