--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -31,7 +31,7 @@
     Disconnected,
     /// The response head exceeded its bounds, and the connection was closed.
     HeadTooLong,
-    /// The back end returned an error status that is not passed on to the caller.
+    /// The back end returned an error status, which is passed on only if no other attempt is answered.
     ErrorStatus,
     /// The response belongs to another request or attempt, is malformed or lacks a token.
     WrongResponse,
@@ -173,10 +173,13 @@
     /// Returns a refusal if no further attempt is allowed.
     pub async fn next_attempt(&mut self, resuming: bool) -> Result<ReplicaGuard, Refusal> {
         self.check_allowed(resuming)?;
-        if !resuming && self.number > 0 && self.last_failure != Some(Failure::ConnectFailed) {
+        if self.is_paid_retry(resuming) {
             self.version = self.shared.base_version(&self.route.pool);
         }
         let guard = self.choose().await?;
+        if self.is_paid_retry(resuming) && !self.shared.route_retry_budgets.withdraw(&self.route.name) {
+            return Err(self.refuse(Reason::BackendFailed, "back ends failed and no retry is left"));
+        }
         if !resuming {
             // The choice may have waited for a replica.
             self.check_time()?;
@@ -245,20 +248,30 @@
             let message = "requests with this content have crashed back ends";
             return Err(self.refuse(Reason::CrashesBackends, message));
         }
-        if self.number == 0 || self.last_failure == Some(Failure::ConnectFailed) {
-            return Ok(());
-        }
-        if resuming {
-            self.resumes += 1;
-            if self.resumes <= MAX_RESUMES {
-                return Ok(());
+        let is_allowed = match self.is_retry() {
+            false => true,
+            true if resuming => {
+                self.resumes += 1;
+                self.resumes <= MAX_RESUMES
             }
-        } else if self.shared.route_retry_budgets.withdraw(&self.route.name) {
+            true => self.shared.route_retry_budgets.allows(&self.route.name),
+        };
+        if is_allowed {
             return Ok(());
         }
         Err(self.refuse(Reason::BackendFailed, "back ends failed and no retry is left"))
     }
 
+    /// Whether a back end has got the request in an earlier attempt.
+    fn is_retry(&self) -> bool {
+        self.number > 0 && self.last_failure != Some(Failure::ConnectFailed)
+    }
+
+    /// Whether the next attempt is paid for from the route's retry budget.
+    fn is_paid_retry(&self, resuming: bool) -> bool {
+        !resuming && self.is_retry()
+    }
+
     async fn choose(&mut self) -> Result<ReplicaGuard, Refusal> {
         loop {
             match self.try_choose(&self.tried) {
--- a/goldcrestward/src/request/budget.rs
+++ b/goldcrestward/src/request/budget.rs
@@ -25,6 +25,11 @@
         *balance = (*balance + share).min(MAX_SAVED_RETRIES);
     }
 
+    /// Whether one retry is left in the balance.
+    pub fn allows(&self, route: &Arc<str>) -> bool {
+        *self.balances.lock().entry(route.clone()).or_insert(MAX_SAVED_RETRIES) >= 1.0
+    }
+
     /// Takes one retry from the balance; returns false if less than one is left.
     pub fn withdraw(&self, route: &Arc<str>) -> bool {
         let mut balances = self.balances.lock();
--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use http_body::{Body as _, Frame};
+use log::info;
 use serde::Deserialize;
 use serde_json::{Map, Value, json};
 use volo_http::{body::Body, error::BoxError, response::Response};
@@ -116,6 +117,10 @@
     body: Bytes,
     stream: bool,
     attempts: Attempts,
+    /// The error that the current attempt got.
+    error: Option<Response>,
+    /// The last engine's error with the engine's place, until another attempt is answered.
+    held: Option<(Response, ReplicaGuard)>,
     received: Instant,
     kv_from: Option<SocketAddr>,
     admitted: AdmissionPermit,
@@ -180,7 +185,21 @@
         let attempts = if request.stream { attempts.passed_on() } else { attempts };
         let _in_flight = InFlight::new(&shared);
         let (route, stream) = (route.clone(), request.stream);
-        Ok(Self { shared, route, id, path, body, stream, attempts, received, kv_from: None, admitted, _in_flight })
+        Ok(Self {
+            shared,
+            route,
+            id,
+            path,
+            body,
+            stream,
+            attempts,
+            error: None,
+            held: None,
+            received,
+            kv_from: None,
+            admitted,
+            _in_flight,
+        })
     }
 
     /// Runs the request and returns the response, whose body may still be streaming.
@@ -253,11 +272,15 @@
     /// Opens a stream that starts at token `next`, retrying as often as is allowed.
     async fn open(&mut self, next: u64) -> Result<OpenResult, Refusal> {
         loop {
-            let guard = self.attempts.next_attempt(next > 0).await?;
+            let guard = match self.attempts.next_attempt(next > 0).await {
+                Ok(guard) => guard,
+                Err(refusal) => return self.pass_held(refusal).await.map(OpenResult::Refused),
+            };
             match self.try_open(&guard, next).await {
                 Ok(AttemptResult::Refused(response)) => return Ok(OpenResult::Refused(response)),
                 Ok(AttemptResult::Started(reader, body, first)) => {
                     guard.record_first_token(self.shared.now());
+                    self.held = None;
                     return Ok(OpenResult::Started(Box::new(ModelStream { guard, reader, body, first })));
                 }
                 Err(failure) => {
@@ -265,17 +288,41 @@
                         self.shared.observe(guard.replica(), &self.route.name, Sample::Failed);
                     }
                     self.attempts.record_failure(&guard, failure).await;
+                    // A stream that has begun cannot be answered with an error any more.
+                    if let Some(error) = self.error.take().filter(|_| next == 0) {
+                        self.held = Some((error, guard));
+                    }
                 }
             }
         }
     }
 
+    /// Passes on the error that is held, as no other attempt has been answered, or else the refusal.
+    async fn pass_held(&mut self, refusal: Refusal) -> Result<Response, Refusal> {
+        let Some((response, guard)) = self.held.take() else { return Err(refusal) };
+        let (id, instance, status) = (&self.id, &guard.replica().id, response.status().as_u16());
+        let why = refusal.reason.label();
+        info!("event=held-answer-passed id={id} instance={instance} status={status} why={why}");
+        let limit = IDLE_TIMEOUT.min(self.attempts.time_left());
+        self.read_whole(&guard, response, limit).await.map_err(|_| refusal)
+    }
+
+    /// Passes a 4xx response on; any other error status is a failure of the attempt.
+    fn pass_client_error(&mut self, response: Response) -> Result<Response, Failure> {
+        if response.status().is_client_error() {
+            return Ok(response);
+        }
+        self.error = Some(response).filter(|response| response.status().is_server_error());
+        Err(Failure::ErrorStatus)
+    }
+
     async fn try_open(&mut self, guard: &ReplicaGuard, next: u64) -> Result<AttemptResult, Failure> {
         let request = self.build_request(guard, self.attempt_body(next));
         let response = self.send(guard.replica(), request, next > 0).await?;
         if response.status() != StatusCode::OK {
             let limit = IDLE_TIMEOUT.min(self.attempts.time_left());
-            return self.read_whole(guard, pass_client_error(response)?, limit).await.map(AttemptResult::Refused);
+            let response = self.pass_client_error(response)?;
+            return self.read_whole(guard, response, limit).await.map(AttemptResult::Refused);
         }
         let buffer = self.shared.response_memory.buffer(&guard.replica().id, MAX_KEPT_BYTES);
         let mut reader = TokenEventReader::new(&self.id, self.attempts.number(), next, buffer);
@@ -390,7 +437,10 @@
 
     async fn run_buffered(mut self) -> Result<Response, Refusal> {
         loop {
-            let guard = self.attempts.next_attempt(false).await?;
+            let guard = match self.attempts.next_attempt(false).await {
+                Ok(guard) => guard,
+                Err(refusal) => return self.pass_held(refusal).await,
+            };
             let replica = guard.replica().clone();
             let failure = match self.try_buffered(&guard).await {
                 Ok(response) => {
@@ -405,13 +455,16 @@
             self.shared.observe(&replica, &self.route.name, Sample::Failed);
             self.shared.metrics.recomputed.inc_by((self.body.len() / BYTES_PER_TOKEN) as u64);
             self.attempts.record_failure(&guard, failure).await;
+            if let Some(error) = self.error.take() {
+                self.held = Some((error, guard));
+            }
         }
     }
 
     async fn try_buffered(&mut self, guard: &ReplicaGuard) -> Result<Response, Failure> {
         let request = self.build_request(guard, self.body.clone());
         let response = self.send(guard.replica(), request, false).await?;
-        let response = if response.status() == StatusCode::OK { response } else { pass_client_error(response)? };
+        let response = if response.status() == StatusCode::OK { response } else { self.pass_client_error(response)? };
         self.read_whole(guard, response, self.attempts.time_left()).await
     }
 
@@ -465,14 +518,6 @@
     }
 }
 
-/// Passes a 4xx response on; any other error status is a failure of the attempt.
-fn pass_client_error(response: Response) -> Result<Response, Failure> {
-    if response.status().is_client_error() {
-        return Ok(response);
-    }
-    Err(Failure::ErrorStatus)
-}
-
 fn read_frame(frame: Option<Option<Result<Frame<Bytes>, BoxError>>>) -> Result<Bytes, Failure> {
     match frame {
         None => Err(Failure::TimedOut),
--- a/goldcrestward/src/request/pending_answer.rs
+++ b/goldcrestward/src/request/pending_answer.rs
@@ -31,6 +31,11 @@
     pub sent_at: Instant,
 }
 
+/// Treats an error of the back end as a failure, as nobody waits for this answer.
+fn reject_error(response: Response) -> Result<Response, Failure> {
+    if response.status().is_server_error() { Err(Failure::ErrorStatus) } else { Ok(response) }
+}
+
 /// The request to whose answer another server was faster.
 pub(crate) struct OvertakenRequest {
     pub shared: Arc<Shared>,
@@ -59,7 +64,7 @@
 
     async fn record(&self, guard: &ReplicaGuard, result: Result<Response, Failure>, sent_at: Instant) {
         let replica = guard.replica();
-        let Err(failure) = result else {
+        let Err(failure) = result.and_then(reject_error) else {
             replica.update_ejection(true, self.shared.now());
             return self.shared.observe(replica, &self.route.name, Sample::Good);
         };
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, HeaderValue, Method, header};
 use http_body::Frame;
 use http_body_util::BodyExt;
-use log::debug;
+use log::{debug, info};
 use tokio::{task::JoinHandle, time::timeout};
 use volo_http::{body::Body, response::Response};
 
@@ -59,6 +59,8 @@
     rest: Option<Body>,
     fingerprint: u64,
     attempts: Attempts,
+    /// The last back end's error, until another attempt is answered.
+    held: Option<Answered>,
     received: Instant,
     _admitted: AdmissionPermit,
     _in_flight: InFlight,
@@ -144,6 +146,7 @@
             rest,
             fingerprint,
             attempts,
+            held: None,
             received,
             _admitted,
             _in_flight,
@@ -171,7 +174,10 @@
     async fn run_repeatable(mut self) -> Result<Response, Refusal> {
         let hedged = self.route.lookup && (self.method == Method::GET || self.method == Method::HEAD);
         loop {
-            let guard = self.attempts.next_attempt(false).await?;
+            let guard = match self.attempts.next_attempt(false).await {
+                Ok(guard) => guard,
+                Err(refusal) => return self.pass_held(refusal),
+            };
             let answered = if hedged { self.send_hedged(guard).await } else { self.send_to(guard).await };
             if let Some((response, guard)) = answered {
                 return Ok(self.pass_through(response, guard));
@@ -191,8 +197,23 @@
         match self.record(result, guard).await {
             Some((response, guard)) => Ok(self.pass_through(response, guard)),
             None if self.attempts.window().has_ended() => Err(self.attempts.window().give_up(RunState::MayHaveRun)),
-            None => Err(self.attempts.refuse(Reason::BackendFailed, "the back end did not take the whole body")),
+            None => {
+                let refusal = self.attempts.refuse(Reason::BackendFailed, "the back end did not take the whole body");
+                self.pass_held(refusal)
+            }
+        }
+    }
+
+    /// Passes on the error that is held, as no other attempt has been answered, or else the refusal.
+    fn pass_held(mut self, refusal: Refusal) -> Result<Response, Refusal> {
+        let Some((response, guard)) = self.held.take() else { return Err(refusal) };
+        if self.attempts.window().has_ended() {
+            return Err(refusal);
         }
+        let (id, instance, status) = (&self.id, &guard.replica().id, response.status().as_u16());
+        let why = refusal.reason.label();
+        info!("event=held-answer-passed id={id} instance={instance} status={status} why={why}");
+        Ok(self.pass_through(response, guard))
     }
 
     /// Streams the response body to the caller; replica, admission and in-flight count are released at its end.
@@ -227,7 +248,7 @@
             result = &mut first.answer => (result, first, second),
             result = &mut second.answer => (result, second, first),
         };
-        if result.is_err() {
+        if result.as_ref().map_or(true, |response| response.status().is_server_error()) {
             let (_, result) = tokio::join!(self.record(result, ended.guard), other.answer);
             return self.record(result, other.guard).await;
         }
@@ -238,11 +259,13 @@
     }
 
     fn begin_second(&self, first: &PendingAnswer) -> Option<PendingAnswer> {
-        let budgets = &self.shared.route_retry_budgets;
-        if !self.attempts.window().allows_run() || !budgets.withdraw(&self.route.name) {
+        if !self.attempts.window().allows_run() {
             return None;
         }
         let guard = self.attempts.choose_hedge(first.guard.replica())?;
+        if !self.shared.route_retry_budgets.withdraw(&self.route.name) {
+            return None;
+        }
         self.shared.metrics.retries.with_label_values(&["hedged"]).inc();
         Some(self.begin(guard))
     }
@@ -256,6 +279,12 @@
     /// Records what came of a request to one replica; returns the response if there is one.
     async fn record(&mut self, result: Result<Response, Failure>, guard: ReplicaGuard) -> Option<Answered> {
         match result {
+            Ok(response) if response.status().is_server_error() => {
+                self.shared.observe(guard.replica(), &self.route.name, Sample::Failed);
+                self.attempts.record_failure(&guard, Failure::ErrorStatus).await;
+                self.held = Some((response, guard));
+                None
+            }
             Ok(response) => {
                 self.attempts.record_success(guard.replica());
                 self.shared.observe(guard.replica(), &self.route.name, Sample::Good);
@@ -476,7 +505,7 @@
             return Err(Failure::WrongResponse);
         }
     }
-    if response.status().is_server_error() { Err(Failure::ErrorStatus) } else { Ok(response) }
+    Ok(response)
 }
 
 /// Builds a response from the recorded outcome.
--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod endless;
 mod hedges;
+mod held_answers;
 mod http_10;
 mod late_stops;
 mod ledger;
