--- a/goldcrestward/src/request/crash.rs
+++ b/goldcrestward/src/request/crash.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    connection::open_socket,
+    connection::{ConnectError, open_socket},
     process::{
         Blame, ReplicaGuard, Shared, accuse_parts,
         membership::{Fact, FactKind, Facts},
@@ -30,11 +30,15 @@
 /// Lifetime of a crash record, in ms.
 const RECORD_TTL_MS: u64 = 15 * 60 * 1000;
 
-/// Timeout of the connection that probes whether a replica is alive.
+/// Timeout of the connection that probes whether a replica has crashed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 
-pub(crate) async fn accepts_connections(address: SocketAddr) -> bool {
-    matches!(timeout(PROBE_TIMEOUT, open_socket(address)).await, Ok(Ok(_)))
+/// Whether a new connection is refused, as after a crash. Silence says nothing: a sound replica or its link may pause.
+async fn refuses_connections(address: SocketAddr) -> bool {
+    match timeout(PROBE_TIMEOUT, open_socket(address)).await {
+        Ok(Err(error)) => ConnectError::of(&error) == ConnectError::Refused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
 }
 
 /// A request that may be the reason for a crash.
@@ -58,15 +62,15 @@
         return None;
     }
     // The request's answer must not wait for the probe beyond the daemon's end.
-    let accepts = tokio::select! {
+    let refuses = tokio::select! {
         biased;
-        accepts = accepts_connections(replica.address) => accepts,
+        refuses = refuses_connections(replica.address) => refuses,
         () = shared.lifetime.ended() => {
             info!("event=crash-probe-cut id={id} instance={} reason=stopping", replica.id);
             return None;
         }
     };
-    if accepts || replica.is_leaving() {
+    if !refuses || replica.is_leaving() {
         return None;
     }
     let now = shared.now();
--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -14,6 +14,7 @@
 mod logs;
 mod membership;
 mod partial_heads;
+mod pauses;
 mod responses;
 mod rollout;
 mod shutdown;
