--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -15,6 +15,7 @@
 mod logs;
 mod membership;
 mod partial_heads;
+mod pauses;
 mod responses;
 mod rollout;
 mod shutdown;
