--- a/goldcrestward/src/request/migration.rs
+++ b/goldcrestward/src/request/migration.rs
@@ -1,15 +1,23 @@
 //! Migration of runs off servers that are leaving.
 
-use std::time::{Duration, Instant};
+use std::{
+    future::{Future, poll_fn},
+    mem,
+    pin::pin,
+    sync::Arc,
+    task::{Context, Poll, ready},
+    time::{Duration, Instant},
+};
 
 use futures_util::future::BoxFuture;
 use log::info;
-use tokio::time::timeout;
+use parking_lot::Mutex;
+use tokio::time::{sleep, timeout};
 
 use super::{
     numbered_events::EventSequence,
     proxy::ProxyCall,
-    proxy_outcome::{MigratedRun, ProxyResponse},
+    proxy_outcome::{MigratedRun, ProxyFailure, ProxyResponse},
     refusal::Refusal,
 };
 use crate::{
@@ -21,14 +29,97 @@
 const MIGRATION_TIMEOUT: Duration = Duration::from_millis(700);
 /// Servers to which a run is offered. Each call stops it until it resumes.
 const MAX_TARGETS: usize = 2;
+/// Longest time until a request notices that its server is leaving, as that wakes no request.
+pub(super) const LEAVING_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Migration of a run whose server is leaving.
+#[derive(Default)]
+pub(super) enum Migration {
+    /// Not requested.
+    #[default]
+    Idle,
+    /// Requested but not answered. The mutex is never contended; it makes the state `Sync`.
+    Pending(Mutex<BoxFuture<'static, Result<MigratedRun, String>>>),
+    /// The run has stopped and resumes with its KV cache.
+    Done(MigratedRun),
+    /// The run could not be migrated and continues where it is, or has resumed there.
+    Failed,
+}
 
 impl ProxyCall {
+    /// Waits for a step of the exchange like [`wait_for`](Self::wait_for), and requests the migration of the run meanwhile
+    /// if its server is about to terminate. Returns `None` also once the run has been migrated.
+    pub(super) async fn wait_or_migrate<T>(
+        &mut self,
+        guard: &ReplicaGuard,
+        step: impl Future<Output = T>,
+    ) -> Option<T> {
+        let mut step = pin!(step);
+        if self.route.kind.is_stream() && matches!(self.migration, Migration::Idle) {
+            let due = migration_due(self.gateway.clone(), guard.replica().clone());
+            tokio::select! {
+                biased;
+                output = self.wait_for(guard, step.as_mut()) => return output,
+                () = due => self.request_migration(guard),
+            }
+        }
+        if matches!(self.migration, Migration::Pending(_)) {
+            let time_left = self.time_left();
+            tokio::select! {
+                biased;
+                output = step.as_mut() => return Some(output),
+                () = self.finish_migration() => {}
+                () = sleep(time_left) => return None,
+            }
+        }
+        if matches!(self.migration, Migration::Done(_)) {
+            return None;
+        }
+        self.wait_for(guard, step).await
+    }
+
+    /// Requests the migration of the run if its server is about to terminate.
+    pub(super) fn request_migration(&mut self, guard: &ReplicaGuard) {
+        if matches!(self.migration, Migration::Idle) && guard.replica().must_migrate(self.gateway.shared.now()) {
+            self.migration = Migration::Pending(Mutex::new(self.migrate(guard)));
+        }
+    }
+
+    /// Becomes ready when no answer to the request to migrate is awaited.
+    pub(super) fn poll_migration(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let Migration::Pending(pending) = &mut self.migration else { return Poll::Ready(()) };
+        self.migration = match ready!(pending.get_mut().as_mut().poll(context)) {
+            Ok(migrated) => Migration::Done(migrated),
+            Err(error) => {
+                info!("event=move-failed id={} error={error:?}", self.metadata.id);
+                Migration::Failed
+            }
+        };
+        Poll::Ready(())
+    }
+
+    async fn finish_migration(&mut self) {
+        poll_fn(|context| self.poll_migration(context)).await;
+    }
+
+    /// The run, if it has been migrated: the stream of a stopped run ends before the migration is answered.
+    pub(super) async fn migrated_run(&mut self) -> Option<MigratedRun> {
+        self.finish_migration().await;
+        match mem::take(&mut self.migration) {
+            Migration::Done(migrated) => Some(migrated),
+            other => {
+                self.migration = other;
+                None
+            }
+        }
+    }
+
     /// Migrates the run to another server before its own terminates. A run that no other server has room for resumes
     /// at its own.
     ///
     /// # Errors
     /// Returns the reason if it is not known that the run has been stopped.
-    pub(super) fn migrate(&self, guard: &ReplicaGuard) -> BoxFuture<'static, Result<MigratedRun, String>> {
+    fn migrate(&self, guard: &ReplicaGuard) -> BoxFuture<'static, Result<MigratedRun, String>> {
         let gateway = self.gateway.clone();
         let (id, source) = (self.metadata.id.clone(), guard.replica().clone());
         let offers = self.migration_offers(&source);
@@ -86,29 +177,46 @@
     ///
     /// # Errors
     /// Returns a refusal if there is no response to pass on.
-    pub(super) async fn resume_migrated(
-        &mut self,
-        migrated: MigratedRun,
-        source: ReplicaGuard,
-        sequence: &mut EventSequence,
-    ) -> Result<ProxyResponse, Refusal> {
-        self.crash_score()?;
-        self.kv_cache = Some(migrated.kv_cache);
-        let guard = migrated.target.unwrap_or(source);
-        let instance = guard.replica().id.clone();
-        let response = self.attempt(guard, sequence).await;
-        self.kv_cache = None;
-        match response {
-            Ok(response) => Ok(response),
-            Err(failure) => {
+    pub(super) fn resume_migrated<'a>(
+        &'a mut self,
+        mut migrated: MigratedRun,
+        mut source: ReplicaGuard,
+        sequence: &'a mut EventSequence,
+    ) -> BoxFuture<'a, Result<ProxyResponse, Refusal>> {
+        Box::pin(async move {
+            loop {
+                let way = if migrated.target.is_some() { "import" } else { "source" };
+                self.gateway.shared.metrics.resumed.with_label_values(&[way]).inc();
+                sequence.restart();
+                self.crash_score()?;
+                self.kv_cache = Some(migrated.kv_cache);
+                let guard = migrated.target.unwrap_or(source);
+                let instance = guard.replica().id.clone();
+                let response = self.attempt_in_time(guard, sequence).await;
+                self.kv_cache = None;
+                let failure = match response {
+                    Ok(response) => return Ok(response),
+                    Err(ProxyFailure::Migrated(run)) => {
+                        (migrated, source) = *run;
+                        continue;
+                    }
+                    Err(failure) => failure,
+                };
                 let (id, label) = (&self.metadata.id, failure.label());
                 info!("event=moved-run-failed id={id} instance={instance} cause={label}");
                 if !self.may_resume("moved") {
                     return self.final_result(failure);
                 }
-                self.attempts(sequence).await
+                return self.attempts(sequence).await;
             }
-        }
+        })
+    }
+}
+
+/// Waits until the replica is about to terminate.
+async fn migration_due(gateway: Arc<Gateway>, replica: Arc<Replica>) {
+    while !replica.must_migrate(gateway.shared.now()) {
+        sleep(LEAVING_CHECK_INTERVAL).await;
     }
 }
 
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -24,6 +24,7 @@
     fallback::Fallback,
     headers::drop_hop_by_hop,
     kept_body::KeptBody,
+    migration::Migration,
     numbered_events::{EventSequence, SequenceError},
     placement_request::PlacementRequest,
     proxy_body::ProxyBody,
@@ -39,8 +40,8 @@
     logs::is_sampled,
     port::{AttemptMetadata, MigratedKvCache, RequestMetadata},
     process::{
-        AttemptOutcome, Condemned, Gateway, MemoryLimit, QuotaCharge, ReadError, ReplicaGuard, TooLong, part_names,
-        record_answer, record_long_head,
+        AttemptOutcome, Condemned, Gateway, MemoryLimit, QuotaCharge, ReadError, Replica, ReplicaGuard, TooLong,
+        part_names, record_answer, record_long_head,
     },
     version::Sample,
 };
@@ -95,6 +96,8 @@
     usage_counted: bool,
     charge: Option<QuotaCharge>,
     pub(super) kv_cache: Option<MigratedKvCache>,
+    /// State of the run's migration to another server.
+    pub(super) migration: Migration,
     /// The place for the next attempt, paid for from the retry budget.
     pub(super) fallback: Option<Fallback>,
     /// The connection for the next attempt, if there is one already.
@@ -146,6 +149,7 @@
             usage_counted: false,
             charge,
             kv_cache: None,
+            migration: Migration::Idle,
             fallback: None,
             connection: None,
             connection_label: String::new(),
@@ -178,14 +182,12 @@
         loop {
             let guard = self.next_place().await?;
             let instance = guard.replica().id.clone();
-            let window = self.window.clone();
-            let result = tokio::select! {
-                biased;
-                () = window.ended() => Err(ProxyFailure::Stopped),
-                result = self.attempt(guard, sequence) => result,
-            };
-            match result {
+            match self.attempt_in_time(guard, sequence).await {
                 Ok(response) => return Ok(response),
+                Err(ProxyFailure::Migrated(run)) => {
+                    let (migrated, source) = *run;
+                    return self.resume_migrated(migrated, source, sequence).await;
+                }
                 Err(failure) => {
                     let repeat = self.may_retry(&failure);
                     let (id, label, sends) = (&self.metadata.id, failure.label(), self.sends);
@@ -271,6 +273,16 @@
         self.is_answering || self.window.allows_run()
     }
 
+    /// Whether the run has begun whose answer is passed on, so that the attempt only continues it.
+    fn has_begun(&self) -> bool {
+        self.is_answering || self.kv_cache.is_some()
+    }
+
+    /// Whether the run resumes at the server that has stopped it.
+    fn resumes_at_source(&self, replica: &Replica) -> bool {
+        self.kv_cache.as_ref().is_some_and(|kv_cache| kv_cache.source == replica.address)
+    }
+
     /// Records that the request was answered completely, which speaks for the parts of its prompt.
     pub(super) fn record_answer(&self) {
         record_answer(&self.gateway.shared, &self.parts);
@@ -341,7 +353,7 @@
             return false;
         }
         let allowed = match failure {
-            ProxyFailure::TooLate(_) | ProxyFailure::Stopped => return false,
+            ProxyFailure::TooLate(_) | ProxyFailure::Stopped | ProxyFailure::Migrated(_) => return false,
             ProxyFailure::ConnectFailed | ProxyFailure::NoPath | ProxyFailure::Withdrawn => {
                 self.connect_failures += 1;
                 return self.connect_failures <= MAX_CONNECT_FAILURES;
@@ -356,16 +368,37 @@
             && gateway.retry_budget.lock().withdraw(&self.placement.pool, daemons, now)
     }
 
-    pub(super) async fn attempt(
+    /// Makes an attempt, which ends with the daemon.
+    pub(super) async fn attempt_in_time(
+        &mut self,
+        guard: ReplicaGuard,
+        sequence: &mut EventSequence,
+    ) -> Result<ProxyResponse, ProxyFailure> {
+        let window = self.window.clone();
+        tokio::select! {
+            biased;
+            () = window.ended() => Err(ProxyFailure::Stopped),
+            result = self.attempt(guard, sequence) => result,
+        }
+    }
+
+    async fn attempt(
         &mut self,
         guard: ReplicaGuard,
         sequence: &mut EventSequence,
     ) -> Result<ProxyResponse, ProxyFailure> {
         let (started, started_ms) = (Instant::now(), self.gateway.shared.now());
-        if !self.is_answering {
+        if !self.has_begun() {
             self.run_started = started;
         }
+        let resumes_at_source = self.resumes_at_source(guard.replica());
+        self.migration = if resumes_at_source { Migration::Failed } else { Migration::Idle };
         let result = self.exchange(&guard, sequence).await;
+        if matches!(result, Err(ProxyFailure::Indeterminate(_)))
+            && let Some(migrated) = self.migrated_run().await
+        {
+            return Err(ProxyFailure::Migrated(Box::new((migrated, guard))));
+        }
         match result {
             Ok(ExchangeResult::Buffered(response)) => {
                 self.observe(&guard, Sample::Good);
@@ -390,7 +423,8 @@
                     | ProxyFailure::NoPath
                     | ProxyFailure::Withdrawn
                     | ProxyFailure::TooLate(_)
-                    | ProxyFailure::Stopped => {}
+                    | ProxyFailure::Stopped
+                    | ProxyFailure::Migrated(_) => {}
                     ProxyFailure::ErrorResponse(_) => {
                         self.observe(&guard, Sample::Failed);
                         self.record_outcome(&guard, AttemptOutcome::ErrorResponse);
@@ -459,14 +493,13 @@
         }
         // The server may have started to leave while the connection was being opened. A run that it has stopped itself
         // resumes there.
-        let is_source = self.kv_cache.as_ref().is_some_and(|kv_cache| kv_cache.source == replica.address);
-        if replica.is_leaving() && !is_source {
+        if replica.is_leaving() && !self.resumes_at_source(&replica) {
             return Err(ProxyFailure::ConnectFailed);
         }
         // A run that has been migrated to the server has nowhere else to go.
         let sent_at = self.gateway.shared.now();
         let is_held = self.kv_cache.is_none() && replica.is_held(sent_at);
-        let checked = if self.is_answering { Ok(()) } else { self.window.check(Phase::Send) };
+        let checked = if self.has_begun() { Ok(()) } else { self.window.check(Phase::Send) };
         if is_held || checked.is_err() {
             if connection.is_unused() {
                 connection.keep();
@@ -475,7 +508,7 @@
                 checked.map_or_else(|refusal| ProxyFailure::TooLate(Box::new(refusal)), |()| ProxyFailure::Withdrawn)
             );
         }
-        if !self.is_answering {
+        if !self.has_begun() {
             self.window.record_taken();
         }
         let attempt = SentAttempt {
@@ -496,7 +529,7 @@
         self.sends += 1;
         self.set_run_state(RunState::MayHaveRun);
         let mut head = AwaitedHead::new(attempt, self.window.clone(), connection, request);
-        let Some((connection, response)) = self.wait_for(guard, head.receive()).await.flatten() else {
+        let Some((connection, response)) = self.wait_or_migrate(guard, head.receive()).await.flatten() else {
             head.give_up();
             return Err(ProxyFailure::Indeterminate("silent"));
         };
@@ -606,7 +639,7 @@
             }
             Err(FirstEventError::Other("empty"))
         };
-        let first = self.wait_for(guard, first).await.unwrap_or(Err(FirstEventError::Other("silent")));
+        let first = self.wait_or_migrate(guard, first).await.unwrap_or(Err(FirstEventError::Other("silent")));
         let first = first.map_err(|error| {
             let cause = match error {
                 FirstEventError::TooLong(error) => self.record_too_long(guard, "event", &error),
--- a/goldcrestward/src/request/proxy_body.rs
+++ b/goldcrestward/src/request/proxy_body.rs
@@ -7,13 +7,11 @@
     future::Future,
     mem,
     pin::Pin,
-    sync::Arc,
     task::{Context, Poll, ready},
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 use bytes::Bytes;
-use futures_util::future::BoxFuture;
 use http::HeaderMap;
 use http_body::{Body, Frame};
 use hyper::body::Incoming;
@@ -24,9 +22,10 @@
 
 use super::{
     fallback::{SEARCH_INTERVAL, Search},
+    migration::{LEAVING_CHECK_INTERVAL, Migration},
     numbered_events::{EventSequence, SequenceError},
     proxy::ProxyCall,
-    proxy_outcome::{MigratedRun, ProxyResponse, ProxyStream},
+    proxy_outcome::{ProxyResponse, ProxyStream},
     refusal::Refusal,
 };
 use crate::{
@@ -34,9 +33,6 @@
     process::{AttemptOutcome, ReplicaGuard},
 };
 
-/// Longest time until a stream notices that its server is leaving, as that wakes no stream.
-const LEAVING_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 struct StreamSource {
     call: Box<ProxyCall>,
     sequence: EventSequence,
@@ -44,26 +40,12 @@
     connection: BackendConnection,
     guard: ReplicaGuard,
     head: HeaderMap,
-    /// State of the run's migration to another server.
-    migration: Migration,
     /// Why the stream cannot continue once the events before the error have been forwarded.
     error_cause: Option<&'static str>,
     /// Search for another server while this one is silent. The mutex is never contended; it makes the state `Sync`.
     search: Option<Mutex<Search>>,
 }
 
-/// Migration of a run whose server is leaving.
-enum Migration {
-    /// Not requested.
-    Idle,
-    /// Requested but not answered. The mutex is never contended; it makes the state `Sync`.
-    Pending(Mutex<BoxFuture<'static, Result<MigratedRun, String>>>),
-    /// The run has stopped and resumes with its KV cache.
-    Done(MigratedRun),
-    /// The run could not be migrated and continues where it is, or has resumed there.
-    Failed,
-}
-
 type Resumed = (Box<ProxyCall>, EventSequence, Result<ProxyResponse, Refusal>);
 type Resuming = Pin<Box<dyn Future<Output = Resumed> + Send>>;
 
@@ -84,8 +66,6 @@
     last_event_at: Instant,
     /// No search for another server starts before this time.
     search_at: Instant,
-    /// The server that the run could not be migrated from.
-    kept_at: Option<Arc<str>>,
 }
 
 impl ProxyBody {
@@ -108,12 +88,11 @@
             connection,
             guard,
             head,
-            migration: Migration::Idle,
             error_cause: None,
             search: None,
         };
         let state = State::Streaming(Box::new(source));
-        Self { state, pending_events, timer, last_event_at, search_at: last_event_at, kept_at: None }
+        Self { state, pending_events, timer, last_event_at, search_at: last_event_at }
     }
 
     /// Starts to resume the stream at another server, if that is allowed.
@@ -122,15 +101,11 @@
     /// Returns the error that aborts the response.
     fn resume(&mut self, cause: &'static str) -> Result<(), BoxError> {
         let State::Streaming(source) = mem::replace(&mut self.state, State::Ended) else { return Ok(()) };
-        let StreamSource { mut call, mut sequence, guard, connection, body, migration, .. } = *source;
+        let StreamSource { mut call, mut sequence, guard, connection, body, .. } = *source;
         let via = connection.via().cloned();
         // Closing the connection ends the old run, which must not overlap with its successor.
         drop((connection, body));
-        if let Migration::Done(migrated) = migration {
-            let way = if migrated.target.is_some() { "import" } else { "source" };
-            call.gateway.shared.metrics.resumed.with_label_values(&[way]).inc();
-            self.kept_at = migrated.target.is_none().then(|| guard.replica().id.clone());
-            sequence.restart();
+        if let Migration::Done(migrated) = mem::take(&mut call.migration) {
             let resuming = async move {
                 let response = call.resume_migrated(migrated, guard, &mut sequence).await;
                 (call, sequence, response)
@@ -174,7 +149,6 @@
                 self.last_event_at = Instant::now();
                 self.timer.as_mut().reset((self.last_event_at + LEAVING_CHECK_INTERVAL).into());
                 let head = head.headers;
-                let is_kept = self.kept_at.take().is_some_and(|id| id == guard.replica().id);
                 self.state = State::Streaming(Box::new(StreamSource {
                     call,
                     sequence,
@@ -182,7 +156,6 @@
                     connection,
                     guard,
                     head,
-                    migration: if is_kept { Migration::Failed } else { Migration::Idle },
                     error_cause: None,
                     search: None,
                 }));
@@ -229,7 +202,7 @@
             let due = (self.last_event_at + source.call.idle_timeout()).max(self.search_at);
             // A run that has been migrated goes on at its new server.
             if source.call.time_to_deadline().is_zero()
-                || (now >= due && matches!(source.migration, Migration::Done(_)))
+                || (now >= due && matches!(source.call.migration, Migration::Done(_)))
             {
                 return true;
             }
@@ -250,24 +223,13 @@
     /// Requests the migration of the run when its server is about to terminate, and polls for the result.
     fn poll_migration(&mut self, context: &mut Context<'_>) {
         let State::Streaming(source) = &mut self.state else { return };
-        let replica = source.guard.replica();
-        if matches!(source.migration, Migration::Idle) && replica.must_migrate(source.call.gateway.shared.now()) {
-            source.migration = Migration::Pending(Mutex::new(source.call.migrate(&source.guard)));
-        }
-        let Migration::Pending(pending) = &mut source.migration else { return };
-        let Poll::Ready(result) = pending.get_mut().as_mut().poll(context) else { return };
-        source.migration = match result {
-            Ok(migrated) => Migration::Done(migrated),
-            Err(error) => {
-                info!("event=move-failed id={} error={error:?}", source.call.metadata.id);
-                Migration::Failed
-            }
-        };
+        source.call.request_migration(&source.guard);
+        let _ = source.call.poll_migration(context);
     }
 
     /// Whether a migration has been requested and not answered.
     fn is_migrating(&self) -> bool {
-        matches!(&self.state, State::Streaming(source) if matches!(source.migration, Migration::Pending(_)))
+        matches!(&self.state, State::Streaming(source) if matches!(source.call.migration, Migration::Pending(_)))
     }
 
     /// Reads from the server; if the stream fails during a migration, waits for its result.
--- a/goldcrestward/src/request/proxy_outcome.rs
+++ b/goldcrestward/src/request/proxy_outcome.rs
@@ -34,6 +34,8 @@
     TooLate(Box<Refusal>),
     /// The daemon ended first.
     Stopped,
+    /// The run has been stopped to resume on another server; with the place at the one that ran it.
+    Migrated(Box<(MigratedRun, ReplicaGuard)>),
 }
 
 impl ProxyFailure {
@@ -48,6 +50,7 @@
             Self::Indeterminate(reason) => reason,
             Self::TooLate(_) => "too-late",
             Self::Stopped => "stopped",
+            Self::Migrated(_) => "moved",
         }
     }
 }
--- a/goldcrestward/src/request/proxy_refusal.rs
+++ b/goldcrestward/src/request/proxy_refusal.rs
@@ -27,10 +27,12 @@
                 let overloaded = refusal(Reason::Overloaded, "the backend server had no room");
                 overloaded.map_err(|refusal| refusal.with_retry_after(Duration::from_millis(200)))
             }
-            ProxyFailure::Indeterminate(_) if self.time_left() < MIN_RETRY_TIME => {
+            ProxyFailure::Indeterminate(_) | ProxyFailure::Migrated(_) if self.time_left() < MIN_RETRY_TIME => {
                 refusal(Reason::Deadline, "the request's time is over")
             }
-            ProxyFailure::Indeterminate(_) => refusal(Reason::BackendFailed, "the backend server gave no whole answer"),
+            ProxyFailure::Indeterminate(_) | ProxyFailure::Migrated(_) => {
+                refusal(Reason::BackendFailed, "the backend server gave no whole answer")
+            }
         }
     }
 }
