--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -24,6 +24,7 @@
     fallback::Fallback,
     headers::drop_hop_by_hop,
     held_answer::HeldAnswer,
+    migration::Migration,
     numbered_events::{EventSequence, SequenceError},
     placement_request::PlacementRequest,
     proxy_body::ProxyBody,
@@ -39,8 +40,8 @@
     logs::is_sampled,
     port::{AttemptMetadata, MigratedKvCache, RequestMetadata},
     process::{
-        AttemptOutcome, Condemned, Gateway, MemoryLimit, QuotaCharge, ReadError, ReplicaGuard, TooLong, part_names,
-        record_answer, record_long_head,
+        AttemptOutcome, Condemned, Gateway, MemoryLimit, QuotaCharge, ReadError, Replica, ReplicaGuard, TooLong,
+        part_names, record_answer, record_long_head,
     },
     version::Sample,
 };
@@ -101,6 +102,8 @@
     retry_cause: Option<&'static str>,
     /// Whether the next attempt is still to be paid for from the retry budget, when it is sent.
     owes_retry: bool,
+    /// State of the run's migration to another server.
+    pub(super) migration: Migration,
     /// The place for the next attempt, paid for from the retry budget.
     pub(super) fallback: Option<Fallback>,
     /// The connection for the next attempt, if there is one already.
@@ -155,6 +158,7 @@
             held: None,
             retry_cause: None,
             owes_retry: false,
+            migration: Migration::Idle,
             fallback: None,
             connection: None,
             connection_label: String::new(),
@@ -190,17 +194,22 @@
                 Err(refusal) => return self.pass_held(refusal.reason.label()).ok_or(refusal),
             };
             let instance = guard.replica().id.clone();
-            let window = self.window.clone();
-            let result = tokio::select! {
-                biased;
-                () = window.ended() => Err(ProxyFailure::Stopped),
-                result = self.attempt(guard, sequence) => result,
-            };
-            match result {
+            match self.attempt_in_time(guard, sequence).await {
                 Ok(response) => {
                     self.held = None;
                     return Ok(response);
                 }
+                Err(ProxyFailure::Migrated(run)) => {
+                    let (migrated, source) = *run;
+                    let response = self.resume_migrated(migrated, source, sequence).await;
+                    return match response {
+                        Ok(response) => {
+                            self.held = None;
+                            Ok(response)
+                        }
+                        Err(refusal) => self.pass_held(refusal.reason.label()).ok_or(refusal),
+                    };
+                }
                 Err(failure) => {
                     let repeat = self.may_retry(&failure);
                     let (id, label, sends) = (&self.metadata.id, failure.label(), self.sends);
@@ -292,6 +301,16 @@
         self.is_answering || self.window.allows_run()
     }
 
+    /// Whether the run has begun whose answer is passed on, so that the attempt only continues it.
+    fn has_begun(&self) -> bool {
+        self.is_answering || self.kv_cache.is_some()
+    }
+
+    /// Whether the run resumes at the server that has stopped it.
+    fn resumes_at_source(&self, replica: &Replica) -> bool {
+        self.kv_cache.as_ref().is_some_and(|kv_cache| kv_cache.source == replica.address)
+    }
+
     /// Records that the request was answered completely, which speaks for the parts of its prompt.
     pub(super) fn record_answer(&self) {
         record_answer(&self.gateway.shared, &self.parts);
@@ -362,7 +381,9 @@
             return false;
         }
         let allowed = match failure {
-            ProxyFailure::TooLate(_) | ProxyFailure::OverBudget | ProxyFailure::Stopped => return false,
+            ProxyFailure::TooLate(_) | ProxyFailure::OverBudget | ProxyFailure::Stopped | ProxyFailure::Migrated(_) => {
+                return false;
+            }
             ProxyFailure::ConnectFailed | ProxyFailure::NoPath | ProxyFailure::Withdrawn => {
                 self.connect_failures += 1;
                 return self.connect_failures <= MAX_CONNECT_FAILURES;
@@ -391,16 +412,37 @@
         is_paid
     }
 
-    pub(super) async fn attempt(
+    /// Makes an attempt, which ends with the daemon.
+    pub(super) async fn attempt_in_time(
+        &mut self,
+        guard: ReplicaGuard,
+        sequence: &mut EventSequence,
+    ) -> Result<ProxyResponse, ProxyFailure> {
+        let window = self.window.clone();
+        tokio::select! {
+            biased;
+            () = window.ended() => Err(ProxyFailure::Stopped),
+            result = self.attempt(guard, sequence) => result,
+        }
+    }
+
+    async fn attempt(
         &mut self,
         guard: ReplicaGuard,
         sequence: &mut EventSequence,
     ) -> Result<ProxyResponse, ProxyFailure> {
         let (started, started_ms) = (Instant::now(), self.gateway.shared.now());
-        if !self.is_answering {
+        if !self.has_begun() {
             self.run_started = started;
         }
+        let resumes_at_source = self.resumes_at_source(guard.replica());
+        self.migration = if resumes_at_source { Migration::Failed } else { Migration::Idle };
         let result = self.exchange(&guard, sequence).await;
+        if matches!(result, Err(ProxyFailure::Indeterminate(_)))
+            && let Some(migrated) = self.migrated_run().await
+        {
+            return Err(ProxyFailure::Migrated(Box::new((migrated, guard))));
+        }
         match result {
             Ok(ExchangeResult::Buffered(response)) => {
                 self.observe(&guard, Sample::Good);
@@ -426,7 +468,8 @@
                     | ProxyFailure::Withdrawn
                     | ProxyFailure::TooLate(_)
                     | ProxyFailure::OverBudget
-                    | ProxyFailure::Stopped => {}
+                    | ProxyFailure::Stopped
+                    | ProxyFailure::Migrated(_) => {}
                     ProxyFailure::ErrorResponse(_) => {
                         self.observe(&guard, Sample::Failed);
                         self.record_outcome(&guard, AttemptOutcome::ErrorResponse);
@@ -495,14 +538,13 @@
         }
         // The server may have started to leave while the connection was being opened. A run that it has stopped itself
         // resumes there.
-        let is_source = self.kv_cache.as_ref().is_some_and(|kv_cache| kv_cache.source == replica.address);
-        if replica.is_leaving() && !is_source {
+        if replica.is_leaving() && !self.resumes_at_source(&replica) {
             return Err(ProxyFailure::ConnectFailed);
         }
         // A run that has been migrated to the server has nowhere else to go.
         let sent_at = self.gateway.shared.now();
         let is_held = self.kv_cache.is_none() && replica.is_held(sent_at);
-        let checked = if self.is_answering { Ok(()) } else { self.window.check(Phase::Send) };
+        let checked = if self.has_begun() { Ok(()) } else { self.window.check(Phase::Send) };
         if is_held || checked.is_err() {
             if connection.is_unused() {
                 connection.keep();
@@ -517,7 +559,7 @@
             }
             return Err(ProxyFailure::OverBudget);
         }
-        if !self.is_answering {
+        if !self.has_begun() {
             self.window.record_taken();
         }
         let attempt = SentAttempt {
@@ -541,7 +583,7 @@
         self.sends += 1;
         self.set_run_state(RunState::MayHaveRun);
         let mut head = AwaitedHead::new(attempt, self.window.clone(), connection, request);
-        let Some((connection, response)) = self.wait_for(guard, head.receive()).await.flatten() else {
+        let Some((connection, response)) = self.wait_or_migrate(guard, head.receive()).await.flatten() else {
             head.give_up();
             return Err(ProxyFailure::Indeterminate("silent"));
         };
@@ -650,7 +692,7 @@
             }
             Err(FirstEventError::Other("empty"))
         };
-        let first = self.wait_for(guard, first).await.unwrap_or(Err(FirstEventError::Other("silent")));
+        let first = self.wait_or_migrate(guard, first).await.unwrap_or(Err(FirstEventError::Other("silent")));
         let first = first.map_err(|error| {
             let cause = match error {
                 FirstEventError::TooLong(error) => self.record_too_long(guard, "event", &error),
--- a/goldcrestward/src/request/proxy_outcome.rs
+++ b/goldcrestward/src/request/proxy_outcome.rs
@@ -36,6 +36,8 @@
     OverBudget,
     /// The daemon ended first.
     Stopped,
+    /// The run has been stopped to resume on another server; with the place at the one that ran it.
+    Migrated(Box<(MigratedRun, ReplicaGuard)>),
 }
 
 impl ProxyFailure {
@@ -51,6 +53,7 @@
             Self::TooLate(_) => "too-late",
             Self::OverBudget => "over-budget",
             Self::Stopped => "stopped",
+            Self::Migrated(_) => "moved",
         }
     }
 }
