--- a/goldcrestward/src/connection/client.rs
+++ b/goldcrestward/src/connection/client.rs
@@ -12,8 +12,10 @@
     socket::open_socket,
 };
 
-/// Time limit for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time limit for opening a connection. Sound servers pause for a second and more.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time after which a connection is asked for anew. The kernel repeats a lost request for one only after 1 s and then 2 s.
+const CONNECT_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Says whether a failed request may have reached the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -124,7 +126,14 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<RequestSender<Body>, SendError> {
-    let opened = timeout(CONNECT_TIMEOUT, open_socket(address)).await;
+    let opening = async {
+        loop {
+            if let Ok(opened) = timeout(CONNECT_RETRY_INTERVAL, open_socket(address)).await {
+                return opened;
+            }
+        }
+    };
+    let opened = timeout(CONNECT_TIMEOUT, opening).await;
     let stream = opened.ok().and_then(Result::ok).ok_or(SendError::NotSent)?;
     let mut builder = Builder::new();
     builder.title_case_headers(true);
--- a/goldcrestward/src/connection/client_test.rs
+++ b/goldcrestward/src/connection/client_test.rs
@@ -4,11 +4,12 @@
 
 use http::{HeaderMap, Method};
 use http_body_util::BodyExt;
+use standin::reserved_port::ReservedPort;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     task::JoinSet,
-    time::timeout,
+    time::{sleep, timeout},
 };
 use volo_http::body::Body;
 
@@ -265,3 +266,55 @@
         assert!(received.is_empty(), "fresh {is_fresh}: {:?}", String::from_utf8_lossy(&received));
     }
 }
+
+/// Silence of a sound server, and time after which a connection on the own host has got no answer.
+const PAUSE: Duration = Duration::from_millis(1_600);
+const NO_ANSWER: Duration = Duration::from_millis(60);
+
+/// Listens without accepting until the kernel drops further connection requests.
+async fn fill_backlog(port: &ReservedPort) -> (TcpListener, Vec<TcpStream>) {
+    let listener = port.listen_with_backlog(0).expect("the port can be listened on");
+    let mut waiting = Vec::new();
+    while let Ok(Ok(stream)) = timeout(NO_ANSWER, TcpStream::connect(port.address())).await {
+        waiting.push(stream);
+    }
+    (listener, waiting)
+}
+
+/// Guards against a verdict for a pause: the kernel repeats a lost connection request after 1 s and after 3 s, so a server
+/// that was silent for over a second was reached no more within the limit, and taken out of use.
+#[tokio::test]
+async fn server_that_pauses_while_a_connection_is_opened_is_reached() {
+    let client = HttpClient::new();
+    for is_fresh in [true, false] {
+        let port = ReservedPort::new().expect("a port is free");
+        let address = port.address();
+        let (silent, waiting) = fill_backlog(&port).await;
+        let server = tokio::spawn(async move {
+            sleep(PAUSE).await;
+            // The connections that fill the queue have ended.
+            drop(waiting);
+            loop {
+                let (mut stream, _) = silent.accept().await.expect("the port is listened on");
+                if matches!(stream.read(&mut [0; 4096]).await, Ok(1..)) {
+                    stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await.ok();
+                    return;
+                }
+            }
+        });
+        let sent = match is_fresh {
+            true => client.send_fresh(request(address)).await,
+            false => client.send(request(address)).await,
+        };
+        assert_eq!(sent.map(|response| response.status().as_u16()), Ok(204), "fresh {is_fresh}");
+        server.await.expect("the server answers");
+    }
+}
+
+#[tokio::test]
+async fn server_that_stays_silent_is_not_sent_to() {
+    let port = ReservedPort::new().expect("a port is free");
+    let _silent = fill_backlog(&port).await;
+    let sent = timeout(STUCK_TIMEOUT, HttpClient::new().send(request(port.address()))).await;
+    assert!(matches!(sent, Ok(Err(SendError::NotSent))));
+}
