--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -115,6 +115,8 @@
     path: String,
     body: Bytes,
     stream: bool,
+    /// Whether the caller has got the beginning of a stream, so that the request can no longer be refused.
+    is_answering: bool,
     attempts: Attempts,
     received: Instant,
     kv_from: Option<SocketAddr>,
@@ -180,7 +182,20 @@
         let attempts = if request.stream { attempts.passed_on() } else { attempts };
         let _in_flight = InFlight::new(&shared);
         let (route, stream) = (route.clone(), request.stream);
-        Ok(Self { shared, route, id, path, body, stream, attempts, received, kv_from: None, admitted, _in_flight })
+        Ok(Self {
+            shared,
+            route,
+            id,
+            path,
+            body,
+            stream,
+            is_answering: false,
+            attempts,
+            received,
+            kv_from: None,
+            admitted,
+            _in_flight,
+        })
     }
 
     /// Runs the request and returns the response, whose body may still be streaming.
@@ -197,7 +212,8 @@
         }
     }
 
-    fn streamed_response(self, open: ModelStream) -> Response {
+    fn streamed_response(mut self, open: ModelStream) -> Response {
+        self.is_answering = true;
         let id = HeaderValue::from_str(&self.id);
         let window = self.attempts.window().clone();
         let mut response = Response::new(Body::from_body(ModelBody::new(self, open)));
@@ -253,7 +269,7 @@
     /// Opens a stream that starts at token `next`, retrying as often as is allowed.
     async fn open(&mut self, next: u64) -> Result<OpenResult, Refusal> {
         loop {
-            let guard = self.attempts.next_attempt(next > 0).await?;
+            let guard = self.attempts.next_attempt(self.is_answering).await?;
             match self.try_open(&guard, next).await {
                 Ok(AttemptResult::Refused(response)) => return Ok(OpenResult::Refused(response)),
                 Ok(AttemptResult::Started(reader, body, first)) => {
@@ -272,7 +288,7 @@
 
     async fn try_open(&mut self, guard: &ReplicaGuard, next: u64) -> Result<AttemptResult, Failure> {
         let request = self.build_request(guard, self.attempt_body(next));
-        let response = self.send(guard.replica(), request, next > 0).await?;
+        let response = self.send(guard.replica(), request).await?;
         if response.status() != StatusCode::OK {
             let limit = IDLE_TIMEOUT.min(self.attempts.time_left());
             return self.read_whole(guard, pass_client_error(response)?, limit).await.map(AttemptResult::Refused);
@@ -301,7 +317,7 @@
             }
             if !first.is_empty() {
                 self.count_tokens(reader.next_token() - next);
-                if next == 0 {
+                if !self.is_answering {
                     let seconds = self.received.elapsed().as_secs_f64();
                     self.shared.metrics.first_token.with_label_values(&[&*self.route.name]).observe(seconds);
                     self.shared.observe_first_token(guard.replica(), &self.route.name, seconds);
@@ -312,13 +328,13 @@
     }
 
     /// Sends an attempt. One that resumes an answer is sent whatever time is left.
-    async fn send(&mut self, replica: &Replica, request: OutboundRequest, resumes: bool) -> Result<Response, Failure> {
+    async fn send(&mut self, replica: &Replica, request: OutboundRequest) -> Result<Response, Failure> {
         let limit = IDLE_TIMEOUT.min(self.attempts.time_left());
         let is_shared = replica.echoes_ids();
         let client = &self.shared.client;
         let is_own = |head: &HeaderMap| self.is_own_response(head, is_shared);
         let window = self.attempts.window();
-        let may_send = || resumes || window.allows_run();
+        let may_send = || self.is_answering || window.allows_run();
         let sending = async {
             match is_shared {
                 true => client.send_owned(request, is_own, may_send).await,
@@ -410,7 +426,7 @@
 
     async fn try_buffered(&mut self, guard: &ReplicaGuard) -> Result<Response, Failure> {
         let request = self.build_request(guard, self.body.clone());
-        let response = self.send(guard.replica(), request, false).await?;
+        let response = self.send(guard.replica(), request).await?;
         let response = if response.status() == StatusCode::OK { response } else { pass_client_error(response)? };
         self.read_whole(guard, response, self.attempts.time_left()).await
     }
--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -15,6 +15,7 @@
 mod membership;
 mod partial_heads;
 mod responses;
+mod resumed_streams;
 mod rollout;
 mod shutdown;
 mod silent_bodies;
