--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -190,7 +190,7 @@
         Ok(guard)
     }
 
-    /// Chooses a replica other than `first` for a hedged request within the same attempt.
+    /// Chooses a replica other than `first`, for a hedged request within the same attempt or a run that is to migrate.
     pub fn choose_hedge(&self, first: &Replica) -> Option<ReplicaGuard> {
         let mut tried = self.tried.clone();
         tried.push(first.id.clone());
--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -243,6 +243,12 @@
         self.open(next).await
     }
 
+    /// Whether the stream is to go on elsewhere: its replica is leaving, and another one can take it.
+    pub fn must_migrate(&self, guard: &ReplicaGuard) -> bool {
+        let replica = guard.replica();
+        replica.is_leaving() && self.attempts.choose_hedge(replica).is_some()
+    }
+
     /// Counts the end of the request; `end` is the metric label.
     pub fn count_end(&self, end: &str) {
         self.shared.metrics.requests.with_label_values(&[&*self.route.name, end]).inc();
--- a/goldcrestward/src/request/model_body.rs
+++ b/goldcrestward/src/request/model_body.rs
@@ -19,6 +19,7 @@
 
 use super::{
     attempt::Failure,
+    migration::LEAVING_CHECK_INTERVAL,
     model::{IDLE_TIMEOUT, ModelCall, ModelStream, OpenResult},
     refusal::Refusal,
     token_events::StreamError,
@@ -49,7 +50,7 @@
     pub fn new(call: ModelCall, open: ModelStream) -> Self {
         let state = State::Streaming(Box::new((call, open)));
         let now = Instant::now();
-        Self { state, idle_timer: Box::pin(sleep(IDLE_TIMEOUT)), last_token_at: now, last_event_at: now }
+        Self { state, idle_timer: Box::pin(sleep(LEAVING_CHECK_INTERVAL)), last_token_at: now, last_event_at: now }
     }
 
     /// Starts to reopen the stream at another engine.
@@ -100,12 +101,18 @@
         if !out.is_empty() {
             self.last_event_at = Instant::now();
         }
-        if open.reader.error().is_none() && open.guard.replica().is_leaving() && !open.reader.is_done() {
+        if self.must_migrate() {
             self.reopen(Failure::Leaving);
         }
         out
     }
 
+    fn must_migrate(&self) -> bool {
+        let State::Streaming(parts) = &self.state else { return false };
+        let (call, open) = &**parts;
+        open.reader.error().is_none() && !open.reader.is_done() && call.must_migrate(&open.guard)
+    }
+
     /// Reopens the stream if its current one cannot be continued; returns whether it does.
     fn reopen_after_error(&mut self) -> bool {
         let State::Streaming(parts) = &self.state else { return false };
@@ -127,14 +134,15 @@
         call.count_end("whole");
     }
 
-    /// Whether the engine has been idle for too long. The timer is reset when it fires rather than for each chunk.
+    /// Whether the engine has been idle for too long. The timer is reset when it fires rather than for each chunk, and also
+    /// wakes the stream to look whether its engine is leaving.
     fn poll_idle(&mut self, context: &mut Context<'_>) -> bool {
         while self.idle_timer.as_mut().poll(context).is_ready() {
             let idle = self.last_event_at.elapsed();
             if idle >= IDLE_TIMEOUT {
                 return true;
             }
-            self.idle_timer.as_mut().reset((Instant::now() + (IDLE_TIMEOUT - idle)).into());
+            self.idle_timer.as_mut().reset((Instant::now() + (IDLE_TIMEOUT - idle).min(LEAVING_CHECK_INTERVAL)).into());
         }
         false
     }
@@ -184,6 +192,10 @@
                             self.reopen(Failure::TimedOut);
                             continue;
                         }
+                        Poll::Pending if self.must_migrate() => {
+                            self.reopen(Failure::Leaving);
+                            continue;
+                        }
                         Poll::Pending => return Poll::Pending,
                     };
                     let out = self.forward(&data);
--- a/goldcrestward/tests/it/resumed_streams.rs
+++ b/goldcrestward/tests/it/resumed_streams.rs
@@ -4,6 +4,7 @@
 
 use parking_lot::Mutex;
 use rustix::process::Signal;
+use standin::platform::InstanceState;
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
@@ -107,3 +108,17 @@
     assert!(reply.status == 200 && reply.complete, "{reply:?}");
     assert!(reply.body.contains("\"token_index\":0") && reply.body.ends_with("[DONE]\n\n"), "{reply:?}");
 }
+
+/// Guards against a run that is moved off its leaving server with its next event only, which may come after the server's end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn stream_of_rare_events_is_moved_off_its_leaving_server_with_its_kv_cache() {
+    let silence = Duration::from_secs(8);
+    let (site, engines, stream) = start("\"token_index\":0", "\"token_index\":1", silence).await;
+    let source = &engines[0];
+    site.set_back_end_state("models", source.address, &engine_id(source), InstanceState::Leaving);
+    let reply = stream.await.expect("the caller ends");
+    assert!(reply.status == 200 && reply.complete && reply.body.ends_with("[DONE]\n\n"), "{reply:?}");
+    let resumed = engines[1].requests.lock().concat();
+    let wanted = format!("\"kv_from\":\"{}\"", source.address);
+    assert!(resumed.contains(&wanted) && resumed.contains("\"tokens\":1"), "{resumed}");
+}
--- a/goldcrestward/tests/it/support/site.rs
+++ b/goldcrestward/tests/it/support/site.rs
@@ -135,7 +135,12 @@
 
     /// Adds a back end, which may be the test's own, to the platform's list of instances in a pool.
     pub fn register_back_end(&self, pool: &str, address: SocketAddr, id: &str) {
-        let row = instance(pool, &format!("{pool}-1"), "north", address, InstanceState::Live);
+        self.set_back_end_state(pool, address, id, InstanceState::Live);
+    }
+
+    /// Sets the state in which the platform lists a back end of the test's own.
+    pub fn set_back_end_state(&self, pool: &str, address: SocketAddr, id: &str, state: InstanceState) {
+        let row = instance(pool, &format!("{pool}-1"), "north", address, state);
         self.platform.put_instance(Instance { id: id.into(), ..row });
     }
 
