--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -116,6 +116,8 @@
     path: String,
     body: Bytes,
     stream: bool,
+    /// Whether the caller has got the beginning of a stream, so that the request can no longer be refused.
+    is_answering: bool,
     attempts: Attempts,
     /// The error that the current attempt got.
     error: Option<Response>,
@@ -192,6 +194,7 @@
             path,
             body,
             stream,
+            is_answering: false,
             attempts,
             error: None,
             held: None,
@@ -216,7 +219,8 @@
         }
     }
 
-    fn streamed_response(self, open: ModelStream) -> Response {
+    fn streamed_response(mut self, open: ModelStream) -> Response {
+        self.is_answering = true;
         let id = HeaderValue::from_str(&self.id);
         let window = self.attempts.window().clone();
         let mut response = Response::new(Body::from_body(ModelBody::new(self, open)));
@@ -246,6 +250,12 @@
         self.open(next).await
     }
 
+    /// Whether the stream is to go on elsewhere: its replica is leaving, and another one can take it.
+    pub fn must_migrate(&self, guard: &ReplicaGuard) -> bool {
+        let replica = guard.replica();
+        replica.is_leaving() && self.attempts.choose_hedge(replica).is_some()
+    }
+
     /// Counts the end of the request; `end` is the metric label.
     pub fn count_end(&self, end: &str) {
         self.shared.metrics.requests.with_label_values(&[&*self.route.name, end]).inc();
@@ -272,7 +282,7 @@
     /// Opens a stream that starts at token `next`, retrying as often as is allowed.
     async fn open(&mut self, next: u64) -> Result<OpenResult, Refusal> {
         loop {
-            let guard = match self.attempts.next_attempt(next > 0).await {
+            let guard = match self.attempts.next_attempt(self.is_answering).await {
                 Ok(guard) => guard,
                 Err(refusal) => return self.pass_held(refusal).await.map(OpenResult::Refused),
             };
@@ -289,7 +299,7 @@
                     }
                     self.attempts.record_failure(&guard, failure).await;
                     // A stream that has begun cannot be answered with an error any more.
-                    if let Some(error) = self.error.take().filter(|_| next == 0) {
+                    if let Some(error) = self.error.take().filter(|_| !self.is_answering) {
                         self.held = Some((error, guard));
                     }
                 }
@@ -318,7 +328,7 @@
 
     async fn try_open(&mut self, guard: &ReplicaGuard, next: u64) -> Result<AttemptResult, Failure> {
         let request = self.build_request(guard, self.attempt_body(next));
-        let response = self.send(guard.replica(), request, next > 0).await?;
+        let response = self.send(guard.replica(), request).await?;
         if response.status() != StatusCode::OK {
             let limit = IDLE_TIMEOUT.min(self.attempts.time_left());
             let response = self.pass_client_error(response)?;
@@ -348,7 +358,7 @@
             }
             if !first.is_empty() {
                 self.count_tokens(reader.next_token() - next);
-                if next == 0 {
+                if !self.is_answering {
                     let seconds = self.received.elapsed().as_secs_f64();
                     self.shared.metrics.first_token.with_label_values(&[&*self.route.name]).observe(seconds);
                     self.shared.observe_first_token(guard.replica(), &self.route.name, seconds);
@@ -359,13 +369,13 @@
     }
 
     /// Sends an attempt. One that resumes an answer is sent whatever time is left.
-    async fn send(&mut self, replica: &Replica, request: OutboundRequest, resumes: bool) -> Result<Response, Failure> {
+    async fn send(&mut self, replica: &Replica, request: OutboundRequest) -> Result<Response, Failure> {
         let limit = IDLE_TIMEOUT.min(self.attempts.time_left());
         let is_shared = replica.echoes_ids();
         let client = &self.shared.client;
         let is_own = |head: &HeaderMap| self.is_own_response(head, is_shared);
         let window = self.attempts.window();
-        let may_send = || resumes || window.allows_run();
+        let may_send = || self.is_answering || window.allows_run();
         let sending = async {
             match is_shared {
                 true => client.send_owned(request, is_own, may_send).await,
@@ -463,7 +473,7 @@
 
     async fn try_buffered(&mut self, guard: &ReplicaGuard) -> Result<Response, Failure> {
         let request = self.build_request(guard, self.body.clone());
-        let response = self.send(guard.replica(), request, false).await?;
+        let response = self.send(guard.replica(), request).await?;
         let response = if response.status() == StatusCode::OK { response } else { self.pass_client_error(response)? };
         self.read_whole(guard, response, self.attempts.time_left()).await
     }
--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -17,6 +17,7 @@
 mod partial_heads;
 mod pauses;
 mod responses;
+mod resumed_streams;
 mod rollout;
 mod shutdown;
 mod silent_bodies;
