--- a/goldcrestward/src/process/limits/mod.rs
+++ b/goldcrestward/src/process/limits/mod.rs
@@ -65,6 +65,11 @@
 }
 
 impl AdmissionPermit {
+    /// Whether it was given for this account.
+    pub fn is_of(&self, account: &Account) -> bool {
+        self.account == account.name
+    }
+
     /// Charges the account for tokens that the request has used.
     pub fn charge(&self, tokens: u64) {
         if let Some(state) = self.limits.accounts.lock().get_mut(&self.account) {
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -70,7 +70,7 @@
 pub(crate) use run_forecast::{Basis, RunForecast};
 pub(crate) use run_times::RunKind;
 pub use settings::{Overrides, Settings, SettingsError};
-pub(crate) use shared::{InFlight, Shared};
+pub(crate) use shared::{InFlight, InForce, Shared};
 pub(crate) use state::LineLimit;
 pub use stopped::Stopped;
 
--- a/goldcrestward/src/request/admitted_caller.rs
+++ b/goldcrestward/src/request/admitted_caller.rs
@@ -1,18 +1,12 @@
-//! Whose request is proxied, and on which route.
+//! Whose request is proxied, and by which version of the configuration.
 
-use std::sync::Arc;
+use super::admission::Admission;
+use crate::port::RequestMetadata;
 
-use crate::{
-    config::{Account, Route},
-    port::RequestMetadata,
-};
-
-/// An authenticated caller, with the route and the metadata of its request.
+/// An authenticated caller, with what its request takes from the configuration and its metadata.
 pub(crate) struct AdmittedCaller {
-    /// The route.
-    pub route: Arc<Route>,
-    /// The account; `None` if the route allows anonymous requests or the site has no accounts.
-    pub account: Option<Arc<Account>>,
+    /// What the request takes from the version that admitted it.
+    pub admission: Admission,
     /// The request's metadata.
     pub metadata: RequestMetadata,
 }
--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -6,6 +6,7 @@
 };
 
 use super::{
+    admission::Admission,
     crash::{CrashRecords, PossibleCause, record_crash},
     refusal::{Reason, Refusal, RunState},
     run_window::{Phase, RunWindow},
@@ -87,6 +88,8 @@
     /// The request's id, for log lines.
     id: Arc<str>,
     route: Arc<Route>,
+    /// What the request takes from the version of the configuration that admitted it.
+    admission: Admission,
     fingerprint: u64,
     affinity_key: u64,
     version: Option<Arc<str>>,
@@ -105,11 +108,12 @@
     pub fn new(
         shared: Arc<Shared>,
         id: Arc<str>,
-        route: Arc<Route>,
+        admission: Admission,
         fingerprint: u64,
         affinity_key: u64,
         version: Option<Arc<str>>,
     ) -> Self {
+        let route = admission.route.clone();
         let window =
             RunWindow::new(shared.clone(), id.clone(), route.clone(), Instant::now() + route.timeout).unbuffered();
         shared.route_retry_budgets.deposit(&route.name, route.retry_share);
@@ -117,6 +121,7 @@
             shared,
             id,
             route,
+            admission,
             fingerprint,
             affinity_key,
             version,
@@ -180,6 +185,9 @@
         if !resuming {
             // The choice may have waited for a replica.
             self.check_time()?;
+            if self.run_state == RunState::NotRun {
+                self.admission.check_withdrawn(&self.shared.in_force.load())?;
+            }
             self.window.record_taken();
         }
         if self.number > 0 {
--- a/goldcrestward/src/request/ingress.rs
+++ b/goldcrestward/src/request/ingress.rs
@@ -10,17 +10,21 @@
 use volo_http::{body::Body, request::Request, response::Response};
 
 use super::{
+    admission::Admission,
+    admission_request::{AdmissionRequest, authenticate},
     caller_body::CallerBody,
     headers::bearer,
     model::ModelCall,
     plain::{PlainCall, PlainRequestHead, ReceivedBody},
     refusal::{Reason, Refusal},
     run_window::{Phase, RunWindow},
+    target::Target,
 };
 use crate::{
-    config::{Account, Site},
+    config::Account,
     connection::MAX_HEAD_BYTES,
     process::{AdmissionPermit, Shared, Stage},
+    util::stable_hash,
 };
 
 /// Size limit of a request body that is read completely.
@@ -70,7 +74,7 @@
     /// Lists the models that the account may use.
     pub async fn models(self, request: Request) -> Response {
         let in_force = self.shared.in_force.load_full();
-        let account = match authenticate(&in_force.site, request.headers()) {
+        let account = match authenticate(&in_force.site, bearer(request.headers())) {
             Ok(account) => account,
             Err(refusal) => {
                 self.shared.count_refusal(&refusal);
@@ -93,38 +97,57 @@
         self.check_stage(&id)?;
         check_header_size(request.headers())?;
         let in_force = self.shared.in_force.load_full();
-        let account = authenticate(&in_force.site, request.headers())?;
+        let key = bearer(request.headers()).map(Arc::from);
         let (parts, body) = request.into_parts();
         let path = parts.uri.path().to_owned();
+        let target = Target::Path(path.as_str().into());
+        let (salt, arrived) = (stable_hash(&[id.as_bytes()]), Instant::now());
+        let asked = AdmissionRequest { target, key: key.clone(), salt, arrived, timeout: None };
+        let account = authenticate(&in_force.site, asked.key.as_deref())?;
         if path == "/v1/chat/completions" || path == "/v1/completions" {
             let admitted = self.admit(&account)?;
             let window = RunWindow::unrouted(self.shared.clone(), id.clone(), Instant::now() + BODY_TIMEOUT);
             let body = window.wait_for(Phase::Body, self.caller_body(&id).read(body, BODY_BYTES)).await??;
-            return ModelCall::new(self.shared.clone(), &account, admitted, id, path, body)?.run().await;
-        }
-        let Some(route) = in_force.site.path_route(&path) else {
-            return Err(Refusal::not_run(Reason::UnknownRoute, format!("there is no route for {path}")));
-        };
-        if !account.routes.is_empty() && !account.routes.contains(&route.name) {
-            let message = format!("the account may not use route {}", route.name);
-            return Err(Refusal::not_run(Reason::Forbidden, message));
+            return ModelCall::new(self.shared.clone(), key, admitted, id, path, body)?.run().await;
         }
+        let admission = asked.admit(&in_force)?;
         let admitted = self.admit(&account)?;
         let path = parts.uri.path_and_query().map_or(path, ToString::to_string);
-        let window =
-            RunWindow::new(self.shared.clone(), id.clone(), route.clone(), Instant::now() + route.timeout).unbuffered();
-        let window = if route.repeatable { window.passed_on() } else { window };
-        let body = window.wait_for(Phase::Body, async {
-            let caller = self.caller_body(&id);
-            if route.repeatable {
-                read_start(&caller, body).await
-            } else {
-                caller.read(body, BODY_BYTES).await.map(ReceivedBody::complete)
-            }
-        });
-        let body = body.await??;
+        let (admission, body) = self.read_plain(&id, admission, body).await?;
+        let admitted = admission.renew_permit(admitted, &self.shared)?;
         let request = PlainRequestHead { id, method: parts.method, path, headers: parts.headers };
-        PlainCall::new(self.shared.clone(), &account, admitted, route.clone(), request, body).run().await
+        PlainCall::new(self.shared.clone(), admission, admitted, request, body).run().await
+    }
+
+    /// Reads what is kept of a body. Returns it with what the request takes from the configuration that is in force then.
+    async fn read_plain(
+        &self,
+        id: &Arc<str>,
+        admission: Admission,
+        body: Body,
+    ) -> Result<(Admission, ReceivedBody), Refusal> {
+        let (mut admission, mut body) = (admission, body);
+        loop {
+            let route = admission.route;
+            let deadline = Instant::now() + route.timeout;
+            let window = RunWindow::new(self.shared.clone(), id.clone(), route.clone(), deadline).unbuffered();
+            let window = if route.repeatable { window.passed_on() } else { window };
+            let reading = window.wait_for(Phase::Body, async {
+                let caller = self.caller_body(id);
+                if route.repeatable {
+                    read_start(&caller, body).await
+                } else {
+                    caller.read(body, BODY_BYTES).await.map(ReceivedBody::complete)
+                }
+            });
+            let received = reading.await??;
+            admission = admission.request.admit(&self.shared.in_force.load())?;
+            if received.rest.is_none() || admission.route.repeatable {
+                return Ok((admission, received));
+            }
+            // A request that may run once only is not sent before its body is complete.
+            body = received.into_body();
+        }
     }
 
     fn caller_body<'a>(&'a self, id: &'a str) -> CallerBody<'a> {
@@ -160,12 +183,6 @@
     Err(Refusal::not_run(Reason::HeaderTooLarge, message))
 }
 
-fn authenticate(site: &Site, headers: &HeaderMap) -> Result<Arc<Account>, Refusal> {
-    let refuse = |message: &str| Refusal::not_run(Reason::Unauthenticated, message);
-    let key = bearer(headers).ok_or_else(|| refuse("the request needs an account's key as bearer token"))?;
-    site.account(key).cloned().ok_or_else(|| refuse("no account has this key"))
-}
-
 /// Buffers the start of a body for retries. The rest of a longer one is streamed to the back end.
 async fn read_start(caller: &CallerBody<'_>, mut body: Body) -> Result<ReceivedBody, Refusal> {
     let (start, has_ended) = caller.read_start(&mut body, RETRY_BUFFER_BYTES).await?;
--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -1,5 +1,7 @@
 //! Handling of a request: admission, placement, attempts and the response.
 
+mod admission;
+mod admission_request;
 mod admitted_caller;
 mod attempt;
 mod awaited_head;
@@ -29,6 +31,7 @@
 mod response_owner;
 mod run_window;
 mod sent_attempt;
+mod target;
 mod token_events;
 
 pub(crate) use budget::RouteRetryBudgets;
--- a/goldcrestward/src/request/model.rs
+++ b/goldcrestward/src/request/model.rs
@@ -17,6 +17,7 @@
 use volo_http::{body::Body, error::BoxError, response::Response};
 
 use super::{
+    admission_request::AdmissionRequest,
     attempt::{Attempts, Failure},
     bounded_body::BoundedBody,
     crash::fingerprint,
@@ -24,10 +25,11 @@
     model_body::ModelBody,
     refusal::{Reason, Refusal},
     response_owner::ResponseOwner,
+    target::Target,
     token_events::{MAX_KEPT_BYTES, StreamError, TokenEventReader},
 };
 use crate::{
-    config::{Account, Route},
+    config::Route,
     connection::{OutboundRequest, SendError},
     process::{AdmissionPermit, InFlight, ReadError, Replica, ReplicaGuard, Shared, TooLong, record_long_head},
     util::stable_hash,
@@ -155,7 +157,7 @@
     /// Returns a refusal if the body is invalid, or the model is unknown or not allowed for the account.
     pub fn new(
         shared: Arc<Shared>,
-        account: &Account,
+        account_key: Option<Arc<str>>,
         admitted: AdmissionPermit,
         id: Arc<str>,
         path: String,
@@ -164,22 +166,25 @@
         let received = Instant::now();
         let request: CompletionRequest = serde_json::from_slice(&body)
             .map_err(|error| Refusal::not_run(Reason::BadRequest, format!("could not read the body: {error}")))?;
-        let in_force = shared.in_force.load_full();
-        let Some(route) = in_force.site.model_route(&request.model) else {
-            return Err(Refusal::not_run(Reason::UnknownModel, format!("there is no model {}", request.model)));
+        let admission = AdmissionRequest {
+            target: Target::Model(request.model.as_str().into()),
+            key: account_key,
+            salt: stable_hash(&[id.as_bytes()]),
+            arrived: received,
+            timeout: None,
         };
-        if !account.routes.is_empty() && !account.routes.contains(&route.name) {
-            let message = format!("the account may not use model {}", request.model);
-            return Err(Refusal::not_run(Reason::Forbidden, message));
-        }
-        let fingerprint = fingerprint(&account.name, &path, &body);
+        // The configuration may have changed while the body was read.
+        let admission = admission.admit(&shared.in_force.load())?;
+        let (route, account) = (admission.route.clone(), admission.account_name());
+        let admitted = admission.renew_permit(admitted, &shared)?;
+        let fingerprint = fingerprint(&account, &path, &body);
         let key = stable_hash(&[request.prefix().as_bytes()]);
-        let version = shared.choose_version(&route.pool, request.conversation(&account.name));
-        let attempts = Attempts::new(shared.clone(), id.clone(), route.clone(), fingerprint, key, version)
+        let version = shared.choose_version(&route.pool, request.conversation(&account));
+        let attempts = Attempts::new(shared.clone(), id.clone(), admission, fingerprint, key, version)
             .with_tokens(request.token_limit());
         let attempts = if request.stream { attempts.passed_on() } else { attempts };
         let _in_flight = InFlight::new(&shared);
-        let (route, stream) = (route.clone(), request.stream);
+        let stream = request.stream;
         Ok(Self { shared, route, id, path, body, stream, attempts, received, kv_from: None, admitted, _in_flight })
     }
 
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -15,6 +15,7 @@
 use volo_http::{body::Body, response::Response};
 
 use super::{
+    admission::Admission,
     attempt::{Attempts, Failure},
     bounded_body::BoundedBody,
     crash::fingerprint,
@@ -27,7 +28,7 @@
     run_window::{Phase, RunWindow},
 };
 use crate::{
-    config::{Account, Route},
+    config::Route,
     connection::{OutboundRequest, SendError},
     ledger::{Claim, ClaimAnswer, Key, Settlement, ledger_key},
     pb::{self, Grant},
@@ -100,37 +101,43 @@
     pub fn complete(start: Bytes) -> Self {
         Self { start, rest: None }
     }
+
+    /// The whole body, from its start.
+    pub fn into_body(self) -> Body {
+        let Some(rest) = self.rest else { return Body::from(self.start) };
+        let start = futures_util::stream::iter([Ok(Frame::data(self.start))]);
+        Body::from_stream(start.chain(rest.into_data_stream().map(|piece| piece.map(Frame::data))))
+    }
 }
 
 impl PlainCall {
-    /// Creates the request of `account` on `route`.
+    /// Creates a request that has been admitted.
     pub fn new(
         shared: Arc<Shared>,
-        account: &Account,
+        admission: Admission,
         _admitted: AdmissionPermit,
-        route: Arc<Route>,
         request: PlainRequestHead,
         received: ReceivedBody,
     ) -> Self {
         let PlainRequestHead { id, method, path, mut headers } = request;
         let ReceivedBody { start: body, rest } = received;
+        let (route, account) = (admission.route.clone(), admission.account_name());
         drop_hop_by_hop(&mut headers);
         headers.remove(header::AUTHORIZATION);
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::EXPECT);
-        if let Ok(value) = HeaderValue::from_str(&account.name) {
+        if let Ok(value) = HeaderValue::from_str(&account) {
             headers.insert("x-account", value);
         }
         if let Ok(value) = HeaderValue::from_str(&id) {
             headers.insert("x-request-id", value);
         }
-        let fingerprint = fingerprint(&account.name, &path, &body);
+        let fingerprint = fingerprint(&account, &path, &body);
         let version = shared.choose_version(&route.pool, stable_hash(&[id.as_bytes()]));
         let key = stable_hash(&[id.as_bytes()]);
-        let attempts = Attempts::new(shared.clone(), id.clone(), route.clone(), fingerprint, key, version);
+        let attempts = Attempts::new(shared.clone(), id.clone(), admission, fingerprint, key, version);
         let attempts = if route.repeatable { attempts.passed_on() } else { attempts };
         let _in_flight = InFlight::new(&shared);
-        let account = account.name.clone();
         let received = Instant::now();
         Self {
             shared,
@@ -183,8 +190,7 @@
     async fn run_streamed(mut self) -> Result<Response, Refusal> {
         let Some(rest) = self.rest.take() else { return self.run_repeatable().await };
         let guard = self.attempts.next_attempt(false).await?;
-        let start = futures_util::stream::iter([Ok(Frame::data(self.body.clone()))]);
-        let body = Body::from_stream(start.chain(rest.into_data_stream().map(|piece| piece.map(Frame::data))));
+        let body = ReceivedBody { start: self.body.clone(), rest: Some(rest) }.into_body();
         let request = OutboundRequest { body, ..self.build_request(&guard) };
         self.attempts.mark_sent();
         let result = send(self.outbound(&guard, request), self.attempts.window().clone()).await;
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -17,6 +17,7 @@
 use volo_http::{body::Body, response::Response};
 
 use super::{
+    admission::Admission,
     admitted_caller::AdmittedCaller,
     awaited_head::AwaitedHead,
     bounded_body::BoundedBody,
@@ -75,6 +76,8 @@
     pub(super) gateway: Arc<Gateway>,
     pub(super) route: Arc<Route>,
     account: Option<Arc<Account>>,
+    /// What the request takes from the version of the configuration that admitted it.
+    admission: Admission,
     pub(super) metadata: RequestMetadata,
     head: RequestHead,
     body: Bytes,
@@ -115,7 +118,8 @@
         placement: PlacementRequest,
         charge: Option<QuotaCharge>,
     ) -> Self {
-        let AdmittedCaller { route, account, metadata } = caller;
+        let AdmittedCaller { admission, metadata } = caller;
+        let (route, account) = (admission.route.clone(), admission.account.clone());
         drop_hop_by_hop(&mut head.headers);
         head.headers.remove(header::CONTENT_LENGTH);
         head.headers.remove(header::EXPECT);
@@ -130,6 +134,7 @@
             gateway,
             route,
             account,
+            admission,
             metadata,
             head,
             body,
@@ -419,6 +424,16 @@
         }
     }
 
+    /// Refuses a request that may not be begun any more: not before the daemon's end, or, if nothing has been sent yet, not
+    /// by the configuration in force.
+    fn check_send(&self) -> Result<(), Refusal> {
+        self.window.check(Phase::Send)?;
+        if self.sends > 0 {
+            return Ok(());
+        }
+        self.admission.check_withdrawn(&self.gateway.shared.in_force.load())
+    }
+
     async fn exchange(
         &mut self,
         guard: &ReplicaGuard,
@@ -466,7 +481,7 @@
         // A run that has been migrated to the server has nowhere else to go.
         let sent_at = self.gateway.shared.now();
         let is_held = self.kv_cache.is_none() && replica.is_held(sent_at);
-        let checked = if self.is_answering { Ok(()) } else { self.window.check(Phase::Send) };
+        let checked = if self.is_answering { Ok(()) } else { self.check_send() };
         if is_held || checked.is_err() {
             if connection.is_unused() {
                 connection.keep();
--- a/goldcrestward/src/request/proxy_outcome.rs
+++ b/goldcrestward/src/request/proxy_outcome.rs
@@ -30,7 +30,7 @@
     ErrorResponse(Box<Response>),
     /// No trustworthy response was received, for the given reason; the request may have run.
     Indeterminate(&'static str),
-    /// Nothing was sent, as the daemon is being stopped and would have ended first.
+    /// Nothing was sent, as the request may not be begun any more.
     TooLate(Box<Refusal>),
     /// The daemon ended first.
     Stopped,
--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -23,3 +23,4 @@
 mod stops;
 mod unread_answers;
 mod upgrade;
+mod versions;
--- a/goldcrestward/tests/it/support/mod.rs
+++ b/goldcrestward/tests/it/support/mod.rs
@@ -9,7 +9,7 @@
 pub(crate) use daemon::TestDaemon;
 pub(crate) use raw_back_end::{RawBackEnd, RawEnd, read_request};
 pub(crate) use raw_reply::RawReply;
-pub(crate) use site::{KEY, TOKEN, TestSite, propose, run_load};
+pub(crate) use site::{CONFIG, KEY, TOKEN, TestSite, propose, run_load};
 pub(crate) use slow_request::{SlowReply, SlowRequest};
 
 use std::{future::Future, time::Duration};
--- a/goldcrestward/tests/it/support/site.rs
+++ b/goldcrestward/tests/it/support/site.rs
@@ -26,7 +26,8 @@
 /// Secret with which daemons authenticate to each other.
 pub(crate) const SECRET: &str = "a secret for tests only";
 
-const CONFIG: &str = "
+/// The configuration that the site starts with.
+pub(crate) const CONFIG: &str = "
 zones:
   north-a: { region: north }
   south-a: { region: south }
