--- a/goldcrestward/src/request/admission.rs
+++ b/goldcrestward/src/request/admission.rs
@@ -30,6 +30,8 @@
     pub account: Option<Arc<Account>>,
     /// The pool; `None` if the route leads to none.
     pub pool: Option<Arc<str>>,
+    /// Intended number of requests in flight at each server of the pool.
+    pub concurrency: u32,
     /// Largest body of a proxied request, in bytes.
     pub body_bytes: usize,
     /// When a proxied request times out.
--- a/goldcrestward/src/request/admission_request.rs
+++ b/goldcrestward/src/request/admission_request.rs
@@ -66,6 +66,7 @@
             version: site.version,
             route: route.clone(),
             account,
+            concurrency: pool.as_ref().and_then(|pool| site.pools.get(pool)).map_or(0, |pool| pool.concurrency),
             pool,
             body_bytes: site.caller_limits.body_bytes.min(BODY_BYTES),
             deadline: self.arrived + time,
--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -295,14 +295,12 @@
     }
 
     fn try_choose(&self, tried: &[Arc<str>]) -> Result<ReplicaGuard, NoReplica> {
-        let in_force = self.shared.in_force.load();
-        let pool = in_force.site.pools.get(&self.route.pool).ok_or(NoReplica::None)?;
         self.shared.replicas.choose(&ReplicaQuery {
             pool: &self.route.pool,
             key: self.affinity_key,
             version: self.version.as_deref(),
             region: &self.shared.settings.region,
-            concurrency: pool.concurrency,
+            concurrency: self.admission.concurrency,
             crash_score: self.crash_score(),
             tried,
             now: self.shared.now(),
--- a/goldcrestward/tests/it/versions.rs
+++ b/goldcrestward/tests/it/versions.rs
@@ -112,3 +112,37 @@
     assert!(arrived["bytes"].as_u64() > Some(BODY_BYTES as u64), "{arrived}");
     assert_eq!(other.header("x-refusal"), "idempotency-key-mismatch", "the call was not claimed: {other:?}");
 }
+
+/// Guards against streams that are cut although another engine of their pool could resume them, as a later configuration
+/// has no such pool.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn streams_are_resumed_after_their_pool_was_dropped() {
+    const STREAMS: usize = 6;
+    const TOKENS: usize = 300;
+
+    let site = TestSite::start(1, 3).await;
+    let dropped = CONFIG
+        .replace("  models: { kind: model, checks-fences: true }", "  others: { kind: model }")
+        .replace("pool: models", "pool: others");
+    let mut streams = Vec::new();
+    for number in 0..STREAMS {
+        let target = site.daemons[0].callers;
+        streams.push(tokio::spawn(async move {
+            let (client, prompt) = (standin::load::Client::default(), format!("soup {number}"));
+            let started = std::time::Instant::now();
+            client.stream(target, crate::support::KEY, "meal-planner", &prompt, TOKENS, started).await
+        }));
+    }
+    tokio::time::sleep(HEAD_START).await;
+    configure(&site, &dropped).await;
+    site.engines[..2].iter().for_each(standin::engine::Engine::kill);
+    let mut ends = Vec::new();
+    for stream in streams {
+        let result = stream.await.expect("the caller ends");
+        ends.push((format!("{:?}", result.outcome), result.tokens));
+    }
+    let resumed = site.counter("resumed_total", "").await;
+    println!("after the pool was dropped: {ends:?}, {resumed} resumed");
+    let whole = ends.iter().filter(|(_, tokens)| *tokens == TOKENS).count();
+    assert_eq!(whole, STREAMS, "{ends:?}");
+}
