--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -230,7 +230,7 @@
         }
         "refused" => {
             let run = if field("run") == "not-run" { "it has not run" } else { "it may have run" };
-            format!("refused, {run}: {} ({})", field("message"), field("reason"))
+            format!("refused, {run}: {} ({}){}", field("message"), field("reason"), versions(line))
         }
         "stream-broken" => {
             let then = if field("resume") == "true" { "resumed on another server" } else { "the answer is cut off" };
@@ -375,6 +375,16 @@
     }
 }
 
+/// The versions of the configuration between which a request was refused; empty if there was one only.
+fn versions(line: &LogLine) -> String {
+    match (line.fields.get("admitted"), line.fields.get("config")) {
+        (Some(admitted), Some(config)) if admitted != "-" && admitted != config => {
+            format!("; admitted by version {admitted} of the configuration, refused under version {config}")
+        }
+        _ => String::new(),
+    }
+}
+
 fn close_reason(reason: &str) -> &str {
     match reason {
         "idle" => "as it was idle",
--- a/goldcrestward/src/cmd/explain_test.rs
+++ b/goldcrestward/src/cmd/explain_test.rs
@@ -276,3 +276,16 @@
         assert!(text.contains(expected), "{line}: {text}");
     }
 }
+
+#[test]
+fn explain_names_both_versions_of_a_refused_request() {
+    let log = "time=1 level=INFO daemon=front-a event=refused id=r1 reason=unauthenticated run=not-run config=9 admitted=7 message=\"no key\"\n\
+               time=1 level=INFO daemon=front-a event=refused id=r2 reason=unauthenticated run=not-run config=9 admitted=9 message=\"no key\"\n\
+               time=1 level=INFO daemon=front-a event=refused id=r3 reason=unauthenticated run=not-run config=9 admitted=- message=\"no key\"\n";
+    let text = render_log(log, "r1");
+    assert!(text.contains("admitted by version 7 of the configuration, refused under version 9"), "{text}");
+    for id in ["r2", "r3"] {
+        let text = render_log(log, id);
+        assert!(text.contains("refused, it has not run: no key (unauthenticated)\n"), "{text}");
+    }
+}
--- a/goldcrestward/src/request/proxy_ingress.rs
+++ b/goldcrestward/src/request/proxy_ingress.rs
@@ -59,8 +59,11 @@
                 self.gateway.shared.count_refusal(&refusal);
                 let (reason, run, message) = (refusal.reason.label(), refusal.run.label(), &refusal.message);
                 let config = self.gateway.shared.in_force.load().site.version;
+                let admitted = labels.admitted.map_or_else(|| "-".to_owned(), |version| version.to_string());
                 let id = labels.id;
-                info!("event=refused id={id} reason={reason} run={run} config={config} message={message:?}");
+                info!(
+                    "event=refused id={id} reason={reason} run={run} config={config} admitted={admitted} message={message:?}"
+                );
                 refusal.retry_safe_response()
             }
         };
@@ -83,10 +86,12 @@
         let id = metadata.id.clone();
         labels.id = id.clone();
         let admission = admission_request(&parts, &metadata, arrived).admit(&in_force)?;
+        labels.admitted = Some(admission.version);
         let body = self.read_body(&admission, &metadata, body).await?;
         // The configuration may have changed while the body was read. All else is that of one version.
         let in_force = self.gateway.shared.in_force.load_full();
         let admission = admission.renew(&in_force, body.len(), Instant::now())?;
+        labels.admitted = Some(admission.version);
         let caller = AdmittedCaller { admission, metadata };
         let call = self.prepare_call(caller, parts, body).await?;
         let route = call.route.name.clone();
@@ -140,11 +145,13 @@
 /// What log lines say of a request besides its refusal.
 struct LogLabels {
     id: Arc<str>,
+    /// Version of the configuration that has admitted the request.
+    admitted: Option<u64>,
 }
 
 impl Default for LogLabels {
     fn default() -> Self {
-        Self { id: Arc::from("-") }
+        Self { id: Arc::from("-"), admitted: None }
     }
 }
 
