--- a/goldcrestward/src/request/proxy_outcome.rs
+++ b/goldcrestward/src/request/proxy_outcome.rs
@@ -30,7 +30,7 @@
     ErrorResponse(Box<HeldAnswer>),
     /// No trustworthy response was received, for the given reason; the request may have run.
     Indeterminate(&'static str),
-    /// Nothing was sent, as the daemon is being stopped and would have ended first.
+    /// Nothing was sent, as the request may not be begun any more.
     TooLate(Box<Refusal>),
     /// Nothing was sent, as the retry budget has been used up meanwhile.
     OverBudget,
--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -26,3 +26,4 @@
 mod stops;
 mod unread_answers;
 mod upgrade;
+mod versions;
