--- a/goldcrestward/src/ledger/owner.rs
+++ b/goldcrestward/src/ledger/owner.rs
@@ -336,7 +336,17 @@
         let Some((claim, reply)) = self.replies.remove(&ticket) else { return };
         // A grant that repeats an earlier one does not show that the request has not run.
         let is_first_grant = claimed.grant == Grant::Run && self.committed.contains(&ticket);
-        if reply.send(claimed).is_ok() || !is_first_grant {
+        let is_heard = reply.send(claimed).is_ok();
+        if !is_first_grant {
+            return;
+        }
+        let is_copy = |(other, _): &(Claim, _)| other.key == claim.key && other.request == claim.request;
+        if is_heard {
+            // The other copies of the claim repeat this grant.
+            self.committed.retain(|ticket| !self.replies.get(ticket).is_some_and(is_copy));
+            return;
+        }
+        if self.committed.iter().any(|ticket| self.replies.get(ticket).is_some_and(is_copy)) {
             return;
         }
         // The claimant has stopped waiting, so the request will not run: free the key.
--- a/goldcrestward/src/ledger/owner_test.rs
+++ b/goldcrestward/src/ledger/owner_test.rs
@@ -57,3 +57,40 @@
         assert_eq!(ledger.claim(claim("second")).await.expect("an answer").grant, expected, "{case}");
     }
 }
+
+/// Guards against LOST: the connection of a claim ended while the claim was being written, as its owner had been silent, and
+/// the same claim on the next connection was refused. Whichever of the two still has a caller keeps the key.
+#[tokio::test]
+async fn claim_sent_again_keeps_the_key_of_the_copy_nobody_waits_for() {
+    for (case, is_first_dropped) in [("the first copy is dropped", true), ("the second copy is dropped", false)] {
+        let ledger = ledger();
+        let key = ledger_key("account", "route", "order-1");
+        let claim = |request: &str| Claim { key, fingerprint: 1, request: request.into() };
+        let other = ledger_key("account", "route", "order-2");
+        let owned = ledger.claim(Claim { key: other, fingerprint: 1, request: "before".into() }).await;
+        assert_eq!(owned.expect("a grant").grant, Grant::Run, "{case}");
+        let slot = slot_of(&key);
+        let (first, second) = (ledger.claim_local(slot, claim("first")), ledger.claim_local(slot, claim("first")));
+        let (mut first, mut second) = (Box::pin(first), Box::pin(second));
+        // Both claims are queued before the ledger handles them.
+        assert_eq!((first.as_mut().now_or_never(), second.as_mut().now_or_never()), (None, None), "{case}");
+        let (dropped, kept) = if is_first_dropped { (first, second) } else { (second, first) };
+        drop(dropped);
+        assert_eq!(kept.await.grant, Grant::Run, "{case}");
+        ledger.flush(FLUSH_LIMIT).await;
+        assert_eq!(ledger.claim(claim("second")).await.expect("an answer").grant, Grant::InProgress, "{case}");
+    }
+}
+
+/// Both copies of a claim have lost their callers, so that the request will not run.
+#[tokio::test]
+async fn claim_sent_again_frees_the_key_once_nobody_waits() {
+    let ledger = ledger();
+    let key = ledger_key("account", "route", "order-1");
+    let claim = |request: &str| Claim { key, fingerprint: 1, request: request.into() };
+    for _ in 0..2 {
+        assert_eq!(ledger.claim_local(slot_of(&key), claim("first")).now_or_never(), None);
+    }
+    ledger.flush(FLUSH_LIMIT).await;
+    assert_eq!(ledger.claim(claim("second")).await.expect("an answer").grant, Grant::Run);
+}
--- a/goldcrestward/src/ledger/slot.rs
+++ b/goldcrestward/src/ledger/slot.rs
@@ -140,10 +140,14 @@
         if !self.is_owned() && !self.wanted {
             return vec![Effect::Reply(ticket, Grant::NotOwner, None)];
         }
-        if self.is_owned()
-            && let Some((grant, outcome)) = self.recorded_answer(&claim, unix_s)
-        {
-            return vec![Effect::Reply(ticket, grant, outcome)];
+        if self.is_owned() {
+            if self.shares_commit(&claim) {
+                self.batch.tickets.push((ticket, claim.key, claim.request));
+                return Vec::new();
+            }
+            if let Some((grant, outcome)) = self.recorded_answer(&claim, unix_s) {
+                return vec![Effect::Reply(ticket, grant, outcome)];
+            }
         }
         if self.is_closing {
             return vec![Effect::Reply(ticket, Grant::NotOwner, None)];
@@ -213,6 +217,14 @@
         effects
     }
 
+    /// Whether the pending commit grants this claim to the same request, which has sent it again as the connection of the
+    /// first one ended.
+    fn shares_commit(&self, claim: &WaitingClaim) -> bool {
+        let is_same_content = self.entries.get(&claim.key).is_some_and(|entry| entry.fingerprint == claim.fingerprint);
+        let is_same = |(_, key, request): &(Ticket, Key, Arc<str>)| *key == claim.key && *request == claim.request;
+        is_same_content && self.batch.tickets.iter().any(is_same)
+    }
+
     fn recorded_answer(&self, claim: &WaitingClaim, unix_s: u64) -> Option<(Grant, Option<pb::Outcome>)> {
         let entry = self.entries.get(&claim.key)?;
         if entry.state == EntryState::Free || entry.updated_at + RETENTION_S <= unix_s {
@@ -339,6 +351,10 @@
     }
 
     fn admit(&mut self, claim: WaitingClaim, unix_s: u64, effects: &mut Vec<Effect>) {
+        if self.shares_commit(&claim) {
+            self.batch.tickets.push((claim.ticket, claim.key, claim.request));
+            return;
+        }
         if let Some((grant, outcome)) = self.recorded_answer(&claim, unix_s) {
             effects.push(Effect::Reply(claim.ticket, grant, outcome));
             return;
--- a/goldcrestward/src/ledger/slot_test.rs
+++ b/goldcrestward/src/ledger/slot_test.rs
@@ -94,6 +94,26 @@
     assert_eq!(service.drive(&mut owner, effects, &mut now), [(2, Grant::InProgress)]);
 }
 
+/// Guards against LOST: a claim that was sent again while its first copy was being written, as the owner had been silent,
+/// was refused as one that another request holds.
+#[test]
+fn claim_sent_again_beside_its_commit_shares_the_grant() {
+    for (case, is_pending) in [("the commit is pending", true), ("both wait for the commit", false)] {
+        let (mut service, mut owner, mut now) = (Service::default(), slot("a"), 0);
+        let effects = claim(&mut owner, 1, 1, now);
+        assert_eq!(service.drive(&mut owner, effects, &mut now), [(1, Grant::Run)], "{case}");
+        let mut calls = if is_pending { Vec::new() } else { claim(&mut owner, 2, 2, now) };
+        let mut again = |ticket| owner.claim(ticket, key(5), 5, "request-5".into(), now, unix(now));
+        calls.extend(again(5));
+        calls.extend(again(6));
+        let replies = service.drive(&mut owner, calls, &mut now);
+        let granted: Vec<_> = replies.into_iter().filter(|(ticket, _)| *ticket != 2).collect();
+        assert_eq!(granted, [(5, Grant::Run), (6, Grant::Run)], "{case}");
+        let effects = claim(&mut owner, 7, 5, now);
+        assert_eq!(service.drive(&mut owner, effects, &mut now), [(7, Grant::InProgress)], "{case}");
+    }
+}
+
 #[test]
 fn claim_after_takeover_may_have_run() {
     let (mut service, mut first, mut now) = (Service::default(), slot("a"), 0);
--- a/goldcrestward/tests/it/ledger.rs
+++ b/goldcrestward/tests/it/ledger.rs
@@ -73,6 +73,45 @@
     assert!(report.whole * 2 > report.keyed, "{report:?}");
 }
 
+/// Time for which the owner of some keys is silent.
+const OWNER_SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Guards against LOST: calls whose owner of the key was silent for a second or so, and then got the same claim on two
+/// connections, were refused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn keyed_requests_beside_a_silent_owner_are_answered_once() {
+    let site = TestSite::start(3, 0).await;
+    // The claim that was sent first is still being written when its copy arrives.
+    site.platform.set_faults(PlatformFaults { delay_ms: 150, ..PlatformFaults::default() });
+    let client = Client::default();
+    let target = site.daemons[0].callers;
+    let mut wrong = Vec::new();
+    for round in 0..6 {
+        let owner = &site.daemons[1 + round % 2];
+        owner.signal(Signal::STOP);
+        let keys: Vec<String> = (0..24).map(|number| format!("silent-owner-{round}-{number}")).collect();
+        let mut calls = JoinSet::new();
+        for key in keys {
+            let client = client.clone();
+            calls.spawn(async move {
+                let answer = client.keyed(target, KEY, "/orders/confirm", &key).await;
+                (key, answer)
+            });
+        }
+        sleep(OWNER_SILENCE).await;
+        owner.signal(Signal::CONT);
+        for (key, answer) in calls.join_all().await {
+            let runs = site.executions.lock().get(&key).copied();
+            if (&answer, runs) != (&RequestOutcome::Complete, Some(1)) {
+                wrong.push((key, answer, runs));
+            }
+        }
+        // The owner is found alive again before the next silence.
+        sleep(Duration::from_secs(2)).await;
+    }
+    assert!(wrong.is_empty(), "{} of 144: {wrong:?}", wrong.len());
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn keyed_requests_in_outage_are_refused_as_not_run() {
     let site = TestSite::start(2, 1).await;
