--- a/goldcrestward/src/process/duty.rs
+++ b/goldcrestward/src/process/duty.rs
@@ -192,7 +192,7 @@
     /// Renews the lease, reports usage and scales pools.
     async fn carry_out(&mut self, mut held: HeldDuties) {
         let now = boot_ms();
-        if !held.term.is_valid(now) {
+        if held.term.has_ended(now) || (!held.term.is_valid(now) && !self.is_current(&held)) {
             return self.give_up(&held, "the lease was not renewed in time");
         }
         if !self.is_current(&held) {
@@ -206,6 +206,11 @@
                 Err(error) => warn!("event=duty-renewal-failed fence={} error={error:?}", held.holder.fencing_token),
             }
         }
+        if !held.term.is_valid(boot_ms()) {
+            // Nothing is done under the lease until it is renewed.
+            self.held = Some(held);
+            return;
+        }
         if !self.report_usage(&mut held).await {
             return self.give_up(&held, "another holder has a higher fencing number");
         }
--- a/goldcrestward/src/process/term.rs
+++ b/goldcrestward/src/process/term.rs
@@ -70,6 +70,8 @@
     /// The term's fencing token.
     pub fencing_token: u64,
     valid_until_ms: u64,
+    /// When the lease has ended if no later renewal has reached the store.
+    ends_at_ms: u64,
     renew_at_ms: u64,
     record: Option<UsageRecord>,
     /// Revision of the stored record, if there is one; `None` while it is unknown.
@@ -84,6 +86,7 @@
             lease,
             fencing_token,
             valid_until_ms: 0,
+            ends_at_ms: 0,
             renew_at_ms: 0,
             record: None,
             revision: None,
@@ -97,6 +100,7 @@
     pub fn extend(&mut self, requested_ms: u64, ttl: Duration) {
         let ttl = ttl.as_millis() as f64;
         self.valid_until_ms = requested_ms + (ttl * (1.0 - SAFETY_MARGIN)) as u64;
+        self.ends_at_ms = requested_ms + ttl as u64;
         self.renew_at_ms = requested_ms + (ttl * RENEWAL_POINT) as u64;
     }
 
@@ -105,6 +109,12 @@
         now < self.valid_until_ms
     }
 
+    /// Whether the lease may have ended for good. Before that, it may be renewed even if it is not certain to be valid: the
+    /// store refuses a lease that has ended.
+    pub fn has_ended(&self, now: u64) -> bool {
+        now >= self.ends_at_ms
+    }
+
     /// Whether the lease should be renewed.
     pub fn is_renewal_due(&self, now: u64) -> bool {
         now >= self.renew_at_ms
--- a/goldcrestward/src/process/term_search_test.rs
+++ b/goldcrestward/src/process/term_search_test.rs
@@ -251,7 +251,8 @@
                 let idle = self.clone().with(daemon, Daemon::Idle);
                 vec![if mine { self.start_term(daemon, *lease, *requested_ms) } else { idle }]
             }
-            Daemon::Holding(term) if !term.is_valid(self.now) => vec![self.clone().with(daemon, Daemon::Idle)],
+            Daemon::Holding(term) if term.has_ended(self.now) => vec![self.clone().with(daemon, Daemon::Idle)],
+            Daemon::Holding(term) if !term.is_valid(self.now) => self.renewals(daemon, term),
             Daemon::Holding(term) => {
                 let mut worlds = self.renewals(daemon, term);
                 worlds.extend(self.usage(daemon, term));
