--- a/goldcrestward/src/request/placement_request.rs
+++ b/goldcrestward/src/request/placement_request.rs
@@ -6,6 +6,7 @@
 };
 
 use log::info;
+use tokio::time::sleep;
 
 use super::{
     proxy::MIN_RETRY_TIME,
@@ -138,6 +139,10 @@
                 Err(_) => (NO_SERVER_TIMEOUT.min(blocked_timeout), Obstacle::NoServer),
             };
             let is_last_chance = started + queue_timeout <= Instant::now();
+            // A repeat that has waited for as long as a first try goes after all that wait. It may have failed at the very
+            // server that they want, so it does not wait in the queue ahead of them.
+            let is_left_behind = is_last_chance && has_run;
+            let rank = if is_left_behind { self.late_rank(gateway, Instant::now()) } else { rank };
             let mut is_left_over = false;
             if is_last_chance
                 && offer.as_ref().is_ok_and(|offer| !offer.placement.has_free_slot)
@@ -165,7 +170,13 @@
             if left.is_zero() || matches!(obstacle, Obstacle::RateLimited(wait) | Obstacle::Held(wait) if wait > left) {
                 return Err(self.refuse(&obstacle));
             }
-            woken = queue.wait(rank, left.min(RECHECK_INTERVAL)).await;
+            let interval = left.min(RECHECK_INTERVAL);
+            if is_left_behind {
+                sleep(interval).await;
+                woken = false;
+            } else {
+                woken = queue.wait(rank, interval).await;
+            }
         }
     }
 
@@ -212,9 +223,11 @@
 
     /// Its rank in the admission queue. A request that is late already goes after those that can still be in time.
     fn rank_at(&self, gateway: &Gateway, now: Instant) -> Rank {
-        if !self.is_late(now) {
-            return self.rank;
-        }
+        if self.is_late(now) { self.late_rank(gateway, now) } else { self.rank }
+    }
+
+    /// The rank of a request that only its deadline binds.
+    fn late_rank(&self, gateway: &Gateway, now: Instant) -> Rank {
         let left = self.deadline.saturating_duration_since(now);
         Rank { due_ms: gateway.shared.now() + left.as_millis() as u64, ..self.rank }
     }
