--- a/goldcrestward/src/connection/client.rs
+++ b/goldcrestward/src/connection/client.rs
@@ -1,7 +1,8 @@
 //! HTTP client for back ends and the platform.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use http::{HeaderMap, HeaderValue, Method, Request, header};
 use hyper::client::conn::http1::Builder;
 use tokio::time::timeout;
@@ -126,20 +127,24 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<RequestSender<Body>, SendError> {
-    let opening = async {
-        loop {
-            if let Ok(opened) = timeout(CONNECT_RETRY_INTERVAL, open_socket(address)).await {
-                return opened;
-            }
-        }
-    };
-    let opened = timeout(CONNECT_TIMEOUT, opening).await;
+    let opened = timeout(CONNECT_TIMEOUT, open_first(|| open_socket(address))).await;
     let stream = opened.ok().and_then(Result::ok).ok_or(SendError::NotSent)?;
     let mut builder = Builder::new();
     builder.title_case_headers(true);
     RequestSender::new(stream, builder).await.ok_or(SendError::NotSent)
 }
 
+/// The first of several attempts that ends; one begins each interval, and the earlier ones go on.
+async fn open_first<T, F: Future<Output = io::Result<T>>>(open: impl Fn() -> F) -> io::Result<T> {
+    let mut attempts = FuturesUnordered::new();
+    loop {
+        attempts.push(open());
+        if let Ok(Some(opened)) = timeout(CONNECT_RETRY_INTERVAL, attempts.next()).await {
+            return opened;
+        }
+    }
+}
+
 /// An HTTP request to a back end or the platform.
 pub struct OutboundRequest {
     pub address: SocketAddr,
--- a/goldcrestward/src/connection/client_test.rs
+++ b/goldcrestward/src/connection/client_test.rs
@@ -318,3 +318,15 @@
     let sent = timeout(STUCK_TIMEOUT, HttpClient::new().send(request(port.address()))).await;
     assert!(matches!(sent, Ok(Err(SendError::NotSent))));
 }
+
+/// Guards against a connection that is given up before a later attempt has succeeded: one that takes longer than the
+/// interval between attempts could never be opened.
+#[tokio::test]
+async fn connection_that_takes_longer_than_an_interval_is_opened() {
+    let open = || async {
+        tokio::time::sleep(super::CONNECT_RETRY_INTERVAL + Duration::from_millis(200)).await;
+        Ok(())
+    };
+    let opened = tokio::time::timeout(super::CONNECT_TIMEOUT, super::open_first(open)).await;
+    assert!(matches!(opened, Ok(Ok(()))), "{opened:?}");
+}
