--- a/goldcrestward/src/request/migration.rs
+++ b/goldcrestward/src/request/migration.rs
@@ -104,7 +104,7 @@
 
     /// The run, if it has been migrated: the stream of a stopped run ends before the migration is answered.
     pub(super) async fn migrated_run(&mut self) -> Option<MigratedRun> {
-        self.finish_migration().await;
+        timeout(self.time_left(), self.finish_migration()).await.ok();
         match mem::take(&mut self.migration) {
             Migration::Done(migrated) => Some(migrated),
             other => {
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -443,9 +443,11 @@
         let resumes_at_source = self.resumes_at_source(guard.replica());
         self.migration = if resumes_at_source { Migration::Failed } else { Migration::Idle };
         let result = self.exchange(&guard, sequence).await;
-        if matches!(result, Err(ProxyFailure::Indeterminate(_)))
+        // A server may say so of a run that it has handed over.
+        if matches!(result, Err(ProxyFailure::Indeterminate(_) | ProxyFailure::NotRun))
             && let Some(migrated) = self.migrated_run().await
         {
+            self.set_run_state(RunState::MayHaveRun);
             return Err(ProxyFailure::Migrated(Box::new((migrated, guard))));
         }
         match result {
