--- a/goldcrestward/src/connection/tunnel.rs
+++ b/goldcrestward/src/connection/tunnel.rs
@@ -8,7 +8,7 @@
         Arc, OnceLock,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::{Duration, Instant},
 };
 
@@ -86,11 +86,13 @@
 
 impl AsyncWrite for Tunnel {
     fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.io).poll_write(context, bytes);
-        if let Poll::Ready(Ok(count)) = written {
-            self.progress.written.fetch_add(count as u64, Ordering::Release);
-        }
-        written
+        // Reading tells the end of the tunnel, after what the server had sent before.
+        let count = match ready!(Pin::new(&mut self.io).poll_write(context, bytes)) {
+            Ok(count) => count,
+            Err(_) => bytes.len(),
+        };
+        self.progress.written.fetch_add(count as u64, Ordering::Release);
+        Poll::Ready(Ok(count))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
