--- a/goldcrestward/src/connection/tunnel_test.rs
+++ b/goldcrestward/src/connection/tunnel_test.rs
@@ -223,7 +223,7 @@
         while let Ok((mut stream, _)) = listener.accept().await {
             tokio::spawn(async move {
                 let mut buffer = vec![0; 1024];
-                stream.read(&mut buffer).await.ok();
+                let Ok(1..) = stream.read(&mut buffer).await else { return };
                 stream.write_all(EARLY_ANSWER).await.ok();
             });
         }
