--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -22,6 +22,7 @@
 mod shutdown;
 mod silent_bodies;
 mod soak;
+mod steps;
 mod stop_limits;
 mod stops;
 mod unread_answers;
--- a/goldcrestward/tests/it/support/raw_reply.rs
+++ b/goldcrestward/tests/it/support/raw_reply.rs
@@ -42,7 +42,8 @@
         lines.find(|(field, _)| field.eq_ignore_ascii_case(name)).map_or("", |(_, value)| value.trim())
     }
 
-    fn parse(text: &str) -> Option<Self> {
+    /// Parses what has been read of an answer; `None` before its head is complete.
+    pub fn parse(text: &str) -> Option<Self> {
         let (head, rest) = text.split_once("\r\n\r\n")?;
         let status = head.split(' ').nth(1)?.parse().ok()?;
         let reply = Self { status, head: head.to_owned(), ..Self::default() };
