--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -171,6 +171,11 @@
         Refusal { run: self.run_state, ..Refusal::not_run(reason, message) }
     }
 
+    /// The final answer to a request at the end of the daemon.
+    pub fn give_up(&self) -> Refusal {
+        self.window.give_up(self.run_state)
+    }
+
     /// Chooses a replica for the next attempt. `resuming` means that the caller has already received tokens.
     /// Until then, a request that has failed is retried at the pool's current version, whichever version failed.
     ///
@@ -244,7 +249,7 @@
 
     fn check_allowed(&mut self, resuming: bool) -> Result<(), Refusal> {
         if self.window.has_ended() {
-            return Err(self.window.give_up(self.run_state));
+            return Err(self.give_up());
         }
         if !resuming {
             self.check_time()?;
--- a/goldcrestward/src/request/plain.rs
+++ b/goldcrestward/src/request/plain.rs
@@ -198,11 +198,10 @@
         let guard = self.attempts.next_attempt(false).await?;
         let body = ReceivedBody { start: self.body.clone(), rest: Some(rest) }.into_body();
         let request = OutboundRequest { body, ..self.build_request(&guard) };
-        self.attempts.mark_sent();
         let result = send(self.outbound(&guard, request), self.attempts.window().clone()).await;
         match self.record(result, guard).await {
             Some((response, guard)) => Ok(self.pass_through(response, guard)),
-            None if self.attempts.window().has_ended() => Err(self.attempts.window().give_up(RunState::MayHaveRun)),
+            None if self.attempts.window().has_ended() => Err(self.attempts.give_up()),
             None => {
                 let refusal = self.attempts.refuse(Reason::BackendFailed, "the back end did not take the whole body");
                 self.pass_held(refusal)
@@ -233,7 +232,6 @@
     }
 
     async fn send_to(&mut self, guard: ReplicaGuard) -> Option<Answered> {
-        self.attempts.mark_sent();
         let PendingAnswer { guard, answer, .. } = self.begin(guard);
         let result = answer.await;
         self.record(result, guard).await
@@ -241,7 +239,6 @@
 
     /// Sends a lookup to a second replica too if the first is slow and the retry budget allows it.
     async fn send_hedged(&mut self, guard: ReplicaGuard) -> Option<Answered> {
-        self.attempts.mark_sent();
         let mut first = self.begin(guard);
         if let Ok(result) = timeout(HEDGE_DELAY, &mut first.answer).await {
             return self.record(result, first.guard).await;
@@ -284,6 +281,9 @@
 
     /// Records what came of a request to one replica; returns the response if there is one.
     async fn record(&mut self, result: Result<Response, Failure>, guard: ReplicaGuard) -> Option<Answered> {
+        if !matches!(result, Err(Failure::ConnectFailed)) {
+            self.attempts.mark_sent();
+        }
         match result {
             Ok(response) if response.status().is_server_error() => {
                 self.shared.observe(guard.replica(), &self.route.name, Sample::Failed);
--- a/goldcrestward/tests/it/steps/mod.rs
+++ b/goldcrestward/tests/it/steps/mod.rs
@@ -41,6 +41,7 @@
     limits_lowered: LimitsLowered;
     hangup: Hangup;
     stop: Stop;
+    limited_stop: LimitedStop;
     owner_stop: OwnerStop;
     owner_kill: OwnerKill;
     servers_leaving: ServersLeaving;
@@ -48,6 +49,8 @@
     servers_silent: ServersSilent;
     connections_reset: ConnectionsReset;
     store_away: StoreAway;
+    key_withdrawn_then_stop: KeyWithdrawn LimitedStop;
     pools_dropped_then_reset: PoolsDropped ConnectionsReset;
+    servers_leaving_then_stop: ServersLeaving LimitedStop;
     owner_kill_then_store_away: OwnerKill StoreAway;
 }
