--- a/goldcrestward/tests/it/steps/event.rs
+++ b/goldcrestward/tests/it/steps/event.rs
@@ -66,7 +66,25 @@
     StoreAway,
 }
 
+/// The outcomes that the design allows for a request at a step beside events.
+pub(super) fn allowed(events: &[Event], cell: Cell) -> Vec<Outcome> {
+    let mut allowed: Vec<Outcome> = events.iter().flat_map(|event| event.allowed(cell)).copied().collect();
+    if events.iter().any(|event| event.withdraws()) && cell.is_unsent() && cell.step != Step::Connecting {
+        allowed.retain(|outcome| *outcome != Whole);
+    }
+    // A request that was reset is not repeated once its run may outlast the daemon.
+    if events.contains(&Event::ConnectionsReset) && events.contains(&Event::LimitedStop) && !cell.is_unsent() {
+        allowed.push(if cell.kind == Kind::Stream && cell.is_answering() { Whole } else { MayHaveRun });
+    }
+    allowed
+}
+
 impl Event {
+    /// Whether it takes what a request needs to be sent.
+    fn withdraws(self) -> bool {
+        matches!(self, Self::KeyWithdrawn | Self::RoutesDropped)
+    }
+
     /// The configuration after the event; `None` if it stays.
     pub fn config(self) -> Option<String> {
         let without = |text: &str, word: &str| -> String {
@@ -100,13 +118,13 @@
         })
     }
 
-    /// The outcomes that the design allows for a request at a step.
-    pub fn allowed(self, cell: Cell) -> &'static [Outcome] {
+    /// The outcomes that the design allows for a request at a step beside this event alone.
+    fn allowed(self, cell: Cell) -> &'static [Outcome] {
         let is_new = matches!(cell.step, Step::Head | Step::Idle);
         let claims = cell.kind == Kind::Confirm && (is_new || matches!(cell.step, Step::Body | Step::Claim));
         match self {
             // No first attempt begins once the change is in force; what was sent goes on.
-            Self::KeyWithdrawn | Self::RoutesDropped => match cell.step {
+            _ if self.withdraws() => match cell.step {
                 Step::Connecting => &[Whole, NotRun],
                 _ if cell.is_unsent() => &[NotRun],
                 _ => &[Whole],
--- a/goldcrestward/tests/it/steps/mod.rs
+++ b/goldcrestward/tests/it/steps/mod.rs
@@ -53,4 +53,14 @@
     pools_dropped_then_reset: PoolsDropped ConnectionsReset;
     servers_leaving_then_stop: ServersLeaving LimitedStop;
     owner_kill_then_store_away: OwnerKill StoreAway;
+    owner_kill_then_key_withdrawn: OwnerKill KeyWithdrawn;
+    owner_stop_then_stop: OwnerStop LimitedStop;
+    key_withdrawn_then_reset: KeyWithdrawn ConnectionsReset;
+    routes_dropped_then_owner_stop: RoutesDropped OwnerStop;
+    servers_gone_then_reset: ServersGone ConnectionsReset;
+    servers_silent_then_leaving: ServersSilent ServersLeaving;
+    stop_then_reset: LimitedStop ConnectionsReset;
+    stop_then_store_away: LimitedStop StoreAway;
+    stop_then_routes_dropped: LimitedStop RoutesDropped;
+    store_away_then_reset: StoreAway ConnectionsReset;
 }
--- a/goldcrestward/tests/it/steps/site.rs
+++ b/goldcrestward/tests/it/steps/site.rs
@@ -18,7 +18,7 @@
     back_end::{BackEnd, Script, Stage},
     caller::{Received, call},
     cell::{Cell, Kind, Step, cells},
-    event::{CONFIG, Event},
+    event::{CONFIG, Event, allowed},
     outcome::{Outcome, Row},
 };
 use crate::support::{TestSite, eventually};
@@ -199,20 +199,24 @@
 
     /// Lists new servers of the pools that are in use, and then the state of those that were.
     async fn replace_servers(&mut self, state: InstanceState) {
-        for pool in ["orders", "orders", "models", "models"] {
+        for pool in ["orders", "orders", "models", "models", "far", "far-models"] {
             let server = BackEnd::start(self.script.clone()).await;
             self.site.register_back_end(pool, server.address, &format!("{pool}-{}", server.address.port()));
             self.servers.push((pool, server));
         }
         let listed = || async {
             let value = self.site.daemons[0].get("/admin/requests").await?;
-            (value["replicas"].as_array()?.len() >= 12).then_some(())
+            (value["replicas"].as_array()?.len() >= 14).then_some(())
         };
         eventually("the daemon lists the new servers", listed).await;
         for (pool, server) in &self.servers[..4] {
             let id = format!("{pool}-{}", server.address.port());
             self.site.set_back_end_state(pool, server.address, &id, state);
         }
+        for (pool, server) in ["far", "far-models"].iter().zip(&self.far) {
+            let address = server.listener.local_addr().expect("the socket has an address");
+            self.site.set_back_end_state(pool, address, &format!("{pool}-0"), state);
+        }
     }
 
     async fn release(&mut self, events: &[Event]) {
@@ -253,7 +257,7 @@
                 _ if cell.kind == Kind::Confirm && self.script.runs(&name) > 1 => Outcome::RanTwice,
                 outcome => outcome,
             };
-            let allowed = events.iter().flat_map(|event| event.allowed(cell)).copied().collect();
+            let allowed = allowed(events, cell);
             Row { name, outcome, runs, received, allowed }
         };
         let rows = received.into_iter().map(row).collect();
