--- a/goldcrestward/tests/it/steps/site.rs
+++ b/goldcrestward/tests/it/steps/site.rs
@@ -24,6 +24,8 @@
 use crate::support::{TestSite, eventually};
 
 const DRAIN_SECONDS: u64 = 8;
+/// Call that has to be claimed before the owner is paused.
+const UNREACHED_CALL: Cell = Cell { step: Step::Connecting, kind: Kind::Confirm };
 /// Calls at steps that need the paused daemon to own their keys; it owns about half of all keys.
 const CLAIMS: usize = 8;
 /// Time for what has been sent to the daemon to be read.
@@ -155,12 +157,21 @@
             }
         }
         self.wait_held(&held).await;
+        self.send(UNREACHED_CALL, UNREACHED_CALL.to_string());
+        // Besides these, the connections of two steps have carried a first call.
+        let claimed = |(cell, ..): &&(Cell, String, JoinHandle<Received>)| {
+            cell.kind == Kind::Confirm && !matches!(cell.step, Step::Head | Step::Body | Step::Idle)
+        };
+        let claims = self.calls.iter().filter(claimed).count() + 2;
+        let granted =
+            || async { (self.site.daemons[0].counter("ledger_grants", "").await >= claims as f64).then_some(()) };
+        eventually("the calls are claimed", granted).await;
         sleep(READ_TIME).await;
         self.site.daemons[1].signal(Signal::STOP);
         for cell in cells() {
             match cell.step {
                 Step::Claim => (0..CLAIMS).for_each(|number| self.send(cell, format!("{cell}{number}"))),
-                Step::Connecting => self.send(cell, cell.to_string()),
+                Step::Connecting if cell != UNREACHED_CALL => self.send(cell, cell.to_string()),
                 _ => {}
             }
         }
