--- a/goldcrestward/src/process/duty.rs
+++ b/goldcrestward/src/process/duty.rs
@@ -200,8 +200,11 @@
         }
         if held.term.is_renewal_due(now) {
             match self.gateway.shared.kv.renew(Purpose::Duty, held.term.lease).await {
-                Ok(()) if self.is_current(&held) => held.term.extend(now, self.lease_time()),
-                Ok(()) => return self.hold_again(&held, now).await,
+                // The answer to the renewal may be the first that tells of a restore.
+                Ok(()) | Err(Error::LeaseEnded { .. }) if !self.is_current(&held) => {
+                    return self.hold_again(&held, now).await;
+                }
+                Ok(()) => held.term.extend(now, self.lease_time()),
                 Err(Error::LeaseEnded { .. }) => return self.give_up(&held, "the lease has ended"),
                 Err(error) => warn!("event=duty-renewal-failed fence={} error={error:?}", held.holder.fencing_token),
             }
