--- a/goldcrestward/src/process/duty.rs
+++ b/goldcrestward/src/process/duty.rs
@@ -148,7 +148,7 @@
             return;
         }
         self.vacant_since = None;
-        self.held = self.acquire(now).await;
+        self.held = self.acquire(now, Revision::NONE).await;
         self.unfetched_window = 0;
         self.gateway.shared.holds_duties.store(self.held.is_some(), Ordering::Relaxed);
     }
@@ -163,7 +163,8 @@
         }
     }
 
-    async fn acquire(&mut self, requested_ms: u64) -> Option<HeldDuties> {
+    /// Acquires the duties in place of the entry with revision `replaced`, if any.
+    async fn acquire(&mut self, requested_ms: u64, replaced: Revision) -> Option<HeldDuties> {
         let kv = &self.gateway.shared.kv;
         let lease = kv.grant(Purpose::Duty, self.lease_time()).await.ok()?;
         let name = self.gateway.shared.settings.name.clone();
@@ -171,7 +172,7 @@
         // The lease distinguishes this attempt from one by an earlier process of the same daemon.
         let value = format!("{name} {}", lease.id).into_bytes();
         let commit = Txn {
-            compares: vec![Compare { key: key.clone(), revision: Revision::NONE }],
+            compares: vec![Compare { key: key.clone(), revision: replaced }],
             puts: vec![Put { key: key.clone(), value: value.clone(), lease: lease.id }],
             removes: Vec::new(),
         };
@@ -275,9 +276,12 @@
 
     /// Acquires the duties in a later history of the store than that in which this daemon acquired them. It need not wait:
     /// while its lease is valid no other daemon can have acquired them, as that waits for a lease's time in the new
-    /// history, which began after this lease was last renewed.
+    /// history, which began after this lease was last renewed. An entry that it finds is therefore one of the copy.
     async fn hold_again(&mut self, held: &HeldDuties, now: u64) {
-        match self.acquire(now).await {
+        // Whoever the copy names does not act on it, as this daemon held the duties when the store was restored.
+        let named = self.gateway.shared.kv.get(Purpose::Duty, &self.key("duty")).await.ok().flatten();
+        let replaced = named.filter(|_| held.term.is_valid(boot_ms())).map_or(Revision::NONE, |row| row.revision);
+        match self.acquire(now, replaced).await {
             Some(again) if held.term.is_valid(boot_ms()) => {
                 let (before, fence) = (held.holder.fencing_token, again.holder.fencing_token);
                 info!("event=duty-kept before={before} fence={fence} reason=\"the store was restored from a copy\"");
