--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -36,7 +36,7 @@
     configure::Configurer,
     duty::Duty,
     error::{ConnectionSnafu, DatagramsSnafu, MetricsSnafu, Result},
-    exchange::Exchange,
+    exchange::{Exchange, learn_zone_usage},
     gateway::Gateway,
     gossip::Gossip,
     lifecycle::{Draining, Serving, Stage, Starting},
@@ -445,6 +445,7 @@
     tasks.spawn(SiteState::new(shared.clone(), catalog.clone()).apply());
     tasks.spawn(StateReader::new(shared.clone(), catalog).run());
     tasks.spawn(exchange.run(gossip.clone()));
+    tasks.spawn(learn_zone_usage(gateway.clone()));
     tasks.spawn(VerdictKeeper::new(shared.clone()).run());
     tasks.spawn(shared.duty_task.track_future(Duty::new(gateway.clone(), duties).run()));
     tasks.spawn(evict_idle_connections(gateway.clone()));
--- a/goldcrestward/src/process/exchange/mod.rs
+++ b/goldcrestward/src/process/exchange/mod.rs
@@ -21,4 +21,4 @@
 pub(crate) use fleet_table::{FleetTable, SumHead};
 pub(crate) use run::Exchange;
 pub(crate) use timing::{REPORT_TIMEOUT_MS, SILENCE_MS};
-pub(crate) use usage_fetch::fetch_usage;
+pub(crate) use usage_fetch::{fetch_usage, learn_zone_usage};
--- a/goldcrestward/src/process/exchange/run.rs
+++ b/goldcrestward/src/process/exchange/run.rs
@@ -322,7 +322,8 @@
         state.relays = relays;
         let mut messages = Vec::new();
         let ranked = state.relays.members.iter().enumerate();
-        let targets = ranked.filter(|(rank, member)| state.role.is_target(*rank) && member.name != own);
+        let is_target = |rank, name: &Arc<str>| state.role.is_target(rank) || state.relays.remaining.contains(name);
+        let targets = ranked.filter(|(rank, member)| is_target(*rank, &member.name) && member.name != own);
         let targets: Vec<_> = targets.map(|(_, member)| member.clone()).collect();
         let names: Vec<_> = targets.iter().map(|target| target.name.clone()).collect();
         if state.reported.0 != names {
--- a/goldcrestward/src/process/exchange/usage_fetch.rs
+++ b/goldcrestward/src/process/exchange/usage_fetch.rs
@@ -4,8 +4,12 @@
 
 use futures_util::future::join_all;
 use log::info;
+use tokio::time::sleep;
 
-use super::{relay_role::RELAYS, relays::Relays};
+use super::{
+    relay_role::RELAYS,
+    relays::{Recipient, Relays},
+};
 use crate::{
     pb::{self, answer, request},
     process::{gateway::Gateway, term::UsageRecord, usage::AccountCounts},
@@ -13,6 +17,8 @@
 
 /// Time within which a relay must answer a question for request counts.
 const USAGE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval between two looks at which daemons of the zone have not been asked for their counts.
+const LEARNING_INTERVAL: Duration = Duration::from_millis(200);
 /// Daemons of each availability zone that are asked for request counts: the relays, and the one that was a relay
 /// before another joined.
 const USAGE_SOURCES: usize = RELAYS + 1;
@@ -45,22 +51,63 @@
     for (zone, answer) in join_all(sources.into_iter().map(query)).await {
         let Ok(answer::Body::UsageTable(table)) = answer else { continue };
         answered.insert(zone);
-        if let Some(recorded) = table.recorded {
-            let counts = recorded.counts.into_iter().map(|c| (c.account.into(), c.count)).collect();
-            gateway.usage.lock().learn_record(UsageRecord { window: recorded.window, counts });
-        }
-        for process in table.lives {
-            let daemon: Arc<str> = process.daemon.into();
-            if (&daemon, process.life) != (&own_name, gateway.shared.epoch) {
-                merge_usage(gateway, &daemon, process.life, &process.windows);
-            }
-        }
+        apply_table(gateway, table);
     }
     let missing: Vec<_> = zones.difference(&answered).collect();
     info!("event=usage-learnt from_window={from_window} asked={count} zones={} missing={missing:?}", zones.len());
     missing.is_empty()
 }
 
+/// Learns from the highest ranked daemons of the own zone the counts that they know, while this daemon keeps reports: those of
+/// daemons that have left are reported no more. Runs until the task is dropped.
+pub(crate) async fn learn_zone_usage(gateway: Arc<Gateway>) {
+    let own_name = gateway.shared.settings.name.clone();
+    let mut learned_from: BTreeSet<Recipient> = BTreeSet::new();
+    loop {
+        sleep(LEARNING_INTERVAL).await;
+        let sources: BTreeSet<Recipient> = {
+            let relays = Relays::of(&gateway.shared.view.lock(), RELAYS);
+            let keeps_reports = relays.keeps_reports(&own_name);
+            let highest = relays.members.into_iter().take(USAGE_SOURCES);
+            highest.filter(|member| keeps_reports && member.name != own_name).collect()
+        };
+        learned_from.retain(|source| sources.contains(source));
+        let missing: Vec<_> = sources.difference(&learned_from).cloned().collect();
+        let query = async |source: Recipient| {
+            let body = request::Body::AskUsage(pb::AskUsage { from_window: oldest_window(&gateway) });
+            (gateway.shared.peer_client.request(source.address, body, USAGE_TIMEOUT).await, source)
+        };
+        for (answer, source) in join_all(missing.into_iter().map(query)).await {
+            let Ok(answer::Body::UsageTable(table)) = answer else { continue };
+            info!("event=zone-usage-learnt from={} lives={}", source.name, table.lives.len());
+            apply_table(&gateway, table);
+            learned_from.insert(source);
+        }
+    }
+}
+
+/// The first window whose report is not overdue.
+fn oldest_window(gateway: &Gateway) -> u64 {
+    let settings = &gateway.shared.settings;
+    let window_ms = settings.usage_window.as_millis().max(1) as u64;
+    let span_ms = settings.usage_delay.as_millis() as u64 + window_ms;
+    gateway.shared.agreed_ms().saturating_sub(span_ms) / window_ms
+}
+
+fn apply_table(gateway: &Gateway, table: pb::UsageTable) {
+    if let Some(recorded) = table.recorded {
+        let counts = recorded.counts.into_iter().map(|c| (c.account.into(), c.count)).collect();
+        gateway.usage.lock().learn_record(UsageRecord { window: recorded.window, counts });
+    }
+    let own = (&gateway.shared.settings.name, gateway.shared.epoch);
+    for process in table.lives {
+        let daemon: Arc<str> = process.daemon.into();
+        if (&daemon, process.life) != own {
+            merge_usage(gateway, &daemon, process.life, &process.windows);
+        }
+    }
+}
+
 pub(super) fn merge_usage(gateway: &Gateway, from: &Arc<str>, epoch: u64, windows: &[pb::WindowCounts]) {
     // A window far ahead would push out the counts of the present ones.
     let window_ms = gateway.shared.settings.usage_window.as_millis().max(1) as u64;
