--- a/goldcrestward/src/process/replicas/registry_test.rs
+++ b/goldcrestward/src/process/replicas/registry_test.rs
@@ -1,15 +1,23 @@
 //! Servers that want nothing: their entries that are removed and come back, and requests that they have turned away.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    pin::pin,
+    sync::Arc,
+    task::{Context, Wake},
+    time::Duration,
+};
+
+use parking_lot::Mutex;
 
 use super::Replicas;
 use crate::{
     port::{Instance, InstanceState},
     process::{
+        Rank,
         brittle::DaemonRank,
         health::AttemptOutcome,
         placement::PromptCost,
-        replicas::{NoReplica, Offer, PlacementQuery, ReplicaQuery},
+        replicas::{NoReplica, Offer, PlacementQuery, Replica, ReplicaQuery},
     },
     version::VersionRule,
 };
@@ -135,3 +143,31 @@
     let _filled: Vec<_> = (0..8).map(|_| replicas.place_free(&query(&[])).map(Offer::accept)).collect();
     assert_eq!(replicas.place_free(&query(&[])).err(), Some(NoReplica::None));
 }
+
+/// Notes how many requests are in flight at a server when a request that waits is woken.
+struct WakeProbe {
+    replica: Arc<Replica>,
+    in_flight: Mutex<Vec<u32>>,
+}
+
+impl Wake for WakeProbe {
+    fn wake(self: Arc<Self>) {
+        self.in_flight.lock().push(self.replica.in_flight());
+    }
+}
+
+/// Guards against a woken request that finds the place still taken, waits on and leaves it free meanwhile.
+#[tokio::test]
+async fn drop_of_a_guard_frees_its_place_before_it_wakes_the_next_request() {
+    let replicas = Replicas::default();
+    replicas.update(vec![entry(1)], 0);
+    let guard = replicas.place(&query(&[])).expect("a place").accept();
+    let replica = guard.replica().clone();
+    let queue = replicas.admission_queues.for_pool(&"pool".into());
+    let mut waiting = pin!(queue.wait(Rank { priority: 0, due_ms: 0 }, HOLD));
+    let probe = Arc::new(WakeProbe { replica, in_flight: Mutex::default() });
+    let waker = probe.clone().into();
+    assert!(waiting.as_mut().poll(&mut Context::from_waker(&waker)).is_pending());
+    drop(guard);
+    assert_eq!(*probe.in_flight.lock(), [0]);
+}
--- a/goldcrestward/src/process/replicas/replica_guard.rs
+++ b/goldcrestward/src/process/replicas/replica_guard.rs
@@ -43,6 +43,7 @@
     /// Records that the replica has returned tokens, so that its prefill is done.
     pub fn record_first_token(&self, now: u64) {
         self.finish_prefill();
+        self.replica.admission_queue.wake_next();
         let mut running = self.replica.health.running.lock();
         if let Some(mine) = running.iter_mut().find(|request| request.number == self.number) {
             mine.output_at = Some(now);
@@ -52,7 +53,6 @@
     fn finish_prefill(&self) {
         let prefill_us = self.prefill_us.swap(0, Ordering::Relaxed);
         self.replica.health.prefill_us.fetch_sub(prefill_us, Ordering::Relaxed);
-        self.replica.admission_queue.wake_next();
     }
 
     /// Whether the replica was beginning to answer the request when it crashed.
@@ -81,5 +81,8 @@
         self.replica.health.in_flight.fetch_sub(1, Ordering::Relaxed);
         let mut running = self.replica.health.running.lock();
         running.retain(|request| request.number != self.number || request.disconnected_at.is_some());
+        drop(running);
+        // The request that is woken may look for the place at once, on another thread.
+        self.replica.admission_queue.wake_next();
     }
 }
