Moves: wait for the answer of a server that pauses before it moves a run

Callers of streams that may not be resumed saw them cut while a server left.

Cause: the call that moves a run off a leaving server was given up after 0.7 s. A server that pauses carries the call out afterwards and stops the run; its answer with the handle was not read any more.

A stream that may not be resumed now waits for the answer for as long as the request has time. One that may be resumed keeps the limit: it runs again.

The test was run red first: Moved after 1.2 s, stream cut after event 22 ("no answer in time", then stream-broken). Green with the change, pauses of 1.2 and 1.9 s, Moved and Stopped; the other tests of moves pass. The fake server carries out a call after its pause also if its caller has gone.

--- a/goldcrestward/src/request/migration.rs
+++ b/goldcrestward/src/request/migration.rs
@@ -25,7 +25,7 @@
     process::{Gateway, Offer, Replica, ReplicaGuard},
 };
 
-/// Time for all calls that migrate one run.
+/// Time for all calls that migrate a run which may be repeated instead.
 const MIGRATION_TIMEOUT: Duration = Duration::from_millis(700);
 /// Servers to which a run is offered. Each call stops it until it resumes.
 const MAX_TARGETS: usize = 2;
@@ -115,7 +115,8 @@
     }
 
     /// Migrates the run to another server before its own terminates. A run that no other server has room for resumes
-    /// at its own.
+    /// at its own. One that may not be repeated is lost without the server's answer, which is awaited for as long as the
+    /// request has time: a server that pauses may stop the run later.
     ///
     /// # Errors
     /// Returns the reason if it is not known that the run has been stopped.
@@ -123,6 +124,7 @@
         let gateway = self.gateway.clone();
         let (id, source) = (self.metadata.id.clone(), guard.replica().clone());
         let offers = self.migration_offers(&source);
+        let limit = if self.route.kind.is_idempotent() { MIGRATION_TIMEOUT } else { self.time_left() };
         Box::pin(async move {
             let started = Instant::now();
             let mut kept: Option<MigratedKvCache> = None;
@@ -133,7 +135,7 @@
                     failure = reason.to_owned();
                     continue;
                 }
-                let time_left = MIGRATION_TIMEOUT.saturating_sub(started.elapsed());
+                let time_left = limit.saturating_sub(started.elapsed());
                 let migration = gateway.engines.migrate_run(source.address, &id, target.replica().address);
                 let outcome =
                     timeout(time_left, migration).await.unwrap_or_else(|_| Err("no answer in time".to_owned()));
