Versions: a short silence of a sound server is no evidence on its version

Operators saw a sound version rolled back: each request that failed or was late while its servers were silent once counted as a sample of its own.

Cause: the failures of one silence are not independent, and a tally does not tell them from those of a slow version.

While a request waits for 0.3 s during a rollout, its server is asked for its health. A slow version answers that. If it is unanswered for 0.2 s, samples "silent" and late answers that the silence explains are left out. A silence of more than 2.5 s, or within 5 s of another one, counts as before, so a version that hangs time and again is still rolled back.

Run red first, three daemons at 200 requests/s, both new servers silent for 1.9 s once: taken back, "late: 20 of 81 with the new version, 0 of 557 with the old beside it". At 71 requests/s in 30 s, silent 8 s after the order, it was completed before the change too.

Requests by request/plain.rs and request/model.rs count as before.

--- a/goldcrestward/src/version/mod.rs
+++ b/goldcrestward/src/version/mod.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod order;
 mod rollout;
+mod silence;
 mod standardized;
 mod tally;
 
@@ -12,6 +13,7 @@
 pub(crate) use choice::{VersionChoice, VersionRule, version_choice};
 pub(crate) use order::ordered_plan;
 pub(crate) use rollout::{Decision, Outcome, Readiness, Rollout, Snapshot};
+pub(crate) use silence::{MAX_SILENCE_MS, SilenceRecord};
 pub(crate) use standardized::StandardizedTally;
 pub(crate) use tally::{EvidenceTable, Sample, Tally, TallyKey};
 
@@ -20,4 +22,6 @@
 #[cfg(test)]
 mod scenario_test;
 #[cfg(test)]
+mod silent_version_test;
+#[cfg(test)]
 mod slow_version_test;
