--- a/goldcrestward/src/request/numbered_events.rs
+++ b/goldcrestward/src/request/numbered_events.rs
@@ -110,11 +110,6 @@
         self.begun
     }
 
-    /// Whether the caller has been sent events of an earlier attempt.
-    pub fn is_resumed(&self) -> bool {
-        self.resumed
-    }
-
     /// Consumes received bytes and returns the complete events up to an error. They count as forwarded from now on, so
     /// the caller must get them, whatever [`error`](Self::error) says.
     #[must_use]
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -687,9 +687,6 @@
         sequence: &mut EventSequence,
     ) -> Result<ExchangeResult, ProxyFailure> {
         sequence.restart_at(&guard.replica().id);
-        // A body without a length also ends when the server breaks off.
-        let has_length =
-            [header::CONTENT_LENGTH, header::TRANSFER_ENCODING].iter().any(|name| head.headers.contains_key(name));
         let first = async {
             loop {
                 let next = poll_fn(|context| match sequence.poll_given_up(context) {
@@ -710,10 +707,6 @@
                     None => {}
                 }
             }
-            // The caller may have had the last event already.
-            if has_length && sequence.is_resumed() && !sequence.is_partial() {
-                return Ok(Bytes::new());
-            }
             Err(FirstEventError::Other("empty"))
         };
         let first = self.wait_or_migrate(guard, first).await.unwrap_or(Err(FirstEventError::Other("silent")));
