--- a/goldcrestward/src/process/brittle/mod.rs
+++ b/goldcrestward/src/process/brittle/mod.rs
@@ -1,6 +1,7 @@
 //! Servers that fall over if they have to turn away too many requests: what each daemon may send to them.
 
 mod facts;
+mod recent_high;
 mod recent_low;
 mod room;
 
--- a/goldcrestward/src/process/brittle/room.rs
+++ b/goldcrestward/src/process/brittle/room.rs
@@ -5,7 +5,7 @@
 //! filled: each daemon may add its part of them to what the others know of it. The places lie in a row, and the daemons' parts
 //! cover the row in the order of their ranks, so that each place belongs to one daemon; the row is turned in each period.
 
-use super::recent_low::RecentLow;
+use super::{recent_high::RecentHigh, recent_low::RecentLow};
 use crate::util::stable_hash;
 
 /// Time for which a server counts as brittle after it has last said so.
@@ -55,8 +55,10 @@
     /// Requests that the server may turn away in a second without falling over.
     max_refusals: u32,
     brittle_until: u64,
-    /// Requests of this daemon in flight that the others know of.
+    /// Places of this daemon that the others know of.
     own_known: RecentLow,
+    /// Places that this daemon has taken. Each counts for a short time after its request has ended, as the next one follows.
+    claimed: RecentHigh,
     blocked_until: u64,
 }
 
@@ -93,9 +95,10 @@
             return self.blocked_until - now;
         }
         let Places { slots, taken, own } = places;
-        let own_known = self.own_known.record(own, now);
+        let claimed = self.claimed.record(own, now);
+        let own_known = self.own_known.record(claimed, now);
         // What this daemon has added since is part of `taken` already.
-        let free = (slots + own - own_known).saturating_sub(taken);
+        let free = (slots + own).saturating_sub(own_known + taken);
         let (period, elapsed) = (agreed_ms / PERIOD_MS, agreed_ms % PERIOD_MS);
         let part = |period: u64| {
             let turn = unit(stable_hash(&[&server.to_le_bytes(), &period.to_le_bytes()]));
--- a/goldcrestward/src/process/brittle/room_test.rs
+++ b/goldcrestward/src/process/brittle/room_test.rs
@@ -22,8 +22,15 @@
 const WORK_MS: u64 = 60;
 const SEEDS: u64 = 4;
 
+/// When the burst begins and ends.
+const BURST_MS: std::ops::Range<u64> = 4_000..8_000;
+
 /// Numbers of daemons and servers.
 const SIZES: [(usize, usize); 4] = [(7, 6), (87, 40), (195, 90), (730, 240)];
+/// The same of sites at which each daemon has a large part of each server.
+const FEW_DAEMONS: [(usize, usize); 3] = [(2, 1), (3, 2), (7, 6)];
+/// Load of callers that come back soon after each refusal, as a multiple of what the servers bear.
+const RETRIED_LOAD: f64 = 13.0;
 
 struct SimServer {
     /// End times and daemons of the running requests.
@@ -44,6 +51,8 @@
 struct Outcome {
     falls: u32,
     served: u32,
+    /// Requests that were served in the burst.
+    served_in_burst: u32,
     asked: u32,
 }
 
@@ -62,7 +71,7 @@
     let mut others_known = vec![vec![0; servers]; daemons];
     let mut summaries: VecDeque<Summary> = VecDeque::new();
     let phases: Vec<u64> = (0..daemons).map(|_| random.random_range(0..EXCHANGE_MS / STEP_MS) * STEP_MS).collect();
-    let (mut served, mut asked) = (0, 0);
+    let (mut served, mut served_in_burst, mut asked) = (0, 0, 0);
     let capacity_per_step = servers as f64 * f64::from(SLOTS) * STEP_MS as f64 / WORK_MS as f64;
     for now in (0..RUN_MS).step_by(STEP_MS as usize) {
         for sim in &mut sims {
@@ -89,7 +98,7 @@
                 }
             }
         }
-        let share = if (4_000..8_000).contains(&now) { load } else { 0.4 };
+        let share = if BURST_MS.contains(&now) { load } else { 0.4 };
         let mut arrivals = capacity_per_step * share;
         while arrivals > 0.0 {
             let arrives = arrivals >= 1.0 || random.random_bool(arrivals);
@@ -118,6 +127,7 @@
             if sim.running.len() < SLOTS as usize {
                 sim.running.push((now + WORK_MS, daemon));
                 served += 1;
+                served_in_burst += u32::from(BURST_MS.contains(&now));
                 continue;
             }
             rooms[daemon][index].record_refusal(daemons, now);
@@ -131,7 +141,7 @@
             }
         }
     }
-    Outcome { falls: sims.iter().map(|sim| sim.falls).sum(), served, asked }
+    Outcome { falls: sims.iter().map(|sim| sim.falls).sum(), served, served_in_burst, asked }
 }
 
 #[test]
@@ -140,7 +150,7 @@
         // What the users allow in one time in which servers are brittle.
         let allowed = 2 + servers as u32 / 10;
         for seed in 0..if daemons > 100 { 1 } else { SEEDS } {
-            let Outcome { falls, served, asked } = burst(daemons, servers, 2.0, true, seed);
+            let Outcome { falls, served, asked, .. } = burst(daemons, servers, 2.0, true, seed);
             let careless = burst(daemons, servers, 2.0, false, seed);
             assert!(
                 falls <= allowed,
@@ -156,6 +166,37 @@
     }
 }
 
+// Guards against daemons that give up their places between two runs, so that the servers are half idle in a burst.
+#[test]
+fn burst_at_brittle_servers_of_few_daemons_fills_half_of_their_places() {
+    for (daemons, servers) in FEW_DAEMONS {
+        let bearable = (BURST_MS.end - BURST_MS.start) / WORK_MS * servers as u64 * u64::from(SLOTS);
+        for seed in 0..SEEDS {
+            let Outcome { falls, served_in_burst, .. } = burst(daemons, servers, RETRIED_LOAD, true, seed);
+            assert_eq!(falls, 0, "{daemons} daemons, seed {seed}");
+            assert!(
+                u64::from(served_in_burst) >= bearable / 2,
+                "{daemons} daemons, seed {seed}: {served_in_burst} of {bearable} were served"
+            );
+        }
+    }
+}
+
+// Guards against daemons that offer the others a place that is free for an instant between two requests, and lose it.
+#[test]
+fn wait_is_zero_for_a_place_whose_request_has_just_ended() {
+    let mut room = Room::default();
+    let daemon = DaemonRank { rank: 0, count: 3 };
+    let wait = |room: &mut Room, own, now| room.wait(Places { slots: 8, taken: 5 + own, own }, daemon, 1, now, now);
+    room.state(5, 0);
+    for now in (0..2_400).step_by(20) {
+        wait(&mut room, 3, now);
+    }
+    room.state(5, 2_400);
+    assert_eq!([0, 1, 2].map(|own| wait(&mut room, own, 2_401)), [0, 0, 0]);
+    assert_ne!(wait(&mut room, 3, 2_401), 0);
+}
+
 #[test]
 fn wait_is_zero_unless_the_server_is_brittle() {
     let mut room = Room::default();
