Versions: take back that a server without an answer on its health says nothing on its version

The questions were also load that no limit of a server bounded. Neither could show in its tests, whose servers answer such questions at once.

--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -16,7 +16,6 @@
     process::{Gateway, WorkTime, lifecycle::Stage, membership::State, replicas::Replica, shared::Shared},
     request::RunWindow,
     util::stable_hash,
-    version::{MAX_SILENCE_MS, VersionChoice},
 };
 
 /// Time for a direct connection before a peer is asked; a live server needs a round trip and a handshake.
@@ -109,28 +108,6 @@
         }
     }
 
-    /// Asks a server at which a request waits for its health, if a rollout compares its version with another one: a silence
-    /// is no evidence on the version.
-    pub fn check_silence(self: &Arc<Self>, replica: &Arc<Replica>, pool: &Arc<str>) {
-        if !self.shared.version_choices.load().get(pool).is_some_and(VersionChoice::has_rollout) {
-            return;
-        }
-        let path = self.shared.in_force.load().site.pools.get(pool).and_then(|pool| pool.health_path.clone());
-        let Some(path) = path else { return };
-        if !replica.silences().begin_check(self.shared.now()) {
-            return;
-        }
-        let (gateway, replica) = (self.clone(), replica.clone());
-        tokio::spawn(async move {
-            let question = gateway.engines.says_ready(replica.address, &replica.id, &path);
-            timeout(Duration::from_millis(MAX_SILENCE_MS + 1), question).await.ok();
-            let silence = replica.silences().end_check(gateway.shared.now());
-            if let Some(silent_ms) = silence {
-                info!("event=server-silent instance={} version={} silent_ms={silent_ms}", replica.id, replica.version);
-            }
-        });
-    }
-
     /// Whether this daemon's path to a server has failed, so that failures on it say nothing about the server.
     pub fn has_no_path(&self, replica: &Replica, via: Option<&Arc<str>>) -> bool {
         let (reach, now) = (self.reach.lock(), self.shared.now());
--- a/goldcrestward/src/process/replicas/replica.rs
+++ b/goldcrestward/src/process/replicas/replica.rs
@@ -6,8 +6,6 @@
     time::Duration,
 };
 
-use parking_lot::MutexGuard;
-
 use super::{Blame, PlacementQuery, ReplicaGuard, replica_health::ReplicaHealth, running_request::RunningRequest};
 use crate::{
     port::{Load, StatedLimit},
@@ -20,7 +18,6 @@
         placement::{Candidate, Locality},
     },
     util::stable_hash,
-    version::SilenceRecord,
 };
 
 /// Consecutive failures after which a replica is ejected.
@@ -149,11 +146,6 @@
         self.health.failure_score.lock().has_answered_since(at)
     }
 
-    /// What this daemon knows of its silences.
-    pub fn silences(&self) -> MutexGuard<'_, SilenceRecord> {
-        self.health.silences.lock()
-    }
-
     /// Load that this daemon puts on the server.
     pub fn own_load(&self) -> PeerLoad {
         let prefill_ms = self.health.prefill_us.load(Ordering::Relaxed) as f64 / 1000.0;
--- a/goldcrestward/src/process/replicas/replica_health.rs
+++ b/goldcrestward/src/process/replicas/replica_health.rs
@@ -8,11 +8,8 @@
 use parking_lot::Mutex;
 
 use super::running_request::RunningRequest;
-use crate::{
-    process::{
-        brittle::Room, health::FailureScore, hold::Hold, loads::LoadTracker, named_limit::NamedLimit, state::LineLimit,
-    },
-    version::SilenceRecord,
+use crate::process::{
+    brittle::Room, health::FailureScore, hold::Hold, loads::LoadTracker, named_limit::NamedLimit, state::LineLimit,
 };
 
 /// Time until a leaving replica is gone, if the platform does not report it.
@@ -34,7 +31,6 @@
     pub(super) prefill_us: AtomicU64,
     pub(super) loads: Mutex<LoadTracker>,
     pub(super) failure_score: Mutex<FailureScore>,
-    pub(super) silences: Mutex<SilenceRecord>,
     pub(super) limit: Mutex<NamedLimit>,
     /// When the next request may be sent within the limit, in ms since the daemon's start.
     pub(super) blocked_until: AtomicU64,
--- a/goldcrestward/src/request/fallback.rs
+++ b/goldcrestward/src/request/fallback.rs
@@ -17,7 +17,7 @@
 use crate::{connection::BackendConnection, process::ReplicaGuard};
 
 /// Time without a response after which the path to a server is looked at.
-pub(super) const SUSPECT_AFTER: Duration = Duration::from_millis(300);
+const SUSPECT_AFTER: Duration = Duration::from_millis(300);
 /// Interval at which a request whose path is being looked at checks whether it has failed.
 const PATH_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two searches for another server while one is silent.
@@ -92,7 +92,6 @@
                 self.gateway.suspect_path(guard.replica(), self.via.as_ref(), sent_at);
                 is_suspect = true;
             }
-            self.gateway.check_silence(guard.replica(), &self.placement.pool);
             if self.time_left().is_zero() {
                 return None;
             }
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -60,8 +60,6 @@
 /// Bounds of the idle timeout.
 const IDLE_TIMEOUT_RANGE: (Duration, Duration) = (Duration::from_millis(700), Duration::from_millis(1_600));
 
-/// Cause of a failure: the server did not answer in time.
-const SILENT: &str = "silent";
 /// Cause of a failure: the response was too long to be kept.
 const TOO_LONG: &str = "too-long";
 /// Cause of a failure: the responses of all servers together left no room for the response, which says nothing of its server.
@@ -294,32 +292,11 @@
     }
 
     fn observe_latency(&self, guard: &ReplicaGuard, started: Instant) {
-        if started.elapsed() > self.route.latency_target && !self.is_explained_by_silence(guard, started) {
+        if started.elapsed() > self.route.latency_target {
             self.observe(guard, Sample::Slow);
         }
     }
 
-    /// Records a failed attempt as evidence on the server's version, unless the server, silent since `since` or later, may
-    /// just be pausing.
-    fn observe_failure(&self, guard: &ReplicaGuard, cause: &str, since: Instant) {
-        if cause != SILENT || !self.is_explained_by_silence(guard, since) {
-            self.observe(guard, Sample::Failed);
-        }
-    }
-
-    /// Whether a short silence of the server explains that a request or event that was due from `since` on is late.
-    fn is_explained_by_silence(&self, guard: &ReplicaGuard, since: Instant) -> bool {
-        let now = self.gateway.shared.now();
-        let sent_at = now.saturating_sub(since.elapsed().as_millis() as u64);
-        let target_ms = self.route.latency_target.as_millis() as u64;
-        let is_explained = guard.replica().silences().explains(sent_at, target_ms, now);
-        if is_explained {
-            let (id, instance) = (&self.metadata.id, &guard.replica().id);
-            info!("event=silence-excused id={id} instance={instance} waited_ms={}", now - sent_at);
-        }
-        is_explained
-    }
-
     fn possible_cause(&self) -> PossibleCause<'_> {
         PossibleCause { id: &self.metadata.id, fingerprint: self.fingerprint, parts: &self.parts }
     }
@@ -362,11 +339,11 @@
     }
 
     /// Records the failure of an attempt, unless the server has no part in it.
-    pub(super) fn record_failure(&self, guard: &ReplicaGuard, cause: &str, since: Instant) {
+    pub(super) fn record_failure(&self, guard: &ReplicaGuard, cause: &str) {
         if cause == NO_MEMORY {
             return;
         }
-        self.observe_failure(guard, cause, since);
+        self.observe(guard, Sample::Failed);
         self.record_outcome(guard, AttemptOutcome::Failure);
     }
 
@@ -505,9 +482,9 @@
                         self.record_outcome(&guard, AttemptOutcome::ErrorResponse);
                     }
                     ProxyFailure::Indeterminate(cause) => {
-                        self.observe_failure(&guard, cause, started);
+                        self.observe(&guard, Sample::Failed);
                         // A server that answers others meanwhile may just need the time that such requests usually take.
-                        let is_at_work = *cause == SILENT
+                        let is_at_work = *cause == "silent"
                             && self.window.is_usual(started.elapsed())
                             && guard.replica().has_answered_since(started_ms);
                         if !is_at_work {
@@ -625,7 +602,7 @@
         let mut head = AwaitedHead::new(attempt, self.window.clone(), connection, request);
         let Some((connection, response)) = self.wait_or_migrate(guard, head.receive()).await.flatten() else {
             head.give_up();
-            return Err(ProxyFailure::Indeterminate(SILENT));
+            return Err(ProxyFailure::Indeterminate("silent"));
         };
         let response = match response {
             Err(SendError::MaybeSent) => return Err(ProxyFailure::Indeterminate("cut")),
@@ -682,7 +659,7 @@
         let (memory, instance) = (&self.gateway.shared.response_memory, &guard.replica().id);
         let reading = memory.collect(body, instance, MAX_RESPONSE_BYTES);
         let collected = match timeout(self.time_left(), reading).await {
-            Err(_) => return Err(ProxyFailure::Indeterminate(SILENT)),
+            Err(_) => return Err(ProxyFailure::Indeterminate("silent")),
             Ok(Err(ReadError::Broken)) => return Err(ProxyFailure::Indeterminate("cut")),
             Ok(Err(ReadError::TooLong(error))) => {
                 let kind = if failed { "error-body" } else { "body" };
@@ -732,7 +709,7 @@
             }
             Err(FirstEventError::Other("empty"))
         };
-        let first = self.wait_or_migrate(guard, first).await.unwrap_or(Err(FirstEventError::Other(SILENT)));
+        let first = self.wait_or_migrate(guard, first).await.unwrap_or(Err(FirstEventError::Other("silent")));
         let first = first.map_err(|error| {
             let cause = match error {
                 FirstEventError::TooLong(error) => self.record_too_long(guard, "event", &error),
@@ -806,8 +783,8 @@
     }
 
     /// Records the failure of a stream and excludes its server from further attempts.
-    pub(super) async fn record_stream_failure(&mut self, guard: &ReplicaGuard, cause: &'static str, since: Instant) {
-        self.record_failure(guard, cause, since);
+    pub(super) async fn record_stream_failure(&mut self, guard: &ReplicaGuard, cause: &'static str) {
+        self.record_failure(guard, cause);
         self.tried.push(guard.replica().id.clone());
         if cause == "cut" && self.may_judge_crash(guard) {
             record_crash(&self.gateway.shared, guard, self.possible_cause()).await;
--- a/goldcrestward/src/request/proxy_body.rs
+++ b/goldcrestward/src/request/proxy_body.rs
@@ -21,7 +21,7 @@
 use volo_http::error::BoxError;
 
 use super::{
-    fallback::{SEARCH_INTERVAL, SUSPECT_AFTER, Search},
+    fallback::{SEARCH_INTERVAL, Search},
     migration::{LEAVING_CHECK_INTERVAL, Migration},
     numbered_events::{EventSequence, SequenceError},
     proxy::ProxyCall,
@@ -125,13 +125,12 @@
         );
         if !allowed {
             call.gateway.shared.metrics.cut_answers.inc();
-            call.record_failure(&guard, cause, self.last_event_at);
+            call.record_failure(&guard, cause);
             return Err(format!("the stream broke off: {cause}").into());
         }
         sequence.restart();
-        let last_event_at = self.last_event_at;
         let resuming = async move {
-            call.record_stream_failure(&guard, cause, last_event_at).await;
+            call.record_stream_failure(&guard, cause).await;
             drop(guard);
             let response = call.attempts(&mut sequence).await;
             (call, sequence, response)
@@ -200,9 +199,6 @@
                 return false;
             }
             let now = Instant::now();
-            if now >= self.last_event_at + SUSPECT_AFTER {
-                source.call.gateway.check_silence(source.guard.replica(), &source.call.placement.pool);
-            }
             let due = (self.last_event_at + source.call.idle_timeout()).max(self.search_at);
             // A run that has been migrated goes on at its new server.
             if source.call.time_to_deadline().is_zero()
--- a/goldcrestward/src/version/mod.rs
+++ b/goldcrestward/src/version/mod.rs
@@ -5,7 +5,6 @@
 mod choice;
 mod order;
 mod rollout;
-mod silence;
 mod standardized;
 mod tally;
 
@@ -13,7 +12,6 @@
 pub(crate) use choice::{VersionChoice, VersionRule, version_choice};
 pub(crate) use order::ordered_plan;
 pub(crate) use rollout::{Decision, Outcome, Readiness, Rollout, Snapshot};
-pub(crate) use silence::{MAX_SILENCE_MS, SilenceRecord};
 pub(crate) use standardized::StandardizedTally;
 pub(crate) use tally::{EvidenceTable, Sample, Tally, TallyKey};
 
@@ -22,6 +20,4 @@
 #[cfg(test)]
 mod scenario_test;
 #[cfg(test)]
-mod silent_version_test;
-#[cfg(test)]
 mod slow_version_test;
