--- a/goldcrestward/src/process/duty.rs
+++ b/goldcrestward/src/process/duty.rs
@@ -197,13 +197,13 @@
             return self.give_up(&held, "the lease was not renewed in time");
         }
         if !self.is_current(&held) {
-            return self.hold_again(&held, now).await;
+            return self.hold_again(held, now).await;
         }
         if held.term.is_renewal_due(now) {
             match self.gateway.shared.kv.renew(Purpose::Duty, held.term.lease).await {
                 // The answer to the renewal may be the first that tells of a restore.
                 Ok(()) | Err(Error::LeaseEnded { .. }) if !self.is_current(&held) => {
-                    return self.hold_again(&held, now).await;
+                    return self.hold_again(held, now).await;
                 }
                 Ok(()) => held.term.extend(now, self.lease_time()),
                 Err(Error::LeaseEnded { .. }) => return self.give_up(&held, "the lease has ended"),
@@ -276,18 +276,28 @@
 
     /// Acquires the duties in a later history of the store than that in which this daemon acquired them. It need not wait:
     /// while its lease is valid no other daemon can have acquired them, as that waits for a lease's time in the new
-    /// history, which began after this lease was last renewed. An entry that it finds is therefore one of the copy.
-    async fn hold_again(&mut self, held: &HeldDuties, now: u64) {
+    /// history, which began after this lease was last renewed. An entry that it finds is therefore one of the copy. Until
+    /// then it does nothing under the lease, so it tries again if the store does not answer.
+    async fn hold_again(&mut self, held: HeldDuties, now: u64) {
         // Whoever the copy names does not act on it, as this daemon held the duties when the store was restored.
-        let named = self.gateway.shared.kv.get(Purpose::Duty, &self.key("duty")).await.ok().flatten();
-        let replaced = named.filter(|_| held.term.is_valid(boot_ms())).map_or(Revision::NONE, |row| row.revision);
-        match self.acquire(now, replaced).await {
+        let again = match self.gateway.shared.kv.get(Purpose::Duty, &self.key("duty")).await {
+            Ok(named) => {
+                let replaced = named.filter(|_| held.term.is_valid(boot_ms()));
+                self.acquire(now, replaced.map_or(Revision::NONE, |row| row.revision)).await
+            }
+            Err(error) => {
+                warn!("event=duty-read-failed fence={} error={error:?}", held.holder.fencing_token);
+                None
+            }
+        };
+        match again {
             Some(again) if held.term.is_valid(boot_ms()) => {
                 let (before, fence) = (held.holder.fencing_token, again.holder.fencing_token);
                 info!("event=duty-kept before={before} fence={fence} reason=\"the store was restored from a copy\"");
                 self.unfetched_window = 0;
                 self.held = Some(again);
             }
+            None if held.term.is_valid(boot_ms()) => self.held = Some(held),
             again => {
                 if let Some(HeldDuties { term, holder, .. }) = again
                     && let Err(error) = self.gateway.shared.kv.revoke(Purpose::Duty, term.lease).await
@@ -295,7 +305,7 @@
                     // The lease ends by itself.
                     warn!("event=lease-kept fence={} lease={} error={error:?}", holder.fencing_token, term.lease);
                 }
-                self.give_up(held, "the store was restored from a copy");
+                self.give_up(&held, "the store was restored from a copy");
             }
         }
     }
