--- a/goldcrestward/src/request/migration.rs
+++ b/goldcrestward/src/request/migration.rs
@@ -124,7 +124,8 @@
         let gateway = self.gateway.clone();
         let (id, source) = (self.metadata.id.clone(), guard.replica().clone());
         let offers = self.migration_offers(&source);
-        let limit = if self.route.kind.is_idempotent() { MIGRATION_TIMEOUT } else { self.time_left() };
+        let may_run_again = self.route.kind.is_idempotent() && self.sends < self.route.attempt_limit;
+        let limit = if may_run_again { MIGRATION_TIMEOUT } else { self.time_left() };
         Box::pin(async move {
             let started = Instant::now();
             let mut kept: Option<MigratedKvCache> = None;
