--- a/goldcrestward/src/process/lifetime.rs
+++ b/goldcrestward/src/process/lifetime.rs
@@ -121,11 +121,6 @@
         self.0.stop.get().is_some_and(|stop| stop.needs_certainty(Instant::now()))
     }
 
-    /// Whether work that begins now has ended before the daemon whatever happens.
-    pub fn is_certain(&self, work: WorkTime) -> bool {
-        self.0.stop.get().is_none_or(|stop| stop.is_certain(work, Instant::now()))
-    }
-
     /// Whether the end has come.
     pub fn has_ended(&self) -> bool {
         self.time_left().is_some_and(|left| left.is_zero())
--- a/goldcrestward/src/request/run_window.rs
+++ b/goldcrestward/src/request/run_window.rs
@@ -238,7 +238,7 @@
         if !self.shared.stop_lines.take() {
             return;
         }
-        let (needed, basis) = self.estimate();
+        let (needed, basis) = self.deciding_time(self.work_time());
         let runs = self.run.kind.as_ref().map_or(0, |kind| self.shared.run_times.count(kind, Instant::now()));
         let (id, route, since, needed, left) =
             (&self.id, self.route_label(), since.as_millis(), needed.as_millis(), left.as_millis());
@@ -256,13 +256,21 @@
         self.shared.metrics.stop_outcomes.with_label_values(&["refused"]).inc();
     }
 
+    /// The time that decides in a stop whether the request may be begun, and what it is known from.
+    fn deciding_time(&self, work: WorkTime) -> (Duration, Basis) {
+        let basis = self.estimate().1;
+        if !self.shared.lifetime.needs_certainty() {
+            return (work.expected, basis);
+        }
+        match work.at_most {
+            Some(at_most) if at_most > work.expected => (at_most, Basis::Deadline),
+            Some(_) => (work.expected, basis),
+            None => (work.expected, Basis::Unbounded),
+        }
+    }
+
     fn refuse(&self, work: WorkTime, phase: Phase) -> Refusal {
-        let is_uncertain = self.shared.lifetime.needs_certainty() && !self.shared.lifetime.is_certain(work);
-        let (needed, basis) = match work.at_most {
-            Some(at_most) if is_uncertain => (at_most, Basis::Deadline),
-            None if is_uncertain => (work.expected, Basis::Unbounded),
-            _ => (work.expected, self.estimate().1),
-        };
+        let (needed, basis) = self.deciding_time(work);
         self.record_refusal(needed, basis, phase);
         let (left, needed) = (self.shared.lifetime.time_left().unwrap_or_default().as_millis(), needed.as_millis());
         let message = format!("this daemon ends in {left} ms, and the request may take {needed} ms");
