--- a/goldcrestward/src/request/refusal.rs
+++ b/goldcrestward/src/request/refusal.rs
@@ -228,12 +228,13 @@
         };
         let mut response = self.response();
         *response.status_mut() = status;
-        if let Some(wait) = self.retry_after {
-            let seconds = format!("{:.3}", wait.as_secs_f64());
-            if let Ok(seconds) = HeaderValue::from_str(&seconds) {
-                response.headers_mut().insert(header::RETRY_AFTER, seconds);
-            }
-        }
+        // A caller that may not repeat the request must not be told when to.
+        let retry_after = self.retry_after.filter(|_| self.run == RunState::NotRun);
+        let seconds = retry_after.and_then(|wait| HeaderValue::from_str(&format!("{:.3}", wait.as_secs_f64())).ok());
+        match seconds {
+            Some(seconds) => response.headers_mut().insert(header::RETRY_AFTER, seconds),
+            None => response.headers_mut().remove(header::RETRY_AFTER),
+        };
         response
     }
 
--- a/goldcrestward/src/request/refusal_test.rs
+++ b/goldcrestward/src/request/refusal_test.rs
@@ -14,6 +14,13 @@
     assert_eq!(waits, ["0.029"]);
 }
 
+// Guards against a caller that is asked to repeat a request that may have run.
+#[test]
+fn retry_safe_response_to_what_may_have_run_has_no_retry_after() {
+    let refusal = Refusal::may_have_run(Reason::Stopping, "stopping").with_retry_after(Duration::from_millis(100));
+    assert_eq!(refusal.retry_safe_response().headers().get(header::RETRY_AFTER), None);
+}
+
 #[test]
 fn retry_safe_response_uses_429_and_503_only_for_not_run() {
     let cases = [
