--- a/goldcrestward/src/request/numbered_events.rs
+++ b/goldcrestward/src/request/numbered_events.rs
@@ -34,7 +34,11 @@
     /// Bytes of it that have been searched for its end.
     scanned: usize,
     last: Option<u64>,
+    /// The event after which another server is asked to go on.
+    resume_point: Option<u64>,
     repeated: u64,
+    /// Whether this attempt has repeated the last event that the caller was sent by an earlier one.
+    repeats_last: bool,
     error: Option<SequenceError>,
     /// Whether the caller has been sent events of an earlier attempt, which this one resumes.
     resumed: bool,
@@ -51,7 +55,9 @@
             buffer: memory.buffer(&Arc::from("-"), MAX_KEPT_BYTES),
             scanned: 0,
             last,
+            resume_point: last,
             repeated: 0,
+            repeats_last: false,
             error: None,
             resumed: false,
             begun: false,
@@ -64,6 +70,19 @@
         self.last
     }
 
+    /// Number of the event after which another server is asked to go on: the one before the last, so that it repeats the
+    /// last one first. A stream that has ended is then told from an answer that lacks the rest. Of a response with one
+    /// event, that event.
+    pub fn resume_point(&self) -> Option<u64> {
+        self.resume_point
+    }
+
+    /// Whether nothing is missing if the stream of this attempt ends here: it resumes the response, and has repeated the
+    /// last event that the caller was sent.
+    pub fn may_end(&self) -> bool {
+        self.repeats_last && self.error.is_none() && !self.is_partial()
+    }
+
     /// Number of events dropped as duplicates.
     pub fn repeated(&self) -> u64 {
         self.repeated
@@ -92,6 +111,7 @@
         self.error = None;
         self.resumed |= self.begun;
         self.begun = false;
+        self.repeats_last = false;
     }
 
     /// Continues with the stream of `server`.
@@ -184,10 +204,12 @@
         match self.last {
             Some(last) if number <= last => {
                 self.repeated += 1;
+                self.repeats_last |= number == last && self.resumed && !self.begun;
                 Ok(false)
             }
             Some(last) if number > last + 1 => Err(SequenceError::Gap),
             _ => {
+                self.resume_point = self.last.or(Some(number));
                 self.last = Some(number);
                 self.begun = true;
                 self.forwarded += 1;
--- a/goldcrestward/src/request/numbered_events_test.rs
+++ b/goldcrestward/src/request/numbered_events_test.rs
@@ -116,6 +116,51 @@
     assert_eq!(sequence.forwarded(), 2);
 }
 
+// Guards against ORDER: an answer that lacks the rest of a stream must not be taken for its end.
+#[test]
+fn may_end_only_after_the_last_event_of_the_attempt_before() {
+    let cases = [
+        ("nothing", String::new(), false),
+        ("only a comment", ": wait\n\n".to_owned(), false),
+        ("an event before the last", event(2), false),
+        ("the last event", event(3), true),
+        ("the last event and a comment", event(3) + ": wait\n\n", true),
+        ("the last two events", event(2) + &event(3), true),
+        ("the last event and a part of another", event(3) + "id: 4\n", false),
+        ("the last event and a malformed one", event(3) + "data: x\n\n", false),
+        ("the last event and a later one", event(3) + &event(5), false),
+    ];
+    for (name, text, expected) in cases {
+        let mut sequence = sequence();
+        read(&mut sequence, &(event(1) + &event(2) + &event(3)), &[9]);
+        assert!(!sequence.may_end(), "{name}: the first attempt");
+        assert_eq!(sequence.resume_point(), Some(2));
+        sequence.restart();
+        read(&mut sequence, &text, &[9]);
+        assert_eq!(sequence.may_end(), expected, "{name}");
+        sequence.restart();
+        assert!(!sequence.may_end(), "{name}: the next attempt");
+    }
+}
+
+#[test]
+fn resume_point_is_the_event_before_the_last() {
+    let cases = [
+        (None, 1..=0, None),
+        (None, 1..=1, Some(1)),
+        (None, 1..=2, Some(1)),
+        (None, 1..=7, Some(6)),
+        (Some(4), 5..=4, Some(4)),
+        (Some(4), 5..=5, Some(4)),
+        (Some(4), 5..=6, Some(5)),
+    ];
+    for (last, numbers, expected) in cases {
+        let mut sequence = EventSequence::new(last, &ResponseMemory::new(MEMORY_BYTES));
+        read(&mut sequence, &numbers.clone().map(event).collect::<String>(), &[9]);
+        assert_eq!(sequence.resume_point(), expected, "{last:?}, {numbers:?}");
+    }
+}
+
 // Guards against an event without end that is kept.
 #[test]
 fn read_endless_event_is_too_long_and_frees_memory() {
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -589,7 +589,9 @@
             sent_at,
             sent_ms: self.gateway.shared.agreed_ms(),
         };
-        let request = self.build_request(&replica.id, sequence.last());
+        // A run that has been stopped goes on exactly where it was.
+        let resume_after = if self.kv_cache.is_some() { sequence.last() } else { sequence.resume_point() };
+        let request = self.build_request(&replica.id, resume_after);
         let previous = self.run_state;
         if replica.limit().per_second.is_some() {
             self.gateway.shared.metrics.limited_sends.inc();
@@ -687,6 +689,9 @@
         sequence: &mut EventSequence,
     ) -> Result<ExchangeResult, ProxyFailure> {
         sequence.restart_at(&guard.replica().id);
+        // A body without a length also ends when its server breaks off.
+        let has_length =
+            [header::CONTENT_LENGTH, header::TRANSFER_ENCODING].iter().any(|name| head.headers.contains_key(name));
         let first = async {
             loop {
                 let next = poll_fn(|context| match sequence.poll_given_up(context) {
@@ -707,6 +712,9 @@
                     None => {}
                 }
             }
+            if has_length && sequence.may_end() {
+                return Ok(Bytes::new());
+            }
             Err(FirstEventError::Other("empty"))
         };
         let first = self.wait_or_migrate(guard, first).await.unwrap_or(Err(FirstEventError::Other("silent")));
@@ -746,7 +754,7 @@
         if error.limit == MemoryLimit::Daemon { NO_MEMORY } else { TOO_LONG }
     }
 
-    fn build_request(&self, instance: &str, last: Option<u64>) -> HttpRequest<Full<Bytes>> {
+    fn build_request(&self, instance: &str, resume_after: Option<u64>) -> HttpRequest<Full<Bytes>> {
         let mut request = HttpRequest::new(Full::new(self.body.clone()));
         *request.method_mut() = self.head.method.clone();
         if let Ok(path) = self.head.path.parse() {
@@ -758,7 +766,7 @@
             account: self.account.as_ref().map(|account| &*account.name),
             instance,
             urgency: self.urgency(),
-            resume_after: last,
+            resume_after,
             kv_cache: self.kv_cache.as_ref(),
         };
         self.gateway.header_codec.encode_attempt(&mut headers, &metadata);
