--- a/goldcrestward/src/process/gateway.rs
+++ b/goldcrestward/src/process/gateway.rs
@@ -10,7 +10,7 @@
     demand::DemandMeters,
     limit_facts::publish_limit,
     quota::{IsolatedQuotas, QuotaBalances, QuotaCharge, QuotaLedger, Verdict},
-    reach::{Helpers, MAX_SEARCHES, ReachTable},
+    reach::{Helpers, MAX_SEARCHES, Probes, ReachTable},
     replicas::Replica,
     retries::RetryBudget,
     send_limits::{IsolatedSends, SendLimits},
@@ -54,6 +54,8 @@
     pub backend_connections: BackendConnections,
     /// Which servers this daemon reaches.
     pub reach: Mutex<ReachTable>,
+    /// Attempts to reach servers by itself.
+    pub(super) probes: Mutex<Probes>,
     /// Which peers may open connections to those that it does not.
     pub helpers: Mutex<Helpers>,
     /// Limits the searches for such a peer.
@@ -92,6 +94,7 @@
             engines,
             backend_connections,
             reach: Mutex::default(),
+            probes: Mutex::default(),
             helpers: Mutex::default(),
             tunnel_searches: Semaphore::new(MAX_SEARCHES),
             unheard_heads: Arc::new(Semaphore::new(MAX_UNHEARD_HEADS)),
--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -2,12 +2,14 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
+use futures_util::FutureExt;
 use log::{info, warn};
 use tokio::time::timeout;
 
 use super::{
     carried_observer::CarriedObserver,
     helpers::Search,
+    probes::Outcome,
     table::{Change, Path},
 };
 use crate::{
@@ -69,15 +71,48 @@
                 }
             },
             Path::Relay => {}
-            Path::RelayAndProbe => self.probe(replica),
+            Path::RelayAndProbe => drop(self.probe(replica)),
         }
-        let Ok(Ok(_permit)) = timeout(limit, self.tunnel_searches.acquire()).await else { return Err(failure) };
-        let limit = window.time_left().min(SEARCH_TIMEOUT);
-        let relayed = timeout(limit, self.connect_by_peer(id, replica, window)).await;
-        relayed.unwrap_or(Err(ConnectError::Silent)).map_err(|error| match failure {
-            ConnectError::Refused => failure,
-            ConnectError::Silent => error,
-        })
+        let error = {
+            let Ok(Ok(_permit)) = timeout(limit, self.tunnel_searches.acquire()).await else { return Err(failure) };
+            let limit = window.time_left().min(SEARCH_TIMEOUT);
+            match timeout(limit, self.connect_by_peer(id, replica, window)).await {
+                Ok(Ok(relayed)) => return Ok(relayed),
+                Ok(Err(error)) => error,
+                Err(_) => ConnectError::Silent,
+            }
+        };
+        if path != Path::Direct
+            && error == ConnectError::Silent
+            && let Some(connection) = self.connect_again(id, replica, window).await
+        {
+            return Ok(connection);
+        }
+        Err(if failure == ConnectError::Refused { failure } else { error })
+    }
+
+    /// Connects directly to a server that has counted as unreached, if it is reached again: a peer that has carried the
+    /// connections to it may just have gone.
+    async fn connect_again(
+        self: &Arc<Self>,
+        id: &str,
+        replica: &Arc<Replica>,
+        window: &RunWindow,
+    ) -> Option<BackendConnection> {
+        let probed = timeout(window.time_left().min(DIRECT_TIMEOUT), self.probe(replica)).await;
+        let is_reached = probed.unwrap_or(false);
+        info!("event=direct-retried id={id} instance={} reached={is_reached}", replica.id);
+        if !is_reached {
+            return None;
+        }
+        let connections = &self.backend_connections;
+        if let Some(idle) = connections.take(replica.address, &replica.id, false) {
+            return Some(idle);
+        }
+        let limit = window.time_left().min(DIRECT_TIMEOUT);
+        let opened = connections.open(replica.address, &replica.id, limit).await;
+        self.record_reach(replica, opened.as_ref().map(|_| ()).map_err(|error| *error));
+        opened.ok()
     }
 
     /// Records a response to a request that was sent on this connection.
@@ -102,7 +137,7 @@
             None => {
                 let is_due = self.reach.lock().record_silence(&replica.id, now);
                 if is_due {
-                    self.probe(replica);
+                    drop(self.probe(replica));
                 }
             }
         }
@@ -119,17 +154,26 @@
         self.reach.lock().has_no_path(&replica.id)
     }
 
-    /// Checks in the background whether a server can be reached directly.
-    pub fn probe(self: &Arc<Self>, replica: &Arc<Replica>) {
-        let (gateway, replica) = (self.clone(), replica.clone());
-        tokio::spawn(async move {
-            let opened = gateway.backend_connections.open(replica.address, &replica.id, PROBE_TIMEOUT).await;
-            let result = opened.as_ref().map(|_| ()).map_err(|error| *error);
-            gateway.record_reach(&replica, result);
-            if let Ok(connection) = opened {
-                connection.keep();
-            }
-        });
+    /// Checks in the background whether a server can be reached directly, unless that has just been done.
+    fn probe(self: &Arc<Self>, replica: &Arc<Replica>) -> Outcome {
+        let probe = || {
+            let (gateway, replica) = (self.clone(), replica.clone());
+            let probe = async move {
+                let opened = gateway.backend_connections.open(replica.address, &replica.id, PROBE_TIMEOUT).await;
+                let result = opened.as_ref().map(|_| ()).map_err(|error| *error);
+                gateway.record_reach(&replica, result);
+                if let Ok(connection) = opened {
+                    connection.keep();
+                }
+                result.is_ok()
+            };
+            probe.boxed()
+        };
+        let (outcome, new) = self.probes.lock().join(&replica.id, self.shared.now(), probe);
+        if let Some(new) = new {
+            tokio::spawn(new);
+        }
+        outcome
     }
 
     fn record_reach(&self, replica: &Replica, result: Result<(), ConnectError>) {
