--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod command_line;
 mod configuration;
+mod early_answers;
 mod endless;
 mod hedges;
 mod held_answers;
--- a/goldcrestward/tests/it/silent_bodies.rs
+++ b/goldcrestward/tests/it/silent_bodies.rs
@@ -72,7 +72,7 @@
 }
 
 /// A site of one daemon whose pool has these back ends.
-async fn start_site(pool: &str, addresses: &[SocketAddr]) -> TestSite {
+pub(super) async fn start_site(pool: &str, addresses: &[SocketAddr]) -> TestSite {
     let mut site = TestSite::start(1, 0).await;
     site.services.iter().for_each(standin::service::Service::kill);
     site.services.clear();
--- a/goldcrestward/tests/it/support/raw_back_end.rs
+++ b/goldcrestward/tests/it/support/raw_back_end.rs
@@ -25,6 +25,18 @@
 impl RawBackEnd {
     /// Starts a back end whose script gets the text of each request and its number on its connection, from 0.
     pub async fn start(script: impl Fn(&str, usize) -> (Vec<u8>, RawEnd) + Send + Sync + 'static) -> Self {
+        Self::start_reading(true, script).await
+    }
+
+    /// Starts a back end that answers a request when its head has come, and reads no more of it.
+    pub async fn start_early(script: impl Fn(&str, usize) -> (Vec<u8>, RawEnd) + Send + Sync + 'static) -> Self {
+        Self::start_reading(false, script).await
+    }
+
+    async fn start_reading(
+        reads_bodies: bool,
+        script: impl Fn(&str, usize) -> (Vec<u8>, RawEnd) + Send + Sync + 'static,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let address = listener.local_addr().expect("the socket has an address");
         let script = Arc::new(script);
@@ -33,17 +45,21 @@
             let mut connections = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
                 let script = script.clone();
-                connections.spawn(async move { serve(stream, &*script).await });
+                connections.spawn(async move { serve(stream, reads_bodies, &*script).await });
             }
         });
         Self { address, _tasks: tasks }
     }
 }
 
-async fn serve(mut stream: TcpStream, script: &(impl Fn(&str, usize) -> (Vec<u8>, RawEnd) + Send + Sync)) {
+async fn serve(
+    mut stream: TcpStream,
+    reads_bodies: bool,
+    script: &(impl Fn(&str, usize) -> (Vec<u8>, RawEnd) + Send + Sync),
+) {
     stream.set_nodelay(true).ok();
     let mut number = 0;
-    while let Some(request) = read_request(&mut stream).await {
+    while let Some(request) = read_message(&mut stream, reads_bodies).await {
         let (bytes, end) = script(&request, number);
         if stream.write_all(&bytes).await.is_err() {
             return;
@@ -66,12 +82,16 @@
 
 /// Reads a request with its body.
 pub(crate) async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    read_message(stream, true).await
+}
+
+async fn read_message(stream: &mut TcpStream, reads_body: bool) -> Option<String> {
     let (mut text, mut buffer) = (String::new(), [0; 8192]);
     loop {
         if let Some((head, body)) = text.split_once("\r\n\r\n") {
             let head = head.to_lowercase();
             let length = head.lines().find_map(|line| line.strip_prefix("content-length:")?.trim().parse().ok());
-            if body.len() >= length.unwrap_or(0) {
+            if !reads_body || body.len() >= length.unwrap_or(0) {
                 return Some(text);
             }
         }
