--- a/goldcrestward/src/version/analysis.rs
+++ b/goldcrestward/src/version/analysis.rs
@@ -139,7 +139,7 @@
         if self.tests.is_empty() {
             self.start_test();
         }
-        let period = since(strata, &self.period_start);
+        let period = without(strata, &self.period_start);
         let count = |pick: fn(&TallyPair) -> u64| period.values().map(pick).sum::<u64>();
         let (new, old) = (count(|p| p.new.count), count(|p| p.old.count));
         let period_requests = if self.mode.is_ordered() { ORDERED_PERIOD_REQUESTS } else { PERIOD_REQUESTS };
@@ -300,11 +300,11 @@
 /// Cumulative tallies of the old version by route.
 type OldTallies = BTreeMap<Arc<str>, Tally>;
 
-/// Tallies since earlier ones.
-pub(super) fn since(strata: &Strata, earlier: &Strata) -> Strata {
+/// The tallies less a part of them, such as those up to an earlier time.
+pub(super) fn without(strata: &Strata, part: &Strata) -> Strata {
     let difference = |key: &(Arc<str>, Arc<str>), pair: &TallyPair| {
-        let before = earlier.get(key).copied().unwrap_or_default();
-        TallyPair { old: pair.old - before.old, new: pair.new - before.new }
+        let part = part.get(key).copied().unwrap_or_default();
+        TallyPair { old: pair.old - part.old, new: pair.new - part.new }
     };
     strata.iter().map(|(key, pair)| (key.clone(), difference(key, pair))).collect()
 }
--- a/goldcrestward/src/version/late_burst.rs
+++ b/goldcrestward/src/version/late_burst.rs
@@ -5,7 +5,7 @@
 
 use std::collections::VecDeque;
 
-use super::analysis::{Analysis, Strata, Verdict, since};
+use super::analysis::{Analysis, Strata, Verdict, without};
 
 /// Time before a verdict in which its late answers are sent: the silence and the age of the evidence.
 const BURST_MS: u64 = 2_500;
@@ -48,10 +48,10 @@
                 return Verdict::Inconclusive;
             }
             *analysis = before.analysis.clone();
-            self.state = State::Used(since(strata, &before.strata));
+            self.state = State::Used(without(strata, &before.strata));
         }
         if let State::Used(burst) = &self.state {
-            return analysis.evaluate(&since(strata, burst));
+            return analysis.evaluate(&without(strata, burst));
         }
         let verdict = analysis.evaluate(strata);
         if verdict == Verdict::Harmful {
