--- a/goldcrestward/src/connection/backend.rs
+++ b/goldcrestward/src/connection/backend.rs
@@ -164,6 +164,11 @@
             avoided.retain(|_, until| *until > now);
             avoided.insert(peer.clone(), now + AVOID_TIME);
         }
+        self.close_idle_via(peer);
+    }
+
+    /// Closes idle connections by way of a peer.
+    pub fn close_idle_via(&self, peer: &Arc<str>) {
         for idle in self.idle.lock().values_mut() {
             idle.retain(|connection| connection.via.as_ref().is_none_or(|via| via.peer != *peer));
         }
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -297,6 +297,13 @@
         }
     }
 
+    /// Closes the idle connections by way of the peer whose connection has broken off, as the peer may have ended.
+    fn close_idle_carried(&self) {
+        if let Some(peer) = &self.via {
+            self.gateway.backend_connections.close_idle_via(peer);
+        }
+    }
+
     fn possible_cause(&self) -> PossibleCause<'_> {
         PossibleCause { id: &self.metadata.id, fingerprint: self.fingerprint, parts: &self.parts }
     }
@@ -496,6 +503,9 @@
                 if matches!(failure, ProxyFailure::ConnectFailed | ProxyFailure::NoPath) {
                     guard.replica().eject_briefly(self.gateway.shared.now());
                 }
+                if matches!(failure, ProxyFailure::Indeterminate("cut")) {
+                    self.close_idle_carried();
+                }
                 // A response without a length ends with its connection, also when the server has crashed.
                 if matches!(failure, ProxyFailure::Indeterminate("cut" | "empty")) && self.may_judge_crash(&guard) {
                     record_crash(&self.gateway.shared, &guard, self.possible_cause()).await;
@@ -794,6 +804,9 @@
     pub(super) async fn record_stream_failure(&mut self, guard: &ReplicaGuard, cause: &'static str) {
         self.record_failure(guard, cause);
         self.tried.push(guard.replica().id.clone());
+        if cause == "cut" {
+            self.close_idle_carried();
+        }
         if cause == "cut" && self.may_judge_crash(guard) {
             record_crash(&self.gateway.shared, guard, self.possible_cause()).await;
         }
