--- a/goldcrestward/src/request/fallback.rs
+++ b/goldcrestward/src/request/fallback.rs
@@ -73,6 +73,7 @@
         let (id, instance, to) = (&self.metadata.id, &silent.replica().id, &fallback.guard.replica().id);
         let silent_ms = since.elapsed().as_millis();
         info!("event=server-given-up id={id} instance={instance} silent_ms={silent_ms} to={to}");
+        self.silent = Some(silent.replica().id.clone());
         self.fallback = Some(fallback);
         true
     }
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -109,6 +109,8 @@
     pub(super) migration: Migration,
     /// The place for the next attempt, paid for from the retry budget.
     pub(super) fallback: Option<Fallback>,
+    /// The silent server that was given up for that place, until another one has answered.
+    pub(super) silent: Option<Arc<str>>,
     /// The connection for the next attempt, if there is one already.
     connection: Option<BackendConnection>,
     /// What log lines say of the connection of the last attempt.
@@ -165,6 +167,7 @@
             owes_retry: false,
             migration: Migration::Idle,
             fallback: None,
+            silent: None,
             connection: None,
             connection_label: String::new(),
             via: None,
@@ -201,7 +204,7 @@
             let instance = guard.replica().id.clone();
             match self.attempt_in_time(guard, sequence).await {
                 Ok(response) => {
-                    self.held = None;
+                    (self.held, self.silent) = (None, None);
                     return Ok(response);
                 }
                 Err(ProxyFailure::Migrated(run)) => {
@@ -216,6 +219,7 @@
                     };
                 }
                 Err(failure) => {
+                    self.discount(&failure);
                     let repeat = self.may_retry(&failure);
                     let (id, label, sends) = (&self.metadata.id, failure.label(), self.sends);
                     let connection = &self.connection_label;
@@ -385,6 +389,22 @@
         self.gateway.shared.crash_evidence.lock().is_suspect(self.parts.iter().copied())
     }
 
+    /// Takes back an attempt that no server has run, if the request can't be refused as not run any more. The silent server
+    /// that was given up for it may be sound.
+    fn discount(&mut self, failure: &ProxyFailure) {
+        let has_run = self.run_state == RunState::MayHaveRun;
+        if has_run && matches!(failure, ProxyFailure::NotRun) {
+            self.sends = self.sends.saturating_sub(1);
+        }
+        let is_unserved = matches!(
+            failure,
+            ProxyFailure::NotRun | ProxyFailure::ConnectFailed | ProxyFailure::NoPath | ProxyFailure::Withdrawn
+        );
+        if let Some(silent) = self.silent.take_if(|_| is_unserved) {
+            self.tried.retain(|instance| *instance != silent);
+        }
+    }
+
     fn may_retry(&mut self, failure: &ProxyFailure) -> bool {
         if self.fallback.is_some() {
             return true;
