--- a/goldcrestward/src/request/migration.rs
+++ b/goldcrestward/src/request/migration.rs
@@ -176,7 +176,8 @@
         offers
     }
 
-    /// Resumes a stream whose run has been stopped to migrate it; `source` is the server that ran it.
+    /// Resumes a stream whose run has been stopped to migrate it; `source` is the server that ran it. The run goes on there if
+    /// the other server does not take it.
     ///
     /// # Errors
     /// Returns a refusal if there is no response to pass on.
@@ -193,10 +194,13 @@
                 sequence.restart();
                 self.crash_score()?;
                 self.kv_cache = Some(migrated.kv_cache);
-                let guard = migrated.target.unwrap_or(source);
+                let (guard, left) = match migrated.target {
+                    Some(target) => (target, Some(source)),
+                    None => (source, None),
+                };
                 let instance = guard.replica().id.clone();
                 let response = self.attempt_in_time(guard, sequence).await;
-                self.kv_cache = None;
+                let kv_cache = self.kv_cache.take();
                 let failure = match response {
                     Ok(response) => return Ok(response),
                     Err(ProxyFailure::Migrated(run)) => {
@@ -207,6 +211,13 @@
                 };
                 let (id, label) = (&self.metadata.id, failure.label());
                 info!("event=moved-run-failed id={id} instance={instance} cause={label}");
+                self.discount(&failure);
+                if failure.is_unserved()
+                    && let (Some(left), Some(kv_cache)) = (left, kv_cache)
+                {
+                    (migrated, source) = (MigratedRun { target: None, kv_cache }, left);
+                    continue;
+                }
                 if !self.may_resume("moved") {
                     return self.final_result(failure);
                 }
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -391,16 +391,12 @@
 
     /// Takes back an attempt that no server has run, if the request can't be refused as not run any more. The silent server
     /// that was given up for it may be sound.
-    fn discount(&mut self, failure: &ProxyFailure) {
+    pub(super) fn discount(&mut self, failure: &ProxyFailure) {
         let has_run = self.run_state == RunState::MayHaveRun;
         if has_run && matches!(failure, ProxyFailure::NotRun) {
             self.sends = self.sends.saturating_sub(1);
         }
-        let is_unserved = matches!(
-            failure,
-            ProxyFailure::NotRun | ProxyFailure::ConnectFailed | ProxyFailure::NoPath | ProxyFailure::Withdrawn
-        );
-        if let Some(silent) = self.silent.take_if(|_| is_unserved) {
+        if let Some(silent) = self.silent.take_if(|_| failure.is_unserved()) {
             self.tried.retain(|instance| *instance != silent);
         }
     }
--- a/goldcrestward/src/request/proxy_outcome.rs
+++ b/goldcrestward/src/request/proxy_outcome.rs
@@ -41,6 +41,11 @@
 }
 
 impl ProxyFailure {
+    /// Whether the server of the attempt has not run the request.
+    pub fn is_unserved(&self) -> bool {
+        matches!(self, Self::ConnectFailed | Self::NoPath | Self::Withdrawn | Self::NotRun)
+    }
+
     /// Label of the failure in metrics and log lines.
     pub fn label(&self) -> &'static str {
         match self {
