--- a/goldcrestward/src/process/rollout.rs
+++ b/goldcrestward/src/process/rollout.rs
@@ -29,6 +29,8 @@
 const ORDERED_TICK: Duration = Duration::from_millis(500);
 /// Interval at which the stored evidence is refreshed.
 const RECORD_REFRESH_MS: u64 = 15_000;
+/// Minimum time between two log lines on what holds a step back.
+const OBSTACLE_LOG_MS: u64 = 2_000;
 /// Maximum number of daemons queried for evidence; their share of the traffic is taken as a sample of the whole.
 const MAX_SOURCES: usize = 50;
 /// Average rate of evidence queries, which bounds the traffic of a rollout's holder.
@@ -48,6 +50,9 @@
     /// Evidence by daemon.
     sources: HashMap<Arc<str>, Source>,
     next_query_ms: u64,
+    /// When the daemons were last queried, and how many answered.
+    queried: (u64, usize),
+    obstacle_log: ObstacleLog,
     /// A rollback that is not stored yet.
     pending: Option<Decision>,
     /// Whether the record has been read; until then nothing is written and no step is taken.
@@ -56,6 +61,13 @@
     unsaved: bool,
 }
 
+/// What the latest log line said to hold a step back, and when it was written.
+#[derive(Clone, Copy, Debug, Default)]
+struct ObstacleLog {
+    obstacle: &'static str,
+    at_ms: u64,
+}
+
 /// Tallies reported by one daemon, including those of earlier processes with its name.
 #[derive(Default)]
 struct Source {
@@ -153,7 +165,8 @@
         held.rollout.set_plan(plan.clone());
         let now = self.shared.now();
         if now >= held.next_query_ms {
-            let queried = query_sources(&self.shared, &plan, &mut held.sources).await;
+            let (queried, answered) = query_sources(&self.shared, &plan, &mut held.sources).await;
+            held.queried = (now, answered);
             let rate = if plan.mode.is_ordered() { ORDERED_QUERIES_PER_SECOND } else { QUERIES_PER_SECOND };
             held.next_query_ms = now + queried * 1_000 / rate;
         }
@@ -175,6 +188,7 @@
         };
         let evidence = EvidenceSummary::from(held.rollout.evidence());
         let obstacle = held.rollout.obstacle(&snapshot).unwrap_or_default();
+        held.log_obstacle(&snapshot, now);
         held.record.evidence = evidence;
         held.record.obstacle = obstacle.to_owned();
         if !held.read {
@@ -350,8 +364,21 @@
             Some(held) => (held.sources, held.pending, new_rollout()),
             None => (HashMap::new(), None, new_rollout()),
         };
-        self.held
-            .insert(name, HeldRollout { rollout, record, revision, sources, next_query_ms: 0, pending, read, unsaved });
+        self.held.insert(
+            name,
+            HeldRollout {
+                rollout,
+                record,
+                revision,
+                sources,
+                next_query_ms: 0,
+                queried: (self.shared.now(), 0),
+                obstacle_log: ObstacleLog::default(),
+                pending,
+                read,
+                unsaved,
+            },
+        );
     }
 
     /// Adds what the site's facts say of a rollout to its record, which may be older.
@@ -412,7 +439,8 @@
                 held.revision = txn.revision;
                 held.record = record.clone();
                 held.rollout.apply(&decision, self.shared.agreed_ms());
-                self.publish_decision(&record);
+                let evidence = held.log_evidence(self.shared.now());
+                self.publish_decision(&record, &evidence);
             }
             // Another holder, or an earlier attempt of this one, has written the record: it must be read again.
             Ok(_) => {
@@ -425,14 +453,15 @@
     }
 
     /// Publishes a stored decision, logs it and counts the outcome.
-    fn publish_decision(&self, record: &RolloutRecord) {
+    fn publish_decision(&self, record: &RolloutRecord, evidence: &str) {
         self.publish(record);
         let (version, step) = (&record.version, record.step);
         match &record.outcome {
-            None => info!("event=move-step version={version} step={step}"),
+            None => info!("event=move-step version={version} step={step} {evidence}"),
             Some(outcome) => {
                 self.shared.metrics.rollouts.with_label_values(&[outcome]).inc();
-                info!("event=move-ended version={version} outcome={outcome} reason={:?}", record.reason);
+                let reason = &record.reason;
+                info!("event=move-ended version={version} outcome={outcome} reason={reason:?} {evidence}");
             }
         }
     }
@@ -477,18 +506,24 @@
     Some(rows.into_iter().filter_map(parse).collect())
 }
 
-/// Queries daemons for their tallies. Returns how many were queried.
-async fn query_sources(shared: &Arc<Shared>, plan: &VersionPlan, known: &mut HashMap<Arc<str>, Source>) -> u64 {
+/// Queries daemons for their tallies. Returns how many were queried, and how many answered.
+async fn query_sources(
+    shared: &Arc<Shared>,
+    plan: &VersionPlan,
+    known: &mut HashMap<Arc<str>, Source>,
+) -> (u64, usize) {
     let mut versions = old_versions(shared, plan);
     versions.push(plan.name.clone());
     let selected = select_sources(shared, &plan.rollout_key);
     let count = selected.len() as u64;
     let queries =
         selected.into_iter().map(|(name, address)| query_source(shared.clone(), name, address, versions.clone()));
+    let mut answered = 0;
     for (name, report) in join_all(queries).await.into_iter().flatten() {
         known.entry(name).or_default().apply_report(report);
+        answered += 1;
     }
-    count
+    (count, answered)
 }
 
 /// Collects the input of a rollout's next decision.
@@ -571,6 +606,27 @@
     pb::EvidenceReport { epoch: shared.epoch, evidence: shared.evidence.export(versions) }
 }
 
+impl HeldRollout {
+    /// The evidence of the latest decision as fields of a log line.
+    fn log_evidence(&self, now_ms: u64) -> String {
+        let (queried_ms, answered) = self.queried;
+        let age_ms = now_ms.saturating_sub(queried_ms);
+        format!("{} evidence_age_ms={age_ms} evidence_sources={answered}", self.rollout.latest())
+    }
+
+    /// Logs what holds a step back when it changes.
+    fn log_obstacle(&mut self, snapshot: &Snapshot, now_ms: u64) {
+        let obstacle = self.rollout.held_back(snapshot).unwrap_or_default();
+        let ObstacleLog { obstacle: logged, at_ms } = self.obstacle_log;
+        if obstacle == logged || (at_ms > 0 && now_ms < at_ms + OBSTACLE_LOG_MS) {
+            return;
+        }
+        self.obstacle_log = ObstacleLog { obstacle, at_ms: now_ms };
+        let (version, step, evidence) = (&self.record.version, self.rollout.step(), self.log_evidence(now_ms));
+        info!("event=move-obstacle version={version} step={step} obstacle={obstacle:?} {evidence}");
+    }
+}
+
 impl Source {
     /// Applies a report. Tallies of an earlier process are kept, as those of a new process start from zero.
     fn apply_report(&mut self, report: pb::EvidenceReport) {
--- a/goldcrestward/src/version/analysis.rs
+++ b/goldcrestward/src/version/analysis.rs
@@ -12,6 +12,7 @@
 
 use super::{
     bound::{lower_bound, upper_bound, wilson_interval},
+    evidence::{AddedHarm, Evidence},
     standardized::{StandardizedTally, TallyPair},
     tally::Tally,
 };
@@ -79,6 +80,8 @@
     tests_started: u32,
     last_test_count: u64,
     period_start: Strata,
+    /// The counts of the first test at the latest evaluation, with the period that has not ended.
+    latest: StandardizedTally,
     harm: Option<Harm>,
 }
 
@@ -101,6 +104,7 @@
             tests_started: 0,
             last_test_count: 0,
             period_start,
+            latest: StandardizedTally::default(),
             harm: None,
         }
     }
@@ -126,6 +130,11 @@
         late < old_late + self.harm_threshold / 2.0
     }
 
+    /// What the latest evaluation was made on.
+    pub fn latest(&self) -> Evidence {
+        Evidence { tally: self.latest, harm: self.added_harm(&self.latest) }
+    }
+
     /// The counts of the first test over all ended periods and routes, for operators.
     pub fn evidence(&self) -> StandardizedTally {
         self.tests.front().map(|test| total(&test.routes)).unwrap_or_default()
@@ -146,11 +155,12 @@
         let ended = (new > 0 && old >= PERIOD_OLD_REQUESTS) || new + old >= period_requests;
         let tests: Vec<SequentialTest> = self.tests.iter().map(|test| test.with_period(&period)).collect();
         let old_tallies = old_tallies(strata);
+        let so_far = tests.first().map(|test| total(&test.routes)).unwrap_or_default();
+        self.latest = so_far;
         self.harm = self.find_harm(&tests, &old_tallies);
         if self.harm.is_some() {
             return Verdict::Harmful;
         }
-        let so_far = tests.first().map(|test| total(&test.routes)).unwrap_or_default();
         if ended {
             self.period_start.clone_from(strata);
             self.tests = tests.into();
@@ -271,19 +281,24 @@
     }
 
     fn is_harmless(&self, so_far: &StandardizedTally) -> bool {
-        let old_count = so_far.effective_count();
-        let within = |new: u64, old: u64| {
-            let (new, count) = (new.min(so_far.matched.count), so_far.matched.count);
-            if self.mode.is_ordered() {
-                return wilson_interval(new, count, ORDERED_ACCEPT_Z).1
-                    - wilson_interval(old, old_count, ORDERED_ACCEPT_Z).0
-                    < self.harm_threshold;
-            }
-            upper_bound(new, count, ACCEPT_ERROR) - lower_bound(old, old_count, ACCEPT_ERROR) < self.harm_threshold
+        so_far.effective_count() > 0 && self.added_harm(so_far).upper < self.harm_threshold
+    }
+
+    fn added_harm(&self, tally: &StandardizedTally) -> AddedHarm {
+        let (count, old_count) = (tally.matched.count, tally.effective_count());
+        let share = |hits: u64, count: u64| hits as f64 / count.max(1) as f64;
+        let added = |new: u64, old: u64| {
+            let new = new.min(count);
+            let upper = if self.mode.is_ordered() {
+                wilson_interval(new, count, ORDERED_ACCEPT_Z).1 - wilson_interval(old, old_count, ORDERED_ACCEPT_Z).0
+            } else {
+                upper_bound(new, count, ACCEPT_ERROR) - lower_bound(old, old_count, ACCEPT_ERROR)
+            };
+            AddedHarm { estimate: share(new, count) - share(old, old_count), upper }
         };
-        old_count > 0
-            && within(so_far.matched.failed, so_far.old_failed())
-            && within(so_far.matched.slow, so_far.old_slow())
+        let (failed, late) =
+            (added(tally.matched.failed, tally.old_failed()), added(tally.matched.slow, tally.old_slow()));
+        AddedHarm { estimate: failed.estimate.max(late.estimate), upper: failed.upper.max(late.upper) }
     }
 }
 
--- a/goldcrestward/src/version/mod.rs
+++ b/goldcrestward/src/version/mod.rs
@@ -3,6 +3,7 @@
 mod analysis;
 mod bound;
 mod choice;
+mod evidence;
 mod late_burst;
 mod order;
 mod rollout;
--- a/goldcrestward/src/version/rollout.rs
+++ b/goldcrestward/src/version/rollout.rs
@@ -2,6 +2,7 @@
 
 use super::{
     analysis::{Analysis, Strata, Verdict},
+    evidence::Evidence,
     late_burst::{LateBurst, WAIT_MS},
     standardized::StandardizedTally,
 };
@@ -118,6 +119,11 @@
         self.analysis.evidence()
     }
 
+    /// What the latest decision was made on.
+    pub fn latest(&self) -> Evidence {
+        self.analysis.latest()
+    }
+
     /// Share of traffic at a step. The step after the last is that of a completed rollout, with all traffic.
     pub fn share(plan: &VersionPlan, step: usize) -> f64 {
         match step {
@@ -165,12 +171,8 @@
                 self.end_at_date(last_step, snapshot)
             });
         }
-        let due_ms = start + (self.due_fraction() * (date - start) as f64) as u64;
-        let step_elapsed = snapshot.now_ms >= self.step_since_ms + self.min_step_ms();
-        if self.step >= last_step || snapshot.now_ms < due_ms || (self.step > 0 && !step_elapsed) {
-            return None;
-        }
-        self.may_advance(snapshot).then_some(Decision::Advance(self.step + 1))
+        let may_advance = self.is_step_due(snapshot.now_ms) && self.obstacle(snapshot).is_none();
+        may_advance.then_some(Decision::Advance(self.step + 1))
     }
 
     /// Applies a decision that has been made durable.
@@ -189,6 +191,12 @@
         self.late_burst.is_waiting()
     }
 
+    /// Why a step that is due is not taken.
+    pub fn held_back(&self, snapshot: &Snapshot) -> Option<&'static str> {
+        let is_due = self.is_waiting() || self.is_step_due(snapshot.now_ms);
+        self.obstacle(snapshot).filter(|_| is_due && !self.ended)
+    }
+
     /// Why the rollout cannot advance, for operators.
     pub fn obstacle(&self, snapshot: &Snapshot) -> Option<&'static str> {
         if self.is_waiting() {
@@ -229,8 +237,11 @@
         }
     }
 
-    fn may_advance(&self, snapshot: &Snapshot) -> bool {
-        self.obstacle(snapshot).is_none()
+    fn is_step_due(&self, now_ms: u64) -> bool {
+        let (Some(start), Some(date)) = (self.plan.start_ms, self.plan.date_ms) else { return false };
+        let due_ms = start + (self.due_fraction() * (date - start) as f64) as u64;
+        let step_elapsed = self.step == 0 || now_ms >= self.step_since_ms + self.min_step_ms();
+        self.step < self.plan.steps.len() && now_ms >= due_ms && step_elapsed
     }
 
     fn has_capacity(share: f64, ready: Readiness) -> bool {
