--- a/goldcrestward/src/pb/landed_test.rs
+++ b/goldcrestward/src/pb/landed_test.rs
@@ -95,6 +95,10 @@
     pb::UsageTable { lives: vec![life()], recorded: Some(window()) }
 }
 
+fn hand_usage() -> pb::HandUsage {
+    pb::HandUsage { from: "daemon-1".into(), table: Some(usage_table()) }
+}
+
 fn work() -> pb::PoolWork {
     pb::PoolWork { pool: "p1".into(), total_ms: 12.5, zone: "north-a".into() }
 }
@@ -230,6 +234,8 @@
         example("AskUsage", pb::AskUsage { from_window: 7 }),
         example("LifeCounts", life()),
         example("UsageTable", usage_table()),
+        example("HandUsage", hand_usage()),
+        example("UsageTaken", pb::UsageTaken { stopping: true }),
         example("PoolWork", work()),
         example("Report", report()),
         example("ZoneSum", zone_sum()),
@@ -302,6 +308,7 @@
         example_request("ask_quota", request::Body::AskQuota(pb::AskQuota { account: "a1".into(), units: 1.5 })),
         example_request("ask_send", request::Body::AskSend(pb::AskSend { run: 6, per_second: 2.5 })),
         example_request("open_tunnel", request::Body::OpenTunnel(open_tunnel())),
+        example_request("hand_usage", request::Body::HandUsage(hand_usage())),
         example_answer("config_delta", answer::Body::ConfigDelta(config_delta())),
         example_answer("sync_view", answer::Body::SyncView(sync_view())),
         example_answer("status_report", answer::Body::StatusReport(status_report())),
@@ -312,6 +319,7 @@
         example_answer("usage_table", answer::Body::UsageTable(usage_table())),
         example_answer("quota_grant", answer::Body::QuotaGrant(quota_grant())),
         example_answer("tunnel_answer", answer::Body::TunnelAnswer(tunnel_answer())),
+        example_answer("usage_taken", answer::Body::UsageTaken(pb::UsageTaken { stopping: true })),
     ]);
     all.extend(facts());
     all
--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -119,6 +119,21 @@
     #[prost(message, optional, tag = "2")]
     pub recorded: ::core::option::Option<WindowCounts>,
 }
+/// Hands request counts to a daemon that stays, as the sender is leaving.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct HandUsage {
+    /// The sender.
+    #[prost(string, tag = "1")]
+    pub from: ::prost::alloc::string::String,
+    #[prost(message, optional, tag = "2")]
+    pub table: ::core::option::Option<UsageTable>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct UsageTaken {
+    /// The receiver is being stopped as well, and may leave before the counts are reported.
+    #[prost(bool, tag = "1")]
+    pub stopping: bool,
+}
 /// Total work that daemons have sent to a pool since the sender's start.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PoolWork {
@@ -527,7 +542,7 @@
 pub struct Request {
     #[prost(uint64, tag = "1")]
     pub id: u64,
-    #[prost(oneof = "request::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "request::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub body: ::core::option::Option<request::Body>,
 }
 /// Nested message and enum types in `Request`.
@@ -558,13 +573,16 @@
         /// Answered by a `TunnelAnswer`.
         #[prost(message, tag = "12")]
         OpenTunnel(super::OpenTunnel),
+        /// Answered by a `UsageTaken`.
+        #[prost(message, tag = "13")]
+        HandUsage(super::HandUsage),
     }
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Answer {
     #[prost(uint64, tag = "1")]
     pub id: u64,
-    #[prost(oneof = "answer::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "answer::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub body: ::core::option::Option<answer::Body>,
 }
 /// Nested message and enum types in `Answer`.
@@ -591,6 +609,8 @@
         QuotaGrant(super::QuotaGrant),
         #[prost(message, tag = "11")]
         TunnelAnswer(super::TunnelAnswer),
+        #[prost(message, tag = "12")]
+        UsageTaken(super::UsageTaken),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -36,7 +36,7 @@
     configure::Configurer,
     duty::Duty,
     error::{ConnectionSnafu, DatagramsSnafu, MetricsSnafu, Result},
-    exchange::{Exchange, learn_zone_usage},
+    exchange::{Exchange, UsageHandover, learn_zone_usage},
     gateway::Gateway,
     gossip::Gossip,
     lifecycle::{Draining, Serving, Stage, Starting},
@@ -268,12 +268,24 @@
             () = tokio::time::sleep(notice) => {}
             () = shared.lifetime.ended() => {}
         }
+        let mut usage = UsageHandover::new(shared.clone());
         let drained = async {
             self.callers.finish(shared.lifetime.ended()).await;
             shared.tasks.close();
-            shared.tasks.wait().await;
-            shared.ledger.settled().await;
-            shared.carried.finish().await;
+            let finished = async {
+                shared.tasks.wait().await;
+                shared.ledger.settled().await;
+                shared.carried.finish().await;
+            };
+            // No request is sent to a server any more.
+            let handed = async {
+                tokio::select! {
+                    () = shared.tasks.wait() => {}
+                    () = shared.lifetime.ended() => {}
+                }
+                usage.run(limit.map_or(FLUSH_TIMEOUT, |limit| limit.saturating_sub(begun.elapsed()))).await;
+            };
+            tokio::join!(finished, handed);
         };
         let whole = match limit {
             Some(limit) => timeout(limit.saturating_sub(begun.elapsed()), drained).await.is_ok(),
@@ -296,7 +308,8 @@
         }
         let limit = limit.map(|limit| limit + STOP_MARGIN - EXIT_TIME);
         let rest = || limit.map_or(FLUSH_TIMEOUT, |limit| limit.saturating_sub(begun.elapsed()));
-        shared.ledger.close(rest()).await;
+        // What it has learnt since, or all of it if the drain was cut.
+        tokio::join!(shared.ledger.close(rest()), usage.run(rest()));
         log_step("ledger");
         self.gossip.leave();
         timeout(rest(), self.operators.finish(ready(()))).await.ok();
--- a/goldcrestward/src/process/exchange/mod.rs
+++ b/goldcrestward/src/process/exchange/mod.rs
@@ -14,6 +14,7 @@
 mod sent;
 mod timing;
 mod usage_fetch;
+mod usage_handover;
 
 pub(crate) use changed_rows::RowValue;
 pub(crate) use fleet_table::Reach;
@@ -22,3 +23,4 @@
 pub(crate) use run::Exchange;
 pub(crate) use timing::{REPORT_TIMEOUT_MS, SILENCE_MS};
 pub(crate) use usage_fetch::{fetch_usage, learn_zone_usage};
+pub(crate) use usage_handover::UsageHandover;
--- a/goldcrestward/src/process/exchange/run.rs
+++ b/goldcrestward/src/process/exchange/run.rs
@@ -22,7 +22,7 @@
     },
     sent::{Sent, SentLevel, is_level_due, report},
     timing::{exchange_interval, other_region_stride},
-    usage_fetch::{merge_usage, window_counts},
+    usage_fetch::{apply_table, merge_usage, oldest_window, window_counts},
 };
 use crate::{
     pb::{self, answer, datagram::Body, request},
@@ -30,6 +30,7 @@
         clock::boot_ms,
         gateway::Gateway,
         gossip::Gossip,
+        lifecycle::Stage,
         quota::{QuotaLedger, QuotaLevel},
         usage::AccountCounts,
     },
@@ -488,7 +489,21 @@
         });
         let recorded = usage.recorded().map(|record| window_counts((&record.window, &record.counts)));
         let lives = std::iter::once(own).chain(others).filter(|life| !life.windows.is_empty());
-        pb::UsageTable { lives: lives.collect(), recorded }
+        let mut lives: Vec<_> = lives.collect();
+        lives.sort_unstable_by(|a, b| (&a.daemon, a.life).cmp(&(&b.daemon, b.life)));
+        pb::UsageTable { lives, recorded }
+    }
+
+    /// Takes the request counts that a daemon hands over before it leaves; `None` if this daemon keeps none.
+    pub fn take_usage(&self, hand: pb::HandUsage) -> Option<pb::UsageTaken> {
+        let gateway = self.gateway.upgrade()?;
+        let table = hand.table?;
+        info!("event=usage-taken from={} lives={}", hand.from, table.lives.len());
+        // Counts of windows that have been reported would add up.
+        let oldest = oldest_window(&gateway).saturating_sub(1);
+        gateway.usage.lock().forget_before(oldest);
+        apply_table(&gateway, table);
+        Some(pb::UsageTaken { stopping: gateway.shared.stage.get() == Stage::Draining })
     }
 }
 
--- a/goldcrestward/src/process/exchange/usage_fetch.rs
+++ b/goldcrestward/src/process/exchange/usage_fetch.rs
@@ -87,14 +87,14 @@
 }
 
 /// The first window whose report is not overdue.
-fn oldest_window(gateway: &Gateway) -> u64 {
+pub(super) fn oldest_window(gateway: &Gateway) -> u64 {
     let settings = &gateway.shared.settings;
     let window_ms = settings.usage_window.as_millis().max(1) as u64;
     let span_ms = settings.usage_delay.as_millis() as u64 + window_ms;
     gateway.shared.agreed_ms().saturating_sub(span_ms) / window_ms
 }
 
-fn apply_table(gateway: &Gateway, table: pb::UsageTable) {
+pub(super) fn apply_table(gateway: &Gateway, table: pb::UsageTable) {
     if let Some(recorded) = table.recorded {
         let counts = recorded.counts.into_iter().map(|c| (c.account.into(), c.count)).collect();
         gateway.usage.lock().learn_record(UsageRecord { window: recorded.window, counts });
--- /dev/null
+++ b/goldcrestward/src/process/exchange/usage_handover.rs
@@ -0,0 +1,130 @@
+//! Request counts that a daemon hands to others before it leaves.
+//!
+//! What it knows may be known to nobody else: the other relays of its availability zone may leave at the same time.
+
+use std::{cmp::Reverse, collections::BTreeMap, sync::Arc, time::Duration};
+
+use futures_util::future::join_all;
+use log::{info, warn};
+use tokio::time::timeout;
+
+use super::{
+    heard_relay::relay_score, relay_role::RELAYS, relays::Recipient, run::Exchange, usage_fetch::oldest_window,
+};
+use crate::{
+    pb::{self, answer, request},
+    process::{duty::OWN_PREFIX, membership::View, shared::Shared},
+    util::stable_hash,
+};
+
+/// Time within which a daemon must say that it has taken the counts.
+const TAKING_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time limit of all tries.
+const HANDOVER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Daemons of other availability zones that get the counts.
+const OTHER_RECEIVERS: usize = 2;
+/// Daemons that are tried in place of those that do not take the counts.
+const SUBSTITUTES: usize = 2;
+
+/// Daemons that stay, in the order in which they are tried.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Receivers {
+    /// The holder of the duties.
+    holder: Option<Recipient>,
+    /// Daemons of the own availability zone.
+    zone: Vec<Recipient>,
+    /// Daemons of the others, the highest ranked of each before the next ones.
+    others: Vec<Recipient>,
+}
+
+impl Receivers {
+    fn of(view: &View, holder: Option<&str>) -> Self {
+        let local = view.local();
+        let staying = view.present().filter(|member| member.name != local.name && !view.is_stopping(member));
+        let (holders, staying): (Vec<_>, Vec<_>) = staying.partition(|member| Some(&*member.name) == holder);
+        let mut zones: BTreeMap<&Arc<str>, Vec<_>> = BTreeMap::new();
+        for member in staying {
+            zones.entry(&member.zone).or_default().push(member);
+        }
+        for members in zones.values_mut() {
+            members.sort_unstable_by_key(|member| Reverse(relay_score(&member.name)));
+        }
+        let zone = zones.remove(&local.zone).unwrap_or_default();
+        // Each zone prefers others, so that none gets the counts of all.
+        let preference = |zone: &str| stable_hash(&[local.zone.as_bytes(), zone.as_bytes()]);
+        let ranked = zones.into_iter().flat_map(|(zone, members)| {
+            members.into_iter().enumerate().map(move |(rank, member)| ((rank, preference(zone)), member))
+        });
+        let mut ranked: Vec<_> = ranked.collect();
+        ranked.sort_unstable_by_key(|(key, _)| *key);
+        Self {
+            holder: holders.first().map(|member| Recipient::from(*member)),
+            zone: zone.into_iter().map(Recipient::from).collect(),
+            others: ranked.into_iter().map(|(_, member)| Recipient::from(member)).collect(),
+        }
+    }
+}
+
+/// Hands over what this daemon knows, and again what it has learnt since.
+pub(crate) struct UsageHandover {
+    shared: Arc<Shared>,
+    handed: Option<pb::UsageTable>,
+}
+
+impl UsageHandover {
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared, handed: None }
+    }
+
+    /// Hands over what some daemon has not taken yet, within `limit`.
+    pub async fn run(&mut self, limit: Duration) {
+        let Some(gateway) = self.shared.exchange.get().and_then(Exchange::gateway) else { return };
+        let table = Exchange::new(&gateway).usage_table(oldest_window(&gateway));
+        if self.handed.as_ref() == Some(&table) {
+            return;
+        }
+        let Receivers { holder, zone, others } = {
+            let key = format!("{OWN_PREFIX}{}/duty", self.shared.settings.site);
+            let holder = self.shared.config.lock().text(&key).cloned();
+            let holder = holder.as_deref().and_then(|text| text.split(' ').next());
+            Receivers::of(&self.shared.view.lock(), holder)
+        };
+        let groups = [(Vec::from_iter(holder), 1), (zone, RELAYS), (others, OTHER_RECEIVERS)];
+        if groups.iter().all(|(receivers, _)| receivers.is_empty()) {
+            return;
+        }
+        let hand = groups.into_iter().map(|(receivers, wanted)| self.hand(&table, receivers, wanted));
+        let takers = timeout(limit.min(HANDOVER_TIMEOUT), join_all(hand)).await;
+        let takers: Vec<_> = takers.unwrap_or_default().into_iter().flatten().collect();
+        let lives = table.lives.len();
+        if takers.is_empty() {
+            return warn!("event=usage-not-handed lives={lives}");
+        }
+        info!("event=usage-handed lives={lives} to={takers:?}");
+        self.handed = Some(table);
+    }
+
+    /// Hands the counts to so many of the receivers, and to others in place of those that do not take them.
+    async fn hand(&self, table: &pb::UsageTable, receivers: Vec<Recipient>, wanted: usize) -> Vec<Arc<str>> {
+        let mut receivers = receivers.into_iter().take(wanted + SUBSTITUTES);
+        let mut takers = Vec::new();
+        while takers.len() < wanted {
+            let round: Vec<_> = receivers.by_ref().take(wanted - takers.len()).collect();
+            if round.is_empty() {
+                break;
+            }
+            let tries = round.into_iter().map(async |receiver| {
+                let from = self.shared.settings.name.to_string();
+                let body = request::Body::HandUsage(pb::HandUsage { from, table: Some(table.clone()) });
+                let answer = self.shared.peer_client.request(receiver.address, body, TAKING_TIMEOUT).await;
+                matches!(answer, Ok(answer::Body::UsageTaken(taken)) if !taken.stopping).then_some(receiver.name)
+            });
+            takers.extend(join_all(tries).await.into_iter().flatten());
+        }
+        takers
+    }
+}
+
+#[cfg(test)]
+#[path = "usage_handover_test.rs"]
+mod usage_handover_test;
--- a/goldcrestward/src/process/peer_service.rs
+++ b/goldcrestward/src/process/peer_service.rs
@@ -89,6 +89,9 @@
                 let table = self.shared.exchange.get().map(|exchange| exchange.usage_table(ask.from_window));
                 answer::Body::UsageTable(table.unwrap_or_default())
             }
+            request::Body::HandUsage(hand) => {
+                answer::Body::UsageTaken(self.shared.exchange.get().and_then(|exchange| exchange.take_usage(hand))?)
+            }
             // Streams that open a tunnel are not served here.
             request::Body::OpenTunnel(_) => return None,
             request::Body::AskSend(ask) => {
@@ -121,7 +124,7 @@
         request::Body::Claim(_) | request::Body::Settle(_) => "ledger",
         request::Body::ReportUsage(_) => "limits",
         request::Body::AskEvidence(_) => "evidence",
-        request::Body::AskUsage(_) => "usage",
+        request::Body::AskUsage(_) | request::Body::HandUsage(_) => "usage",
         request::Body::AskQuota(_) => "quota",
         request::Body::AskSend(_) => "send",
         request::Body::OpenTunnel(_) => "tunnel",
