--- a/goldcrestward/src/request/fallback.rs
+++ b/goldcrestward/src/request/fallback.rs
@@ -45,8 +45,8 @@
     /// Starts to look for another server than the silent one; `None` if the request may not be sent to another one now.
     pub(super) fn search_fallback(&self, silent: &ReplicaGuard) -> Option<Search> {
         let gateway = self.gateway.clone();
-        let has_attempt = self.may_send() && self.route.kind.is_idempotent() && self.sends < self.route.attempt_limit;
-        if !has_attempt || self.time_left() < MIN_RETRY_TIME || self.is_suspect() {
+        let may_repeat = self.may_send() && self.route.kind.is_idempotent() && self.has_attempt();
+        if !may_repeat || self.time_left() < MIN_RETRY_TIME || self.is_suspect() {
             return None;
         }
         if !self.allows_retry() {
--- a/goldcrestward/src/request/migration.rs
+++ b/goldcrestward/src/request/migration.rs
@@ -124,7 +124,7 @@
         let gateway = self.gateway.clone();
         let (id, source) = (self.metadata.id.clone(), guard.replica().clone());
         let offers = self.migration_offers(&source);
-        let may_run_again = self.route.kind.is_idempotent() && self.sends < self.route.attempt_limit;
+        let may_run_again = self.route.kind.is_idempotent() && self.has_attempt();
         let limit = if may_run_again { MIGRATION_TIMEOUT } else { self.time_left() };
         Box::pin(async move {
             let started = Instant::now();
@@ -211,7 +211,7 @@
                 };
                 let (id, label) = (&self.metadata.id, failure.label());
                 info!("event=moved-run-failed id={id} instance={instance} cause={label}");
-                self.discount(&failure);
+                self.record_unserved(&failure);
                 if failure.is_unserved()
                     && let (Some(left), Some(kv_cache)) = (left, kv_cache)
                 {
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -94,6 +94,8 @@
     parts: Vec<u64>,
     pub(super) tried: Vec<Arc<str>>,
     pub(super) sends: u32,
+    /// How many of the servers that it was sent to have turned it away.
+    refusals: u32,
     connect_failures: u32,
     pub(super) run_state: RunState,
     usage_counted: bool,
@@ -157,6 +159,7 @@
             parts,
             tried: Vec::new(),
             sends: 0,
+            refusals: 0,
             connect_failures: 0,
             run_state: RunState::NotRun,
             usage_counted: false,
@@ -212,14 +215,14 @@
                     let response = self.resume_migrated(migrated, source, sequence).await;
                     return match response {
                         Ok(response) => {
-                            self.held = None;
+                            (self.held, self.silent) = (None, None);
                             Ok(response)
                         }
                         Err(refusal) => self.pass_held(refusal.reason.label()).ok_or(refusal),
                     };
                 }
                 Err(failure) => {
-                    self.discount(&failure);
+                    self.record_unserved(&failure);
                     let repeat = self.may_retry(&failure);
                     let (id, label, sends) = (&self.metadata.id, failure.label(), self.sends);
                     let connection = &self.connection_label;
@@ -271,7 +274,7 @@
 
     /// Idle time after which another server is sought; the time left if the request cannot be sent to another one.
     pub(super) fn idle_timeout(&self) -> Duration {
-        if !self.route.kind.is_idempotent() || self.sends >= self.route.attempt_limit {
+        if !self.route.kind.is_idempotent() || !self.has_attempt() {
             return self.time_left();
         }
         (self.route.latency_target * IDLE_TIMEOUT_TARGETS)
@@ -389,18 +392,27 @@
         self.gateway.shared.crash_evidence.lock().is_suspect(self.parts.iter().copied())
     }
 
-    /// Takes back an attempt that no server has run, if the request can't be refused as not run any more. The silent server
-    /// that was given up for it may be sound.
-    pub(super) fn discount(&mut self, failure: &ProxyFailure) {
-        let has_run = self.run_state == RunState::MayHaveRun;
-        if has_run && matches!(failure, ProxyFailure::NotRun) {
-            self.sends = self.sends.saturating_sub(1);
+    /// Records that a server has not run the request. The silent server that was given up for it may be sound.
+    pub(super) fn record_unserved(&mut self, failure: &ProxyFailure) {
+        if !failure.is_unserved() {
+            return;
         }
-        if let Some(silent) = self.silent.take_if(|_| failure.is_unserved()) {
+        self.refusals += u32::from(matches!(failure, ProxyFailure::NotRun));
+        if let Some(silent) = self.silent.take() {
             self.tried.retain(|instance| *instance != silent);
         }
     }
 
+    /// Whether the route allows another attempt. One that may have run can't be refused as not run any more, so that only
+    /// servers that may have run it count.
+    pub(super) fn has_attempt(&self) -> bool {
+        let attempts = match self.run_state {
+            RunState::NotRun => self.sends,
+            RunState::MayHaveRun => self.sends - self.refusals,
+        };
+        attempts < self.route.attempt_limit
+    }
+
     fn may_retry(&mut self, failure: &ProxyFailure) -> bool {
         if self.fallback.is_some() {
             return true;
@@ -419,7 +431,7 @@
             ProxyFailure::NotRun => true,
             ProxyFailure::ErrorResponse(_) | ProxyFailure::Indeterminate(_) => self.route.kind.is_idempotent(),
         };
-        let may_retry = allowed && self.sends < self.route.attempt_limit && self.allows_retry();
+        let may_retry = allowed && self.has_attempt() && self.allows_retry();
         self.owes_retry |= may_retry;
         may_retry
     }
