--- a/goldcrestward/src/request/fallback.rs
+++ b/goldcrestward/src/request/fallback.rs
@@ -81,7 +81,8 @@
     /// timeout and there is another place for the request, or its time is over.
     pub(super) async fn wait_for<T>(&mut self, guard: &ReplicaGuard, step: impl Future<Output = T>) -> Option<T> {
         let (mut step, started, sent_at) = (pin!(step), Instant::now(), self.gateway.shared.now());
-        let idle_timeout = self.idle_timeout();
+        let time_left = self.time_left();
+        let idle_timeout = self.idle_timeout().map_or(time_left, |idle_timeout| idle_timeout.min(time_left));
         let mut limit = SUSPECT_AFTER.min(idle_timeout);
         let mut is_suspect = false;
         loop {
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -265,14 +265,11 @@
         self.placement.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Idle time after which another server is sought; the time left if the request cannot be sent to another one.
-    pub(super) fn idle_timeout(&self) -> Duration {
-        if !self.route.kind.is_idempotent() || self.sends >= self.route.attempt_limit {
-            return self.time_left();
-        }
-        (self.route.latency_target * IDLE_TIMEOUT_TARGETS)
-            .clamp(IDLE_TIMEOUT_RANGE.0, IDLE_TIMEOUT_RANGE.1)
-            .min(self.time_left())
+    /// Silence after which another server is sought; `None` if the request cannot be sent to another one.
+    pub(super) fn idle_timeout(&self) -> Option<Duration> {
+        let may_repeat = self.route.kind.is_idempotent() && self.sends < self.route.attempt_limit;
+        let (min, max) = IDLE_TIMEOUT_RANGE;
+        may_repeat.then(|| (self.route.latency_target * IDLE_TIMEOUT_TARGETS).clamp(min, max))
     }
 
     /// Counts the request once in its account's usage, when a server has started to respond.
--- a/goldcrestward/src/request/proxy_body.rs
+++ b/goldcrestward/src/request/proxy_body.rs
@@ -199,7 +199,9 @@
                 return false;
             }
             let now = Instant::now();
-            let due = (self.last_event_at + source.call.idle_timeout()).max(self.search_at);
+            // As long as time is left, a silent server may still end the stream in it.
+            let idle_timeout = source.call.idle_timeout().unwrap_or_else(|| source.call.time_left());
+            let due = (self.last_event_at + idle_timeout).max(self.search_at);
             // A run that has been migrated goes on at its new server.
             if source.call.time_to_deadline().is_zero()
                 || (now >= due && matches!(source.call.migration, Migration::Done(_)))
