--- a/goldcrestward/src/pb/landed_test.rs
+++ b/goldcrestward/src/pb/landed_test.rs
@@ -92,7 +92,7 @@
 }
 
 fn usage_table() -> pb::UsageTable {
-    pb::UsageTable { lives: vec![life()], recorded: Some(window()) }
+    pb::UsageTable { lives: vec![life()], recorded: Some(window()), kept: Vec::new() }
 }
 
 fn hand_usage() -> pb::HandUsage {
@@ -233,6 +233,7 @@
         example("WindowCounts", window()),
         example("AskUsage", pb::AskUsage { from_window: 7 }),
         example("LifeCounts", life()),
+        example("KeptSpan", pb::KeptSpan { zone: "north-a".into(), begun_ms: 900, ended_ms: 100 }),
         example("UsageTable", usage_table()),
         example("HandUsage", hand_usage()),
         example("UsageTaken", pb::UsageTaken { stopping: true }),
--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -111,6 +111,17 @@
     #[prost(message, repeated, tag = "3")]
     pub windows: ::prost::alloc::vec::Vec<WindowCounts>,
 }
+/// Span of time in which the sender has learnt all that the daemons of an availability zone counted. Its begin and end are
+/// so many ms before the message, as clocks differ.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct KeptSpan {
+    #[prost(string, tag = "1")]
+    pub zone: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub begun_ms: u64,
+    #[prost(uint64, tag = "3")]
+    pub ended_ms: u64,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct UsageTable {
     #[prost(message, repeated, tag = "1")]
@@ -118,6 +129,9 @@
     /// The latest counts that were stored to be reported, as far as the sender knows; a restore of the store may have lost them.
     #[prost(message, optional, tag = "2")]
     pub recorded: ::core::option::Option<WindowCounts>,
+    /// Absent from earlier versions only: a daemon that knows of no such span sends one of no length.
+    #[prost(message, repeated, tag = "3")]
+    pub kept: ::prost::alloc::vec::Vec<KeptSpan>,
 }
 /// Hands request counts to a daemon that stays, as the sender is leaving.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/goldcrestward/src/process/duty.rs
+++ b/goldcrestward/src/process/duty.rs
@@ -67,7 +67,7 @@
     not_before: u64,
     scaler: Scaler,
     last_scaled_ms: u64,
-    /// First window whose counts have not been fetched since it ended.
+    /// First window whose counts may lack some that are worth waiting for.
     unfetched_window: u64,
     /// The daemons that held the duties last, the latest first.
     former_holders: Vec<Arc<str>>,
@@ -323,9 +323,7 @@
 
     /// Reports windows that have ended. Returns false if the platform knows a later holder.
     async fn report_usage(&mut self, held: &mut HeldDuties) -> bool {
-        if !self.learn_usage().await {
-            return true;
-        }
+        self.learn_usage().await;
         for _ in 0..MAX_USAGE_STEPS {
             if self.is_stopping() {
                 return true;
@@ -333,7 +331,9 @@
             let step = held.term.usage_step(
                 self.gateway.shared.agreed_ms(),
                 self.usage_schedule(),
-                |last_written, first_open, oldest_on_time| self.count_usage(last_written, first_open, oldest_on_time),
+                |last_written, first_open, oldest_on_time| {
+                    self.count_usage(last_written, first_open.min(self.unfetched_window), oldest_on_time)
+                },
             );
             match step {
                 UsageStep::Idle => return true,
@@ -378,23 +378,20 @@
         stored.is_none_or(|stored| stored.window < known.window).then(|| known.clone())
     }
 
-    /// Fetches the counts of windows that have ended from the relays. Returns false while it is worth waiting for those
-    /// that have not answered.
-    async fn learn_usage(&mut self) -> bool {
+    /// Fetches the counts of windows that have ended from the relays. Until half of the time for a window's report is over, it
+    /// is worth waiting for zones that have not answered for the whole of the window.
+    async fn learn_usage(&mut self) {
         let UsageSchedule { window_ms, report_within_ms, settle_ms } = self.usage_schedule();
         let agreed_ms = self.gateway.shared.agreed_ms();
         let first_open = agreed_ms.saturating_sub(settle_ms) / window_ms;
         if first_open <= self.unfetched_window {
-            return true;
+            return;
         }
         let oldest_on_time = first_open.saturating_sub(report_within_ms / window_ms + 1);
-        let is_whole =
-            fetch_usage(&self.gateway, self.unfetched_window.max(oldest_on_time), &self.former_holders).await;
-        let is_late = agreed_ms > first_open * window_ms + report_within_ms / 2;
-        if is_whole || is_late {
-            self.unfetched_window = first_open;
-        }
-        is_whole || is_late
+        let from_window = self.unfetched_window.max(oldest_on_time);
+        let first_unknown = fetch_usage(&self.gateway, from_window..first_open, &self.former_holders).await;
+        let first_awaited = agreed_ms.saturating_sub(report_within_ms / 2) / window_ms;
+        self.unfetched_window = first_unknown.max(first_awaited.min(first_open));
     }
 
     fn usage_schedule(&self) -> UsageSchedule {
--- a/goldcrestward/src/process/exchange/mod.rs
+++ b/goldcrestward/src/process/exchange/mod.rs
@@ -15,6 +15,7 @@
 mod timing;
 mod usage_fetch;
 mod usage_handover;
+mod window_clock;
 
 pub(crate) use changed_rows::RowValue;
 pub(crate) use fleet_table::Reach;
--- a/goldcrestward/src/process/exchange/run.rs
+++ b/goldcrestward/src/process/exchange/run.rs
@@ -22,7 +22,7 @@
     },
     sent::{Sent, SentLevel, is_level_due, report},
     timing::{exchange_interval, other_region_stride},
-    usage_fetch::{apply_table, merge_usage, oldest_window, window_counts},
+    usage_fetch::{apply_table, extend_own_span, merge_usage, oldest_window, window_counts},
 };
 use crate::{
     pb::{self, answer, datagram::Body, request},
@@ -475,6 +475,7 @@
     /// Returns the request counts since a window that this daemon knows, its own and those of other daemons.
     pub fn usage_table(&self, from_window: u64) -> pb::UsageTable {
         let Some(gateway) = self.gateway.upgrade() else { return pb::UsageTable::default() };
+        extend_own_span(&gateway);
         let usage = gateway.usage.lock();
         let rows = |windows: &BTreeMap<u64, AccountCounts>| windows.range(from_window..).map(window_counts).collect();
         let own = pb::LifeCounts {
@@ -491,7 +492,17 @@
         let lives = std::iter::once(own).chain(others).filter(|life| !life.windows.is_empty());
         let mut lives: Vec<_> = lives.collect();
         lives.sort_unstable_by(|a, b| (&a.daemon, a.life).cmp(&(&b.daemon, b.life)));
-        pb::UsageTable { lives, recorded }
+        drop(usage);
+        let now = boot_ms();
+        let span = |(zone, (begin, end)): (&Arc<str>, (u64, u64))| pb::KeptSpan {
+            zone: zone.to_string(),
+            begun_ms: now.saturating_sub(begin),
+            ended_ms: now.saturating_sub(end),
+        };
+        // An empty span says that this daemon states its spans.
+        let none = span((&gateway.shared.settings.zone, (now, now)));
+        let kept = gateway.kept_spans.lock().all().map(span).chain([none]).collect();
+        pb::UsageTable { lives, recorded, kept }
     }
 
     /// Takes the request counts that a daemon hands over before it leaves; `None` if this daemon keeps none.
@@ -502,7 +513,7 @@
         // Counts of windows that have been reported would add up.
         let oldest = oldest_window(&gateway).saturating_sub(1);
         gateway.usage.lock().forget_before(oldest);
-        apply_table(&gateway, table);
+        apply_table(&gateway, table, None);
         Some(pb::UsageTaken { stopping: gateway.shared.stage.get() == Stage::Draining })
     }
 }
--- a/goldcrestward/src/process/exchange/usage_fetch.rs
+++ b/goldcrestward/src/process/exchange/usage_fetch.rs
@@ -1,6 +1,12 @@
 //! Request counts by window, which the holder of the duties fetches from the relays.
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    ops::Range,
+    sync::Arc,
+    time::Duration,
+};
 
 use futures_util::future::join_all;
 use log::info;
@@ -9,10 +15,11 @@
 use super::{
     relay_role::RELAYS,
     relays::{Recipient, Relays},
+    window_clock::WindowClock,
 };
 use crate::{
     pb::{self, answer, request},
-    process::{gateway::Gateway, term::UsageRecord, usage::AccountCounts},
+    process::{clock::boot_ms, duty::SETTLE_DIVISOR, gateway::Gateway, term::UsageRecord, usage::AccountCounts},
 };
 
 /// Time within which a relay must answer a question for request counts.
@@ -24,9 +31,12 @@
 const USAGE_SOURCES: usize = RELAYS + 1;
 /// Windows by which a daemon's clock may be ahead of the agreed time.
 const MAX_WINDOWS_AHEAD: u64 = 2;
-/// Fetches the request counts since a window from the relays of all availability zones and from the daemons that held the
-/// duties before. Returns whether a relay of each zone has answered.
-pub(crate) async fn fetch_usage(gateway: &Gateway, from_window: u64, former_holders: &[Arc<str>]) -> bool {
+/// Time between two looks after which the daemon must have been suspended, so that reports may have been lost.
+const SUSPENDED_MS: u64 = 1_000;
+
+/// Fetches the request counts of windows from the relays of all availability zones and from the daemons that held the duties
+/// before. Returns the first window that some zone has not been learnt for as a whole, or the end of the windows.
+pub(crate) async fn fetch_usage(gateway: &Gateway, windows: Range<u64>, former_holders: &[Arc<str>]) -> u64 {
     let own_name = gateway.shared.settings.name.clone();
     let sources: Vec<(Arc<str>, SocketAddr)> = {
         let view = gateway.shared.view.lock();
@@ -41,21 +51,47 @@
         let asked: BTreeSet<_> = members.chain(others).chain(former).collect();
         asked.into_iter().collect()
     };
+    let clock = WindowClock::now(gateway);
+    // What was kept since a window earlier is kept since the first one for certain.
+    let from_window = windows.start.saturating_sub(1);
     let query = async |(zone, address): (Arc<str>, SocketAddr)| {
         let body = request::Body::AskUsage(pb::AskUsage { from_window });
         (zone, gateway.shared.peer_client.request(address, body, USAGE_TIMEOUT).await)
     };
     let count = sources.len();
     let zones: BTreeSet<Arc<str>> = sources.iter().map(|(zone, _)| zone.clone()).collect();
-    let mut answered = BTreeSet::new();
+    let (mut answered, mut unstated) = (BTreeSet::new(), BTreeSet::new());
     for (zone, answer) in join_all(sources.into_iter().map(query)).await {
         let Ok(answer::Body::UsageTable(table)) = answer else { continue };
+        if table.kept.is_empty() {
+            unstated.insert(zone.clone());
+        }
         answered.insert(zone);
-        apply_table(gateway, table);
+        apply_table(gateway, table, Some((&clock, from_window)));
     }
+    extend_own_span(gateway);
+    let settle_ms = u64::try_from(gateway.shared.settings.usage_delay.as_millis()).unwrap_or(u64::MAX);
+    let settle_ms = settle_ms / u64::from(SETTLE_DIVISOR);
+    let known_until = |zone: &Arc<str>| {
+        let kept = gateway.kept_spans.lock();
+        let is_kept = |window: u64| {
+            let end = clock.begin_of(window + 1).saturating_add(settle_ms).min(clock.boot_ms);
+            kept.contains(zone, (clock.begin_of(window), end))
+        };
+        windows.clone().find(|window| !is_kept(*window)).unwrap_or(windows.end)
+    };
     let missing: Vec<_> = zones.difference(&answered).collect();
-    info!("event=usage-learnt from_window={from_window} asked={count} zones={} missing={missing:?}", zones.len());
-    missing.is_empty()
+    let stated = answered.difference(&unstated).map(|zone| (zone, known_until(zone)));
+    let young: BTreeMap<_, _> = stated.filter(|(_, until)| *until < windows.end).collect();
+    let first_unknown =
+        if missing.is_empty() { young.values().copied().min().unwrap_or(windows.end) } else { windows.start };
+    info!(
+        "event=usage-learnt from_window={} asked={count} zones={} missing={missing:?} young={:?}",
+        windows.start,
+        zones.len(),
+        young.keys().collect::<Vec<_>>()
+    );
+    first_unknown
 }
 
 /// Learns from the highest ranked daemons of the own zone the counts that they know, while this daemon keeps reports: those of
@@ -63,24 +99,36 @@
 pub(crate) async fn learn_zone_usage(gateway: Arc<Gateway>) {
     let own_name = gateway.shared.settings.name.clone();
     let mut learned_from: BTreeSet<Recipient> = BTreeSet::new();
+    let mut last_look = boot_ms();
     loop {
         sleep(LEARNING_INTERVAL).await;
-        let sources: BTreeSet<Recipient> = {
+        let now = boot_ms();
+        let (sources, keeps_reports) = {
             let relays = Relays::of(&gateway.shared.view.lock(), RELAYS);
             let keeps_reports = relays.keeps_reports(&own_name);
             let highest = relays.members.into_iter().take(USAGE_SOURCES);
-            highest.filter(|member| keeps_reports && member.name != own_name).collect()
+            let sources: BTreeSet<Recipient> =
+                highest.filter(|member| keeps_reports && member.name != own_name).collect();
+            (sources, keeps_reports)
         };
+        if now.saturating_sub(last_look) > SUSPENDED_MS {
+            learned_from.clear();
+            gateway.kept_spans.lock().end_own(&gateway.shared.settings.zone, last_look);
+        }
+        last_look = now;
+        gateway.kept_spans.lock().keep_own(&gateway.shared.settings.zone, keeps_reports, now);
         learned_from.retain(|source| sources.contains(source));
         let missing: Vec<_> = sources.difference(&learned_from).cloned().collect();
+        let clock = WindowClock::now(&gateway);
+        let from_window = oldest_window(&gateway);
         let query = async |source: Recipient| {
-            let body = request::Body::AskUsage(pb::AskUsage { from_window: oldest_window(&gateway) });
+            let body = request::Body::AskUsage(pb::AskUsage { from_window });
             (gateway.shared.peer_client.request(source.address, body, USAGE_TIMEOUT).await, source)
         };
         for (answer, source) in join_all(missing.into_iter().map(query)).await {
             let Ok(answer::Body::UsageTable(table)) = answer else { continue };
             info!("event=zone-usage-learnt from={} lives={}", source.name, table.lives.len());
-            apply_table(&gateway, table);
+            apply_table(&gateway, table, Some((&clock, from_window)));
             learned_from.insert(source);
         }
     }
@@ -94,7 +142,25 @@
     gateway.shared.agreed_ms().saturating_sub(span_ms) / window_ms
 }
 
-pub(super) fn apply_table(gateway: &Gateway, table: pb::UsageTable) {
+/// Counts the time to now as kept, if this daemon keeps its zone's reports.
+pub(super) fn extend_own_span(gateway: &Gateway) {
+    gateway.kept_spans.lock().extend_own(&gateway.shared.settings.zone, boot_ms());
+}
+
+/// Applies what a daemon knows; `asked` says when it was asked, and for which windows on, if it was.
+pub(super) fn apply_table(gateway: &Gateway, table: pb::UsageTable, asked: Option<(&WindowClock, u64)>) {
+    let now = boot_ms();
+    {
+        let (asked_ms, first_ms) = asked.map_or((now, 0), |(clock, window)| (clock.boot_ms, clock.begin_of(window)));
+        let settings = &gateway.shared.settings;
+        let retained_ms = 2 * (settings.usage_delay + settings.usage_window).as_millis() as u64;
+        let mut kept = gateway.kept_spans.lock();
+        for span in table.kept {
+            let (begin, end) = (now.saturating_sub(span.begun_ms), asked_ms.saturating_sub(span.ended_ms));
+            kept.add(&span.zone.into(), (begin.max(first_ms), end));
+        }
+        kept.forget_before(now.saturating_sub(retained_ms));
+    }
     if let Some(recorded) = table.recorded {
         let counts = recorded.counts.into_iter().map(|c| (c.account.into(), c.count)).collect();
         gateway.usage.lock().learn_record(UsageRecord { window: recorded.window, counts });
--- a/goldcrestward/src/process/exchange/usage_handover.rs
+++ b/goldcrestward/src/process/exchange/usage_handover.rs
@@ -68,7 +68,7 @@
 /// Hands over what this daemon knows, and again what it has learnt since.
 pub(crate) struct UsageHandover {
     shared: Arc<Shared>,
-    handed: Option<pb::UsageTable>,
+    handed: Option<Vec<pb::LifeCounts>>,
 }
 
 impl UsageHandover {
@@ -80,7 +80,7 @@
     pub async fn run(&mut self, limit: Duration) {
         let Some(gateway) = self.shared.exchange.get().and_then(Exchange::gateway) else { return };
         let table = Exchange::new(&gateway).usage_table(oldest_window(&gateway));
-        if self.handed.as_ref() == Some(&table) {
+        if self.handed.as_ref() == Some(&table.lives) {
             return;
         }
         let Receivers { holder, zone, others } = {
@@ -101,7 +101,7 @@
             return warn!("event=usage-not-handed lives={lives}");
         }
         info!("event=usage-handed lives={lives} to={takers:?}");
-        self.handed = Some(table);
+        self.handed = Some(table.lives);
     }
 
     /// Hands the counts to so many of the receivers, and to others in place of those that do not take them.
--- a/goldcrestward/src/process/gateway.rs
+++ b/goldcrestward/src/process/gateway.rs
@@ -8,6 +8,7 @@
 
 use super::{
     demand::DemandMeters,
+    kept_spans::KeptSpans,
     limit_facts::publish_limit,
     quota::{IsolatedQuotas, QuotaBalances, QuotaCharge, QuotaLedger, Verdict},
     reach::{Helpers, MAX_SEARCHES, Probes, ReachTable},
@@ -76,6 +77,8 @@
     pub retry_budget: Mutex<RetryBudget>,
     /// Requests that started running, counted by account.
     pub usage: Mutex<UsageCounts>,
+    /// When this daemon has learnt all that the daemons of a zone counted.
+    pub kept_spans: Mutex<KeptSpans>,
     /// Work that this daemon has sent to each pool since its start.
     pub work: Mutex<BTreeMap<Arc<str>, SentWork>>,
     /// Work that all daemons send to each pool.
@@ -105,6 +108,7 @@
             isolated_sends: Mutex::new(IsolatedSends::new(seed)),
             retry_budget: Mutex::new(retry_budget),
             usage: Mutex::new(usage),
+            kept_spans: Mutex::default(),
             work: Mutex::default(),
             demand: Mutex::default(),
         }
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -16,6 +16,7 @@
 mod gossip;
 mod health;
 mod hold;
+mod kept_spans;
 mod leaving;
 mod lifecycle;
 mod lifetime;
