--- a/goldcrestward/src/pb/landed_test.rs
+++ b/goldcrestward/src/pb/landed_test.rs
@@ -99,6 +99,10 @@
     pb::PoolWork { pool: "p1".into(), total_ms: 12.5, zone: "north-a".into() }
 }
 
+fn run_counts() -> pb::RunCounts {
+    pb::RunCounts { route: "r1".into(), size: 8, counts: vec![3, 0, 1], longest_ms: 900 }
+}
+
 fn report() -> pb::Report {
     pb::Report {
         life: 8,
@@ -108,6 +112,7 @@
         windows: vec![window()],
         works: vec![work()],
         holds_duties: true,
+        runs: Vec::new(),
     }
 }
 
@@ -122,6 +127,7 @@
         loads: vec![load()],
         quotas: vec![quota_use()],
         works: vec![work()],
+        runs: Vec::new(),
     }
 }
 
@@ -131,7 +137,7 @@
 
 fn summary() -> pb::Summary {
     let (loads, quotas, works) = (vec![load()], vec![quota_level()], vec![work()]);
-    pb::Summary { life: 8, agreed_ms: 1_700_000_000_000, loads, quotas, works }
+    pb::Summary { life: 8, agreed_ms: 1_700_000_000_000, loads, quotas, works, runs: Vec::new() }
 }
 
 fn config_file() -> pb::ConfigFile {
@@ -231,6 +237,7 @@
         example("LifeCounts", life()),
         example("UsageTable", usage_table()),
         example("PoolWork", work()),
+        example("RunCounts", run_counts()),
         example("Report", report()),
         example("ZoneSum", zone_sum()),
         example("QuotaLevel", quota_level()),
--- a/goldcrestward/src/pb/peer.rs
+++ b/goldcrestward/src/pb/peer.rs
@@ -130,6 +130,21 @@
     #[prost(string, tag = "3")]
     pub zone: ::prost::alloc::string::String,
 }
+/// Runs of the last 15 to 30 s of one route and size, by how long they took.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RunCounts {
+    #[prost(string, tag = "1")]
+    pub route: ::prost::alloc::string::String,
+    /// Number of binary digits of the output tokens that were asked for.
+    #[prost(uint32, tag = "2")]
+    pub size: u32,
+    /// Runs of up to 500 ms, then those up to 1.33 times the bound before each, and last those above 13 bounds; zeros at the end
+    /// are left out. Without any, no run is known.
+    #[prost(uint32, repeated, tag = "3")]
+    pub counts: ::prost::alloc::vec::Vec<u32>,
+    #[prost(uint32, tag = "4")]
+    pub longest_ms: u32,
+}
 /// Load and usage of one daemon since its start, sent to the relays of its availability zone. Rows that have not changed
 /// are left out, and sent again from time to time.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -151,6 +166,9 @@
     /// The sender holds the duties, and needs the work of all availability zones.
     #[prost(bool, tag = "7")]
     pub holds_duties: bool,
+    /// Runs that can't be given up whole, of the sender.
+    #[prost(message, repeated, tag = "8")]
+    pub runs: ::prost::alloc::vec::Vec<RunCounts>,
 }
 /// Sums over the daemons of one availability zone, sent by its relay to the relays of the others.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -178,6 +196,9 @@
     pub quotas: ::prost::alloc::vec::Vec<QuotaUse>,
     #[prost(message, repeated, tag = "7")]
     pub works: ::prost::alloc::vec::Vec<PoolWork>,
+    /// Runs of the daemons of the zone.
+    #[prost(message, repeated, tag = "10")]
+    pub runs: ::prost::alloc::vec::Vec<RunCounts>,
 }
 /// What is left of an account's quota.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -211,6 +232,9 @@
     /// Work of each availability zone; only sent to the holder of the duties.
     #[prost(message, repeated, tag = "5")]
     pub works: ::prost::alloc::vec::Vec<PoolWork>,
+    /// Runs of all daemons, the recipient included.
+    #[prost(message, repeated, tag = "6")]
+    pub runs: ::prost::alloc::vec::Vec<RunCounts>,
 }
 /// Content of one datagram.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/goldcrestward/src/process/exchange/fleet_table.rs
+++ b/goldcrestward/src/process/exchange/fleet_table.rs
@@ -12,16 +12,23 @@
     heard_relay::{HeardRelay, Hearing},
     timing::{report_timeout_ms, silence_ms},
 };
-use crate::{pb, process::loads::PeerLoad};
+use crate::{
+    pb,
+    process::{loads::PeerLoad, run_counts::RunCounts, run_times::RunKind},
+};
 
 /// Time for which a daemon that went silent without leaving still counts as part of the site: it may be serving
 /// callers on the other side of a partition.
 const SILENT_RETENTION_MS: u64 = 30_000;
+/// Time after which run times that are not sent again no longer count.
+const RUNS_TIMEOUT_MS: u64 = 15_000;
 
 /// Loads by the hash of the replica.
 pub(crate) type Loads = BTreeMap<u64, PeerLoad>;
 /// Work sent to pools in ms, by pool.
 pub(crate) type Works = BTreeMap<Arc<str>, f64>;
+/// Recent runs by kind.
+pub(crate) type Runs = BTreeMap<RunKind, RunCounts>;
 
 impl RowValue for PeerLoad {
     /// Changes relative to the load, so that those of servers with few short requests count as much as those of servers
@@ -51,6 +58,8 @@
     /// Loads and when they were last reported; one whose end was told in a lost message expires.
     loads: BTreeMap<u64, (PeerLoad, u64)>,
     works: Works,
+    /// Run times and when they were last reported.
+    runs: BTreeMap<RunKind, (RunCounts, u64)>,
     holds_duties: bool,
 }
 
@@ -73,6 +82,11 @@
         });
         self.works.extend(works);
     }
+
+    fn apply_runs(&mut self, runs: Runs, now: u64) {
+        self.runs.extend(runs.into_iter().map(|(kind, counts)| (kind, (counts, now))));
+        self.runs.retain(|_, (counts, at)| counts.total() > 0 && now.saturating_sub(*at) < RUNS_TIMEOUT_MS);
+    }
 }
 
 /// Who sent the sum of an availability zone.
@@ -176,6 +190,30 @@
         Some(hearing == Hearing::Same)
     }
 
+    /// Applies the run times that came with a report of a daemon of the own availability zone.
+    pub fn apply_member_runs(&mut self, from: &str, runs: Runs, now: u64) {
+        if let Some(member) = self.members.get_mut(from) {
+            member.apply_runs(runs, now);
+        }
+    }
+
+    /// Applies the run times that came with the sum of another availability zone.
+    pub fn apply_zone_runs(&mut self, zone: &str, runs: Runs, now: u64) {
+        if let Some(zone) = self.zones.get_mut(zone) {
+            zone.sum.apply_runs(runs, now);
+        }
+    }
+
+    /// Recent runs of the own availability zone.
+    pub fn zone_runs(&self, now: u64) -> Runs {
+        sum_runs(self.members.values(), now)
+    }
+
+    /// Recent runs of all daemons.
+    pub fn all_runs(&self, now: u64) -> Runs {
+        sum_runs(self.members.values().chain(self.zones.values().map(|zone| &zone.sum)), now)
+    }
+
     /// Removes a daemon that has announced that it is leaving.
     pub fn remove_member(&mut self, daemon: &str) {
         if let Some(member) = self.members.remove(daemon) {
@@ -276,6 +314,15 @@
     sum
 }
 
+fn sum_runs<'a>(reports: impl Iterator<Item = &'a Reported>, now: u64) -> Runs {
+    let mut sum = Runs::new();
+    let rows = reports.flat_map(|report| &report.runs);
+    for (kind, (counts, _)) in rows.filter(|(_, (_, at))| now.saturating_sub(*at) < RUNS_TIMEOUT_MS) {
+        sum.entry(kind.clone()).or_default().add(counts);
+    }
+    sum
+}
+
 #[cfg(test)]
 #[path = "fleet_table_test.rs"]
 mod fleet_table_test;
--- a/goldcrestward/src/process/exchange/fleet_table_test.rs
+++ b/goldcrestward/src/process/exchange/fleet_table_test.rs
@@ -1,6 +1,6 @@
 //! Tests of the sums over the daemons of a site.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
 
@@ -9,9 +9,9 @@
         changed_rows::ChangedRows,
         timing::{exchange_interval, other_region_stride},
     },
-    FleetTable, Loads, SumHead, Works,
+    FleetTable, Loads, RUNS_TIMEOUT_MS, Runs, SumHead, Works,
 };
-use crate::process::loads::PeerLoad;
+use crate::process::{loads::PeerLoad, run_counts::RunCounts, run_times::RunKind};
 
 fn loads(rows: &[(u64, u32)]) -> Loads {
     rows.iter().map(|(replica, running)| (*replica, PeerLoad { running: *running, prefill_ms: 0.0 })).collect()
@@ -182,3 +182,29 @@
     assert_eq!(table.reach(usize::MAX, 0).total, u32::MAX);
     assert_eq!(table.without_member(&table.all_loads(0), "daemon-1", 0), loads(&[]));
 }
+
+fn runs(rows: &[(u64, u32)]) -> Runs {
+    let mut counts = RunCounts::default();
+    rows.iter().for_each(|(ms, count)| counts.record(Duration::from_millis(*ms), *count));
+    Runs::from([(RunKind::new(Arc::from("route"), Some(100)), counts)])
+}
+
+#[test]
+fn runs_of_the_own_zone_and_of_others_are_summed() {
+    let mut table = FleetTable::default();
+    let zone: Arc<str> = "far".into();
+    for (n, ms) in [(1, 1_000), (2, 9_000)] {
+        table.apply_report(&name(n), 1, loads(&[]), works(0.0), false, 0);
+        table.apply_member_runs(&name(n), runs(&[(ms, 5)]), 0);
+    }
+    table.apply_zone_sum(&zone, head("relay", 3), (loads(&[]), works(0.0)), 0);
+    table.apply_zone_runs(&zone, runs(&[(1_000, 40)]), 0);
+    assert_eq!(table.zone_runs(1), runs(&[(1_000, 5), (9_000, 5)]));
+    assert_eq!(table.all_runs(1), runs(&[(1_000, 45), (9_000, 5)]));
+    // What is reported again takes the place of what was.
+    table.apply_member_runs(&name(2), runs(&[(1_000, 1)]), 1);
+    assert_eq!(table.all_runs(1), runs(&[(1_000, 46)]));
+    table.remove_member(&name(1));
+    assert_eq!(table.zone_runs(1), runs(&[(1_000, 1)]));
+    assert_eq!(table.all_runs(1 + RUNS_TIMEOUT_MS), Runs::new());
+}
--- a/goldcrestward/src/process/exchange/rows.rs
+++ b/goldcrestward/src/process/exchange/rows.rs
@@ -1,13 +1,15 @@
 //! Rows of the messages between daemons, and their conversion from and to the types inside.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use super::fleet_table::{Loads, Works};
+use super::fleet_table::{Loads, Runs, Works};
 use crate::{
     pb,
     process::{
         loads::PeerLoad,
         quota::{QuotaLevel, QuotaTotal},
+        run_counts::RunCounts,
+        run_times::RunKind,
     },
 };
 
@@ -16,6 +18,7 @@
 pub(super) const MAX_QUOTAS: usize = 24;
 pub(super) const MAX_COUNTS: usize = 20;
 pub(super) const MAX_WORKS: usize = 12;
+pub(super) const MAX_RUNS: usize = 2;
 /// Largest number of clocks in the sum of a zone.
 pub(super) const MAX_CLOCKS: usize = 16;
 pub(super) fn loads_from(rows: &[pb::ReplicaLoad]) -> Loads {
@@ -59,6 +62,25 @@
     is_valid.then_some(QuotaLevel { level, counted, reachable })
 }
 
+/// Decodes run times; a row without runs is gone.
+pub(super) fn runs_from(rows: &[pb::RunCounts]) -> Runs {
+    let run = |row: &pb::RunCounts| {
+        let kind = RunKind { route: row.route.as_str().into(), size: row.size };
+        (kind, RunCounts::new(&row.counts, Duration::from_millis(row.longest_ms.into())))
+    };
+    rows.iter().map(run).collect()
+}
+
+pub(super) fn run_rows(rows: Vec<(RunKind, RunCounts)>) -> Vec<pb::RunCounts> {
+    let row = |(kind, counts): (RunKind, RunCounts)| pb::RunCounts {
+        route: kind.route.to_string(),
+        size: kind.size,
+        counts: counts.counts().to_vec(),
+        longest_ms: u32::try_from(counts.longest().as_millis()).unwrap_or(u32::MAX),
+    };
+    rows.into_iter().map(row).collect()
+}
+
 pub(super) fn work_row(((zone, pool), total_ms): ((Arc<str>, Arc<str>), f64)) -> pb::PoolWork {
     pb::PoolWork { pool: pool.to_string(), total_ms, zone: zone.to_string() }
 }
--- a/goldcrestward/src/process/exchange/rows_test.rs
+++ b/goldcrestward/src/process/exchange/rows_test.rs
@@ -2,7 +2,7 @@
 
 use prost::Message;
 
-use super::{MAX_CLOCKS, MAX_COUNTS, MAX_LOADS, MAX_QUOTAS, MAX_WORKS, quota_level, quota_total};
+use super::{MAX_CLOCKS, MAX_COUNTS, MAX_LOADS, MAX_QUOTAS, MAX_RUNS, MAX_WORKS, quota_level, quota_total};
 use crate::pb;
 
 /// Space in a datagram beside members and facts, the envelope and the MAC.
@@ -17,6 +17,8 @@
     let count = pb::AccountCount { account: NAME.into(), count: 70_000 };
     let window = pb::WindowCounts { window: 400_000_000, counts: vec![count; MAX_COUNTS] };
     let level = pb::QuotaLevel { account: NAME.into(), level: 1.5, counted: 1.5, reachable: 0.5 };
+    let run = pb::RunCounts { route: NAME.into(), size: 32, counts: vec![10_000; 14], longest_ms: 100_000 };
+    let runs = vec![run; MAX_RUNS];
     let (life, unix_ms) = (1_800_000_000_000, 1_800_000_000_000);
     let report = pb::Report {
         life,
@@ -26,6 +28,7 @@
         windows: vec![window],
         works: vec![pb::PoolWork { zone: String::new(), ..work.clone() }; MAX_WORKS],
         holds_duties: true,
+        runs: runs.clone(),
     };
     let sum = pb::ZoneSum {
         period_ms: u32::MAX,
@@ -37,9 +40,10 @@
         loads: loads.clone(),
         quotas: vec![usage; MAX_QUOTAS],
         works: vec![pb::PoolWork { zone: String::new(), ..work.clone() }; MAX_WORKS],
+        runs: runs.clone(),
     };
-    let summary =
-        pb::Summary { life, agreed_ms: unix_ms, loads, quotas: vec![level; MAX_QUOTAS], works: vec![work; MAX_WORKS] };
+    let (quotas, works) = (vec![level; MAX_QUOTAS], vec![work; MAX_WORKS]);
+    let summary = pb::Summary { life, agreed_ms: unix_ms, loads, quotas, works, runs };
     for (kind, bytes) in
         [("report", report.encoded_len()), ("sum", sum.encoded_len()), ("summary", summary.encoded_len())]
     {
--- a/goldcrestward/src/process/exchange/run.rs
+++ b/goldcrestward/src/process/exchange/run.rs
@@ -17,8 +17,8 @@
     relay_role::{RELAYS, RelayRole},
     relays::{Recipient, Relays},
     rows::{
-        MAX_CLOCKS, MAX_LOADS, MAX_QUOTAS, MAX_WORKS, load_rows, loads_from, quota_level, quota_rows, quota_total,
-        work_row, works_from,
+        MAX_CLOCKS, MAX_LOADS, MAX_QUOTAS, MAX_RUNS, MAX_WORKS, load_rows, loads_from, quota_level, quota_rows,
+        quota_total, runs_from, work_row, works_from,
     },
     sent::{Sent, SentLevel, is_level_due, report},
     timing::{exchange_interval, other_region_stride},
@@ -223,6 +223,7 @@
             let loads = loads_from(&report.loads);
             let works = works_from(&report.works);
             let continues = state.table.apply_report(from, report.life, loads, works, report.holds_duties, now);
+            state.table.apply_member_runs(from, runs_from(&report.runs), now);
             (continues, state.table.reach(gateway.shared.daemon_count(), now))
         };
         let in_force = gateway.shared.in_force.load();
@@ -253,6 +254,7 @@
             let figures = (loads_from(&sum.loads), works.clone());
             let hearing = state.table.apply_zone_sum(&zone, SumHead::from(sum, from), figures, now);
             let Some(continues) = hearing else { return };
+            state.table.apply_zone_runs(&zone, runs_from(&sum.runs), now);
             (continues, state.table.reach(gateway.shared.daemon_count(), now), state.role.is_speaking())
         };
         gateway.shared.clock.lock().record_clocks(&zone, sum.unix_ms, &sum.clock_differences, boot_ms());
@@ -298,6 +300,7 @@
         gateway.shared.clock.lock().adopt(summary.agreed_ms, boot_ms());
         let loads = loads_from(&summary.loads);
         apply_loads(gateway, &loads, now);
+        gateway.shared.run_times.learn(runs_from(&summary.runs), std::time::Instant::now());
         let mut balances = gateway.quota_balances.lock();
         for row in &summary.quotas {
             let Some(level) = quota_level(row) else { continue };
@@ -383,6 +386,8 @@
         for replica in shared.replicas.all() {
             replica.set_others_load(others.get(&replica.hash()).cloned().unwrap_or_default(), now);
         }
+        let runs = state.table.all_runs(now);
+        shared.run_times.learn(runs.clone(), std::time::Instant::now());
         let zone_works = state.table.zone_works();
         let mut demand = gateway.demand.lock();
         for (pool, total_ms) in &zone_works {
@@ -432,10 +437,11 @@
                 loads: load_rows(sent.loads.take(&others, MAX_LOADS, now)),
                 quotas,
                 works: works.into_iter().map(work_row).collect(),
+                runs: sent.run_rows(&runs, MAX_RUNS, now),
             };
             messages.push((member.address, Body::Summary(summary)));
         }
-        let zone_loads = table.zone_loads(now);
+        let (zone_loads, zone_runs) = (table.zone_loads(now), table.zone_runs(now));
         let zone_works: BTreeMap<_, _> = zone_works.into_iter().map(|(pool, ms)| ((Arc::from(""), pool), ms)).collect();
         let stride = other_region_stride(relays.others.len() + 1);
         let round_ms = exchange_interval(relays.members.len()).as_millis() as u32;
@@ -457,6 +463,7 @@
                     loads: load_rows(sent.loads.take(&zone_loads, MAX_LOADS, now)),
                     quotas: quota_rows(sent.quotas.take(&zone_quotas, MAX_QUOTAS, now)),
                     works: sent.works.take(&zone_works, MAX_WORKS, now).into_iter().map(work_row).collect(),
+                    runs: sent.run_rows(&zone_runs, MAX_RUNS, now),
                 };
                 messages.push((recipient.address, Body::ZoneSum(sum)));
             }
--- a/goldcrestward/src/process/exchange/sent.rs
+++ b/goldcrestward/src/process/exchange/sent.rs
@@ -2,13 +2,15 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    ops::Bound,
     sync::{Arc, atomic::Ordering},
+    time::Instant,
 };
 
 use super::{
     changed_rows::{ChangedRows, RowValue},
-    fleet_table::Loads,
-    rows::{MAX_COUNTS, MAX_LOADS, MAX_QUOTAS, MAX_WORKS, load_rows, quota_rows, work_row},
+    fleet_table::{Loads, Runs},
+    rows::{MAX_COUNTS, MAX_LOADS, MAX_QUOTAS, MAX_RUNS, MAX_WORKS, load_rows, quota_rows, run_rows, work_row},
 };
 use crate::{
     config::Quota,
@@ -18,6 +20,7 @@
         gateway::Gateway,
         loads::PeerLoad,
         quota::{QuotaLevel, QuotaTotal},
+        run_times::RunKind,
         usage::windows_in,
     },
     util::unix_ms,
@@ -25,6 +28,8 @@
 
 /// Fraction of a quota's burst by which a level must differ from what a daemon expects to be sent.
 const LEVEL_TOLERANCE: f64 = 0.03;
+/// Shortest time from one message with run times to the next.
+const RUNS_INTERVAL_MS: u64 = 700;
 
 impl RowValue for f64 {
     fn distance(&self, known: &Self) -> f64 {
@@ -56,6 +61,8 @@
     pub works: ChangedRows<(Arc<str>, Arc<str>), f64>,
     pub windows: ChangedRows<(u64, Arc<str>), u64>,
     pub levels: HashMap<Arc<str>, SentLevel>,
+    /// The kind of run times that was sent last, and when.
+    run_sent: Option<(RunKind, u64)>,
 }
 
 impl Sent {
@@ -66,6 +73,22 @@
         self.works.restart();
         self.windows.restart();
         self.levels.clear();
+        self.run_sent = None;
+    }
+
+    /// At most `limit` rows of run times if they are due. All rows are sent in turn, as nearly all of them change all the time.
+    pub fn run_rows(&mut self, runs: &Runs, limit: usize, now: u64) -> Vec<pb::RunCounts> {
+        let start = match &self.run_sent {
+            Some((_, at)) if now.saturating_sub(*at) < RUNS_INTERVAL_MS => return Vec::new(),
+            Some((last, _)) => Bound::Excluded(last.clone()),
+            None => Bound::Unbounded,
+        };
+        let in_turn = runs.range((start, Bound::Unbounded)).chain(runs).take(limit.min(runs.len()));
+        let rows: Vec<_> = in_turn.map(|(kind, counts)| (kind.clone(), counts.clone())).collect();
+        if let Some((last, _)) = rows.last() {
+            self.run_sent = Some((last.clone(), now));
+        }
+        run_rows(rows)
     }
 }
 
@@ -118,6 +141,11 @@
         quotas: quota_rows(sent.quotas.take(usage, limit(MAX_QUOTAS), now)),
         windows: by_window.into_iter().map(|(window, counts)| pb::WindowCounts { window, counts }).collect(),
         works: sent.works.take(&works, limit(MAX_WORKS), now).into_iter().map(work_row).collect(),
+        runs: sent.run_rows(&shared.run_times.own(Instant::now()), limit(MAX_RUNS), now),
         holds_duties: shared.holds_duties.load(Ordering::Relaxed),
     }
 }
+
+#[cfg(test)]
+#[path = "sent_test.rs"]
+mod sent_test;
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -36,6 +36,7 @@
 mod retries;
 mod rollout;
 mod rollout_record;
+mod run_counts;
 mod run_forecast;
 mod run_times;
 mod scaler;
--- a/goldcrestward/src/process/run_forecast.rs
+++ b/goldcrestward/src/process/run_forecast.rs
@@ -4,7 +4,7 @@
 
 use super::{
     lifetime::WorkTime,
-    run_times::{RunKind, RunTimes},
+    run_times::{Knowledge, RunKind, RunTimes},
 };
 
 /// Time that repeatable requests are assumed to take while no run of their route is known.
@@ -73,6 +73,15 @@
         }
     }
 
+    /// Number of recent runs on which the estimate rests, and whose they are.
+    pub fn known_runs(&self, times: &RunTimes, now: Instant) -> (u64, Knowledge) {
+        match &self.kind {
+            Some(kind) if self.may_fail() => (times.count(kind, now), Knowledge::Own),
+            Some(kind) => times.longest_basis(kind, now),
+            None => (0, Knowledge::Own),
+        }
+    }
+
     /// How long a run takes that begins now.
     pub fn work_time(&self, times: &RunTimes, now: Instant) -> WorkTime {
         let (expected, _) = self.needed(times, now);
@@ -82,6 +91,15 @@
         WorkTime { expected, at_most: (!self.outlasts_deadline).then_some(self.time_left(now)) }
     }
 
+    /// Records a run that has ended. The other daemons learn of those that can't be given up whole.
+    pub fn record(&self, times: &RunTimes, took: Duration, now: Instant) {
+        let Some(kind) = &self.kind else { return };
+        times.record(kind, took, now);
+        if !self.may_fail() {
+            times.share(kind);
+        }
+    }
+
     /// Whether the request may be given up at any time, as it can be repeated and its answer has not begun. So may one
     /// that waits for its route.
     fn may_fail(&self) -> bool {
--- a/goldcrestward/src/process/run_times_test.rs
+++ b/goldcrestward/src/process/run_times_test.rs
@@ -5,7 +5,8 @@
 
 use quickcheck::{QuickCheck, TestResult};
 
-use super::{PERIOD, RunKind, RunTimes};
+use super::{PERIOD, RunKind, RunTimes, SOUND_SILENCE};
+use crate::process::run_counts::RunCounts;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -24,7 +25,7 @@
     let now = Instant::now();
     let (times, route) = times(&[MS * 20], now);
     assert_eq!(times.longest(&kind("another", 0), now), None);
-    assert_eq!((times.longest(&route, now), times.usual(&route, now)), (Some(MS * 40), Some(MS * 20)));
+    assert_eq!((times.longest(&route, now), times.usual(&route, now)), (Some(MS * 2_020), Some(MS * 20)));
 }
 
 /// A run that may write more than any known one is not expected to end as soon as they did.
@@ -45,10 +46,10 @@
 fn reserve_is_larger_the_fewer_runs_are_known() {
     let now = Instant::now();
     let longest = |count| {
-        let (times, route) = times(&vec![MS * 100; count], now);
+        let (times, route) = times(&vec![MS * 10_000; count], now);
         times.longest(&route, now).expect("runs are known")
     };
-    assert!(longest(1) > longest(2) && longest(2) > longest(4) && longest(4) == longest(400));
+    assert!(longest(1) > longest(2) && longest(2) > longest(4) && longest(4) > longest(16));
 }
 
 #[test]
@@ -68,7 +69,7 @@
     assert!(times.longest(&route, now + PERIOD).is_some());
     assert!(times.longest(&route, now + PERIOD * 2).is_none());
     times.record(&route, MS * 20, now + PERIOD * 4);
-    assert_eq!(times.longest(&route, now + PERIOD * 4), Some(MS * 40));
+    assert_eq!(times.longest(&route, now + PERIOD * 4), Some(MS * 2_020));
 }
 
 /// Whatever the runs were, the longest of them would have been expected to end in time.
@@ -87,3 +88,62 @@
     }
     QuickCheck::new().quickcheck(covers as fn(Vec<u32>) -> TestResult);
 }
+
+fn counts(runs: &[(Duration, u32)]) -> RunCounts {
+    let mut counts = RunCounts::default();
+    runs.iter().for_each(|(took, count)| counts.record(*took, *count));
+    counts
+}
+
+/// Guards against LOST: a daemon that had seen one run of 1 s took what ran for 14 s at others, and cut it at its end.
+#[test]
+fn longest_rests_on_runs_of_all_daemons() {
+    let now = Instant::now();
+    let (times, route) = times(&[MS * 1_000], now);
+    times.learn([(route.clone(), counts(&[(MS * 1_000, 700), (MS * 14_000, 300)]))], now);
+    assert!(times.longest(&route, now) >= Some(MS * 14_000));
+    let later = now + PERIOD;
+    assert!(times.longest(&route, later) < Some(MS * 14_000), "what is not heard again no longer counts");
+    times.learn([(route.clone(), RunCounts::default())], now);
+    assert!(times.longest(&route, now) < Some(MS * 14_000), "a row that is gone no longer counts");
+}
+
+/// One rare long run of many turns away no other.
+#[test]
+fn longest_leaves_out_rare_runs_of_many() {
+    let now = Instant::now();
+    let (times, route) = times(&[], now);
+    times.learn([(route.clone(), counts(&[(MS * 1_000, 999), (MS * 60_000, 1)]))], now);
+    assert!((MS * 1_000..MS * 4_000).contains(&times.longest(&route, now).expect("runs are known")));
+}
+
+#[test]
+fn longest_leaves_room_for_a_silent_server() {
+    let now = Instant::now();
+    for count in [1, 10, 1_000] {
+        let (times, route) = times(&vec![MS * 1_000; count], now);
+        assert!(times.longest(&route, now) >= Some(MS * 900 + SOUND_SILENCE), "{count} runs");
+    }
+}
+
+/// Only runs of the other daemons that are of the same size, or the next larger one, count.
+#[test]
+fn longest_takes_the_nearest_size_of_own_runs_and_those_of_others() {
+    let now = Instant::now();
+    let (times, small) = (RunTimes::default(), kind("route", 10));
+    times.record(&kind("route", 1_000), MS * 20_000, now);
+    times.learn([(kind("route", 100), counts(&[(MS * 5_000, 1_000)]))], now);
+    assert!(times.longest(&small, now) < Some(MS * 10_000));
+    assert!(times.longest(&kind("route", 1_000), now) >= Some(MS * 20_000));
+    assert_eq!(times.longest(&kind("route", 5_000), now), None);
+}
+
+#[test]
+fn own_contains_shared_kinds_only() {
+    let now = Instant::now();
+    let (times, route) = times(&[MS * 200; 3], now);
+    assert!(times.own(now).is_empty());
+    times.share(&route);
+    assert_eq!(times.own(now).remove(&route), Some(counts(&[(MS * 200, 3)])));
+    assert!(times.own(now + PERIOD * 2).is_empty());
+}
--- a/goldcrestward/src/process/stop_simulation_test.rs
+++ b/goldcrestward/src/process/stop_simulation_test.rs
@@ -1,7 +1,8 @@
 //! Stops of the daemons of a site, over simulated time and without a network, while runs take longer than those that are known.
 //!
 //! Bounds: no run that begins 3 s or later after the signal is given up in the middle. No request is refused whose deadline is
-//! before the end of its daemon. Of the requests that are refused while half of the daemons of their zone or more are not in a
+//! before the end of its daemon. While runs take as long as before the stops, apart from servers that fall silent once for 1 to
+//! 2 s, at most one in a thousand of those that begin after the signal is given up in the middle. Of the requests that are refused while half of the daemons of their zone or more are not in a
 //! stop, and that one of those would have answered in time, nine in ten are answered in time at their second try.
 
 use std::{
@@ -14,6 +15,7 @@
 
 use super::{
     lifetime::{StopClock, WorkTime},
+    run_counts::RunCounts,
     run_forecast::RunForecast,
     run_times::{RunKind, RunTimes},
 };
@@ -38,11 +40,19 @@
 const END_MS: u64 = 60_000;
 /// Time from the first stop until runs take twice as long.
 const GROWTH_MS: u64 = 10_000;
-const REQUESTS_PER_DAEMON_S: f64 = 8.0;
+const MANY_PER_DAEMON_S: f64 = 8.0;
+/// A daemon knows from 1 to 11 runs of most kinds.
+const FEW_PER_DAEMON_S: f64 = 1.0;
 /// Idle connections that callers keep to each daemon of their zone at the most.
 const FEW_KEPT: usize = 12;
 const MANY_KEPT: usize = 40;
 const MIN_SERVED: f64 = 0.9;
+/// Interval at which daemons learn each other's run times.
+const EXCHANGE_MS: u64 = 1_000;
+/// Share of the runs whose servers fall silent once, from the first stop on, and for how long.
+const SILENT_SHARE: f64 = 0.02;
+const SILENCE_MS: (u64, u64) = (1_000, 2_000);
+const MAX_CUT_SHARE: f64 = 0.001;
 
 /// Requests of one route.
 #[derive(Debug)]
@@ -86,6 +96,34 @@
     Zones { gap_ms: u64 },
 }
 
+/// How long runs take from the first stop on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Runs {
+    /// Longer and longer, and more of them very long.
+    Growing,
+    /// As long as before, apart from servers that fall silent once.
+    Steady,
+}
+
+/// What is simulated.
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    stops: Stops,
+    max_kept: usize,
+    runs: Runs,
+    requests_per_s: f64,
+}
+
+impl Case {
+    fn growing(stops: Stops, max_kept: usize) -> Self {
+        Self { stops, max_kept, runs: Runs::Growing, requests_per_s: MANY_PER_DAEMON_S }
+    }
+
+    fn steady(stops: Stops, requests_per_s: f64) -> Self {
+        Self { stops, max_kept: FEW_KEPT, runs: Runs::Steady, requests_per_s }
+    }
+}
+
 /// What became of a try.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Fate {
@@ -109,6 +147,10 @@
     Second(Fate),
     /// The same while less of it was not.
     SecondInZoneStop(Fate),
+    /// Begun in a stop, of those that can be cut.
+    Taken,
+    /// Refused in a stop, of those that can be cut.
+    Refused,
     /// Begun late in a stop.
     TakenLate,
     /// Refused although its deadline is before the end of its daemon.
@@ -130,6 +172,8 @@
     body_ms: u64,
     /// Time that its run takes, if it begins before runs take longer.
     work_ms: f64,
+    /// Time for which its server is silent while it runs.
+    silence_ms: u64,
     first_try: Option<FirstTry>,
     random: SmallRng,
 }
@@ -171,11 +215,13 @@
     Signal(usize),
     OutOfRotation(usize),
     StopEnds(usize),
+    Exchange,
     Start(usize),
     InRotation(usize),
 }
 
 struct Simulation {
+    case: Case,
     begun: Instant,
     now: u64,
     random: SmallRng,
@@ -183,22 +229,22 @@
     zones: usize,
     /// Daemons to which each zone's callers keep idle connections.
     kept: Vec<Vec<usize>>,
-    max_kept: usize,
     events: BTreeMap<(u64, u64), Event>,
     next: u64,
     counts: Counts,
 }
 
 impl Simulation {
-    fn new((daemons, zones): (usize, usize), stops: Stops, max_kept: usize, seed: u64) -> Self {
+    fn new((daemons, zones): (usize, usize), case: Case, seed: u64) -> Self {
+        let Case { stops, max_kept, .. } = case;
         let mut simulation = Self {
+            case,
             begun: Instant::now(),
             now: 0,
             random: SmallRng::seed_from_u64(seed),
             daemons: (0..daemons).map(|_| Daemon::default()).collect(),
             zones,
             kept: (0..zones).map(|zone| (0..max_kept).flat_map(|_| (zone..daemons).step_by(zones)).collect()).collect(),
-            max_kept,
             events: BTreeMap::new(),
             next: 0,
             counts: Counts::new(),
@@ -213,6 +259,7 @@
             }
         }
         simulation.schedule(0, Event::NextRequest);
+        simulation.schedule(0, Event::Exchange);
         simulation
     }
 
@@ -227,6 +274,7 @@
                 Event::Signal(daemon) => self.signal(daemon),
                 Event::OutOfRotation(daemon) => self.daemons[daemon].is_out_of_rotation = true,
                 Event::StopEnds(daemon) => self.end_stop(daemon),
+                Event::Exchange => self.exchange(),
                 Event::Start(daemon) => {
                     self.daemons[daemon] = Daemon { is_out_of_rotation: true, ..Daemon::default() };
                     self.schedule(at + CHECK_MS, Event::InRotation(daemon));
@@ -251,30 +299,38 @@
     }
 
     /// When a run ends that begins at `start`, at its deadline at the latest.
-    fn run_end(request: &Request, start: u64) -> u64 {
-        let growth = 1.0 + (start.saturating_sub(STOPS_MS) as f64 / GROWTH_MS as f64).min(1.0);
-        request.deadline.min(start + (request.work_ms * growth).ceil() as u64)
+    fn run_end(&self, request: &Request, start: u64) -> u64 {
+        let growth = match self.case.runs {
+            Runs::Growing => 1.0 + (start.saturating_sub(STOPS_MS) as f64 / GROWTH_MS as f64).min(1.0),
+            Runs::Steady => 1.0,
+        };
+        request.deadline.min(start + (request.work_ms * growth).ceil() as u64 + request.silence_ms)
     }
 
     fn create_request(&mut self) {
-        let rate = REQUESTS_PER_DAEMON_S * self.daemons.len() as f64 / 1_000.0;
+        let rate = self.case.requests_per_s * self.daemons.len() as f64 / 1_000.0;
         let gap = -(1.0 - self.random.random::<f64>()).ln() / rate;
         if self.now as f64 + gap < END_MS as f64 {
             self.schedule(self.now + gap.round() as u64, Event::NextRequest);
         }
         // Requests have generators of their own, so that what becomes of one does not change the others.
-        let mut random = SmallRng::seed_from_u64(self.random.random());
+        let seed = self.random.random();
+        let mut random = SmallRng::seed_from_u64(seed);
         let kind = KINDS.choose(&mut random).expect("there are kinds");
         let normal = (0..4).map(|_| random.random::<f64>()).sum::<f64>() - 2.0;
-        let tail_share = if self.now < STOPS_MS { 0.01 } else { 0.06 };
+        let is_steady = self.case.runs == Runs::Steady;
+        let tail_share = if is_steady || self.now < STOPS_MS { 0.01 } else { 0.06 };
         let tail = if random.random_bool(tail_share) { 2.0 / (1.0 - random.random::<f64>()) } else { 1.0 };
         let body_ms = if random.random_bool(0.1) { random.random_range(0..kind.deadline_ms / 2) } else { 0 };
+        let mut silence = SmallRng::seed_from_u64(!seed);
+        let is_silent = is_steady && self.now >= STOPS_MS && silence.random_bool(SILENT_SHARE);
         let request = Request {
             kind,
             zone: random.random_range(0..self.daemons.len()) % self.zones,
             deadline: self.now + kind.deadline_ms,
             body_ms,
             work_ms: kind.median_ms * normal.exp() * tail,
+            silence_ms: if is_silent { silence.random_range(SILENCE_MS.0..SILENCE_MS.1) } else { 0 },
             first_try: None,
             random,
         };
@@ -331,19 +387,25 @@
         let now = self.instant(self.now);
         let Daemon { times, stop, .. } = &self.daemons[daemon];
         let Some((signal, clock)) = *stop else { return true };
-        let forecast = RunForecast {
+        let work = self.forecast(request).work_time(times, now);
+        if clock.allows(work, now) {
+            return true;
+        }
+        if !request.kind.may_be_repeated() {
+            self.count(Count::Refused);
+        }
+        self.count_refusal(signal + STOP_MS, work, request);
+        false
+    }
+
+    fn forecast(&self, request: &Request) -> RunForecast {
+        RunForecast {
             kind: Some(kind_of(request.kind)),
             deadline: self.instant(request.deadline),
             is_idempotent: request.kind.is_idempotent,
             is_buffered: request.kind.is_buffered,
             outlasts_deadline: false,
-        };
-        let work = forecast.work_time(times, now);
-        if clock.allows(work, now) {
-            return true;
         }
-        self.count_refusal(signal + STOP_MS, work, request);
-        false
     }
 
     fn count_refusal(&mut self, end: u64, work: WorkTime, request: &Request) {
@@ -351,19 +413,18 @@
             self.count(Count::RefusedCertain);
         }
         if self.instant(self.now) + work.expected < self.instant(end) {
-            self.count(if Self::run_end(request, self.now) > end {
-                Count::RefusedRightly
-            } else {
-                Count::RefusedSound
-            });
+            self.count(if self.run_end(request, self.now) > end { Count::RefusedRightly } else { Count::RefusedSound });
         }
     }
 
     fn begin_run(&mut self, daemon: usize, request: Request) {
+        if self.daemons[daemon].stop.is_some() && !request.kind.may_be_repeated() {
+            self.count(Count::Taken);
+        }
         if self.daemons[daemon].stop.is_some_and(|(signal, _)| self.now >= signal + CERTAIN_MS) {
             self.count(Count::TakenLate);
         }
-        let ends = Self::run_end(&request, self.now);
+        let ends = self.run_end(&request, self.now);
         let (number, run) = (self.next, Run { request, began: self.now, ends });
         self.daemons[daemon].runs.insert(number, run);
         self.schedule(ends, Event::RunEnds(daemon, number));
@@ -375,11 +436,11 @@
         let is_answered = ends < request.deadline;
         if is_answered {
             let took = Duration::from_millis(self.now - began);
-            self.daemons[daemon].times.record(&kind_of(request.kind), took, now);
+            self.forecast(&request).record(&self.daemons[daemon].times, took, now);
         }
         // An answer in a stop closes its connection.
         let kept = &mut self.kept[request.zone];
-        if self.daemons[daemon].stop.is_none() && kept.len() < self.max_kept * self.daemons.len() / self.zones {
+        if self.daemons[daemon].stop.is_none() && kept.len() < self.case.max_kept * self.daemons.len() / self.zones {
             kept.push(daemon);
         }
         self.finish(daemon, request, if is_answered { Fate::Answered } else { Fate::TimedOut });
@@ -398,7 +459,7 @@
             return;
         }
         let body_end = request.deadline - request.kind.deadline_ms + request.body_ms;
-        let was_answerable = Self::run_end(&request, self.now.max(body_end)) < request.deadline;
+        let was_answerable = self.run_end(&request, self.now.max(body_end)) < request.deadline;
         let is_half_sound = self.is_half_sound(request.zone);
         let first_try = Some(FirstTry { daemon, is_half_sound, was_answerable });
         self.schedule(self.now + RETRY_AFTER_MS, Event::Arrive(Request { first_try, ..request }));
@@ -410,6 +471,19 @@
         self.zone(zone).filter(is_sound).count() * 2 >= self.zone(zone).count()
     }
 
+    /// Daemons learn each other's run times.
+    fn exchange(&mut self) {
+        let now = self.instant(self.now);
+        let mut fleet: BTreeMap<RunKind, RunCounts> = BTreeMap::new();
+        for (kind, counts) in self.daemons.iter().flat_map(|daemon| daemon.times.own(now)) {
+            fleet.entry(kind).or_default().add(&counts);
+        }
+        self.daemons.iter().for_each(|daemon| daemon.times.learn(fleet.clone(), now));
+        if self.now < END_MS {
+            self.schedule(self.now + EXCHANGE_MS, Event::Exchange);
+        }
+    }
+
     fn signal(&mut self, daemon: usize) {
         let clock = StopClock::new(self.instant(self.now), Some(Duration::from_millis(STOP_MS)));
         self.daemons[daemon].stop = Some((self.now, clock));
@@ -454,7 +528,10 @@
 
 /// Checks that nothing that began late was cut, and nothing refused that was certain to end.
 fn check(stops: Stops) -> Outcome {
-    let outcome = Outcome { few_kept: simulate(stops, FEW_KEPT), many_kept: simulate(stops, MANY_KEPT) };
+    let outcome = Outcome {
+        few_kept: simulate(Case::growing(stops, FEW_KEPT)),
+        many_kept: simulate(Case::growing(stops, MANY_KEPT)),
+    };
     let mut refused_rightly = 0;
     for (case, counts) in outcome.few_kept.iter().chain(&outcome.many_kept) {
         let cut_late = [Count::First, Count::Second, Count::SecondInZoneStop].map(|tries| tries(Fate::CutLate));
@@ -466,20 +543,38 @@
     outcome
 }
 
-fn simulate(stops: Stops, max_kept: usize) -> Vec<(String, Counts)> {
+fn simulate(case: Case) -> Vec<(String, Counts)> {
     let sites = SITES.map(|(daemons, zones, seeds)| {
         let mut counts = Counts::new();
         for seed in 0..seeds {
-            for (count, number) in Simulation::new((daemons, zones), stops, max_kept, seed).run() {
+            for (count, number) in Simulation::new((daemons, zones), case, seed).run() {
                 *counts.entry(count).or_default() += number;
             }
         }
-        let case = format!("{daemons} daemons, {stops:?}, {max_kept} connections, {seeds} seeds: {counts:?}");
+        let case = format!("{daemons} daemons, {case:?}, {seeds} seeds: {counts:?}");
         (case, counts)
     });
     sites.into()
 }
 
+/// Checks that next to nothing that began after a signal was cut.
+fn check_cut(requests_per_s: f64) {
+    let in_turn = [300, 1_500, 5_000].map(|gap_ms| Stops::InTurn { gap_ms });
+    let (mut sum, mut cases) = ([(0, 0); SITES.len()], Vec::new());
+    for stops in in_turn.into_iter().chain([Stops::Zones { gap_ms: 12_000 }]) {
+        for ((cut, taken), (case, counts)) in sum.iter_mut().zip(simulate(Case::steady(stops, requests_per_s))) {
+            let tries = [Count::First, Count::Second, Count::SecondInZoneStop];
+            let cuts = tries.into_iter().flat_map(|tries| [tries(Fate::CutEarly), tries(Fate::CutLate)]);
+            *cut += cuts.map(|count| number(&counts, count)).sum::<usize>();
+            *taken += number(&counts, Count::Taken);
+            cases.push(case);
+        }
+    }
+    for (cut, taken) in sum {
+        assert!(taken > 0 && cut as f64 <= taken as f64 * MAX_CUT_SHARE, "{cut} of {taken}, {sum:?}, {cases:#?}");
+    }
+}
+
 fn check_second_tries(sites: Vec<(String, Counts)>) {
     for (case, counts) in sites {
         let is_second = |count: &Count| matches!(count, Count::Second(_));
@@ -526,5 +621,17 @@
 #[test]
 fn second_tries_are_answered_in_stops_in_turn_at_small_gaps_with_few_kept_connections() {
     known_red::report!();
-    check_second_tries(simulate(Stops::InTurn { gap_ms: 300 }, FEW_KEPT));
+    check_second_tries(simulate(Case::growing(Stops::InTurn { gap_ms: 300 }, FEW_KEPT)));
+}
+
+/// Guards against LOST: what daemons had begun early in their stops was cut at its end.
+#[test]
+fn allows_cuts_next_to_nothing_while_runs_are_steady() {
+    check_cut(MANY_PER_DAEMON_S);
+}
+
+/// The same when each daemon has seen few runs of its own.
+#[test]
+fn allows_cuts_next_to_nothing_while_daemons_know_few_runs() {
+    check_cut(FEW_PER_DAEMON_S);
 }
--- a/goldcrestward/src/request/run_window.rs
+++ b/goldcrestward/src/request/run_window.rs
@@ -202,9 +202,8 @@
 
     /// Records how long a run took.
     pub fn record_run(&self, started: Instant) {
-        let Some(kind) = &self.run.kind else { return };
         let now = Instant::now();
-        self.shared.run_times.record(kind, now - started, now);
+        self.run.record(&self.shared.run_times, now - started, now);
     }
 
     /// The final answer to a request that runs, or may have run, at the end of the daemon.
@@ -239,20 +238,23 @@
             return;
         }
         let (needed, basis) = self.deciding_time(self.work_time());
-        let runs = self.run.kind.as_ref().map_or(0, |kind| self.shared.run_times.count(kind, Instant::now()));
+        let (runs, known) = self.run.known_runs(&self.shared.run_times, Instant::now());
         let (id, route, since, needed, left) =
             (&self.id, self.route_label(), since.as_millis(), needed.as_millis(), left.as_millis());
-        let basis = basis.label();
+        let (basis, known) = (basis.label(), known.label());
         info!(
-            "event=stop-taken id={id} route={route} since_ms={since} needed_ms={needed} left_ms={left} by={basis} runs={runs}"
+            "event=stop-taken id={id} route={route} since_ms={since} needed_ms={needed} left_ms={left} by={basis} runs={runs} known={known}"
         );
     }
 
     fn record_refusal(&self, needed: Duration, basis: Basis, phase: Phase) {
         let left = self.shared.lifetime.time_left().map_or_else(|| "-".to_owned(), |left| left.as_millis().to_string());
         let (id, route, phase, needed) = (&self.id, self.route_label(), phase.label(), needed.as_millis());
-        let basis = basis.label();
-        info!("event=stop-refused id={id} route={route} needed_ms={needed} left_ms={left} phase={phase} by={basis}");
+        let (runs, known) = self.run.known_runs(&self.shared.run_times, Instant::now());
+        let (basis, known) = (basis.label(), known.label());
+        info!(
+            "event=stop-refused id={id} route={route} needed_ms={needed} left_ms={left} phase={phase} by={basis} runs={runs} known={known}"
+        );
         self.shared.metrics.stop_outcomes.with_label_values(&["refused"]).inc();
     }
 
