--- a/goldcrestward/src/request/fallback.rs
+++ b/goldcrestward/src/request/fallback.rs
@@ -43,9 +43,10 @@
 
 impl ProxyCall {
     /// Starts to look for another server than the silent one; `None` if the request may not be sent to another one now.
-    pub(super) fn search_fallback(&self, silent: &ReplicaGuard) -> Option<Search> {
+    pub(super) fn search_fallback(&self, silent: &ReplicaGuard, since: Instant) -> Option<Search> {
         let gateway = self.gateway.clone();
-        let has_attempt = self.may_send() && self.route.kind.is_idempotent() && self.sends < self.route.attempt_limit;
+        let has_attempt =
+            self.may_end_elsewhere(since) && self.route.kind.is_idempotent() && self.sends < self.route.attempt_limit;
         if !has_attempt || self.time_left() < MIN_RETRY_TIME || self.is_suspect() {
             return None;
         }
@@ -63,10 +64,18 @@
         }))
     }
 
+    /// Whether another server that goes on now, where this one has been silent since then, usually ends before the daemon.
+    fn may_end_elsewhere(&self, since: Instant) -> bool {
+        match self.is_answering {
+            true => self.window.allows_rest(since.saturating_duration_since(self.run_started)),
+            false => self.may_send(),
+        }
+    }
+
     /// Uses the place for the next attempt, if a run can still end there and the retry budget still allows it.
     pub(super) fn accept_fallback(&mut self, fallback: Fallback, silent: &ReplicaGuard, since: Instant) -> bool {
         let is_leaving = fallback.guard.replica().is_leaving();
-        if is_leaving || !self.may_send() || !self.withdraw_retry() {
+        if is_leaving || !self.may_end_elsewhere(since) || !self.withdraw_retry() {
             fallback.release();
             return false;
         }
@@ -101,7 +110,7 @@
                 limit = PATH_CHECK_INTERVAL.min(idle_timeout - silent_for);
                 continue;
             }
-            if let Some(search) = self.search_fallback(guard) {
+            if let Some(search) = self.search_fallback(guard, started) {
                 let found = tokio::select! {
                     output = &mut step => return Some(output),
                     found = search => found,
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -88,7 +88,7 @@
     /// When the run began whose answer is passed on.
     pub(super) run_started: Instant,
     /// Whether the caller has got the beginning of a stream, so that the request can no longer be refused.
-    is_answering: bool,
+    pub(super) is_answering: bool,
     fingerprint: u64,
     /// Ids of the parts of its prompt that other requests may have in common.
     parts: Vec<u64>,
--- a/goldcrestward/src/request/proxy_body.rs
+++ b/goldcrestward/src/request/proxy_body.rs
@@ -212,7 +212,7 @@
                 due
             } else {
                 if source.search.is_none() {
-                    source.search = source.call.search_fallback(&source.guard).map(Mutex::new);
+                    source.search = source.call.search_fallback(&source.guard, self.last_event_at).map(Mutex::new);
                 }
                 self.search_at = now + SEARCH_INTERVAL;
                 self.search_at
