--- a/goldcrestward/src/version/analysis.rs
+++ b/goldcrestward/src/version/analysis.rs
@@ -13,8 +13,10 @@
 use super::{
     bound::{lower_bound, upper_bound, wilson_interval},
     evidence::{AddedHarm, Evidence},
+    excess::Excess,
     standardized::{StandardizedTally, TallyPair},
     tally::Tally,
+    worst_window::WorstWindow,
 };
 use crate::{config::RolloutMode, util::derive_value_traits};
 
@@ -33,6 +35,10 @@
 const ORDERED_TEST_INTERVAL: u64 = 30;
 /// Tests kept in addition to the first.
 const MAX_LATER_TESTS: usize = 12;
+/// Error allowed when a version is found worse, so that it does not go on while it is.
+const WORSE_ERROR: f64 = 0.002;
+/// Fraction of the allowed harm by which it must be worse for that.
+const WORSE_MARGIN: f64 = 0.1;
 /// Fraction of the allowed harm by which the new version must be worse to be found harmful.
 const MARGIN: f64 = 0.2;
 /// Error of the bounds by which the concurrent counts of both versions contradict the old version's overall record.
@@ -82,6 +88,7 @@
     period_start: Strata,
     /// The counts of the first test at the latest evaluation, with the period that has not ended.
     latest: StandardizedTally,
+    worst_window: WorstWindow,
     harm: Option<Harm>,
 }
 
@@ -105,6 +112,7 @@
             last_test_count: 0,
             period_start,
             latest: StandardizedTally::default(),
+            worst_window: WorstWindow::default(),
             harm: None,
         }
     }
@@ -126,13 +134,28 @@
         if count < MIN_PUNCTUAL || old_count == 0 {
             return false;
         }
-        let (late, old_late) = (tally.matched.slow as f64 / count as f64, tally.old_slow() as f64 / old_count as f64);
-        late < old_late + self.harm_threshold / 2.0
+        share(tally.matched.slow, count) < share(tally.old_slow(), old_count) + self.harm_threshold / 2.0
+    }
+
+    /// Whether plainly more requests of the new version than of the old one have failed or been late. That does not condemn
+    /// it yet.
+    pub fn is_worse(&self) -> bool {
+        let late = self.without_burst();
+        self.is_more(&self.latest, &self.latest.failed_excess) || self.is_more(&late, &late.slow_excess)
+    }
+
+    /// The latest counts without answers that were late together, as in a silence of servers: they say little of the others.
+    fn without_burst(&self) -> StandardizedTally {
+        self.worst_window.rest(&self.latest).unwrap_or(self.latest)
+    }
+
+    fn is_more(&self, tally: &StandardizedTally, excess: &Excess) -> bool {
+        tally.added_share(excess) > WORSE_MARGIN * self.harm_threshold && excess.probability() < WORSE_ERROR
     }
 
     /// What the latest evaluation was made on.
     pub fn latest(&self) -> Evidence {
-        Evidence { tally: self.latest, harm: self.added_harm(&self.latest) }
+        Evidence { tally: self.latest, harm: self.added_harm() }
     }
 
     /// The counts of the first test over all ended periods and routes, for operators.
@@ -141,7 +164,7 @@
     }
 
     /// Evaluates the cumulative tallies.
-    pub fn evaluate(&mut self, strata: &Strata) -> Verdict {
+    pub fn evaluate(&mut self, strata: &Strata, now_ms: u64) -> Verdict {
         if self.harm.is_some() {
             return Verdict::Harmful;
         }
@@ -157,6 +180,7 @@
         let old_tallies = old_tallies(strata);
         let so_far = tests.first().map(|test| total(&test.routes)).unwrap_or_default();
         self.latest = so_far;
+        self.worst_window.add(so_far, now_ms);
         self.harm = self.find_harm(&tests, &old_tallies);
         if self.harm.is_some() {
             return Verdict::Harmful;
@@ -170,7 +194,7 @@
                 self.start_test();
             }
         }
-        if self.is_harmless(&so_far) { Verdict::Harmless } else { Verdict::Inconclusive }
+        if self.is_harmless() { Verdict::Harmless } else { Verdict::Inconclusive }
     }
 
     fn start_test(&mut self) {
@@ -280,14 +304,14 @@
         })
     }
 
-    fn is_harmless(&self, so_far: &StandardizedTally) -> bool {
-        so_far.effective_count() > 0 && self.added_harm(so_far).upper < self.harm_threshold
+    fn is_harmless(&self) -> bool {
+        let comparable = self.latest.effective_count() > 0 && self.without_burst().effective_count() > 0;
+        comparable && self.added_harm().upper < self.harm_threshold
     }
 
-    fn added_harm(&self, tally: &StandardizedTally) -> AddedHarm {
-        let (count, old_count) = (tally.matched.count, tally.effective_count());
-        let share = |hits: u64, count: u64| hits as f64 / count.max(1) as f64;
-        let added = |new: u64, old: u64| {
+    fn added_harm(&self) -> AddedHarm {
+        let added = |new: u64, old: u64, tally: &StandardizedTally| {
+            let (count, old_count) = (tally.matched.count, tally.effective_count());
             let new = new.min(count);
             let upper = if self.mode.is_ordered() {
                 wilson_interval(new, count, ORDERED_ACCEPT_Z).1 - wilson_interval(old, old_count, ORDERED_ACCEPT_Z).0
@@ -296,8 +320,9 @@
             };
             AddedHarm { estimate: share(new, count) - share(old, old_count), upper }
         };
-        let (failed, late) =
-            (added(tally.matched.failed, tally.old_failed()), added(tally.matched.slow, tally.old_slow()));
+        let (all, rest) = (&self.latest, self.without_burst());
+        let failed = added(all.matched.failed, all.old_failed(), all);
+        let late = added(rest.matched.slow, rest.old_slow(), &rest);
         AddedHarm { estimate: failed.estimate.max(late.estimate), upper: failed.upper.max(late.upper) }
     }
 }
@@ -343,6 +368,10 @@
     }
 }
 
+fn share(hits: u64, count: u64) -> f64 {
+    hits as f64 / count.max(1) as f64
+}
+
 fn total(routes: &RouteTallies) -> StandardizedTally {
     routes.values().fold(StandardizedTally::default(), |mut total, tally| {
         total.merge(tally);
--- a/goldcrestward/src/version/bound.rs
+++ b/goldcrestward/src/version/bound.rs
@@ -39,6 +39,23 @@
     ((centre - spread) / scale, (centre + spread) / scale)
 }
 
+/// Probability of at least `hits` successes in `count` trials whose expected number of successes is `expected`.
+pub(crate) fn binomial_tail(hits: u64, count: u64, expected: f64) -> f64 {
+    let share = expected / count.max(1) as f64;
+    if hits == 0 || share >= 1.0 {
+        return 1.0;
+    }
+    if hits > count || share <= 0.0 {
+        return 0.0;
+    }
+    let ln_factorial = |n: u64| libm::lgamma(n as f64 + 1.0);
+    let ln_probability = |n: u64| {
+        let ln_ways = ln_factorial(count) - ln_factorial(n) - ln_factorial(count - n);
+        ln_ways + n as f64 * share.ln() + (count - n) as f64 * (-share).ln_1p()
+    };
+    (hits..=count).map(|n| ln_probability(n).exp()).sum::<f64>().min(1.0)
+}
+
 /// Finds the boundary between `low`, which is excluded, and `high`, which is not.
 fn bisect(mut low: f64, mut high: f64, excluded: impl Fn(f64) -> bool) -> f64 {
     for _ in 0..BISECTION_STEPS {
--- a/goldcrestward/src/version/late_burst.rs
+++ b/goldcrestward/src/version/late_burst.rs
@@ -51,9 +51,9 @@
             self.state = State::Used(without(strata, &before.strata));
         }
         if let State::Used(burst) = &self.state {
-            return analysis.evaluate(&without(strata, burst));
+            return analysis.evaluate(&without(strata, burst), now_ms);
         }
-        let verdict = analysis.evaluate(strata);
+        let verdict = analysis.evaluate(strata, now_ms);
         if verdict == Verdict::Harmful {
             let is_burst = |look: &&Look| look.at_ms + BURST_MS <= now_ms && look.analysis.is_punctual();
             let before = self.looks.front().filter(is_burst);
--- a/goldcrestward/src/version/mod.rs
+++ b/goldcrestward/src/version/mod.rs
@@ -4,11 +4,13 @@
 mod bound;
 mod choice;
 mod evidence;
+mod excess;
 mod late_burst;
 mod order;
 mod rollout;
 mod standardized;
 mod tally;
+mod worst_window;
 
 pub(crate) use analysis::Strata;
 pub(crate) use choice::{VersionChoice, VersionRule, version_choice};
--- a/goldcrestward/src/version/order_test.rs
+++ b/goldcrestward/src/version/order_test.rs
@@ -201,3 +201,25 @@
     known_red::report!();
     check_silent(&[(70.0, 30, 0.25), (70.0, 60, 0.25), (300.0, 12, 0.25)]);
 }
+
+/// Guards against further steps of a version that is plainly late beside a punctual old one, though within the allowed harm.
+#[test]
+fn ordered_rollouts_hold_versions_that_are_plainly_late() {
+    let plan = ordered_plan("pool".into(), "new".into(), Duration::from_secs(30), Revision::new(0, 7), 0);
+    for (late, steps) in [(0, 2), (1, 2), (5, 1)] {
+        let mut rollout = Rollout::new(plan.clone(), 1, 0);
+        let mut strata = Strata::new();
+        for tick in 0..60 {
+            let pair = strata.entry(("route".into(), "zone".into())).or_default();
+            pair.old.add(Tally { count: 9, ..Tally::default() });
+            pair.new.add(Tally { count: 1, failed: 0, slow: u64::from(tick % 12 == 0 && tick < 12 * late) });
+            let snapshot = Snapshot { now_ms: tick * 250, strata: strata.clone(), ready: Readiness { new: 4, old: 4 } };
+            assert_eq!(rollout.decide(&snapshot), None, "{late} late");
+        }
+        let snapshot = Snapshot { now_ms: 15_000, strata, ready: Readiness { new: 4, old: 4 } };
+        if let Some(decision) = rollout.decide(&snapshot) {
+            rollout.apply(&decision, snapshot.now_ms);
+        }
+        assert_eq!(rollout.step(), steps, "{late} late");
+    }
+}
--- a/goldcrestward/src/version/rollout.rs
+++ b/goldcrestward/src/version/rollout.rs
@@ -164,7 +164,7 @@
             return (snapshot.now_ms + ORDERED_OUTCOME_LEAD_MS >= date).then(completed);
         }
         if snapshot.now_ms >= last_ms {
-            let leaves_old_version = self.plan.mode.is_ordered() && self.step == last_step;
+            let leaves_old_version = self.plan.mode.is_ordered() && self.step == last_step && !self.analysis.is_worse();
             return Some(if leaves_old_version {
                 Decision::Advance(last_step + 1)
             } else {
@@ -202,6 +202,9 @@
         if self.is_waiting() {
             return Some("a burst of late answers, which may be a silence of servers");
         }
+        if self.analysis.is_worse() {
+            return Some("more failed or late answers than of the old version");
+        }
         let next = Self::share(&self.plan, self.step + 1);
         if !Self::has_capacity(next, snapshot.ready) {
             return Some("too few servers of the new version");
@@ -251,7 +254,7 @@
     }
 
     fn end_at_date(&self, last_step: usize, snapshot: &Snapshot) -> Decision {
-        if self.step >= last_step {
+        if self.step >= last_step && !self.analysis.is_worse() {
             return Decision::End(Outcome::Completed, "all traffic uses the new version".into());
         }
         let share = 100.0 * Self::share(&self.plan, self.step);
--- a/goldcrestward/src/version/slow_version_test.rs
+++ b/goldcrestward/src/version/slow_version_test.rs
@@ -16,9 +16,8 @@
 const NEWS_MS: u64 = 300;
 /// Longest time that a daemon's tallies take to the holder.
 const REPORT_MS: u64 = 100;
-const ROLLOUT_S: u64 = 15;
-/// Requests per second at all daemons.
-const RATE: f64 = 190.0;
+/// Time after a rollout's date for which its version is observed.
+const AFTER_MS: u64 = 10_000;
 /// Routes: share of the requests, usual time to the first response, latency target.
 const ROUTES: [(f64, f64, f64); 3] = [(0.38, 90.0, 600.0), (0.48, 60.0, 500.0), (0.14, 40.0, 500.0)];
 /// Spread of the times, as the standard deviation of their logarithm.
@@ -27,6 +26,8 @@
 const BAD_ANSWERS: u64 = 50;
 const MAX_ROLLBACK_MS: u64 = 5_000;
 const SEEDS: u64 = 25;
+/// Most requests that a bad version may get: a fraction of all requests between order and date, plus a fixed number.
+const MAX_EXPOSED: (f64, u64) = (0.1, 50);
 
 /// Share of the requests whose prompt no server of the version in use has cached.
 const UNCACHED_SHARE: f64 = 0.15;
@@ -48,8 +49,22 @@
     servers: usize,
     /// Factor on the times of answers to prompts that are not cached.
     uncached_factor: f64,
+    /// Share of its answers that miss the target at whatever pace, and the time in which it rises to that.
+    late: (f64, u64),
+    /// Requests per second at all daemons, and the seconds of the rollout.
+    traffic: (f64, u64),
 }
 
+const GOOD: Scenario = Scenario {
+    factor: 1.0,
+    slow_share: 0.0,
+    stopped: (0, 0),
+    servers: 6,
+    uncached_factor: 1.0,
+    late: (0.0, 0),
+    traffic: (190.0, 15),
+};
+
 #[derive(Clone, Copy, Debug)]
 struct Answer {
     arrives: u64,
@@ -64,6 +79,10 @@
 #[derive(Debug, Default)]
 struct RunResult {
     outcome: Option<Outcome>,
+    /// The last step that it reached.
+    step: usize,
+    /// Requests sent to it from the order to the date, and all requests of that time.
+    sent: (u64, u64),
     /// Requests sent to the version too late after its bad answers.
     exposed: u64,
     /// Time from the 50th bad answer to the end.
@@ -76,7 +95,8 @@
 
 fn run(scenario: Scenario, seed: u64) -> RunResult {
     let mut random = SmallRng::seed_from_u64(seed);
-    let plan = ordered_plan("pool".into(), "new".into(), Duration::from_secs(ROLLOUT_S), Revision::new(0, 7), 0);
+    let (rate, rollout_s) = scenario.traffic;
+    let plan = ordered_plan("pool".into(), "new".into(), Duration::from_secs(rollout_s), Revision::new(0, 7), 0);
     let mut rollout = Rollout::new(plan.clone(), 0, 0);
     let mut result = RunResult::default();
     let mut tallies = vec![Strata::new(); DAEMONS];
@@ -87,7 +107,7 @@
     let (mut bad, mut bad_since) = (0, None);
     // Share of the new version's traffic for which it has not had the time to cache prompts.
     let (mut unseen, mut earlier_share) = (0.0, 0.0);
-    for now in (0..(ROLLOUT_S + 3) * 1_000).step_by(STEP_MS as usize) {
+    for now in (0..rollout_s * 1_000 + AFTER_MS).step_by(STEP_MS as usize) {
         let share = shares.iter().rev().find(|(at, _)| *at <= now).map_or(0.0, |(_, share)| *share);
         if share > earlier_share {
             unseen = (unseen * earlier_share + share - earlier_share) / share;
@@ -96,7 +116,7 @@
         unseen *= (-(STEP_MS as f64) / CACHING_MS).exp();
         let (stopped_zones, stopped_at) = scenario.stopped;
         let first_zone = if now >= stopped_at { stopped_zones } else { 0 };
-        let mean = RATE * STEP_MS as f64 / 1_000.0;
+        let mean = rate * STEP_MS as f64 / 1_000.0;
         for _ in 0..mean.floor() as u64 + u64::from(random.random_bool(mean.fract())) {
             let point = random.random::<f64>();
             let route = if point < ROUTES[0].0 { 0 } else { usize::from(point >= ROUTES[0].0 + ROUTES[1].0) + 1 };
@@ -109,7 +129,13 @@
             let is_uncached = scenario.uncached_factor > 1.0 && random.random_bool(uncached_share);
             let factor = if is_uncached { factor * scenario.uncached_factor } else { factor };
             let (_, usual, target) = ROUTES[route];
-            let took = usual * factor * (SPREAD * normal(&mut random)).exp();
+            let mut took = usual * factor * (SPREAD * normal(&mut random)).exp();
+            let (late_share, ramp_ms) = scenario.late;
+            let late_share = late_share * (now as f64 / ramp_ms.max(1) as f64).min(1.0);
+            let is_held_up = is_new && late_share > 0.0 && random.random_bool(late_share);
+            if is_held_up {
+                took += target;
+            }
             answers.push(Answer {
                 arrives: now + took as u64,
                 daemon,
@@ -117,8 +143,11 @@
                 route,
                 is_new,
                 is_late: took > target,
-                is_bad,
+                is_bad: is_bad || is_held_up,
             });
+            if now < rollout_s * 1_000 {
+                result.sent = (result.sent.0 + u64::from(is_new), result.sent.1 + 1);
+            }
             result.exposed += u64::from(is_new && bad_since.is_some_and(|at| now > at + MAX_ROLLBACK_MS));
         }
         for answer in answers.extract_if(.., |answer| answer.arrives <= now) {
@@ -147,7 +176,10 @@
         let Some(decision) = rollout.decide(&Snapshot { now_ms: now, strata, ready }) else { continue };
         rollout.apply(&decision, now);
         match decision {
-            Decision::Advance(step) => shares.push((now + NEWS_MS, Rollout::share(&plan, step))),
+            Decision::Advance(step) => {
+                result.step = step;
+                shares.push((now + NEWS_MS, Rollout::share(&plan, step)));
+            }
             Decision::End(outcome, _) => {
                 let share = if outcome == Outcome::Completed { 1.0 } else { 0.0 };
                 shares.push((now + NEWS_MS, share));
@@ -164,7 +196,7 @@
     let mut failures = Vec::new();
     for (factor, slow_share) in kinds.iter().copied() {
         for stopped in [(0, 0), (1, 3_000), (2, 1_000), (2, 5_000)] {
-            let scenario = Scenario { factor, slow_share, stopped, servers: 2, uncached_factor: 1.0 };
+            let scenario = Scenario { factor, slow_share, stopped, servers: 2, ..GOOD };
             let results: Vec<RunResult> = (0..SEEDS).map(|seed| run(scenario, seed)).collect();
             let exposed = results.iter().map(|result| result.exposed).max().unwrap_or_default();
             let over = results.iter().filter(|result| result.exposed > 0).count();
@@ -197,10 +229,49 @@
 #[test]
 fn good_versions_without_cached_prompts_are_completed() {
     for uncached_factor in [1.0, 2.0] {
-        let scenario = Scenario { factor: 1.0, slow_share: 0.0, stopped: (0, 0), servers: 6, uncached_factor };
+        let scenario = Scenario { uncached_factor, ..GOOD };
         let results: Vec<RunResult> = (0..GOOD_SEEDS).map(|seed| run(scenario, seed)).collect();
         let completed = results.iter().filter(|result| result.outcome == Some(Outcome::Completed)).count();
         println!("{scenario:?}: {completed} of {GOOD_SEEDS} completed");
         assert!(completed as f64 >= MIN_COMPLETED_SHARE * GOOD_SEEDS as f64, "{scenario:?}: {completed} completed");
     }
 }
+
+/// Checks versions a share of whose answers is late, none of the old version's, from the start or rising to it: that
+/// they get nothing too late and no more than the accepted share of the requests.
+fn check_late(late_shares: &[f64]) {
+    let mut failures = Vec::new();
+    for (rate, rollout_s) in [(30.0, 12), (30.0, 30), (100.0, 15), (100.0, 30), (200.0, 12), (200.0, 15), (200.0, 30)] {
+        for late_share in late_shares.iter().copied() {
+            for ramp_ms in [0, 500 * rollout_s] {
+                let scenario = Scenario { late: (late_share, ramp_ms), traffic: (rate, rollout_s), ..GOOD };
+                let results: Vec<RunResult> = (0..SEEDS).map(|seed| run(scenario, seed)).collect();
+                let exposed = results.iter().map(|result| result.exposed).max().unwrap_or_default();
+                let over = results.iter().filter(|result| result.exposed > 0).count();
+                let is_overexposed = |result: &&RunResult| {
+                    let (sent, all) = result.sent;
+                    sent > (MAX_EXPOSED.0 * all as f64) as u64 + MAX_EXPOSED.1
+                };
+                let overexposed = results.iter().filter(is_overexposed).count();
+                let completed = results.iter().filter(|result| result.outcome == Some(Outcome::Completed)).count();
+                let at_last = results.iter().filter(|result| result.step >= 3).count();
+                let line = format!(
+                    "{rate}/s, {rollout_s} s, {late_share} late after {ramp_ms} ms: {overexposed} of {SEEDS} with too large a \
+                     share, {over} with {exposed} requests too late at most"
+                );
+                println!("{line}; {completed} completed, {at_last} at 80% of traffic");
+                if over > 0 || overexposed > 0 {
+                    failures.push(line);
+                }
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Guards against versions that get further steps while a part of their answers is late and none of the old version's.
+#[test]
+fn versions_late_in_some_of_their_answers_get_no_further_steps() {
+    known_red::report!();
+    check_late(&[0.07, 0.14, 0.22]);
+}
--- a/goldcrestward/src/version/standardized.rs
+++ b/goldcrestward/src/version/standardized.rs
@@ -1,6 +1,6 @@
 //! Counts of the old version, weighted to the periods and zones in which the new version ran.
 
-use super::tally::Tally;
+use super::{excess::Excess, tally::Tally};
 
 /// Tallies of the old and the new version in one period, on one route and in one zone.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -23,6 +23,10 @@
     weighted_failed: f64,
     weighted_slow: f64,
     squared_weights: f64,
+    pub failed_excess: Excess,
+    pub slow_excess: Excess,
+    /// Sum of the weights of the periods in the difference of both versions.
+    difference_weights: f64,
 }
 
 impl StandardizedTally {
@@ -37,6 +41,10 @@
         self.weighted_failed += weight * pair.old.failed as f64;
         self.weighted_slow += weight * pair.old.slow as f64;
         self.squared_weights += weight * pair.new.count as f64;
+        let new_share = pair.new.count as f64 / (pair.new.count + pair.old.count) as f64;
+        self.failed_excess.add(pair.new.failed, pair.old.failed, new_share);
+        self.slow_excess.add(pair.new.slow, pair.old.slow, new_share);
+        self.difference_weights += new_share * pair.old.count as f64;
     }
 
     /// Adds the counts of another route.
@@ -46,6 +54,24 @@
         self.weighted_failed += other.weighted_failed;
         self.weighted_slow += other.weighted_slow;
         self.squared_weights += other.squared_weights;
+        self.failed_excess.merge(&other.failed_excess);
+        self.slow_excess.merge(&other.slow_excess);
+        self.difference_weights += other.difference_weights;
+    }
+
+    /// The counts that came after `earlier`.
+    pub fn since(&self, earlier: &Self) -> Self {
+        let less = |now: f64, then: f64| (now - then).max(0.0);
+        Self {
+            new: self.new - earlier.new,
+            matched: self.matched - earlier.matched,
+            weighted_failed: less(self.weighted_failed, earlier.weighted_failed),
+            weighted_slow: less(self.weighted_slow, earlier.weighted_slow),
+            squared_weights: less(self.squared_weights, earlier.squared_weights),
+            failed_excess: self.failed_excess.since(&earlier.failed_excess),
+            slow_excess: self.slow_excess.since(&earlier.slow_excess),
+            difference_weights: less(self.difference_weights, earlier.difference_weights),
+        }
     }
 
     /// Effective sample size of the old version's weighted counts, in requests.
@@ -56,6 +82,11 @@
         (self.matched.count as f64).powi(2).div_euclid(self.squared_weights) as u64
     }
 
+    /// Share of its requests by which the new version has more bad answers than the old one.
+    pub fn added_share(&self, excess: &Excess) -> f64 {
+        excess.surplus() / self.difference_weights.max(1.0)
+    }
+
     /// Failed requests of the old version, scaled to its effective sample size.
     pub fn old_failed(&self) -> u64 {
         self.scaled(self.weighted_failed)
