--- a/goldcrestward/src/version/analysis.rs
+++ b/goldcrestward/src/version/analysis.rs
@@ -45,8 +45,6 @@
 const CONTRADICTION_ERROR: f64 = 0.05;
 /// Least number of concurrent requests of the old version that can contradict its overall record in an ordered rollout.
 const ORDERED_MIN_CONTRADICTING: u64 = 20;
-/// Fewest requests of the new version that show that its answers are not late.
-const MIN_PUNCTUAL: u64 = 20;
 /// Requests of the old version at which a period ends.
 const PERIOD_OLD_REQUESTS: u64 = 30;
 /// Requests of both versions at which a period ends.
@@ -127,16 +125,6 @@
         self.harm.as_ref().is_some_and(|harm| harm.is_late)
     }
 
-    /// Whether hardly more answers of the new version than of the old one have been late, of enough to say so.
-    pub fn is_punctual(&self) -> bool {
-        let tally = self.evidence();
-        let (count, old_count) = (tally.matched.count, tally.effective_count());
-        if count < MIN_PUNCTUAL || old_count == 0 {
-            return false;
-        }
-        share(tally.matched.slow, count) < share(tally.old_slow(), old_count) + self.harm_threshold / 2.0
-    }
-
     /// Whether plainly more requests of the new version than of the old one have failed or been late. That does not condemn
     /// it yet.
     pub fn is_worse(&self) -> bool {
--- a/goldcrestward/src/version/order_test.rs
+++ b/goldcrestward/src/version/order_test.rs
@@ -198,7 +198,6 @@
 /// Like the above, with less evidence before the silence.
 #[test]
 fn ordered_rollouts_complete_versions_that_are_silent_soon() {
-    known_red::report!();
     check_silent(&[(70.0, 30, 0.25), (70.0, 60, 0.25), (300.0, 12, 0.25)]);
 }
 
--- a/goldcrestward/src/version/slow_version_test.rs
+++ b/goldcrestward/src/version/slow_version_test.rs
@@ -238,8 +238,8 @@
 }
 
 /// Checks versions a share of whose answers is late, none of the old version's, from the start or rising to it: that
-/// they get nothing too late and no more than the accepted share of the requests.
-fn check_late(late_shares: &[f64]) {
+/// they get nothing too late and, if `limits_share`, no more than the accepted share of the requests.
+fn check_late(late_shares: &[f64], limits_share: bool) {
     let mut failures = Vec::new();
     for (rate, rollout_s) in [(30.0, 12), (30.0, 30), (100.0, 15), (100.0, 30), (200.0, 12), (200.0, 15), (200.0, 30)] {
         for late_share in late_shares.iter().copied() {
@@ -260,7 +260,7 @@
                      share, {over} with {exposed} requests too late at most"
                 );
                 println!("{line}; {completed} completed, {at_last} at 80% of traffic");
-                if over > 0 || overexposed > 0 {
+                if over > 0 || (limits_share && overexposed > 0) {
                     failures.push(line);
                 }
             }
@@ -269,9 +269,16 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+/// Guards against versions that go on after many bad answers while a fifth of their answers is late, as some of these were
+/// left out for a burst.
+#[test]
+fn versions_late_in_a_fifth_of_their_answers_get_nothing_after_many_bad_answers() {
+    check_late(&[0.14, 0.22], false);
+}
+
 /// Guards against versions that get further steps while a part of their answers is late and none of the old version's.
 #[test]
 fn versions_late_in_some_of_their_answers_get_no_further_steps() {
     known_red::report!();
-    check_late(&[0.07, 0.14, 0.22]);
+    check_late(&[0.07, 0.14, 0.22], true);
 }
