--- a/goldcrestward/src/connection/carried.rs
+++ b/goldcrestward/src/connection/carried.rs
@@ -3,6 +3,7 @@
 use std::{fmt, sync::Arc, time::Instant};
 
 use log::info;
+use parking_lot::Mutex;
 use prometheus::IntGauge;
 use tokio::net::TcpStream;
 use tokio_util::task::{TaskTracker, task_tracker::TaskTrackerToken};
@@ -20,6 +21,8 @@
 #[derive(Clone)]
 pub(crate) struct CarriedConnections {
     tracker: TaskTracker,
+    /// Whether no more are taken.
+    is_closed: Arc<Mutex<bool>>,
     count: IntGauge,
     is_stopping: IsStopping,
 }
@@ -27,14 +30,21 @@
 impl CarriedConnections {
     /// Keeps `count` at the number of connections that are carried.
     pub fn new(count: IntGauge, is_stopping: IsStopping) -> Self {
-        Self { tracker: TaskTracker::new(), count, is_stopping }
+        Self { tracker: TaskTracker::new(), is_closed: Arc::default(), count, is_stopping }
     }
 
-    /// Counts a connection as carried until the guard is dropped.
-    pub fn begin(&self, open: &OpenTunnel) -> CarriedGuard {
+    /// Counts a connection as carried until the guard is dropped; `None` if no more are taken.
+    pub fn begin(&self, open: &OpenTunnel) -> Option<CarriedGuard> {
+        let token = {
+            let is_closed = self.is_closed.lock();
+            if *is_closed {
+                return None;
+            }
+            self.tracker.token()
+        };
         self.count.inc();
         let guard = CarriedGuard {
-            _token: self.tracker.token(),
+            _token: token,
             count: self.count.clone(),
             is_stopping: self.is_stopping.clone(),
             names: Names::new(open),
@@ -45,7 +55,7 @@
         if guard.names.is_sampled || (self.is_stopping)() {
             info!("event=carried-begun {}", guard.names);
         }
-        guard
+        Some(guard)
     }
 
     /// Number of connections that are carried.
@@ -53,10 +63,22 @@
         self.tracker.len()
     }
 
-    /// Waits until none is carried.
+    /// Waits until none is carried. From then on none is taken: it would be cut as soon as the daemon has ended.
     pub async fn finish(&self) {
         self.tracker.close();
-        self.tracker.wait().await;
+        loop {
+            self.tracker.wait().await;
+            let mut is_closed = self.is_closed.lock();
+            if self.tracker.is_empty() {
+                *is_closed = true;
+                return;
+            }
+        }
+    }
+
+    /// Takes no more.
+    pub fn close(&self) {
+        *self.is_closed.lock() = true;
     }
 }
 
--- a/goldcrestward/src/connection/tunnel_test.rs
+++ b/goldcrestward/src/connection/tunnel_test.rs
@@ -100,7 +100,7 @@
     async fn open_tunnel(&self, open: pb::OpenTunnel) -> Result<CarriedConnection, TunnelResult> {
         let socket = TcpStream::connect(self.server).await.map_err(|_| TunnelResult::Unreached)?;
         let observer = Box::new(Observer(self.state.clone()));
-        Ok(CarriedConnection { socket, guard: self.carried.begin(&open), observer })
+        Ok(CarriedConnection { socket, guard: self.carried.begin(&open).ok_or(TunnelResult::Stopping)?, observer })
     }
 }
 
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -286,6 +286,7 @@
             info!("event=stop-step daemon={name} step={step} after_ms={}", begun.elapsed().as_millis());
         };
         log_step("drained");
+        shared.carried.close();
         let left = shared.carried.count();
         if left > 0 {
             warn!("event=carried-cut daemon={name} count={left}");
--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -308,7 +308,8 @@
         ConnectError::Silent => TunnelResult::CutOff,
     })?;
     let observer = Box::new(CarriedObserver::new(gateway.clone(), replica, work));
-    Ok(CarriedConnection { socket, guard: shared.carried.begin(open), observer })
+    let guard = shared.carried.begin(open).ok_or(TunnelResult::Stopping)?;
+    Ok(CarriedConnection { socket, guard, observer })
 }
 
 /// How long the first request on the connection takes; `None` if the peer does not say.
