--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -292,11 +292,9 @@
     if replica.is_held(shared.now()) {
         return Err(TunnelResult::Held);
     }
-    {
-        let reach = gateway.reach.lock();
-        if reach.is_cut_off(shared.now()) || reach.is_lost(&replica.id) {
-            return Err(TunnelResult::CutOff);
-        }
+    // While the link counts as lost, some attempts for peers find out whether it has come back.
+    if gateway.reach.lock().path(&replica.id, shared.now()) == Path::Relay {
+        return Err(TunnelResult::CutOff);
     }
     let opened = timeout(DIRECT_TIMEOUT, open_socket(replica.address)).await;
     let opened =
--- a/goldcrestward/src/process/reach/helpers.rs
+++ b/goldcrestward/src/process/reach/helpers.rs
@@ -9,7 +9,7 @@
 /// Time for which a peer that could not help at all is not asked.
 const PEER_PAUSE_MS: u64 = 1_500;
 /// Time for which a peer is not asked for a server that it does not reach.
-const PATH_PAUSE_MS: u64 = 3_000;
+const PATH_PAUSE_MS: u64 = 1_000;
 /// Time for which a peer is not asked for a server that it does not know.
 const UNKNOWN_PAUSE_MS: u64 = 400;
 /// Time for which a peer whose connection has been silent is asked after the others.
--- a/goldcrestward/src/process/reach/table.rs
+++ b/goldcrestward/src/process/reach/table.rs
@@ -149,6 +149,7 @@
     }
 
     /// Whether a server counts as unreached.
+    #[cfg(test)]
     pub fn is_lost(&self, server: &str) -> bool {
         self.links.get(server).is_some_and(|link| link.lost)
     }
