--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -154,6 +154,13 @@
         self.reach.lock().has_no_path(&replica.id)
     }
 
+    /// Whether a peer is being stopped or gone, so that the end of what it carried says nothing about servers.
+    pub fn has_left(&self, peer: &str) -> bool {
+        let view = self.shared.view.lock();
+        let member = view.others().find(|member| &*member.name == peer);
+        member.is_none_or(|member| member.state != State::Alive || view.is_stopping(member))
+    }
+
     /// Checks in the background whether a server can be reached directly, unless that has just been done.
     fn probe(self: &Arc<Self>, replica: &Arc<Replica>) -> Outcome {
         let probe = || {
--- a/goldcrestward/src/request/fallback.rs
+++ b/goldcrestward/src/request/fallback.rs
@@ -52,7 +52,7 @@
         if !self.allows_retry() {
             return None;
         }
-        let mut excluded = self.tried.clone();
+        let mut excluded = self.excluded();
         excluded.push(silent.replica().id.clone());
         let offer = self.placement.free_offer(&gateway, &excluded, self.crash_score().ok()?)?;
         let (guard, id, window) = (offer.accept(), self.metadata.id.clone(), self.window.clone());
--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod admitted_caller;
 mod attempt;
 mod awaited_head;
+mod awaited_way;
 mod bounded_body;
 mod budget;
 mod caller_body;
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -93,8 +93,10 @@
     /// Ids of the parts of its prompt that other requests may have in common.
     parts: Vec<u64>,
     pub(super) tried: Vec<Arc<str>>,
+    /// Servers to which the way has failed since the request last waited for one.
+    pub(super) unreached: Vec<Arc<str>>,
     pub(super) sends: u32,
-    connect_failures: u32,
+    pub(super) connect_failures: u32,
     pub(super) run_state: RunState,
     usage_counted: bool,
     charge: Option<QuotaCharge>,
@@ -154,6 +156,7 @@
             fingerprint,
             parts,
             tried: Vec::new(),
+            unreached: Vec::new(),
             sends: 0,
             connect_failures: 0,
             run_state: RunState::NotRun,
@@ -216,16 +219,13 @@
                     };
                 }
                 Err(failure) => {
+                    self.exclude(instance.clone(), &failure);
                     let repeat = self.may_retry(&failure);
                     let (id, label, sends) = (&self.metadata.id, failure.label(), self.sends);
                     let connection = &self.connection_label;
                     info!(
                         "event=attempt-failed id={id} instance={instance} cause={label} sends={sends} repeat={repeat} {connection}"
                     );
-                    // A server that wants nothing now may take the request later, and has not got it yet.
-                    if !matches!(failure, ProxyFailure::Withdrawn) {
-                        self.tried.push(instance);
-                    }
                     if !repeat {
                         return self.final_result(failure);
                     }
@@ -247,12 +247,21 @@
             self.connection = Some(connection);
             return Ok(guard);
         }
-        let acquired = self.placement.acquire(&self.gateway, &self.tried, self.run_state, || self.crash_score());
-        let acquired = match self.is_answering {
-            true => acquired.await,
-            false => self.window.wait_for(Phase::Place, acquired).await.and_then(|acquired| acquired),
-        };
-        acquired.map_err(|refusal| Refusal { run: self.run_state, ..refusal })
+        loop {
+            if self.connect_failures > MAX_CONNECT_FAILURES && self.may_await_way() {
+                self.await_way().await;
+            }
+            let excluded = self.excluded();
+            let acquired = self.placement.acquire(&self.gateway, &excluded, self.run_state, || self.crash_score());
+            let acquired = match self.is_answering {
+                true => acquired.await,
+                false => self.window.wait_for(Phase::Place, acquired).await.and_then(|acquired| acquired),
+            };
+            match acquired {
+                Err(refusal) if self.prefers_way(&refusal) => self.await_way().await,
+                acquired => return acquired.map_err(|refusal| Refusal { run: self.run_state, ..refusal }),
+            }
+        }
     }
 
     /// Time until the request's deadline or the daemon's end.
@@ -398,7 +407,7 @@
             }
             ProxyFailure::ConnectFailed | ProxyFailure::NoPath | ProxyFailure::Withdrawn => {
                 self.connect_failures += 1;
-                return self.connect_failures <= MAX_CONNECT_FAILURES;
+                return self.connect_failures <= MAX_CONNECT_FAILURES || self.may_await_way();
             }
             ProxyFailure::NotRun => true,
             ProxyFailure::ErrorResponse(_) | ProxyFailure::Indeterminate(_) => self.route.kind.is_idempotent(),
@@ -803,7 +812,7 @@
     /// Records the failure of a stream and excludes its server from further attempts.
     pub(super) async fn record_stream_failure(&mut self, guard: &ReplicaGuard, cause: &'static str) {
         self.record_failure(guard, cause);
-        self.tried.push(guard.replica().id.clone());
+        self.exclude(guard.replica().id.clone(), &ProxyFailure::Indeterminate(cause));
         if cause == "cut" {
             self.close_idle_carried();
         }
