--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -154,6 +154,13 @@
         self.reach.lock().has_no_path(&replica.id)
     }
 
+    /// Whether a peer is being stopped or gone, so that the end of what it carried says nothing about servers.
+    pub fn has_left(&self, peer: &str) -> bool {
+        let view = self.shared.view.lock();
+        let member = view.others().find(|member| &*member.name == peer);
+        member.is_none_or(|member| member.state != State::Alive || view.is_stopping(member))
+    }
+
     /// Checks in the background whether a server can be reached directly, unless that has just been done.
     fn probe(self: &Arc<Self>, replica: &Arc<Replica>) -> Outcome {
         let probe = || {
@@ -292,11 +299,9 @@
     if replica.is_held(shared.now()) {
         return Err(TunnelResult::Held);
     }
-    {
-        let reach = gateway.reach.lock();
-        if reach.is_cut_off(shared.now()) || reach.is_lost(&replica.id) {
-            return Err(TunnelResult::CutOff);
-        }
+    // While the link counts as lost, some attempts for peers find out whether it has come back.
+    if gateway.reach.lock().path(&replica.id, shared.now()) == Path::Relay {
+        return Err(TunnelResult::CutOff);
     }
     let opened = timeout(DIRECT_TIMEOUT, open_socket(replica.address)).await;
     let opened =
@@ -308,7 +313,8 @@
         ConnectError::Silent => TunnelResult::CutOff,
     })?;
     let observer = Box::new(CarriedObserver::new(gateway.clone(), replica, work));
-    Ok(CarriedConnection { socket, guard: shared.carried.begin(open), observer })
+    let guard = shared.carried.begin(open).ok_or(TunnelResult::Stopping)?;
+    Ok(CarriedConnection { socket, guard, observer })
 }
 
 /// How long the first request on the connection takes; `None` if the peer does not say.
