--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -378,6 +378,7 @@
         Arc::new(move || stage.get() == Stage::Draining)
     };
     let carried = CarriedConnections::new(metrics.carried.clone(), is_stopping);
+    let run_times = RunTimes::new(stop_limit(&settings));
     let shared = Arc::new(Shared {
         settings,
         metrics,
@@ -415,7 +416,7 @@
         carried,
         lifetime: Lifetime::default(),
         stop_lines: LineBudget::new(MAX_STOP_LINES),
-        run_times: RunTimes::default(),
+        run_times,
         tasks: TaskTracker::new(),
         duty_task: TaskTracker::new(),
         start: Instant::now(),
--- a/goldcrestward/src/process/run_times.rs
+++ b/goldcrestward/src/process/run_times.rs
@@ -13,6 +13,10 @@
 
 /// Time after which the runs of a period no longer count, once the next one has passed too.
 const PERIOD: Duration = Duration::from_secs(15);
+/// Time that is kept in reserve beyond the longest run at the least in a short stop, as a share of it.
+const SHORT_RESERVE: f64 = 0.25;
+/// Limit of a stop below which there is no room for silent servers, as nothing would be begun in most of it.
+const SHORT_STOP: Duration = Duration::from_secs(6);
 /// Time that is kept in reserve beyond the only run that is known, as a share of it. It falls with the square root of the
 /// number of runs.
 const RESERVE_OF_ONE: f64 = 2.5;
@@ -35,6 +39,7 @@
     by_kind: Mutex<BTreeMap<RunKind, RecentRuns>>,
     /// Runs of all daemons, and when they were learned.
     fleet: Mutex<BTreeMap<RunKind, (RunCounts, Instant)>>,
+    has_short_stop: bool,
 }
 
 /// Runs that take about as long as each other.
@@ -83,6 +88,11 @@
 }
 
 impl RunTimes {
+    /// Times that are known to a daemon whose stops have this limit.
+    pub fn new(stop_limit: Option<Duration>) -> Self {
+        Self { has_short_stop: stop_limit.is_some_and(|limit| limit < SHORT_STOP), ..Self::default() }
+    }
+
     /// Records a run that has ended.
     pub fn record(&self, kind: &RunKind, took: Duration, now: Instant) {
         let mut by_kind = self.by_kind.lock();
@@ -124,6 +134,10 @@
     pub fn longest(&self, kind: &RunKind, now: Instant) -> Option<Duration> {
         let (counts, _) = self.known(kind, now)?;
         let total = counts.total();
+        if self.has_short_stop {
+            let reserve = SHORT_RESERVE.max(1.0 / total as f64);
+            return Some(counts.longest().mul_f64(1.0 + reserve));
+        }
         let longest = if total >= ENOUGH_RUNS {
             counts.time_of_all_but(LONGER_SHARE)
         } else {
--- a/goldcrestward/src/process/run_times_test.rs
+++ b/goldcrestward/src/process/run_times_test.rs
@@ -5,7 +5,7 @@
 
 use quickcheck::{QuickCheck, TestResult};
 
-use super::{PERIOD, RunKind, RunTimes, SOUND_SILENCE};
+use super::{PERIOD, RunKind, RunTimes, SHORT_STOP, SOUND_SILENCE};
 use crate::process::run_counts::RunCounts;
 
 const MS: Duration = Duration::from_millis(1);
@@ -147,3 +147,12 @@
     assert_eq!(times.own(now).remove(&route), Some(counts(&[(MS * 200, 3)])));
     assert!(times.own(now + PERIOD * 2).is_empty());
 }
+
+/// Guards against refusals of nearly all requests in a stop that is hardly longer than a silence.
+#[test]
+fn short_stops_leave_no_room_for_a_silent_server() {
+    let now = Instant::now();
+    let times = RunTimes::new(Some(SHORT_STOP / 2));
+    (0..4).for_each(|_| times.record(&kind("route", 0), MS * 100, now));
+    assert_eq!(times.longest(&kind("route", 0), now), Some(MS * 125));
+}
