--- a/goldcrestward/src/request/bounded_body.rs
+++ b/goldcrestward/src/request/bounded_body.rs
@@ -23,6 +23,8 @@
     /// The mutex is never contended; it makes the body `Sync`.
     ended: Mutex<BoxFuture<'static, ()>>,
     bytes: u64,
+    /// When the head or a piece of the body came last.
+    last_frame: Instant,
     status: StatusCode,
     /// When the run began whose time is recorded at the end of the body.
     started: Option<Instant>,
@@ -39,7 +41,8 @@
         });
         let status = response.status();
         response.map(|body| {
-            let mut bounded = Self { body, window, ended, bytes: 0, status, started, is_over: false };
+            let last_frame = Instant::now();
+            let mut bounded = Self { body, window, ended, bytes: 0, last_frame, status, started, is_over: false };
             // The HTTP library does not poll a body that is empty.
             if bounded.body.is_end_stream() {
                 bounded.finish();
@@ -63,7 +66,7 @@
     fn drop(&mut self) {
         // The caller reads too slowly for the body to be polled at the end of the daemon.
         if !self.is_over && self.window.has_ended() {
-            self.window.record_cut(self.bytes);
+            self.window.record_cut(self.bytes, self.last_frame.elapsed());
         }
     }
 }
@@ -76,6 +79,7 @@
         let polled = Pin::new(&mut self.body).poll_frame(context);
         match &polled {
             Poll::Ready(Some(Ok(frame))) => {
+                self.last_frame = Instant::now();
                 self.bytes += frame.data_ref().map_or(0, Bytes::len) as u64;
                 if self.body.is_end_stream() {
                     self.finish();
@@ -96,7 +100,7 @@
             return Poll::Pending;
         }
         self.is_over = true;
-        self.window.record_cut(self.bytes);
+        self.window.record_cut(self.bytes, self.last_frame.elapsed());
         Poll::Ready(Some(Err("the daemon is being stopped".into())))
     }
 
--- a/goldcrestward/src/request/run_window.rs
+++ b/goldcrestward/src/request/run_window.rs
@@ -226,10 +226,11 @@
         }
     }
 
-    /// Records that the answer is cut off by the end of the daemon.
-    pub fn record_cut(&self, bytes: u64) {
-        let left = self.run.time_left(Instant::now()).as_millis();
-        info!("event=stop-cut id={} route={} bytes={bytes} left_ms={left}", self.id, self.route_label());
+    /// Records that the answer is cut off by the end of the daemon, `silent` after what came of it last.
+    pub fn record_cut(&self, bytes: u64, silent: Duration) {
+        let (left, silent) = (self.run.time_left(Instant::now()).as_millis(), silent.as_millis());
+        let (id, route) = (&self.id, self.route_label());
+        info!("event=stop-cut id={id} route={route} bytes={bytes} left_ms={left} silent_ms={silent}");
         self.shared.metrics.stop_outcomes.with_label_values(&["cut"]).inc();
     }
 
