--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -275,7 +275,6 @@
             let finished = async {
                 shared.tasks.wait().await;
                 shared.ledger.settled().await;
-                shared.carried.finish().await;
             };
             // No request is sent to a server any more.
             let handed = async {
@@ -286,6 +285,8 @@
                 usage.run(limit.map_or(FLUSH_TIMEOUT, |limit| limit.saturating_sub(begun.elapsed()))).await;
             };
             tokio::join!(finished, handed);
+            // Last, as none is taken any more then.
+            shared.carried.finish().await;
         };
         let whole = match limit {
             Some(limit) => timeout(limit.saturating_sub(begun.elapsed()), drained).await.is_ok(),
--- a/goldcrestward/src/process/exchange/usage_handover.rs
+++ b/goldcrestward/src/process/exchange/usage_handover.rs
@@ -80,7 +80,7 @@
     pub async fn run(&mut self, limit: Duration) {
         let Some(gateway) = self.shared.exchange.get().and_then(Exchange::gateway) else { return };
         let table = Exchange::new(&gateway).usage_table(oldest_window(&gateway));
-        if self.handed.as_ref() == Some(&table.lives) {
+        if table.lives.is_empty() || self.handed.as_ref() == Some(&table.lives) {
             return;
         }
         let Receivers { holder, zone, others } = {
@@ -90,9 +90,6 @@
             Receivers::of(&self.shared.view.lock(), holder)
         };
         let groups = [(Vec::from_iter(holder), 1), (zone, RELAYS), (others, OTHER_RECEIVERS)];
-        if groups.iter().all(|(receivers, _)| receivers.is_empty()) {
-            return;
-        }
         let hand = groups.into_iter().map(|(receivers, wanted)| self.hand(&table, receivers, wanted));
         let takers = timeout(limit.min(HANDOVER_TIMEOUT), join_all(hand)).await;
         let takers: Vec<_> = takers.unwrap_or_default().into_iter().flatten().collect();
--- a/goldcrestward/src/request/awaited_way.rs
+++ b/goldcrestward/src/request/awaited_way.rs
@@ -22,7 +22,7 @@
     pub(super) fn exclude(&mut self, server: Arc<str>, failure: &ProxyFailure) {
         let is_way_lost = match failure {
             ProxyFailure::ConnectFailed | ProxyFailure::NoPath => true,
-            ProxyFailure::Indeterminate("cut") => self.via.as_ref().is_some_and(|peer| self.gateway.has_left(peer)),
+            ProxyFailure::Indeterminate(cause) => self.is_carriers_end(cause),
             // A server that wants nothing now may take the request later, and has not got it yet.
             ProxyFailure::Withdrawn => return,
             _ => false,
@@ -30,6 +30,16 @@
         if is_way_lost { self.unreached.push(server) } else { self.tried.push(server) }
     }
 
+    /// Whether an attempt has failed since the peer that carried it has ended, which says nothing about the server.
+    pub(super) fn is_carriers_end(&self, cause: &str) -> bool {
+        cause == "cut" && self.has_carrier_left()
+    }
+
+    /// Whether the peer that carried the last attempt is being stopped or gone.
+    pub(super) fn has_carrier_left(&self) -> bool {
+        self.via.as_ref().is_some_and(|peer| self.gateway.has_left(peer))
+    }
+
     /// Servers that get no attempt in this round.
     pub(super) fn excluded(&self) -> Vec<Arc<str>> {
         self.tried.iter().chain(&self.unreached).cloned().collect()
@@ -43,7 +53,7 @@
 
     /// Whether the request is to wait for a way rather than be refused like this.
     pub(super) fn prefers_way(&self, refusal: &Refusal) -> bool {
-        matches!(refusal.reason, Reason::NoReplica) && self.may_await_way()
+        matches!(refusal.reason, Reason::NoReplica | Reason::Overloaded) && self.may_await_way()
     }
 
     /// Begins another round after a moment.
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -348,7 +348,7 @@
 
     /// Whether this daemon can find out if the server has crashed, which it does by a connection of its own.
     fn may_judge_crash(&self, guard: &ReplicaGuard) -> bool {
-        !self.has_no_path(guard) && !self.gateway.has_lost_link(guard.replica())
+        !self.has_no_path(guard) && !self.gateway.has_lost_link(guard.replica()) && !self.has_carrier_left()
     }
 
     pub(super) fn record_outcome(&self, guard: &ReplicaGuard, outcome: AttemptOutcome) {
@@ -360,7 +360,7 @@
 
     /// Records the failure of an attempt, unless the server has no part in it.
     pub(super) fn record_failure(&self, guard: &ReplicaGuard, cause: &str) {
-        if cause == NO_MEMORY {
+        if cause == NO_MEMORY || self.is_carriers_end(cause) {
             return;
         }
         self.observe(guard, failure_sample(cause));
@@ -522,6 +522,7 @@
                         self.observe(&guard, Sample::Failed);
                         self.record_outcome(&guard, AttemptOutcome::ErrorResponse);
                     }
+                    ProxyFailure::Indeterminate(cause) if self.is_carriers_end(cause) => {}
                     ProxyFailure::Indeterminate(cause) => {
                         self.observe(&guard, failure_sample(cause));
                         // A server that answers others meanwhile may just need the time that such requests usually take.
