--- a/goldcrestward/src/process/run_times.rs
+++ b/goldcrestward/src/process/run_times.rs
@@ -19,7 +19,7 @@
 const SHORT_STOP: Duration = Duration::from_secs(6);
 /// Time that is kept in reserve beyond the only run that is known, as a share of it. It falls with the square root of the
 /// number of runs.
-const RESERVE_OF_ONE: f64 = 2.5;
+const RESERVE_OF_ONE: f64 = 2.0;
 /// Number of runs of all daemons from which on the time of nearly all is known.
 const ENOUGH_RUNS: u64 = 100;
 /// Share of the runs of all daemons that may take longer than [`RunTimes::longest`].
