--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -362,6 +362,21 @@
             field("buffered"),
             field("unread")
         ),
+        "unanswered" => format!(
+            "{}, {} ms after its head was read: {} ({})",
+            if field("status") == "-" {
+                "got no answer".to_owned()
+            } else {
+                format!(
+                    "got no whole answer (status {}, {} bytes of the body were sent)",
+                    field("status"),
+                    field("sent")
+                )
+            },
+            field("ms"),
+            unanswered_cause(field("cause")),
+            field("why")
+        ),
         "stop-cut" => format!("the answer was cut off by the end of its daemon, after {} bytes", field("bytes")),
         "carried-begun" => {
             format!("carries a connection to {} for {}{}", field("instance"), field("peer"), owner(line, id))
@@ -408,6 +423,21 @@
     }
 }
 
+fn unanswered_cause(label: &str) -> &str {
+    match label {
+        "caller-closed" => "its caller closed the connection before",
+        "caller-gone" => "its caller had closed the connection before the answer was written",
+        "reset" => "the connection was reset",
+        "connection" => "the connection failed",
+        "caller-slow" => "its caller took too long over reading the answer",
+        "deadline" => "its time was over",
+        "daemon-end" => "its daemon ended",
+        "server" => "the server sent only part of the answer",
+        "unread" => "it was on its way when the connection was closed, and was not read",
+        label => label,
+    }
+}
+
 fn describe_stopping(line: &LogLine) -> String {
     let mut text = "is being stopped".to_owned();
     match line.fields.get("ends_in_ms").map(|ms| ms.parse::<u64>()) {
--- a/goldcrestward/src/cmd/explain_test.rs
+++ b/goldcrestward/src/cmd/explain_test.rs
@@ -124,6 +124,14 @@
             "caller-closed id=r1 reason=idle idle_ms=700 limit_ms=200 answer_limit_ms=900 buffered=0 unread=80 others=0",
             "its connection was closed as it was idle, after 700 ms without a request; limit 200 ms now, 900 ms at the last answer; 0 bytes of the request were read and 80 or more were not",
         ),
+        (
+            "unanswered id=r1 cause=caller-closed status=- sent=0 ms=401 why=\"closed\" others=0",
+            "got no answer, 401 ms after its head was read: its caller closed the connection before (closed)",
+        ),
+        (
+            "unanswered id=r1 cause=server status=200 sent=76 ms=41 why=\"the stream broke off: cut\" others=0",
+            "got no whole answer (status 200, 76 bytes of the body were sent), 41 ms after its head was read: the server sent only part of the answer (the stream broke off: cut)",
+        ),
         (
             "stop-cut id=r1 route=lunch bytes=700 left_ms=80",
             "the answer was cut off by the end of its daemon, after 700 bytes",
--- a/goldcrestward/src/connection/activity.rs
+++ b/goldcrestward/src/connection/activity.rs
@@ -17,7 +17,13 @@
 use tokio::sync::Notify;
 use volo_http::{body::Body, error::BoxError, response::Response};
 
-use super::{limits_in_force::LimitsInForce, running_requests::RunningRequest, unread_body::UnreadBody};
+use super::{
+    limits_in_force::LimitsInForce,
+    open_requests::{CallerEnd, OpenRequests},
+    request_record::RequestRecord,
+    running_requests::RunningRequest,
+    unread_body::UnreadBody,
+};
 
 /// State of one connection: its running requests, the end of the last one, and the head being received.
 pub(crate) struct Activity {
@@ -47,6 +53,13 @@
     delivered: AtomicWaker,
     /// Whether an answer has ended with an error.
     answer_failed: AtomicBool,
+    /// Whether the connection was reset.
+    was_reset: AtomicBool,
+    open_requests: OpenRequests,
+    /// Whether the HTTP library has all of an answer that the kernel has not taken.
+    has_made: AtomicBool,
+    /// Whether the caller had closed its side before the end of such an answer was written.
+    is_gone: AtomicBool,
 }
 
 /// Marks a request with both a length and chunks, whose end different HTTP parsers find at different places.
@@ -74,6 +87,10 @@
             undelivered: AtomicBool::new(false),
             delivered: AtomicWaker::new(),
             answer_failed: AtomicBool::new(false),
+            was_reset: AtomicBool::new(false),
+            open_requests: OpenRequests::default(),
+            has_made: AtomicBool::new(false),
+            is_gone: AtomicBool::new(false),
         })
     }
 
@@ -82,7 +99,32 @@
         // A head that is too long to be examined is not recognised as complete before.
         self.end_head();
         self.running.fetch_add(1, Ordering::Relaxed);
-        RequestGuard { activity: self.clone(), _counted: counted }
+        let record = self.open_requests.begin();
+        RequestGuard { activity: self.clone(), record, is_answered: false, _counted: counted }
+    }
+
+    /// The requests that have not been answered yet.
+    pub(super) fn open_requests(&self) -> &OpenRequests {
+        &self.open_requests
+    }
+
+    /// Whether the end of an answer is to be written, and it is not known yet that its caller has gone.
+    pub(super) fn ends_answer(&self) -> bool {
+        self.has_made.load(Ordering::Relaxed) && !self.is_gone.load(Ordering::Relaxed)
+    }
+
+    /// Records that the caller had closed its side before the end of an answer was written.
+    pub(super) fn set_gone(&self) {
+        self.is_gone.store(true, Ordering::Relaxed);
+    }
+
+    /// Removes the requests whose answers the kernel has taken. Returns them if their caller had gone before.
+    pub(super) fn end_answers(&self) -> Vec<Arc<RequestRecord>> {
+        if !self.has_made.swap(false, Ordering::Relaxed) {
+            return Vec::new();
+        }
+        let answered = self.open_requests.take_made();
+        if self.is_gone.load(Ordering::Relaxed) { answered } else { Vec::new() }
     }
 
     pub fn is_running(&self) -> bool {
@@ -225,6 +267,20 @@
         self.caller_closed.store(true, Ordering::Relaxed);
     }
 
+    /// Records that the connection was reset.
+    pub(super) fn reset(&self) {
+        self.was_reset.store(true, Ordering::Relaxed);
+    }
+
+    /// How the caller has ended the connection, if it has.
+    pub(super) fn caller_end(&self) -> Option<CallerEnd> {
+        match (self.was_reset.load(Ordering::Relaxed), self.is_left()) {
+            (true, _) => Some(CallerEnd::Reset),
+            (false, true) => Some(CallerEnd::Closed),
+            (false, false) => None,
+        }
+    }
+
     /// Whether the caller has closed its side of the connection.
     pub fn is_left(&self) -> bool {
         self.caller_closed.load(Ordering::Relaxed)
@@ -281,14 +337,23 @@
 /// Counts a request as running until it is dropped.
 pub(crate) struct RequestGuard {
     activity: Arc<Activity>,
+    record: Arc<RequestRecord>,
+    /// Whether there is an answer, which has not failed so far.
+    is_answered: bool,
     _counted: Option<RunningRequest>,
 }
 
 impl RequestGuard {
+    pub fn record(&self) -> &Arc<RequestRecord> {
+        &self.record
+    }
+
     /// Attaches the guard to the response body, so that the request counts as running until the HTTP library has taken all of
     /// the body.
-    pub fn attach(self, response: Response) -> Response {
+    pub fn attach(mut self, response: Response) -> Response {
         self.activity.begin_delivery();
+        self.record.set_status(response.status().as_u16());
+        self.is_answered = true;
         let (parts, body) = response.into_parts();
         Response::from_parts(parts, Body::from_body(GuardedBody { body, error: None, guard: self }))
     }
@@ -298,6 +363,10 @@
     fn drop(&mut self) {
         self.activity.begin_idle();
         self.activity.running.fetch_sub(1, Ordering::Relaxed);
+        if self.is_answered {
+            self.record.set_made();
+            self.activity.has_made.store(true, Ordering::Relaxed);
+        }
     }
 }
 
@@ -318,9 +387,14 @@
             match ready!(Pin::new(&mut self.body).poll_frame(context)) {
                 Some(Err(error)) => {
                     self.guard.activity.answer_failed.store(true, Ordering::Relaxed);
+                    self.guard.record.fail(&*error);
+                    self.guard.is_answered = false;
                     self.error = Some(error);
                 }
                 polled => {
+                    if let Some(Ok(frame)) = &polled {
+                        self.guard.record.add_sent(frame.data_ref().map_or(0, Bytes::len));
+                    }
                     self.guard.activity.begin_delivery();
                     return Poll::Ready(polled);
                 }
--- a/goldcrestward/src/connection/caller_closes.rs
+++ b/goldcrestward/src/connection/caller_closes.rs
@@ -7,7 +7,11 @@
 use parking_lot::Mutex;
 use prometheus::{IntCounter, IntCounterVec};
 
-use super::activity::Activity;
+use super::{
+    activity::Activity,
+    request_record::RequestRecord,
+    unanswered::{Unanswered, UnansweredCause},
+};
 use crate::process::LineLimit;
 
 /// Header that names a request.
@@ -31,6 +35,11 @@
 }
 
 impl CloseReason {
+    /// Whether the caller gets a refusal.
+    fn is_refused(self) -> bool {
+        matches!(self, Self::HeadTimeout | Self::Framing)
+    }
+
     fn label(self) -> &'static str {
         match self {
             Self::Idle => "idle",
@@ -48,6 +57,8 @@
     unannounced: IntCounterVec,
     failed_accepts: IntCounter,
     late_arrivals: IntCounterVec,
+    /// `None` for connections of operators.
+    unanswered: Option<Unanswered>,
     started: Instant,
     lines: Mutex<LineLimit>,
     unannounced_lines: Mutex<LineLimit>,
@@ -68,6 +79,7 @@
             unannounced,
             failed_accepts,
             late_arrivals,
+            unanswered: None,
             started: Instant::now(),
             lines: Mutex::default(),
             unannounced_lines: Mutex::default(),
@@ -75,6 +87,18 @@
         }
     }
 
+    /// Records each request without a whole answer, too, in a counter by cause.
+    pub fn with_unanswered(self, counter: IntCounterVec) -> Self {
+        Self { unanswered: Some(Unanswered::new(counter)), ..self }
+    }
+
+    /// Records a request that gets no whole answer.
+    pub(super) fn record_unanswered(&self, request: &RequestRecord, cause: UnansweredCause, why: &str) {
+        if let Some(unanswered) = &self.unanswered {
+            unanswered.record(request, cause, why);
+        }
+    }
+
     /// Records the close of a connection that its caller may still use, as nothing has told it of the close.
     pub(super) fn record_unannounced(&self, reason: CloseReason, activity: &Activity) {
         self.unannounced.with_label_values(&[reason.label()]).inc();
@@ -86,15 +110,11 @@
         );
     }
 
-    /// Records that a connection has ended with an error before an answer was whole.
-    pub(super) fn record_broken(&self, error: &hyper::Error, activity: &Activity) {
-        if !activity.lacks_answer() || activity.is_left() {
-            return;
+    /// Counts a connection that has ended with an error before an answer was whole, though its caller had not closed it.
+    pub(super) fn record_broken(&self, activity: &Activity) {
+        if activity.lacks_answer() && !activity.is_left() {
+            self.counter.with_label_values(&["broken"]).inc();
         }
-        self.counter.with_label_values(&["broken"]).inc();
-        let now_ms = self.started.elapsed().as_millis() as u64;
-        let Some(others) = self.lines.lock().record(now_ms) else { return };
-        info!("event=caller-broken error={:?} others={others}", error.to_string());
     }
 
     /// Records a request that came after the notice of a stop, on a connection that is new since or older.
@@ -113,9 +133,12 @@
     /// Records a close over `buffered` bytes that were read and `unread` ones that were not.
     pub(super) fn record(&self, reason: CloseReason, activity: &Activity, buffered: &[u8], unread: &[u8]) {
         self.counter.with_label_values(&[reason.label()]).inc();
+        let id = request_id(&[buffered, unread].concat());
+        if let (Some(unanswered), false) = (&self.unanswered, reason.is_refused()) {
+            unanswered.record_unread(&id, reason.label());
+        }
         let now_ms = self.started.elapsed().as_millis() as u64;
         let Some(others) = self.lines.lock().record(now_ms) else { return };
-        let id = request_id(&[buffered, unread].concat());
         let (reason, idle_ms) = (reason.label(), activity.idle().as_millis());
         let (limit_ms, answer_limit_ms) = activity.idle_limits_ms();
         info!(
--- a/goldcrestward/src/connection/framing.rs
+++ b/goldcrestward/src/connection/framing.rs
@@ -18,12 +18,13 @@
     net::TcpStream,
 };
 
-use super::activity::Activity;
+use super::{activity::Activity, caller_closes::CallerCloses, open_requests::CallerEnd, unanswered::UnansweredCause};
 
 /// A caller's connection whose request heads are examined as they are read.
 pub(crate) struct HeadInspector {
     stream: TcpStream,
     activity: Arc<Activity>,
+    closes: Arc<CallerCloses>,
     head: Vec<u8>,
     /// Whether the current head is complete.
     head_complete: bool,
@@ -32,8 +33,8 @@
 }
 
 impl HeadInspector {
-    pub fn new(stream: TcpStream, activity: Arc<Activity>) -> Self {
-        Self { stream, activity, head: Vec::new(), head_complete: false, resets: false }
+    pub fn new(stream: TcpStream, activity: Arc<Activity>, closes: Arc<CallerCloses>) -> Self {
+        Self { stream, activity, closes, head: Vec::new(), head_complete: false, resets: false }
     }
 
     /// Returns the connection without inspection.
@@ -52,6 +53,24 @@
         if self.activity.is_open_ended() {
             self.set_resets(true);
         }
+        if self.activity.ends_answer() && self.has_caller_gone() {
+            self.activity.set_gone();
+        }
+    }
+
+    /// Whether the kernel has received the end of the connection, behind bytes that have all been read. The runtime may not
+    /// have signalled it yet.
+    fn has_caller_gone(&self) -> bool {
+        match recv(&self.stream, &mut [0][..], RecvFlags::PEEK | RecvFlags::DONTWAIT) {
+            Ok((count, _)) => count == 0,
+            Err(error) => CallerEnd::of_error(&error.into()).is_some(),
+        }
+    }
+
+    fn record_error(&self, error: &std::io::Error) {
+        if CallerEnd::of_error(error).is_some() {
+            self.activity.reset();
+        }
     }
 
     fn set_resets(&mut self, resets: bool) {
@@ -144,6 +163,9 @@
             }
             self.inspect(bytes);
         }
+        if let Poll::Ready(Err(error)) = &read {
+            self.record_error(error);
+        }
         read
     }
 }
@@ -151,7 +173,11 @@
 impl AsyncWrite for HeadInspector {
     fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<std::io::Result<usize>> {
         self.begin_write();
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        if let Poll::Ready(Err(error)) = &written {
+            self.record_error(error);
+        }
+        written
     }
 
     fn poll_write_vectored(
@@ -160,7 +186,11 @@
         slices: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
         self.begin_write();
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        if let Poll::Ready(Err(error)) = &written {
+            self.record_error(error);
+        }
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -170,6 +200,10 @@
     /// The HTTP library flushes the connection once it has written all that it holds.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
         self.activity.end_delivery();
+        for request in self.activity.end_answers() {
+            let why = "the caller had closed before the answer was written";
+            self.closes.record_unanswered(&request, UnansweredCause::CallerGone, why);
+        }
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -39,6 +39,7 @@
     error::{ListenSnafu, Result},
     framing::HeadInspector,
     limits_in_force::LimitsInForce,
+    open_requests::ConnectionRecord,
     running_requests::RunningRequests,
     socket::set_up_accepted,
     unread_body::UnreadBody,
@@ -150,7 +151,7 @@
             let refusals = refusals.clone();
             let (closes, limits) = (closes.clone(), limits.clone());
             drain.connections.spawn(async move {
-                serve(stream, service, stop, &refusals, &closes, &activity, &limits).await;
+                serve(stream, service, stop, &refusals, closes, &activity, &limits).await;
                 drop(permit);
             });
         };
@@ -207,17 +208,19 @@
     service: RouterService,
     mut stop: watch::Receiver<Stage>,
     refusals: &IntCounterVec,
-    closes: &CallerCloses,
+    closes: Arc<CallerCloses>,
     activity: &Arc<Activity>,
     limits: &LimitsInForce,
 ) {
     set_up_accepted(&stream);
+    let mut record = ConnectionRecord::new(activity, &closes);
     let is_new = service.is_new;
     let mut builder = http1::Builder::new();
     // The HTTP library's limits on heads are fixed for the connection, and its time-out counts idle time, so `Activity` has its
     // own. A largest head that is raised over this buffer holds for new connections only.
     builder.header_read_timeout(None).max_buf_size(limits.current().header_bytes.max(MAX_HEAD_BYTES));
-    let mut connection = builder.serve_connection(TokioIo::new(HeadInspector::new(stream, activity.clone())), service);
+    let mut connection =
+        builder.serve_connection(TokioIo::new(HeadInspector::new(stream, activity.clone(), closes.clone())), service);
     let (reason, ended) = loop {
         let reason = tokio::select! {
             biased;
@@ -227,13 +230,13 @@
             () = activity.idle_timed_out() => CloseReason::Idle,
         };
         if reason == CloseReason::HeadTimeout {
-            return refuse_head_timeout(connection, refusals, closes, activity).await;
+            return refuse_head_timeout(connection, refusals, &closes, activity).await;
         }
         let arrived = tokio::select! {
             biased;
             ended = take_arrived(&mut connection, activity) => ended,
             () = activity.head_timed_out(|| limits.current().header_timeout) => {
-                return refuse_head_timeout(connection, refusals, closes, activity).await;
+                return refuse_head_timeout(connection, refusals, &closes, activity).await;
             }
         };
         if let Some(ended) = arrived {
@@ -248,6 +251,7 @@
         Pin::new(&mut connection).graceful_shutdown();
         break (reason, (&mut connection).await);
     };
+    record.end(&ended);
     match ended {
         Ok(()) => {
             let parts = connection.into_parts();
@@ -268,9 +272,9 @@
             }
         }
         Err(error) => {
-            closes.record_broken(&error, activity);
+            closes.record_broken(activity);
             if error.is_parse() {
-                end_refused_head(connection, &error, refusals, closes, activity).await;
+                end_refused_head(connection, &error, refusals, &closes, activity).await;
             }
         }
     }
@@ -403,6 +407,7 @@
             let withheld = expects_continue(request.headers());
             let track = |body| volo_http::body::Body::from_body(activity.track_body(body, withheld, &rest));
             let mut request: Request = request.map(track);
+            request.extensions_mut().insert(guard.record().clone());
             if ambiguous {
                 request.extensions_mut().insert(AmbiguousFraming);
             }
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -49,6 +49,7 @@
     limits: Arc<Mutex<CallerLimits>>,
     closes: IntCounterVec,
     unannounced: IntCounterVec,
+    unanswered: IntCounterVec,
     refusals: IntCounterVec,
 }
 
@@ -68,18 +69,20 @@
         let counters = |name| IntCounterVec::new(Opts::new(name, name), &["reason"]).expect("a valid name");
         let (closes, unannounced) = (counters("closes"), counters("unannounced"));
         let late_arrivals = counters("late_arrivals");
+        let unanswered = counters("unanswered");
         let failed_accepts = IntCounter::new("failed_accepts", "failed accepts").expect("a valid name");
+        let record = CallerCloses::new(closes.clone(), unannounced.clone(), failed_accepts, late_arrivals);
         let current = limits.clone();
         let listener = Listener {
             socket,
             router: Router::new().fallback_service(any(answer)),
             drain: drain.clone(),
             refusals: refusals.clone(),
-            closes: Arc::new(CallerCloses::new(closes.clone(), unannounced.clone(), failed_accepts, late_arrivals)),
+            closes: Arc::new(record.with_unanswered(unanswered.clone())),
             limits: Arc::new(LimitsInForce::new(move || current.lock().clone(), lag)),
         };
         tokio::spawn(listener.run());
-        Self { address, drain, limits, closes, unannounced, refusals }
+        Self { address, drain, limits, closes, unannounced, unanswered, refusals }
     }
 
     fn set_idle_timeout(&self, idle_timeout: Duration) {
@@ -110,6 +113,8 @@
         }
         "/slow" => sleep(5 * HEADER_TIMEOUT).await,
         "/late" => sleep(HEADER_TIMEOUT / 2).await,
+        // The runtime learns nothing of the connection meanwhile.
+        "/blocking" => thread::sleep(HEADER_TIMEOUT),
         "/stream" => {
             let parts = futures_util::stream::unfold(["first", ANSWER].into_iter(), |mut parts| async {
                 let part = parts.next()?;
@@ -633,3 +638,21 @@
     let text = read_answer(&mut stream).await.to_lowercase();
     assert!(text.starts_with("http/1.1 200") && text.contains("connection: close"), "{text:?}");
 }
+
+/// Guards against LOST: an answer that was written after its caller had gone left no trace, so that the daemon counted more
+/// refusals than its callers.
+#[tokio::test]
+async fn answer_whose_caller_has_gone_is_counted() {
+    let site = Site::start(Duration::from_secs(10));
+    let address = site.address;
+    let caller = thread::spawn(move || {
+        let mut stream = StdTcpStream::connect(address).expect("the listener accepts");
+        stream.write_all(b"GET /blocking HTTP/1.1\r\nHost: site\r\n\r\n").expect("the connection is open");
+        thread::sleep(HEADER_TIMEOUT / 2);
+    });
+    while !caller.is_finished() {
+        sleep(HEADER_TIMEOUT / 4).await;
+    }
+    sleep(HEADER_TIMEOUT).await;
+    assert_eq!(site.unanswered.with_label_values(&["caller-gone"]).get(), 1);
+}
--- a/goldcrestward/src/connection/mod.rs
+++ b/goldcrestward/src/connection/mod.rs
@@ -14,7 +14,9 @@
 mod limits_in_force;
 mod listener;
 mod observed_stream;
+mod open_requests;
 mod peer;
+mod request_record;
 mod request_sender;
 mod response_head;
 mod running_requests;
@@ -22,6 +24,7 @@
 mod server_stream;
 mod socket;
 mod tunnel;
+mod unanswered;
 mod unread_body;
 
 pub(crate) use activity::AmbiguousFraming;
@@ -34,9 +37,11 @@
 pub(crate) use limits_in_force::LimitsInForce;
 pub(crate) use listener::{Drain, Listener, MAX_HEAD_BYTES, bind};
 pub(crate) use peer::{PeerClient, PeerHandler, serve_peers};
+pub(crate) use request_record::{BrokenAnswer, RequestRecord};
 pub use response_head::HeadTooLong;
 pub(crate) use seal::{DatagramSealer, Secrets};
 pub(crate) use socket::open_socket;
+pub(crate) use unanswered::UnansweredCause;
 
 #[cfg(test)]
 mod framing_test;
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -146,7 +146,7 @@
             let (shared, lag) = (shared.clone(), shared.settings.config_apply);
             Arc::new(LimitsInForce::new(move || shared.in_force.load().site.caller_limits.clone(), lag))
         };
-        let closes = {
+        let new_closes = || {
             let Metrics { caller_closes, unannounced_closes, failed_accepts, late_arrivals, .. } = &shared.metrics;
             CallerCloses::new(
                 caller_closes.clone(),
@@ -155,8 +155,9 @@
                 late_arrivals.clone(),
             )
         };
-        let closes = Arc::new(closes);
-        let listen = |socket, router, drain: &Drain| {
+        let operator_closes = Arc::new(new_closes());
+        let caller_closes = Arc::new(new_closes().with_unanswered(shared.metrics.unanswered.clone()));
+        let listen = |socket, router, drain: &Drain, closes: &Arc<CallerCloses>| {
             let (drain, refusals, limits, closes) = (drain.clone(), refusals.clone(), limits.clone(), closes.clone());
             Listener { socket, router, drain, refusals, closes, limits }.run()
         };
@@ -172,7 +173,7 @@
             Some(ports) => start_gateway(&shared, &gossip, ports, &mut tasks),
         };
         if let Some(socket) = admin_socket {
-            tasks.spawn(listen(socket, Admin::new(shared.clone(), configurer).router(), &operators));
+            tasks.spawn(listen(socket, Admin::new(shared.clone(), configurer).router(), &operators, &operator_closes));
         }
         for (kind, address, router) in [
             ("ready", shared.settings.ready, ready_router(shared.clone())),
@@ -188,9 +189,9 @@
                 Err(error) => return Err(error).context(ConnectionSnafu),
             };
             info!("event=listening kind={kind} address={address}");
-            tasks.spawn(listen(socket, router, &operators));
+            tasks.spawn(listen(socket, router, &operators, &operator_closes));
         }
-        tasks.spawn(listen(callers_socket, router, &callers));
+        tasks.spawn(listen(callers_socket, router, &callers, &caller_closes));
 
         info!("event=started daemon={} zone={}", shared.settings.name, shared.settings.zone);
         warn_of_cut_notice(&shared.settings);
@@ -321,8 +322,8 @@
         timeout(rest(), shared.duty_task.wait()).await.ok();
         log_step("duties");
         self.tasks.shutdown().await;
-        let Metrics { stop_outcomes, late_arrivals, .. } = &shared.metrics;
-        Stopped::new(name.clone(), stop_outcomes.clone(), late_arrivals.clone(), whole)
+        let Metrics { stop_outcomes, late_arrivals, unanswered, .. } = &shared.metrics;
+        Stopped::new(name.clone(), stop_outcomes.clone(), late_arrivals.clone(), unanswered.clone(), whole)
     }
 }
 
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -31,6 +31,8 @@
     pub resumed: IntCounterVec,
     /// Requests that a stop refused, gave up or cut off, by outcome.
     pub stop_outcomes: IntCounterVec,
+    /// Requests of callers that got no whole answer, by cause.
+    pub unanswered: IntCounterVec,
     /// Connections of callers that were closed over an unanswered request, by reason.
     pub caller_closes: IntCounterVec,
     /// Connections of callers that were closed although their callers may have sent another request, by reason.
@@ -139,6 +141,11 @@
                 "requests that a stop refused, gave up or cut off",
                 &["outcome"],
             )?,
+            unanswered: factory.counters(
+                "unanswered_total",
+                "requests of callers that got neither a whole answer nor a whole refusal, by cause",
+                &["cause"],
+            )?,
             caller_closes: factory.counters(
                 "caller_closes_total",
                 "connections of callers closed over an unanswered request",
--- a/goldcrestward/src/process/stopped.rs
+++ b/goldcrestward/src/process/stopped.rs
@@ -6,6 +6,8 @@
 use prometheus::IntCounterVec;
 use tokio::runtime::Runtime;
 
+use crate::connection::UnansweredCause;
+
 /// Time before the end of a limited stop in which the process exits.
 pub(super) const EXIT_TIME: Duration = Duration::from_millis(100);
 
@@ -15,13 +17,20 @@
     name: Arc<str>,
     outcomes: IntCounterVec,
     arrivals: IntCounterVec,
+    unanswered: IntCounterVec,
     whole: bool,
 }
 
 impl Stopped {
     /// Says with `whole` whether everything had ended by itself.
-    pub(super) fn new(name: Arc<str>, outcomes: IntCounterVec, arrivals: IntCounterVec, whole: bool) -> Self {
-        Self { name, outcomes, arrivals, whole }
+    pub(super) fn new(
+        name: Arc<str>,
+        outcomes: IntCounterVec,
+        arrivals: IntCounterVec,
+        unanswered: IntCounterVec,
+        whole: bool,
+    ) -> Self {
+        Self { name, outcomes, arrivals, unanswered, whole }
     }
 
     /// Ends the tasks that are left, which log and count what they cut, and logs the end of the daemon after them.
@@ -32,12 +41,13 @@
 
     /// Logs the end of the daemon.
     pub(crate) fn log(self) {
-        let Self { name, outcomes, arrivals, whole } = self;
+        let Self { name, outcomes, arrivals, unanswered, whole } = self;
         let [refused, given_up, cut] =
             ["refused", "given-up", "cut"].map(|outcome| outcomes.with_label_values(&[outcome]).get());
         let [kept, new] = ["kept", "new"].map(|connection| arrivals.with_label_values(&[connection]).get());
+        let unanswered = UnansweredCause::summary(&unanswered);
         info!(
-            "event=stopped daemon={name} whole={whole} late_kept={kept} late_new={new} refused={refused} given_up={given_up} cut={cut}"
+            "event=stopped daemon={name} whole={whole} late_kept={kept} late_new={new} refused={refused} given_up={given_up} cut={cut} unanswered=[{unanswered}]"
         );
     }
 }
--- a/goldcrestward/src/request/bounded_body.rs
+++ b/goldcrestward/src/request/bounded_body.rs
@@ -15,6 +15,7 @@
 use volo_http::{body::Body, error::BoxError, response::Response};
 
 use super::run_window::RunWindow;
+use crate::connection::{BrokenAnswer, UnansweredCause};
 
 /// A body that breaks off when the daemon ends, which is logged then.
 pub(crate) struct BoundedBody {
@@ -101,7 +102,7 @@
         }
         self.is_over = true;
         self.window.record_cut(self.bytes, self.last_frame.elapsed());
-        Poll::Ready(Some(Err("the daemon is being stopped".into())))
+        Poll::Ready(Some(Err(BrokenAnswer::new(UnansweredCause::DaemonEnd, "the daemon is being stopped").into())))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/goldcrestward/src/request/ingress.rs
+++ b/goldcrestward/src/request/ingress.rs
@@ -22,7 +22,7 @@
 };
 use crate::{
     config::Account,
-    connection::MAX_HEAD_BYTES,
+    connection::{MAX_HEAD_BYTES, RequestRecord},
     process::{AdmissionPermit, Shared, Stage},
     util::stable_hash,
 };
@@ -94,6 +94,9 @@
 
     async fn serve(&self, request: Request) -> Result<Response, Refusal> {
         let id: Arc<str> = format!("req-{:032x}", rand::random::<u128>()).into();
+        if let Some(record) = request.extensions().get::<Arc<RequestRecord>>() {
+            record.set_id(id.clone());
+        }
         self.check_stage(&id)?;
         check_header_size(request.headers())?;
         let in_force = self.shared.in_force.load_full();
--- a/goldcrestward/src/request/kept_body.rs
+++ b/goldcrestward/src/request/kept_body.rs
@@ -11,7 +11,10 @@
 use log::info;
 use volo_http::{body::Body, error::BoxError};
 
-use crate::process::{KeptAnswer, Shared};
+use crate::{
+    connection::{BrokenAnswer, UnansweredCause},
+    process::{KeptAnswer, Shared},
+};
 
 /// Size of the pieces that are handed to a caller's connection. They are no longer counted, so the connection gets the
 /// next one only when it has room.
@@ -66,7 +69,11 @@
         }
         let Ok(piece) = self.answer.take_piece(self.sent, PIECE_BYTES) else {
             self.record_broken();
-            return Poll::Ready(Some(Err("the caller has not read the answer in time".into())));
+            return Poll::Ready(Some(Err(BrokenAnswer::new(
+                UnansweredCause::CallerSlow,
+                "the caller has not read the answer in time",
+            )
+            .into())));
         };
         self.sent += piece.len();
         Poll::Ready(Some(Ok(Frame::data(piece))))
--- a/goldcrestward/src/request/proxy_body.rs
+++ b/goldcrestward/src/request/proxy_body.rs
@@ -126,7 +126,7 @@
         if !allowed {
             call.gateway.shared.metrics.cut_answers.inc();
             call.record_failure(&guard, cause);
-            return Err(format!("the stream broke off: {cause}").into());
+            return Err(call.broken_answer(format!("the stream broke off: {cause}")).into());
         }
         sequence.restart();
         let resuming = async move {
@@ -166,7 +166,7 @@
         };
         metrics.cut_answers.inc();
         info!("event=stream-given-up id={} last={:?} cause={refusal:?}", call.metadata.id, sequence.last());
-        Err(refusal.into())
+        Err(call.broken_answer(refusal).into())
     }
 
     /// Ends a response whose last event has been forwarded.
--- a/goldcrestward/src/request/proxy_ingress.rs
+++ b/goldcrestward/src/request/proxy_ingress.rs
@@ -23,7 +23,7 @@
     target::Target,
 };
 use crate::{
-    connection::AmbiguousFraming,
+    connection::{AmbiguousFraming, RequestRecord},
     logs::is_sampled,
     port::RequestMetadata,
     process::{Gateway, Stage},
@@ -85,6 +85,9 @@
         let metadata = metadata.map_err(|error| Refusal::not_run(Reason::BadRequest, error))?;
         let id = metadata.id.clone();
         labels.id = id.clone();
+        if let Some(record) = parts.extensions.get::<Arc<RequestRecord>>() {
+            record.set_id(id.clone());
+        }
         let admission = admission_request(&parts, &metadata, arrived).admit(&in_force)?;
         labels.admitted = Some(admission.version);
         let body = self.read_body(&admission, &metadata, body).await?;
--- a/goldcrestward/src/request/proxy_refusal.rs
+++ b/goldcrestward/src/request/proxy_refusal.rs
@@ -10,6 +10,7 @@
     proxy_outcome::{ProxyFailure, ProxyResponse},
     refusal::{Reason, Refusal, RunState},
 };
+use crate::connection::{BrokenAnswer, UnansweredCause};
 
 impl ProxyCall {
     /// The result of the last attempt, as an answer that is passed on or as a refusal.
@@ -48,6 +49,18 @@
         }
     }
 
+    /// The error of an answer that ends before it is whole.
+    pub(super) fn broken_answer(&self, message: String) -> BrokenAnswer {
+        let cause = if self.time_to_deadline().is_zero() {
+            UnansweredCause::Deadline
+        } else if self.window.has_ended() {
+            UnansweredCause::DaemonEnd
+        } else {
+            UnansweredCause::Server
+        };
+        BrokenAnswer::new(cause, message)
+    }
+
     /// The answer that is held, as no repeat has been answered; `why` is the reason in log lines.
     pub(super) fn pass_held(&mut self, why: &str) -> Option<ProxyResponse> {
         let answer = self.held.take()?;
