--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -24,7 +24,6 @@
     sync::{OwnedSemaphorePermit, Semaphore, watch},
     time::timeout,
 };
-use tokio_util::task::TaskTracker;
 use volo::net::Address;
 use volo_http::{
     context::ServerContext,
@@ -36,6 +35,7 @@
 use super::{
     activity::{Activity, AmbiguousFraming},
     caller_closes::{CallerCloses, CloseReason},
+    drain::{Drain, Stage},
     error::{ListenSnafu, Result},
     framing::HeadInspector,
     limits_in_force::LimitsInForce,
@@ -56,8 +56,6 @@
 const DISCARD_BUFFER_BYTES: usize = 8 * 1024;
 /// Most bytes of an unread request in which its id is sought.
 const PEEKED_BYTES: usize = 2 * 1024;
-/// Time for the request that follows an answer to arrive.
-const NEXT_REQUEST_TIME: Duration = Duration::from_millis(200);
 /// Time for the first request on a connection that is accepted at the end of a stop to be read.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(50);
 /// Delay after a failed accept, such as when file descriptors run out.
@@ -75,46 +73,6 @@
     socket.listen(LISTEN_BACKLOG)
 }
 
-/// How far a listener has been stopped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    Open,
-    /// Requests that come are served, and their answers end their connections. So does the idle time of earlier ones.
-    Draining,
-    /// No connection is accepted, and each one ends with the request that is running.
-    Ending,
-}
-
-/// Stops listeners and waits for their connections to end.
-#[derive(Clone)]
-pub(crate) struct Drain {
-    stop: Arc<watch::Sender<Stage>>,
-    connections: TaskTracker,
-    /// The requests that began before the stop.
-    running: RunningRequests,
-}
-
-impl Drain {
-    pub fn new() -> Self {
-        let stop = Arc::new(watch::channel(Stage::Open).0);
-        Self { stop, connections: TaskTracker::new(), running: RunningRequests::default() }
-    }
-
-    /// Takes new requests as long as those that came before the stop are running, or until `end`, then closes the listeners
-    /// and the idle connections, those from before the stop at once, and waits for the other ones to complete their requests.
-    pub async fn finish(&self, end: impl Future<Output = ()>) {
-        self.stop.send_replace(Stage::Draining);
-        tokio::select! {
-            biased;
-            () = end => {}
-            () = self.running.none_for(NEXT_REQUEST_TIME) => {}
-        }
-        self.stop.send_replace(Stage::Ending);
-        self.connections.close();
-        self.connections.wait().await;
-    }
-}
-
 /// Serves a router on a socket.
 pub(crate) struct Listener {
     pub socket: TcpListener,
@@ -212,7 +170,6 @@
     limits: &LimitsInForce,
 ) {
     set_up_accepted(&stream);
-    let is_new = service.is_new;
     let mut builder = http1::Builder::new();
     // The HTTP library's limits on heads are fixed for the connection, and its time-out counts idle time, so `Activity` has its
     // own. A largest head that is raised over this buffer holds for new connections only.
@@ -223,7 +180,7 @@
             biased;
             ended = &mut connection => break (CloseReason::LastAnswer, ended),
             () = activity.head_timed_out(|| limits.current().header_timeout) => CloseReason::HeadTimeout,
-            () = stop_due(&mut stop, activity, is_new) => CloseReason::Stop,
+            () = stop_due(&mut stop, activity) => CloseReason::Stop,
             () = activity.idle_timed_out() => CloseReason::Idle,
         };
         if reason == CloseReason::HeadTimeout {
@@ -276,16 +233,9 @@
     }
 }
 
-/// Waits until the stop closes the connection. One that is idle from before the stop is closed at its beginning, so that
-/// its caller connects to another daemon. A new one has some time to be used first, also at the end.
-async fn stop_due(stop: &mut watch::Receiver<Stage>, activity: &Activity, is_new: bool) {
-    if !is_new {
-        stop.wait_for(|stage| *stage != Stage::Open).await.ok();
-        tokio::select! {
-            () = activity.unused_for(NEXT_REQUEST_TIME) => return,
-            _ = stop.wait_for(|stage| *stage == Stage::Ending) => {}
-        }
-    }
+/// Waits until the end of the stop closes the connection. Until then it is kept although it is idle: a close could cross the
+/// next request, whose answer says that the connection ends. A new one has some time to be used first.
+async fn stop_due(stop: &mut watch::Receiver<Stage>, activity: &Activity) {
     stop.wait_for(|stage| *stage == Stage::Ending).await.ok();
     activity.idle_for(FIRST_REQUEST_TIME).await;
 }
