--- a/goldcrestward/src/process/exchange/run.rs
+++ b/goldcrestward/src/process/exchange/run.rs
@@ -512,9 +512,12 @@
         pb::UsageTable { lives, recorded, kept }
     }
 
-    /// Takes the request counts that a daemon hands over before it leaves; `None` if this daemon keeps none.
+    /// Takes the request counts that a daemon hands over before it leaves; `None` if this daemon keeps none, or has left.
     pub fn take_usage(&self, hand: pb::HandUsage) -> Option<pb::UsageTaken> {
         let gateway = self.gateway.upgrade()?;
+        if !gateway.shared.view.lock().local().state.is_present() {
+            return None;
+        }
         let table = hand.table?;
         info!("event=usage-taken from={} lives={}", hand.from, table.lives.len());
         // Counts of windows that have been reported would add up.
--- a/goldcrestward/src/process/exchange/usage_handover.rs
+++ b/goldcrestward/src/process/exchange/usage_handover.rs
@@ -2,7 +2,12 @@
 //!
 //! What it knows may be known to nobody else: the other relays of its availability zone may leave at the same time.
 
-use std::{cmp::Reverse, collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use futures_util::future::join_all;
 use log::{info, warn};
@@ -19,14 +24,14 @@
 
 /// Time within which a daemon must say that it has taken the counts.
 const TAKING_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time limit of all tries.
+/// Time limit of all tries with daemons that stay, and of those with daemons that are being stopped.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Daemons of other availability zones that get the counts.
 const OTHER_RECEIVERS: usize = 2;
 /// Daemons that are tried in place of those that do not take the counts.
 const SUBSTITUTES: usize = 2;
 
-/// Daemons that stay, in the order in which they are tried.
+/// Daemons that all stay, or are all being stopped, in the order in which they are tried.
 #[derive(Debug, Default, PartialEq, Eq)]
 struct Receivers {
     /// The holder of the duties.
@@ -38,12 +43,12 @@
 }
 
 impl Receivers {
-    fn of(view: &View, holder: Option<&str>) -> Self {
+    fn of(view: &View, holder: Option<&str>, stopping: bool) -> Self {
         let local = view.local();
-        let staying = view.present().filter(|member| member.name != local.name && !view.is_stopping(member));
-        let (holders, staying): (Vec<_>, Vec<_>) = staying.partition(|member| Some(&*member.name) == holder);
+        let chosen = view.present().filter(|member| member.name != local.name && view.is_stopping(member) == stopping);
+        let (holders, chosen): (Vec<_>, Vec<_>) = chosen.partition(|member| Some(&*member.name) == holder);
         let mut zones: BTreeMap<&Arc<str>, Vec<_>> = BTreeMap::new();
-        for member in staying {
+        for member in chosen {
             zones.entry(&member.zone).or_default().push(member);
         }
         for members in zones.values_mut() {
@@ -76,33 +81,49 @@
         Self { shared, handed: None }
     }
 
-    /// Hands over what some daemon has not taken yet, within `limit`.
+    /// Hands over what some daemon has not taken yet, within `limit`: to daemons that stay, or, where none takes it, to those
+    /// that are being stopped as well, which hand it on in turn.
     pub async fn run(&mut self, limit: Duration) {
         let Some(gateway) = self.shared.exchange.get().and_then(Exchange::gateway) else { return };
         let table = Exchange::new(&gateway).usage_table(oldest_window(&gateway));
         if table.lives.is_empty() || self.handed.as_ref() == Some(&table.lives) {
             return;
         }
+        let begun = Instant::now();
+        let lives = table.lives.len();
+        for stopping in [false, true] {
+            let limit = limit.saturating_sub(begun.elapsed()).min(HANDOVER_TIMEOUT);
+            let takers = timeout(limit, self.hand_to_all(&table, stopping)).await.unwrap_or_default();
+            if !takers.is_empty() {
+                info!("event=usage-handed lives={lives} stopping={stopping} to={takers:?}");
+                self.handed = Some(table.lives);
+                return;
+            }
+        }
+        warn!("event=usage-not-handed lives={lives}");
+    }
+
+    /// Hands the counts to daemons that stay, or to those that are being stopped.
+    async fn hand_to_all(&self, table: &pb::UsageTable, stopping: bool) -> Vec<Arc<str>> {
         let Receivers { holder, zone, others } = {
             let key = format!("{OWN_PREFIX}{}/duty", self.shared.settings.site);
             let holder = self.shared.config.lock().text(&key).cloned();
             let holder = holder.as_deref().and_then(|text| text.split(' ').next());
-            Receivers::of(&self.shared.view.lock(), holder)
+            Receivers::of(&self.shared.view.lock(), holder, stopping)
         };
         let groups = [(Vec::from_iter(holder), 1), (zone, RELAYS), (others, OTHER_RECEIVERS)];
-        let hand = groups.into_iter().map(|(receivers, wanted)| self.hand(&table, receivers, wanted));
-        let takers = timeout(limit.min(HANDOVER_TIMEOUT), join_all(hand)).await;
-        let takers: Vec<_> = takers.unwrap_or_default().into_iter().flatten().collect();
-        let lives = table.lives.len();
-        if takers.is_empty() {
-            return warn!("event=usage-not-handed lives={lives}");
-        }
-        info!("event=usage-handed lives={lives} to={takers:?}");
-        self.handed = Some(table.lives);
+        let hand = groups.into_iter().map(|(receivers, wanted)| self.hand(table, receivers, wanted, stopping));
+        join_all(hand).await.into_iter().flatten().collect()
     }
 
     /// Hands the counts to so many of the receivers, and to others in place of those that do not take them.
-    async fn hand(&self, table: &pb::UsageTable, receivers: Vec<Recipient>, wanted: usize) -> Vec<Arc<str>> {
+    async fn hand(
+        &self,
+        table: &pb::UsageTable,
+        receivers: Vec<Recipient>,
+        wanted: usize,
+        stopping: bool,
+    ) -> Vec<Arc<str>> {
         let mut receivers = receivers.into_iter().take(wanted + SUBSTITUTES);
         let mut takers = Vec::new();
         while takers.len() < wanted {
@@ -114,7 +135,8 @@
                 let from = self.shared.settings.name.to_string();
                 let body = request::Body::HandUsage(pb::HandUsage { from, table: Some(table.clone()) });
                 let answer = self.shared.peer_client.request(receiver.address, body, TAKING_TIMEOUT).await;
-                matches!(answer, Ok(answer::Body::UsageTaken(taken)) if !taken.stopping).then_some(receiver.name)
+                let Ok(answer::Body::UsageTaken(taken)) = answer else { return None };
+                (stopping || !taken.stopping).then_some(receiver.name)
             });
             takers.extend(join_all(tries).await.into_iter().flatten());
         }
--- a/goldcrestward/src/process/exchange/usage_handover_test.rs
+++ b/goldcrestward/src/process/exchange/usage_handover_test.rs
@@ -40,7 +40,7 @@
             Fact { kind: FactKind::Stopping, key: name.into(), value, until_ms: UNIX_MS * 2, note: Arc::from("") };
         assert!(view.add_fact(fact, 0, UNIX_MS));
     }
-    let Receivers { holder, zone, others } = Receivers::of(&view, Some("b-1"));
+    let Receivers { holder, zone, others } = Receivers::of(&view, Some("b-1"), false);
     assert_eq!(names(holder.as_slice()), ["b-1"]);
     let staying = highest_first("a", 2..4);
     assert_eq!(names(&zone), staying.iter().map(|name| &**name).collect::<Vec<_>>());
@@ -50,5 +50,8 @@
     let mut first: Vec<_> = others[..2].to_vec();
     first.sort_unstable();
     assert_eq!(first, [&*of_b[0], &*of_c[0]], "the highest ranked of each zone");
-    assert!(Receivers::of(&view, Some("b-2")).holder.is_none(), "a holder that leaves");
+    assert!(Receivers::of(&view, Some("b-2"), false).holder.is_none(), "a holder that leaves");
+    let stopping = Receivers::of(&view, Some("b-2"), true);
+    assert_eq!(names(stopping.holder.as_slice()), ["b-2"]);
+    assert_eq!((names(&stopping.zone), names(&stopping.others)), (vec!["a-1"], Vec::new()));
 }
