--- a/goldcrestward/src/process/duty.rs
+++ b/goldcrestward/src/process/duty.rs
@@ -6,7 +6,7 @@
 use std::{
     collections::BTreeMap,
     sync::{Arc, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use log::{info, warn};
@@ -16,6 +16,7 @@
     clock::boot_ms,
     exchange::fetch_usage,
     gateway::Gateway,
+    last_term::LastTerm,
     lifecycle::Stage,
     scaler::{Scaler, ZonePool, lost_share},
     term::{Term, UsageRecord, UsageSchedule, UsageStep, WriteResult},
@@ -29,6 +30,12 @@
 
 /// Interval between two checks of the duties.
 const TICK: Duration = Duration::from_millis(200);
+/// Interval between two looks, while this daemon is being stopped, at whether it still has to hold the duties.
+const STOP_TICK: Duration = Duration::from_millis(20);
+/// Time before the end of the stop by which the duties are released, as calls in transit have to end.
+const RELEASE_TIME: Duration = Duration::from_secs(1);
+/// Time after its start for which a daemon does not acquire the duties, as it does not know the others yet.
+const JOINING_MS: u64 = 1_000;
 /// Additional delay per rank before a daemon tries to acquire vacant duties.
 const RANK_DELAY_MS: u64 = 400;
 /// Divisor of the report delay, which gives the time for the other daemons' counts to arrive.
@@ -89,13 +96,18 @@
         }
     }
 
-    /// Runs until the daemon drains, then releases the duties if it holds them.
+    /// Runs until the daemon has drained. While it drains, it holds the duties only if every other daemon is being stopped as
+    /// well.
     pub async fn run(mut self) {
         loop {
-            sleep(TICK).await;
-            if self.is_stopping() {
+            self.wait_for_tick().await;
+            if self.is_ending() {
                 return self.release().await;
             }
+            if self.must_release() {
+                self.release().await;
+                continue;
+            }
             match self.held.take() {
                 None => self.acquire_if_vacant().await,
                 Some(held) => self.carry_out(held).await,
@@ -103,10 +115,35 @@
         }
     }
 
+    async fn wait_for_tick(&self) {
+        let begun = Instant::now();
+        while begun.elapsed() < TICK {
+            if !self.is_stopping() {
+                return sleep(TICK.saturating_sub(begun.elapsed())).await;
+            }
+            if self.is_ending() || (self.held.is_some() && self.must_release()) {
+                return;
+            }
+            sleep(STOP_TICK).await;
+        }
+    }
+
     fn is_stopping(&self) -> bool {
         self.gateway.shared.stage.get() == Stage::Draining
     }
 
+    /// Whether this daemon has drained, or soon has to.
+    fn is_ending(&self) -> bool {
+        let shared = &self.gateway.shared;
+        let is_late = || shared.lifetime.time_left().is_some_and(|left| left < RELEASE_TIME);
+        self.is_stopping() && (shared.duty_task.is_closed() || is_late())
+    }
+
+    /// Whether this daemon must leave the duties to others.
+    fn must_release(&self) -> bool {
+        self.is_stopping() && (self.is_ending() || self.gateway.shared.view.lock().has_staying_peer())
+    }
+
     fn key(&self, name: &str) -> String {
         format!("{OWN_PREFIX}{}/{name}", self.gateway.shared.settings.site)
     }
@@ -118,6 +155,7 @@
     async fn release(&mut self) {
         let Some(held) = self.held.take() else { return };
         self.gateway.shared.holds_duties.store(false, Ordering::Relaxed);
+        self.not_before = boot_ms() + self.lease_time().as_millis() as u64;
         let result = self.gateway.shared.kv.revoke(Purpose::Duty, held.term.lease).await;
         info!("event=duty-released fence={} error={:?}", held.holder.fencing_token, result.err());
     }
@@ -139,11 +177,14 @@
             return;
         }
         // A holder whose lease the restored store has lost may act until the lease would have ended.
-        if shared.kv.history().known_for() < self.lease_time() {
+        if shared.kv.history().known_for() < self.lease_time() && !self.earlier_terms_are_over() {
+            return;
+        }
+        if shared.now() < JOINING_MS {
             return;
         }
         let since = *self.vacant_since.get_or_insert(now);
-        let rank = shared.view.lock().rank("duty") as u64;
+        let rank = shared.view.lock().rank_of_staying("duty") as u64;
         if now < since + rank * RANK_DELAY_MS || now < self.not_before {
             return;
         }
@@ -153,10 +194,25 @@
         self.gateway.shared.holds_duties.store(self.held.is_some(), Ordering::Relaxed);
     }
 
+    /// Whether no holder of an earlier history of the store can still act, as far as the store says.
+    fn earlier_terms_are_over(&self) -> bool {
+        let shared = &self.gateway.shared;
+        let number = shared.kv.history().number;
+        let config = shared.config.lock();
+        let last = config.text(&self.key(LastTerm::KEY)).and_then(|text| LastTerm::parse(text));
+        last.is_some_and(|term| term.ended_earlier_terms(number))
+    }
+
     /// Remembers the latest holders, as a restore of the store may lose their entries.
     fn remember_holder(&mut self) {
-        let text = self.gateway.shared.config.lock().last_text(&self.key("duty"));
-        let Some(name) = text.and_then(|text| text.split(' ').next().map(Arc::<str>::from)) else { return };
+        let name = {
+            let config = self.gateway.shared.config.lock();
+            let holder = config.last_text(&self.key("duty"));
+            let holder = holder.and_then(|text| text.split(' ').next().map(Arc::<str>::from));
+            let last = || Some(LastTerm::parse(&config.last_text(&self.key(LastTerm::KEY))?)?.holder);
+            holder.or_else(last)
+        };
+        let Some(name) = name else { return };
         if !self.former_holders.contains(&name) {
             self.former_holders.truncate(MAX_FORMER_HOLDERS - 1);
             self.former_holders.insert(0, name);
@@ -166,16 +222,20 @@
     /// Acquires the duties in place of the entry with revision `replaced`, if any.
     async fn acquire(&mut self, requested_ms: u64, replaced: Revision) -> Option<HeldDuties> {
         let kv = &self.gateway.shared.kv;
+        let history = kv.history().number;
         let lease = kv.grant(Purpose::Duty, self.lease_time()).await.ok()?;
         let name = self.gateway.shared.settings.name.clone();
         let key = self.key("duty");
         // The lease distinguishes this attempt from one by an earlier process of the same daemon.
         let value = format!("{name} {}", lease.id).into_bytes();
-        let commit = Txn {
-            compares: vec![Compare { key: key.clone(), revision: replaced }],
-            puts: vec![Put { key: key.clone(), value: value.clone(), lease: lease.id }],
-            removes: Vec::new(),
-        };
+        let last_term = history.map(|history| {
+            let term = LastTerm { history, holder: name.clone() };
+            Put { key: self.key(LastTerm::KEY), value: term.text().into_bytes(), lease: 0 }
+        });
+        // The revision of the commit is that of its last entry.
+        let puts = last_term.into_iter().chain([Put { key: key.clone(), value: value.clone(), lease: lease.id }]);
+        let compares = vec![Compare { key: key.clone(), revision: replaced }];
+        let commit = Txn { compares, puts: puts.collect(), removes: Vec::new() };
         let revision = match kv.txn(Purpose::Duty, commit).await {
             Ok(txn) if txn.succeeded => txn.revision,
             Ok(_) => return None,
@@ -184,6 +244,11 @@
                 (row.value == value).then_some(row.revision)?
             }
         };
+        if history.is_some_and(|number| number != revision.history()) {
+            // The time that this daemon had to wait began with the later history. The lease ends by itself.
+            warn!("event=duty-not-taken revision={revision} reason=\"the store was restored meanwhile\"");
+            return None;
+        }
         let fencing_token = revision.ordinal();
         info!("event=duty-taken fence={fencing_token} lease={}", lease.id);
         let term = Term::new(lease.id, fencing_token, requested_ms, self.lease_time());
@@ -325,7 +390,7 @@
     async fn report_usage(&mut self, held: &mut HeldDuties) -> bool {
         self.learn_usage().await;
         for _ in 0..MAX_USAGE_STEPS {
-            if self.is_stopping() {
+            if self.must_release() {
                 return true;
             }
             let step = held.term.usage_step(
--- a/goldcrestward/src/process/membership/view.rs
+++ b/goldcrestward/src/process/membership/view.rs
@@ -170,6 +170,19 @@
         self.present().filter(|m| score(m) > mine).count()
     }
 
+    /// This daemon's rank, from 0, by the hash for `key` among the present daemons, of which those that are being stopped are
+    /// the last.
+    pub fn rank_of_staying(&self, key: &str) -> usize {
+        let order = |m: &Member| (!self.is_stopping(m), stable_hash(&[key.as_bytes(), m.name.as_bytes()]));
+        let mine = order(&self.local);
+        self.present().filter(|m| order(m) > mine).count()
+    }
+
+    /// Whether another present daemon is not being stopped.
+    pub fn has_staying_peer(&self) -> bool {
+        self.present().any(|member| member.name != self.local.name && !self.is_stopping(member))
+    }
+
     /// This daemon's rank, from 0, by the hash for `key` among the present daemons that have not just returned.
     fn rank_of_informed(&self, key: &str, now: u64) -> usize {
         let score = |m: &Member| stable_hash(&[key.as_bytes(), m.name.as_bytes()]);
--- a/goldcrestward/src/process/membership/view_test.rs
+++ b/goldcrestward/src/process/membership/view_test.rs
@@ -368,3 +368,32 @@
         assert!(network.views.iter().all(|view| view.facts().all().count() == 0), "{newer} of {count} newer");
     }
 }
+
+/// Guards against duties that wait for daemons that are being stopped, and against a daemon that leaves them to such ones.
+#[test]
+fn view_daemons_that_are_being_stopped_rank_last() {
+    let count = 5;
+    let mut views: Vec<_> = (0..count).map(|number| View::new(member(number), Timing::default(), 1, 0)).collect();
+    let members: Vec<_> = (0..count).map(|number| pb::Member::from(&member(number))).collect();
+    for view in &mut views {
+        view.merge(members.clone(), Vec::new(), 0, 1, &mut Vec::new());
+    }
+    let by_rank = |views: &[View]| {
+        let mut order: Vec<_> = (0..count).collect();
+        order.sort_unstable_by_key(|number| views[*number].rank_of_staying("duty"));
+        order
+    };
+    let before = by_rank(&views);
+    for (stopped, number) in before.iter().enumerate() {
+        for view in &mut views {
+            assert_eq!(view.has_staying_peer(), stopped < count - 1 || *view.local().name != *member(*number).name);
+            let key = member(*number).name;
+            let fact = Fact { kind: FactKind::Stopping, key, value: 9, until_ms: 100, note: "".into() };
+            assert!(view.add_fact(fact, 1, 1));
+        }
+        let mut wanted = before[stopped + 1..].to_vec();
+        wanted.extend(&before[..=stopped]);
+        assert_eq!(by_rank(&views), wanted);
+    }
+    assert!(views.iter().all(|view| !view.has_staying_peer()));
+}
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -17,6 +17,7 @@
 mod health;
 mod hold;
 mod kept_spans;
+mod last_term;
 mod leaving;
 mod lifecycle;
 mod lifetime;
