Keep a silent server until another one has begun to answer

Callers of requests that may be repeated got 504, or a cut stream, when their server fell silent for longer than the idle timeout and another one was asked: the connection to the silent server was closed at that moment, so that its answer was thrown away although it went on shortly after, and the other server gave nothing or turned the request away.

The other server is now asked beside the silent one (request/takeover.rs), for whole answers, for streams before their head or first event, and for streams amid their events. Whichever goes on first has the request, and the other one's connection is closed then. A server that turns the request away, fails or breaks off leaves it to the silent one. Each run is read into a sequence of its own, so that pieces of two runs can't be joined. A stream asks another server only if such runs usually end there before its deadline; so far only the daemon's end was asked. A run that is being migrated asks no other server.

--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -287,6 +287,14 @@
             let peer = line.fields.get("peer").map_or("a peer", String::as_str);
             format!("sent to {} by way of {peer}", field("instance"))
         }
+        "successor-asked" => {
+            let (instance, to) = (field("instance"), field("to"));
+            format!("{instance} had been silent for {} ms; {to} was asked too", field("silent_ms"))
+        }
+        "silent-server-resumed" => {
+            let (instance, to) = (field("instance"), field("to"));
+            format!("{instance} went on after {} ms, before {to} had begun to answer", field("silent_ms"))
+        }
         "server-given-up" => {
             let (instance, to) = (field("instance"), field("to"));
             format!("{instance} had been silent for {} ms; the request goes on at {to}", field("silent_ms"))
--- a/goldcrestward/src/request/awaited_head.rs
+++ b/goldcrestward/src/request/awaited_head.rs
@@ -1,16 +1,20 @@
 //! The head of a response, which is read for a moment longer when its caller has gone.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use http::{Request as HttpRequest, Response as HttpResponse};
+use http::{Request as HttpRequest, Response as HttpResponse, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use log::info;
 use tokio::{runtime::Handle, time::timeout};
 
-use super::{run_window::RunWindow, sent_attempt::SentAttempt};
+use super::{run_window::RunWindow, sent_attempt::SentAttempt, takeover::Awaited};
 use crate::{
     connection::{BackendConnection, SendError},
     process::ReplicaGuard,
@@ -52,16 +56,28 @@
     pub fn attempt(&self) -> &SentAttempt {
         &self.attempt
     }
+}
+
+impl Awaited for AwaitedHead {
+    type Output = (BackendConnection, Result<HttpResponse<Incoming>, SendError>);
 
-    /// Waits for the head. It may be awaited again if this is dropped; `None` if it has ended before.
-    pub async fn receive(&mut self) -> Option<(BackendConnection, Result<HttpResponse<Incoming>, SendError>)> {
-        let output = self.exchange.as_mut()?.await;
+    fn poll_output(&mut self, context: &mut Context<'_>) -> Poll<Self::Output> {
+        let Some(exchange) = &mut self.exchange else { return Poll::Pending };
+        let output = ready!(exchange.as_mut().poll(context));
         self.exchange = None;
-        Some(output)
+        Poll::Ready(output)
+    }
+
+    fn failure((_, response): &Self::Output) -> Option<&'static str> {
+        match response {
+            Err(_) => Some("cut"),
+            Ok(response) if response.status() == StatusCode::SERVICE_UNAVAILABLE => Some("not-run"),
+            Ok(response) if response.status() == StatusCode::MISDIRECTED_REQUEST => Some("not-run"),
+            Ok(response) => response.status().is_server_error().then_some("own-failure"),
+        }
     }
 
-    /// Closes the connection, as the request goes on elsewhere or its time is over.
-    pub fn give_up(&mut self) {
+    fn close(&mut self) {
         self.exchange = None;
     }
 }
--- a/goldcrestward/src/request/fallback.rs
+++ b/goldcrestward/src/request/fallback.rs
@@ -1,7 +1,7 @@
 //! Another server for a request whose server is silent.
 //!
-//! A silent server may be sound and go on a moment later, so it is given up only once the way on is certain: another
-//! server has a place and a connection, and the retry budget allows it. Without a way on the request waits.
+//! A silent server may be sound and go on a moment later, so another one is asked only once the way on is certain: it has a
+//! place and a connection, and the retry budget allows it. Without a way on the request waits.
 
 use std::{
     future::Future,
@@ -13,7 +13,10 @@
 use log::info;
 use tokio::time::timeout;
 
-use super::proxy::{MIN_RETRY_TIME, ProxyCall};
+use super::{
+    migration::Migration,
+    proxy::{MIN_RETRY_TIME, ProxyCall},
+};
 use crate::{connection::BackendConnection, process::ReplicaGuard};
 
 /// Time without a response after which the path to a server is looked at.
@@ -27,6 +30,8 @@
 pub(super) struct Fallback {
     pub guard: ReplicaGuard,
     pub connection: BackendConnection,
+    /// When the silence of the other server began.
+    pub since: Instant,
 }
 
 impl Fallback {
@@ -46,7 +51,12 @@
     pub(super) fn search_fallback(&self, silent: &ReplicaGuard, since: Instant) -> Option<Search> {
         let gateway = self.gateway.clone();
         let may_repeat = self.may_end_elsewhere(since) && self.route.kind.is_idempotent() && self.has_attempt();
-        if !may_repeat || self.time_left() < MIN_RETRY_TIME || self.is_suspect() {
+        // A run that is being migrated goes on at its new server.
+        if !may_repeat
+            || matches!(self.migration, Migration::Pending(_))
+            || self.time_left() < MIN_RETRY_TIME
+            || self.is_suspect()
+        {
             return None;
         }
         if !self.allows_retry() {
@@ -59,29 +69,34 @@
         Some(Box::pin(async move {
             gateway.admit_to_server(&id, guard.replica()).await.ok()?;
             let connection = gateway.connect(&id, guard.replica(), &window).await.ok()?;
-            Some(Fallback { guard, connection })
+            Some(Fallback { guard, connection, since })
         }))
     }
 
-    /// Whether another server that goes on now, where this one has been silent since then, usually ends before the daemon.
+    /// Whether another server that goes on now, where this one has been silent since then, usually ends before the request's
+    /// deadline and the daemon.
     fn may_end_elsewhere(&self, since: Instant) -> bool {
         match self.is_answering {
             true => self.window.allows_rest(since.saturating_duration_since(self.run_started)),
+            false if self.route.kind.is_stream() => self.may_send() && self.window.allows_rest(Duration::ZERO),
             false => self.may_send(),
         }
     }
 
-    /// Uses the place for the next attempt, if a run can still end there and the retry budget still allows it.
+    /// Takes the place to ask that server too, if a run can still end there and the retry budget still allows it.
     pub(super) fn accept_fallback(&mut self, fallback: Fallback, silent: &ReplicaGuard, since: Instant) -> bool {
         let is_leaving = fallback.guard.replica().is_leaving();
-        if is_leaving || !self.may_end_elsewhere(since) || !self.withdraw_retry() {
+        if is_leaving
+            || matches!(self.migration, Migration::Pending(_))
+            || !self.may_end_elsewhere(since)
+            || !self.withdraw_retry()
+        {
             fallback.release();
             return false;
         }
         let (id, instance, to) = (&self.metadata.id, &silent.replica().id, &fallback.guard.replica().id);
         let silent_ms = since.elapsed().as_millis();
-        info!("event=server-given-up id={id} instance={instance} silent_ms={silent_ms} to={to}");
-        self.silent = Some(silent.replica().id.clone());
+        info!("event=successor-asked id={id} instance={instance} silent_ms={silent_ms} to={to}");
         self.fallback = Some(fallback);
         true
     }
--- a/goldcrestward/src/request/migration.rs
+++ b/goldcrestward/src/request/migration.rs
@@ -209,6 +209,7 @@
                     }
                     Err(failure) => failure,
                 };
+                let (instance, failure) = failure.locate(instance);
                 let (id, label) = (&self.metadata.id, failure.label());
                 info!("event=moved-run-failed id={id} instance={instance} cause={label}");
                 self.record_unserved(&failure);
--- a/goldcrestward/src/request/numbered_events.rs
+++ b/goldcrestward/src/request/numbered_events.rs
@@ -65,6 +65,18 @@
         }
     }
 
+    /// A sequence that continues the same response with the stream of another attempt, which is read beside this one.
+    pub fn fork(&self, memory: &ResponseMemory) -> Self {
+        Self {
+            last: self.last,
+            resume_point: self.resume_point,
+            repeated: self.repeated,
+            resumed: self.resumed || self.begun,
+            forwarded: self.forwarded,
+            ..Self::new(None, memory)
+        }
+    }
+
     /// Number of the last event that was forwarded.
     pub fn last(&self) -> Option<u64> {
         self.last
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -1,17 +1,14 @@
 //! Requests that are proxied to backend servers, with retries where the route allows them.
 
 use std::{
-    future::poll_fn,
-    pin::Pin,
     sync::Arc,
-    task::Poll,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use http::{Request as HttpRequest, Response as HttpResponse, header, response::Parts};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use log::{debug, info};
 use tokio::time::timeout;
 use volo_http::{body::Body, response::Response};
@@ -26,7 +23,7 @@
     headers::drop_hop_by_hop,
     held_answer::HeldAnswer,
     migration::Migration,
-    numbered_events::{EventSequence, SequenceError},
+    numbered_events::EventSequence,
     placement_request::PlacementRequest,
     proxy_body::ProxyBody,
     proxy_outcome::{ExchangeResult, ProxyFailure, ProxyResponse, ProxyStream},
@@ -34,6 +31,7 @@
     request_head::RequestHead,
     run_window::{Phase, RunWindow},
     sent_attempt::SentAttempt,
+    takeover::{Awaited as _, Waited},
 };
 use crate::{
     config::{Account, Route, RouteKind},
@@ -65,13 +63,6 @@
 /// Cause of a failure: the responses of all servers together left no room for the response, which says nothing of its server.
 const NO_MEMORY: &str = "no-memory";
 
-/// Why a stream did not begin.
-enum FirstEventError {
-    TooLong(TooLong),
-    /// Another reason, as a label.
-    Other(&'static str),
-}
-
 /// A proxied request and the state of its attempts.
 pub(crate) struct ProxyCall {
     pub(super) gateway: Arc<Gateway>,
@@ -106,19 +97,19 @@
     /// The last server's whole answer, an error, until a repeat is answered.
     pub(super) held: Option<Box<HeldAnswer>>,
     /// Why the next attempt is made, until it is sent.
-    retry_cause: Option<&'static str>,
+    pub(super) retry_cause: Option<&'static str>,
     /// Whether the next attempt is still to be paid for from the retry budget, when it is sent.
     owes_retry: bool,
     /// State of the run's migration to another server.
     pub(super) migration: Migration,
-    /// The place for the next attempt, paid for from the retry budget.
+    /// The place at another server than a silent one, paid for from the retry budget.
     pub(super) fallback: Option<Fallback>,
     /// The silent server that was given up for that place, until another one has answered.
     pub(super) silent: Option<Arc<str>>,
     /// The connection for the next attempt, if there is one already.
-    connection: Option<BackendConnection>,
+    pub(super) connection: Option<BackendConnection>,
     /// What log lines say of the connection of the last attempt.
-    connection_label: String,
+    pub(super) connection_label: String,
     /// The peer by way of which that connection goes; `None` if it is direct.
     pub(super) via: Option<Arc<str>>,
 }
@@ -208,52 +199,15 @@
                 Err(refusal) => return self.pass_held(refusal.reason.label()).ok_or(refusal),
             };
             let instance = guard.replica().id.clone();
-            match self.attempt_in_time(guard, sequence).await {
-                Ok(response) => {
-                    (self.held, self.silent) = (None, None);
-                    return Ok(response);
-                }
-                Err(ProxyFailure::Migrated(run)) => {
-                    let (migrated, source) = *run;
-                    let response = self.resume_migrated(migrated, source, sequence).await;
-                    return match response {
-                        Ok(response) => {
-                            (self.held, self.silent) = (None, None);
-                            Ok(response)
-                        }
-                        Err(refusal) => self.pass_held(refusal.reason.label()).ok_or(refusal),
-                    };
-                }
-                Err(failure) => {
-                    self.record_unserved(&failure);
-                    self.exclude(instance.clone(), &failure);
-                    let repeat = self.may_retry(&failure);
-                    let (id, label, sends) = (&self.metadata.id, failure.label(), self.sends);
-                    let connection = &self.connection_label;
-                    info!(
-                        "event=attempt-failed id={id} instance={instance} cause={label} sends={sends} repeat={repeat} {connection}"
-                    );
-                    if !repeat {
-                        return self.final_result(failure);
-                    }
-                    self.retry_cause = Some(label);
-                    // A stream that has begun cannot be answered with an error any more.
-                    if let ProxyFailure::ErrorResponse(answer) = failure
-                        && !self.is_answering
-                    {
-                        self.held = Some(answer);
-                    }
-                }
+            let result = self.attempt_in_time(guard, sequence).await;
+            if let Some(response) = self.conclude(&instance, result, sequence).await {
+                return response;
             }
         }
     }
 
     /// The place for the next attempt.
     async fn next_place(&mut self) -> Result<ReplicaGuard, Refusal> {
-        if let Some(Fallback { guard, connection }) = self.fallback.take() {
-            self.connection = Some(connection);
-            return Ok(guard);
-        }
         loop {
             if self.connect_failures > MAX_CONNECT_FAILURES && self.may_await_way() {
                 self.await_way().await;
@@ -419,17 +373,16 @@
         attempts < self.route.attempt_limit
     }
 
-    fn may_retry(&mut self, failure: &ProxyFailure) -> bool {
-        if self.fallback.is_some() {
-            return true;
-        }
+    pub(super) fn may_retry(&mut self, failure: &ProxyFailure) -> bool {
         if self.time_left() < MIN_RETRY_TIME || self.is_suspect() {
             return false;
         }
         let allowed = match failure {
-            ProxyFailure::TooLate(_) | ProxyFailure::OverBudget | ProxyFailure::Stopped | ProxyFailure::Migrated(_) => {
-                return false;
-            }
+            ProxyFailure::TooLate(_)
+            | ProxyFailure::OverBudget
+            | ProxyFailure::Stopped
+            | ProxyFailure::Migrated(_)
+            | ProxyFailure::TakenOver(_) => return false,
             ProxyFailure::ConnectFailed | ProxyFailure::NoPath | ProxyFailure::Withdrawn => {
                 self.connect_failures += 1;
                 return self.connect_failures <= MAX_CONNECT_FAILURES || self.may_await_way();
@@ -477,7 +430,7 @@
         guard: ReplicaGuard,
         sequence: &mut EventSequence,
     ) -> Result<ProxyResponse, ProxyFailure> {
-        let (started, started_ms) = (Instant::now(), self.gateway.shared.now());
+        let started = Instant::now();
         if !self.has_begun() {
             self.run_started = started;
         }
@@ -502,6 +455,7 @@
                 }
                 Ok(ProxyResponse::Buffered(Box::new(response)))
             }
+            Ok(ExchangeResult::Elsewhere(response)) => Ok(response),
             Ok(ExchangeResult::Stream(head, body, connection, first)) => {
                 guard.record_first_token(self.gateway.shared.now());
                 self.observe(&guard, Sample::Good);
@@ -517,7 +471,8 @@
                     | ProxyFailure::TooLate(_)
                     | ProxyFailure::OverBudget
                     | ProxyFailure::Stopped
-                    | ProxyFailure::Migrated(_) => {}
+                    | ProxyFailure::Migrated(_)
+                    | ProxyFailure::TakenOver(_) => {}
                     ProxyFailure::ErrorResponse(_) => {
                         self.observe(&guard, Sample::Failed);
                         self.record_outcome(&guard, AttemptOutcome::ErrorResponse);
@@ -525,11 +480,7 @@
                     ProxyFailure::Indeterminate(cause) if self.is_carriers_end(cause) => {}
                     ProxyFailure::Indeterminate(cause) => {
                         self.observe(&guard, failure_sample(cause));
-                        // A server that answers others meanwhile may just need the time that such requests usually take.
-                        let is_at_work = *cause == "silent"
-                            && self.window.is_usual(started.elapsed())
-                            && guard.replica().has_answered_since(started_ms);
-                        if !is_at_work {
+                        if !self.is_at_work(&guard, cause, started) {
                             self.record_outcome(&guard, AttemptOutcome::Failure);
                         }
                     }
@@ -647,9 +598,17 @@
         self.sends += 1;
         self.set_run_state(RunState::MayHaveRun);
         let mut head = AwaitedHead::new(attempt, self.window.clone(), connection, request);
-        let Some((connection, response)) = self.wait_or_migrate(guard, head.receive()).await.flatten() else {
-            head.give_up();
-            return Err(ProxyFailure::Indeterminate("silent"));
+        let mut other = sequence.fork(&self.gateway.shared.response_memory);
+        let (connection, response) = match self.wait_or_take_over(guard, &mut head, &mut other).await {
+            Waited::Output(received) => received,
+            Waited::TakenOver(result) => {
+                *sequence = other;
+                return (*result).map(Some);
+            }
+            Waited::Ended => {
+                head.close();
+                return Err(ProxyFailure::Indeterminate("silent"));
+            }
         };
         let response = match response {
             Err(SendError::MaybeSent) => return Err(ProxyFailure::Indeterminate("cut")),
@@ -724,56 +683,6 @@
         Ok(ExchangeResult::Buffered(answer.into_response(&self.gateway.shared, &self.metadata.id)))
     }
 
-    /// Waits for the first event, since until then the request can still be retried at another server.
-    async fn first_event(
-        &mut self,
-        guard: &ReplicaGuard,
-        head: Parts,
-        mut body: Incoming,
-        connection: BackendConnection,
-        sequence: &mut EventSequence,
-    ) -> Result<ExchangeResult, ProxyFailure> {
-        sequence.restart_at(&guard.replica().id);
-        // A body without a length also ends when its server breaks off.
-        let has_length =
-            [header::CONTENT_LENGTH, header::TRANSFER_ENCODING].iter().any(|name| head.headers.contains_key(name));
-        let first = async {
-            loop {
-                let next = poll_fn(|context| match sequence.poll_given_up(context) {
-                    Poll::Ready(error) => Poll::Ready(Err(error)),
-                    Poll::Pending => Pin::new(&mut body).poll_frame(context).map(Ok),
-                });
-                let Some(frame) = next.await.map_err(FirstEventError::TooLong)? else { break };
-                let Ok(data) = frame.map_err(drop).and_then(|frame| frame.into_data().map_err(drop)) else {
-                    return Err(FirstEventError::Other("cut"));
-                };
-                let events = sequence.read(&data);
-                if sequence.has_begun() {
-                    return Ok(events);
-                }
-                match sequence.error() {
-                    Some(SequenceError::TooLong(error)) => return Err(FirstEventError::TooLong(error)),
-                    Some(_) => return Err(FirstEventError::Other("disorder")),
-                    None => {}
-                }
-            }
-            if has_length && sequence.may_end() {
-                return Ok(Bytes::new());
-            }
-            Err(FirstEventError::Other("empty"))
-        };
-        let first = self.wait_or_migrate(guard, first).await.unwrap_or(Err(FirstEventError::Other("silent")));
-        let first = first.map_err(|error| {
-            let cause = match error {
-                FirstEventError::TooLong(error) => self.record_too_long(guard, "event", &error),
-                FirstEventError::Other(cause) => cause,
-            };
-            ProxyFailure::Indeterminate(cause)
-        })?;
-        self.count_started();
-        Ok(ExchangeResult::Stream(head, body, connection, first))
-    }
-
     /// Reads a response to its end, so that the connection can be reused.
     async fn discard(&self, response: HttpResponse<Incoming>, connection: BackendConnection) {
         let (head, mut body) = response.into_parts();
@@ -837,8 +746,13 @@
 
     /// Records the failure of a stream and excludes its server from further attempts.
     pub(super) async fn record_stream_failure(&mut self, guard: &ReplicaGuard, cause: &'static str) {
-        self.record_failure(guard, cause);
         self.exclude(guard.replica().id.clone(), &ProxyFailure::Indeterminate(cause));
+        self.record_failure(guard, cause);
+        self.record_break(guard, cause).await;
+    }
+
+    /// Looks whether a server that has broken off has crashed, and closes the other connections of its way.
+    pub(super) async fn record_break(&mut self, guard: &ReplicaGuard, cause: &'static str) {
         if cause == "cut" {
             self.close_idle_carried();
         }
@@ -849,7 +763,7 @@
 }
 
 /// What a failure says of its server's version.
-fn failure_sample(cause: &str) -> Sample {
+pub(super) fn failure_sample(cause: &str) -> Sample {
     if cause == "silent" { Sample::GivenUp } else { Sample::Failed }
 }
 
--- a/goldcrestward/src/request/proxy_body.rs
+++ b/goldcrestward/src/request/proxy_body.rs
@@ -26,7 +26,7 @@
     numbered_events::{EventSequence, SequenceError},
     proxy::ProxyCall,
     proxy_outcome::{ProxyResponse, ProxyStream},
-    refusal::Refusal,
+    silent_stream::{Continuation, OpenStream, SilentStream},
 };
 use crate::{
     connection::BackendConnection,
@@ -36,17 +36,15 @@
 struct StreamSource {
     call: Box<ProxyCall>,
     sequence: EventSequence,
-    body: Incoming,
-    connection: BackendConnection,
+    open: OpenStream,
     guard: ReplicaGuard,
-    head: HeaderMap,
     /// Why the stream cannot continue once the events before the error have been forwarded.
     error_cause: Option<&'static str>,
     /// Search for another server while this one is silent. The mutex is never contended; it makes the state `Sync`.
     search: Option<Mutex<Search>>,
 }
 
-type Resumed = (Box<ProxyCall>, EventSequence, Result<ProxyResponse, Refusal>);
+type Resumed = (Box<ProxyCall>, Continuation);
 type Resuming = Pin<Box<dyn Future<Output = Resumed> + Send>>;
 
 enum State {
@@ -58,6 +56,16 @@
     Ended,
 }
 
+impl State {
+    fn streaming(call: Box<ProxyCall>, sequence: EventSequence, open: OpenStream, guard: ReplicaGuard) -> Self {
+        Self::Streaming(Box::new(StreamSource { call, sequence, open, guard, error_cause: None, search: None }))
+    }
+
+    fn resuming(resuming: impl Future<Output = Resumed> + Send + 'static) -> Self {
+        Self::Resuming(Mutex::new(Box::pin(resuming)))
+    }
+}
+
 /// The response body of a proxied stream.
 pub(crate) struct ProxyBody {
     state: State,
@@ -81,17 +89,8 @@
     ) -> Self {
         let last_event_at = Instant::now();
         let timer = Box::pin(sleep_until((last_event_at + LEAVING_CHECK_INTERVAL).into()));
-        let source = StreamSource {
-            call: Box::new(call),
-            sequence,
-            body,
-            connection,
-            guard,
-            head,
-            error_cause: None,
-            search: None,
-        };
-        let state = State::Streaming(Box::new(source));
+        let open = OpenStream { body, connection, head };
+        let state = State::streaming(Box::new(call), sequence, open, guard);
         Self { state, pending_events, timer, last_event_at, search_at: last_event_at }
     }
 
@@ -101,16 +100,23 @@
     /// Returns the error that aborts the response.
     fn resume(&mut self, cause: &'static str) -> Result<(), BoxError> {
         let State::Streaming(source) = mem::replace(&mut self.state, State::Ended) else { return Ok(()) };
-        let StreamSource { mut call, mut sequence, guard, connection, body, .. } = *source;
-        let via = connection.via().cloned();
-        // Closing the connection ends the old run, which must not overlap with its successor.
-        drop((connection, body));
+        let StreamSource { mut call, mut sequence, open, guard, .. } = *source;
+        if let Some(fallback) = call.fallback.take() {
+            let silent = SilentStream::new(sequence, open);
+            self.state = State::resuming(async move {
+                let continuation = silent.go_on(&mut call, guard, fallback).await;
+                (call, continuation)
+            });
+            return Ok(());
+        }
+        let via = open.connection.via().cloned();
+        // Closing the connection ends the old run.
+        drop(open);
         if let Migration::Done(migrated) = mem::take(&mut call.migration) {
-            let resuming = async move {
+            self.state = State::resuming(async move {
                 let response = call.resume_migrated(migrated, guard, &mut sequence).await;
-                (call, sequence, response)
-            };
-            self.state = State::Resuming(Mutex::new(Box::pin(resuming)));
+                (call, Continuation::Elsewhere(sequence, response))
+            });
             return Ok(());
         }
         let metrics = &call.gateway.shared.metrics;
@@ -129,17 +135,30 @@
             return Err(format!("the stream broke off: {cause}").into());
         }
         sequence.restart();
-        let resuming = async move {
+        self.state = State::resuming(async move {
             call.record_stream_failure(&guard, cause).await;
             drop(guard);
             let response = call.attempts(&mut sequence).await;
-            (call, sequence, response)
-        };
-        self.state = State::Resuming(Mutex::new(Box::pin(resuming)));
+            (call, Continuation::Elsewhere(sequence, response))
+        });
         Ok(())
     }
 
-    fn finish_resume(&mut self, (call, sequence, response): Resumed) -> Result<(), BoxError> {
+    fn finish_resume(&mut self, (call, continuation): Resumed) -> Result<(), BoxError> {
+        let (sequence, response) = match continuation {
+            Continuation::Elsewhere(sequence, response) => (sequence, response),
+            Continuation::Here(sequence, open, guard, events) => {
+                let now = Instant::now();
+                if let Some(events) = events {
+                    self.pending_events = events;
+                    self.last_event_at = now;
+                }
+                self.search_at = now + SEARCH_INTERVAL;
+                self.timer.as_mut().reset((now + LEAVING_CHECK_INTERVAL).into());
+                self.state = State::streaming(call, sequence, *open, guard);
+                return Ok(());
+            }
+        };
         let metrics = &call.gateway.shared.metrics;
         let refusal = match response {
             Ok(ProxyResponse::Stream(open)) => {
@@ -148,17 +167,8 @@
                 self.pending_events = first;
                 self.last_event_at = Instant::now();
                 self.timer.as_mut().reset((self.last_event_at + LEAVING_CHECK_INTERVAL).into());
-                let head = head.headers;
-                self.state = State::Streaming(Box::new(StreamSource {
-                    call,
-                    sequence,
-                    body,
-                    connection,
-                    guard,
-                    head,
-                    error_cause: None,
-                    search: None,
-                }));
+                let open = OpenStream { body, connection, head: head.headers };
+                self.state = State::streaming(call, sequence, open, guard);
                 return Ok(());
             }
             Ok(ProxyResponse::Buffered(_)) => "another server refused to go on".to_owned(),
@@ -172,14 +182,14 @@
     /// Ends a response whose last event has been forwarded.
     fn finish(&mut self) {
         let State::Streaming(source) = mem::replace(&mut self.state, State::Ended) else { return };
-        let StreamSource { call, sequence, connection, guard, head, .. } = *source;
+        let StreamSource { call, sequence, open, guard, .. } = *source;
         if sequence.repeated() > 0 {
             call.gateway.shared.metrics.dropped.with_label_values(&["repeated"]).inc_by(sequence.repeated());
         }
         call.record_outcome(&guard, AttemptOutcome::Success);
         call.window.record_run(call.run_started);
         call.record_answer();
-        connection.release(&head);
+        open.connection.release(&open.head);
     }
 
     /// Whether the silent server is given up: the stream can go on elsewhere, or the request's deadline has passed.
@@ -261,7 +271,7 @@
             source.error_cause = Some(cause);
             return Poll::Ready(Err(cause));
         }
-        let data = match Pin::new(&mut source.body).poll_frame(context) {
+        let data = match Pin::new(&mut source.open.body).poll_frame(context) {
             Poll::Pending => return Poll::Pending,
             Poll::Ready(None) if source.sequence.is_partial() => return Poll::Ready(Err("cut")),
             Poll::Ready(None) => return Poll::Ready(Ok(None)),
--- a/goldcrestward/src/request/proxy_outcome.rs
+++ b/goldcrestward/src/request/proxy_outcome.rs
@@ -1,5 +1,7 @@
 //! Results of the attempts of a proxied request.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use http::response::Parts;
 use hyper::body::Incoming;
@@ -38,6 +40,8 @@
     Stopped,
     /// The run has been stopped to resume on another server; with the place at the one that ran it.
     Migrated(Box<(MigratedRun, ReplicaGuard)>),
+    /// The server was silent and left for the named one, whose attempt failed for this reason.
+    TakenOver(Box<(Arc<str>, ProxyFailure)>),
 }
 
 impl ProxyFailure {
@@ -59,6 +63,15 @@
             Self::OverBudget => "over-budget",
             Self::Stopped => "stopped",
             Self::Migrated(_) => "moved",
+            Self::TakenOver(other) => other.1.label(),
+        }
+    }
+
+    /// The last of the attempts that failed, and its server; `instance` is that of the first.
+    pub fn locate(self, instance: Arc<str>) -> (Arc<str>, Self) {
+        match self {
+            Self::TakenOver(other) => other.1.locate(other.0),
+            failure => (instance, failure),
         }
     }
 }
@@ -91,4 +104,6 @@
     Buffered(Response),
     /// The head of a stream, the rest of its body, its connection and the events received so far.
     Stream(Parts, Incoming, BackendConnection, Bytes),
+    /// The response of another server, which was asked as the first one was silent.
+    Elsewhere(ProxyResponse),
 }
--- a/goldcrestward/src/request/proxy_refusal.rs
+++ b/goldcrestward/src/request/proxy_refusal.rs
@@ -42,9 +42,10 @@
             ProxyFailure::Indeterminate(_) | ProxyFailure::Migrated(_) if self.time_left() < MIN_RETRY_TIME => {
                 refusal(Reason::Deadline, "the request's time is over")
             }
-            ProxyFailure::Indeterminate(_) | ProxyFailure::ErrorResponse(_) | ProxyFailure::Migrated(_) => {
-                refusal(Reason::BackendFailed, "the backend server gave no whole answer")
-            }
+            ProxyFailure::Indeterminate(_)
+            | ProxyFailure::ErrorResponse(_)
+            | ProxyFailure::Migrated(_)
+            | ProxyFailure::TakenOver(_) => refusal(Reason::BackendFailed, "the backend server gave no whole answer"),
         }
     }
 
--- a/goldcrestward/src/request/run_window.rs
+++ b/goldcrestward/src/request/run_window.rs
@@ -129,9 +129,10 @@
         self.shared.run_times.usual(kind, Instant::now()).is_some_and(|usual| elapsed <= usual)
     }
 
-    /// Whether most runs of this kind that are as far as others after `elapsed` end before the daemon.
+    /// Whether most runs of this kind that are as far as others after `elapsed` end before the request's deadline and the
+    /// daemon.
     pub fn allows_rest(&self, elapsed: Duration) -> bool {
-        let (Some(left), Some(kind)) = (self.shared.lifetime.time_left(), &self.run.kind) else { return true };
+        let (left, Some(kind)) = (self.time_left(), &self.run.kind) else { return true };
         let usual = self.shared.run_times.usual(kind, Instant::now());
         usual.is_none_or(|usual| usual.saturating_sub(elapsed) < left)
     }
