--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -59,6 +59,8 @@
 const PEEKED_BYTES: usize = 2 * 1024;
 /// Time for the first request on a connection that is accepted at the end of a stop to be read.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(50);
+/// Time for a request that crosses the close of its connection to arrive.
+const CROSSING_TIME: Duration = Duration::from_millis(50);
 /// Delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -214,12 +216,17 @@
             let parts = connection.into_parts();
             let mut stream = parts.io.into_inner().finish();
             stream.shutdown().await.ok();
+            let is_unannounced = reason != CloseReason::Idle && activity.awaits_next();
             let mut next = [0; PEEKED_BYTES];
+            if is_unannounced && parts.read_buf.is_empty() {
+                // A request that is on its way can still be named. It stays unread.
+                timeout(CROSSING_TIME, stream.peek(&mut next)).await.ok();
+            }
             let unread = peek(&stream, &mut next);
             let has_next = !parts.read_buf.is_empty() || !unread.is_empty();
             if has_next && !activity.has_unread_body() {
                 closes.record(reason, activity, &parts.read_buf, unread);
-            } else if reason != CloseReason::Idle && activity.awaits_next() {
+            } else if is_unannounced {
                 closes.record_unannounced(reason, activity);
             }
             // A request that crosses the close of an idle connection is left unread, so that the reset tells its caller.
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -664,3 +664,19 @@
     sleep(HEADER_TIMEOUT).await;
     assert_eq!(site.unanswered.with_label_values(&["caller-gone"]).get(), 1);
 }
+
+/// Guards against LOST: a request that crossed the close of its connection was in no line and no count. The runtime has one
+/// thread, so that the close comes before the request.
+#[tokio::test]
+async fn request_that_crosses_the_close_is_counted() {
+    let site = Site::start(Duration::from_secs(10));
+    let mut stream = site.connect().await;
+    assert!(exchange(&mut stream).await.ends_with(ANSWER));
+    site.drain.stop.send_replace(Stage::Ending);
+    let mut buffer = [0; 16];
+    let count = timeout(ANSWER_TIMEOUT, stream.read(&mut buffer)).await.expect("the connection ends");
+    assert_eq!(count.expect("the connection is closed"), 0);
+    stream.write_all(REQUEST).await.expect("the caller's side is open");
+    sleep(HEADER_TIMEOUT).await;
+    assert_eq!(site.unanswered.with_label_values(&["unread"]).get(), 1);
+}
