--- a/goldcrestward/src/request/admission.rs
+++ b/goldcrestward/src/request/admission.rs
@@ -36,6 +36,8 @@
     pub body_bytes: usize,
     /// When a proxied request times out.
     pub deadline: Instant,
+    /// When a proxied request without an answer is refused, so that the refusal reaches its caller by the deadline.
+    pub answer_by: Instant,
 }
 
 impl Admission {
@@ -52,7 +54,7 @@
             let message = format!("the body has more than {} bytes", admission.body_bytes);
             return Err(Refusal::not_run(Reason::BodyTooLarge, message));
         }
-        if admission.deadline <= now {
+        if admission.answer_by <= now {
             return Err(Refusal::not_run(Reason::BodyTimeout, "the body did not arrive in time"));
         }
         Ok(admission)
@@ -84,9 +86,9 @@
         }
     }
 
-    /// Time until the deadline.
+    /// Time in which a request without an answer is refused.
     pub fn time_left(&self, now: Instant) -> Duration {
-        self.deadline.saturating_duration_since(now)
+        self.answer_by.saturating_duration_since(now)
     }
 
     /// Name of the account; empty if there is none.
--- a/goldcrestward/src/request/admission_request.rs
+++ b/goldcrestward/src/request/admission_request.rs
@@ -18,6 +18,10 @@
 
 /// Upper limit of a proxied request's body, whatever the configuration allows, since the body is buffered for retries.
 const BODY_BYTES: usize = 64 * 1024 * 1024;
+/// Time for the request and its final answer to travel, both of which count for a caller that names how long it waits.
+const TRAVEL_TIME: Duration = Duration::from_millis(10);
+/// Largest part of a caller's time that is left for that.
+const TRAVEL_PART: u32 = 10;
 
 /// What a request asks of the configuration.
 #[derive(Clone, Debug, PartialEq)]
@@ -59,7 +63,8 @@
             }
         };
         let pool = choose_pool(route, site, self.salt);
-        let time = self.timeout.unwrap_or(route.timeout).min(route.timeout);
+        let time = self.timeout.unwrap_or(route.timeout);
+        let travel_time = self.timeout.map_or(Duration::ZERO, |time| TRAVEL_TIME.min(time / TRAVEL_PART));
         Ok(Admission {
             request: self.clone(),
             revision: in_force.revision,
@@ -69,7 +74,8 @@
             concurrency: pool.as_ref().and_then(|pool| site.pools.get(pool)).map_or(0, |pool| pool.concurrency),
             pool,
             body_bytes: site.caller_limits.body_bytes.min(BODY_BYTES),
-            deadline: self.arrived + time,
+            deadline: self.arrived + time.min(route.timeout),
+            answer_by: self.arrived + (time - travel_time).min(route.timeout),
         })
     }
 }
--- a/goldcrestward/src/request/admission_test.rs
+++ b/goldcrestward/src/request/admission_test.rs
@@ -184,3 +184,34 @@
     let mut quickcheck = QuickCheck::new().tests(TESTS).rng(Gen::from_size_and_seed(100, 62));
     quickcheck.quickcheck(property as fn(Version, Version, Version, Body) -> Result<(), String>);
 }
+
+/// Guards against LOST: a refusal at the deadline came when its caller, whose time had begun before, had just gone.
+#[test]
+fn request_is_refused_before_the_time_of_its_caller_is_over() {
+    let in_force = Version {
+        has_route: true,
+        has_key: true,
+        is_allowed: true,
+        account: "first",
+        kind: RouteKind::NonIdempotent,
+        timeout: Duration::from_secs(3),
+        pool: "near",
+        concurrency: 1,
+        body_bytes: 10,
+    }
+    .in_force(1);
+    for (named, deadline, answer) in [
+        (Some(2_000), 2_000, 1_990),
+        (Some(50), 50, 45),
+        (Some(3_005), 3_000, 2_995),
+        (Some(4_000), 3_000, 3_000),
+        (None, 3_000, 3_000),
+    ] {
+        let target = Target::Host { host: HOST.into(), path: PATH.into() };
+        let (arrived, timeout) = (Instant::now(), named.map(Duration::from_millis));
+        let request = AdmissionRequest { target, key: Some(KEY.into()), salt: 7, arrived, timeout };
+        let admission = request.admit(&in_force).expect("the request is allowed");
+        let times = [admission.deadline, admission.answer_by].map(|time| time - arrived);
+        assert_eq!(times, [deadline, answer].map(Duration::from_millis), "{named:?}");
+    }
+}
--- a/goldcrestward/src/request/placement_request.rs
+++ b/goldcrestward/src/request/placement_request.rs
@@ -70,7 +70,7 @@
     pub run_kind: RunKind,
     /// When the route's latency target ends.
     pub target: Instant,
-    /// When the request times out.
+    /// When the request is refused if it has no answer.
     pub deadline: Instant,
     /// Hash of the request's id.
     pub salt: u64,
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -232,7 +232,12 @@
 
     /// Time until the request's deadline.
     pub(super) fn time_to_deadline(&self) -> Duration {
-        self.placement.deadline.saturating_duration_since(Instant::now())
+        self.admission.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Time that a server has: a whole answer is passed on when it has come, a stream meanwhile.
+    fn run_time(&self) -> Duration {
+        if self.route.kind.is_stream() { self.window.time_until(self.admission.deadline) } else { self.time_left() }
     }
 
     /// Silence after which another server is sought; `None` if the request cannot be sent to another one.
@@ -716,7 +721,7 @@
         }
         let mut headers = self.head.headers.clone();
         let metadata = AttemptMetadata {
-            time_left: self.time_left(),
+            time_left: self.run_time(),
             account: self.account.as_ref().map(|account| &*account.name),
             instance,
             urgency: self.urgency(),
--- a/goldcrestward/src/request/proxy_ingress.rs
+++ b/goldcrestward/src/request/proxy_ingress.rs
@@ -132,8 +132,8 @@
             None => None,
         };
         let priority = account.as_ref().and_then(|account| account.priority).unwrap_or(route.priority);
-        let (arrived, deadline) = (admission.request.arrived, admission.deadline);
-        let placement = PlacementRequest::new(gateway, route, priority, pool, metadata, arrived, deadline);
+        let (arrived, answer_by) = (admission.request.arrived, admission.answer_by);
+        let placement = PlacementRequest::new(gateway, route, priority, pool, metadata, arrived, answer_by);
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         let head = RequestHead { method: parts.method, path, headers: parts.headers };
         Ok(ProxyCall::new(gateway.clone(), caller, head, body, placement, charge))
@@ -141,7 +141,7 @@
 
     fn window(&self, admission: &Admission, metadata: &RequestMetadata) -> RunWindow {
         let (shared, route) = (self.gateway.shared.clone(), admission.route.clone());
-        RunWindow::new(shared, metadata.id.clone(), route, admission.deadline).with_tokens(Some(metadata.max_tokens()))
+        RunWindow::new(shared, metadata.id.clone(), route, admission.answer_by).with_tokens(Some(metadata.max_tokens()))
     }
 }
 
--- a/goldcrestward/src/request/proxy_refusal.rs
+++ b/goldcrestward/src/request/proxy_refusal.rs
@@ -52,10 +52,10 @@
 
     /// The error of an answer that ends before it is whole.
     pub(super) fn broken_answer(&self, message: String) -> BrokenAnswer {
-        let cause = if self.time_to_deadline().is_zero() {
-            UnansweredCause::Deadline
-        } else if self.window.has_ended() {
+        let cause = if self.window.has_ended() {
             UnansweredCause::DaemonEnd
+        } else if self.time_left().is_zero() {
+            UnansweredCause::Deadline
         } else {
             UnansweredCause::Server
         };
--- a/goldcrestward/src/request/run_window.rs
+++ b/goldcrestward/src/request/run_window.rs
@@ -98,7 +98,12 @@
 
     /// Time until the request's deadline or the daemon's end.
     pub fn time_left(&self) -> Duration {
-        let left = self.run.time_left(Instant::now());
+        self.time_until(Instant::now() + self.run.time_left(Instant::now()))
+    }
+
+    /// Time until a deadline or the daemon's end.
+    pub fn time_until(&self, deadline: Instant) -> Duration {
+        let left = deadline.saturating_duration_since(Instant::now());
         self.shared.lifetime.time_left().map_or(left, |end| left.min(end))
     }
 
