--- a/goldcrestward/src/request/fallback.rs
+++ b/goldcrestward/src/request/fallback.rs
@@ -104,7 +104,8 @@
     /// Waits for a step of the exchange with a server. Returns `None` once the server has been silent for the idle
     /// timeout and there is another place for the request, or its time is over.
     pub(super) async fn wait_for<T>(&mut self, guard: &ReplicaGuard, step: impl Future<Output = T>) -> Option<T> {
-        let (mut step, started, sent_at) = (pin!(step), Instant::now(), self.gateway.shared.now());
+        let (mut step, sent_at) = (pin!(step), self.gateway.shared.now());
+        let started = self.silent_since.take().unwrap_or_else(Instant::now);
         let time_left = self.time_left();
         let idle_timeout = self.idle_timeout().map_or(time_left, |idle_timeout| idle_timeout.min(time_left));
         let mut limit = SUSPECT_AFTER.min(idle_timeout);
--- a/goldcrestward/src/request/migration.rs
+++ b/goldcrestward/src/request/migration.rs
@@ -201,15 +201,17 @@
                 let instance = guard.replica().id.clone();
                 let response = self.attempt_in_time(guard, sequence).await;
                 let kv_cache = self.kv_cache.take();
-                let failure = match response {
+                let (instance, failure) = match response {
                     Ok(response) => return Ok(response),
-                    Err(ProxyFailure::Migrated(run)) => {
+                    Err(failure) => failure.locate(instance),
+                };
+                let failure = match failure {
+                    ProxyFailure::Migrated(run) => {
                         (migrated, source) = *run;
                         continue;
                     }
-                    Err(failure) => failure,
+                    failure => failure,
                 };
-                let (instance, failure) = failure.locate(instance);
                 let (id, label) = (&self.metadata.id, failure.label());
                 info!("event=moved-run-failed id={id} instance={instance} cause={label}");
                 self.record_unserved(&failure);
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -104,7 +104,9 @@
     pub(super) migration: Migration,
     /// The place at another server than a silent one, paid for from the retry budget.
     pub(super) fallback: Option<Fallback>,
-    /// The silent server that was given up for that place, until another one has answered.
+    /// When the silence of the present server began, if another one has been asked in vain.
+    pub(super) silent_since: Option<Instant>,
+    /// The silent server that was given up for another place, until another one has answered.
     pub(super) silent: Option<Arc<str>>,
     /// The connection for the next attempt, if there is one already.
     pub(super) connection: Option<BackendConnection>,
@@ -164,6 +166,7 @@
             owes_retry: false,
             migration: Migration::Idle,
             fallback: None,
+            silent_since: None,
             silent: None,
             connection: None,
             connection_label: String::new(),
@@ -431,6 +434,7 @@
         sequence: &mut EventSequence,
     ) -> Result<ProxyResponse, ProxyFailure> {
         let started = Instant::now();
+        self.silent_since = None;
         if !self.has_begun() {
             self.run_started = started;
         }
--- a/goldcrestward/src/request/silent_server.rs
+++ b/goldcrestward/src/request/silent_server.rs
@@ -21,6 +21,9 @@
         if cause == "not-run" {
             return;
         }
+        if self.is_answering {
+            self.gateway.shared.metrics.dropped.with_label_values(&[cause]).inc();
+        }
         if self.is_answering || self.is_carriers_end(cause) {
             self.record_failure(guard, cause);
         } else {
--- a/goldcrestward/src/request/silent_stream.rs
+++ b/goldcrestward/src/request/silent_stream.rs
@@ -61,7 +61,7 @@
                 return Continuation::Elsewhere(sequence, response);
             }
             Takeover::Resumed(_) => true,
-            Takeover::Returned => false,
+            Takeover::Returned(_) => false,
         };
         let Some(open) = open else {
             let response = call.attempts(&mut sequence).await;
--- a/goldcrestward/src/request/takeover.rs
+++ b/goldcrestward/src/request/takeover.rs
@@ -44,8 +44,8 @@
 pub(super) enum Takeover<T> {
     /// The silent one, which has gone on.
     Resumed(T),
-    /// The silent one, as the other one does not serve the request.
-    Returned,
+    /// The silent one, since whenever, as the other one does not serve the request.
+    Returned(Instant),
     /// The other one; the connection to the silent one has been closed.
     TakenOver { instance: Arc<str>, result: Result<ProxyResponse, ProxyFailure> },
 }
@@ -76,7 +76,7 @@
             let Some(fallback) = self.fallback.take() else { return Waited::Ended };
             match self.take_over(guard, awaited, fallback, sequence).await {
                 Takeover::Resumed(output) => return Waited::Output(output),
-                Takeover::Returned => {}
+                Takeover::Returned(since) => self.silent_since = Some(since),
                 Takeover::TakenOver { instance, result } => {
                     let failed = |failure| ProxyFailure::TakenOver(Box::new((instance, failure)));
                     let result = result.map(ExchangeResult::Elsewhere).map_err(failed);
@@ -139,7 +139,7 @@
             }
             Err(result) if is_kept && self.is_unused(&result) => {
                 self.record_unused(instance, result);
-                Takeover::Returned
+                Takeover::Returned(since)
             }
             Err(result) => {
                 awaited.close();
