--- a/goldcrestward/src/connection/activity.rs
+++ b/goldcrestward/src/connection/activity.rs
@@ -254,6 +254,13 @@
         }
     }
 
+    /// Waits until the connection has been idle for some time.
+    pub async fn unused_for(&self, time: Duration) {
+        while let Some(left) = time.checked_sub(self.idle()).filter(|left| !left.is_zero()) {
+            tokio::time::sleep(left).await;
+        }
+    }
+
     /// Waits until the connection has been idle for some time, or is busy.
     pub async fn idle_for(&self, time: Duration) {
         while let Some(left) = time.checked_sub(self.idle()).filter(|left| !left.is_zero() && !self.is_busy()) {
--- a/goldcrestward/src/connection/drain.rs
+++ b/goldcrestward/src/connection/drain.rs
@@ -14,7 +14,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
     Open,
-    /// Requests that come are served, and their answers end their connections.
+    /// Requests that come are served, and their answers end their connections. So does a long idle time.
     Draining,
     /// No connection is accepted, and each one ends with the request that is running, or at once if it is idle.
     Ending,
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -58,6 +58,8 @@
 const PEEKED_BYTES: usize = 2 * 1024;
 /// Time for the first request on a connection that is accepted at the end of a stop to be read.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(50);
+/// Idle time after which a request hardly comes at the moment of a close.
+const LONG_IDLE_TIME: Duration = Duration::from_secs(5);
 /// Delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -233,10 +235,15 @@
     }
 }
 
-/// Waits until the end of the stop closes the connection. Until then it is kept although it is idle: a close could cross the
-/// next request, whose answer says that the connection ends. A new one has some time to be used first.
+/// Waits until the stop closes the connection. It is kept although it is idle, as a close could cross the next request, whose
+/// answer says that the connection ends. One that has been idle for long is closed before the end, so that its caller connects to
+/// another daemon. A new one has some time to be used first.
 async fn stop_due(stop: &mut watch::Receiver<Stage>, activity: &Activity) {
-    stop.wait_for(|stage| *stage == Stage::Ending).await.ok();
+    stop.wait_for(|stage| *stage != Stage::Open).await.ok();
+    tokio::select! {
+        () = activity.unused_for(LONG_IDLE_TIME) => return,
+        _ = stop.wait_for(|stage| *stage == Stage::Ending) => {}
+    }
     activity.idle_for(FIRST_REQUEST_TIME).await;
 }
 
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -27,7 +27,7 @@
     server::{Router, route::any},
 };
 
-use super::{AmbiguousFraming, CallerCloses, Drain, LimitsInForce, Listener, Stage, bind};
+use super::{AmbiguousFraming, CallerCloses, Drain, LONG_IDLE_TIME, LimitsInForce, Listener, Stage, bind};
 use crate::{config::CallerLimits, connection::drain::NEXT_REQUEST_TIME};
 
 const ANSWER: &str = "done";
@@ -452,6 +452,29 @@
     assert!(closed.is_ok_and(|closed| closed), "the idle connection outlasts the stop");
 }
 
+/// Guards against refusals: callers went on using connections that had been idle for long to a daemon that was being stopped,
+/// which refused them, and did not connect to another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_idle_connections_are_closed_while_earlier_requests_run() {
+    let site = Site::start(2 * LONG_IDLE_TIME);
+    let mut idle = site.connect().await;
+    assert!(exchange(&mut idle).await.ends_with(ANSWER));
+    sleep(LONG_IDLE_TIME).await;
+    let (mut used, mut running) = (site.connect().await, site.connect().await);
+    assert!(exchange(&mut used).await.ends_with(ANSWER));
+    running.write_all(b"GET /slow HTTP/1.1\r\nHost: site\r\n\r\n").await.expect("the connection is open");
+    sleep(HEADER_TIMEOUT / 4).await;
+    let drain = site.drain.clone();
+    let stop = tokio::spawn(async move { drain.finish(pending()).await });
+    let closed = timeout(2 * HEADER_TIMEOUT, wait_closed(&mut idle)).await;
+    assert!(closed.is_ok_and(|closed| closed), "the connection that has been idle for long is open");
+    assert!(!stop.is_finished(), "the stop has ended before the connection was looked at");
+    let text = exchange(&mut used).await.to_lowercase();
+    assert!(text.ends_with(ANSWER) && text.contains("connection: close"), "{text:?}");
+    assert!(read_answer(&mut running).await.ends_with(ANSWER));
+    timeout(ANSWER_TIMEOUT, stop).await.expect("the stop ends").expect("the task ends");
+}
+
 /// Guards against answers cut at what the socket's buffer holds: the HTTP library ended before it had sent an answer to a
 /// request whose body was still arriving.
 #[tokio::test(flavor = "multi_thread")]
