--- a/goldcrestward/src/connection/caller_closes.rs
+++ b/goldcrestward/src/connection/caller_closes.rs
@@ -12,7 +12,7 @@
     request_record::RequestRecord,
     unanswered::{Unanswered, UnansweredCause},
 };
-use crate::process::LineLimit;
+use crate::{process::LineLimit, request::Refusal};
 
 /// Header that names a request.
 const ID_HEADER: &[u8] = b"x-request-id";
@@ -40,6 +40,11 @@
         matches!(self, Self::HeadTimeout | Self::Framing)
     }
 
+    /// Whether the caller may still use the connection, as nothing has told it of the close.
+    pub fn is_unannounced(self) -> bool {
+        matches!(self, Self::Idle | Self::Stop)
+    }
+
     fn label(self) -> &'static str {
         match self {
             Self::Idle => "idle",
@@ -117,6 +122,12 @@
         }
     }
 
+    /// Records a request that has crossed the close of its connection, whose caller got the refusal.
+    pub(super) fn record_crossing(&self, reason: CloseReason, refusal: &Refusal, crossing: &[u8]) {
+        let (id, label, run) = (request_id(crossing), refusal.reason.label(), refusal.run.label());
+        info!("event=refused id={id} reason={label} run={run} close={} message={:?}", reason.label(), refusal.message);
+    }
+
     /// Records a request that came after the notice of a stop, on a connection that is new since or older.
     pub(super) fn record_late_arrival(&self, is_new: bool) {
         self.late_arrivals.with_label_values(&[if is_new { "new" } else { "kept" }]).inc();
--- /dev/null
+++ b/goldcrestward/src/connection/close_notice.rs
@@ -0,0 +1,45 @@
+//! The close of an idle connection on which a request may be on its way.
+//!
+//! HTTP/1.1 cannot announce such a close. A 408 (Request Timeout) that precedes it tells the caller of a request that
+//! crosses it that the request was not read, so that it may be sent again (RFC 9110, 15.5.9).
+
+use std::time::Duration;
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+
+use crate::request::{Reason, Refusal};
+
+/// Time for a request that crosses the close to arrive, and for its caller to close in turn.
+const CROSSING_TIME: Duration = Duration::from_millis(200);
+/// Most bytes of a request that crosses the close that are kept, in which its id is sought.
+const KEPT_BYTES: usize = 2 * 1024;
+const BUFFER_BYTES: usize = 8 * 1024;
+
+/// The refusal that precedes the close.
+fn notice() -> Refusal {
+    Refusal::not_run(Reason::ConnectionClosing, "the connection was idle and is being closed")
+}
+
+/// Closes a connection behind the notice. Returns the refusal and the beginning of the request that has crossed it, if one
+/// has: what arrives is read, as the reset over unread bytes could destroy the notice.
+pub(super) async fn close(stream: &mut TcpStream) -> Option<(Refusal, Vec<u8>)> {
+    let notice = notice();
+    stream.write_all(notice.to_http_text().as_bytes()).await.ok()?;
+    stream.shutdown().await.ok();
+    let mut crossing = Vec::new();
+    let mut buffer = vec![0; BUFFER_BYTES];
+    let rest = async {
+        while let Ok(count) = stream.read(&mut buffer).await
+            && count > 0
+        {
+            let kept = count.min(KEPT_BYTES.saturating_sub(crossing.len()));
+            crossing.extend_from_slice(&buffer[..kept]);
+        }
+    };
+    timeout(CROSSING_TIME, rest).await.ok();
+    (!crossing.is_empty()).then_some((notice, crossing))
+}
--- a/goldcrestward/src/connection/listener.rs
+++ b/goldcrestward/src/connection/listener.rs
@@ -35,6 +35,7 @@
 use super::{
     activity::{Activity, AmbiguousFraming},
     caller_closes::{CallerCloses, CloseReason},
+    close_notice,
     drain::{Drain, Stage},
     error::{ListenSnafu, Result},
     framing::HeadInspector,
@@ -59,8 +60,6 @@
 const PEEKED_BYTES: usize = 2 * 1024;
 /// Time for the first request on a connection that is accepted at the end of a stop to be read.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(50);
-/// Time for a request that crosses the close of its connection to arrive.
-const CROSSING_TIME: Duration = Duration::from_millis(50);
 /// Idle time after which a request hardly comes at the moment of a close.
 const LONG_IDLE_TIME: Duration = Duration::from_secs(5);
 /// Delay after a failed accept, such as when file descriptors run out.
@@ -217,21 +216,18 @@
         Ok(()) => {
             let parts = connection.into_parts();
             let mut stream = parts.io.into_inner().finish();
+            if reason.is_unannounced() && parts.read_buf.is_empty() && !activity.is_left() {
+                return close_idle(&mut stream, reason, refusals, &closes, activity).await;
+            }
             stream.shutdown().await.ok();
-            let is_unannounced = reason != CloseReason::Idle && activity.awaits_next();
             let mut next = [0; PEEKED_BYTES];
-            if is_unannounced && parts.read_buf.is_empty() {
-                // A request that is on its way can still be named. It stays unread.
-                timeout(CROSSING_TIME, stream.peek(&mut next)).await.ok();
-            }
             let unread = peek(&stream, &mut next);
             let has_next = !parts.read_buf.is_empty() || !unread.is_empty();
             if has_next && !activity.has_unread_body() {
                 closes.record(reason, activity, &parts.read_buf, unread);
-            } else if is_unannounced {
+            } else if activity.awaits_next() {
                 closes.record_unannounced(reason, activity);
             }
-            // A request that crosses the close of an idle connection is left unread, so that the reset tells its caller.
             if reason == CloseReason::LastAnswer && !activity.awaits_next() && (has_next || activity.has_unread_body())
             {
                 discard_rest(&mut stream).await;
@@ -246,6 +242,24 @@
     }
 }
 
+/// Closes an idle connection, and counts a request that crosses the close, which is refused.
+async fn close_idle(
+    stream: &mut TcpStream,
+    reason: CloseReason,
+    refusals: &IntCounterVec,
+    closes: &CallerCloses,
+    activity: &Activity,
+) {
+    match close_notice::close(stream).await {
+        Some((refusal, crossing)) => {
+            refusals.with_label_values(&[refusal.reason.label(), refusal.run.label()]).inc();
+            closes.record_crossing(reason, &refusal, &crossing);
+        }
+        None if reason == CloseReason::Stop && activity.awaits_next() => closes.record_unannounced(reason, activity),
+        None => {}
+    }
+}
+
 /// Waits until the stop closes the connection. It is kept although it is idle, as a close could cross the next request, whose
 /// answer says that the connection ends. One that has been idle for long is closed before the end, so that its caller connects to
 /// another daemon. A new one has some time to be used first.
--- a/goldcrestward/src/connection/listener_test.rs
+++ b/goldcrestward/src/connection/listener_test.rs
@@ -688,18 +688,26 @@
     assert_eq!(site.unanswered.with_label_values(&["caller-gone"]).get(), 1);
 }
 
-/// Guards against LOST: a request that crossed the close of its connection was in no line and no count. The runtime has one
-/// thread, so that the close comes before the request.
+/// Guards against LOST: a request that crossed the close of its idle connection got a reset, neither an answer nor a refusal. The
+/// runtime has one thread, so that the close comes before the request.
 #[tokio::test]
-async fn request_that_crosses_the_close_is_counted() {
-    let site = Site::start(Duration::from_secs(10));
-    let mut stream = site.connect().await;
-    assert!(exchange(&mut stream).await.ends_with(ANSWER));
-    site.drain.stop.send_replace(Stage::Ending);
-    let mut buffer = [0; 16];
-    let count = timeout(ANSWER_TIMEOUT, stream.read(&mut buffer)).await.expect("the connection ends");
-    assert_eq!(count.expect("the connection is closed"), 0);
-    stream.write_all(REQUEST).await.expect("the caller's side is open");
-    sleep(HEADER_TIMEOUT).await;
-    assert_eq!(site.unanswered.with_label_values(&["unread"]).get(), 1);
+async fn request_that_crosses_the_close_is_refused() {
+    for is_stop in [true, false] {
+        let site = Site::start(if is_stop { Duration::from_secs(10) } else { HEADER_TIMEOUT });
+        let mut stream = site.connect().await;
+        assert!(exchange(&mut stream).await.ends_with(ANSWER));
+        if is_stop {
+            site.drain.stop.send_replace(Stage::Ending);
+        }
+        let mut text = vec![0; 1024];
+        let count = timeout(ANSWER_TIMEOUT, stream.read(&mut text)).await.expect("the connection ends");
+        let text = String::from_utf8_lossy(&text[..count.expect("a notice of the close")]).to_lowercase();
+        assert!(text.starts_with("http/1.1 408") && text.contains("connection: close"), "{text:?}");
+        assert!(text.contains("not-run"), "{text:?}");
+        stream.write_all(REQUEST).await.expect("the caller's side is open");
+        assert!(wait_closed(&mut stream).await, "the connection stays open");
+        sleep(HEADER_TIMEOUT).await;
+        let refused = site.refusals.with_label_values(&["connection-closing", "not-run"]).get();
+        assert_eq!((refused, site.unanswered.with_label_values(&["unread"]).get()), (1, 0), "stop: {is_stop}");
+    }
 }
--- a/goldcrestward/src/connection/mod.rs
+++ b/goldcrestward/src/connection/mod.rs
@@ -6,6 +6,7 @@
 mod carried;
 mod carried_exchanges;
 mod client;
+mod close_notice;
 mod drain;
 mod error;
 mod framing;
--- a/goldcrestward/src/request/refusal.rs
+++ b/goldcrestward/src/request/refusal.rs
@@ -45,6 +45,8 @@
         HeaderTooLarge,
         /// The request head was not received in time.
         HeaderTimeout,
+        /// The request crossed the close of its connection.
+        ConnectionClosing,
         /// The request body is too large.
         BodyTooLarge,
         /// The request body was not received in time.
@@ -97,6 +99,7 @@
             Self::BadRequest => "bad-request",
             Self::HeaderTooLarge => "header-too-large",
             Self::HeaderTimeout => "header-timeout",
+            Self::ConnectionClosing => "connection-closing",
             Self::BodyTooLarge => "body-too-large",
             Self::BodyTimeout => "body-timeout",
             Self::KeyRequired => "idempotency-key-required",
@@ -127,7 +130,7 @@
             Self::BadRequest | Self::KeyRequired => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::HeaderTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            Self::BodyTimeout | Self::HeaderTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::BodyTimeout | Self::HeaderTimeout | Self::ConnectionClosing => StatusCode::REQUEST_TIMEOUT,
             Self::KeyMismatch | Self::CrashesBackends => StatusCode::UNPROCESSABLE_ENTITY,
             Self::InProgress | Self::EarlierMayHaveRun => StatusCode::CONFLICT,
             Self::RequestLimit | Self::TokenLimit | Self::ConcurrencyLimit => StatusCode::TOO_MANY_REQUESTS,
