--- a/goldcrestward/src/request/awaited_head.rs
+++ b/goldcrestward/src/request/awaited_head.rs
@@ -31,12 +31,15 @@
 /// Sends a request and awaits the head of its response.
 ///
 /// If it is dropped while it waits, the caller has gone. What a refusal says of its server concerns later requests too, so
-/// the head of a request that was sent recently is read for a moment longer, and then the connection is closed.
+/// the head of a request that was sent recently is read for a moment longer, and then the connection is closed. That of one
+/// that another server has as well is closed at once, as two must not be at work on it.
 pub(super) struct AwaitedHead {
     attempt: Arc<SentAttempt>,
     window: RunWindow,
     /// `None` once it has ended or been given up.
     exchange: Option<Exchange>,
+    /// Whether another server has the request as well.
+    is_second: bool,
 }
 
 impl AwaitedHead {
@@ -45,12 +48,13 @@
         window: RunWindow,
         mut connection: BackendConnection,
         request: HttpRequest<Full<Bytes>>,
+        is_second: bool,
     ) -> Self {
         let exchange: Exchange = Box::pin(async move {
             let response = connection.send(request).await;
             (connection, response)
         });
-        Self { attempt: Arc::new(attempt), window, exchange: Some(exchange) }
+        Self { attempt: Arc::new(attempt), window, exchange: Some(exchange), is_second }
     }
 
     pub fn attempt(&self) -> &SentAttempt {
@@ -85,7 +89,7 @@
 impl Drop for AwaitedHead {
     fn drop(&mut self) {
         let Some(exchange) = self.exchange.take() else { return };
-        if self.window.has_ended() || self.attempt.sent.elapsed() >= REFUSAL_TIME {
+        if self.is_second || self.window.has_ended() || self.attempt.sent.elapsed() >= REFUSAL_TIME {
             return;
         }
         let gateway = &self.attempt.gateway;
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -108,6 +108,8 @@
     pub(super) silent_since: Option<Instant>,
     /// The silent server that was given up for another place, until another one has answered.
     pub(super) silent: Option<Arc<str>>,
+    /// Whether the next attempt is made beside a server that is silent and kept.
+    pub(super) is_second: bool,
     /// The connection for the next attempt, if there is one already.
     pub(super) connection: Option<BackendConnection>,
     /// What log lines say of the connection of the last attempt.
@@ -168,6 +170,7 @@
             fallback: None,
             silent_since: None,
             silent: None,
+            is_second: false,
             connection: None,
             connection_label: String::new(),
             via: None,
@@ -606,7 +609,7 @@
         }
         self.sends += 1;
         self.set_run_state(RunState::MayHaveRun);
-        let mut head = AwaitedHead::new(attempt, self.window.clone(), connection, request);
+        let mut head = AwaitedHead::new(attempt, self.window.clone(), connection, request, self.is_second);
         let mut other = sequence.fork(&self.gateway.shared.response_memory);
         let (connection, response) = match self.wait_or_take_over(guard, &mut head, &mut other).await {
             Waited::Output(received) => received,
--- a/goldcrestward/src/request/takeover.rs
+++ b/goldcrestward/src/request/takeover.rs
@@ -99,6 +99,7 @@
         let (migration, kv_cache) = (mem::take(&mut self.migration), self.kv_cache.take());
         let (via, label, run_started) = (self.via.clone(), self.connection_label.clone(), self.run_started);
         self.connection = Some(connection);
+        self.is_second = true;
         self.retry_cause = Some("silent");
         self.tried.push(left.clone());
         sequence.restart();
@@ -129,6 +130,7 @@
             })
             .await
         };
+        self.is_second = false;
         let id = self.metadata.id.clone();
         let is_kept = given_up.is_none() && !self.time_left().is_zero();
         let takeover = match first {
