--- a/goldcrestward/src/process/exchange/usage_handover.rs
+++ b/goldcrestward/src/process/exchange/usage_handover.rs
@@ -96,7 +96,8 @@
             let takers = timeout(limit, self.hand_to_all(&table, stopping)).await.unwrap_or_default();
             if !takers.is_empty() {
                 info!("event=usage-handed lives={lives} stopping={stopping} to={takers:?}");
-                self.handed = Some(table.lives);
+                // Daemons that are being stopped may end before they hand the counts on.
+                self.handed = (!stopping).then_some(table.lives);
                 return;
             }
         }
