--- a/goldcrestward/src/process/reach/connect.rs
+++ b/goldcrestward/src/process/reach/connect.rs
@@ -232,6 +232,7 @@
                 from: self.shared.settings.name.to_string(),
                 at_most_ms: work.at_most.map_or(0, work_ms),
             };
+            let asked_at = self.shared.now();
             let opened = timeout(RELAY_TIMEOUT, self.shared.peer_client.open_tunnel(address, open)).await;
             let result = match &opened {
                 Ok(Ok(_)) => TunnelResult::Opened,
@@ -240,7 +241,7 @@
             };
             self.shared.metrics.relayed_connects.with_label_values(&[label(result)]).inc();
             info!("event=relay-asked id={id} instance={} peer={name} result={}", replica.id, label(result));
-            let search = self.helpers.lock().record(&name, &replica.id, result, self.shared.now());
+            let search = self.helpers.lock().record(&name, &replica.id, result, asked_at, self.shared.now());
             match (opened, search) {
                 (Ok(Ok(tunnel)), _) => {
                     let connection = self.backend_connections.open_over(tunnel, name, replica.address, &replica.id);
--- a/goldcrestward/src/process/reach/helpers.rs
+++ b/goldcrestward/src/process/reach/helpers.rs
@@ -34,30 +34,42 @@
     doubted_until: u64,
 }
 
+/// A peer's way to a server.
+#[derive(Clone, Copy, Debug, Default)]
+struct Way {
+    /// Until when the peer is not asked for the server.
+    paused_until: u64,
+    /// When it last said that it had opened a connection there.
+    opened_at: Option<u64>,
+}
+
 /// What this daemon knows of its peers as ways to servers.
 #[derive(Debug, Default)]
 pub(crate) struct Helpers {
     peers: HashMap<Arc<str>, Peer>,
-    /// Until when a peer is not asked for a server, by server and peer.
-    no_path: HashMap<Arc<str>, HashMap<Arc<str>, u64>>,
+    /// By server and peer.
+    ways: HashMap<Arc<str>, HashMap<Arc<str>, Way>>,
 }
 
 impl Helpers {
-    /// Records what a peer has answered to a request for a connection to a server.
-    pub fn record(&mut self, peer: &Arc<str>, server: &Arc<str>, result: TunnelResult, now: u64) -> Search {
+    /// Records what a peer has answered to a request for a connection to a server, which it was sent at `asked`.
+    pub fn record(&mut self, peer: &Arc<str>, server: &Arc<str>, result: TunnelResult, asked: u64, now: u64) -> Search {
         match result {
-            TunnelResult::Opened => Search::Found,
+            TunnelResult::Opened => {
+                *self.way(peer, server) = Way { paused_until: 0, opened_at: Some(now) };
+                Search::Found
+            }
             TunnelResult::Unreached => {
-                self.pause_path(peer, server, now + PATH_PAUSE_MS);
+                self.pause_way(peer, server, asked, now + PATH_PAUSE_MS);
                 Search::Refused
             }
             TunnelResult::CutOff => {
-                self.pause_path(peer, server, now + PATH_PAUSE_MS);
+                self.pause_way(peer, server, asked, now + PATH_PAUSE_MS);
                 Search::GoOn
             }
             // It will soon know the server, or no longer be asked.
             TunnelResult::Unknown => {
-                self.pause_path(peer, server, now + UNKNOWN_PAUSE_MS);
+                self.pause_way(peer, server, asked, now + UNKNOWN_PAUSE_MS);
                 Search::GoOn
             }
             // It may still carry what ends sooner, or what goes to other servers.
@@ -90,21 +102,30 @@
     /// Whether a peer may be asked for a connection to a server.
     pub fn may_help(&self, peer: &str, server: &str, now: u64) -> bool {
         let is_paused = self.peers.get(peer).is_some_and(|state| state.paused_until > now);
-        let until = self.no_path.get(server).and_then(|peers| peers.get(peer));
-        !is_paused && until.is_none_or(|until| *until <= now)
+        let way = self.ways.get(server).and_then(|peers| peers.get(peer));
+        !is_paused && way.is_none_or(|way| way.paused_until <= now)
     }
 
     /// Forgets servers that are gone, and what is out of date.
     pub fn forget(&mut self, is_known: impl Fn(&str) -> bool, now: u64) {
-        self.no_path.retain(|server, peers| {
-            peers.retain(|_, until| *until > now);
+        self.ways.retain(|server, peers| {
+            peers.retain(|_, way| way.paused_until.max(way.opened_at.map_or(0, |at| at + PATH_PAUSE_MS)) > now);
             !peers.is_empty() && is_known(server)
         });
         self.peers.retain(|_, state| state.paused_until.max(state.doubted_until) > now);
     }
 
-    fn pause_path(&mut self, peer: &Arc<str>, server: &Arc<str>, until: u64) {
-        self.no_path.entry(server.clone()).or_default().insert(peer.clone(), until);
+    fn way(&mut self, peer: &Arc<str>, server: &Arc<str>) -> &mut Way {
+        self.ways.entry(server.clone()).or_default().entry(peer.clone()).or_default()
+    }
+
+    /// Pauses a way, unless the peer has opened a connection since it was asked: while it finds out by one question whether
+    /// it reaches a server again, it turns the others away.
+    fn pause_way(&mut self, peer: &Arc<str>, server: &Arc<str>, asked: u64, until: u64) {
+        let way = self.way(peer, server);
+        if way.opened_at.is_none_or(|at| at < asked) {
+            way.paused_until = until;
+        }
     }
 
     fn pause(&mut self, peer: &Arc<str>, now: u64) {
--- a/goldcrestward/src/process/reach/helpers_test.rs
+++ b/goldcrestward/src/process/reach/helpers_test.rs
@@ -14,7 +14,7 @@
 fn record_peer_without_a_path_leaves_the_others_to_be_asked() {
     let mut helpers = Helpers::default();
     let (peer, server) = (name("peer"), name("server"));
-    assert_eq!(helpers.record(&peer, &server, TunnelResult::CutOff, 10), Search::GoOn);
+    assert_eq!(helpers.record(&peer, &server, TunnelResult::CutOff, 10, 10), Search::GoOn);
     assert!(helpers.may_help("other", "server", 11));
     assert!(!helpers.may_help("peer", "server", 11));
     assert!(helpers.may_help("peer", "server", 10 + PATH_PAUSE_MS));
@@ -24,10 +24,28 @@
 #[test]
 fn record_peer_without_a_path_to_one_server_helps_with_others() {
     let mut helpers = Helpers::default();
-    helpers.record(&name("peer"), &name("server-1"), TunnelResult::CutOff, 10);
+    helpers.record(&name("peer"), &name("server-1"), TunnelResult::CutOff, 10, 10);
     assert!(helpers.may_help("peer", "server-2", 11));
 }
 
+/// Guards against LOST: a peer answers one of several questions by trying the server and turns the others away meanwhile. They
+/// had it left out for a second although it had just opened a connection, and requests that waited for a way were given up.
+#[test]
+fn record_refusals_from_before_an_opened_connection_leave_the_peer_to_be_asked() {
+    for opened_first in [true, false] {
+        let mut helpers = Helpers::default();
+        let (peer, server) = (name("peer"), name("server"));
+        let answers = [(TunnelResult::Opened, 10, 12), (TunnelResult::CutOff, 11, 12)];
+        let order = if opened_first { [0, 1, 1] } else { [1, 1, 0] };
+        for (result, asked, now) in order.map(|number| answers[number]) {
+            helpers.record(&peer, &server, result, asked, now);
+        }
+        assert!(helpers.may_help("peer", "server", 13), "opened first: {opened_first}");
+        helpers.record(&peer, &server, TunnelResult::CutOff, 13, 14);
+        assert!(!helpers.may_help("peer", "server", 15), "turned away since: {opened_first}");
+    }
+}
+
 #[test]
 fn record_tells_whether_the_search_goes_on() {
     let cases = [
@@ -42,7 +60,7 @@
     ];
     for (result, next, is_asked_again) in cases {
         let mut helpers = Helpers::default();
-        assert_eq!(helpers.record(&name("peer"), &name("server"), result, 0), next, "{result:?}");
+        assert_eq!(helpers.record(&name("peer"), &name("server"), result, 0, 0), next, "{result:?}");
         assert_eq!(helpers.may_help("peer", "server", 1), is_asked_again, "{result:?}");
     }
 }
@@ -50,7 +68,7 @@
 #[test]
 fn record_busy_peer_is_asked_for_nothing_for_a_time() {
     let mut helpers = Helpers::default();
-    helpers.record(&name("peer"), &name("server-1"), TunnelResult::Busy, 10);
+    helpers.record(&name("peer"), &name("server-1"), TunnelResult::Busy, 10, 10);
     assert!(!helpers.may_help("peer", "server-2", 11));
     assert!(helpers.may_help("peer", "server-2", 10 + PEER_PAUSE_MS));
 }
@@ -70,7 +88,7 @@
 #[test]
 fn forget_drops_servers_that_are_gone() {
     let mut helpers = Helpers::default();
-    helpers.record(&name("peer"), &name("server"), TunnelResult::CutOff, 0);
+    helpers.record(&name("peer"), &name("server"), TunnelResult::CutOff, 0, 0);
     helpers.forget(|_| false, 1);
     assert!(helpers.may_help("peer", "server", 2));
 }
