--- a/goldcrestward/src/process/stopped.rs
+++ b/goldcrestward/src/process/stopped.rs
@@ -47,7 +47,7 @@
         let [kept, new] = ["kept", "new"].map(|connection| arrivals.with_label_values(&[connection]).get());
         let unanswered = UnansweredCause::summary(&unanswered);
         info!(
-            "event=stopped daemon={name} whole={whole} late_kept={kept} late_new={new} refused={refused} given_up={given_up} cut={cut} unanswered=[{unanswered}]"
+            "event=stopped daemon={name} whole={whole} late_kept={kept} late_new={new} unanswered=[{unanswered}] refused={refused} given_up={given_up} cut={cut}"
         );
     }
 }
