--- a/review/common-2/kit.py
+++ b/review/common-2/kit.py
@@ -150,7 +150,8 @@
 class Store(HttpServer):
     """The platform's store."""
 
-    PAGE = 500
+    # Most items and bytes of values of a page.
+    PAGE_ITEMS, PAGE_BYTES = 500, 1 << 20
 
     def __init__(self):
         super().__init__()
@@ -249,8 +250,13 @@
             return (200, dict(item, as_of=self.revision)) if item else (404, {})
         if path == "/v1/kv-range":
             keys = sorted(k for k in self.items if k.startswith(query["prefix"]) and k > query.get("after", ""))
-            page = [self.items[k] for k in keys[:self.PAGE]]
-            return 200, {"items": page, "truncated": len(keys) > self.PAGE, "as_of": self.revision}
+            page, length = [], 0
+            for key in keys[:self.PAGE_ITEMS]:
+                length += len(self.items[key]["value"]) * 3 // 4
+                if page and length > self.PAGE_BYTES:
+                    break
+                page.append(self.items[key])
+            return 200, {"items": page, "truncated": len(keys) > len(page), "as_of": self.revision}
         if path == "/v1/kv-watch":
             return await self._watch(query["prefix"], int(query["after"]), int(query["wait_ms"]) / 1000)
         if path == "/v1/kv-txn":
