--- a/review/common-2/kit.py
+++ b/review/common-2/kit.py
@@ -592,8 +592,18 @@
         record.note("the daemon is not built")
         sys.exit(2)
 
+    def end(*_):
+        for daemon in sites[0].daemons if sites else []:
+            daemon.kill()
+        os._exit(2)
+
+    # Ends what was started also if the script is ended before its time.
+    signal.signal(signal.SIGTERM, end)
+    sites = []
+
     async def run():
         site = Site(folder, record)
+        sites.append(site)
         try:
             await site.listen()
             return await asyncio.wait_for(case(site, record), limit)
@@ -602,7 +612,8 @@
 
     try:
         held = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    # An error of the script itself is no verdict either.
+    except Exception as error:
         record.note(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         sys.exit(2)
