--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,13 +10,13 @@
 DAEMONS = 4
 REPLICAS = 6
 CALM_S = 6.0
-SOUND_GAP_S = 0.05
+SOUND_GAP_S = 0.03
 DEADLY_GAP_S = 0.7
 # Twice `contact_ms`.
 SETTLE_S = 8.0
 MEASURED_S = 6.0
 BACK_S = 3.0
-FIRST_EVENT_S = 0.4
+FIRST_EVENT_S = 0.45
 DEADLY = "dead"
 
 
