--- a/review/7/case.py
+++ b/review/7/case.py
@@ -28,7 +28,8 @@
     for number in range(2):
         await kit.Replica(site.store, record, f"i-{number}", "orders", lookup).start()
     routes = [kit.route("lookups", "/lookups/", "safe", "orders", attempts=2)]
-    await site.store.put("op/config", kit.configuration(1, routes, [kit.service("orders")]))
+    config = kit.configuration(1, routes, [kit.service("orders")])
+    await site.store.put("op/config", config)
     await site.start_daemons(["zone-a", "zone-a"])
     await asyncio.sleep(1)
     sent = []
@@ -54,8 +55,10 @@
             await site.store.put(key, value)
         record.note("another writer has written its entries")
     await asyncio.sleep(1)
+    # The final fault comes right after a configuration is acknowledged.
+    await site.store.put("op/config", dict(config, version=2))
     fault = kit.now()
-    record.note("all daemons are killed")
+    record.note("version 2 is acknowledged; all daemons are killed")
     for daemon in site.daemons:
         daemon.process.kill()
         daemon.process.wait()
