Readings of the state: a line and a count for each failure, and one line for a refused entry

`Unreached` and `Unanswered` did not say why a call failed; a request that could not be built looked like a network failure. A too-long entry had two lines, one by its reader and one by whoever applied the empty text in its place.

Change: both errors carry a `Cause`. `state-read-failed` says which reading failed (a listing with its page and the key after which that begins), why and how often, at most once a second; `state-read-back` follows the next reading that works. `state_read_failures_total` counts by kind and reason, `refused_entries_total` refused entries.

The tests of the ledger that make an `Unanswered` name a cause; what they check is the same.

--- a/goldcrestward/src/ledger/search_test.rs
+++ b/goldcrestward/src/ledger/search_test.rs
@@ -8,13 +8,17 @@
     slot::Slot,
     store_test::Store,
 };
-use crate::{pb::Grant, store::Error, util::stable_hash};
+use crate::{
+    pb::Grant,
+    store::{Cause, Error},
+    util::stable_hash,
+};
 
 const KEY: [u8; 16] = [7; 16];
 const STEP_MS: u64 = 1_000;
 
 fn unanswered(effect: &Effect) -> StoreResult {
-    let error = Error::Unanswered { service: "model" };
+    let error = Error::Unanswered { service: "model", cause: Cause::Broken };
     match effect {
         Effect::Load => StoreResult::Loaded(Err(error)),
         _ => StoreResult::Executed(Err(error)),
--- a/goldcrestward/src/ledger/slot_test.rs
+++ b/goldcrestward/src/ledger/slot_test.rs
@@ -10,7 +10,7 @@
 };
 use crate::{
     pb::{self, Grant},
-    store::Error,
+    store::{Cause, Error},
 };
 
 /// Key-value service that answers at once and loses the answers to the next `answers_to_lose` commits.
@@ -30,7 +30,7 @@
         self.writes += 1;
         if self.answers_to_lose > 0 {
             self.answers_to_lose -= 1;
-            return StoreResult::Executed(Err(Error::Unanswered { service: "test" }));
+            return StoreResult::Executed(Err(Error::Unanswered { service: "test", cause: Cause::Broken }));
         }
         result
     }
--- a/goldcrestward/src/platform/etcd.rs
+++ b/goldcrestward/src/platform/etcd.rs
@@ -13,7 +13,7 @@
 use crate::{
     connection::{HttpClient, OutboundRequest, SendError},
     process::{ReadError, ResponseBuffer, ResponseMemory},
-    store::{Change, Changes, Error, Lease, Page, Result, Revision, Row, StorePort, Txn, TxnOutcome, WatchPort},
+    store::{Cause, Change, Changes, Error, Lease, Page, Result, Revision, Row, StorePort, Txn, TxnOutcome, WatchPort},
 };
 
 const SERVICE: &str = "key-value service";
@@ -191,27 +191,27 @@
         let response = self.send(path, purpose, request).await?;
         let body = self.memory.collect_protected(response.into_body(), &self.name, MAX_RESPONSE_BYTES).await;
         let bytes = body.map_err(|error| {
-            if let ReadError::TooLong(error) = error {
-                self.memory.record_too_long("-", &self.name, "service", &error);
-            }
-            Error::Unanswered { service: SERVICE }
+            let ReadError::TooLong(error) = error else { return unanswered(Cause::Broken) };
+            self.memory.record_too_long("-", &self.name, "service", &error);
+            unanswered(Cause::TooLong)
         })?;
-        serde_json::from_slice(&bytes).map_err(|_| Error::Unanswered { service: SERVICE })
+        serde_json::from_slice(&bytes).map_err(|_| unanswered(Cause::Undecodable))
     }
 
     async fn send<Q: Serialize>(&self, path: &str, purpose: &'static str, request: &Q) -> Result<Response> {
         let mut headers = HeaderMap::new();
         headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
         headers.insert("x-purpose", HeaderValue::from_static(purpose));
-        let body = serde_json::to_vec(request).map_err(|_| Error::Unreached { service: SERVICE })?;
+        let body =
+            serde_json::to_vec(request).map_err(|_| Error::Unreached { service: SERVICE, cause: Cause::Unsendable })?;
         let (address, method) = (self.address, Method::POST);
         let call = OutboundRequest { address, method, path: path.to_owned(), headers, body: Body::from(body) };
         match self.client.send(call).await {
             Ok(response) if response.status() == StatusCode::OK => Ok(response),
-            Ok(_) | Err(SendError::MaybeSent | SendError::HeadTooLong(_)) => {
-                Err(Error::Unanswered { service: SERVICE })
-            }
-            Err(SendError::NotSent) => Err(Error::Unreached { service: SERVICE }),
+            Ok(_) => Err(unanswered(Cause::Status)),
+            Err(SendError::MaybeSent) => Err(unanswered(Cause::Broken)),
+            Err(SendError::HeadTooLong(_)) => Err(unanswered(Cause::TooLong)),
+            Err(SendError::NotSent) => Err(Error::Unreached { service: SERVICE, cause: Cause::Connection }),
         }
     }
 }
@@ -315,7 +315,7 @@
     fn keep(&mut self, data: &[u8]) -> Result<()> {
         self.buffer.append(data).map_err(|error| {
             self.memory.record_too_long("-", &self.name, "watch", &error);
-            Error::Unanswered { service: SERVICE }
+            unanswered(Cause::TooLong)
         })
     }
 }
@@ -323,11 +323,12 @@
 impl WatchPort for Watch {
     fn next(&mut self, _limit: Duration) -> BoxFuture<'_, Result<Changes>> {
         Box::pin(async move {
-            let ended = || Error::Unanswered { service: SERVICE };
+            let ended = || unanswered(Cause::Broken);
             loop {
                 if let Some(end) = self.lines.iter().position(|b| *b == b'\n') {
                     let line = self.lines.split_to(end + 1);
-                    let response: WatchResponse = serde_json::from_slice(&line).map_err(|_| ended())?;
+                    let response: WatchResponse =
+                        serde_json::from_slice(&line).map_err(|_| unanswered(Cause::Undecodable))?;
                     let changes: Vec<_> = response.result.events.into_iter().filter_map(decode_change).collect();
                     let revisions = changes.iter().map(|change| match change {
                         Change::Put(row) => row.revision,
@@ -374,3 +375,7 @@
 fn parse_number(text: &str) -> u64 {
     text.parse().unwrap_or(0)
 }
+
+fn unanswered(cause: Cause) -> Error {
+    Error::Unanswered { service: SERVICE, cause }
+}
--- a/goldcrestward/src/platform/instances.rs
+++ b/goldcrestward/src/platform/instances.rs
@@ -11,7 +11,7 @@
     connection::{HttpClient, OutboundRequest},
     port::{Instance, InstanceState},
     process::{ReadError, ResponseMemory},
-    store::{Error, Result},
+    store::{Cause, Error, Result},
 };
 
 const SERVICE: &str = "instance list";
@@ -106,7 +106,7 @@
             serde_json::from_slice::<Page>(&body.ok()?).ok()
         };
         let page = timeout(REQUEST_TIMEOUT, exchange).await.ok().flatten();
-        let Some(page) = page else { return Err(Error::Unanswered { service: SERVICE }) };
+        let Some(page) = page else { return Err(Error::Unanswered { service: SERVICE, cause: Cause::Broken }) };
         self.position = page.position;
         Ok(page.instances.into_iter().map(Into::into).collect())
     }
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -407,6 +407,7 @@
         holds_duties: AtomicBool::new(false),
         kept_pulls: AtomicU32::new(0),
         freshness: Mutex::default(),
+        refused_entries: Mutex::default(),
         pull_failures: Mutex::default(),
         pull_permit: Arc::new(Semaphore::new(1)),
         long_pull_permit: Semaphore::new(1),
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -88,6 +88,10 @@
     pub config_changes: IntCounterVec,
     /// Time from when a daemon read a configuration in the store until it came into force here.
     pub config_delay: Histogram,
+    /// Readings of the site's state in the key-value store that failed, by kind and reason.
+    pub state_read_failures: IntCounterVec,
+    /// Entries of the site's state that cannot be read.
+    pub refused_entries: IntCounter,
     /// Known replicas, by pool.
     pub replicas: IntGaugeVec,
     /// Finished rollouts, by outcome.
@@ -223,6 +227,13 @@
                 "time from a configuration's reading in the store by any daemon until it is in force",
                 &CONFIG_DELAY_BUCKETS_SECONDS,
             )?,
+            state_read_failures: factory.counters(
+                "state_read_failures_total",
+                "readings of the site's state in the key-value store that failed",
+                &["kind", "why"],
+            )?,
+            refused_entries: factory
+                .counter("refused_entries_total", "entries of the site's state that cannot be read")?,
             replicas: factory.gauges("replicas", "replicas known by pool", &["pool"])?,
             rollouts: factory.counters("moves_total", "moves to new versions by outcome", &["outcome"])?,
             crashes: factory.counters("crashes_total", "requests on crashed replicas by blame", &["blame"])?,
--- a/goldcrestward/src/process/state/reader.rs
+++ b/goldcrestward/src/process/state/reader.rs
@@ -16,13 +16,14 @@
 
 use super::{
     freshness::{Budget, Overdue},
+    line_limit::LineLimit,
     turn::{Place, Turn, readers_per_region},
 };
 use crate::{
     pb,
     port::Catalog,
     process::{duty::OWN_PREFIX, shared::Shared},
-    store::{Change, Changes, Error, Purpose, Revision, Row},
+    store::{Change, Changes, Error, Listing, Purpose, Revision, Row},
     util::stable_hash,
 };
 
@@ -49,6 +50,11 @@
     failures: u32,
     /// The way that was logged last, and when.
     logged: (&'static str, u64),
+    /// The listing that is being read, or was read last.
+    listing: Listing,
+    failure_lines: LineLimit,
+    /// Whether a failure has been logged since the last success.
+    is_failure_logged: bool,
 }
 
 impl StateReader {
@@ -59,7 +65,18 @@
             warn!("event=config-apply-too-short config_apply_ms={total} max_age_ms={}", budget.max_age);
         }
         let delay_ms = stable_hash(&[b"state-reader", shared.settings.name.as_bytes()]) % budget.spread;
-        Self { shared, catalog, budget, delay_ms, is_compacted: false, failures: 0, logged: ("", 0) }
+        Self {
+            shared,
+            catalog,
+            budget,
+            delay_ms,
+            is_compacted: false,
+            failures: 0,
+            logged: ("", 0),
+            listing: Listing::default(),
+            failure_lines: LineLimit::default(),
+            is_failure_logged: false,
+        }
     }
 
     /// Reads the store when it is this daemon's turn, until the task is dropped.
@@ -73,16 +90,19 @@
                 Turn::CatchUp(_) => self.catch_up().await,
                 Turn::Rely => {
                     sleep(Duration::from_millis(self.budget.check)).await;
-                    Ok(())
+                    Ok(false)
                 }
             };
-            let Err(error) = result else {
-                self.failures = 0;
-                continue;
+            let error = match result {
+                Ok(has_read) => {
+                    self.record_success(turn, has_read);
+                    continue;
+                }
+                Err(error) => error,
             };
             self.failures += 1;
             self.is_compacted |= matches!(error, Error::Compacted { .. });
-            self.record_error(&error);
+            self.record_error(turn, &error);
             let pause = self.pause(turn).mul_f64(rand::rng().random_range(0.5..1.5));
             sleep(pause).await;
         }
@@ -138,9 +158,16 @@
         info!("event=state-source source={source} why={why} age_ms={age} revision={own} wanted={wanted}");
     }
 
-    async fn list(&mut self) -> Result<(), Error> {
+    /// Reads everything. This and the other ways of reading return whether the store has stated its state.
+    async fn list(&mut self) -> Result<bool, Error> {
         let sent_at = self.shared.now();
-        let (rows, revision) = self.shared.kv.list(Purpose::Site, self.catalog.prefix(), Revision::NONE).await?;
+        self.listing = Listing::default();
+        let (prefix, mut rows) = (self.catalog.prefix(), Vec::new());
+        while !self.listing.is_complete() {
+            let page = self.shared.kv.list_next(Purpose::Site, prefix, Revision::NONE, &mut self.listing);
+            rows.extend(page.await?);
+        }
+        let revision = self.listing.revision();
         let rows = rows.into_iter().filter(|row| self.is_relevant(&row.key));
         let files = rows.map(|row| self.row_to_file(row)).collect();
         let listing = pb::ConfigDelta { revision: revision.ordinal(), files, whole: true, next: None };
@@ -152,37 +179,37 @@
         info!("event=state-listed revision={revision} files={files} known={known}");
         self.record_reading(revision, sent_at);
         self.is_compacted = false;
-        Ok(())
+        Ok(true)
     }
 
     /// Waits at the store for changes after those of the copy. Ends early if the wait itself might leave the copy behind.
-    async fn poll(&self, limit: Duration) -> Result<(), Error> {
+    async fn poll(&self, limit: Duration) -> Result<bool, Error> {
         let own = self.shared.config.lock().revision();
         let sent_at = self.shared.now();
         let mut watch = self.shared.kv.watch(Purpose::Site, self.catalog.prefix(), own).await?;
         let changes = tokio::select! {
             changes = watch.next(limit) => changes?,
             // Another call has been answered from a new history, in which the watch may miss changes.
-            () = self.shared.kv.history_ended(own.history()) => return Ok(()),
-            () = self.until_overdue() => return Ok(()),
+            () = self.shared.kv.history_ended(own.history()) => return Ok(false),
+            () = self.until_overdue() => return Ok(false),
         };
         // Without changes the store has answered when the time was over; the answer may have been under way for long.
         let is_empty = changes.changes.is_empty();
         let waited_until = sent_at + u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
         let now = self.shared.now();
         self.merge(changes, if is_empty { waited_until.min(now) } else { now });
-        Ok(())
+        Ok(true)
     }
 
     /// Reads the changes after those of the copy. If the store takes its time, a second reading begins beside the first,
     /// as the connection may be dead.
-    async fn catch_up(&self) -> Result<(), Error> {
+    async fn catch_up(&self) -> Result<bool, Error> {
         let own = self.shared.config.lock().revision();
         let sent_at = self.shared.now();
         let read = || self.shared.kv.changes(Purpose::Site, self.catalog.prefix(), own);
         let changes = hedged(read, Duration::from_millis(self.budget.hedge)).await?;
         self.merge(changes, sent_at);
-        Ok(())
+        Ok(true)
     }
 
     /// Merges changes that the store has stated at `at`.
@@ -212,7 +239,30 @@
         self.catalog.is_relevant(key) || key.starts_with(OWN_PREFIX)
     }
 
-    fn record_error(&self, error: &Error) {
+    fn record_success(&mut self, turn: Turn, has_read: bool) {
+        if has_read && mem::take(&mut self.is_failure_logged) {
+            info!("event=state-read-back kind={} failures={}", turn.label(), self.failures);
+        }
+        self.failures = 0;
+    }
+
+    /// Counts a failed reading, and logs it, at most once a second.
+    fn log_failure(&mut self, turn: Turn, error: &Error) {
+        let (kind, why, failures) = (turn.label(), error.label(), self.failures);
+        self.shared.metrics.state_read_failures.with_label_values(&[kind, why]).inc();
+        let Some(others) = self.failure_lines.record(self.shared.now()) else { return };
+        self.is_failure_logged = true;
+        let (page, after) = match turn {
+            Turn::List => (self.listing.next_page().to_string(), self.listing.after()),
+            _ => ("-".to_owned(), ""),
+        };
+        warn!(
+            "event=state-read-failed kind={kind} why={why} page={page} after={after:?} failures={failures} others={others}"
+        );
+    }
+
+    fn record_error(&mut self, turn: Turn, error: &Error) {
+        self.log_failure(turn, error);
         if matches!(error, Error::Compacted { .. }) {
             info!("event=store-history-lost");
             return;
@@ -234,7 +284,7 @@
         let is_long = is_instance && value.len() > MAX_INSTANCE_BYTES;
         let text = if is_long { Err("too long") } else { String::from_utf8(value.to_vec()).map_err(|_| "not UTF-8") };
         let text = text.unwrap_or_else(|error| {
-            warn!("event=entry-refused key={key:?} revision={revision} bytes={} error={error:?}", value.len());
+            self.shared.record_refused_entry(&key, revision, value.len(), error);
             String::new()
         });
         let mut file =
--- a/goldcrestward/src/store/client.rs
+++ b/goldcrestward/src/store/client.rs
@@ -12,8 +12,9 @@
 
 use super::{
     breaker::CircuitBreaker,
-    error::{BudgetSnafu, Error, RestoredSnafu, Result, UnansweredSnafu},
+    error::{BudgetSnafu, Cause, Error, Result, UnansweredSnafu},
     history::History,
+    listing::Listing,
     port::{Changes, Lease, Row, StorePort, Txn, TxnOutcome, WatchPort},
     revision::Revision,
 };
@@ -139,23 +140,27 @@
     /// # Errors
     /// Fails when the service does not answer, or is restored from a copy between two pages.
     pub async fn list(&self, purpose: Purpose, prefix: &str, since: Revision) -> Result<(Vec<Row>, Revision)> {
-        let mut rows = Vec::new();
-        let mut first = None;
-        let mut after = String::new();
-        loop {
-            let page = self.port.list_page(purpose.label(), prefix, since, &after);
-            let page = self.call("range", purpose, page).await?;
-            let revision = *first.get_or_insert(page.revision);
-            if revision.history() != page.revision.history() {
-                return RestoredSnafu { service: SERVICE }.fail();
-            }
-            rows.extend(page.rows);
-            match page.next {
-                Some(next) if next > after => after = next,
-                Some(_) => return UnansweredSnafu { service: SERVICE }.fail(),
-                None => return Ok((rows, revision)),
-            }
+        let (mut rows, mut listing) = (Vec::new(), Listing::default());
+        while !listing.is_complete() {
+            rows.extend(self.list_next(purpose, prefix, since, &mut listing).await?);
         }
+        Ok((rows, listing.revision()))
+    }
+
+    /// Reads the next page of a listing, and returns the rows with `prefix` that changed at revision `since` or later.
+    ///
+    /// # Errors
+    /// Fails when the service does not answer, or is restored from a copy between two pages.
+    pub async fn list_next(
+        &self,
+        purpose: Purpose,
+        prefix: &str,
+        since: Revision,
+        listing: &mut Listing,
+    ) -> Result<Vec<Row>> {
+        let page = self.port.list_page(purpose.label(), prefix, since, listing.after());
+        let page = self.call("range", purpose, page).await?;
+        listing.enter(page, SERVICE)
     }
 
     /// Reads the changes of keys with `prefix` after revision `after`, without waiting for one.
@@ -226,7 +231,8 @@
 }
 
 async fn with_timeout<T>(call: impl Future<Output = Result<T>>) -> Result<T> {
-    timeout(CALL_TIMEOUT, call).await.unwrap_or_else(|_| UnansweredSnafu { service: SERVICE }.fail())
+    let timed_out = UnansweredSnafu { service: SERVICE, cause: Cause::TimedOut };
+    timeout(CALL_TIMEOUT, call).await.unwrap_or_else(|_| timed_out.fail())
 }
 
 #[cfg(test)]
--- a/goldcrestward/src/store/memory_store.rs
+++ b/goldcrestward/src/store/memory_store.rs
@@ -9,7 +9,10 @@
 use futures_util::future::BoxFuture;
 use parking_lot::Mutex;
 
-use super::{Lease, Page, Result, Revision, Row, StorePort, Txn, TxnOutcome, WatchPort, error::UnreachedSnafu};
+use super::{
+    Lease, Page, Result, Revision, Row, StorePort, Txn, TxnOutcome, WatchPort,
+    error::{Cause, UnreachedSnafu},
+};
 
 /// Rows by key and the revision of the whole store. Watches are not supported.
 #[derive(Debug, Default)]
@@ -63,7 +66,7 @@
         _prefix: &'a str,
         _after: Revision,
     ) -> BoxFuture<'a, Result<Box<dyn WatchPort>>> {
-        Box::pin(async { UnreachedSnafu { service: "memory" }.fail() })
+        Box::pin(async { UnreachedSnafu { service: "memory", cause: Cause::Refused }.fail() })
     }
 
     fn txn<'a>(&'a self, _purpose: &'static str, txn: &'a Txn) -> BoxFuture<'a, Result<TxnOutcome>> {
--- a/goldcrestward/src/store/mod.rs
+++ b/goldcrestward/src/store/mod.rs
@@ -4,11 +4,13 @@
 mod client;
 mod error;
 mod history;
+mod listing;
 mod port;
 mod revision;
 
 pub(crate) use client::{Kv, Purpose};
-pub use error::{Error, Result};
+pub use error::{Cause, Error, Result};
+pub(crate) use listing::Listing;
 #[cfg(test)]
 pub(crate) mod memory_store;
 
