Logs: a name with a line break makes no second line

Cause: names from the store stand in some lines without quotes (`instance=`), and the log wrote control characters as they are: an entry `servers/rack\nevent=forged` that was removed began a line of its own.

Change: the writer of the log escapes control characters, for all lines in one place.

Test: name_with_a_line_break_makes_no_second_line failed before, and passes.

--- a/goldcrestward/src/lib.rs
+++ b/goldcrestward/src/lib.rs
@@ -13,6 +13,7 @@
 mod ledger;
 mod line_queue;
 pub mod logs;
+mod one_line;
 pub mod pb;
 mod platform;
 pub mod port;
--- a/goldcrestward/src/logs.rs
+++ b/goldcrestward/src/logs.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     line_queue::LineQueue,
+    one_line::OneLine,
     util::{stable_hash, unix_ms},
 };
 
@@ -92,7 +93,8 @@
 
 fn write_record(out: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
     let (time, level, args) = (unix_ms(), record.level(), record.args());
-    writeln!(out, "time={time} level={level} daemon={} {args}", daemon())
+    write!(OneLine(&mut *out), "time={time} level={level} daemon={} {args}", daemon())?;
+    writeln!(out)
 }
 
 fn dropped_line(count: u64) -> String {
