Changes that are longer than one answer may be are listed

Seen: after entries of 14 MB were written at once, `response-too-long` came again and again, and a configuration written afterwards was never in force.

Cause: a watch and a catch-up have no pages, and an answer beyond 8 MiB led to the same call again.

Change: such an answer leads to a listing, as a lost history does.

Test: changes_too_long_for_an_answer_are_listed (20 entries of 700,000 bytes) failed before (not in force within 2.5 s) and passes. changes_arrive_after_history_was_compacted_beside_long_entries passed before too.

--- a/goldcrestward/src/process/state/reader.rs
+++ b/goldcrestward/src/process/state/reader.rs
@@ -44,8 +44,9 @@
     budget: Budget,
     /// Time by which this daemon begins to read later than others whose knowledge is as old, in ms.
     delay_ms: u64,
-    /// Whether the store has dropped the changes that lead from the copy to its state.
-    is_compacted: bool,
+    /// Whether the changes that lead from the copy to the store's state cannot be read: the store has dropped them, or they
+    /// are longer than one answer may be. A listing has pages.
+    must_list: bool,
     /// Failed calls in a row.
     failures: u32,
     /// The way that was logged last, and when.
@@ -70,7 +71,7 @@
             catalog,
             budget,
             delay_ms,
-            is_compacted: false,
+            must_list: false,
             failures: 0,
             logged: ("", 0),
             listing: Listing::default(),
@@ -101,7 +102,7 @@
                 Err(error) => error,
             };
             self.failures += 1;
-            self.is_compacted |= matches!(error, Error::Compacted { .. });
+            self.must_list |= matches!(error, Error::Compacted { .. }) || (error.is_too_long() && turn != Turn::List);
             self.record_error(turn, &error);
             let pause = self.pause(turn).mul_f64(rand::rng().random_range(0.5..1.5));
             sleep(pause).await;
@@ -119,7 +120,7 @@
     fn next_turn(&self) -> Turn {
         let own = self.shared.config.lock().revision();
         let is_restored = self.shared.kv.history().number.is_some_and(|known| known > own.history());
-        let must_list = own.is_none() || is_restored || self.is_compacted;
+        let must_list = own.is_none() || is_restored || self.must_list;
         Turn::next(&self.budget, self.place(), self.overdue(), must_list, self.shared.agreed_ms())
     }
 
@@ -178,7 +179,7 @@
         }
         info!("event=state-listed revision={revision} files={files} known={known}");
         self.record_reading(revision, sent_at);
-        self.is_compacted = false;
+        self.must_list = false;
         Ok(true)
     }
 
