Listings let go of what is refused with each page

Cause: a listing held all values until its last page, and only then dropped what is refused or not relevant.

Change: the rows of a page become files before the next page is read.

Test: listing_does_not_hold_what_is_refused failed before.

--- a/goldcrestward/src/process/state/reader.rs
+++ b/goldcrestward/src/process/state/reader.rs
@@ -163,14 +163,14 @@
     async fn list(&mut self) -> Result<bool, Error> {
         let sent_at = self.shared.now();
         self.listing = Listing::default();
-        let (prefix, mut rows) = (self.catalog.prefix(), Vec::new());
+        let (prefix, mut files) = (self.catalog.prefix(), Vec::new());
         while !self.listing.is_complete() {
             let page = self.shared.kv.list_next(Purpose::Site, prefix, Revision::NONE, &mut self.listing);
-            rows.extend(page.await?);
+            // What is not kept of a page goes before the next one comes.
+            let rows = page.await?.into_iter().filter(|row| self.is_relevant(&row.key));
+            files.extend(rows.map(|row| self.row_to_file(row)));
         }
         let revision = self.listing.revision();
-        let rows = rows.into_iter().filter(|row| self.is_relevant(&row.key));
-        let files = rows.map(|row| self.row_to_file(row)).collect();
         let listing = pb::ConfigDelta { revision: revision.ordinal(), files, whole: true, next: None };
         let known = self.shared.config.lock().revision();
         let files = listing.files.len();
