A listing goes on with the page that failed

Cause: a listing began with page 1 again after any failure, so that one of many pages never ended at a store that failed one call in a few.

Change: `StateListing` keeps the pages that were read, and asks for the failed one again, up to eight times. The revision and the time of the listing are those of its first page, from which the watch goes on. It ends when the history does, and when peers have brought the state.

--- a/goldcrestward/src/process/state/mod.rs
+++ b/goldcrestward/src/process/state/mod.rs
@@ -8,6 +8,7 @@
 mod reader;
 mod refused_entries;
 mod site_state;
+mod state_listing;
 mod turn;
 mod unconfirmed;
 
--- a/goldcrestward/src/process/state/reader.rs
+++ b/goldcrestward/src/process/state/reader.rs
@@ -17,13 +17,14 @@
 use super::{
     freshness::{Budget, Overdue},
     line_limit::LineLimit,
+    state_listing::StateListing,
     turn::{Place, Turn, readers_per_region},
 };
 use crate::{
     pb,
     port::Catalog,
     process::{duty::OWN_PREFIX, shared::Shared},
-    store::{Change, Changes, Error, Listing, Purpose, Revision, Row},
+    store::{Change, Changes, Error, Purpose, Revision, Row},
     util::stable_hash,
 };
 
@@ -51,8 +52,10 @@
     failures: u32,
     /// The way that was logged last, and when.
     logged: (&'static str, u64),
-    /// The listing that is being read, or was read last.
-    listing: Listing,
+    /// The listing that is under way.
+    listing: Option<StateListing>,
+    /// The page that failed last, and the key after which it begins.
+    failed_page: (usize, String),
     failure_lines: LineLimit,
     /// Whether a failure has been logged since the last success.
     is_failure_logged: bool,
@@ -74,7 +77,8 @@
             must_list: false,
             failures: 0,
             logged: ("", 0),
-            listing: Listing::default(),
+            listing: None,
+            failed_page: (0, String::new()),
             failure_lines: LineLimit::default(),
             is_failure_logged: false,
         }
@@ -84,6 +88,10 @@
     pub async fn run(mut self) {
         loop {
             let turn = self.next_turn();
+            if matches!(turn, Turn::Poll(_) | Turn::CatchUp(_)) {
+                // Peers have brought what the listing was for.
+                self.listing = None;
+            }
             self.log_turn(turn);
             let result = match turn {
                 Turn::List => self.list().await,
@@ -161,16 +169,25 @@
 
     /// Reads everything. This and the other ways of reading return whether the store has stated its state.
     async fn list(&mut self) -> Result<bool, Error> {
-        let sent_at = self.shared.now();
-        self.listing = Listing::default();
-        let (prefix, mut files) = (self.catalog.prefix(), Vec::new());
-        while !self.listing.is_complete() {
-            let page = self.shared.kv.list_next(Purpose::Site, prefix, Revision::NONE, &mut self.listing);
-            // What is not kept of a page goes before the next one comes.
-            let rows = page.await?.into_iter().filter(|row| self.is_relevant(&row.key));
-            files.extend(rows.map(|row| self.row_to_file(row)));
+        let mut listing = self.listing.take().unwrap_or_else(|| StateListing::new(self.shared.now()));
+        let prefix = self.catalog.prefix();
+        while !listing.progress.is_complete() {
+            let page = self.shared.kv.list_next(Purpose::Site, prefix, Revision::NONE, &mut listing.progress);
+            match page.await {
+                // What is not kept of a page goes before the next one comes.
+                Ok(rows) => {
+                    let rows = rows.into_iter().filter(|row| self.is_relevant(&row.key));
+                    listing.add(rows.map(|row| self.row_to_file(row)));
+                }
+                Err(error) => {
+                    self.failed_page = (listing.progress.next_page(), listing.progress.after().to_owned());
+                    self.listing = listing.record_failure(&error).then_some(listing);
+                    return Err(error);
+                }
+            }
         }
-        let revision = self.listing.revision();
+        let (revision, begun_at) = (listing.progress.revision(), listing.begun_at);
+        let files = listing.into_files();
         let listing = pb::ConfigDelta { revision: revision.ordinal(), files, whole: true, next: None };
         let known = self.shared.config.lock().revision();
         let files = listing.files.len();
@@ -178,7 +195,7 @@
             self.notify_changed("listing");
         }
         info!("event=state-listed revision={revision} files={files} known={known}");
-        self.record_reading(revision, sent_at);
+        self.record_reading(revision, begun_at);
         self.must_list = false;
         Ok(true)
     }
@@ -254,7 +271,7 @@
         let Some(others) = self.failure_lines.record(self.shared.now()) else { return };
         self.is_failure_logged = true;
         let (page, after) = match turn {
-            Turn::List => (self.listing.next_page().to_string(), self.listing.after()),
+            Turn::List => (self.failed_page.0.to_string(), &*self.failed_page.1),
             _ => ("-".to_owned(), ""),
         };
         warn!(
