What was read before a page that leads nowhere is used

Cause: a page whose next key is not behind the last one failed the whole listing, for good; a truncated page without items counted as the last one, so that all later entries would have been taken for removed.

Change: a listing that is stuck, or whose page failed eight times, ends, and its entries are used without its revision: nothing counts as removed, peers do not take it for whole, and the daemon goes on listing. Only entries newer than the own copy and of its history are taken: older ones have been removed since. `state-listed-in-part` says so.

A truncated page without items is read from the code only.

--- a/goldcrestward/src/config/replica.rs
+++ b/goldcrestward/src/config/replica.rs
@@ -180,6 +180,20 @@
         self.changes > before
     }
 
+    /// Uses files of a listing that is not whole, of this revision. Nothing counts as removed, and the revision stays, so
+    /// that neither this replica nor others take the files for all that there are. Returns whether any was newer.
+    ///
+    /// What this replica knows up to its own revision is whole: older files that it lacks have been removed since they were
+    /// listed. Of a later history only a whole listing is used, as that alone tells what a restore has lost.
+    pub fn adopt_listed(&mut self, mut files: Vec<pb::ConfigFile>, revision: Revision) -> bool {
+        let before = self.changes;
+        if self.revision.is_none() || self.revision.history() == revision.history() {
+            files.retain(|file| Revision::from_ordinal(file.revision) > self.revision);
+            self.set_all(files);
+        }
+        self.changes > before
+    }
+
     fn set_all(&mut self, files: Vec<pb::ConfigFile>) {
         for (name, file) in files.into_iter().map(File::from_message) {
             let file = match self.files.get(&name) {
--- a/goldcrestward/src/process/state/reader.rs
+++ b/goldcrestward/src/process/state/reader.rs
@@ -24,7 +24,7 @@
     pb,
     port::Catalog,
     process::{duty::OWN_PREFIX, shared::Shared},
-    store::{Change, Changes, Error, Purpose, Revision, Row},
+    store::{Cause, Change, Changes, Error, Purpose, Revision, Row},
     util::stable_hash,
 };
 
@@ -173,18 +173,25 @@
         let prefix = self.catalog.prefix();
         while !listing.progress.is_complete() {
             let page = self.shared.kv.list_next(Purpose::Site, prefix, Revision::NONE, &mut listing.progress);
-            match page.await {
+            let error = match page.await {
                 // What is not kept of a page goes before the next one comes.
                 Ok(rows) => {
                     let rows = rows.into_iter().filter(|row| self.is_relevant(&row.key));
                     listing.add(rows.map(|row| self.row_to_file(row)));
+                    if !listing.progress.is_stuck() {
+                        continue;
+                    }
+                    Error::Unanswered { service: "key-value service", cause: Cause::PageStuck }
                 }
-                Err(error) => {
-                    self.failed_page = (listing.progress.next_page(), listing.progress.after().to_owned());
-                    self.listing = listing.record_failure(&error).then_some(listing);
-                    return Err(error);
-                }
+                Err(error) => error,
+            };
+            self.failed_page = (listing.progress.next_page(), listing.progress.after().to_owned());
+            if listing.record_failure(&error) {
+                self.listing = Some(listing);
+            } else {
+                self.adopt(listing);
             }
+            return Err(error);
         }
         let (revision, begun_at) = (listing.progress.revision(), listing.begun_at);
         let files = listing.into_files();
@@ -200,6 +207,18 @@
         Ok(true)
     }
 
+    /// Uses the entries of a listing that has ended early. The copy does not become one of the listing's revision, as it
+    /// lacks entries and keeps what may have been removed.
+    fn adopt(&self, listing: StateListing) {
+        let revision = listing.progress.revision();
+        let files = listing.into_files();
+        let count = files.len();
+        if self.shared.config.lock().adopt_listed(files, revision) {
+            warn!("event=state-listed-in-part revision={revision} files={count} pages={}", self.failed_page.0);
+            self.shared.config_changed.notify_one();
+        }
+    }
+
     /// Waits at the store for changes after those of the copy. Ends early if the wait itself might leave the copy behind.
     async fn poll(&self, limit: Duration) -> Result<bool, Error> {
         let own = self.shared.config.lock().revision();
--- a/goldcrestward/src/process/state/state_listing.rs
+++ b/goldcrestward/src/process/state/state_listing.rs
@@ -31,8 +31,11 @@
         self.files.extend(files);
     }
 
-    /// Records that the next page could not be read. Returns whether the listing may go on with it.
+    /// Records that the next page could not be read, or that there is no way to it. Returns whether the listing may go on.
     pub fn record_failure(&mut self, error: &Error) -> bool {
+        if self.progress.is_stuck() {
+            return false;
+        }
         match error {
             // The call was not made.
             Error::Budget { .. } => true,
--- a/goldcrestward/src/process/state/state_listing_test.rs
+++ b/goldcrestward/src/process/state/state_listing_test.rs
@@ -66,3 +66,15 @@
     let error = listing.progress.enter(restored, SERVICE).expect_err("a page of another history");
     assert!(!listing.record_failure(&error));
 }
+
+#[test]
+fn listing_that_is_stuck_keeps_what_was_read() {
+    let mut listing = StateListing::new(0);
+    read_page(&mut listing, page(1));
+    // A page that leads to the key after which it began.
+    let next = Some(listing.progress.after().to_owned());
+    read_page(&mut listing, Page { next, ..page(2) });
+    assert!(listing.progress.is_stuck() && !listing.progress.is_complete());
+    assert!(!listing.record_failure(&unanswered(Cause::PageStuck)));
+    assert_eq!(listing.into_files().len(), 2);
+}
--- a/goldcrestward/src/store/client.rs
+++ b/goldcrestward/src/store/client.rs
@@ -143,11 +143,15 @@
         let (mut rows, mut listing) = (Vec::new(), Listing::default());
         while !listing.is_complete() {
             rows.extend(self.list_next(purpose, prefix, since, &mut listing).await?);
+            if listing.is_stuck() {
+                return UnansweredSnafu { service: SERVICE, cause: Cause::PageStuck }.fail();
+            }
         }
         Ok((rows, listing.revision()))
     }
 
     /// Reads the next page of a listing, and returns the rows with `prefix` that changed at revision `since` or later.
+    /// The listing may be stuck then.
     ///
     /// # Errors
     /// Fails when the service does not answer, or is restored from a copy between two pages.
--- a/goldcrestward/src/store/listing.rs
+++ b/goldcrestward/src/store/listing.rs
@@ -1,7 +1,7 @@
 //! A listing that is read page by page.
 
 use super::{
-    error::{Cause, RestoredSnafu, Result, UnansweredSnafu},
+    error::{RestoredSnafu, Result},
     port::{Page, Row},
     revision::Revision,
 };
@@ -13,9 +13,19 @@
     first: Option<Revision>,
     /// Key after which the next page begins.
     after: String,
-    /// Pages that have been read.
+    /// Pages before the next one, or before the last one.
     pages: usize,
-    is_complete: bool,
+    state: State,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum State {
+    #[default]
+    Reading,
+    /// The last page has been read.
+    Complete,
+    /// The page that was read last does not lead past those before.
+    Stuck,
 }
 
 impl Listing {
@@ -35,24 +45,31 @@
     }
 
     pub fn is_complete(&self) -> bool {
-        self.is_complete
+        self.state == State::Complete
+    }
+
+    /// Whether the last page that was read leads to no other, though it is not the last of the listing.
+    pub fn is_stuck(&self) -> bool {
+        self.state == State::Stuck
     }
 
     /// Enters the next page and returns its rows.
     ///
     /// # Errors
-    /// Fails if the page is from another history than the first one, or does not lead past those before.
+    /// Fails if the page is from another history than the first one.
     pub fn enter(&mut self, page: Page, service: &'static str) -> Result<Vec<Row>> {
         let revision = *self.first.get_or_insert(page.revision);
         if revision.history() != page.revision.history() {
             return RestoredSnafu { service }.fail();
         }
         match page.next {
-            Some(next) if next > self.after => self.after = next,
-            Some(_) => return UnansweredSnafu { service, cause: Cause::PageStuck }.fail(),
-            None => self.is_complete = true,
+            Some(next) if next > self.after => {
+                self.after = next;
+                self.pages += 1;
+            }
+            Some(_) => self.state = State::Stuck,
+            None => self.state = State::Complete,
         }
-        self.pages += 1;
         Ok(page.rows)
     }
 }
