--- a/goldcrestward/src/process/state/mod.rs
+++ b/goldcrestward/src/process/state/mod.rs
@@ -6,7 +6,9 @@
 mod line_limit;
 mod pull;
 mod reader;
+mod refused_entries;
 mod site_state;
+mod state_listing;
 mod turn;
 mod unconfirmed;
 
@@ -14,5 +16,6 @@
 pub(crate) use line_limit::LineLimit;
 pub(super) use pull::{adopt_kept, pull_config, watch_instances};
 pub(super) use reader::StateReader;
+pub(crate) use refused_entries::{RefusalLine, RefusedEntries};
 pub(super) use site_state::SiteState;
 pub(super) use turn::Place;
