--- a/goldcrestward/src/store/client.rs
+++ b/goldcrestward/src/store/client.rs
@@ -12,7 +12,7 @@
 
 use super::{
     breaker::CircuitBreaker,
-    error::{BudgetSnafu, Cause, Error, Result, UnansweredSnafu},
+    error::{BudgetSnafu, Cause, Result, UnansweredSnafu},
     history::History,
     listing::Listing,
     port::{Changes, Lease, Row, StorePort, Txn, TxnOutcome, WatchPort},
@@ -222,7 +222,7 @@
         }
         let result = with_timeout(call).await;
         self.follow_history(purpose.label());
-        let failed = matches!(&result, Err(Error::Unreached { .. } | Error::Unanswered { .. }));
+        let failed = matches!(&result, Err(error) if error.is_outage());
         let label = if failed { "failed" } else { "answered" };
         self.calls.with_label_values(&[kind, purpose.label(), label]).inc();
         match (self.breaker(purpose).record(!failed), failed) {
--- a/goldcrestward/src/store/client_test.rs
+++ b/goldcrestward/src/store/client_test.rs
@@ -5,7 +5,7 @@
 use prometheus::{IntCounter, IntCounterVec, Opts};
 
 use super::{Kv, Purpose};
-use crate::store::{Error, Revision, memory_store::MemoryStore};
+use crate::store::{Cause, Error, Revision, memory_store::MemoryStore};
 
 /// Guards against CONFIG: calls of other purposes that failed paused the readings of the site's state as well.
 #[tokio::test]
@@ -21,3 +21,23 @@
     assert!(matches!(kv.list(Purpose::Duty, "", Revision::NONE).await, Err(Error::Budget { .. })));
     assert_eq!(kv.list(Purpose::Site, "", Revision::NONE).await, Ok((Vec::new(), Revision::NONE)));
 }
+
+/// Guards against calls that pause as the answer to another one was odd, although the service is up.
+#[test]
+fn odd_answers_are_no_outage() {
+    for (cause, is_outage) in [
+        (Cause::Connection, true),
+        (Cause::Broken, true),
+        (Cause::TimedOut, true),
+        (Cause::Refused, true),
+        (Cause::Status, true),
+        (Cause::Outdated, true),
+        (Cause::Unsendable, false),
+        (Cause::TooLong, false),
+        (Cause::Undecodable, false),
+        (Cause::PageStuck, false),
+    ] {
+        assert_eq!(Error::Unanswered { service: "store", cause }.is_outage(), is_outage, "{cause:?}");
+    }
+    assert!(!Error::Compacted { service: "store" }.is_outage());
+}
--- a/goldcrestward/src/store/error.rs
+++ b/goldcrestward/src/store/error.rs
@@ -83,6 +83,13 @@
         }
     }
 
+    /// Whether the service may be away: it has not answered, or has declined to. An answer that is too long or odd says
+    /// nothing of other calls.
+    pub(crate) fn is_outage(&self) -> bool {
+        let (Self::Unreached { cause, .. } | Self::Unanswered { cause, .. }) = self else { return false };
+        !matches!(cause, Cause::Unsendable | Cause::TooLong | Cause::Undecodable | Cause::PageStuck)
+    }
+
     /// Whether the service has answered with more than the client takes.
     pub(crate) fn is_too_long(&self) -> bool {
         matches!(self, Self::Unanswered { cause: Cause::TooLong, .. })
