--- a/goldcrestward/src/process/state/mod.rs
+++ b/goldcrestward/src/process/state/mod.rs
@@ -11,6 +11,7 @@
 mod state_listing;
 mod turn;
 mod unconfirmed;
+mod unread_changes;
 
 pub(super) use freshness::{Budget, Freshness, Overdue};
 pub(crate) use line_limit::LineLimit;
--- a/goldcrestward/src/process/state/reader.rs
+++ b/goldcrestward/src/process/state/reader.rs
@@ -19,6 +19,7 @@
     line_limit::LineLimit,
     state_listing::StateListing,
     turn::{Place, Turn, readers_per_region},
+    unread_changes::UnreadChanges,
 };
 use crate::{
     pb,
@@ -45,11 +46,11 @@
     budget: Budget,
     /// Time by which this daemon begins to read later than others whose knowledge is as old, in ms.
     delay_ms: u64,
-    /// Whether the changes that lead from the copy to the store's state cannot be read: the store has dropped them, or they
-    /// are longer than one answer may be. A listing has pages.
-    must_list: bool,
+    unread_changes: UnreadChanges,
     /// Failed calls in a row.
     failures: u32,
+    /// Listings in a row that ended before their last page.
+    abandoned_listings: u32,
     /// The way that was logged last, and when.
     logged: (&'static str, u64),
     /// The listing that is under way.
@@ -74,8 +75,9 @@
             catalog,
             budget,
             delay_ms,
-            must_list: false,
+            unread_changes: UnreadChanges::default(),
             failures: 0,
+            abandoned_listings: 0,
             logged: ("", 0),
             listing: None,
             failed_page: (0, String::new()),
@@ -110,7 +112,11 @@
                 Err(error) => error,
             };
             self.failures += 1;
-            self.must_list |= matches!(error, Error::Compacted { .. }) || (error.is_too_long() && turn != Turn::List);
+            if turn == Turn::List {
+                self.unread_changes.record_failed_listing(self.failed_page.0.saturating_sub(1));
+            } else {
+                self.unread_changes.record_failure(&error);
+            }
             self.record_error(turn, &error);
             let pause = self.pause(turn).mul_f64(rand::rng().random_range(0.5..1.5));
             sleep(pause).await;
@@ -119,16 +125,19 @@
 
     /// Mean pause after a failed call.
     fn pause(&self, turn: Turn) -> Duration {
-        if turn != Turn::CatchUp(Overdue::Age) || self.place().is_some() {
-            return RETRY_PAUSE;
-        }
-        (RETRY_PAUSE * 2_u32.saturating_pow(self.failures.saturating_sub(2))).min(MAX_RETRY_PAUSE)
+        let exponent = match turn {
+            // All pages would be read again.
+            Turn::List => self.abandoned_listings,
+            Turn::CatchUp(Overdue::Age) if self.place().is_none() => self.failures.saturating_sub(2),
+            _ => 0,
+        };
+        (RETRY_PAUSE * 2_u32.saturating_pow(exponent.min(8))).min(MAX_RETRY_PAUSE)
     }
 
     fn next_turn(&self) -> Turn {
         let own = self.shared.config.lock().revision();
         let is_restored = self.shared.kv.history().number.is_some_and(|known| known > own.history());
-        let must_list = own.is_none() || is_restored || self.must_list;
+        let must_list = own.is_none() || is_restored || self.unread_changes.must_list();
         Turn::next(&self.budget, self.place(), self.overdue(), must_list, self.shared.agreed_ms())
     }
 
@@ -189,6 +198,7 @@
             if listing.record_failure(&error) {
                 self.listing = Some(listing);
             } else {
+                self.abandoned_listings += 1;
                 self.adopt(listing);
             }
             return Err(error);
@@ -203,7 +213,8 @@
         }
         info!("event=state-listed revision={revision} files={files} known={known}");
         self.record_reading(revision, begun_at);
-        self.must_list = false;
+        self.unread_changes.record_success();
+        self.abandoned_listings = 0;
         Ok(true)
     }
 
@@ -280,6 +291,9 @@
         if has_read && mem::take(&mut self.is_failure_logged) {
             info!("event=state-read-back kind={} failures={}", turn.label(), self.failures);
         }
+        if has_read {
+            self.unread_changes.record_success();
+        }
         self.failures = 0;
     }
 
@@ -304,6 +318,10 @@
             info!("event=store-history-lost");
             return;
         }
+        if error.is_too_long() {
+            // The store is up.
+            return;
+        }
         self.shared.last_store_error_ms.store(self.shared.now().max(1), Ordering::Relaxed);
     }
 
