Leave out entries whose address another instance has

Cause: the server at the address answers 421 to the name of the copy. The daemon took that for want of room, used up the request's attempts and chose the copy again, which never has any requests in flight and so looks free.

Now such an answer makes the entry false, not the server full. Nothing is sent to the address under that name until the entry's address or time of start changes, so that a heartbeat does not bring it back; after a pause of 30 s, which doubles up to 10 min, one request tries again. The entry of the true server has a condition of its own and stays in use. Each daemon learns it by its own first answer: there is no new fact between daemons. The answer is no evidence on crashes, versions, limits or room, as before, and costs no retry of the budget. Of the attempts, a server counts once under however many names it is listed, as `max_attempts` limits the servers that a request is sent to: a request without another attempt goes on at the same address only, and after 32 such answers it is refused. A line `entry-false` for each entry, 32 a second at most, and a counter.

--- a/goldcrestward/src/port/header_codec.rs
+++ b/goldcrestward/src/port/header_codec.rs
@@ -106,6 +106,8 @@
     Unidentified {
         /// The server states that it has not run the request and will not.
         not_run: bool,
+        /// Another instance has the address.
+        misdirected: bool,
     },
     /// It bears the id of another request.
     Foreign,
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -104,6 +104,8 @@
     pub holds: IntCounterVec,
     /// Requests whose callers went before the head of the response had come, by what came of it.
     pub unheard_heads: IntCounterVec,
+    /// Attempts that were answered by another instance than the one that has the entry.
+    pub misdirected: IntCounter,
     /// Requests sent to replicas that had named a rate limit.
     pub limited_sends: IntCounter,
     /// Requests charged to the rate limits of replicas, by who decided and the result.
@@ -246,6 +248,8 @@
                 "requests whose callers went soon after they were sent, by what came of the response head",
                 &["result"],
             )?,
+            misdirected: factory
+                .counter("misdirected_total", "attempts that another instance than that of the entry answered")?,
             limited_sends: factory
                 .counter("limited_sends_total", "requests sent to replicas that had named a rate limit")?,
             send_grants: factory.counters(
--- a/goldcrestward/src/process/replicas/mod.rs
+++ b/goldcrestward/src/process/replicas/mod.rs
@@ -1,6 +1,7 @@
 //! The backend servers that this daemon knows.
 
 mod blame;
+mod false_entry;
 mod leaving_news;
 mod no_replica;
 mod offer;
--- a/goldcrestward/src/process/replicas/offer.rs
+++ b/goldcrestward/src/process/replicas/offer.rs
@@ -23,6 +23,7 @@
     /// Accepts the offer: counts the request as in flight on the server.
     pub fn accept(self) -> ReplicaGuard {
         self.replica.health.hold.lock().record_sent(self.now);
+        self.replica.health.false_entry.lock().record_sent(self.now);
         ReplicaGuard::new(self.replica, self.crash_score, self.placement.prefill_ms)
     }
 }
--- a/goldcrestward/src/process/replicas/registry.rs
+++ b/goldcrestward/src/process/replicas/registry.rs
@@ -17,6 +17,7 @@
         admission_queue::AdmissionQueues,
         hold::Hold,
         leaving::{LeavingRuns, LeavingSource},
+        line_burst::LineBurst,
         placement::{Candidate, mix, place},
     },
     util::stable_hash,
@@ -41,6 +42,8 @@
     leaving_runs: Mutex<LeavingRuns>,
     /// Times for which runs want nothing whose entries are gone and may come back.
     holds: Mutex<HashMap<u64, Hold>>,
+    /// Limits the log lines on false entries.
+    false_entry_lines: Mutex<LineBurst>,
 }
 
 impl Replicas {
@@ -198,6 +201,15 @@
         }
     }
 
+    /// Records that another instance has answered at a replica's address. Returns how many other false entries were not
+    /// logged, if this one is to be logged.
+    pub fn record_misdirected(&self, replica: &Replica, now: u64) -> Option<u64> {
+        if !replica.record_misdirected(now) {
+            return None;
+        }
+        self.false_entry_lines.lock().record(now)
+    }
+
     /// Whether any version accepted by `wanted` has a server that takes requests.
     pub fn serves(&self, pool: &str, wanted: impl Fn(&str) -> bool) -> bool {
         let pools = self.pools.load();
@@ -249,7 +261,8 @@
     ) -> Result<Offer, NoReplica> {
         let pools = self.pools.load();
         let pool = pools.get(query.pool).ok_or(NoReplica::None)?;
-        let is_eligible = |r: &&Arc<Replica>| !r.is_leaving() && query.versions.allows(&r.version);
+        let is_eligible =
+            |r: &&Arc<Replica>| !r.is_leaving() && !r.is_false(query.now) && query.versions.allows(&r.version);
         let (tried, mut eligible): (Vec<&Arc<Replica>>, Vec<_>) =
             pool.iter().filter(is_eligible).partition(|r| query.tried.contains(&r.id));
         if eligible.is_empty() && tried.iter().all(|r| r.is_held(query.now)) {
--- a/goldcrestward/src/process/replicas/registry_test.rs
+++ b/goldcrestward/src/process/replicas/registry_test.rs
@@ -75,6 +75,37 @@
     }
 }
 
+/// Guards against a server's other names that are chosen again and again, and its own that is shut out with them.
+#[test]
+fn place_passes_over_an_entry_whose_address_another_instance_has() {
+    let replicas = Replicas::default();
+    replicas.update(vec![Instance { id: "copy".into(), ..entry(1) }, entry(1)], 0);
+    let copy = replicas.find("copy").expect("known");
+    assert_eq!(replicas.record_misdirected(&copy, 10), Some(0));
+    assert_eq!(replicas.record_misdirected(&copy, 11), None, "logged again");
+    let chosen = |now| {
+        let query = |salt| PlacementQuery { salt, now, ..query(&[]) };
+        let ids = (0..64).filter_map(|salt| Some(replicas.place(&query(salt)).ok()?.accept().replica().id.clone()));
+        ids.filter(|id| **id == *"copy").count()
+    };
+    assert_eq!(chosen(100), 0);
+    replicas.update(vec![Instance { id: "copy".into(), slots: 9, ..entry(1) }], 200);
+    assert_eq!(chosen(300), 0, "used again as the rest of the entry has changed");
+    assert_eq!(chosen(40_000), 1, "requests after the pause");
+    assert_eq!(chosen(41_000), 0, "another request in the next pause");
+    replicas.remove("server", 50_000);
+    assert_eq!(replicas.place(&PlacementQuery { now: 50_000, ..query(&[]) }).err(), Some(NoReplica::None));
+    let address = "10.0.0.2:80".parse().expect("an address");
+    replicas.update(vec![Instance { id: "copy".into(), address, ..entry(1) }], 60_000);
+    assert!(replicas.place(&PlacementQuery { now: 60_000, ..query(&[]) }).is_ok(), "out at its new address");
+    let moved = replicas.find("copy").expect("known");
+    replicas.record_misdirected(&moved, 61_000);
+    assert!(replicas.place(&PlacementQuery { now: 62_000, ..query(&[]) }).is_err());
+    replicas.update(vec![Instance { id: "copy".into(), address: moved.address, ..entry(2) }], 63_000);
+    assert!(replicas.place(&PlacementQuery { now: 63_000, ..query(&[]) }).is_ok(), "out though it has started again");
+    assert!(!moved.is_leaving() && !moved.is_ejected(63_000));
+}
+
 /// Guards against requests that get no time to come back after: the servers that had turned them away, all that there
 /// were, had named one.
 #[test]
--- a/goldcrestward/src/process/replicas/replica.rs
+++ b/goldcrestward/src/process/replicas/replica.rs
@@ -77,6 +77,21 @@
         self.health.leaving.load(Ordering::Relaxed)
     }
 
+    /// Whether its entry is false, as another instance has its address, so that nothing is to be sent there in its name.
+    pub fn is_false(&self, now: u64) -> bool {
+        self.health.false_entry.lock().is_closed(now)
+    }
+
+    /// Records that another instance has its address; returns whether that is news.
+    pub fn record_misdirected(&self, now: u64) -> bool {
+        self.health.false_entry.lock().record_misdirected(now)
+    }
+
+    /// Records that it has answered itself; returns whether its entry was false until now.
+    pub fn record_own_answer(&self) -> bool {
+        self.health.false_entry.lock().record_own()
+    }
+
     /// Whether its running requests must be migrated now, before it is gone.
     pub fn must_migrate(&self, now: u64) -> bool {
         let stated = self.health.leaves_at.load(Ordering::Relaxed);
--- a/goldcrestward/src/process/replicas/replica_health.rs
+++ b/goldcrestward/src/process/replicas/replica_health.rs
@@ -7,7 +7,7 @@
 
 use parking_lot::Mutex;
 
-use super::running_request::RunningRequest;
+use super::{false_entry::FalseEntry, running_request::RunningRequest};
 use crate::process::{
     brittle::Room, health::FailureScore, hold::Hold, loads::LoadTracker, named_limit::NamedLimit, state::LineLimit,
 };
@@ -36,6 +36,8 @@
     pub(super) blocked_until: AtomicU64,
     /// The time for which it wants nothing from this daemon.
     pub(super) hold: Mutex<Hold>,
+    /// Whether another instance has its address.
+    pub(super) false_entry: Mutex<FalseEntry>,
     /// This daemon's part of its room while it is brittle.
     pub(super) room: Mutex<Room>,
     /// Limits the log lines on its responses that exceed a bound.
--- a/goldcrestward/src/request/attempt_result.rs
+++ b/goldcrestward/src/request/attempt_result.rs
@@ -43,7 +43,7 @@
         self.record_unserved(&failure);
         self.exclude(instance.clone(), &failure);
         let repeat = self.may_retry(&failure);
-        let (id, label, sends) = (&self.metadata.id, failure.label(), self.sends);
+        let (id, label, sends) = (&self.metadata.id, failure.label(), self.sends.servers());
         let connection = &self.connection_label;
         info!(
             "event=attempt-failed id={id} instance={instance} cause={label} sends={sends} repeat={repeat} {connection}"
--- a/goldcrestward/src/request/awaited_way.rs
+++ b/goldcrestward/src/request/awaited_way.rs
@@ -42,7 +42,14 @@
 
     /// Servers that get no attempt in this round.
     pub(super) fn excluded(&self) -> Vec<Arc<str>> {
-        self.tried.iter().chain(&self.unreached).cloned().collect()
+        let excluded = self.tried.iter().chain(&self.unreached).cloned();
+        if self.has_attempt() || self.sends.addresses_to_name().is_empty() {
+            return excluded.collect();
+        }
+        // No other server may get the request, but one that it was sent to under another instance's name.
+        let pool = self.gateway.shared.replicas.pool(&self.placement.pool);
+        let elsewhere = pool.iter().filter(|replica| !self.sends.addresses_to_name().contains(&replica.address));
+        excluded.chain(elsewhere.map(|replica| replica.id.clone())).collect()
     }
 
     /// Whether the request is to wait for a way to servers that could not be reached.
--- a/goldcrestward/src/request/mod.rs
+++ b/goldcrestward/src/request/mod.rs
@@ -34,6 +34,7 @@
 mod request_head;
 mod response_owner;
 mod run_window;
+mod send_count;
 mod sent_attempt;
 mod silent_server;
 mod silent_stream;
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -30,6 +30,7 @@
     refusal::{Reason, Refusal, RunState},
     request_head::RequestHead,
     run_window::{Phase, RunWindow},
+    send_count::SendCount,
     sent_attempt::SentAttempt,
     takeover::{Awaited as _, Waited},
 };
@@ -86,9 +87,8 @@
     pub(super) tried: Vec<Arc<str>>,
     /// Servers to which the way has failed since the request last waited for one.
     pub(super) unreached: Vec<Arc<str>>,
-    pub(super) sends: u32,
-    /// How many of the servers that it was sent to have turned it away.
-    refusals: u32,
+    /// The servers that it has been sent to.
+    pub(super) sends: SendCount,
     pub(super) connect_failures: u32,
     pub(super) run_state: RunState,
     usage_counted: bool,
@@ -156,8 +156,7 @@
             parts,
             tried: Vec::new(),
             unreached: Vec::new(),
-            sends: 0,
-            refusals: 0,
+            sends: SendCount::default(),
             connect_failures: 0,
             run_state: RunState::NotRun,
             usage_counted: false,
@@ -368,20 +367,33 @@
         if !failure.is_unserved() {
             return;
         }
-        self.refusals += u32::from(matches!(failure, ProxyFailure::NotRun));
+        if matches!(failure, ProxyFailure::NotRun) {
+            self.sends.record_refusal();
+        }
         if let Some(silent) = self.silent.take() {
             self.tried.retain(|instance| *instance != silent);
         }
     }
 
-    /// Whether the route allows another attempt. One that may have run can't be refused as not run any more, so that only
-    /// servers that may have run it count.
+    /// Whether the route allows another attempt.
     pub(super) fn has_attempt(&self) -> bool {
-        let attempts = match self.run_state {
-            RunState::NotRun => self.sends,
-            RunState::MayHaveRun => self.sends - self.refusals,
-        };
-        attempts < self.route.attempt_limit
+        self.sends.attempts(self.run_state) < self.route.attempt_limit
+    }
+
+    /// Whether the request may be sent again after another instance has answered. That costs nothing but, at another
+    /// address, an attempt.
+    fn may_redirect(&self) -> bool {
+        if self.has_attempt() {
+            return self.sends.may_redirect();
+        }
+        let (addresses, now) = (self.sends.addresses_to_name(), self.gateway.shared.now());
+        let pool = self.gateway.shared.replicas.pool(&self.placement.pool);
+        pool.iter().any(|replica| {
+            addresses.contains(&replica.address)
+                && !replica.is_leaving()
+                && !replica.is_false(now)
+                && !self.tried.contains(&replica.id)
+        })
     }
 
     pub(super) fn may_retry(&mut self, failure: &ProxyFailure) -> bool {
@@ -398,6 +410,7 @@
                 self.connect_failures += 1;
                 return self.connect_failures <= MAX_CONNECT_FAILURES || self.may_await_way();
             }
+            ProxyFailure::Misdirected => return self.may_redirect(),
             ProxyFailure::NotRun => true,
             ProxyFailure::ErrorResponse(_) | ProxyFailure::Indeterminate(_) => self.route.kind.is_idempotent(),
         };
@@ -450,7 +463,7 @@
         self.migration = if resumes_at_source { Migration::Failed } else { Migration::Idle };
         let result = self.exchange(&guard, sequence).await;
         // A server may say so of a run that it has handed over.
-        if matches!(result, Err(ProxyFailure::Indeterminate(_) | ProxyFailure::NotRun))
+        if matches!(result, Err(ProxyFailure::Indeterminate(_) | ProxyFailure::NotRun | ProxyFailure::Misdirected))
             && let Some(migrated) = self.migrated_run().await
         {
             self.set_run_state(RunState::MayHaveRun);
@@ -478,6 +491,7 @@
             Err(failure) => {
                 match &failure {
                     ProxyFailure::NotRun
+                    | ProxyFailure::Misdirected
                     | ProxyFailure::NoPath
                     | ProxyFailure::Withdrawn
                     | ProxyFailure::TooLate(_)
@@ -517,7 +531,7 @@
     /// by the configuration in force.
     fn check_send(&self) -> Result<(), Refusal> {
         self.window.check(Phase::Send)?;
-        if self.sends > 0 {
+        if self.sends.servers() > 0 {
             return Ok(());
         }
         self.admission.check_withdrawn(&self.gateway.shared.in_force.load())
@@ -607,7 +621,7 @@
         if let Some(cause) = self.retry_cause.take() {
             self.gateway.shared.metrics.retries.with_label_values(&[cause]).inc();
         }
-        self.sends += 1;
+        let begun = self.sends.begin(replica.address);
         self.set_run_state(RunState::MayHaveRun);
         let mut head = AwaitedHead::new(attempt, self.window.clone(), connection, request, self.is_second);
         let mut other = sequence.fork(&self.gateway.shared.response_memory);
@@ -630,7 +644,7 @@
             }
             Err(SendError::NotSent) => {
                 self.set_run_state(previous);
-                self.sends -= 1;
+                self.sends.take_back(begun);
                 if connection.was_idle() {
                     let (id, label) = (&self.metadata.id, &self.connection_label);
                     info!("event=idle-connection-closed id={id} instance={} {label}", replica.id);
@@ -644,15 +658,21 @@
         };
         self.gateway.record_path_answer(&replica, self.via.as_ref());
         let metadata = head.attempt().read_head(&response).inspect_err(|failure| {
-            if matches!(failure, ProxyFailure::NotRun) {
+            if matches!(failure, ProxyFailure::NotRun | ProxyFailure::Misdirected) {
                 self.set_run_state(previous);
             }
+            if matches!(failure, ProxyFailure::Misdirected) {
+                self.sends.record_misdirected(begun);
+            }
         })?;
+        if metadata.misdirected {
+            self.set_run_state(previous);
+            self.sends.record_misdirected(begun);
+            return Err(ProxyFailure::Misdirected);
+        }
         if metadata.not_run {
             self.set_run_state(previous);
-            if !metadata.misdirected {
-                self.discard(response, connection).await;
-            }
+            self.discard(response, connection).await;
             return Err(ProxyFailure::NotRun);
         }
         self.read(guard, response, connection, metadata.sealed && metadata.unencoded, sequence).await.map(Some)
--- a/goldcrestward/src/request/proxy_outcome.rs
+++ b/goldcrestward/src/request/proxy_outcome.rs
@@ -28,6 +28,8 @@
     Withdrawn,
     /// The server reports that it has not run the request.
     NotRun,
+    /// Another instance has the server's address, which has not run the request.
+    Misdirected,
     /// The server returned a sealed 5xx response.
     ErrorResponse(Box<HeldAnswer>),
     /// No trustworthy response was received, for the given reason; the request may have run.
@@ -47,7 +49,7 @@
 impl ProxyFailure {
     /// Whether the server of the attempt has not run the request.
     pub fn is_unserved(&self) -> bool {
-        matches!(self, Self::ConnectFailed | Self::NoPath | Self::Withdrawn | Self::NotRun)
+        matches!(self, Self::ConnectFailed | Self::NoPath | Self::Withdrawn | Self::NotRun | Self::Misdirected)
     }
 
     /// Label of the failure in metrics and log lines.
@@ -57,6 +59,7 @@
             Self::NoPath => "no-path",
             Self::Withdrawn => "withdrawn",
             Self::NotRun => "not-run",
+            Self::Misdirected => "misdirected",
             Self::ErrorResponse(_) => "own-failure",
             Self::Indeterminate(reason) => reason,
             Self::TooLate(_) => "too-late",
--- a/goldcrestward/src/request/proxy_refusal.rs
+++ b/goldcrestward/src/request/proxy_refusal.rs
@@ -33,6 +33,10 @@
             ProxyFailure::OverBudget if self.run_state == RunState::MayHaveRun => {
                 refusal(Reason::BackendFailed, "the backend server gave no whole answer")
             }
+            ProxyFailure::Misdirected => {
+                let refused = refusal(Reason::NoReplica, "another instance has the backend server's address");
+                refused.map_err(|refusal| refusal.with_retry_after(Duration::from_millis(200)))
+            }
             ProxyFailure::Withdrawn | ProxyFailure::NotRun | ProxyFailure::OverBudget => {
                 if let Some(held) = self.placement.refuse_if_held(&self.gateway) {
                     return Err(Refusal { run: self.run_state, ..held });
--- a/goldcrestward/src/request/sent_attempt.rs
+++ b/goldcrestward/src/request/sent_attempt.rs
@@ -9,7 +9,7 @@
 use super::proxy_outcome::ProxyFailure;
 use crate::{
     port::{ResponseHead, ResponseMetadata},
-    process::{Gateway, Replica, record_brittle, record_leaving},
+    process::{Gateway, Replica, record_brittle, record_leaving, record_misdirected, record_own_answer},
 };
 
 /// An attempt that has been sent to a server.
@@ -39,7 +39,11 @@
                 self.apply(&metadata);
                 return Ok(metadata);
             }
-            ResponseHead::Unidentified { not_run: true } if self.is_first => return Err(ProxyFailure::NotRun),
+            ResponseHead::Unidentified { misdirected: true, .. } if self.is_first => {
+                record_misdirected(&self.gateway.shared, &self.replica);
+                return Err(ProxyFailure::Misdirected);
+            }
+            ResponseHead::Unidentified { not_run: true, .. } if self.is_first => return Err(ProxyFailure::NotRun),
             ResponseHead::Unidentified { .. } => "unknown",
             ResponseHead::Foreign => "other",
         };
@@ -52,6 +56,11 @@
 
     fn apply(&self, metadata: &ResponseMetadata) {
         let (gateway, replica) = (&self.gateway, &self.replica);
+        if metadata.misdirected {
+            record_misdirected(&gateway.shared, replica);
+            return;
+        }
+        record_own_answer(replica);
         if let Some(load) = metadata.load {
             replica.set_reported_load(load, gateway.shared.now());
         }
--- a/goldcrestward/src/request/takeover.rs
+++ b/goldcrestward/src/request/takeover.rs
@@ -187,7 +187,7 @@
     fn record_unused(&mut self, instance: Arc<str>, result: Result<ProxyResponse, ProxyFailure>) {
         let failure = result.err().unwrap_or(ProxyFailure::Indeterminate("no-stream"));
         let (instance, failure) = failure.locate(instance);
-        let (id, label, sends) = (&self.metadata.id, failure.label(), self.sends);
+        let (id, label, sends) = (&self.metadata.id, failure.label(), self.sends.servers());
         let connection = &self.connection_label;
         info!("event=attempt-failed id={id} instance={instance} cause={label} sends={sends} repeat=false {connection}");
         self.record_unserved(&failure);
