--- a/goldcrestward/src/process/state/refused_entries_test.rs
+++ b/goldcrestward/src/process/state/refused_entries_test.rs
@@ -22,7 +22,7 @@
     let mut refused = RefusedEntries::default();
     let mut lines = 0;
     for number in 0..2 * MAX_KNOWN {
-        match refused.record(&format!("servers/{number:05}"), REVISION, 0) {
+        match refused.record(&format!("entries/{number:05}"), REVISION, 0) {
             RefusalLine::Known => panic!("{number} is new"),
             RefusalLine::Counted => {}
             RefusalLine::Logged(_) => lines += 1,
@@ -30,5 +30,5 @@
     }
     assert_eq!(lines, MAX_SINGLE + 1);
     let others = (2 * MAX_KNOWN - MAX_SINGLE - 1) as u64;
-    assert_eq!(refused.record("servers/later", REVISION, 1_000), RefusalLine::Logged(others));
+    assert_eq!(refused.record("entries/later", REVISION, 1_000), RefusalLine::Logged(others));
 }
--- a/goldcrestward/src/process/state/state_listing_test.rs
+++ b/goldcrestward/src/process/state/state_listing_test.rs
@@ -11,7 +11,7 @@
 const PAGES: u64 = 24;
 
 fn page(number: u64) -> Page {
-    let key = format!("servers/{number:02}");
+    let key = format!("entries/{number:02}");
     let revision = Revision::new(1, 100 + number);
     let row = Row { key: key.clone(), value: "x".into(), revision, create_revision: revision };
     Page { rows: vec![row], revision, next: (number < PAGES).then_some(key) }
