Prompt parts with ids of any length

Callers saw: requests with a part that crashes servers were never refused where ids of parts have more than 16 hexadecimal digits, and sound streams were cut by the crashes.

Cause: an id was read into a number of 64 bits, and the list of parts ended before the first one that did not fit, so that the request had no parts at all, for placement and for the evidence on crashes, without a line.

Change: an id that is no such number is hashed by the stable hash, which all daemons and builds share; ids of up to 16 digits keep their numbers. The list still ends before a part without a colon, id or readable tokens; `prompt-part-unread` names it, one line a second.

No test writes a malformed part to a real daemon: the line itself is not covered, its text is.

--- a/goldcrestward/src/port/header_codec.rs
+++ b/goldcrestward/src/port/header_codec.rs
@@ -5,6 +5,7 @@
 use http::{HeaderMap, StatusCode};
 
 use super::engines::MigratedKvCache;
+use crate::util::stable_hash;
 
 /// A part of a prompt that other requests may have in common.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,6 +16,13 @@
     pub tokens: u32,
 }
 
+impl PromptPart {
+    /// The number that stands for an id which is none itself, the same in all daemons and builds.
+    pub fn hash_id(id: &[u8]) -> u64 {
+        stable_hash(&[id])
+    }
+}
+
 /// Metadata of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestMetadata {
@@ -30,6 +38,8 @@
     pub expected_tokens: Option<u32>,
     /// The parts of the prompt, in order; empty if unknown.
     pub prompt_parts: Vec<PromptPart>,
+    /// The part that could not be read and before which `prompt_parts` ends; shortened if it is long.
+    pub unread_part: Option<Arc<str>>,
     /// Number of the last event that the caller has received, if it resumes a stream.
     pub resume_after: Option<u64>,
 }
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -408,6 +408,7 @@
         kept_pulls: AtomicU32::new(0),
         freshness: Mutex::default(),
         pull_failures: Mutex::default(),
+        unread_parts: Mutex::default(),
         pull_permit: Arc::new(Semaphore::new(1)),
         long_pull_permit: Semaphore::new(1),
         config_changed: Notify::new(),
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -107,6 +107,8 @@
     pub freshness: Mutex<Freshness>,
     /// Limits the log lines on pulls that failed: each datagram of a peer that is ahead begins one.
     pub pull_failures: Mutex<LineLimit>,
+    /// Limits the log lines on requests with a part of a prompt that cannot be read.
+    pub unread_parts: Mutex<LineLimit>,
     /// Limits pulls of the configuration from peers to one at a time.
     pub pull_permit: Arc<Semaphore>,
     /// Limits pulls of which more pieces follow, which may take long, to one at a time.
--- a/goldcrestward/src/request/proxy_ingress.rs
+++ b/goldcrestward/src/request/proxy_ingress.rs
@@ -88,6 +88,7 @@
         if let Some(record) = parts.extensions.get::<Arc<RequestRecord>>() {
             record.set_id(id.clone());
         }
+        self.log_unread_part(&metadata);
         let admission = admission_request(&parts, &metadata, arrived).admit(&in_force)?;
         labels.admitted = Some(admission.version);
         let body = self.read_body(&admission, &metadata, body).await?;
@@ -109,6 +110,16 @@
         result
     }
 
+    /// What follows the part is unknown to placement and to the evidence on parts that crash servers.
+    fn log_unread_part(&self, metadata: &RequestMetadata) {
+        let Some(part) = &metadata.unread_part else { return };
+        let shared = &self.gateway.shared;
+        if let Some(others) = shared.unread_parts.lock().record(shared.now()) {
+            let (id, read) = (&metadata.id, metadata.prompt_parts.len());
+            info!("event=prompt-part-unread id={id} part={part:?} read={read} others={others}");
+        }
+    }
+
     async fn read_body(&self, admission: &Admission, metadata: &RequestMetadata, body: Body) -> Result<Bytes, Refusal> {
         let shared = &self.gateway.shared;
         let time = admission.time_left(Instant::now());
