No usage for windows that a restored store may have lost

The platform saw two reports of a window with different counts (98 requests, then none), if the store came back from a copy some seconds old and all daemons were killed at that moment.

Cause: that a window was reported is known by the record in the store and by the memory of daemons. With both gone, the next holder went on after the older record of the copy and counted the windows after it again.

Change: a record states the history of the store in which it was written. A holder takes the stored record for the latest only if it was written in a history that this daemon has known since, or if this daemon has known the site since before the first holder. Otherwise it leaves out, with a line `usage-left-out`, the windows that began before it and before the spans of counts that it has learnt from others; a missing report is only priced. Its first record states the present history, so that later holders report as before. A record of an older build states none and is treated like one of an earlier history.

Open: if the copy is older than the first holder of a site, a daemon takes the site for a new one.

--- a/goldcrestward/src/process/duty.rs
+++ b/goldcrestward/src/process/duty.rs
@@ -18,6 +18,7 @@
     gateway::Gateway,
     last_term::LastTerm,
     lifecycle::Stage,
+    record_knowledge::{RecordKnowledge, first_window_since},
     scaler::{Scaler, ZonePool, lost_share},
     term::{Term, UsageRecord, UsageSchedule, UsageStep, WriteResult},
 };
@@ -78,6 +79,9 @@
     unfetched_window: u64,
     /// The daemons that held the duties last, the latest first.
     former_holders: Vec<Arc<str>>,
+    /// Start of this daemon, in ms.
+    started_ms: u64,
+    records: RecordKnowledge,
 }
 
 impl Duty {
@@ -93,6 +97,8 @@
             last_scaled_ms: 0,
             unfetched_window: 0,
             former_holders: Vec::new(),
+            started_ms: boot_ms(),
+            records: RecordKnowledge::default(),
         }
     }
 
@@ -104,6 +110,7 @@
             if self.is_ending() {
                 return self.release().await;
             }
+            self.know_records();
             if self.must_release() {
                 self.release().await;
                 continue;
@@ -203,6 +210,19 @@
         last.is_some_and(|term| term.ended_earlier_terms(number))
     }
 
+    /// Notes from which history of the store on this daemon knows the stored records.
+    fn know_records(&mut self) {
+        let shared = &self.gateway.shared;
+        let revision = shared.in_force.load().revision;
+        if self.records.has_begun() || revision.is_none() {
+            return;
+        }
+        let history = shared.kv.history().number.unwrap_or_default().max(revision.history());
+        let names = ["duty", LastTerm::KEY, "usage"].map(|name| self.key(name));
+        let config = shared.config.lock();
+        self.records.begin(history, names.iter().any(|name| config.last_text(name).is_some()));
+    }
+
     /// Remembers the latest holders, as a restore of the store may lose their entries.
     fn remember_holder(&mut self) {
         let name = {
@@ -397,7 +417,7 @@
                 self.gateway.shared.agreed_ms(),
                 self.usage_schedule(),
                 |last_written, first_open, oldest_on_time| {
-                    self.count_usage(last_written, first_open.min(self.unfetched_window), oldest_on_time)
+                    self.count_usage(held, last_written, first_open.min(self.unfetched_window), oldest_on_time)
                 },
             );
             match step {
@@ -409,8 +429,11 @@
                     let (record, revision) =
                         row.map_or((None, Revision::NONE), |row| (read_record(&row), row.revision));
                     match self.later_record(record.as_ref()) {
-                        Some(lost) => {
+                        Some(mut lost) => {
                             let window = lost.window;
+                            if self.records.is_latest(Some(&lost)) {
+                                lost.history = Some(held.revision.history());
+                            }
                             let result = self.write_usage(held, &lost, revision).await;
                             info!("event=usage-record-restored window={window} revision={revision} result={result:?}");
                             held.term.apply_write(lost, result);
@@ -470,11 +493,37 @@
         }
     }
 
-    fn count_usage(&self, last_written: Option<u64>, first_open: u64, oldest_on_time: u64) -> Option<UsageRecord> {
+    /// The first window that cannot have been reported by a record which the store has lost: one that began after this daemon
+    /// or one that it has learnt from, unless the stored record is known to be the latest.
+    fn first_unreported(&self, held: &HeldDuties) -> u64 {
+        if self.records.is_latest(held.term.record()) {
+            return 0;
+        }
+        let known_since = self.gateway.kept_spans.lock().earliest_begin().unwrap_or(u64::MAX).min(self.started_ms);
+        let known_for = boot_ms().saturating_sub(known_since);
+        let known_since = self.gateway.shared.agreed_ms().saturating_sub(known_for);
+        first_window_since(known_since, self.usage_schedule().window_ms)
+    }
+
+    fn count_usage(
+        &self,
+        held: &HeldDuties,
+        last_written: Option<u64>,
+        first_open: u64,
+        oldest_on_time: u64,
+    ) -> Option<UsageRecord> {
+        let first_unreported = self.first_unreported(held);
         let mut usage = self.gateway.usage.lock();
         usage.forget_before(oldest_on_time.saturating_sub(1));
-        let window = usage.next_window(last_written, first_open, oldest_on_time)?;
-        Some(UsageRecord { window, counts: usage.total(window) })
+        let next = usage.next_window(last_written, first_open, oldest_on_time)?;
+        let window = usage.next_window(last_written, first_open, oldest_on_time.max(first_unreported))?;
+        if window != next {
+            let (fence, last) = (held.holder.fencing_token, window - 1);
+            warn!(
+                "event=usage-left-out first={next} last={last} fence={fence} reason=\"the store may have lost what was reported\""
+            );
+        }
+        Some(UsageRecord { window, counts: usage.total(window), history: Some(held.revision.history()) })
     }
 
     /// Stores the record that will be reported, in place of the one with revision `replaced`.
--- a/goldcrestward/src/process/exchange/usage_fetch.rs
+++ b/goldcrestward/src/process/exchange/usage_fetch.rs
@@ -163,7 +163,7 @@
     }
     if let Some(recorded) = table.recorded {
         let counts = recorded.counts.into_iter().map(|c| (c.account.into(), c.count)).collect();
-        gateway.usage.lock().learn_record(UsageRecord { window: recorded.window, counts });
+        gateway.usage.lock().learn_record(UsageRecord { window: recorded.window, counts, history: None });
     }
     let own = (&gateway.shared.settings.name, gateway.shared.epoch);
     for process in table.lives {
--- a/goldcrestward/src/process/kept_spans.rs
+++ b/goldcrestward/src/process/kept_spans.rs
@@ -65,6 +65,11 @@
         self.zones.iter().flat_map(|(zone, spans)| spans.iter().map(move |span| (zone, *span)))
     }
 
+    /// The earliest time from which some zone's counts are known.
+    pub fn earliest_begin(&self) -> Option<u64> {
+        self.all().map(|(_, (begin, _))| begin).min()
+    }
+
     /// Removes spans that end before `time`.
     pub fn forget_before(&mut self, time: u64) {
         self.zones.retain(|_, spans| {
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -32,6 +32,7 @@
 mod placement;
 mod quota;
 mod reach;
+mod record_knowledge;
 mod replicas;
 mod response_memory;
 mod response_too_long;
--- a/goldcrestward/src/process/term.rs
+++ b/goldcrestward/src/process/term.rs
@@ -25,6 +25,9 @@
     pub window: u64,
     /// Number of requests by account.
     pub counts: AccountCounts,
+    /// History of the store in which it was stored and no record of a later window could be lost; `None` if unknown.
+    #[serde(default)]
+    pub history: Option<u64>,
 }
 
 /// Schedule of usage windows and their reports.
@@ -120,6 +123,11 @@
         now >= self.renew_at_ms
     }
 
+    /// The stored record, as far as this daemon knows.
+    pub fn record(&self) -> Option<&UsageRecord> {
+        self.record.as_ref()
+    }
+
     /// Returns the next step of the usage report at `unix_ms`. `count` gets the last window on record, the first window
     /// that has not ended and the first whose report is not overdue; it returns the next ended window with its counts.
     pub fn usage_step(
--- a/goldcrestward/src/process/term_search_test.rs
+++ b/goldcrestward/src/process/term_search_test.rs
@@ -284,7 +284,7 @@
             }
             // Every count of the window gives another result.
             counts_made += 1;
-            Some(UsageRecord { window: next, counts: [("a".into(), counts_made)].into() })
+            Some(UsageRecord { window: next, counts: [("a".into(), counts_made)].into(), history: None })
         };
         let step = term.usage_step(UNIX_MS, SCHEDULE, count);
         let mut world = self.clone();
--- a/goldcrestward/src/process/usage_test.rs
+++ b/goldcrestward/src/process/usage_test.rs
@@ -77,7 +77,7 @@
 #[test]
 fn learn_record_keeps_the_latest_window() {
     let mut usage = UsageCounts::new(Duration::from_secs(5), Duration::from_secs(10));
-    let record = |window, count| UsageRecord { window, counts: [("account".into(), count)].into() };
+    let record = |window, count| UsageRecord { window, counts: [("account".into(), count)].into(), history: None };
     for (learned, kept) in [(record(7, 1), 7), (record(6, 2), 7), (record(8, 3), 8), (record(8, 4), 8)] {
         usage.learn_record(learned);
         assert_eq!(usage.recorded().map(|record| record.window), Some(kept));
