--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -409,6 +409,7 @@
         freshness: Mutex::default(),
         refused_entries: Mutex::default(),
         pull_failures: Mutex::default(),
+        unread_parts: Mutex::default(),
         pull_permit: Arc::new(Semaphore::new(1)),
         long_pull_permit: Semaphore::new(1),
         config_changed: Notify::new(),
