Crashes: requests answered elsewhere are cleared, and one crash counts once

What callers saw: after three or four crashes by requests with a deadly prompt part, sound requests with one account, path and body got 502 (crashes-back-ends) from every daemon, by the code for 15 minutes.

Cause: whole requests were judged by records of their own. Each daemon recorded the most suspicious request that it had at the crashed replica, and the records of all daemons on one crash added up. A complete answer on the proxied path cleared nothing.

Change: a proxied request as a whole is evidence like the parts of its prompt. Its fingerprint is accused of the crash of a replica that was beginning to answer it, once a replica's run whoever saw it; a complete answer anywhere clears it, up to 10 s later too; the crashes go to the fewest suspects, so that who was only nearby is not refused. Output no longer acquits a request that was beginning. Accusations and answers travel as those of parts do; the protocol does not change. On the own interface the records stay, but those of one crash count once, and an answer by any daemon clears them.

The simulation has alike, unlike, slow and fast sound requests beside a deadly part or request that crashes before or right after its first output: 7 and 70 daemons, 80 cases, no sound request refused, nothing late.

--- a/goldcrestward/src/cmd/explain.rs
+++ b/goldcrestward/src/cmd/explain.rs
@@ -263,8 +263,9 @@
             field("blame")
         ),
         "parts-accused" => format!(
-            "accused of the crash of {}: {} of {} prompt parts ({})",
+            "accused of the crash of {}: {}{} of {} prompt parts ({})",
             field("instance"),
+            if field("request") == "true" { "the request as a whole and " } else { "" },
             field("parts").split(',').filter(|part| !part.is_empty()).count(),
             field("of"),
             field("parts")
--- a/goldcrestward/src/cmd/explain_test.rs
+++ b/goldcrestward/src/cmd/explain_test.rs
@@ -10,6 +10,7 @@
     "time=1002 level=WARN daemon=front-a event=lines-dropped count=7\n",
     "time=1003 level=INFO daemon=front-a event=parts-accused id=r4 instance=i-1 parts=dead,aa of=2\n",
     "time=1004 level=INFO daemon=front-a event=parts-accused id=r5 instance=i-1 parts= of=1\n",
+    "time=1004 level=INFO daemon=front-a event=parts-accused id=r8 instance=i-1 parts=dead of=2 request=true\n",
     "time=1005 level=INFO daemon=front-a event=relay-asked id=r6 instance=i-1 peer=front-c result=cut-off\n",
     "time=1006 level=INFO daemon=front-a event=relay-asked id=r6 instance=i-1 peer=front-b result=opened\n",
     "time=1007 level=INFO daemon=front-a event=relayed id=r6 instance=i-1\n",
@@ -55,6 +56,8 @@
 fn explain_names_accused_prompt_parts() {
     assert!(render("r4").contains("accused of the crash of i-1: 2 of 2 prompt parts (dead,aa)"), "{}", render("r4"));
     assert!(render("r5").contains("accused of the crash of i-1: 0 of 1 prompt parts ()"), "{}", render("r5"));
+    let whole = "accused of the crash of i-1: the request as a whole and 1 of 2 prompt parts (dead)";
+    assert!(render("r8").contains(whole), "{}", render("r8"));
 }
 
 #[test]
--- a/goldcrestward/src/process/crash_evidence.rs
+++ b/goldcrestward/src/process/crash_evidence.rs
@@ -1,7 +1,8 @@
-//! Evidence on which prompt parts crash back ends.
+//! Evidence on which requests and prompt parts crash back ends.
 //!
-//! A part is accused of the crash of a replica that had begun a request with it, and cleared by a complete answer to a
-//! request with it. A part that alone explains several crashes is condemned. Accusations and answers reach the other daemons as facts.
+//! Every part of a request that a replica was beginning to answer when it crashed is accused of the crash, and so is the request as a
+//! whole: its fingerprint counts as a part that only requests like it have. A complete answer to a request clears its parts. A part
+//! that alone explains several crashes is condemned. Accusations and answers reach the other daemons as facts.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -17,7 +18,7 @@
 const ANSWER_TTL_MS: u64 = 10_000;
 /// Rounding of the end of that time, so that daemons that clear the same part mostly agree on it.
 const CLEAR_GRANULARITY_MS: u64 = 1_000;
-/// Parts with a recent answer that are remembered in one period of [`ANSWER_TTL_MS`].
+/// Parts, and whole requests, with a recent answer that are remembered in one period of [`ANSWER_TTL_MS`].
 const MAX_ANSWERED: usize = 16_384;
 /// Parts about which accusations are kept.
 const MAX_SUSPECTS: usize = 4_096;
@@ -92,6 +93,8 @@
 pub(crate) struct CrashEvidence {
     suspects: HashMap<u64, Suspect>,
     answers: RecentAnswers,
+    /// Apart from those of parts, as most requests come once and would leave no room for parts.
+    request_answers: RecentAnswers,
     condemned: Vec<Condemned>,
 }
 
@@ -102,17 +105,30 @@
         let mut cleared = Vec::new();
         for part in parts {
             self.answers.record(part, agreed_ms);
-            let until = clear_end(agreed_ms);
-            if self.suspects.get(&part).is_some_and(|suspect| suspect.valid_crashes().next().is_some()) {
-                cleared.push((part, until));
-            }
+            cleared.extend(self.cleared_by_answer(part, agreed_ms));
         }
         cleared
     }
 
+    /// Records a complete answer to a request with this fingerprint; see [`Self::record_answer`].
+    pub fn record_request_answer(&mut self, fingerprint: u64, agreed_ms: u64) -> Option<(u64, u64)> {
+        self.request_answers.record(fingerprint, agreed_ms);
+        self.cleared_by_answer(fingerprint, agreed_ms)
+    }
+
+    fn cleared_by_answer(&self, part: u64, agreed_ms: u64) -> Option<(u64, u64)> {
+        let is_accused = self.suspects.get(&part)?.valid_crashes().next().is_some();
+        is_accused.then(|| (part, clear_end(agreed_ms)))
+    }
+
+    /// The time until which the last answer of this daemon speaks for the part; 0 if there is none.
+    fn answered_until(&self, part: u64) -> u64 {
+        self.answers.clears_until(part).max(self.request_answers.clears_until(part))
+    }
+
     /// Whether this daemon has a recent answer that speaks for a part accused of a crash at this time. Returns the time up to which it does.
     pub fn contradicts(&self, part: u64, crashed_ms: u64) -> Option<u64> {
-        let until = self.answers.clears_until(part);
+        let until = self.answered_until(part);
         let known = self.suspects.get(&part).map_or(0, |suspect| suspect.cleared_until);
         (until >= crashed_ms && known < crashed_ms).then_some(until)
     }
@@ -120,7 +136,7 @@
     /// Whether an answer that this daemon knows of speaks for the part at this time.
     pub fn is_cleared(&self, part: u64, crashed_ms: u64) -> bool {
         let known = self.suspects.get(&part).map_or(0, |suspect| suspect.cleared_until);
-        self.answers.clears_until(part).max(known) >= crashed_ms
+        self.answered_until(part).max(known) >= crashed_ms
     }
 
     /// Accuses a part of the crash of a replica's run at `crashed_ms`. The accusation expires at `until_ms`.
@@ -152,10 +168,14 @@
         self.condemned.iter().filter(is_new).cloned().collect()
     }
 
+    /// Number of crashes of which the part is accused and not cleared.
+    pub fn crash_count(&self, part: u64) -> usize {
+        self.suspects.get(&part).map_or(0, |suspect| suspect.valid_crashes().count())
+    }
+
     /// Whether one of these parts is accused of enough crashes to be condemned, once other daemons have had time to clear it.
     pub fn is_suspect(&self, mut parts: impl Iterator<Item = u64>) -> bool {
-        let crashes = |part| self.suspects.get(&part).map_or(0, |suspect| suspect.valid_crashes().count());
-        parts.any(|part| crashes(part) >= CONDEMN_CRASHES)
+        parts.any(|part| self.crash_count(part) >= CONDEMN_CRASHES)
     }
 
     /// The condemned parts that these parts include, if any.
--- a/goldcrestward/src/process/crash_simulation_test.rs
+++ b/goldcrestward/src/process/crash_simulation_test.rs
@@ -1,8 +1,8 @@
-//! Simulation of a site whose replicas crash on certain prompt parts, without a network: messages between daemons are late, lost and doubled.
+//! Simulation of a site whose replicas crash on certain prompt parts or whole requests, without a network: messages between daemons are late, lost and doubled.
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
+    collections::{BTreeMap, BinaryHeap, HashSet},
 };
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -15,12 +15,20 @@
 const TTL_MS: u64 = 900_000;
 /// Time within which daemons must know what others have seen.
 const CONTACT_MS: u64 = 4_000;
-/// Requests with a deadly part that may be sent later than that after the fifth crash.
+/// Requests with a deadly part that may be sent later than that after the fifth crash, or deadly ones after the third.
 const MAX_LATE: usize = 3;
+const PART_CRASHES: usize = 5;
+const REQUEST_CRASHES: usize = 3;
 const COMMON_PARTS: u64 = 20;
 const SUBJECTS: u64 = 900;
 const FIRST_SUBJECT: u64 = 1_000;
 const FIRST_DEADLY: u64 = 100_000;
+const FIRST_DEADLY_REQUEST: u64 = 200_000;
+/// Fingerprints of sound requests that are sent again and again, and of those that are like no other.
+const ALIKE: std::ops::Range<u64> = 300_000..300_003;
+const FIRST_UNLIKE: u64 = 1_000_000;
+/// Time from its first output for which a request counts as beginning.
+const EARLY_OUTPUT_MS: u64 = 500;
 /// Time in which a replica that has crashed is replaced.
 const REPLACE_MS: u64 = 4_000;
 
@@ -34,18 +42,42 @@
 struct Request {
     daemon: usize,
     parts: Vec<u64>,
+    fingerprint: u64,
     replica: usize,
     begins_at: u64,
     ends_at: u64,
     sends: u32,
 }
 
+impl Request {
+    /// The deadly part or request that it is.
+    fn deadly(&self) -> Option<u64> {
+        deadly(&self.parts, self.fingerprint)
+    }
+
+    fn was_beginning(&self, now: u64) -> bool {
+        now < self.begins_at + EARLY_OUTPUT_MS
+    }
+}
+
+fn deadly(parts: &[u64], fingerprint: u64) -> Option<u64> {
+    let is_deadly_request = (FIRST_DEADLY_REQUEST..ALIKE.start).contains(&fingerprint);
+    if is_deadly_request { Some(fingerprint) } else { parts.get(1).copied().filter(|part| *part >= FIRST_DEADLY) }
+}
+
 #[derive(Clone, Debug)]
 struct Scenario {
     daemons: usize,
     requests_per_second: f64,
     /// Deadly parts, and requests a second with each.
     deadly: (u64, f64),
+    /// Deadly requests whose parts are those of sound ones, and how often a second each comes again.
+    deadly_requests: (u64, f64),
+    /// Time from the first output of what is deadly to the crash.
+    output_ms: u64,
+    /// Shares of the sound requests that are sent again and again, and of those that are slow.
+    alike: f64,
+    slow: f64,
     /// Times at which a fifth of the replicas crash by themselves.
     waves: Vec<u64>,
     /// Whether half of the daemons restart with nothing at 20 s.
@@ -69,6 +101,7 @@
     requests: Vec<Request>,
     messages: BinaryHeap<Reverse<(u64, usize, Message)>>,
     next_run: u64,
+    next_unlike: u64,
     random: SmallRng,
     outcome: Outcome,
     now: u64,
@@ -83,6 +116,7 @@
             requests: Vec::new(),
             messages: BinaryHeap::new(),
             next_run: replicas as u64,
+            next_unlike: FIRST_UNLIKE,
             random: SmallRng::seed_from_u64(scenario.seed),
             outcome: Outcome::default(),
             now: 0,
@@ -118,7 +152,9 @@
         let count = self.evidence.len();
         for number in 0..count / 2 {
             self.evidence[number] = CrashEvidence::default();
-            for part in FIRST_DEADLY..FIRST_DEADLY + self.scenario.deadly.0 {
+            let parts = FIRST_DEADLY..FIRST_DEADLY + self.scenario.deadly.0;
+            let requests = FIRST_DEADLY_REQUEST..FIRST_DEADLY_REQUEST + self.scenario.deadly_requests.0;
+            for part in parts.chain(requests).chain(ALIKE) {
                 for (run, crashed_ms, until_ms) in self.evidence[count - 1].accusations(part) {
                     self.evidence[number].accuse(part, run, crashed_ms, until_ms, self.now);
                 }
@@ -157,7 +193,9 @@
 
     fn arrive(&mut self) {
         let mut rates = vec![(None, self.scenario.requests_per_second)];
-        rates.extend((0..self.scenario.deadly.0).map(|number| (Some(FIRST_DEADLY + number), self.scenario.deadly.1)));
+        let (parts, requests) = (self.scenario.deadly, self.scenario.deadly_requests);
+        rates.extend((0..parts.0).map(|number| (Some(FIRST_DEADLY + number), parts.1)));
+        rates.extend((0..requests.0).map(|number| (Some(FIRST_DEADLY_REQUEST + number), requests.1)));
         for (deadly, rate) in rates {
             // Requests with a deadly part begin to come after a while.
             let mut wanted = if deadly.is_some() && self.now < 10_000 { 0.0 } else { rate * STEP_MS as f64 / 1000.0 };
@@ -166,19 +204,30 @@
                     let common = self.random.random_range(0..COMMON_PARTS);
                     // A few subjects are asked for often, most seldom.
                     let subject = self.random.random_range(0.0f64..1.0).powi(3) * SUBJECTS as f64;
-                    let middle = deadly.unwrap_or(FIRST_SUBJECT + subject as u64);
+                    let deadly_part = deadly.filter(|deadly| *deadly < FIRST_DEADLY_REQUEST);
+                    let middle = deadly_part.unwrap_or(FIRST_SUBJECT + subject as u64);
                     let daemon = self.random.random_range(0..self.evidence.len());
-                    self.send(daemon, vec![common, middle], 0, None);
+                    self.next_unlike += 1;
+                    let is_alike = deadly.is_none() && self.draw(self.scenario.alike);
+                    let (parts, fingerprint) = match deadly {
+                        Some(request) if request >= FIRST_DEADLY_REQUEST => (vec![common], request),
+                        _ if is_alike => {
+                            let number = self.random.random_range(0..ALIKE.end - ALIKE.start);
+                            (vec![number, FIRST_SUBJECT + number], ALIKE.start + number)
+                        }
+                        _ => (vec![common, middle], self.next_unlike),
+                    };
+                    self.send(daemon, parts, fingerprint, 0, None);
                 }
                 wanted -= 1.0;
             }
         }
     }
 
-    fn send(&mut self, daemon: usize, parts: Vec<u64>, sends: u32, not: Option<usize>) {
-        let is_deadly = parts[1] >= FIRST_DEADLY;
-        let refused = self.evidence[daemon].refusal(parts.iter().copied()).is_some();
-        if !is_deadly && sends == 0 {
+    fn send(&mut self, daemon: usize, parts: Vec<u64>, fingerprint: u64, sends: u32, not: Option<usize>) {
+        let deadly = deadly(&parts, fingerprint);
+        let refused = self.evidence[daemon].refusal(suspects(&parts, fingerprint)).is_some();
+        if deadly.is_none() && sends == 0 {
             self.outcome.sound += 1;
             self.outcome.refused_sound += usize::from(refused);
         }
@@ -191,21 +240,28 @@
         if up.is_empty() {
             return;
         }
-        if is_deadly {
-            let fifth = self.outcome.crashes.get(&parts[1]).and_then(|times| times.get(4));
-            let is_late = fifth.is_some_and(|at| self.now > at + CONTACT_MS);
-            *self.outcome.late.entry(parts[1]).or_default() += usize::from(is_late);
+        if let Some(deadly) = deadly {
+            let crashes = if deadly >= FIRST_DEADLY_REQUEST { REQUEST_CRASHES } else { PART_CRASHES };
+            let last = self.outcome.crashes.get(&deadly).and_then(|times| times.get(crashes - 1));
+            let is_late = last.is_some_and(|at| self.now > at + CONTACT_MS);
+            *self.outcome.late.entry(deadly).or_default() += usize::from(is_late);
         }
-        let begins_at = self.now + self.random.random_range(30..250);
-        let ends_at = begins_at + self.random.random_range(100..2_500);
+        let is_slow = deadly.is_none() && self.draw(self.scenario.slow);
+        let (first, rest) = if is_slow { (1_000..4_000, 5_000..20_000) } else { (30..250, 100..2_500) };
+        let begins_at = self.now + self.random.random_range(first);
+        let ends_at = begins_at + self.random.random_range(rest).max(2 * self.scenario.output_ms);
         let replica = up[self.random.random_range(0..up.len())];
-        self.requests.push(Request { daemon, parts, replica, begins_at, ends_at, sends: sends + 1 });
+        self.requests.push(Request { daemon, parts, fingerprint, replica, begins_at, ends_at, sends: sends + 1 });
+    }
+
+    fn draw(&mut self, share: f64) -> bool {
+        share > 0.0 && self.random.random_bool(share)
     }
 
     fn progress(&mut self) {
-        let begun = |request: &&Request| request.begins_at <= self.now && request.parts[1] >= FIRST_DEADLY;
+        let begun = self.requests.iter().filter(|request| request.begins_at + self.scenario.output_ms <= self.now);
         let deadly: Vec<(usize, u64)> =
-            self.requests.iter().filter(begun).map(|request| (request.replica, request.parts[1])).collect();
+            begun.filter_map(|request| Some((request.replica, request.deadly()?))).collect();
         for (replica, part) in deadly {
             if self.replicas[replica].1 <= self.now {
                 self.outcome.crashes.entry(part).or_default().push(self.now);
@@ -216,7 +272,9 @@
             std::mem::take(&mut self.requests).into_iter().partition(|request| request.ends_at <= self.now);
         self.requests = running;
         for request in ended {
-            let cleared = self.evidence[request.daemon].record_answer(request.parts.into_iter(), START_MS + self.now);
+            let (evidence, agreed) = (&mut self.evidence[request.daemon], START_MS + self.now);
+            let mut cleared = evidence.record_answer(request.parts.into_iter(), agreed);
+            cleared.extend(evidence.record_request_answer(request.fingerprint, agreed));
             for (part, until) in cleared {
                 self.evidence[request.daemon].clear(part, until);
                 self.broadcast(request.daemon, Message::Clear { part, until });
@@ -233,29 +291,45 @@
             std::mem::take(&mut self.requests).into_iter().partition(|request| request.replica == replica);
         self.requests = running;
         let crashed_ms = START_MS + self.now;
-        for request in cut {
-            if self.now < request.begins_at + 500 {
-                for part in &request.parts {
-                    let evidence = &mut self.evidence[request.daemon];
-                    if !evidence.is_cleared(*part, crashed_ms) {
-                        evidence.accuse(*part, run, crashed_ms, START_MS + TTL_MS, self.now);
-                        self.broadcast(request.daemon, Message::Accuse { part: *part, run, crashed_ms });
-                    }
+        let beginning: HashSet<usize> =
+            cut.iter().filter(|request| request.was_beginning(self.now)).map(|request| request.daemon).collect();
+        for Request { daemon, parts, fingerprint, begins_at, sends, .. } in cut {
+            let accused: Vec<u64> = if self.now < begins_at + EARLY_OUTPUT_MS {
+                suspects(&parts, fingerprint).collect()
+            } else if beginning.contains(&daemon) {
+                Vec::new()
+            } else {
+                vec![fingerprint]
+            };
+            for part in accused {
+                let evidence = &mut self.evidence[daemon];
+                if !evidence.is_cleared(part, crashed_ms) {
+                    evidence.accuse(part, run, crashed_ms, START_MS + TTL_MS, self.now);
+                    self.broadcast(daemon, Message::Accuse { part, run, crashed_ms });
                 }
             }
-            if request.sends < 2 && !self.evidence[request.daemon].is_suspect(request.parts.iter().copied()) {
-                self.send(request.daemon, request.parts, request.sends, Some(replica));
+            if sends < 2 && !self.evidence[daemon].is_suspect(suspects(&parts, fingerprint)) {
+                self.send(daemon, parts, fingerprint, sends, Some(replica));
             }
         }
     }
 }
 
+/// What a request is accused by: the whole and its parts.
+fn suspects(parts: &[u64], fingerprint: u64) -> impl Iterator<Item = u64> + Clone {
+    std::iter::once(fingerprint).chain(parts.iter().copied())
+}
+
 /// A part seldom and often, in bursts beside replicas that crash by themselves, across restarts; and replicas that crash by themselves alone.
 fn scenarios(daemons: usize, requests_per_second: f64, seed: u64) -> [Scenario; 5] {
     let scenario = |deadly, waves: &[u64], restarts| Scenario {
         daemons,
         requests_per_second,
         deadly,
+        deadly_requests: (0, 0.0),
+        output_ms: 0,
+        alike: 0.0,
+        slow: 0.0,
         waves: waves.into(),
         restarts,
         seed,
@@ -269,6 +343,35 @@
     ]
 }
 
+/// Deadly requests and parts that crash replicas before or right after their first output, beside sound requests that are alike,
+/// unlike, slow and fast; and replicas that crash by themselves beside the same sound requests.
+fn alike_scenarios(daemons: usize, requests_per_second: f64, seed: u64) -> [Scenario; 8] {
+    let scenario = |deadly, deadly_requests, output_ms, alike, slow| Scenario {
+        daemons,
+        requests_per_second,
+        deadly,
+        deadly_requests,
+        output_ms,
+        alike,
+        slow,
+        waves: Vec::new(),
+        restarts: false,
+        seed,
+    };
+    let none = (0, 0.0);
+    let waves = |times: &[u64], scenario| Scenario { waves: times.into(), ..scenario };
+    [
+        scenario((1, 1.4), none, 0, 1.0, 0.0),
+        scenario((1, 1.4), none, 20, 0.9, 0.5),
+        scenario(none, (1, 1.0), 0, 0.5, 0.2),
+        scenario(none, (1, 1.0), 20, 0.0, 0.5),
+        scenario(none, (3, 3.0), 20, 0.5, 0.5),
+        waves(&[12_000, 30_000], scenario((1, 1.0), (1, 0.3), 20, 0.5, 0.3)),
+        Scenario { restarts: true, ..scenario(none, (1, 0.2), 20, 0.5, 0.3) },
+        waves(&[10_000, 10_500, 11_000, 11_500, 40_000], scenario(none, none, 0, 0.5, 0.3)),
+    ]
+}
+
 /// Guards against deadly parts that reach replica after replica, and against refusing sound requests for them.
 fn check(scenarios: impl IntoIterator<Item = Scenario>) {
     for scenario in scenarios {
@@ -300,3 +403,14 @@
 fn deadly_parts_are_refused_and_sound_requests_served_by_730_daemons() {
     check(scenarios(730, 300.0, 730));
 }
+
+/// Guards against refusing alike sound requests, and against a deadly request that is never refused as others take the blame.
+#[test]
+fn deadly_requests_are_refused_and_alike_ones_served_by_7_daemons() {
+    check((0..8).flat_map(|seed| alike_scenarios(7, 200.0, seed)));
+}
+
+#[test]
+fn deadly_requests_are_refused_and_alike_ones_served_by_70_daemons() {
+    check((70..72).flat_map(|seed| alike_scenarios(70, 300.0, seed)));
+}
--- a/goldcrestward/src/process/crash_watch.rs
+++ b/goldcrestward/src/process/crash_watch.rs
@@ -1,4 +1,4 @@
-//! Carries evidence on prompt parts that crash replicas between this daemon's requests and the facts that all daemons share.
+//! Carries evidence on requests and prompt parts that crash replicas between this daemon's requests and the facts that all daemons share.
 
 use std::sync::Arc;
 
@@ -15,17 +15,18 @@
 
 /// Lifetime of an accusation, in ms.
 const ACCUSATION_TTL_MS: u64 = 15 * 60 * 1000;
-/// Parts that one request may accuse of a crash.
+/// Parts that one request may accuse of a crash, itself included.
 const MAX_ACCUSED: usize = 16;
 
-/// Accuses the parts of a request that a crashed replica was beginning to answer, except those that other answers speak for.
-pub(crate) fn accuse_parts(shared: &Shared, id: &str, replica: &Replica, parts: &[u64]) {
+/// Accuses the whole of a request that a crashed replica was running, by its fingerprint, and its parts, except what other answers
+/// speak for.
+pub(crate) fn accuse(shared: &Shared, id: &str, replica: &Replica, fingerprint: Option<u64>, parts: &[u64]) {
     let (agreed, now, run) = (shared.agreed_ms(), shared.now(), replica.run_hash());
     let until_ms = unix_ms() + ACCUSATION_TTL_MS;
     let accused: Vec<u64> = {
         let mut evidence = shared.crash_evidence.lock();
-        let open = parts.iter().copied().filter(|part| !evidence.is_cleared(*part, agreed));
-        let accused: Vec<u64> = open.take(MAX_ACCUSED).collect();
+        let suspects = fingerprint.into_iter().chain(parts.iter().copied());
+        let accused: Vec<u64> = suspects.filter(|part| !evidence.is_cleared(*part, agreed)).take(MAX_ACCUSED).collect();
         accused.iter().for_each(|part| evidence.accuse(*part, run, agreed, until_ms, now));
         accused
     };
@@ -33,9 +34,12 @@
         shared.metrics.accusations.with_label_values(&["own", result]).inc_by(number as u64);
     };
     count("standing", accused.len());
-    count("contradicted", parts.len() - accused.len());
-    let (accused_names, instance, all) = (part_names(&accused), &replica.id, parts.len());
-    info!("event=parts-accused id={id} instance={instance} parts={accused_names} of={all}");
+    count("contradicted", parts.len() + usize::from(fingerprint.is_some()) - accused.len());
+    let (accused_requests, accused_parts): (Vec<u64>, Vec<u64>) =
+        accused.iter().partition(|part| Some(**part) == fingerprint);
+    let (instance, all, whole) = (&replica.id, parts.len(), !accused_requests.is_empty());
+    let names = part_names(&accused_parts);
+    info!("event=parts-accused id={id} instance={instance} parts={names} of={all} request={whole}");
     for part in accused {
         let key = fact_key(part, run).into();
         publish(shared, Fact { kind: FactKind::PartCrash, key, value: agreed, until_ms, note: replica.id.clone() });
@@ -43,13 +47,15 @@
     judge(shared);
 }
 
-/// Records a complete answer to a request with these parts, which clears them of earlier accusations.
-pub(crate) fn record_answer(shared: &Shared, parts: &[u64]) {
-    if parts.is_empty() {
-        return;
-    }
+/// Records a complete answer to a request with these parts, which clears it and them of earlier accusations.
+pub(crate) fn record_answer(shared: &Shared, fingerprint: u64, parts: &[u64]) {
     let agreed = shared.agreed_ms();
-    let cleared = shared.crash_evidence.lock().record_answer(parts.iter().copied(), agreed);
+    let cleared = {
+        let mut evidence = shared.crash_evidence.lock();
+        let mut cleared = evidence.record_answer(parts.iter().copied(), agreed);
+        cleared.extend(evidence.record_request_answer(fingerprint, agreed));
+        cleared
+    };
     for (part, until) in cleared {
         publish_clear(shared, part, until, "answered");
     }
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -55,7 +55,7 @@
 pub(crate) use admission_queue::Rank;
 pub(crate) use brittle::record_stated as record_brittle;
 pub(crate) use crash_evidence::Condemned;
-pub(crate) use crash_watch::{accuse_parts, part_names, record_answer};
+pub(crate) use crash_watch::{accuse, part_names, record_answer};
 pub use daemon::{Daemon, DaemonCounts, StartingDaemon};
 pub use error::{Error, Result};
 pub(crate) use gateway::Gateway;
--- a/goldcrestward/src/process/replicas/replica.rs
+++ b/goldcrestward/src/process/replicas/replica.rs
@@ -124,6 +124,12 @@
         }
     }
 
+    /// Whether the replica was beginning to answer any of this daemon's requests when it crashed.
+    pub fn was_beginning_any(&self, now: u64) -> bool {
+        let running = self.health.running.lock();
+        running.iter().any(|request| request.is_recent(now) && request.was_beginning(now))
+    }
+
     /// Number of this daemon's requests that the replica ran when it crashed, and of those without output.
     pub fn recent_requests(&self, now: u64) -> (usize, usize) {
         let running = self.health.running.lock();
--- a/goldcrestward/src/process/replicas/replica_guard.rs
+++ b/goldcrestward/src/process/replicas/replica_guard.rs
@@ -7,9 +7,6 @@
 
 use super::{Replica, running_request::RunningRequest};
 
-/// Time from its first output for which a request counts as beginning.
-const EARLY_OUTPUT_MS: u64 = 500;
-
 /// A replica chosen for an attempt; dropping the guard ends the attempt.
 pub(crate) struct ReplicaGuard {
     replica: Arc<Replica>,
@@ -59,10 +56,7 @@
     pub fn was_beginning(&self, now: u64) -> bool {
         let running = self.replica.health.running.lock();
         let mine = running.iter().find(|request| request.number == self.number);
-        mine.is_some_and(|mine| {
-            let end = mine.disconnected_at.unwrap_or(now);
-            mine.output_at.is_none_or(|at| end.saturating_sub(at) < EARLY_OUTPUT_MS)
-        })
+        mine.is_some_and(|mine| mine.was_beginning(now))
     }
 
     /// Records that the replica closed the connection; see [`RunningRequest::is_recent`].
--- a/goldcrestward/src/request/attempt.rs
+++ b/goldcrestward/src/request/attempt.rs
@@ -224,10 +224,10 @@
         }
     }
 
-    /// Records a success and clears the request's crash records, if there are any.
+    /// Records a success and clears the crash records of requests like this one, if there are any.
     pub fn record_success(&self, replica: &Replica) {
         replica.update_ejection(true, self.shared.now());
-        if self.crashes > 0 {
+        if self.crashes > 0 || CrashRecords::score(self.shared.view.lock().facts(), self.fingerprint) > 0 {
             self.shared.publish_fact(CrashRecords::clear(self.fingerprint, "answered"));
         }
     }
--- a/goldcrestward/src/request/crash.rs
+++ b/goldcrestward/src/request/crash.rs
@@ -1,13 +1,14 @@
 //! Finds and blocks requests that crash back ends.
 //!
-//! Parts of prompts that crash back ends whatever else a request holds are found by `process::crash_evidence`.
+//! Crashes that proxied requests may have caused are evidence for `process::crash_evidence`, which finds whole requests and parts of
+//! prompts that crash back ends.
 //!
-//! When a replica crashes, the most suspicious of its running requests are recorded as suspects: requests
+//! On the own interface, the most suspicious of a crashed replica's running requests are recorded as suspects: requests
 //! that were suspects before, otherwise those that had received no token from the replica. A request that was
 //! the only suspect of two crashes is refused by all daemons. Suspects are sent to different replicas,
 //! and a request that is answered is no longer a suspect.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use log::info;
 use tokio::time::timeout;
@@ -15,7 +16,7 @@
 use crate::{
     connection::{ConnectError, open_socket},
     process::{
-        Blame, ReplicaGuard, Shared, accuse_parts,
+        Blame, ReplicaGuard, Shared, accuse,
         membership::{Fact, FactKind, Facts},
     },
     util::{stable_hash, unix_ms},
@@ -51,11 +52,36 @@
     pub parts: &'a [u64],
 }
 
+/// Accuses a proxied request of the crash of its replica, if the replica has crashed.
+pub(crate) async fn accuse_of_crash(shared: &Shared, guard: &ReplicaGuard, request: PossibleCause<'_>) {
+    let PossibleCause { id, fingerprint, parts } = request;
+    if find_crash(shared, guard, request).await.is_none() {
+        return;
+    }
+    let (replica, now) = (guard.replica(), shared.now());
+    if guard.was_beginning(now) {
+        accuse(shared, id, replica, Some(fingerprint), parts);
+    } else if !replica.was_beginning_any(now) {
+        // No other request of this daemon is more likely to be the cause.
+        accuse(shared, id, replica, Some(fingerprint), &[]);
+    }
+}
+
+/// Records the crash of a replica, if it has crashed, for a request of the own interface. Returns whether the request is a
+/// suspect; see [`find_crash`] for `None`.
+pub(crate) async fn record_crash(shared: &Shared, guard: &ReplicaGuard, request: PossibleCause<'_>) -> Option<bool> {
+    let blame = find_crash(shared, guard, request).await?;
+    let fact = CrashRecords::crash(request.fingerprint, &guard.replica().id, blame);
+    let is_suspect = fact.is_some();
+    fact.into_iter().for_each(|fact| shared.publish_fact(fact));
+    Some(is_suspect)
+}
+
 /// Checks, after the connection of a request broke, whether the replica has crashed, and if so ejects it.
-/// Returns whether the request is a suspect, or `None` if the replica has not crashed, or the daemon ends before that is
+/// Returns the blame of the request, or `None` if the replica has not crashed, or the daemon ends before that is
 /// known.
-pub(crate) async fn record_crash(shared: &Shared, guard: &ReplicaGuard, request: PossibleCause<'_>) -> Option<bool> {
-    let PossibleCause { id, fingerprint, parts } = request;
+async fn find_crash(shared: &Shared, guard: &ReplicaGuard, request: PossibleCause<'_>) -> Option<Blame> {
+    let PossibleCause { id, fingerprint, .. } = request;
     let replica = guard.replica();
     guard.record_disconnect(shared.now());
     if replica.is_leaving() {
@@ -81,13 +107,7 @@
     info!(
         "event=crash-seen id={id} instance={instance} fingerprint={fingerprint:016x} blame={blame_label} running={running} without_output={silent}"
     );
-    if !parts.is_empty() && guard.was_beginning(now) {
-        accuse_parts(shared, id, replica, parts);
-    }
-    let fact = CrashRecords::crash(fingerprint, &replica.id, blame);
-    let is_suspect = fact.is_some();
-    fact.into_iter().for_each(|fact| shared.publish_fact(fact));
-    Some(is_suspect)
+    Some(blame)
 }
 
 /// Hashes account, path and content of a request. Retries of a caller have the same fingerprint.
@@ -95,7 +115,7 @@
     stable_hash(&[account.as_bytes(), path.as_bytes(), body])
 }
 
-/// Crash records, kept as facts that all daemons of the site share.
+/// Crash records of the own interface's requests, kept as facts that all daemons of the site share.
 pub(crate) struct CrashRecords;
 
 impl CrashRecords {
@@ -133,7 +153,13 @@
         let prefix = format!("{fingerprint:016x}");
         let cleared = facts.get(FactKind::Clear, &prefix).map_or(0, |f| f.value);
         let crashes = facts.with_prefix(FactKind::Crash, &prefix).filter(|f| f.value > cleared);
-        crashes.filter_map(|f| f.key.rsplit('/').next()?.parse::<u64>().ok()).sum()
+        // Several daemons may have recorded the crash of one replica.
+        let mut points: BTreeMap<&str, u64> = BTreeMap::new();
+        for (replica, stated) in crashes.filter_map(|f| f.key.rsplit_once('/')) {
+            let highest = points.entry(replica).or_default();
+            *highest = stated.parse().map_or(*highest, |stated: u64| stated.max(*highest));
+        }
+        points.values().sum()
     }
 
     /// Whether the request's crash score is high enough to refuse it.
@@ -141,3 +167,7 @@
         Self::score(facts, fingerprint) >= BLOCK_SCORE
     }
 }
+
+#[cfg(test)]
+#[path = "crash_test.rs"]
+mod crash_test;
--- a/goldcrestward/src/request/proxy.rs
+++ b/goldcrestward/src/request/proxy.rs
@@ -1,6 +1,7 @@
 //! Requests that are proxied to backend servers, with retries where the route allows them.
 
 use std::{
+    iter,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -18,7 +19,7 @@
     admitted_caller::AdmittedCaller,
     awaited_head::AwaitedHead,
     bounded_body::BoundedBody,
-    crash::{CrashRecords, PossibleCause, fingerprint, record_crash},
+    crash::{PossibleCause, accuse_of_crash, fingerprint},
     fallback::Fallback,
     headers::drop_hop_by_hop,
     held_answer::HeldAnswer,
@@ -301,9 +302,9 @@
         self.kv_cache.as_ref().is_some_and(|kv_cache| kv_cache.source == replica.address)
     }
 
-    /// Records that the request was answered completely, which speaks for the parts of its prompt.
+    /// Records that the request was answered completely, which speaks for it and for the parts of its prompt.
     pub(super) fn record_answer(&self) {
-        record_answer(&self.gateway.shared, &self.parts);
+        record_answer(&self.gateway.shared, self.fingerprint, &self.parts);
     }
 
     /// Whether the path of the last attempt has failed, which says nothing about its server.
@@ -332,23 +333,25 @@
         self.record_outcome(guard, AttemptOutcome::Failure);
     }
 
-    /// The score of the request's content from earlier crashes.
+    /// What can be accused of crashes: the request as a whole and the parts of its prompt.
+    fn crash_suspects(&self) -> impl Iterator<Item = u64> + Clone {
+        iter::once(self.fingerprint).chain(self.parts.iter().copied())
+    }
+
+    /// The number of crashes of which requests like this one are accused.
     ///
     /// # Errors
-    /// Returns a refusal if requests like this one crash servers.
+    /// Returns a refusal if they crash servers.
     pub(super) fn crash_score(&self) -> Result<u64, Refusal> {
-        let refused = self.gateway.shared.crash_evidence.lock().refusal(self.parts.iter().copied()).cloned();
-        if let Some(Condemned { parts, crashes }) = refused {
-            let message = format!("prompt part {} has crashed {crashes} backend servers", part_names(&parts));
-            return Err(Refusal { run: self.run_state, ..Refusal::not_run(Reason::CrashesBackends, message) });
-        }
-        let view = self.gateway.shared.view.lock();
-        let score = CrashRecords::score(view.facts(), self.fingerprint);
-        if CrashRecords::is_blocked(view.facts(), self.fingerprint) {
-            let message = "requests with this content have crashed backend servers";
-            return Err(Refusal { run: self.run_state, ..Refusal::not_run(Reason::CrashesBackends, message) });
-        }
-        Ok(score)
+        let evidence = self.gateway.shared.crash_evidence.lock();
+        let Some(Condemned { parts, crashes }) = evidence.refusal(self.crash_suspects()) else {
+            return Ok(evidence.crash_count(self.fingerprint) as u64);
+        };
+        let message = match parts.contains(&self.fingerprint) {
+            true => format!("requests with this content have crashed {crashes} backend servers"),
+            false => format!("prompt part {} has crashed {crashes} backend servers", part_names(parts)),
+        };
+        Err(Refusal { run: self.run_state, ..Refusal::not_run(Reason::CrashesBackends, message) })
     }
 
     fn set_run_state(&mut self, run: RunState) {
@@ -358,9 +361,9 @@
         }
     }
 
-    /// Whether the request has a part of a prompt that is suspected to crash servers.
+    /// Whether the request or a part of its prompt is suspected to crash servers.
     pub(super) fn is_suspect(&self) -> bool {
-        self.gateway.shared.crash_evidence.lock().is_suspect(self.parts.iter().copied())
+        self.gateway.shared.crash_evidence.lock().is_suspect(self.crash_suspects())
     }
 
     /// Records that a server has not run the request. The silent server that was given up for it may be sound.
@@ -506,7 +509,7 @@
                 }
                 // A response without a length ends with its connection, also when the server has crashed.
                 if matches!(failure, ProxyFailure::Indeterminate("cut" | "empty")) && self.may_judge_crash(&guard) {
-                    record_crash(&self.gateway.shared, &guard, self.possible_cause()).await;
+                    accuse_of_crash(&self.gateway.shared, &guard, self.possible_cause()).await;
                 }
                 Err(failure)
             }
@@ -769,7 +772,7 @@
             self.close_idle_carried();
         }
         if cause == "cut" && self.may_judge_crash(guard) {
-            record_crash(&self.gateway.shared, guard, self.possible_cause()).await;
+            accuse_of_crash(&self.gateway.shared, guard, self.possible_cause()).await;
         }
     }
 }
