Crashes: a stream that is not resumed is looked at for a crash of its server

What callers saw: a request that crashes its server right after the first event was never refused; it crashed one server each time that it came and cut the streams of others.

Cause: only a stream that was going to be resumed led to a look at its server. A stream on a route without a second attempt ended without one, so that the request that had begun was never accused, and those that still waited for output took the blame.

Change: the server of a stream that breaks off for good is looked at in a task of its own. The caller gets the end of the answer at once, as before.

--- a/goldcrestward/src/request/proxy_body.rs
+++ b/goldcrestward/src/request/proxy_body.rs
@@ -132,7 +132,10 @@
         if !allowed {
             call.gateway.shared.metrics.cut_answers.inc();
             call.record_failure(&guard, cause);
-            return Err(call.broken_answer(format!("the stream broke off: {cause}")).into());
+            let broken = call.broken_answer(format!("the stream broke off: {cause}"));
+            // The caller does not wait for the look at the server.
+            tokio::spawn(async move { call.record_break(&guard, cause).await });
+            return Err(broken.into());
         }
         sequence.restart();
         self.state = State::resuming(async move {
