--- a/goldcrestward/src/process/admin.rs
+++ b/goldcrestward/src/process/admin.rs
@@ -289,8 +289,12 @@
     async fn rollout(&self) -> Response {
         let records = read_records(&self.shared, &record_prefix(&self.shared.settings.site)).await;
         let answered = records.is_some();
-        let records: BTreeMap<_, _> =
-            records.unwrap_or_default().into_iter().map(|(record, _)| (record.version.clone(), record)).collect();
+        let records: BTreeMap<_, _> = records
+            .unwrap_or_default()
+            .into_iter()
+            .filter_map(|stored| stored.record)
+            .map(|r| (r.version.clone(), r))
+            .collect();
         let in_force = self.shared.in_force.load();
         let rows: Vec<_> = in_force
             .site
--- a/goldcrestward/src/process/rollout.rs
+++ b/goldcrestward/src/process/rollout.rs
@@ -18,7 +18,7 @@
     config::VersionPlan,
     pb::{self, answer, request},
     port::{Catalog, RolloutState},
-    store::{Compare, Purpose, Put, Revision, Txn, TxnOutcome},
+    store::{Compare, Purpose, Put, Revision, Row, Txn, TxnOutcome},
     util::{stable_hash, unix_ms},
     version::{Decision, Outcome, Readiness, Rollout, Snapshot, Strata, Tally, TallyKey},
 };
@@ -129,7 +129,7 @@
     async fn load_records(&self) -> bool {
         match read_records(&self.shared, &self.prefix).await {
             Some(records) => {
-                records.iter().for_each(|(record, _)| self.publish(record));
+                records.iter().filter_map(|stored| stored.record.as_ref()).for_each(|record| self.publish(record));
                 true
             }
             None => self.shared.daemon_count() > 1,
@@ -338,16 +338,20 @@
         let name = plan.rollout_key.clone();
         let records = read_records(&self.shared, &self.prefix).await;
         let read = records.is_some();
-        let found = records.into_iter().flatten().find(|(record, _)| record.version == name);
+        let key = format!("{}{name}", self.prefix);
+        let found = records.into_iter().flatten().find(|stored| stored.key == key);
         let known_step = self.shared.view.lock().facts().get(FactKind::Step, &name).map_or(0, |f| f.value as usize);
         let fresh = RolloutRecord {
             version: name.clone(),
             step: if read { 0 } else { known_step },
             ..RolloutRecord::default()
         };
-        let (stored, revision) = found.unwrap_or((fresh, Revision::NONE));
+        let revision = found.as_ref().map_or(Revision::NONE, |stored| stored.revision);
+        // What cannot be read is replaced.
+        let is_unreadable = found.as_ref().is_some_and(|stored| stored.record.is_none());
+        let stored = found.and_then(|stored| stored.record).unwrap_or(fresh);
         let record = self.with_known_state(stored.clone(), plan);
-        let unsaved = record != stored;
+        let unsaved = is_unreadable || record != stored;
         if let Some(held) = self.held.get_mut(&name).filter(|_| !read) {
             held.record.step = known_step;
             return;
@@ -493,17 +497,27 @@
     format!("/goldcrestward/{site}/moves/")
 }
 
-/// Reads the records of all rollouts with their revisions. Returns `None` if the store does not answer.
-pub(crate) async fn read_records(shared: &Shared, prefix: &str) -> Option<Vec<(RolloutRecord, Revision)>> {
+/// A record in the store.
+pub(crate) struct StoredRecord {
+    key: String,
+    revision: Revision,
+    /// `None` if it cannot be read.
+    pub record: Option<RolloutRecord>,
+}
+
+/// Reads the records of all rollouts. Returns `None` if the store does not answer.
+pub(crate) async fn read_records(shared: &Shared, prefix: &str) -> Option<Vec<StoredRecord>> {
     let (rows, _) = shared.kv.list(Purpose::Rollout, prefix, Revision::NONE).await.ok()?;
-    let parse = |row: crate::store::Row| match serde_json::from_slice(&row.value) {
-        Ok(record) => Some((record, row.revision)),
-        Err(error) => {
+    let parse = |row: Row| {
+        let record: Result<RolloutRecord, _> = serde_json::from_slice(&row.value);
+        if let Err(error) = &record {
             warn!("event=rollout-record-unreadable key={:?} revision={} error={error:?}", row.key, row.revision);
-            None
         }
+        // A record of another rollout under this key counts as unreadable too.
+        let record = record.ok().filter(|record| row.key.strip_prefix(prefix) == Some(&*record.version));
+        StoredRecord { key: row.key, revision: row.revision, record }
     };
-    Some(rows.into_iter().filter_map(parse).collect())
+    Some(rows.into_iter().map(parse).collect())
 }
 
 /// Queries daemons for their tallies. Returns how many were queried, and how many answered.
