--- a/goldcrestward/src/process/seeds.rs
+++ b/goldcrestward/src/process/seeds.rs
@@ -6,6 +6,7 @@
 use log::{info, warn};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
 use super::{gossip::Gossip, membership::State, shared::Shared};
 use crate::store::{Compare, Purpose, Put, Revision, Txn};
@@ -24,8 +25,27 @@
 const JOIN_MISSING_INTERVAL: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(30));
 
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "StoredSeeds")]
 pub(super) struct Seeds {
     addresses: Vec<SocketAddr>,
+    /// Items of the stored list that are no addresses.
+    #[serde(skip)]
+    refused: usize,
+}
+
+/// The stored list, whose items are decoded one by one.
+#[derive(Deserialize)]
+struct StoredSeeds {
+    addresses: Vec<Value>,
+}
+
+impl From<StoredSeeds> for Seeds {
+    fn from(stored: StoredSeeds) -> Self {
+        let items = &stored.addresses;
+        let addresses: Vec<SocketAddr> = items.iter().filter_map(|item| item.as_str()?.parse().ok()).collect();
+        let refused = items.len() - addresses.len();
+        Self { addresses, refused }
+    }
 }
 
 /// Joins the site by its seed list and maintains the list.
@@ -107,10 +127,17 @@
     async fn read(&self) -> Option<(Seeds, Revision)> {
         let row = self.shared.kv.get(Purpose::Seeds, &self.key).await.ok()?;
         let Some(row) = row else { return Some((Seeds::default(), Revision::NONE)) };
-        let seeds = serde_json::from_slice(&row.value).unwrap_or_else(|error| {
+        let seeds: Seeds = serde_json::from_slice(&row.value).unwrap_or_else(|error| {
             warn!("event=seeds-unreadable key={:?} error={:?} action=replaced", row.key, error.to_string());
             Seeds::default()
         });
+        if seeds.refused > 0 {
+            let (key, revision, refused) = (&row.key, row.revision, seeds.refused);
+            warn!(
+                "event=seeds-refused key={key:?} revision={revision} refused={refused} of={}",
+                seeds.addresses.len() + refused
+            );
+        }
         Some((seeds, row.revision))
     }
 
@@ -141,7 +168,7 @@
                 addresses.push(address);
             }
         }
-        Seeds { addresses }
+        Seeds { addresses, refused: 0 }
     }
 }
 
@@ -149,3 +176,7 @@
 fn jittered(mean: Duration) -> Duration {
     mean.mul_f64(rand::rng().random_range(0.5..1.5))
 }
+
+#[cfg(test)]
+#[path = "seeds_test.rs"]
+mod seeds_test;
