--- a/goldcrestward/src/ledger/mod.rs
+++ b/goldcrestward/src/ledger/mod.rs
@@ -23,4 +23,6 @@
 #[cfg(test)]
 mod slot_test;
 #[cfg(test)]
+mod stale_owner_test;
+#[cfg(test)]
 mod store_test;
--- a/goldcrestward/src/ledger/slot.rs
+++ b/goldcrestward/src/ledger/slot.rs
@@ -252,7 +252,7 @@
             Phase::Idle if self.wanted && (self.is_settlement_due || !self.waiting.is_empty()) => {
                 self.load(Phase::Loading)
             }
-            Phase::Loading => self.load(Phase::Loading),
+            Phase::Loading | Phase::Entering => self.load(self.phase),
             Phase::Reconciling => self.load(Phase::Reconciling),
             Phase::Owned if self.is_closing && !self.has_pending() => self.lose_ownership(),
             Phase::Owned => self.flush(now_ms, unix_s),
@@ -277,12 +277,14 @@
         if let Some((head, revision)) = &head
             && head.owner == self.owner_id
         {
-            // A previous write of the head took effect, but its answer was lost.
             self.head_revision = *revision;
             self.fencing_token = head.fence;
             self.phase = Phase::Owned;
             return Vec::new();
         }
+        if self.phase == Phase::Entering {
+            return self.lose_ownership();
+        }
         let (fencing_token, revision) = head.map_or((0, Revision::NONE), |(head, revision)| (head.fence, revision));
         self.fencing_token = fencing_token + 1;
         self.phase = Phase::Acquiring;
@@ -411,13 +413,8 @@
     fn on_txn_outcome(&mut self, txn: TxnOutcome) -> Vec<Effect> {
         self.failures = 0;
         match self.phase {
-            Phase::Acquiring if txn.succeeded => {
-                self.head_revision = txn.revision;
-                self.phase = Phase::Owned;
-                Vec::new()
-            }
             Phase::Acquiring => {
-                self.phase = Phase::Loading;
+                self.phase = if txn.succeeded { Phase::Entering } else { Phase::Loading };
                 Vec::new()
             }
             Phase::Committing if txn.succeeded => self.on_commit_succeeded(txn.revision),
@@ -479,7 +476,7 @@
         if self.failures < MAX_FAILURES {
             return Vec::new();
         }
-        if self.phase == Phase::Loading {
+        if matches!(self.phase, Phase::Loading | Phase::Entering) {
             self.phase = Phase::Idle;
         }
         self.refuse_waiting(Grant::Unavailable)
--- a/goldcrestward/src/ledger/state.rs
+++ b/goldcrestward/src/ledger/state.rs
@@ -24,6 +24,8 @@
     Loading,
     /// Writing the head with this daemon as owner and the next fencing token.
     Acquiring,
+    /// Owned by this daemon, and being read again: until the head named it, the owner before may have written more.
+    Entering,
     /// Owned by this daemon.
     Owned,
     /// Owned by this daemon, with a commit pending.
