--- a/goldcrestward/src/process/crash_simulation_test.rs
+++ b/goldcrestward/src/process/crash_simulation_test.rs
@@ -11,6 +11,8 @@
 
 const STEP_MS: u64 = 20;
 const RUN_MS: u64 = 45_000;
+/// Time from which replicas crash.
+const FIRST_CRASH_MS: u64 = 10_000;
 const START_MS: u64 = 1_000_000;
 const TTL_MS: u64 = 900_000;
 /// Time within which daemons must know what others have seen.
@@ -80,6 +82,9 @@
     slow: f64,
     /// Times at which a fifth of the replicas crash by themselves.
     waves: Vec<u64>,
+    /// Time between two crashes of the replica with the most requests that it is beginning, as a brittle one falls over under
+    /// load; 0 for none.
+    fall_gap_ms: u64,
     /// Whether half of the daemons restart with nothing at 20 s.
     restarts: bool,
     seed: u64,
@@ -135,6 +140,10 @@
                     self.crash(replica);
                 }
             }
+            let fall_gap = self.scenario.fall_gap_ms;
+            if fall_gap > 0 && self.now >= FIRST_CRASH_MS && self.now.is_multiple_of(fall_gap) {
+                self.crash_busiest();
+            }
             if self.scenario.restarts && self.now == 20_000 {
                 self.restart_half();
             }
@@ -198,7 +207,8 @@
         rates.extend((0..requests.0).map(|number| (Some(FIRST_DEADLY_REQUEST + number), requests.1)));
         for (deadly, rate) in rates {
             // Requests with a deadly part begin to come after a while.
-            let mut wanted = if deadly.is_some() && self.now < 10_000 { 0.0 } else { rate * STEP_MS as f64 / 1000.0 };
+            let mut wanted =
+                if deadly.is_some() && self.now < FIRST_CRASH_MS { 0.0 } else { rate * STEP_MS as f64 / 1000.0 };
             while wanted > 0.0 {
                 if self.random.random_bool(wanted.min(1.0)) {
                     let common = self.random.random_range(0..COMMON_PARTS);
@@ -282,6 +292,17 @@
         }
     }
 
+    fn crash_busiest(&mut self) {
+        let beginning = |replica: &usize| {
+            let at_replica = self.requests.iter().filter(|request| request.replica == *replica);
+            at_replica.filter(|request| request.was_beginning(self.now)).count()
+        };
+        let up = (0..self.replicas.len()).filter(|replica| self.replicas[*replica].1 <= self.now);
+        if let Some(replica) = up.max_by_key(beginning) {
+            self.crash(replica);
+        }
+    }
+
     /// Ends a replica: what it was beginning to answer is accused, and sent again once.
     fn crash(&mut self, replica: usize) {
         let run = self.replicas[replica].0;
@@ -331,6 +352,7 @@
         alike: 0.0,
         slow: 0.0,
         waves: waves.into(),
+        fall_gap_ms: 0,
         restarts,
         seed,
     };
@@ -355,6 +377,7 @@
         alike,
         slow,
         waves: Vec::new(),
+        fall_gap_ms: 0,
         restarts: false,
         seed,
     };
@@ -372,6 +395,25 @@
     ]
 }
 
+/// Replicas that fall over one after another under the load of sound requests, alone and beside a deadly part.
+fn falling_scenarios(daemons: usize, requests_per_second: f64, seed: u64) -> [Scenario; 4] {
+    let falling = |gap, alike, slow, deadly| Scenario {
+        fall_gap_ms: gap,
+        alike,
+        slow,
+        deadly,
+        deadly_requests: (0, 0.0),
+        waves: Vec::new(),
+        ..alike_scenarios(daemons, requests_per_second, seed)[0].clone()
+    };
+    [
+        falling(2_000, 1.0, 0.0, (0, 0.0)),
+        falling(2_000, 0.5, 0.3, (0, 0.0)),
+        falling(700, 0.9, 0.1, (0, 0.0)),
+        falling(2_000, 0.5, 0.1, (1, 1.0)),
+    ]
+}
+
 /// Guards against deadly parts that reach replica after replica, and against refusing sound requests for them.
 fn check(scenarios: impl IntoIterator<Item = Scenario>) {
     for scenario in scenarios {
@@ -414,3 +456,10 @@
 fn deadly_requests_are_refused_and_alike_ones_served_by_70_daemons() {
     check((70..72).flat_map(|seed| alike_scenarios(70, 300.0, seed)));
 }
+
+/// Guards against refusing sound requests that were at replicas which crash for reasons of their own.
+#[test]
+fn sound_requests_are_served_beside_replicas_that_fall_over() {
+    check((0..2).flat_map(|seed| falling_scenarios(7, 100.0, seed)));
+    check((0..4).flat_map(|seed| falling_scenarios(7, 3.0, seed)));
+}
