--- a/goldcrestward/src/process/duty.rs
+++ b/goldcrestward/src/process/duty.rs
@@ -18,7 +18,7 @@
     gateway::Gateway,
     last_term::LastTerm,
     lifecycle::Stage,
-    record_knowledge::{RecordKnowledge, first_window_since},
+    record_knowledge::{CurrentHistory, RecordKnowledge, first_window_since},
     scaler::{Scaler, ZonePool, lost_share},
     term::{Term, UsageRecord, UsageSchedule, UsageStep, WriteResult},
 };
@@ -62,6 +62,8 @@
     /// Revision of the entry that names this daemon as the holder.
     revision: Revision,
     term: Term,
+    /// Whether what the holder before the last restore of the store recorded is known: it has told, or is this daemon.
+    is_vouched: bool,
 }
 
 /// Acquires the duties and carries them out.
@@ -79,6 +81,8 @@
     unfetched_window: u64,
     /// The daemons that held the duties last, the latest first.
     former_holders: Vec<Arc<str>>,
+    /// Whether this process has held the duties.
+    has_held: bool,
     /// Start of this daemon, in ms.
     started_ms: u64,
     records: RecordKnowledge,
@@ -97,6 +101,7 @@
             last_scaled_ms: 0,
             unfetched_window: 0,
             former_holders: Vec::new(),
+            has_held: false,
             started_ms: boot_ms(),
             records: RecordKnowledge::default(),
         }
@@ -152,7 +157,7 @@
     }
 
     fn key(&self, name: &str) -> String {
-        format!("{OWN_PREFIX}{}/{name}", self.gateway.shared.settings.site)
+        own_key(&self.gateway.shared.settings.site, name)
     }
 
     fn lease_time(&self) -> Duration {
@@ -197,6 +202,7 @@
         }
         self.vacant_since = None;
         self.held = self.acquire(now, Revision::NONE).await;
+        self.has_held |= self.held.is_some();
         self.unfetched_window = 0;
         self.gateway.shared.holds_duties.store(self.held.is_some(), Ordering::Relaxed);
     }
@@ -220,7 +226,8 @@
         let history = shared.kv.history().number.unwrap_or_default().max(revision.history());
         let names = ["duty", LastTerm::KEY, "usage"].map(|name| self.key(name));
         let config = shared.config.lock();
-        self.records.begin(history, names.iter().any(|name| config.last_text(name).is_some()));
+        let has_had_holder = names.iter().any(|name| config.last_text(name).is_some());
+        self.records.begin(history, has_had_holder, boot_ms());
     }
 
     /// Remembers the latest holders, as a restore of the store may lose their entries.
@@ -233,7 +240,8 @@
             holder.or_else(last)
         };
         let Some(name) = name else { return };
-        if !self.former_holders.contains(&name) {
+        if self.former_holders.first() != Some(&name) {
+            self.former_holders.retain(|former| *former != name);
             self.former_holders.truncate(MAX_FORMER_HOLDERS - 1);
             self.former_holders.insert(0, name);
         }
@@ -272,7 +280,8 @@
         let fencing_token = revision.ordinal();
         info!("event=duty-taken fence={fencing_token} lease={}", lease.id);
         let term = Term::new(lease.id, fencing_token, requested_ms, self.lease_time());
-        Some(HeldDuties { holder: Holder { name, fencing_token }, revision, term })
+        let is_vouched = self.has_held && self.former_holders.first() == Some(&name);
+        Some(HeldDuties { holder: Holder { name, fencing_token }, revision, term, is_vouched })
     }
 
     /// Renews the lease, reports usage and scales pools.
@@ -377,7 +386,7 @@
                 let (before, fence) = (held.holder.fencing_token, again.holder.fencing_token);
                 info!("event=duty-kept before={before} fence={fence} reason=\"the store was restored from a copy\"");
                 self.unfetched_window = 0;
-                self.held = Some(again);
+                self.held = Some(HeldDuties { is_vouched: true, ..again });
             }
             None if held.term.is_valid(boot_ms()) => self.held = Some(held),
             again => {
@@ -405,7 +414,7 @@
 
     /// Reports windows that have ended. Returns false if the platform knows a later holder.
     async fn report_usage(&mut self, held: &mut HeldDuties) -> bool {
-        self.learn_usage().await;
+        self.learn_usage(held).await;
         for _ in 0..MAX_USAGE_STEPS {
             if self.must_release() {
                 return true;
@@ -428,7 +437,7 @@
                     match self.later_record(record.as_ref()) {
                         Some(mut lost) => {
                             let window = lost.window;
-                            if self.records.is_latest(Some(&lost)) {
+                            if self.records_lost_until(held, Some(&lost)).is_none() {
                                 lost.history = Some(held.revision.history());
                             }
                             let result = self.write_usage(held, &lost, revision).await;
@@ -454,18 +463,15 @@
     /// The latest record that this daemon knows of, if it is later than the stored one, as the store has been restored from
     /// an older copy. It may have been reported.
     fn later_record(&self, stored: Option<&UsageRecord>) -> Option<UsageRecord> {
-        let last_text = self.gateway.shared.config.lock().last_text(&self.key("usage"));
-        let mut usage = self.gateway.usage.lock();
-        if let Some(record) = last_text.and_then(|text| serde_json::from_str(&text).ok()) {
-            usage.learn_record(record);
-        }
+        self.gateway.learn_stored_record();
+        let usage = self.gateway.usage.lock();
         let known = usage.recorded()?;
         stored.is_none_or(|stored| stored.window < known.window).then(|| known.clone())
     }
 
     /// Fetches the counts of windows that have ended from the relays. Until half of the time for a window's report is over, it
     /// is worth waiting for zones that have not answered for the whole of the window.
-    async fn learn_usage(&mut self) {
+    async fn learn_usage(&mut self, held: &mut HeldDuties) {
         let UsageSchedule { window_ms, report_within_ms, settle_ms } = self.usage_schedule();
         let agreed_ms = self.gateway.shared.agreed_ms();
         let first_open = agreed_ms.saturating_sub(settle_ms) / window_ms;
@@ -474,7 +480,9 @@
         }
         let oldest_on_time = first_open.saturating_sub(report_within_ms / window_ms + 1);
         let from_window = self.unfetched_window.max(oldest_on_time);
-        let first_unknown = fetch_usage(&self.gateway, from_window..first_open, &self.former_holders).await;
+        let (first_unknown, has_last_holder) =
+            fetch_usage(&self.gateway, from_window..first_open, &self.former_holders).await;
+        held.is_vouched |= has_last_holder;
         let first_awaited = agreed_ms.saturating_sub(report_within_ms / 2) / window_ms;
         self.unfetched_window = first_unknown.max(first_awaited.min(first_open));
     }
@@ -490,16 +498,31 @@
         }
     }
 
-    /// The first window that cannot have been reported by a record which the store has lost: one that began after this daemon
-    /// or one that it has learnt from, unless the stored record is known to be the latest.
+    /// Until when records may have been written that the store has lost and this daemon does not know, in ms of the boot-time
+    /// clock; `None` if `record`, the latest that it knows, is the latest that was written.
+    fn records_lost_until(&self, held: &HeldDuties, record: Option<&UsageRecord>) -> Option<u64> {
+        let known_for = self.gateway.shared.kv.history().known_for().as_millis() as u64;
+        let known_since_ms = boot_ms().saturating_sub(known_for);
+        let current = CurrentHistory { number: held.revision.history(), known_since_ms };
+        self.records.lost_until(record, current, held.is_vouched)
+    }
+
+    /// The first window that cannot have been reported by a record which the store has lost: its report was not due yet when
+    /// the last such record was written, and it began after this daemon or one that it has learnt from, as earlier ones are
+    /// not known whole. On a new site nobody counted before, so that the window under way then is whole as well.
     fn first_unreported(&self, held: &HeldDuties) -> u64 {
-        if self.records.is_latest(held.term.record()) {
-            return 0;
-        }
+        let Some(lost_until) = self.records_lost_until(held, held.term.record()) else { return 0 };
+        let UsageSchedule { window_ms, settle_ms, .. } = self.usage_schedule();
+        let (now, agreed_ms) = (boot_ms(), self.gateway.shared.agreed_ms());
+        let agreed_at = |time: u64| agreed_ms.saturating_sub(now.saturating_sub(time));
         let known_since = self.gateway.kept_spans.lock().earliest_begin().unwrap_or(u64::MAX).min(self.started_ms);
-        let known_for = boot_ms().saturating_sub(known_since);
-        let known_since = self.gateway.shared.agreed_ms().saturating_sub(known_for);
-        first_window_since(known_since, self.usage_schedule().window_ms)
+        let first_not_due = agreed_at(lost_until).saturating_sub(settle_ms) / window_ms;
+        let first_whole = if self.records.knew_new_site() {
+            agreed_at(known_since) / window_ms
+        } else {
+            first_window_since(agreed_at(known_since), window_ms)
+        };
+        first_not_due.max(first_whole)
     }
 
     fn count_usage(
@@ -553,6 +576,11 @@
     }
 }
 
+/// The store key under which the daemons of a site keep something.
+pub(super) fn own_key(site: &str, name: &str) -> String {
+    format!("{OWN_PREFIX}{site}/{name}")
+}
+
 /// Whether a value of the key is an earlier record of usage than another one.
 pub(crate) fn is_earlier_record(key: &str, value: &str, known: &str) -> bool {
     let window = |text: &str| serde_json::from_str::<UsageRecord>(text).ok().map(|record| record.window);
--- a/goldcrestward/src/process/exchange/run.rs
+++ b/goldcrestward/src/process/exchange/run.rs
@@ -483,6 +483,7 @@
     pub fn usage_table(&self, from_window: u64) -> pb::UsageTable {
         let Some(gateway) = self.gateway.upgrade() else { return pb::UsageTable::default() };
         extend_own_span(&gateway);
+        gateway.learn_stored_record();
         let usage = gateway.usage.lock();
         let rows = |windows: &BTreeMap<u64, AccountCounts>| windows.range(from_window..).map(window_counts).collect();
         let own = pb::LifeCounts {
--- a/goldcrestward/src/process/exchange/usage_fetch.rs
+++ b/goldcrestward/src/process/exchange/usage_fetch.rs
@@ -20,6 +20,7 @@
 use crate::{
     pb::{self, answer, request},
     process::{clock::boot_ms, duty::SETTLE_DIVISOR, gateway::Gateway, term::UsageRecord, usage::AccountCounts},
+    util::unix_ms,
 };
 
 /// Time within which a relay must answer a question for request counts.
@@ -35,38 +36,46 @@
 const SUSPENDED_MS: u64 = 1_000;
 
 /// Fetches the request counts of windows from the relays of all availability zones and from the daemons that held the duties
-/// before. Returns the first window that some zone has not been learnt for as a whole, or the end of the windows.
-pub(crate) async fn fetch_usage(gateway: &Gateway, windows: Range<u64>, former_holders: &[Arc<str>]) -> u64 {
+/// before, the last one first. Returns the first window that some zone has not been learnt for as a whole, or the end of the
+/// windows, and whether the last holder has answered.
+pub(crate) async fn fetch_usage(gateway: &Gateway, windows: Range<u64>, former_holders: &[Arc<str>]) -> (u64, bool) {
     let own_name = gateway.shared.settings.name.clone();
-    let sources: Vec<(Arc<str>, SocketAddr)> = {
+    let (sources, last_holder): (Vec<(Arc<str>, SocketAddr)>, Option<SocketAddr>) = {
         let view = gateway.shared.view.lock();
         let is_former = |name: &Arc<str>| former_holders.contains(name) && *name != own_name;
-        let former = view.present().filter(|member| is_former(&member.name));
-        let former: Vec<_> = former.map(|member| (member.zone.clone(), member.address)).collect();
+        let former = || view.present().filter(|member| is_former(&member.name));
+        // One that has started since the restore does not know what its process before recorded.
+        let known_for = gateway.shared.kv.history().known_for().as_millis() as u64;
+        let restored_ms = unix_ms().saturating_sub(known_for);
+        let is_last = |name: &Arc<str>| former_holders.first() == Some(name);
+        let last_holder = former().find(|member| is_last(&member.name) && member.incarnation < restored_ms);
+        let last_holder = last_holder.map(|member| member.address);
+        let former: Vec<_> = former().map(|member| (member.zone.clone(), member.address)).collect();
         let relays = Relays::of(&view, USAGE_SOURCES);
         let members = relays.members.into_iter().take(USAGE_SOURCES).filter(|member| member.name != own_name);
         let members = members.map(|member| (gateway.shared.settings.zone.clone(), member.address));
         let others = relays.others.into_iter();
         let others = others.flat_map(|(zone, (_, list))| list.into_iter().map(move |r| (zone.clone(), r.address)));
         let asked: BTreeSet<_> = members.chain(others).chain(former).collect();
-        asked.into_iter().collect()
+        (asked.into_iter().collect(), last_holder)
     };
     let clock = WindowClock::now(gateway);
     // What was kept since a window earlier is kept since the first one for certain.
     let from_window = windows.start.saturating_sub(1);
     let query = async |(zone, address): (Arc<str>, SocketAddr)| {
         let body = request::Body::AskUsage(pb::AskUsage { from_window });
-        (zone, gateway.shared.peer_client.request(address, body, USAGE_TIMEOUT).await)
+        (zone, address, gateway.shared.peer_client.request(address, body, USAGE_TIMEOUT).await)
     };
     let count = sources.len();
     let zones: BTreeSet<Arc<str>> = sources.iter().map(|(zone, _)| zone.clone()).collect();
-    let (mut answered, mut unstated) = (BTreeSet::new(), BTreeSet::new());
-    for (zone, answer) in join_all(sources.into_iter().map(query)).await {
+    let (mut answered, mut unstated, mut has_last_holder) = (BTreeSet::new(), BTreeSet::new(), false);
+    for (zone, address, answer) in join_all(sources.into_iter().map(query)).await {
         let Ok(answer::Body::UsageTable(table)) = answer else { continue };
         if table.kept.is_empty() {
             unstated.insert(zone.clone());
         }
         answered.insert(zone);
+        has_last_holder |= last_holder == Some(address);
         apply_table(gateway, table, Some((&clock, from_window)));
     }
     extend_own_span(gateway);
@@ -91,7 +100,7 @@
         zones.len(),
         young.keys().collect::<Vec<_>>()
     );
-    first_unknown
+    (first_unknown, has_last_holder)
 }
 
 /// Learns from the highest ranked daemons of the own zone the counts that they know, while this daemon keeps reports: those of
--- a/goldcrestward/src/process/gateway.rs
+++ b/goldcrestward/src/process/gateway.rs
@@ -8,6 +8,7 @@
 
 use super::{
     demand::DemandMeters,
+    duty::own_key,
     kept_spans::KeptSpans,
     limit_facts::publish_limit,
     quota::{IsolatedQuotas, QuotaBalances, QuotaCharge, QuotaLedger, Verdict},
@@ -128,6 +129,15 @@
         work.get(pool).filter(|sent| sent.requests > 0).map(|sent| sent.ms / sent.requests as f64)
     }
 
+    /// Learns of the last record of usage that the store has shown to this daemon; a restore may have lost it since.
+    pub fn learn_stored_record(&self) {
+        let key = own_key(&self.shared.settings.site, "usage");
+        let last_text = self.shared.config.lock().last_text(&key);
+        if let Some(record) = last_text.and_then(|text| serde_json::from_str(&text).ok()) {
+            self.usage.lock().learn_record(record);
+        }
+    }
+
     /// Applies what an answer says about its server's rate limit.
     pub fn apply_stated_limit(&self, replica: &Replica, stated: StatedLimit, sent_ms: u64) {
         if stated == StatedLimit::Unlimited && replica.limit().per_second.is_none() {
