--- a/goldcrestward/src/ledger/slot.rs
+++ b/goldcrestward/src/ledger/slot.rs
@@ -6,13 +6,13 @@
 //! owner, or one that arrives late, has no effect. When the answer to a write is lost, the
 //! slot is read back to learn whether it took effect.
 
+mod commits;
+
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
     sync::Arc,
 };
 
-use prost::Message;
-
 use super::{
     commit_limiter::CommitLimiter,
     entry::{Entry, EntryState, Key},
@@ -22,7 +22,7 @@
 };
 use crate::{
     pb::{self, Grant},
-    store::{Compare, Error, Put, Revision, Row, TxnOutcome},
+    store::{Compare, Error, Revision, Row, TxnOutcome},
 };
 
 /// Segments of a slot at which new keys are refused.
@@ -322,107 +322,6 @@
         self.open = OpenSegment::begin(self.segments.keys().next_back().map_or(0, |last| last + 1));
     }
 
-    fn flush(&mut self, now_ms: u64, unix_s: u64) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        let is_due = |since| self.is_closing || now_ms.saturating_sub(since) >= SETTLE_DELAY_MS;
-        let overdue = self.dirty_since.is_some_and(is_due);
-        let due = !self.waiting.is_empty() || overdue;
-        if !due || !self.commit_limiter.allows() {
-            return effects;
-        }
-        self.open.roll();
-        self.batch = Batch::default();
-        while let Some(claim) = self.waiting.pop_front() {
-            self.admit(claim, unix_s, &mut effects);
-        }
-        for key in std::mem::take(&mut self.dirty) {
-            self.append(key);
-        }
-        self.dirty_since = None;
-        if !self.batch.writes {
-            effects.extend((!self.batch.checked.is_empty()).then(|| self.start_check()));
-            return effects;
-        }
-        self.commit_limiter.record();
-        self.batch.removes = self.expired_segments(unix_s);
-        effects.push(self.start_commit());
-        if self.dispatch_before_commit {
-            let granted = self.batch.tickets.drain(..).map(|(ticket, ..)| Effect::Reply(ticket, Grant::Run, None));
-            effects.extend(granted);
-        }
-        effects
-    }
-
-    fn admit(&mut self, claim: WaitingClaim, unix_s: u64, effects: &mut Vec<Effect>) {
-        if self.shares_commit(&claim) {
-            self.batch.tickets.push((claim.ticket, claim.key, claim.request));
-            return;
-        }
-        match self.recorded_answer(&claim, unix_s) {
-            Some((Grant::Done, outcome)) => return effects.push(Effect::Reply(claim.ticket, Grant::Done, outcome)),
-            Some(_) => return self.batch.checked.push(claim),
-            None => {}
-        }
-        if self.segments.len() >= MAX_SEGMENTS {
-            effects.push(Effect::Reply(claim.ticket, Grant::Full, None));
-            return;
-        }
-        let entry = Entry {
-            key: claim.key,
-            fingerprint: claim.fingerprint,
-            state: EntryState::Open,
-            updated_at: unix_s,
-            request: claim.request.clone(),
-            outcome: None,
-        };
-        self.entries.insert(claim.key, entry);
-        self.append(claim.key);
-        self.batch.tickets.push((claim.ticket, claim.key, claim.request));
-    }
-
-    fn append(&mut self, key: Key) {
-        let Some(entry) = self.entries.get(&key) else { return };
-        self.open.add(key, entry.size());
-        self.batch.writes = true;
-    }
-
-    fn expired_segments(&self, unix_s: u64) -> Vec<u32> {
-        let is_expired = |s: &Segment| s.last_updated_at + RETENTION_S <= unix_s;
-        self.segments.iter().filter(|(n, s)| **n != self.open.number && is_expired(s)).map(|(n, _)| *n).collect()
-    }
-
-    /// Checks that this daemon still owns the slot, without a write.
-    fn start_check(&mut self) -> Effect {
-        self.phase = Phase::Committing;
-        self.call_pending = true;
-        Effect::Txn(vec![self.head_compare()], Vec::new(), Vec::new())
-    }
-
-    fn head_compare(&self) -> Compare {
-        Compare { key: format!("{}head", self.prefix), revision: self.head_revision }
-    }
-
-    fn start_commit(&mut self) -> Effect {
-        self.phase = Phase::Committing;
-        self.call_pending = true;
-        self.commit_sequence += 1;
-        let entries = self.open.keys.iter().filter_map(|key| self.entries.get(key));
-        let segment = pb::LedgerSegment {
-            fence: self.fencing_token,
-            commit: self.commit_sequence,
-            entries: entries.map(Into::into).collect(),
-        };
-        let key = self.segment_key(self.open.number);
-        let revision = self.segments.get(&self.open.number).map_or(Revision::NONE, |s| s.revision);
-        let compares = vec![self.head_compare(), Compare { key: key.clone(), revision }];
-        let removes = self.batch.removes.iter().map(|n| self.segment_key(*n)).collect();
-        Effect::Txn(compares, vec![Put { key, value: segment.encode_to_vec(), lease: 0 }], removes)
-    }
-
-    fn segment_key(&self, number: u32) -> String {
-        format!("{}segment/{number:08}", self.prefix)
-    }
-
     fn on_txn_outcome(&mut self, txn: TxnOutcome, unix_s: u64) -> Vec<Effect> {
         self.failures = 0;
         match self.phase {
@@ -439,48 +338,6 @@
         }
     }
 
-    fn on_commit_succeeded(&mut self, revision: Revision, unix_s: u64) -> Vec<Effect> {
-        self.phase = Phase::Owned;
-        let batch = std::mem::take(&mut self.batch);
-        if batch.writes {
-            let last_updated_at = self.open.keys.iter().filter_map(|k| self.entries.get(k)).map(|e| e.updated_at).max();
-            self.segments.insert(self.open.number, Segment { revision, last_updated_at: last_updated_at.unwrap_or(0) });
-        }
-        for number in batch.removes {
-            self.segments.remove(&number);
-        }
-        let granted = batch.tickets.into_iter().map(|(ticket, ..)| Effect::Reply(ticket, Grant::Run, None));
-        let mut effects: Vec<Effect> = granted.collect();
-        for claim in batch.checked {
-            match self.recorded_answer(&claim, unix_s) {
-                Some((grant, outcome)) => effects.push(Effect::Reply(claim.ticket, grant, outcome)),
-                None => self.waiting.push_back(claim),
-            }
-        }
-        effects
-    }
-
-    fn reconcile_commit(&mut self, rows: &[Row], unix_s: u64) -> Vec<Effect> {
-        let head = find_head(rows, &self.prefix);
-        if head.is_none_or(|(head, _)| head.owner != self.owner_id || head.fence != self.fencing_token) {
-            return self.lose_ownership();
-        }
-        if !self.batch.writes {
-            return self.on_commit_succeeded(Revision::NONE, unix_s);
-        }
-        let key = self.segment_key(self.open.number);
-        let stored = rows.iter().find(|row| row.key == key);
-        let segment = stored.and_then(|row| pb::LedgerSegment::decode(&row.value[..]).ok());
-        let is_stored = segment.is_some_and(|s| s.fence == self.fencing_token && s.commit == self.commit_sequence);
-        if let Some(row) = stored.filter(|_| is_stored) {
-            return self.on_commit_succeeded(row.revision, unix_s);
-        }
-        // The commit has not taken effect but may still arrive. The retry compares the same revisions, so at most
-        // one of the two succeeds.
-        self.commit_sequence -= 1;
-        vec![self.start_commit()]
-    }
-
     /// Gives the slot up to another daemon: requests whose claim was not committed must not run here.
     fn lose_ownership(&mut self) -> Vec<Effect> {
         self.phase = Phase::Idle;
--- a/goldcrestward/src/process/admin.rs
+++ b/goldcrestward/src/process/admin.rs
@@ -22,7 +22,7 @@
     crash_evidence::Condemned,
     crash_watch::{clear_part, part_names},
     membership::{FactKind, State},
-    rollout::{read_records, record_prefix},
+    rollout_record::{read_records, record_prefix},
     shared::Shared,
 };
 use crate::{
--- a/goldcrestward/src/process/rollout.rs
+++ b/goldcrestward/src/process/rollout.rs
@@ -11,14 +11,14 @@
 
 use super::{
     membership::{Fact, FactKind},
-    rollout_record::{EvidenceSummary, RolloutRecord},
+    rollout_record::{EvidenceSummary, RolloutRecord, read_records, record_prefix},
     shared::Shared,
 };
 use crate::{
     config::VersionPlan,
     pb::{self, answer, request},
     port::{Catalog, RolloutState},
-    store::{Compare, Purpose, Put, Revision, Row, Txn, TxnOutcome},
+    store::{Compare, Purpose, Put, Revision, Txn, TxnOutcome},
     util::{stable_hash, unix_ms},
     version::{Decision, Outcome, Readiness, Rollout, Snapshot, Strata, Tally, TallyKey},
 };
@@ -492,34 +492,6 @@
     }
 }
 
-/// Key prefix of the rollout records of a site.
-pub(crate) fn record_prefix(site: &str) -> String {
-    format!("/goldcrestward/{site}/moves/")
-}
-
-/// A record in the store.
-pub(crate) struct StoredRecord {
-    key: String,
-    revision: Revision,
-    /// `None` if it cannot be read.
-    pub record: Option<RolloutRecord>,
-}
-
-/// Reads the records of all rollouts. Returns `None` if the store does not answer.
-pub(crate) async fn read_records(shared: &Shared, prefix: &str) -> Option<Vec<StoredRecord>> {
-    let (rows, _) = shared.kv.list(Purpose::Rollout, prefix, Revision::NONE).await.ok()?;
-    let parse = |row: Row| {
-        let record: Result<RolloutRecord, _> = serde_json::from_slice(&row.value);
-        if let Err(error) = &record {
-            warn!("event=rollout-record-unreadable key={:?} revision={} error={error:?}", row.key, row.revision);
-        }
-        // A record of another rollout under this key counts as unreadable too.
-        let record = record.ok().filter(|record| row.key.strip_prefix(prefix) == Some(&*record.version));
-        StoredRecord { key: row.key, revision: row.revision, record }
-    };
-    Some(rows.into_iter().map(parse).collect())
-}
-
 /// Queries daemons for their tallies. Returns how many were queried, and how many answered.
 async fn query_sources(
     shared: &Arc<Shared>,
--- a/goldcrestward/src/process/rollout_record.rs
+++ b/goldcrestward/src/process/rollout_record.rs
@@ -2,9 +2,14 @@
 
 use std::sync::Arc;
 
+use log::warn;
 use serde::{Deserialize, Serialize};
 
-use crate::version::StandardizedTally;
+use super::shared::Shared;
+use crate::{
+    store::{Purpose, Revision, Row},
+    version::StandardizedTally,
+};
 
 /// Record of a rollout in the platform's key-value store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,3 +67,31 @@
         }
     }
 }
+
+/// Key prefix of the rollout records of a site.
+pub(crate) fn record_prefix(site: &str) -> String {
+    format!("/goldcrestward/{site}/moves/")
+}
+
+/// A record in the store.
+pub(crate) struct StoredRecord {
+    pub key: String,
+    pub revision: Revision,
+    /// `None` if it cannot be read.
+    pub record: Option<RolloutRecord>,
+}
+
+/// Reads the records of all rollouts. Returns `None` if the store does not answer.
+pub(crate) async fn read_records(shared: &Shared, prefix: &str) -> Option<Vec<StoredRecord>> {
+    let (rows, _) = shared.kv.list(Purpose::Rollout, prefix, Revision::NONE).await.ok()?;
+    let parse = |row: Row| {
+        let record: Result<RolloutRecord, _> = serde_json::from_slice(&row.value);
+        if let Err(error) = &record {
+            warn!("event=rollout-record-unreadable key={:?} revision={} error={error:?}", row.key, row.revision);
+        }
+        // A record of another rollout under this key counts as unreadable too.
+        let record = record.ok().filter(|record| row.key.strip_prefix(prefix) == Some(&*record.version));
+        StoredRecord { key: row.key, revision: row.revision, record }
+    };
+    Some(rows.into_iter().map(parse).collect())
+}
