--- a/goldcrestward/src/process/rollout.rs
+++ b/goldcrestward/src/process/rollout.rs
@@ -258,7 +258,7 @@
                 true
             }
             Ok(_) => {
-                self.held.remove(name);
+                held.read = false;
                 false
             }
             Err(error) => {
@@ -297,9 +297,8 @@
                 held.revision = txn.revision;
                 held.record = record;
             }
-            Ok(_) => {
-                self.held.remove(name);
-            }
+            // Read again, with the evidence that this holder has.
+            Ok(_) => held.read = false,
             Err(_) => held.record.at_ms = now,
         }
     }
@@ -447,9 +446,7 @@
                 self.publish_decision(&record, &evidence);
             }
             // Another holder, or an earlier attempt of this one, has written the record: it must be read again.
-            Ok(_) => {
-                self.held.remove(name);
-            }
+            Ok(_) => held.read = false,
             // A rollback is final and is retried; any other decision is made anew with the evidence of the next tick.
             Err(_) if matches!(decision, Decision::End(Outcome::RolledBack, _)) => held.pending = Some(decision),
             Err(_) => {}
--- a/goldcrestward/src/process/rollout_record.rs
+++ b/goldcrestward/src/process/rollout_record.rs
@@ -85,13 +85,19 @@
 pub(crate) async fn read_records(shared: &Shared, prefix: &str) -> Option<Vec<StoredRecord>> {
     let (rows, _) = shared.kv.list(Purpose::Rollout, prefix, Revision::NONE).await.ok()?;
     let parse = |row: Row| {
-        let record: Result<RolloutRecord, _> = serde_json::from_slice(&row.value);
+        let record = decode_record(&row, prefix);
         if let Err(error) = &record {
             warn!("event=rollout-record-unreadable key={:?} revision={} error={error:?}", row.key, row.revision);
         }
-        // A record of another rollout under this key counts as unreadable too.
-        let record = record.ok().filter(|record| row.key.strip_prefix(prefix) == Some(&*record.version));
-        StoredRecord { key: row.key, revision: row.revision, record }
+        StoredRecord { key: row.key, revision: row.revision, record: record.ok() }
     };
     Some(rows.into_iter().map(parse).collect())
 }
+
+fn decode_record(row: &Row, prefix: &str) -> Result<RolloutRecord, String> {
+    let record: RolloutRecord = serde_json::from_slice(&row.value).map_err(|error| error.to_string())?;
+    if row.key.strip_prefix(prefix) != Some(&*record.version) {
+        return Err(format!("the record is of the rollout {:?}", record.version));
+    }
+    Ok(record)
+}
