--- a/goldcrestward/src/lib.rs
+++ b/goldcrestward/src/lib.rs
@@ -28,3 +28,4 @@
     Daemon, DaemonCounts, Error, MemoryLimit, Overrides, ReadError, ResponseBuffer, ResponseMemory, Result, RetryLimit,
     Settings, SettingsError, TooLong,
 };
+pub use util::repaired_text;
--- a/goldcrestward/src/platform/partial_answers_test.rs
+++ b/goldcrestward/src/platform/partial_answers_test.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use prometheus::IntCounter;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -12,7 +13,7 @@
 use super::{Etcd, InstanceList};
 use crate::{
     connection::HttpClient,
-    process::ResponseMemory,
+    process::{Refusals, ResponseMemory},
     store::{Compare, Error, Put, Revision, StorePort, Txn},
 };
 
@@ -79,7 +80,8 @@
             Self::Renew => store.renew("test", 12).await.map(|()| "renewed".to_owned()),
             Self::Revoke => store.revoke("test", 12).await.map(|()| "revoked".to_owned()),
             Self::Instances => {
-                let mut list = InstanceList::new(address, client.clone(), ResponseMemory::new(MEMORY_BYTES));
+                let memory = ResponseMemory::new(MEMORY_BYTES);
+                let mut list = InstanceList::new(address, client.clone(), memory, refusals());
                 list.changes().await.map(|instances| format!("{instances:?}"))
             }
         };
@@ -91,6 +93,10 @@
     }
 }
 
+fn refusals() -> Refusals {
+    Refusals::new(IntCounter::new("refused", "refused entries").expect("a valid name"))
+}
+
 /// Returns the changes of a watch until it ends.
 async fn watch_to_end(store: &Etcd) -> Vec<String> {
     let mut found = Vec::new();
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -52,7 +52,7 @@
     seeds::Seeder,
     settings::Settings,
     shared::{InForce, Shared},
-    state::{SiteState, StateReader, watch_instances},
+    state::{Refusals, SiteState, StateReader, watch_instances},
     stopped::{EXIT_TIME, Stopped},
     verdict_keeper::VerdictKeeper,
 };
@@ -355,6 +355,7 @@
     response_memory.measure(metrics.response_bytes.clone(), metrics.long_responses.clone());
     let (body_bytes, given_up) = (metrics.request_body_bytes.clone(), metrics.given_up_bodies.clone());
     let request_bodies = RequestBodies::new(settings.request_bytes, body_bytes, given_up);
+    let refusals = Refusals::new(metrics.refused_entries.clone());
     let secrets = Secrets::new(&settings.secrets);
     let peer_client = PeerClient::new(secrets.clone());
     let store =
@@ -407,7 +408,7 @@
         holds_duties: AtomicBool::new(false),
         kept_pulls: AtomicU32::new(0),
         freshness: Mutex::default(),
-        refused_entries: Mutex::default(),
+        refusals,
         pull_failures: Mutex::default(),
         unread_parts: Mutex::default(),
         pull_permit: Arc::new(Semaphore::new(1)),
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -235,7 +235,7 @@
                 &["kind", "why"],
             )?,
             refused_entries: factory
-                .counter("refused_entries_total", "entries of the site's state that cannot be read")?,
+                .counter("refused_entries_total", "entries of the platform's services that cannot be read")?,
             replicas: factory.gauges("replicas", "replicas known by pool", &["pool"])?,
             rollouts: factory.counters("moves_total", "moves to new versions by outcome", &["outcome"])?,
             crashes: factory.counters("crashes_total", "requests on crashed replicas by blame", &["blame"])?,
--- a/goldcrestward/src/process/mod.rs
+++ b/goldcrestward/src/process/mod.rs
@@ -78,7 +78,7 @@
 pub(crate) use run_times::RunKind;
 pub use settings::{Overrides, Settings, SettingsError};
 pub(crate) use shared::{InFlight, InForce, Shared};
-pub(crate) use state::LineLimit;
+pub(crate) use state::{LineLimit, Refusals};
 pub use stopped::Stopped;
 
 #[cfg(test)]
--- a/goldcrestward/src/process/shared.rs
+++ b/goldcrestward/src/process/shared.rs
@@ -13,7 +13,6 @@
 };
 
 use arc_swap::ArcSwap;
-use log::warn;
 use parking_lot::Mutex;
 use prometheus::IntGauge;
 use tokio::sync::{Notify, Semaphore};
@@ -34,7 +33,7 @@
     response_memory::{RequestBodies, ResponseMemory},
     run_times::RunTimes,
     settings::Settings,
-    state::{Freshness, LineLimit, RefusalLine, RefusedEntries},
+    state::{Freshness, LineLimit, Refusals},
 };
 use crate::{
     config::{ConfigReplica, Site},
@@ -106,8 +105,8 @@
     pub kept_pulls: AtomicU32,
     /// How old this daemon's knowledge of the store is.
     pub freshness: Mutex<Freshness>,
-    /// Entries of the store that are refused.
-    pub refused_entries: Mutex<RefusedEntries>,
+    /// Entries of the platform's services that are refused.
+    pub refusals: Refusals,
     /// Limits the log lines on pulls that failed: each datagram of a peer that is ahead begins one.
     pub pull_failures: Mutex<LineLimit>,
     /// Limits the log lines on requests with a part of a prompt that cannot be read.
@@ -185,18 +184,6 @@
         newer
     }
 
-    /// Counts an entry of the store that cannot be read, and logs it, once for each of its revisions.
-    pub fn record_refused_entry(&self, key: &str, revision: Revision, bytes: usize, error: &str) {
-        let line = self.refused_entries.lock().record(key, revision, self.now());
-        if line == RefusalLine::Known {
-            return;
-        }
-        self.metrics.refused_entries.inc();
-        if let RefusalLine::Logged(others) = line {
-            warn!("event=entry-refused key={key:?} revision={revision} bytes={bytes} error={error:?} others={others}");
-        }
-    }
-
     /// Recomputes which versions serve, after a change of the configuration or of facts.
     pub fn refresh_version_choices(&self) {
         let in_force = self.in_force.load();
--- a/goldcrestward/src/process/state/pull.rs
+++ b/goldcrestward/src/process/state/pull.rs
@@ -145,7 +145,8 @@
 
 /// Polls the platform's instance list until the task is dropped.
 pub(crate) async fn watch_instances(shared: Arc<Shared>) {
-    let mut list = InstanceList::new(shared.settings.platform, shared.client.clone(), shared.response_memory.clone());
+    let (client, memory) = (shared.client.clone(), shared.response_memory.clone());
+    let mut list = InstanceList::new(shared.settings.platform, client, memory, shared.refusals.clone());
     let mut available = true;
     loop {
         match list.changes().await {
@@ -154,11 +155,15 @@
                     info!("event=instance-list-back");
                 }
                 available = true;
-                let leaving = changes.iter().filter(|i| i.state == InstanceState::Leaving);
+                let leaving = changes.instances.iter().filter(|i| i.state == InstanceState::Leaving);
                 for instance in leaving {
                     publish_leaving(&shared, &instance.id);
                 }
-                shared.replicas.update(changes, shared.now());
+                shared.replicas.update(changes.instances, shared.now());
+                for id in &changes.unreadable {
+                    shared.replicas.remove(id, shared.now());
+                    info!("event=instance-removed instance={id:?} reason=unreadable");
+                }
                 shared.instances_listed.store(true, Ordering::Relaxed);
                 update_replica_gauges(&shared);
             }
--- a/goldcrestward/src/process/state/reader.rs
+++ b/goldcrestward/src/process/state/reader.rs
@@ -339,7 +339,7 @@
         let is_long = is_instance && value.len() > MAX_INSTANCE_BYTES;
         let text = if is_long { Err("too long") } else { String::from_utf8(value.to_vec()).map_err(|_| "not UTF-8") };
         let text = text.unwrap_or_else(|error| {
-            self.shared.record_refused_entry(&key, revision, value.len(), error);
+            self.shared.refusals.record_entry(&key, revision, value.len(), error);
             String::new()
         });
         let mut file =
--- a/goldcrestward/src/process/state/site_state.rs
+++ b/goldcrestward/src/process/state/site_state.rs
@@ -125,7 +125,7 @@
             }
             Ok(Entry::Other) => apply_verdict(&self.shared, &file.name, text),
             Err(error) => {
-                self.shared.record_refused_entry(&file.name, revision, text.len(), &error);
+                self.shared.refusals.record_entry(&file.name, revision, text.len(), &error);
                 // The instance that an unreadable entry names must not be used, whatever the entry said before.
                 if let Some(id) = id {
                     unconfirmed.settle(&id);
--- a/goldcrestward/src/util.rs
+++ b/goldcrestward/src/util.rs
@@ -1,7 +1,11 @@
 //! Utilities used throughout the crate.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::{
+    borrow::Cow,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
+use bytes::Bytes;
 use sha2::{Digest, Sha256};
 
 /// Derives `Clone`, `Debug` and `PartialEq` for a struct, and for an enum also `Copy`, `Eq`, `Hash` and the orderings.
@@ -41,3 +45,15 @@
 pub(crate) fn sha256_hex(bytes: &[u8]) -> String {
     Sha256::digest(bytes).iter().map(|byte| format!("{byte:02x}")).collect()
 }
+
+/// Replaces bytes that are not UTF-8, so that one key with such bytes leaves the rest of an answer readable.
+pub fn repaired_text(body: Bytes) -> Bytes {
+    match String::from_utf8_lossy(&body) {
+        Cow::Borrowed(_) => body,
+        Cow::Owned(text) => text.into(),
+    }
+}
+
+#[cfg(test)]
+#[path = "util_test.rs"]
+mod util_test;
--- a/platform/src/service_client_test.rs
+++ b/goldcrestward/src/util_test.rs
@@ -1,4 +1,4 @@
-//! Tests of how the bodies of responses are read.
+//! Tests of the utilities.
 
 use bytes::Bytes;
 
--- a/goldcrestward/tests/it/main.rs
+++ b/goldcrestward/tests/it/main.rs
@@ -15,6 +15,7 @@
 mod ledger;
 mod logs;
 mod membership;
+mod odd_entries;
 mod partial_heads;
 mod pauses;
 mod responses;
--- /dev/null
+++ b/goldcrestward/tests/it/odd_entries.rs
@@ -0,0 +1,113 @@
+//! Single entries of other writers that cannot be read, in the instance list and in the key-value service.
+
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use standin::platform::PlatformFaults;
+use tokio::time::sleep;
+
+use crate::support::{KEY, TestSite};
+
+/// Time from a restart, or from a change, after which requests must be served.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
+/// Pause between two requests of a daemon that refuses them.
+const REQUEST_PAUSE: Duration = Duration::from_millis(50);
+
+/// Sends a lookup to a daemon and returns the response's status.
+async fn look_up(site: &TestSite, daemon: usize, path: &str) -> u16 {
+    let target = site.daemons[daemon].callers;
+    let request = http::Request::get(path)
+        .header("host", target.to_string())
+        .header("authorization", format!("Bearer {KEY}"))
+        .body(http_body_util::Full::<bytes::Bytes>::default())
+        .expect("well formed");
+    standin::http::send_request(target, request).await.map_or(0, |response| response.status().as_u16())
+}
+
+/// Waits until all daemons serve lookups.
+async fn wait_served(site: &TestSite, path: &str, what: &str) {
+    let deadline = Instant::now() + RECOVERY_LIMIT;
+    for daemon in 0..site.daemons.len() {
+        loop {
+            let status = look_up(site, daemon, path).await;
+            if status == 200 {
+                break;
+            }
+            let log = || site.daemons[daemon].log();
+            assert!(Instant::now() < deadline, "{what}: daemon {daemon} answers {status}:\n{}", log());
+            sleep(REQUEST_PAUSE).await;
+        }
+    }
+}
+
+/// Kills all daemons and starts as many again.
+async fn restart_all(site: &mut TestSite) {
+    let count = site.daemons.len();
+    site.daemons.iter_mut().for_each(|daemon| daemon.kill());
+    site.daemons.clear();
+    for number in 0..count {
+        site.add_daemon(number, "north").await;
+    }
+}
+
+fn odd_instances() -> [(&'static str, Value); 8] {
+    let item = |id: Value, address: Value, state: Value| {
+        json!({ "id": id, "address": address, "pool": "orders", "version": "orders-1", "zone": "north-a",
+            "region": "north", "state": state })
+    };
+    [
+        ("unknown state", item(json!("rack 7&a+b#c%20"), json!("127.0.0.1:9"), json!("suspended"))),
+        ("no address", item(json!("rack 7"), json!("nowhere"), json!("live"))),
+        ("port out of range", item(json!("rack 7"), json!("127.0.0.1:65536"), json!("live"))),
+        ("only an id", json!({ "id": "rack 7" })),
+        ("another type", item(json!(7), json!([]), json!({}))),
+        ("null", Value::Null),
+        ("a text", json!("rack 7")),
+        ("no fields", json!({})),
+    ]
+}
+
+/// Guards against RECOVER: a page of the instance list was decoded as a whole, so that one item that cannot be read left
+/// daemons that had been restarted without any instance.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn restarted_daemons_serve_beside_one_odd_instance() {
+    let mut site = TestSite::start(2, 0).await;
+    for (what, item) in odd_instances() {
+        site.platform.set_faults(PlatformFaults { list_items: vec![item], ..PlatformFaults::default() });
+        restart_all(&mut site).await;
+        wait_served(&site, "/orders/lookup", what).await;
+        let daemon = &site.daemons[0];
+        assert!(daemon.log().contains("event=entry-refused key=\"instances/"), "{what}:\n{}", daemon.log());
+        assert!(daemon.counter("refused_entries_total", "").await >= 1.0, "{what}");
+    }
+}
+
+/// Guards against LOST: daemons that ran learned of no later change of the instance list.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn running_daemons_use_instances_listed_beside_an_odd_one() {
+    let mut site = TestSite::start(2, 0).await;
+    let list_items = vec![Value::Null];
+    site.platform.set_faults(PlatformFaults { list_items, ..PlatformFaults::default() });
+    site.remove_services();
+    site.add_service(7).await;
+    wait_served(&site, "/orders/lookup", "a later instance").await;
+}
+
+/// An item that cannot be read names no instance to use, whatever the instance's item said before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn instance_whose_item_turns_odd_is_not_used() {
+    let site = TestSite::start(1, 0).await;
+    let list_items = vec![json!({ "id": "orders-0", "state": "suspended" })];
+    site.platform.set_faults(PlatformFaults { list_items, ..PlatformFaults::default() });
+    let deadline = Instant::now() + RECOVERY_LIMIT;
+    let listed = async || {
+        let value = site.daemons[0].get("/admin/requests").await.expect("the daemon responds");
+        let replicas = value["replicas"].as_array().expect("a list of replicas").clone();
+        replicas.iter().map(|replica| replica["replica"].to_string()).collect::<Vec<_>>()
+    };
+    while listed().await != ["\"orders-1\""] {
+        assert!(Instant::now() < deadline, "the daemon still uses {:?}", listed().await);
+        sleep(REQUEST_PAUSE).await;
+    }
+    wait_served(&site, "/orders/lookup", "the other instance").await;
+}
--- a/standin/src/platform/gateway.rs
+++ b/standin/src/platform/gateway.rs
@@ -43,6 +43,12 @@
     pub list_lag_ms: u64,
     /// Every request for the instance list fails.
     pub list_outage: bool,
+    /// Items of another writer in the middle of each page of the instance list.
+    pub list_items: Vec<Value>,
+    /// Items of another writer in the middle of each answer to a range.
+    pub range_items: Vec<Value>,
+    /// Events of another writer in the middle of those that a watch sends at once.
+    pub watch_events: Vec<Value>,
 }
 
 /// Number of calls, by kind and by the purpose that the caller states.
@@ -170,6 +176,13 @@
         self.shared.instances.lock().put(instance, Instant::now());
     }
 
+    /// Writes an entry of the key-value service, as another writer does.
+    pub fn put_entry(&self, key: &str, value: &[u8]) {
+        let put = Operation::Put { key: key.into(), value: value.to_vec(), lease: 0 };
+        self.shared.store.lock().transact(&[], &[put], &[]);
+        self.publish_revision();
+    }
+
     pub fn counters(&self) -> CallCounters {
         self.shared.call_counters.lock().clone()
     }
@@ -246,6 +259,8 @@
         let parameter = |name: &str| query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
         let position = parameter("since").and_then(|v| v.parse().ok()).unwrap_or(0);
         let page = self.shared.instances.lock().page(position, parameter("region"), Instant::now());
+        let mut page = json!(page);
+        insert_items(&mut page["instances"], &self.shared.faults.lock().list_items);
         web::json(StatusCode::OK, &page)
     }
 
@@ -259,6 +274,7 @@
             store.range(&decode_base64(&body.key), &decode_base64(&body.range_end), parse_i64(&body.min_mod_revision));
         let mut response = rows_json(&rows);
         response["header"] = response_header(store.revision());
+        insert_items(&mut response["kvs"], &self.shared.faults.lock().range_items);
         web::json(StatusCode::OK, &response)
     }
 
@@ -367,7 +383,8 @@
             };
             if !events.is_empty() {
                 self.from = revision + 1;
-                let events: Vec<_> = events.iter().map(event_json).collect();
+                let mut events: Value = events.iter().map(event_json).collect();
+                insert_items(&mut events, &self.platform.shared.faults.lock().watch_events);
                 return Some((watch_line(&json!({ "header": response_header(revision), "events": events })), self));
             }
             if self.revisions.changed().await.is_err() {
@@ -377,6 +394,14 @@
     }
 }
 
+/// Inserts items in the middle of those of an answer.
+fn insert_items(items: &mut Value, inserted: &[Value]) {
+    if let Value::Array(items) = items {
+        let middle = items.len() / 2;
+        items.splice(middle..middle, inserted.iter().cloned());
+    }
+}
+
 fn watch_line(result: &Value) -> Result<Frame<Bytes>, web::InjectedAbort> {
     Ok(Frame::data(Bytes::from(format!("{}\n", json!({ "result": result })))))
 }
