--- a/goldcrestward/src/platform/etcd.rs
+++ b/goldcrestward/src/platform/etcd.rs
@@ -7,13 +7,15 @@
 use futures_util::future::BoxFuture;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use http_body_util::BodyExt;
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use volo_http::{body::Body, response::Response};
 
 use crate::{
     connection::{HttpClient, OutboundRequest, SendError},
-    process::{ReadError, ResponseBuffer, ResponseMemory},
+    process::{ReadError, Refusals, ResponseBuffer, ResponseMemory},
     store::{Cause, Change, Changes, Error, Lease, Page, Result, Revision, Row, StorePort, Txn, TxnOutcome, WatchPort},
+    util::repaired_text,
 };
 
 const SERVICE: &str = "key-value service";
@@ -56,12 +58,41 @@
     create_revision: String,
 }
 
+impl RawRow {
+    /// Decodes key, value and revisions; a revision that is absent is none.
+    fn decode(self) -> Result<Row, String> {
+        let key = decode_key(&self.key)?;
+        let value = STANDARD.decode(&self.value).map_err(|error| format!("the value is not base64: {error}"))?;
+        let [revision, create_revision] = [&self.mod_revision, &self.create_revision].map(|text| {
+            let is_number = text.is_empty() || text.parse::<u64>().is_ok();
+            if is_number { Ok(parse_revision(text)) } else { Err(format!("the revision {text:?} is not a number")) }
+        });
+        Ok(Row { key, value: value.into(), revision: revision?, create_revision: create_revision? })
+    }
+}
+
+/// What must be readable of a row to tell which key it is of.
+#[derive(Deserialize)]
+struct RowKey {
+    key: String,
+}
+
+/// What tells the versions of a row apart.
+#[derive(Deserialize, Default)]
+struct RowRevisions {
+    #[serde(default)]
+    mod_revision: String,
+    #[serde(default)]
+    create_revision: String,
+}
+
+/// Rows are decoded one by one, so that one that cannot be read leaves the others.
 #[derive(Deserialize)]
-struct RangeResponse {
+struct RangeResponse<'a> {
     #[serde(default)]
     header: Header,
-    #[serde(default)]
-    kvs: Vec<RawRow>,
+    #[serde(borrow, default)]
+    kvs: Vec<&'a RawValue>,
 }
 
 #[derive(Serialize)]
@@ -160,11 +191,12 @@
     memory: ResponseMemory,
     /// Name of the service where memory is taken for its responses.
     name: Arc<str>,
+    refusals: Refusals,
 }
 
 impl Etcd {
-    pub fn new(address: SocketAddr, client: HttpClient, memory: ResponseMemory) -> Self {
-        Self { address, client, memory, name: SERVICE.replace(' ', "-").into() }
+    pub fn new(address: SocketAddr, client: HttpClient, memory: ResponseMemory, refusals: Refusals) -> Self {
+        Self { address, client, memory, name: SERVICE.replace(' ', "-").into(), refusals }
     }
 
     async fn range(
@@ -177,17 +209,15 @@
         let key = STANDARD.encode(key);
         let end = if end.is_empty() { String::new() } else { STANDARD.encode(end) };
         let request = RangeRequest { key: &key, range_end: &end, min_mod_revision: since.number().to_string() };
-        let response: RangeResponse = self.request("/v3/kv/range", purpose, &request).await?;
-        let rows = response.kvs.into_iter().filter_map(decode_row).collect();
-        Ok((rows, parse_revision(&response.header.revision)))
+        let response = self.request("/v3/kv/range", purpose, &request).await?;
+        let response: RangeResponse<'_> = response.json(&self.refusals)?;
+        let revision = parse_revision(&response.header.revision);
+        let rows = response.kvs.iter().enumerate();
+        let rows = rows.filter_map(|(index, raw)| decode_row(raw, index, &self.refusals)).collect();
+        Ok((rows, revision))
     }
 
-    async fn request<Q: Serialize, R: DeserializeOwned>(
-        &self,
-        path: &str,
-        purpose: &'static str,
-        request: &Q,
-    ) -> Result<R> {
+    async fn request<Q: Serialize>(&self, path: &'static str, purpose: &'static str, request: &Q) -> Result<Answer> {
         let response = self.send(path, purpose, request).await?;
         let body = self.memory.collect_protected(response.into_body(), &self.name, MAX_RESPONSE_BYTES).await;
         let bytes = body.map_err(|error| {
@@ -195,7 +225,7 @@
             self.memory.record_too_long("-", &self.name, "service", &error);
             unanswered(Cause::TooLong)
         })?;
-        serde_json::from_slice(&bytes).map_err(|_| unanswered(Cause::Undecodable))
+        Ok(Answer { path, body: repaired_text(bytes) })
     }
 
     async fn send<Q: Serialize>(&self, path: &str, purpose: &'static str, request: &Q) -> Result<Response> {
@@ -216,9 +246,27 @@
     }
 }
 
+/// Body of an answer to a call.
+struct Answer {
+    path: &'static str,
+    body: Bytes,
+}
+
+impl Answer {
+    fn json<'a, T: Deserialize<'a>>(&'a self, refusals: &Refusals) -> Result<T> {
+        serde_json::from_slice(&self.body).map_err(|error| {
+            refusals.record_answer(SERVICE, self.path, self.body.len(), &error.to_string());
+            unanswered(Cause::Undecodable)
+        })
+    }
+}
+
 impl StorePort for Etcd {
     fn get<'a>(&'a self, purpose: &'static str, key: &'a str) -> BoxFuture<'a, Result<Option<Row>>> {
-        Box::pin(async move { Ok(self.range(purpose, key, "", Revision::NONE).await?.0.into_iter().next()) })
+        Box::pin(async move {
+            let (rows, _) = self.range(purpose, key, "", Revision::NONE).await?;
+            Ok(rows.into_iter().find(|row| row.key == key))
+        })
     }
 
     fn list_page<'a>(
@@ -267,7 +315,8 @@
         let removes = removes.map(|key| TxnOp::RequestDeleteRange(RawDelete { key: STANDARD.encode(key) }));
         let request = TxnRequest { compare: compare.collect(), success: puts.chain(removes).collect() };
         Box::pin(async move {
-            let response: TxnResponse = self.request("/v3/kv/txn", purpose, &request).await?;
+            let response = self.request("/v3/kv/txn", purpose, &request).await?;
+            let response: TxnResponse = response.json(&self.refusals)?;
             Ok(TxnOutcome { succeeded: response.succeeded, revision: parse_revision(&response.header.revision) })
         })
     }
@@ -275,7 +324,7 @@
     fn grant(&self, purpose: &'static str, ttl: Duration) -> BoxFuture<'_, Result<Lease>> {
         Box::pin(async move {
             let request = RawLease { id: "0".into(), ttl: ttl.as_secs().max(1).to_string() };
-            let lease: RawLease = self.request("/v3/lease/grant", purpose, &request).await?;
+            let lease: RawLease = self.request("/v3/lease/grant", purpose, &request).await?.json(&self.refusals)?;
             Ok(Lease { id: parse_number(&lease.id), ttl: Duration::from_secs(parse_number(&lease.ttl)) })
         })
     }
@@ -283,7 +332,8 @@
     fn renew(&self, purpose: &'static str, lease: u64) -> BoxFuture<'_, Result<()>> {
         Box::pin(async move {
             let request = RawLease { id: lease.to_string(), ttl: String::new() };
-            let response: KeepAliveResponse = self.request("/v3/lease/keepalive", purpose, &request).await?;
+            let response = self.request("/v3/lease/keepalive", purpose, &request).await?;
+            let response: KeepAliveResponse = response.json(&self.refusals)?;
             if parse_number(&response.result.ttl) == 0 {
                 return Err(Error::LeaseEnded { service: SERVICE });
             }
@@ -294,7 +344,7 @@
     fn revoke(&self, purpose: &'static str, lease: u64) -> BoxFuture<'_, Result<()>> {
         Box::pin(async move {
             let request = RawLease { id: lease.to_string(), ttl: String::new() };
-            let _: RevokeResponse = self.request("/v3/lease/revoke", purpose, &request).await?;
+            let _: RevokeResponse = self.request("/v3/lease/revoke", purpose, &request).await?.json(&self.refusals)?;
             Ok(())
         })
     }
@@ -352,11 +402,34 @@
 
 fn decode_change(event: RawEvent) -> Option<Change> {
     let removed = event.kind == "DELETE";
-    let row = decode_row(event.kv)?;
+    let row = decode_raw_row(event.kv)?;
     Some(if removed { Change::Removed(row.key, row.revision) } else { Change::Put(row) })
 }
 
-fn decode_row(raw: RawRow) -> Option<Row> {
+/// Decodes the row at a place of an answer. One whose value or revision cannot be read gets one byte that is no text for its
+/// value, which whoever reads the entry refuses; one whose key cannot be read is left out.
+fn decode_row(raw: &RawValue, index: usize, refusals: &Refusals) -> Option<Row> {
+    let row = serde_json::from_str::<RawRow>(raw.get()).map_err(|error| error.to_string());
+    let error = match row.and_then(RawRow::decode) {
+        Ok(row) => return Some(row),
+        Err(error) => error,
+    };
+    let encoded = serde_json::from_str(raw.get()).ok().map(|RowKey { key }| key);
+    let key = encoded.as_deref().and_then(|key| decode_key(key).ok());
+    let revisions: RowRevisions = serde_json::from_str(raw.get()).unwrap_or_default();
+    let revision = parse_revision(&revisions.mod_revision);
+    let name = key.clone().or(encoded).unwrap_or_else(|| format!("#{index}"));
+    refusals.record_entry(&name, revision, raw.get().len(), &error);
+    let create_revision = parse_revision(&revisions.create_revision);
+    Some(Row { key: key?, value: Bytes::from_static(&[0xff]), revision, create_revision })
+}
+
+fn decode_key(encoded: &str) -> Result<String, String> {
+    let bytes = STANDARD.decode(encoded).map_err(|error| format!("the key is not base64: {error}"))?;
+    String::from_utf8(bytes).map_err(|error| format!("the key is not text: {error}"))
+}
+
+fn decode_raw_row(raw: RawRow) -> Option<Row> {
     let key = String::from_utf8(STANDARD.decode(raw.key).ok()?).ok()?;
     let value = Bytes::from(STANDARD.decode(raw.value).ok()?);
     Some(Row {
@@ -379,3 +452,7 @@
 fn unanswered(cause: Cause) -> Error {
     Error::Unanswered { service: SERVICE, cause }
 }
+
+#[cfg(test)]
+#[path = "etcd_test.rs"]
+mod etcd_test;
--- a/goldcrestward/src/platform/partial_answers_test.rs
+++ b/goldcrestward/src/platform/partial_answers_test.rs
@@ -65,7 +65,7 @@
     /// # Panics
     /// Panics if the call counts as not executed, as the server has read it.
     async fn perform(self, address: SocketAddr, client: &HttpClient) -> Vec<String> {
-        let store = Etcd::new(address, client.clone(), ResponseMemory::new(MEMORY_BYTES));
+        let store = Etcd::new(address, client.clone(), ResponseMemory::new(MEMORY_BYTES), refusals());
         let result = match self {
             Self::List => store.list_page("test", "a", Revision::NONE, "").await.map(|found| format!("{found:?}")),
             Self::Get => store.get("test", "a").await.map(|found| format!("{found:?}")),
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -358,8 +358,9 @@
     let refusals = Refusals::new(metrics.refused_entries.clone());
     let secrets = Secrets::new(&settings.secrets);
     let peer_client = PeerClient::new(secrets.clone());
-    let store =
-        store.unwrap_or_else(|| Arc::new(Etcd::new(settings.platform, client.clone(), response_memory.clone())));
+    let store = store.unwrap_or_else(|| {
+        Arc::new(Etcd::new(settings.platform, client.clone(), response_memory.clone(), refusals.clone()))
+    });
     let kv = Kv::new(store, metrics.kv_calls.clone(), metrics.store_restores.clone());
     let epoch = unix_ms();
     let local = Member {
--- a/goldcrestward/tests/it/odd_entries.rs
+++ b/goldcrestward/tests/it/odd_entries.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-use standin::platform::PlatformFaults;
+use standin::{load::RequestOutcome, platform::PlatformFaults};
 use tokio::time::sleep;
 
 use crate::support::{KEY, TestSite};
@@ -111,3 +111,54 @@
     }
     wait_served(&site, "/orders/lookup", "the other instance").await;
 }
+
+/// Rows of the key-value service that cannot be read; those with a key have that of a file of the configuration.
+fn odd_rows() -> [(&'static str, Value); 7] {
+    // `/goldcrestward/test/config/file/99 &+#%.yaml`
+    const KEY: &str = "L2dvbGRjcmVzdHdhcmQvdGVzdC9jb25maWcvZmlsZS85OSAmKyMlLnlhbWw=";
+    [
+        ("no key", json!({ "value": "eA==", "mod_revision": "6" })),
+        ("key and value of another type", json!({ "key": 7, "value": [], "mod_revision": "6" })),
+        ("key that is no base64", json!({ "key": "rack 7&a+b#c%20", "value": "eA==", "mod_revision": "6" })),
+        ("value of another type", json!({ "key": KEY, "value": 7, "mod_revision": "6" })),
+        ("value that is no base64", json!({ "key": KEY, "value": "&+#%", "mod_revision": "6" })),
+        ("revision of another type", json!({ "key": KEY, "value": "eA==", "mod_revision": {} })),
+        ("null", Value::Null),
+    ]
+}
+
+/// Guards against RECOVER: a range of the key-value service was decoded as a whole, so that one row that cannot be read left
+/// daemons that had been restarted without a configuration.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn restarted_daemons_serve_beside_one_odd_row() {
+    let mut site = TestSite::start(2, 0).await;
+    for (number, (what, row)) in odd_rows().into_iter().enumerate() {
+        site.platform.set_faults(PlatformFaults { range_items: vec![row], ..PlatformFaults::default() });
+        restart_all(&mut site).await;
+        wait_served(&site, "/orders/lookup", what).await;
+        let (name, path) = (format!("{}-more.yaml", 20 + number), format!("/more-{number}/"));
+        let text = format!("routes: {{ more-{number}: {{ pool: orders, prefix: {path}, lookup: true }} }}");
+        let response = site.propose(1, &[(&name, Some(&text))]).await;
+        assert_eq!(response["result"], "accepted", "{what}: {response}");
+        wait_served(&site, &path, what).await;
+        assert_eq!(site.confirm(0, &format!("key-{number}")).await, RequestOutcome::Complete, "{what}");
+        let daemon = &site.daemons[0];
+        assert!(daemon.log().contains("event=entry-refused key=\""), "{what}:\n{}", daemon.log());
+        assert!(daemon.counter("refused_entries_total", "").await >= 1.0, "{what}");
+    }
+}
+
+/// Guards against CONFIG: events of a watch that arrive with one that cannot be read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn changes_are_in_force_beside_an_odd_event() {
+    let site = TestSite::start(2, 0).await;
+    for (number, (what, row)) in odd_rows().into_iter().enumerate() {
+        let watch_events = vec![json!({ "kv": row })];
+        site.platform.set_faults(PlatformFaults { watch_events, ..PlatformFaults::default() });
+        let path = format!("/more-{number}/");
+        let text = format!("routes: {{ more-{number}: {{ pool: orders, prefix: {path}, lookup: true }} }}");
+        let response = site.propose(1, &[("20-more.yaml", Some(&text))]).await;
+        assert_eq!(response["result"], "accepted", "{what}: {response}");
+        wait_served(&site, &path, what).await;
+    }
+}
