--- a/goldcrestward/src/platform/etcd.rs
+++ b/goldcrestward/src/platform/etcd.rs
@@ -19,6 +19,7 @@
 };
 
 const SERVICE: &str = "key-value service";
+const WATCH_PATH: &str = "/v3/watch";
 /// Size limit of a response: a listing has all entries of the site.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 /// Size limit of the changes that a watch sends at once.
@@ -150,16 +151,18 @@
 }
 
 #[derive(Deserialize)]
-struct RawEvent {
+struct RawEvent<'a> {
     #[serde(default, rename = "type")]
     kind: String,
-    kv: RawRow,
+    #[serde(borrow)]
+    kv: &'a RawValue,
 }
 
+/// Events are decoded one by one, so that one that cannot be read leaves the others.
 #[derive(Deserialize, Default)]
-struct WatchResult {
-    #[serde(default)]
-    events: Vec<RawEvent>,
+struct WatchResult<'a> {
+    #[serde(borrow, default)]
+    events: Vec<&'a RawValue>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -179,9 +182,9 @@
 struct RevokeResponse {}
 
 #[derive(Deserialize)]
-struct WatchResponse {
-    #[serde(default)]
-    result: WatchResult,
+struct WatchResponse<'a> {
+    #[serde(borrow, default)]
+    result: WatchResult<'a>,
 }
 
 /// [`StorePort`] on an etcd-compatible service.
@@ -292,10 +295,11 @@
             let (key, end) = (STANDARD.encode(prefix), STANDARD.encode(prefix_end(prefix)));
             let start_revision = (after.number() + 1).to_string();
             let create_request = WatchCreate { key: &key, range_end: &end, start_revision };
-            let response = self.send("/v3/watch", purpose, &WatchRequest { create_request }).await?;
+            let response = self.send(WATCH_PATH, purpose, &WatchRequest { create_request }).await?;
             let buffer = self.memory.protected_buffer(&self.name, MAX_CHANGES_BYTES);
             let (body, memory, name) = (response.into_body(), self.memory.clone(), self.name.clone());
-            let watch = Watch { body, buffer, lines: Bytes::new(), memory, name, revision: after };
+            let refusals = self.refusals.clone();
+            let watch = Watch { body, buffer, lines: Bytes::new(), memory, name, refusals, revision: after };
             Ok(Box::new(watch) as Box<dyn WatchPort>)
         })
     }
@@ -358,6 +362,7 @@
     lines: Bytes,
     memory: ResponseMemory,
     name: Arc<str>,
+    refusals: Refusals,
     revision: Revision,
 }
 
@@ -376,10 +381,11 @@
             let ended = || unanswered(Cause::Broken);
             loop {
                 if let Some(end) = self.lines.iter().position(|b| *b == b'\n') {
-                    let line = self.lines.split_to(end + 1);
-                    let response: WatchResponse =
-                        serde_json::from_slice(&line).map_err(|_| unanswered(Cause::Undecodable))?;
-                    let changes: Vec<_> = response.result.events.into_iter().filter_map(decode_change).collect();
+                    let line = Answer { path: WATCH_PATH, body: repaired_text(self.lines.split_to(end + 1)) };
+                    let response: WatchResponse<'_> = line.json(&self.refusals)?;
+                    let events = response.result.events.iter().enumerate();
+                    let changes = events.filter_map(|(index, raw)| decode_change(raw, index, &self.refusals));
+                    let changes: Vec<_> = changes.collect();
                     let revisions = changes.iter().map(|change| match change {
                         Change::Put(row) => row.revision,
                         Change::Removed(_, revision) => *revision,
@@ -400,10 +406,17 @@
     }
 }
 
-fn decode_change(event: RawEvent) -> Option<Change> {
-    let removed = event.kind == "DELETE";
-    let row = decode_raw_row(event.kv)?;
-    Some(if removed { Change::Removed(row.key, row.revision) } else { Change::Put(row) })
+/// Decodes the event at a place of an answer; `None` if it does not tell which key has changed.
+fn decode_change(raw: &RawValue, index: usize, refusals: &Refusals) -> Option<Change> {
+    let event: RawEvent<'_> = match serde_json::from_str(raw.get()) {
+        Ok(event) => event,
+        Err(error) => {
+            refusals.record_entry(&format!("#{index}"), Revision::NONE, raw.get().len(), &error.to_string());
+            return None;
+        }
+    };
+    let row = decode_row(event.kv, index, refusals)?;
+    Some(if event.kind == "DELETE" { Change::Removed(row.key, row.revision) } else { Change::Put(row) })
 }
 
 /// Decodes the row at a place of an answer. One whose value or revision cannot be read gets one byte that is no text for its
@@ -429,17 +442,6 @@
     String::from_utf8(bytes).map_err(|error| format!("the key is not text: {error}"))
 }
 
-fn decode_raw_row(raw: RawRow) -> Option<Row> {
-    let key = String::from_utf8(STANDARD.decode(raw.key).ok()?).ok()?;
-    let value = Bytes::from(STANDARD.decode(raw.value).ok()?);
-    Some(Row {
-        key,
-        value,
-        revision: parse_revision(&raw.mod_revision),
-        create_revision: parse_revision(&raw.create_revision),
-    })
-}
-
 /// The gateway does not tell histories apart, so all revisions are of one.
 fn parse_revision(text: &str) -> Revision {
     Revision::new(0, parse_number(text))
--- a/goldcrestward/src/platform/etcd_test.rs
+++ b/goldcrestward/src/platform/etcd_test.rs
@@ -1,19 +1,23 @@
-//! Tests of ranges that hold an item which cannot be read.
+//! Tests of ranges and watches that hold an item which cannot be read.
+
+use std::time::Duration;
 
 use prometheus::IntCounter;
 use serde_json::{Value, json};
 use standin::platform::{Platform, PlatformFaults};
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, time::timeout};
 
 use super::Etcd;
 use crate::{
     connection::HttpClient,
     process::{Refusals, ResponseMemory},
-    store::{Revision, StorePort},
+    store::{Change, Revision, StorePort},
 };
 
 /// Memory for answers, in bytes.
 const MEMORY_BYTES: usize = 1024 * 1024;
+/// Limits how long a failing test runs.
+const WAIT_LIMIT: Duration = Duration::from_secs(10);
 /// The key `a/odd` in base64.
 const ODD_KEY: &str = "YS9vZGQ=";
 
@@ -77,3 +81,25 @@
         assert_eq!(store.get("test", "a/3").await, Ok(None), "{what}");
     }
 }
+
+#[tokio::test]
+async fn watch_returns_what_stands_beside_an_odd_event() {
+    for Case { what, item, .. } in cases() {
+        for event in [json!({ "kv": item }), json!({ "type": "DELETE", "kv": item }), item, json!({ "type": 7 })] {
+            let (platform, store, _) = start().await;
+            platform.set_faults(PlatformFaults { watch_events: vec![event.clone()], ..PlatformFaults::default() });
+            let mut watch = store.watch("test", "a/", Revision::NONE).await.expect("a watch");
+            let mut keys = Vec::new();
+            while keys.len() < 3 {
+                let changes = timeout(WAIT_LIMIT, watch.next(WAIT_LIMIT)).await.expect("changes in time");
+                let changes = changes.unwrap_or_else(|error| panic!("{what}: {event}: {error:?}")).changes;
+                keys.extend(changes.into_iter().filter_map(|change| match change {
+                    Change::Put(row) => (row.value == "x").then_some(row.key),
+                    Change::Removed(..) => None,
+                }));
+                platform.put_entry("a/3", b"x");
+            }
+            assert_eq!(keys[..3], ["a/1", "a/2", "a/3"], "{what}: {event}");
+        }
+    }
+}
