--- a/goldcrestward/src/process/configure.rs
+++ b/goldcrestward/src/process/configure.rs
@@ -245,15 +245,16 @@
     }
 
     async fn commit(&self, changes: &[Change], revision: Revision, overrides: Vec<Override>) -> ProposalOutcome {
-        let previous = match self.read_head().await {
-            Ok((head, at)) if at == revision => head.token,
+        // The copy has all changes up to its revision, which is later than the head's if another program wrote since.
+        let (previous, head_revision) = match self.read_head().await {
+            Ok((head, at)) if at <= revision => (head.token, at),
             Ok((_, at)) => return ProposalOutcome::Conflict { revision: at.ordinal(), changed: Vec::new() },
             Err(error) => return ProposalOutcome::Unavailable { message: error.to_string() },
         };
         let token = format!("{:032x}", rand::random::<u128>());
         let mut uncertain = false;
         for _ in 0..COMMIT_ATTEMPTS {
-            let commit = self.transaction(changes, revision, &token, &previous);
+            let commit = self.transaction(changes, head_revision, &token, &previous);
             match self.shared.kv.txn(Purpose::Config, commit).await {
                 Ok(txn) if txn.succeeded => return self.accepted(txn.revision, overrides).await,
                 Ok(_) => return self.resolve_conflict(&token, uncertain, overrides).await,
@@ -271,7 +272,7 @@
         }
     }
 
-    fn transaction(&self, changes: &[Change], revision: Revision, token: &str, previous: &str) -> Txn {
+    fn transaction(&self, changes: &[Change], head_revision: Revision, token: &str, previous: &str) -> Txn {
         let head = Head { token: token.to_owned(), after: previous.to_owned() };
         let mut puts =
             vec![Put { key: self.head_key(), value: serde_json::to_vec(&head).unwrap_or_default(), lease: 0 }];
@@ -280,7 +281,7 @@
             let key = format!("{}file/{}", self.prefix, change.name);
             Put { key, value: serde_json::to_vec(&file).unwrap_or_default(), lease: 0 }
         }));
-        Txn { compares: vec![Compare { key: self.head_key(), revision }], puts, removes: Vec::new() }
+        Txn { compares: vec![Compare { key: self.head_key(), revision: head_revision }], puts, removes: Vec::new() }
     }
 
     async fn read_head(&self) -> Result<(Head, Revision), Error> {
--- a/goldcrestward/tests/it/odd_entries.rs
+++ b/goldcrestward/tests/it/odd_entries.rs
@@ -162,3 +162,19 @@
         wait_served(&site, &path, what).await;
     }
 }
+
+/// Guards against changes that conflicted for good with a write of another program under the configuration's keys.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn changes_are_accepted_after_a_write_of_another_program() {
+    let site = TestSite::start(2, 0).await;
+    let valid = json!({ "text": "zones: { north-b: { region: north } }" }).to_string();
+    let writes = [("file/99 &+#%.yaml", valid.as_bytes()), ("rack 7&a+b#c%20", b"\xff")];
+    for (number, (key, value)) in writes.into_iter().enumerate() {
+        site.platform.put_entry(&format!("/goldcrestward/test/config/{key}"), value);
+        let path = format!("/more-{number}/");
+        let text = format!("routes: {{ more-{number}: {{ pool: orders, prefix: {path}, lookup: true }} }}");
+        let response = site.propose(1, &[("20-more.yaml", Some(&text))]).await;
+        assert_eq!(response["result"], "accepted", "{key}: {response}");
+        wait_served(&site, &path, key).await;
+    }
+}
