--- a/goldcrestward/src/config/merge.rs
+++ b/goldcrestward/src/config/merge.rs
@@ -1,11 +1,6 @@
 //! Merging and validation of configuration files.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    fmt,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, fmt, sync::Arc, time::Duration};
 
 use chrono::DateTime;
 use serde::Serialize;
@@ -172,18 +167,25 @@
     }
 
     fn add_routes(&mut self, routes: &Sources<'_, RouteSpec>) {
-        let mut prefixes = BTreeSet::new();
-        let mut models = BTreeSet::new();
+        let mut prefixes = BTreeMap::new();
+        let mut models = BTreeMap::new();
         for (name, (file, entry)) in routes {
             let spec = &entry.value;
             self.check_route(name, file, entry);
             let prefix = spec.prefix.as_ref().map(|p| p.value.clone());
             let model = spec.model.as_ref().map(|m| m.value.clone());
-            if let Some(given) = spec.prefix.as_ref().filter(|p| !prefixes.insert(p.value.clone())) {
-                self.report(file, given, format!("routes.{name}.prefix"), "another route has this prefix");
+            let route_of = |(other, file): &(Arc<str>, Arc<str>)| format!("{other} of {file}");
+            if let Some(given) = &spec.prefix
+                && let Some(other) = prefixes.insert(given.value.clone(), (name.clone(), file.clone()))
+            {
+                let message = format!("another route has this prefix: {}", route_of(&other));
+                self.report(file, given, format!("routes.{name}.prefix"), message);
             }
-            if let Some(given) = spec.model.as_ref().filter(|m| !models.insert(m.value.clone())) {
-                self.report(file, given, format!("routes.{name}.model"), "another route has this model");
+            if let Some(given) = &spec.model
+                && let Some(other) = models.insert(given.value.clone(), (name.clone(), file.clone()))
+            {
+                let message = format!("another route has this model: {}", route_of(&other));
+                self.report(file, given, format!("routes.{name}.model"), message);
             }
             let timeout = format!("routes.{name}.timeout-seconds");
             let retries = format!("routes.{name}.retry-percent");
@@ -242,7 +244,7 @@
     }
 
     fn add_accounts(&mut self, accounts: &Sources<'_, AccountSpec>) {
-        let mut keys = BTreeSet::new();
+        let mut keys = BTreeMap::new();
         for (name, (file, entry)) in accounts {
             let spec = &entry.value;
             let key = &spec.key_sha256;
@@ -251,8 +253,9 @@
                 let message = "must be 64 lowercase hexadecimal digits";
                 self.report(file, key, format!("accounts.{name}.key-sha256"), message);
             }
-            if !keys.insert(key.value.clone()) {
-                self.report(file, key, format!("accounts.{name}.key-sha256"), "another account has this key");
+            if let Some((other, other_file)) = keys.insert(key.value.clone(), (name.clone(), file.clone())) {
+                let message = format!("another account has this key: {other} of {other_file}");
+                self.report(file, key, format!("accounts.{name}.key-sha256"), message);
             }
             for route in &spec.routes {
                 if !self.merged.site.routes.contains_key(&route.value) {
--- a/goldcrestward/src/config/mod.rs
+++ b/goldcrestward/src/config/mod.rs
@@ -1,5 +1,6 @@
 //! The operators' configuration: YAML files, merged in order of file name.
 
+mod compilation;
 mod document;
 mod error;
 mod merge;
@@ -8,6 +9,7 @@
 mod site;
 mod spec;
 
+pub(crate) use compilation::{Compilation, StoredDocument};
 pub use document::Document;
 pub(crate) use document::yaml_problem;
 pub use error::{Error, Result};
--- a/goldcrestward/src/config/replica.rs
+++ b/goldcrestward/src/config/replica.rs
@@ -11,10 +11,7 @@
 
 use prost::Message;
 
-use super::{
-    document::Document,
-    merge::{Merged, merge},
-};
+use super::{compilation::StoredDocument, document::Document};
 use crate::{
     pb::{self, FileOrigin},
     store::Revision,
@@ -41,6 +38,8 @@
     /// Number of the change of this replica that set the file.
     change: u64,
     document: OnceLock<Arc<Document>>,
+    /// Last content of an existing file that could be read as a document before this one.
+    last_readable: Option<Arc<Document>>,
 }
 
 impl File {
@@ -54,9 +53,17 @@
             read: None,
             change: 0,
             document: OnceLock::new(),
+            last_readable: None,
         }
     }
 
+    /// The last content that could be read as a document, of those that were looked at.
+    fn readable_document(&self) -> Option<&Arc<Document>> {
+        self.text.as_ref()?;
+        let document = self.document.get().filter(|document| document.problem().is_none());
+        document.or(self.last_readable.as_ref())
+    }
+
     fn from_message(message: pb::ConfigFile) -> (Arc<str>, Self) {
         let (origin, first_seen) = (message.origin(), Revision::from_ordinal(message.first_seen));
         let mut file = Self::new(Revision::from_ordinal(message.revision), message.text.map(Into::into));
@@ -232,6 +239,7 @@
     fn insert(&mut self, name: Arc<str>, mut file: File) {
         self.changes += 1;
         file.change = self.changes;
+        file.last_readable = self.files.get(&name).and_then(File::readable_document).cloned();
         self.files.insert(name, file);
     }
 
@@ -305,20 +313,16 @@
         files.filter_map(|(name, file)| Some((name.clone(), file.text.clone()?, file.revision))).collect()
     }
 
-    /// Documents in force, parsed at most once each.
-    pub fn documents(&self) -> BTreeMap<Arc<str>, Arc<Document>> {
+    /// Files of the configuration, parsed at most once each.
+    pub fn documents(&self) -> Vec<StoredDocument> {
         let document = |(name, file): (&Arc<str>, &File)| {
             let text = file.text.clone()?;
-            let parsed = file.document.get_or_init(|| Arc::new(Document::parse(name, text)));
-            Some((name.clone(), parsed.clone()))
+            let document = file.document.get_or_init(|| Arc::new(Document::parse(name, text))).clone();
+            let (name, revision, last_readable) = (name.clone(), file.revision, file.last_readable.clone());
+            Some(StoredDocument { name, revision, document, last_readable })
         };
         self.files.iter().filter_map(document).collect()
     }
-
-    /// Merges the documents in force.
-    pub fn compile(&self) -> Merged {
-        merge(&self.documents())
-    }
 }
 
 #[cfg(test)]
--- a/goldcrestward/src/process/configure.rs
+++ b/goldcrestward/src/process/configure.rs
@@ -11,7 +11,7 @@
     state::{Budget, Overdue, Place},
 };
 use crate::{
-    config::{Document, Override, Problem, merge},
+    config::{Compilation, Document, Override, Problem, StoredDocument, merge},
     pb,
     store::{Change as StoreChange, Compare, Error, Purpose, Put, Revision, Row, Txn},
     util::{stable_hash, unix_ms},
@@ -24,6 +24,10 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Minimum interval between two compilations.
 const MIN_COMPILE_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between the lines on a file that stays refused.
+const REFUSAL_INTERVAL: Duration = Duration::from_secs(60);
+/// Most refused files with a line each.
+const MAX_REFUSAL_LINES: usize = 16;
 /// Maximum number of attempts to commit a change. A further attempt also shows whether one whose answer was lost
 /// took effect.
 const COMMIT_ATTEMPTS: u32 = 6;
@@ -132,29 +136,63 @@
         }
     }
 
-    /// Compiles and applies changed files until the task is dropped.
+    /// Compiles and applies changed files until the task is dropped. Every change is validated before it is committed, so
+    /// a file that cannot be used is of another writer, and the others are in force without it.
     pub async fn compile(self) {
+        let (mut refused, mut problems) = (Vec::new(), Vec::new());
         loop {
-            self.shared.config_changed.notified().await;
-            let (revision, merged) = {
+            tokio::select! {
+                () = self.shared.config_changed.notified() => {}
+                () = sleep(REFUSAL_INTERVAL), if !(refused.is_empty() && problems.is_empty()) => {
+                    self.log_refused(&refused, &problems);
+                    continue;
+                }
+            }
+            let (revision, files) = {
                 let config = self.shared.config.lock();
-                (config.revision(), config.compile())
+                (config.revision(), config.documents())
             };
-            if merged.problems.is_empty() {
+            let Compilation { merged, refused: left_out } = self.compile_files(&files, revision);
+            (refused, problems) = (left_out, merged.problems);
+            self.log_refused(&refused, &problems);
+            self.shared.metrics.refused_files.set(refused.len() as i64);
+            if problems.is_empty() {
                 self.shared.in_force.store(Arc::new(InForce { revision, site: merged.site }));
                 self.shared.metrics.config_revision.set(revision.ordinal() as i64);
                 self.shared.metrics.config_since.set(unix_ms() as i64);
                 self.shared.refresh_version_choices();
-                info!("event=config-in-force revision={revision}");
-            } else {
-                // Every change is validated before it is committed, so another program must have written this one.
-                let problems: Vec<_> = merged.problems.iter().map(ToString::to_string).collect();
-                error!("event=config-refused revision={revision} problems={problems:?}");
+                info!("event=config-in-force revision={revision} refused_files={}", refused.len());
             }
             sleep(MIN_COMPILE_INTERVAL).await;
         }
     }
 
+    /// Logs the files that are not used, and why the others are not in force if they are not valid together.
+    fn log_refused(&self, refused: &[Problem], problems: &[Problem]) {
+        for Problem { file, line, field, message } in refused.iter().take(MAX_REFUSAL_LINES) {
+            let others = refused.len().saturating_sub(MAX_REFUSAL_LINES);
+            warn!(
+                "event=config-file-refused file={file:?} line={line} field={field:?} error={message:?} others={others}"
+            );
+        }
+        if !problems.is_empty() {
+            let in_force = self.shared.in_force.load().revision;
+            let revision = self.shared.config.lock().revision();
+            let problems: Vec<_> = problems.iter().map(ToString::to_string).collect();
+            error!("event=config-refused revision={revision} in_force={in_force} problems={problems:?}");
+        }
+    }
+
+    /// Compiles the files. What is in force stays if they are not valid together; without anything in force the older ones
+    /// are used.
+    fn compile_files(&self, files: &[StoredDocument], newest: Revision) -> Compilation {
+        let compilation = Compilation::of_readable(files);
+        if compilation.merged.problems.is_empty() || !self.shared.in_force.load().revision.is_none() {
+            return compilation;
+        }
+        Compilation::of_oldest(files, newest).unwrap_or(compilation)
+    }
+
     /// Validates and commits changes. With `base`, they are accepted only on top of that revision.
     pub async fn propose(&self, changes: Vec<Change>, base: Option<u64>) -> ProposalOutcome {
         if let Err(error) = self.read().await {
@@ -166,14 +204,18 @@
             let changed = changed.into_iter().map(|file| file.name.into()).collect();
             return ProposalOutcome::Conflict { revision: revision.ordinal(), changed };
         }
-        let documents = self.shared.config.lock().documents();
+        let files = self.shared.config.lock().documents();
+        let documents: BTreeMap<_, _> = files.into_iter().map(|file| (file.name, file.document)).collect();
         let changes: Vec<_> = changes.into_iter().filter(|change| differs(&documents, change)).collect();
         if changes.is_empty() {
             return ProposalOutcome::Unchanged { revision: revision.ordinal() };
         }
-        let merged = merge(&apply_changes(documents, &changes));
+        let (unreadable, readable) = documents.into_iter().partition(|(_, document)| document.problem().is_some());
+        let merged = merge(&apply_changes(readable, &changes));
         if !merged.problems.is_empty() {
-            return ProposalOutcome::Invalid { problems: merged.problems };
+            let mut problems = merged.problems;
+            problems.extend(problems_apart_from(&unreadable, &changes));
+            return ProposalOutcome::Invalid { problems };
         }
         self.commit(&changes, revision, merged.overrides).await
     }
@@ -209,9 +251,10 @@
         let revision = rows.iter().map(|row| row.revision).max().unwrap_or_default().ordinal();
         let files = rows.into_iter().filter_map(|row| {
             let name = row.key.strip_prefix(&self.prefix)?.strip_prefix("file/")?.to_owned();
-            let file: StoredFile = serde_json::from_slice(&row.value)
-                .map_err(|error| warn!("event=entry-refused key={:?} error={:?}", row.key, error.to_string()))
-                .ok()?;
+            let refuse = |error: serde_json::Error| {
+                self.shared.refusals.record_entry(&row.key, row.revision, row.value.len(), &error.to_string());
+            };
+            let file: StoredFile = serde_json::from_slice(&row.value).map_err(refuse).ok()?;
             let revision = row.revision.ordinal();
             Some(pb::ConfigFile { name, revision, text: file.text, ..pb::ConfigFile::default() })
         });
@@ -320,6 +363,13 @@
     }
 }
 
+/// Problems of files that cannot be read and that the changes leave as they are.
+fn problems_apart_from(unreadable: &BTreeMap<Arc<str>, Arc<Document>>, changes: &[Change]) -> Vec<Problem> {
+    let is_changed = |name: &Arc<str>| changes.iter().any(|change| change.name == *name);
+    let left = unreadable.iter().filter(|(name, _)| !is_changed(name));
+    left.filter_map(|(_, document)| document.problem().cloned()).collect()
+}
+
 fn differs(documents: &BTreeMap<Arc<str>, Arc<Document>>, change: &Change) -> bool {
     let current = documents.get(&change.name).map(|document| &**document.text());
     current != change.text.as_deref()
--- a/goldcrestward/src/process/metrics.rs
+++ b/goldcrestward/src/process/metrics.rs
@@ -84,6 +84,7 @@
     pub config_revision: IntGauge,
     /// Unix time in ms at which that configuration came into force.
     pub config_since: IntGauge,
+    pub refused_files: IntGauge,
     /// Configurations that came into force, by source.
     pub config_changes: IntCounterVec,
     /// Time from when a daemon read a configuration in the store until it came into force here.
@@ -223,6 +224,7 @@
             members: factory.gauges("members", "daemons known by state", &["state"])?,
             config_revision: factory.gauge("config_revision", "revision of the configuration in force")?,
             config_since: factory.gauge("config_since_ms", "unix time at which the configuration came into force")?,
+            refused_files: factory.gauge("config_refused_files", "files of the configuration that cannot be used")?,
             config_changes: factory.counters("config_changes_total", "configurations taken into force", &["way"])?,
             config_delay: factory.histogram(
                 "config_delay_seconds",
--- a/goldcrestward/tests/it/odd_entries.rs
+++ b/goldcrestward/tests/it/odd_entries.rs
@@ -6,7 +6,7 @@
 use standin::{load::RequestOutcome, platform::PlatformFaults};
 use tokio::time::sleep;
 
-use crate::support::{KEY, TestSite};
+use crate::support::{CONFIG, KEY, TestSite, eventually};
 
 /// Time from a restart, or from a change, after which requests must be served.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
@@ -178,3 +178,67 @@
         wait_served(&site, &path, key).await;
     }
 }
+
+/// Name of a file that another writer has written, not checked.
+const ODD_FILE: &str = "99 &+#%.yaml";
+
+fn stored_file(text: &str) -> Vec<u8> {
+    json!({ "text": text }).to_string().into_bytes()
+}
+
+/// Guards against RECOVER: one file of the configuration that another writer had written and that is not valid left daemons
+/// that had been restarted without a configuration.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn restarted_daemons_serve_beside_one_odd_file() {
+    let key = format!("/goldcrestward/test/config/file/{ODD_FILE}");
+    let other = "/goldcrestward/test/config/rack 7&a+b#c%20".to_owned();
+    // Key, value, and whether the file has a line and changes are accepted beside it.
+    let cases = [
+        ("no yaml", &key, stored_file("routes: ["), true, true),
+        ("unknown field", &key, stored_file("rootes: {}\n"), true, true),
+        ("no json", &key, vec![0xff; 3], false, true),
+        ("another key", &other, stored_file("routes: ["), false, true),
+        ("route of another file", &key, stored_file("routes: { a: { pool: orders, prefix: /orders/ } }"), true, false),
+    ];
+    let mut site = TestSite::start(2, 0).await;
+    for (number, (what, key, value, has_line, accepts)) in cases.into_iter().enumerate() {
+        site.platform.put_entry(key, &value);
+        restart_all(&mut site).await;
+        wait_served(&site, "/orders/lookup", what).await;
+        let log = site.daemons[0].log();
+        assert_eq!(log.contains(&format!("event=config-file-refused file={ODD_FILE:?}")), has_line, "{what}:\n{log}");
+        let path = format!("/more-{number}/");
+        let text = format!("routes: {{ more-{number}: {{ pool: orders, prefix: {path}, lookup: true }} }}");
+        let response = site.propose(1, &[("20-more.yaml", Some(&text))]).await;
+        assert_eq!(response["result"], if accepts { "accepted" } else { "invalid" }, "{what}: {response}");
+        if accepts {
+            wait_served(&site, &path, what).await;
+        } else {
+            assert!(response.to_string().contains(ODD_FILE), "{response}");
+        }
+        let response = site.propose(0, &[(ODD_FILE, None)]).await;
+        assert!(matches!(response["result"].as_str(), Some("accepted" | "unchanged")), "{what}: {response}");
+    }
+}
+
+/// Daemons that run go on with the last content of a file that another writer has overwritten, until it is valid again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn running_daemons_keep_the_last_content_of_an_overwritten_file() {
+    let site = TestSite::start(2, 0).await;
+    site.platform.put_entry("/goldcrestward/test/config/file/10-site.yaml", &stored_file("routes: ["));
+    for daemon in &site.daemons {
+        let has_line =
+            || async { daemon.log().contains("event=config-file-refused file=\"10-site.yaml\"").then_some(()) };
+        eventually("the file has a line", has_line).await;
+    }
+    wait_served(&site, "/orders/lookup", "an overwritten file").await;
+    let text = format!("{CONFIG}  later: {{ pool: orders }}\n");
+    let response = site.propose(0, &[("10-site.yaml", Some(&text))]).await;
+    assert_eq!(response["result"], "accepted", "{response}");
+    let revision = response["revision"].as_u64();
+    for daemon in &site.daemons {
+        let has_change = || async { (daemon.revision().await == revision).then_some(()) };
+        eventually("the corrected file is in force", has_change).await;
+    }
+    wait_served(&site, "/orders/lookup", "the corrected file").await;
+}
