--- a/goldcrestward/src/ledger/entry.rs
+++ b/goldcrestward/src/ledger/entry.rs
@@ -84,6 +84,11 @@
 }
 
 impl Entry {
+    /// Whether the key of an entry of a segment is 16 bytes long.
+    pub fn has_key(entry: &pb::LedgerEntry) -> bool {
+        entry.key.len() == Key::default().len()
+    }
+
     /// Decodes an entry of a segment; `None` if its key is not 16 bytes long.
     pub fn from_wire(entry: pb::LedgerEntry) -> Option<Self> {
         let state = match entry.state() {
--- a/goldcrestward/src/ledger/mod.rs
+++ b/goldcrestward/src/ledger/mod.rs
@@ -16,6 +16,8 @@
 pub(crate) use message::Settlement;
 pub(crate) use owner::{Claim, ClaimAnswer, Ledger, OwnerLookup};
 
+#[cfg(test)]
+mod odd_rows_test;
 #[cfg(test)]
 mod owner_test;
 #[cfg(test)]
--- a/goldcrestward/src/ledger/owner.rs
+++ b/goldcrestward/src/ledger/owner.rs
@@ -20,11 +20,13 @@
     entry::{Key, SLOTS, slot_of},
     error::{OwnerSnafu, Result},
     message::{Effect, Settlement, StoreResult, Ticket},
+    rows::refusal,
     slot::Slot,
 };
 use crate::{
     connection::PeerClient,
     pb::{self, Grant, answer, request},
+    process::Refusals,
     store::{Kv, Purpose, Revision, Txn},
     util::unix_ms,
 };
@@ -89,6 +91,7 @@
         peer_client: PeerClient,
         owner_of: OwnerLookup,
         commits: &IntCounterVec,
+        refusals: &Refusals,
     ) -> Self {
         let start = |slot_number| {
             let (sender, messages) = mpsc::channel(QUEUE_CAPACITY);
@@ -104,6 +107,7 @@
                 committed: Vec::new(),
                 start: Instant::now(),
                 commits: commits.clone(),
+                refusals: refusals.clone(),
             };
             tokio::spawn(driver.run(messages));
             sender
@@ -248,6 +252,7 @@
     committed: Vec<Ticket>,
     start: Instant,
     commits: IntCounterVec,
+    refusals: Refusals,
 }
 
 impl Driver {
@@ -358,9 +363,15 @@
 
     fn load(&self) {
         let (kv, self_sender, prefix) = (self.kv.clone(), self.self_sender.clone(), self.slot.prefix().to_owned());
+        let refusals = self.refusals.clone();
         tokio::spawn(async move {
-            let result = kv.list(Purpose::Ledger, &prefix, Revision::NONE).await;
-            post_result(&self_sender, StoreResult::Loaded(result.map(|(rows, _)| rows))).await;
+            let result = kv.list(Purpose::Ledger, &prefix, Revision::NONE).await.map(|(rows, _)| rows);
+            for row in result.iter().flatten() {
+                if let Some(reason) = refusal(row, &prefix) {
+                    refusals.record_entry(&row.key, row.revision, row.value.len(), reason);
+                }
+            }
+            post_result(&self_sender, StoreResult::Loaded(result)).await;
         });
     }
 }
--- a/goldcrestward/src/ledger/owner_test.rs
+++ b/goldcrestward/src/ledger/owner_test.rs
@@ -9,6 +9,7 @@
 use crate::{
     connection::{PeerClient, Secrets},
     pb::{Grant, Outcome},
+    process::Refusals,
     store::{Kv, memory_store::MemoryStore},
 };
 
@@ -22,7 +23,8 @@
     let restores = IntCounter::new("restores", "restores").expect("a counter");
     let kv = Kv::new(Arc::new(MemoryStore::default()), counter(), restores);
     let peer_client = PeerClient::new(Secrets::new(&["secret".to_owned()]));
-    Ledger::start("site", "daemon", &kv, peer_client, Arc::new(|_| None), &commits)
+    let refusals = Refusals::new(IntCounter::new("refused", "refused entries").expect("a counter"));
+    Ledger::start("site", "daemon", &kv, peer_client, Arc::new(|_| None), &commits, &refusals)
 }
 
 #[tokio::test]
--- a/goldcrestward/src/ledger/rows.rs
+++ b/goldcrestward/src/ledger/rows.rs
@@ -2,14 +2,19 @@
 
 use prost::Message;
 
+use super::entry::Entry;
 use crate::{
     pb,
     store::{Put, Revision, Row},
 };
 
+/// Highest fencing token, and highest number of a segment, that an owner can have written: each is one more than another.
+const MAX_FENCE: u64 = u64::MAX / 2;
+const MAX_SEGMENT: u32 = u32::MAX / 2;
+
 /// Finds and decodes the slot's head; with its revision.
 pub(super) fn find_head(rows: &[Row], prefix: &str) -> Option<(pb::LedgerHead, Revision)> {
-    let row = rows.iter().find(|row| row.key.strip_prefix(prefix) == Some("head"))?;
+    let row = rows.iter().find(|row| is_head(row, prefix))?;
     Some((pb::LedgerHead::decode(&row.value[..]).ok()?, row.revision))
 }
 
@@ -19,8 +24,37 @@
     Put { key: format!("{prefix}head"), value: head.encode_to_vec(), lease: 0 }
 }
 
-/// Decodes a segment; the number is its place in the slot. `None` for a row that is not a segment.
-pub(super) fn parse_segment(row: &Row, prefix: &str) -> Option<(u32, pb::LedgerSegment)> {
+/// Key of a segment.
+pub(super) fn segment_key(prefix: &str, number: u32) -> String {
+    format!("{prefix}segment/{number:08}")
+}
+
+/// Number of the segment whose key a row has; `None` if an owner would not have written the key.
+pub(super) fn segment_number(row: &Row, prefix: &str) -> Option<u32> {
     let number = row.key.strip_prefix(prefix)?.strip_prefix("segment/")?.parse().ok()?;
-    Some((number, pb::LedgerSegment::decode(&row.value[..]).ok()?))
+    (number <= MAX_SEGMENT && row.key == segment_key(prefix, number)).then_some(number)
+}
+
+/// Decodes a segment; `None` if an owner would not have written it.
+pub(super) fn decode_segment(row: &Row) -> Option<pb::LedgerSegment> {
+    let segment = pb::LedgerSegment::decode(&row.value[..]).ok()?;
+    let is_sound = (1..=MAX_FENCE).contains(&segment.fence)
+        && !segment.entries.is_empty()
+        && segment.entries.iter().all(Entry::has_key);
+    is_sound.then_some(segment)
+}
+
+/// Why an owner would not have written a row; `None` if it may have.
+pub(super) fn refusal(row: &Row, prefix: &str) -> Option<&'static str> {
+    if is_head(row, prefix) {
+        return pb::LedgerHead::decode(&row.value[..]).is_err().then_some("the head of the slot cannot be read");
+    }
+    if segment_number(row, prefix).is_none() {
+        return Some("the key is neither the head nor a segment of the slot");
+    }
+    decode_segment(row).is_none().then_some("the segment cannot be read")
+}
+
+fn is_head(row: &Row, prefix: &str) -> bool {
+    row.key.strip_prefix(prefix) == Some("head")
 }
--- a/goldcrestward/src/ledger/slot.rs
+++ b/goldcrestward/src/ledger/slot.rs
@@ -17,7 +17,7 @@
     commit_limiter::CommitLimiter,
     entry::{Entry, EntryState, Key},
     message::{Effect, Settlement, StoreResult, Ticket},
-    rows::{find_head, head_put, parse_segment},
+    rows::{decode_segment, find_head, head_put, segment_number},
     state::{Batch, OpenSegment, Phase, Segment, WaitingClaim},
 };
 use crate::{
@@ -226,7 +226,9 @@
     }
 
     fn recorded_answer(&self, claim: &WaitingClaim, unix_s: u64) -> Option<(Grant, Option<pb::Outcome>)> {
-        let entry = self.entries.get(&claim.key)?;
+        let Some(entry) = self.entries.get(&claim.key) else {
+            return self.has_lost_entries(unix_s).then_some((Grant::MayHaveRun, None));
+        };
         if entry.state == EntryState::Free || entry.updated_at + RETENTION_S <= unix_s {
             return None;
         }
@@ -243,6 +245,12 @@
         })
     }
 
+    /// Whether the key of any request may have been in a segment that another program has overwritten.
+    fn has_lost_entries(&self, unix_s: u64) -> bool {
+        let is_kept = |segment: &Segment| segment.last_updated_at + RETENTION_S > unix_s;
+        self.segments.values().any(|segment| segment.is_overwritten && is_kept(segment))
+    }
+
     fn advance(&mut self, now_ms: u64, unix_s: u64) -> Vec<Effect> {
         self.commit_limiter.refill(now_ms);
         if self.call_pending || now_ms < self.not_before_ms {
@@ -306,7 +314,11 @@
     fn load_entries(&mut self, rows: &[Row], unix_s: u64) {
         self.clear_entries();
         for row in rows {
-            let Some((number, segment)) = parse_segment(row, &self.prefix) else { continue };
+            let Some(number) = segment_number(row, &self.prefix) else { continue };
+            let Some(segment) = decode_segment(row) else {
+                self.segments.insert(number, Segment::unreadable(row, unix_s));
+                continue;
+            };
             let mut last_updated_at = 0;
             for mut entry in segment.entries.into_iter().filter_map(Entry::from_wire) {
                 last_updated_at = last_updated_at.max(entry.updated_at);
@@ -317,7 +329,7 @@
                     self.entries.insert(entry.key, entry);
                 }
             }
-            self.segments.insert(number, Segment { revision: row.revision, last_updated_at });
+            self.segments.insert(number, Segment { revision: row.revision, last_updated_at, is_overwritten: false });
         }
         self.open = OpenSegment::begin(self.segments.keys().next_back().map_or(0, |last| last + 1));
     }
--- a/goldcrestward/src/ledger/slot/commits.rs
+++ b/goldcrestward/src/ledger/slot/commits.rs
@@ -7,7 +7,7 @@
     ledger::{
         entry::{Entry, EntryState, Key},
         message::Effect,
-        rows::find_head,
+        rows::{decode_segment, find_head, segment_key},
         state::{Batch, Phase, Segment, WaitingClaim},
     },
     pb::{self, Grant},
@@ -105,15 +105,16 @@
             commit: self.commit_sequence,
             entries: entries.map(Into::into).collect(),
         };
-        let key = self.segment_key(self.open.number);
-        let revision = self.segments.get(&self.open.number).map_or(Revision::NONE, |s| s.revision);
+        let key = segment_key(&self.prefix, self.open.number);
+        let revision = self.open_revision();
         let compares = vec![self.head_compare(), Compare { key: key.clone(), revision }];
-        let removes = self.batch.removes.iter().map(|n| self.segment_key(*n)).collect();
+        let removes = self.batch.removes.iter().map(|n| segment_key(&self.prefix, *n)).collect();
         Effect::Txn(compares, vec![Put { key, value: segment.encode_to_vec(), lease: 0 }], removes)
     }
 
-    fn segment_key(&self, number: u32) -> String {
-        format!("{}segment/{number:08}", self.prefix)
+    /// Revision of the open segment as it was last stored.
+    fn open_revision(&self) -> Revision {
+        self.segments.get(&self.open.number).map_or(Revision::NONE, |segment| segment.revision)
     }
 
     pub(super) fn on_commit_succeeded(&mut self, revision: Revision, unix_s: u64) -> Vec<Effect> {
@@ -121,7 +122,8 @@
         let batch = std::mem::take(&mut self.batch);
         if batch.writes {
             let last_updated_at = self.open.keys.iter().filter_map(|k| self.entries.get(k)).map(|e| e.updated_at).max();
-            self.segments.insert(self.open.number, Segment { revision, last_updated_at: last_updated_at.unwrap_or(0) });
+            let last_updated_at = last_updated_at.unwrap_or(0);
+            self.segments.insert(self.open.number, Segment { revision, last_updated_at, is_overwritten: false });
         }
         for number in batch.removes {
             self.segments.remove(&number);
@@ -145,9 +147,9 @@
         if !self.batch.writes {
             return self.on_commit_succeeded(Revision::NONE, unix_s);
         }
-        let key = self.segment_key(self.open.number);
+        let key = segment_key(&self.prefix, self.open.number);
         let stored = rows.iter().find(|row| row.key == key);
-        let segment = stored.and_then(|row| pb::LedgerSegment::decode(&row.value[..]).ok());
+        let segment = stored.and_then(decode_segment);
         let is_stored = segment.is_some_and(|s| s.fence == self.fencing_token && s.commit == self.commit_sequence);
         if let Some(row) = stored.filter(|_| is_stored) {
             return self.on_commit_succeeded(row.revision, unix_s);
--- a/goldcrestward/src/ledger/slot_test.rs
+++ b/goldcrestward/src/ledger/slot_test.rs
@@ -15,8 +15,8 @@
 
 /// Key-value service that answers at once and loses the answers to the next `answers_to_lose` commits.
 #[derive(Default)]
-struct Service {
-    store: Store,
+pub(super) struct Service {
+    pub store: Store,
     answers_to_lose: u32,
     writes: u64,
 }
@@ -36,7 +36,7 @@
     }
 
     /// Serves the calls of a slot for 400 rounds, in steps of 50 ms, and returns its replies.
-    fn drive(&mut self, slot: &mut Slot, effects: Vec<Effect>, now: &mut u64) -> Vec<(u64, Grant)> {
+    pub fn drive(&mut self, slot: &mut Slot, effects: Vec<Effect>, now: &mut u64) -> Vec<(u64, Grant)> {
         let mut replies = Vec::new();
         let mut effects = effects;
         for _ in 0..400 {
@@ -57,7 +57,7 @@
     }
 }
 
-fn unix(now: u64) -> u64 {
+pub(super) fn unix(now: u64) -> u64 {
     1_700_000_000 + now / 1_000
 }
 
@@ -67,19 +67,19 @@
     key
 }
 
-fn slot(name: &str) -> Slot {
+pub(super) fn slot(name: &str) -> Slot {
     let mut slot = Slot::new("test", 0, name.into(), String::new());
     slot.set_wanted(true, 0, unix(0));
     slot
 }
 
-fn claim(slot: &mut Slot, ticket: u64, number: u64, now: u64) -> Vec<Effect> {
+pub(super) fn claim(slot: &mut Slot, ticket: u64, number: u64, now: u64) -> Vec<Effect> {
     let request: Arc<str> = format!("request-{ticket}").into();
     slot.claim(ticket, key(number), number, request, now, unix(now))
 }
 
 /// The settlement of a claim that has run and been answered.
-fn done(number: u64) -> Settlement {
+pub(super) fn done(number: u64) -> Settlement {
     let outcome =
         pb::Outcome { status: 200, content_type: "text/plain".into(), body: b"done".to_vec(), body_omitted: false };
     Settlement { key: key(number), request: "request-1".into(), ran: true, outcome: Some(outcome) }
--- a/goldcrestward/src/ledger/stale_owner_test.rs
+++ b/goldcrestward/src/ledger/stale_owner_test.rs
@@ -7,7 +7,7 @@
 use super::{
     entry::{Entry, EntryState, Key},
     message::{Effect, Settlement, StoreResult},
-    rows::parse_segment,
+    rows::decode_segment,
     slot::Slot,
     store_test::Store,
 };
@@ -54,8 +54,8 @@
     fn is_done(&self, key: Key) -> bool {
         let loaded = self.store.clone().apply(&Effect::Load);
         let StoreResult::Loaded(Ok(rows)) = loaded else { return false };
-        let segments = rows.iter().filter_map(|row| parse_segment(row, "/goldcrestward/model/ledger/0/"));
-        let entries = segments.flat_map(|(_, segment)| segment.entries).filter_map(Entry::from_wire);
+        let segments = rows.iter().filter_map(decode_segment);
+        let entries = segments.flat_map(|segment| segment.entries).filter_map(Entry::from_wire);
         entries.filter(|entry| entry.key == key).last().is_some_and(|entry| entry.state == EntryState::Done)
     }
 
--- a/goldcrestward/src/ledger/state.rs
+++ b/goldcrestward/src/ledger/state.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::{entry::Key, message::Ticket};
-use crate::store::Revision;
+use crate::store::{Revision, Row};
 
 /// A claim that waits for a commit.
 #[derive(Clone, Debug)]
@@ -71,8 +71,18 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Segment {
     pub revision: Revision,
-    /// Unix time in seconds of the last change of any entry.
+    /// Unix time in seconds of the last change of any entry; that of the load if it cannot be read.
     pub last_updated_at: u64,
+    /// Whether another program has overwritten it, so that entries may be lost.
+    pub is_overwritten: bool,
+}
+
+impl Segment {
+    /// A segment that cannot be read. One that was created as it is has never held entries; of any other it is not known.
+    pub fn unreadable(row: &Row, unix_s: u64) -> Self {
+        let is_overwritten = row.revision.is_none() || row.create_revision != row.revision;
+        Self { revision: row.revision, last_updated_at: unix_s, is_overwritten }
+    }
 }
 
 /// What the pending commit writes, grants and removes.
--- a/goldcrestward/src/ledger/store_test.rs
+++ b/goldcrestward/src/ledger/store_test.rs
@@ -10,9 +10,24 @@
     revision: u64,
     /// Value and revision by key.
     pub rows: BTreeMap<String, (Vec<u8>, u64)>,
+    /// Revision at which a key was created, if it has been written since.
+    created: BTreeMap<String, u64>,
 }
 
 impl Store {
+    /// Writes a key.
+    pub fn put(&mut self, key: &str, value: Vec<u8>) {
+        self.revision += 1;
+        self.insert(key, value);
+    }
+
+    fn insert(&mut self, key: &str, value: Vec<u8>) {
+        let before = self.rows.insert(key.to_owned(), (value, self.revision));
+        if let Some((_, revision)) = before {
+            self.created.entry(key.to_owned()).or_insert(revision);
+        }
+    }
+
     /// Executes a `Load` or `Txn` and returns its result.
     pub fn apply(&mut self, effect: &Effect) -> StoreResult {
         let Effect::Txn(compares, puts, removes) = effect else {
@@ -20,7 +35,7 @@
                 key: key.clone(),
                 value: value.clone().into(),
                 revision: Revision::new(0, *revision),
-                create_revision: Revision::new(0, *revision),
+                create_revision: Revision::new(0, *self.created.get(key).unwrap_or(revision)),
             });
             return StoreResult::Loaded(Ok(rows.collect()));
         };
@@ -29,10 +44,11 @@
         if succeeded {
             self.revision += 1;
             for put in puts {
-                self.rows.insert(put.key.clone(), (put.value.clone(), self.revision));
+                self.insert(&put.key, put.value.clone());
             }
             for key in removes {
                 self.rows.remove(key);
+                self.created.remove(key);
             }
         }
         StoreResult::Executed(Ok(TxnOutcome { succeeded, revision: Revision::new(0, self.revision) }))
--- a/goldcrestward/src/process/daemon.rs
+++ b/goldcrestward/src/process/daemon.rs
@@ -375,7 +375,8 @@
     let view = Arc::new(Mutex::new(View::new(local, Timing::default(), seed, 0)));
     let process = format!("{}/{epoch}", settings.name);
     let owner_of = slot_owner(view.clone());
-    let ledger = Ledger::start(&settings.site, &process, &kv, peer_client.clone(), owner_of, &metrics.ledger_commits);
+    let commits = &metrics.ledger_commits;
+    let ledger = Ledger::start(&settings.site, &process, &kv, peer_client.clone(), owner_of, commits, &refusals);
     let (starting, stage) = Starting::new();
     let is_stopping: IsStopping = {
         let stage = stage.clone();
--- a/goldcrestward/tests/it/odd_entries.rs
+++ b/goldcrestward/tests/it/odd_entries.rs
@@ -6,7 +6,7 @@
 use standin::{load::RequestOutcome, platform::PlatformFaults};
 use tokio::time::sleep;
 
-use crate::support::{CONFIG, KEY, TestSite, eventually};
+use crate::support::{CONFIG, KEY, TestDaemon, TestSite, eventually};
 
 /// Time from a restart, or from a change, after which requests must be served.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
@@ -242,3 +242,28 @@
     }
     wait_served(&site, "/orders/lookup", "the corrected file").await;
 }
+
+/// Guards against RECOVER: a row of another program among those of the ledger stopped its slot, so that the requests with
+/// its keys were refused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn restarted_daemons_run_keyed_requests_beside_odd_rows_of_the_ledger() {
+    const SLOTS: usize = 8;
+    let mut site = TestSite::start(2, 0).await;
+    assert_eq!(site.confirm(0, "before").await, RequestOutcome::Complete);
+    for (number, key) in ["rack 7&a+b#c%20", "segment/+1", "segment/00000099"].into_iter().enumerate() {
+        for slot in 0..SLOTS {
+            site.platform.put_entry(&format!("/goldcrestward/test/ledger/{slot}/{key}"), b"\xff\xff");
+        }
+        restart_all(&mut site).await;
+        wait_served(&site, "/orders/lookup", key).await;
+        for request in 0..2 * SLOTS {
+            let outcome = site.confirm(request % 2, &format!("{number}-{request}")).await;
+            assert_eq!(outcome, RequestOutcome::Complete, "{key}: request {request}");
+        }
+        let logs: String = site.daemons.iter().map(TestDaemon::log).collect();
+        let line = |slot: usize| format!("event=entry-refused key=\"/goldcrestward/test/ledger/{slot}/{key}\"");
+        assert!((0..SLOTS).any(|slot| logs.contains(&line(slot))), "{key}: no line names the row:\n{logs}");
+    }
+    let executions = site.executions.lock();
+    assert!(executions.values().all(|count| *count == 1), "executed twice: {executions:?}");
+}
