--- a/goldcrestward/src/ledger/odd_rows_test.rs
+++ b/goldcrestward/src/ledger/odd_rows_test.rs
@@ -6,7 +6,7 @@
     slot::Slot,
     slot_test::{Service, claim, done, slot, unix},
 };
-use crate::pb::{Grant, LedgerSegment};
+use crate::pb::{Grant, LedgerHead, LedgerSegment};
 
 const PREFIX: &str = "/goldcrestward/test/ledger/0/";
 const HOUR_MS: u64 = 3_600_000;
@@ -15,6 +15,10 @@
     LedgerSegment { fence, commit: 1, entries: Vec::new() }.encode_to_vec()
 }
 
+fn head(fence: u64) -> Vec<u8> {
+    LedgerHead { fence, owner: "another program".into(), address: String::new() }.encode_to_vec()
+}
+
 /// Rows of another program under keys that no owner has written.
 fn added_rows() -> Vec<(&'static str, Vec<u8>)> {
     vec![
@@ -59,6 +63,22 @@
     }
 }
 
+/// Guards against RECOVER: a head that could not be read stopped its slot, as it was taken for an absent one.
+#[test]
+fn head_that_cannot_be_read_is_replaced() {
+    for value in [vec![0xff; 3], Vec::new(), head(0), head(u64::MAX)] {
+        let (mut service, mut first, mut now) = (Service::default(), slot("a"), 0);
+        assert_eq!(answer(&mut service, &mut first, 1, 5, &mut now), [Grant::Run]);
+        service.store.put(&format!("{PREFIX}head"), value.clone());
+        let mut second = slot("b");
+        assert_eq!(answer(&mut service, &mut second, 2, 5, &mut now), [Grant::MayHaveRun], "{value:?}");
+        assert_eq!(answer(&mut service, &mut second, 3, 6, &mut now), [Grant::Run], "{value:?}");
+        assert_eq!(answer(&mut service, &mut first, 4, 7, &mut now), [Grant::NotOwner], "{value:?}");
+        let mut third = slot("c");
+        assert_eq!(answer(&mut service, &mut third, 5, 6, &mut now), [Grant::MayHaveRun], "{value:?}");
+    }
+}
+
 /// Guards against requests that run twice: a segment that could not be read was left out, with the keys that it had held.
 #[test]
 fn keys_of_an_overwritten_segment_do_not_run_again() {
--- a/goldcrestward/src/ledger/rows.rs
+++ b/goldcrestward/src/ledger/rows.rs
@@ -12,10 +12,19 @@
 const MAX_FENCE: u64 = u64::MAX / 2;
 const MAX_SEGMENT: u32 = u32::MAX / 2;
 
-/// Finds and decodes the slot's head; with its revision.
-pub(super) fn find_head(rows: &[Row], prefix: &str) -> Option<(pb::LedgerHead, Revision)> {
+/// The row of a slot's head.
+pub(super) struct HeadRow {
+    pub revision: Revision,
+    /// `None` if it cannot be read.
+    pub head: Option<pb::LedgerHead>,
+}
+
+/// Finds the slot's head.
+pub(super) fn find_head(rows: &[Row], prefix: &str) -> Option<HeadRow> {
     let row = rows.iter().find(|row| is_head(row, prefix))?;
-    Some((pb::LedgerHead::decode(&row.value[..]).ok()?, row.revision))
+    let head = pb::LedgerHead::decode(&row.value[..]).ok();
+    let head = head.filter(|head| (1..=MAX_FENCE).contains(&head.fence) && !head.owner.is_empty());
+    Some(HeadRow { revision: row.revision, head })
 }
 
 /// Encodes the head that makes `owner` the owner under the fencing token `fence`.
@@ -47,7 +56,8 @@
 /// Why an owner would not have written a row; `None` if it may have.
 pub(super) fn refusal(row: &Row, prefix: &str) -> Option<&'static str> {
     if is_head(row, prefix) {
-        return pb::LedgerHead::decode(&row.value[..]).is_err().then_some("the head of the slot cannot be read");
+        let is_readable = find_head(std::slice::from_ref(row), prefix).is_some_and(|row| row.head.is_some());
+        return (!is_readable).then_some("the head of the slot cannot be read");
     }
     if segment_number(row, prefix).is_none() {
         return Some("the key is neither the head nor a segment of the slot");
--- a/goldcrestward/src/ledger/slot.rs
+++ b/goldcrestward/src/ledger/slot.rs
@@ -280,12 +280,12 @@
         if self.phase == Phase::Reconciling {
             return self.reconcile_commit(rows, unix_s);
         }
-        self.load_entries(rows, unix_s);
-        let head = find_head(rows, &self.prefix);
-        if let Some((head, revision)) = &head
-            && head.owner == self.owner_id
-        {
-            self.head_revision = *revision;
+        let last_fence = self.load_entries(rows, unix_s);
+        let row = find_head(rows, &self.prefix);
+        let revision = row.as_ref().map_or(Revision::NONE, |row| row.revision);
+        let head = row.and_then(|row| row.head);
+        if let Some(head) = head.as_ref().filter(|head| head.owner == self.owner_id) {
+            self.head_revision = revision;
             self.fencing_token = head.fence;
             self.phase = Phase::Owned;
             return Vec::new();
@@ -293,8 +293,8 @@
         if self.phase == Phase::Entering {
             return self.lose_ownership();
         }
-        let (fencing_token, revision) = head.map_or((0, Revision::NONE), |(head, revision)| (head.fence, revision));
-        self.fencing_token = fencing_token + 1;
+        // The head may be absent or not readable although there were owners.
+        self.fencing_token = head.map_or(0, |head| head.fence).max(last_fence) + 1;
         self.phase = Phase::Acquiring;
         self.call_pending = true;
         let put = head_put(&self.prefix, self.fencing_token, &self.owner_id, &self.address);
@@ -309,16 +309,18 @@
         self.dirty_since = None;
     }
 
-    /// Loads the entries of all segments. One that a previous owner left open becomes unknown, as its request may
-    /// have run.
-    fn load_entries(&mut self, rows: &[Row], unix_s: u64) {
+    /// Loads the entries of all segments, and returns the highest fencing token of any. An entry that a previous owner left
+    /// open becomes unknown, as its request may have run.
+    fn load_entries(&mut self, rows: &[Row], unix_s: u64) -> u64 {
         self.clear_entries();
+        let mut last_fence = 0;
         for row in rows {
             let Some(number) = segment_number(row, &self.prefix) else { continue };
             let Some(segment) = decode_segment(row) else {
                 self.segments.insert(number, Segment::unreadable(row, unix_s));
                 continue;
             };
+            last_fence = last_fence.max(segment.fence);
             let mut last_updated_at = 0;
             for mut entry in segment.entries.into_iter().filter_map(Entry::from_wire) {
                 last_updated_at = last_updated_at.max(entry.updated_at);
@@ -332,6 +334,7 @@
             self.segments.insert(number, Segment { revision: row.revision, last_updated_at, is_overwritten: false });
         }
         self.open = OpenSegment::begin(self.segments.keys().next_back().map_or(0, |last| last + 1));
+        last_fence
     }
 
     fn on_txn_outcome(&mut self, txn: TxnOutcome, unix_s: u64) -> Vec<Effect> {
--- a/goldcrestward/src/ledger/slot/commits.rs
+++ b/goldcrestward/src/ledger/slot/commits.rs
@@ -140,8 +140,8 @@
     }
 
     pub(super) fn reconcile_commit(&mut self, rows: &[Row], unix_s: u64) -> Vec<Effect> {
-        let head = find_head(rows, &self.prefix);
-        if head.is_none_or(|(head, _)| head.owner != self.owner_id || head.fence != self.fencing_token) {
+        let head = find_head(rows, &self.prefix).and_then(|row| row.head);
+        if head.is_none_or(|head| head.owner != self.owner_id || head.fence != self.fencing_token) {
             return self.lose_ownership();
         }
         if !self.batch.writes {
--- a/goldcrestward/tests/it/odd_entries.rs
+++ b/goldcrestward/tests/it/odd_entries.rs
@@ -250,7 +250,7 @@
     const SLOTS: usize = 8;
     let mut site = TestSite::start(2, 0).await;
     assert_eq!(site.confirm(0, "before").await, RequestOutcome::Complete);
-    for (number, key) in ["rack 7&a+b#c%20", "segment/+1", "segment/00000099"].into_iter().enumerate() {
+    for (number, key) in ["rack 7&a+b#c%20", "segment/+1", "segment/00000099", "head"].into_iter().enumerate() {
         for slot in 0..SLOTS {
             site.platform.put_entry(&format!("/goldcrestward/test/ledger/{slot}/{key}"), b"\xff\xff");
         }
