--- a/goldcrestward/src/ledger/odd_rows_test.rs
+++ b/goldcrestward/src/ledger/odd_rows_test.rs
@@ -97,3 +97,24 @@
         assert_eq!(service.store.rows.len(), 2, "the segment is not removed: {value:?}");
     }
 }
+
+/// Guards against RECOVER: an owner whose open segment was overwritten repeated its commit for good.
+#[test]
+fn owner_writes_its_open_segment_again_elsewhere() {
+    for value in [Some(vec![0xff; 3]), Some(Vec::new()), Some(segment(1)), None] {
+        let (mut service, mut first, mut now) = (Service::default(), slot("a"), 0);
+        assert_eq!(answer(&mut service, &mut first, 1, 5, &mut now), [Grant::Run]);
+        let key = format!("{PREFIX}segment/00000000");
+        match &value {
+            Some(value) => service.store.put(&key, value.clone()),
+            None => drop(service.store.rows.remove(&key)),
+        }
+        assert_eq!(answer(&mut service, &mut first, 2, 6, &mut now), [Grant::Run], "{value:?}");
+        let mut second = slot("b");
+        for number in [5, 6] {
+            let grants = answer(&mut service, &mut second, 10 + number, number, &mut now);
+            assert_eq!(grants, [Grant::MayHaveRun], "{value:?}");
+        }
+        assert_eq!(answer(&mut service, &mut second, 20, 7, &mut now), [Grant::Run], "{value:?}");
+    }
+}
--- a/goldcrestward/src/ledger/slot/commits.rs
+++ b/goldcrestward/src/ledger/slot/commits.rs
@@ -1,5 +1,7 @@
 //! Commits of a slot at its owner, and checks that it still is the owner.
 
+use std::collections::BTreeMap;
+
 use prost::Message;
 
 use super::{MAX_SEGMENTS, RETENTION_S, SETTLE_DELAY_MS, Slot};
@@ -7,7 +9,7 @@
     ledger::{
         entry::{Entry, EntryState, Key},
         message::Effect,
-        rows::{decode_segment, find_head, segment_key},
+        rows::{decode_segment, find_head, segment_key, segment_number},
         state::{Batch, Phase, Segment, WaitingClaim},
     },
     pb::{self, Grant},
@@ -139,6 +141,23 @@
         effects
     }
 
+    /// Writes the open segment under another number from now on, as another program has written or removed its key. All
+    /// its entries are known here, so that the commit which writes them also removes what is under the key.
+    fn move_open_segment(&mut self, rows: &[Row], unix_s: u64) {
+        let stored = rows.iter().filter_map(|row| Some((segment_number(row, &self.prefix)?, row.revision)));
+        let stored: BTreeMap<u32, Revision> = stored.collect();
+        let last = stored.keys().chain(self.segments.keys()).max().copied().unwrap_or_default();
+        match stored.get(&self.open.number) {
+            Some(&revision) => {
+                let moved = Segment { revision, last_updated_at: unix_s, is_overwritten: false };
+                self.segments.insert(self.open.number, moved);
+                self.batch.removes.push(self.open.number);
+            }
+            None => drop(self.segments.remove(&self.open.number)),
+        }
+        self.open.number = last.max(self.open.number) + 1;
+    }
+
     pub(super) fn reconcile_commit(&mut self, rows: &[Row], unix_s: u64) -> Vec<Effect> {
         let head = find_head(rows, &self.prefix).and_then(|row| row.head);
         if head.is_none_or(|head| head.owner != self.owner_id || head.fence != self.fencing_token) {
@@ -157,6 +176,9 @@
         // The commit has not taken effect but may still arrive. The retry compares the same revisions, so at most
         // one of the two succeeds.
         self.commit_sequence -= 1;
+        if stored.map_or(Revision::NONE, |row| row.revision) != self.open_revision() {
+            self.move_open_segment(rows, unix_s);
+        }
         vec![self.start_commit()]
     }
 }
