--- a/goldcrestward/src/process/configure.rs
+++ b/goldcrestward/src/process/configure.rs
@@ -330,7 +330,11 @@
     async fn read_head(&self) -> Result<(Head, Revision), Error> {
         let row = self.shared.kv.get(Purpose::Config, &self.head_key()).await?;
         let Some(row) = row else { return Ok((Head::default(), Revision::NONE)) };
-        Ok((serde_json::from_slice(&row.value).unwrap_or_default(), row.revision))
+        let head = serde_json::from_slice(&row.value).unwrap_or_else(|error| {
+            self.shared.refusals.record_entry(&row.key, row.revision, row.value.len(), &error.to_string());
+            Head::default()
+        });
+        Ok((head, row.revision))
     }
 
     async fn accepted(&self, revision: Revision, overrides: Vec<Override>) -> ProposalOutcome {
--- a/goldcrestward/tests/it/odd_entries.rs
+++ b/goldcrestward/tests/it/odd_entries.rs
@@ -168,7 +168,7 @@
 async fn changes_are_accepted_after_a_write_of_another_program() {
     let site = TestSite::start(2, 0).await;
     let valid = json!({ "text": "zones: { north-b: { region: north } }" }).to_string();
-    let writes = [("file/99 &+#%.yaml", valid.as_bytes()), ("rack 7&a+b#c%20", b"\xff")];
+    let writes = [("file/99 &+#%.yaml", valid.as_bytes()), ("rack 7&a+b#c%20", b"\xff"), ("head", b"\xff")];
     for (number, (key, value)) in writes.into_iter().enumerate() {
         site.platform.put_entry(&format!("/goldcrestward/test/config/{key}"), value);
         let path = format!("/more-{number}/");
@@ -177,6 +177,8 @@
         assert_eq!(response["result"], "accepted", "{key}: {response}");
         wait_served(&site, &path, key).await;
     }
+    let log = site.daemons[1].log();
+    assert!(log.contains("event=entry-refused key=\"/goldcrestward/test/config/head\""), "{log}");
 }
 
 /// Name of a file that another writer has written, not checked.
