--- a/goldcrestward/src/ledger/odd_rows_test.rs
+++ b/goldcrestward/src/ledger/odd_rows_test.rs
@@ -3,10 +3,11 @@
 use prost::Message;
 
 use super::{
+    message::Settlement,
     slot::Slot,
-    slot_test::{Service, claim, done, slot, unix},
+    slot_test::{Service, claim, done, key, slot, unix},
 };
-use crate::pb::{Grant, LedgerHead, LedgerSegment};
+use crate::pb::{Grant, LedgerHead, LedgerSegment, Outcome};
 
 const PREFIX: &str = "/goldcrestward/test/ledger/0/";
 const HOUR_MS: u64 = 3_600_000;
@@ -31,6 +32,8 @@
         ("segment/00000001", Vec::new()),
         ("segment/00000001", segment(u64::MAX)),
         ("segment/00000099", vec![0xff; 3]),
+        ("segment/2147483647", vec![0xff; 3]),
+        ("segment/2147483648", segment(1)),
         ("segment/4294967295", vec![0xff; 3]),
         ("segment/4294967295", segment(1)),
     ]
@@ -52,7 +55,6 @@
         assert!(recorded, "{key}");
         service.drive(&mut first, effects, &mut now);
         service.store.put(&format!("{PREFIX}{key}"), value.clone());
-        // The owner writes on, and more than one segment.
         for number in 10..14 {
             assert_eq!(answer(&mut service, &mut first, number, number, &mut now), [Grant::Run], "{key} {value:?}");
         }
@@ -60,6 +62,40 @@
         assert_eq!(answer(&mut service, &mut second, 2, 5, &mut now), [Grant::Done], "{key} {value:?}");
         assert_eq!(answer(&mut service, &mut second, 3, 10, &mut now), [Grant::MayHaveRun], "{key} {value:?}");
         assert_eq!(answer(&mut service, &mut second, 4, 6, &mut now), [Grant::Run], "{key} {value:?}");
+        let mut third = slot("c");
+        for number in [6, 13] {
+            let grants = answer(&mut service, &mut third, 20 + number, number, &mut now);
+            assert_eq!(grants, [Grant::MayHaveRun], "{key} {value:?}");
+        }
+    }
+}
+
+/// A number that another program has taken is passed over, whether the owner knows it or not.
+#[test]
+fn owner_passes_over_segments_of_another_program() {
+    // With their outcomes, enough for three segments.
+    const KEYS: u64 = 24;
+    for is_known in [true, false] {
+        let (mut service, mut owner, mut now) = (Service::default(), slot("a"), 0);
+        for number in 1..=KEYS {
+            if number == 3 {
+                service.store.put(&format!("{PREFIX}segment/00000001"), vec![0xff; 3]);
+                owner = if is_known { slot("b") } else { owner };
+            }
+            assert_eq!(answer(&mut service, &mut owner, number, number, &mut now), [Grant::Run], "known {is_known}");
+            let outcome = Outcome { body: vec![b'x'; 4_096], ..Outcome::default() };
+            let request = format!("request-{number}").into();
+            let settlement = Settlement { key: key(number), request, ran: true, outcome: Some(outcome) };
+            let (_, effects) = owner.settle(settlement, now, unix(now));
+            service.drive(&mut owner, effects, &mut now);
+        }
+        let segments = service.store.rows.keys().filter(|key| key.contains("/segment/")).count();
+        assert!(segments >= 4, "known {is_known}: {segments} segments");
+        let mut next = slot("c");
+        for number in 1..=KEYS {
+            let grants = answer(&mut service, &mut next, 100 + number, number, &mut now);
+            assert_eq!(grants, [Grant::Done], "known {is_known}: key {number}");
+        }
     }
 }
 
--- a/goldcrestward/src/ledger/rows.rs
+++ b/goldcrestward/src/ledger/rows.rs
@@ -8,9 +8,10 @@
     store::{Put, Revision, Row},
 };
 
-/// Highest fencing token, and highest number of a segment, that an owner can have written: each is one more than another.
+/// Highest fencing token that an owner can have written: each is one more than another.
 const MAX_FENCE: u64 = u64::MAX / 2;
-const MAX_SEGMENT: u32 = u32::MAX / 2;
+/// Highest number of a segment. Owners use none above, and rows with such numbers do not count.
+pub(super) const MAX_SEGMENT: u32 = u32::MAX / 2;
 
 /// The row of a slot's head.
 pub(super) struct HeadRow {
--- a/goldcrestward/src/ledger/slot.rs
+++ b/goldcrestward/src/ledger/slot.rs
@@ -17,7 +17,7 @@
     commit_limiter::CommitLimiter,
     entry::{Entry, EntryState, Key},
     message::{Effect, Settlement, StoreResult, Ticket},
-    rows::{decode_segment, find_head, head_put, segment_number},
+    rows::{MAX_SEGMENT, decode_segment, find_head, head_put, segment_number},
     state::{Batch, OpenSegment, Phase, Segment, WaitingClaim},
 };
 use crate::{
@@ -313,7 +313,7 @@
     /// open becomes unknown, as its request may have run.
     fn load_entries(&mut self, rows: &[Row], unix_s: u64) -> u64 {
         self.clear_entries();
-        let mut last_fence = 0;
+        let (mut last_fence, mut last_number) = (0, None);
         for row in rows {
             let Some(number) = segment_number(row, &self.prefix) else { continue };
             let Some(segment) = decode_segment(row) else {
@@ -321,6 +321,7 @@
                 continue;
             };
             last_fence = last_fence.max(segment.fence);
+            last_number = last_number.max(Some(number));
             let mut last_updated_at = 0;
             for mut entry in segment.entries.into_iter().filter_map(Entry::from_wire) {
                 last_updated_at = last_updated_at.max(entry.updated_at);
@@ -333,10 +334,21 @@
             }
             self.segments.insert(number, Segment { revision: row.revision, last_updated_at, is_overwritten: false });
         }
-        self.open = OpenSegment::begin(self.segments.keys().next_back().map_or(0, |last| last + 1));
+        self.open = OpenSegment::begin(self.free_number(last_number));
         last_fence
     }
 
+    /// First number after another one, or of all, under which no segment is known.
+    fn free_number(&self, after: Option<u32>) -> u32 {
+        let first = after.map_or(0, |number| number + 1);
+        (first..).find(|number| !self.segments.contains_key(number)).unwrap_or(first)
+    }
+
+    /// Whether no further key can be recorded.
+    fn is_full(&self) -> bool {
+        self.segments.len() >= MAX_SEGMENTS || self.open.number > MAX_SEGMENT
+    }
+
     fn on_txn_outcome(&mut self, txn: TxnOutcome, unix_s: u64) -> Vec<Effect> {
         self.failures = 0;
         match self.phase {
--- a/goldcrestward/src/ledger/slot/commits.rs
+++ b/goldcrestward/src/ledger/slot/commits.rs
@@ -1,16 +1,14 @@
 //! Commits of a slot at its owner, and checks that it still is the owner.
 
-use std::collections::BTreeMap;
-
 use prost::Message;
 
-use super::{MAX_SEGMENTS, RETENTION_S, SETTLE_DELAY_MS, Slot};
+use super::{RETENTION_S, SETTLE_DELAY_MS, Slot};
 use crate::{
     ledger::{
         entry::{Entry, EntryState, Key},
         message::Effect,
         rows::{decode_segment, find_head, segment_key, segment_number},
-        state::{Batch, Phase, Segment, WaitingClaim},
+        state::{Batch, OpenSegment, Phase, Segment, WaitingClaim},
     },
     pb::{self, Grant},
     store::{Compare, Put, Revision, Row},
@@ -25,7 +23,9 @@
         if !due || !self.commit_limiter.allows() {
             return effects;
         }
-        self.open.roll();
+        if self.open.is_full() {
+            self.open = OpenSegment::begin(self.free_number(Some(self.open.number)));
+        }
         self.batch = Batch::default();
         while let Some(claim) = self.waiting.pop_front() {
             self.admit(claim, unix_s, &mut effects);
@@ -58,7 +58,7 @@
             Some(_) => return self.batch.checked.push(claim),
             None => {}
         }
-        if self.segments.len() >= MAX_SEGMENTS {
+        if self.is_full() {
             effects.push(Effect::Reply(claim.ticket, Grant::Full, None));
             return;
         }
@@ -142,20 +142,18 @@
     }
 
     /// Writes the open segment under another number from now on, as another program has written or removed its key. All
-    /// its entries are known here, so that the commit which writes them also removes what is under the key.
+    /// its entries are known here, so that the commit which writes them also removes what has overwritten it.
     fn move_open_segment(&mut self, rows: &[Row], unix_s: u64) {
-        let stored = rows.iter().filter_map(|row| Some((segment_number(row, &self.prefix)?, row.revision)));
-        let stored: BTreeMap<u32, Revision> = stored.collect();
-        let last = stored.keys().chain(self.segments.keys()).max().copied().unwrap_or_default();
-        match stored.get(&self.open.number) {
-            Some(&revision) => {
-                let moved = Segment { revision, last_updated_at: unix_s, is_overwritten: false };
-                self.segments.insert(self.open.number, moved);
-                self.batch.removes.push(self.open.number);
-            }
-            None => drop(self.segments.remove(&self.open.number)),
+        let before = self.segments.remove(&self.open.number);
+        for row in rows {
+            let Some(number) = segment_number(row, &self.prefix) else { continue };
+            let added = Segment { revision: row.revision, last_updated_at: unix_s, is_overwritten: false };
+            self.segments.entry(number).or_insert(added);
+        }
+        if before.is_some() && self.segments.contains_key(&self.open.number) {
+            self.batch.removes.push(self.open.number);
         }
-        self.open.number = last.max(self.open.number) + 1;
+        self.open.number = self.free_number(Some(self.open.number));
     }
 
     pub(super) fn reconcile_commit(&mut self, rows: &[Row], unix_s: u64) -> Vec<Effect> {
--- a/goldcrestward/src/ledger/slot_test.rs
+++ b/goldcrestward/src/ledger/slot_test.rs
@@ -61,7 +61,7 @@
     1_700_000_000 + now / 1_000
 }
 
-fn key(number: u64) -> Key {
+pub(super) fn key(number: u64) -> Key {
     let mut key = Key::default();
     key[..8].copy_from_slice(&number.to_le_bytes());
     key
--- a/goldcrestward/src/ledger/state.rs
+++ b/goldcrestward/src/ledger/state.rs
@@ -51,11 +51,9 @@
         Self { number, ..Self::default() }
     }
 
-    /// Begins a new segment if this one has reached its size limit.
-    pub fn roll(&mut self) {
-        if self.bytes >= SEGMENT_ROLL_BYTES {
-            *self = Self::begin(self.number + 1);
-        }
+    /// Whether the segment has reached its size limit.
+    pub fn is_full(&self) -> bool {
+        self.bytes >= SEGMENT_ROLL_BYTES
     }
 
     /// Adds a state of an entry that takes `bytes`.
