--- a/goldcrestward/src/process/state/pull.rs
+++ b/goldcrestward/src/process/state/pull.rs
@@ -160,7 +160,7 @@
                     publish_leaving(&shared, &instance.id);
                 }
                 shared.replicas.update(changes.instances, shared.now());
-                for id in &changes.unreadable {
+                for id in changes.unreadable.iter().filter(|id| shared.replicas.is_known(id)) {
                     shared.replicas.remove(id, shared.now());
                     info!("event=instance-removed instance={id:?} reason=unreadable");
                 }
