Tests: a daemon that is paused has stopped before the test goes on

Cause: a process goes on to run for a time after SIGSTOP if its threads wait for a processor. The claims that were to be held at the paused owner were answered in 52 to 356 ms (a copy of the test that prints them and the daemons' logs; daemon-1 was alive to its peer throughout). In owner_kill such an owner commits claims before it is killed: MayHaveRun, once.

Change: `signal` waits, for SIGSTOP, until the kernel shows each thread of the daemon as stopped. No check is changed.

--- a/goldcrestward/tests/it/support/daemon.rs
+++ b/goldcrestward/tests/it/support/daemon.rs
@@ -133,9 +133,24 @@
         self.child.wait().expect("the daemon has ended");
     }
 
+    /// Sends a signal. Waits until a daemon that is to pause does: on a busy machine it goes on to run for a time.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
         kill_process(pid, signal).expect("the daemon receives the signal");
+        let start = Instant::now();
+        while signal == Signal::STOP && !self.is_paused() {
+            assert!(start.elapsed() < START_TIMEOUT, "{} does not pause", self.name);
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    fn is_paused(&self) -> bool {
+        let tasks = fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("the daemon is running");
+        let is_stopped = |task: std::io::Result<fs::DirEntry>| {
+            let stat = fs::read_to_string(task.ok()?.path().join("stat")).ok()?;
+            Some(stat.rsplit_once(") ")?.1.starts_with(['T', 't']))
+        };
+        tasks.into_iter().all(|task| is_stopped(task).unwrap_or(true))
     }
 
     /// Largest memory that the process has had, in MB.
